--- /dev/null
+++ b/crates/damaskvane-bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Experiments and load: one sub-command each.
--- /dev/null
+++ b/crates/damaskvane-config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Declarations, tickets, manifests and their validation.
--- /dev/null
+++ b/crates/damaskvane-ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command.
--- /dev/null
+++ b/crates/damaskvane-dispatch/src/lib.rs
@@ -0,0 +1,1 @@
+//! Slots, deadlines, retries, idempotency, quarantine and drain of requests.
--- /dev/null
+++ b/crates/damaskvane-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry instance: answers look-ups and dispatches requests.
--- /dev/null
+++ b/crates/damaskvane-membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Live and leaving instances, heartbeats, digests and ownership.
--- /dev/null
+++ b/crates/damaskvane-peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between entry instances and their transport.
--- /dev/null
+++ b/crates/damaskvane-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's object API.
--- /dev/null
+++ b/crates/damaskvane-telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs, counters, settings files and command lines shared by the programs.
