Refusal and retry reasons and the three final answers

Cause: every refusal and retry needs one counter word, a status and a remedy, and the daemon builds on them. Ruled out: separate enums for not-run and unknown reasons, since counters and the answer header share one word list; the constructor of NotRun is private instead. Conclusion: a reason's certainty decides its status.

--- /dev/null
+++ b/crates/damaskvane-dispatch/src/outcome.rs
@@ -0,0 +1,14 @@
+//! The three final answers: the backend server's own, *not run*, and *outcome unknown*.
+//!
+//! ```
+//! use damaskvane_dispatch::{outcome, refusal};
+//!
+//! let answer: outcome::Outcome<&str> = outcome::Outcome::unknown(refusal::RefusalReason::HomeRestarted);
+//! assert_eq!(answer.word(), "unknown");
+//! ```
+
+mod answer;
+mod refused;
+
+pub use answer::Outcome;
+pub use refused::{NotRun, Unknown};
--- /dev/null
+++ b/crates/damaskvane-dispatch/src/refusal/reason.rs
@@ -0,0 +1,217 @@
+//! The refusal reasons, each with its counter word, certainty, status, remedy and retry-after.
+//!
+//! ```
+//! use damaskvane_dispatch::refusal;
+//!
+//! for reason in refusal::RefusalReason::ALL {
+//!     assert_eq!(reason.as_str().parse(), Ok(reason));
+//! }
+//! ```
+
+use core::fmt;
+use core::str;
+
+use damaskvane_core::time;
+use serde::{Deserialize, Serialize};
+
+/// Why a request is answered with *not run* or *outcome unknown*.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalReason {
+    /// The request can't be read.
+    MalformedRequest,
+    /// The body is longer than the service takes.
+    BodyTooLarge,
+    /// A non-repeatable request lacks its idempotency key or its home.
+    KeyMissing,
+    /// The key is bound to another body.
+    KeyReusedWithOtherBody,
+    /// A later try of the key was already answered with *not run*.
+    TrySuperseded,
+    /// The table of idempotency keys is full.
+    KeyTableFull,
+    /// The configuration names no such service.
+    ServiceUnknown,
+    /// The instance has no configuration yet.
+    NoConfiguration,
+    /// The admission queue is full.
+    QueueFull,
+    /// The request waited in the queue for longer than the queue allows.
+    QueueTimeout,
+    /// The time left is too short for the request to finish.
+    DeadlineTooShort,
+    /// The client went away before the request was sent to a backend server.
+    ClientGone,
+    /// No backend server takes work.
+    NoBackendServer,
+    /// Arrivals exceed what the backend servers finish.
+    Overloaded,
+    /// Requests alike have crashed backend servers.
+    Quarantined,
+    /// The instance is leaving and takes no new keys.
+    InstanceLeaving,
+    /// Each backend server that was tried refused before running.
+    BackendRefused,
+    /// The budget of the link to the other availability zone is used up.
+    LinkBudget,
+    /// The credit that the other availability zone granted is used up.
+    CreditExhausted,
+    /// The key is older than the window in which outcomes are kept.
+    KeyExpired,
+    /// The home of the key can't be reached.
+    HomeUnreachable,
+    /// The home of the key was restarted without handing its keys over.
+    HomeRestarted,
+    /// The request was sent, and its answer was lost, cut or not the request's own.
+    OutcomeLost,
+    /// The time ran out after the request was sent.
+    DeadlinePassed,
+    /// An invariant of the decision code was broken; the unsafe action was refused.
+    InternalInvariant,
+}
+
+/// a refusal reason is one of the words of docs/COUNTERS.md; compare the versions of both instances
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
+pub struct ParseReasonError;
+
+/// No retry helps unless the request or the configuration changes.
+const NO_RETRY_MS: u64 = 60_000;
+/// The state that caused the refusal passes within about a request's run time.
+const SHORT_RETRY_MS: u64 = 250;
+/// The state that caused the refusal takes a few heartbeats to pass.
+const MEDIUM_RETRY_MS: u64 = 1_000;
+/// The state that caused the refusal takes an operator, a restart or an expiry to pass.
+const LONG_RETRY_MS: u64 = 10_000;
+
+/// The status of an answer whose outcome is unknown.
+const STATUS_UNKNOWN: u16 = 502;
+
+struct Properties {
+    word: &'static str,
+    status: u16,
+    retry_after_ms: u64,
+    remedy: &'static str,
+}
+
+const fn properties(
+    word: &'static str,
+    status: u16,
+    retry_after_ms: u64,
+    remedy: &'static str,
+) -> Properties {
+    Properties {
+        word,
+        status,
+        retry_after_ms,
+        remedy,
+    }
+}
+
+impl RefusalReason {
+    /// Every reason, in the order of the counters' page.
+    pub const ALL: [Self; 25] = [
+        Self::MalformedRequest,
+        Self::BodyTooLarge,
+        Self::KeyMissing,
+        Self::KeyReusedWithOtherBody,
+        Self::TrySuperseded,
+        Self::KeyTableFull,
+        Self::ServiceUnknown,
+        Self::NoConfiguration,
+        Self::QueueFull,
+        Self::QueueTimeout,
+        Self::DeadlineTooShort,
+        Self::ClientGone,
+        Self::NoBackendServer,
+        Self::Overloaded,
+        Self::Quarantined,
+        Self::InstanceLeaving,
+        Self::BackendRefused,
+        Self::LinkBudget,
+        Self::CreditExhausted,
+        Self::KeyExpired,
+        Self::HomeUnreachable,
+        Self::HomeRestarted,
+        Self::OutcomeLost,
+        Self::DeadlinePassed,
+        Self::InternalInvariant,
+    ];
+
+    #[rustfmt::skip]
+    const fn properties(self) -> Properties {
+        match self {
+            Self::MalformedRequest => properties("malformed_request", 400, NO_RETRY_MS, "send a request as docs/API.md describes it"),
+            Self::BodyTooLarge => properties("body_too_large", 413, NO_RETRY_MS, "send a shorter body"),
+            Self::KeyMissing => properties("key_missing", 400, NO_RETRY_MS, "send an idempotency key and its home with each non-repeatable request"),
+            Self::KeyReusedWithOtherBody => properties("key_reused_with_other_body", 400, NO_RETRY_MS, "take a new key for another body"),
+            Self::TrySuperseded => properties("try_superseded", 503, SHORT_RETRY_MS, "follow the answer of the later try, or try again with a higher try number"),
+            Self::KeyTableFull => properties("key_table_full", 503, MEDIUM_RETRY_MS, "come back later, or raise max_entries or max_bytes of the key table"),
+            Self::ServiceUnknown => properties("service_unknown", 404, NO_RETRY_MS, "check the service's name, or declare the service"),
+            Self::NoConfiguration => properties("no_configuration", 503, MEDIUM_RETRY_MS, "use another entry instance until this one has adopted a configuration"),
+            Self::QueueFull => properties("queue_full", 503, SHORT_RETRY_MS, "come back after retry-after-ms"),
+            Self::QueueTimeout => properties("queue_timeout", 503, SHORT_RETRY_MS, "come back after retry-after-ms"),
+            Self::DeadlineTooShort => properties("deadline_too_short", 503, SHORT_RETRY_MS, "come back with a longer deadline"),
+            Self::ClientGone => properties("client_gone", 503, SHORT_RETRY_MS, "keep the connection open until the answer is there"),
+            Self::NoBackendServer => properties("no_backend_server", 503, MEDIUM_RETRY_MS, "come back later; operators check the service's backend servers"),
+            Self::Overloaded => properties("overloaded", 503, SHORT_RETRY_MS, "come back after retry-after-ms"),
+            Self::Quarantined => properties("quarantined", 429, LONG_RETRY_MS, "operators look at the quarantine list and clear the entry once the fault is mended"),
+            Self::InstanceLeaving => properties("instance_leaving", 503, SHORT_RETRY_MS, "look up another entry instance and take a new home"),
+            Self::BackendRefused => properties("backend_refused", 503, SHORT_RETRY_MS, "come back after retry-after-ms"),
+            Self::LinkBudget => properties("link_budget", 503, MEDIUM_RETRY_MS, "look up an entry instance again and come back later"),
+            Self::CreditExhausted => properties("credit_exhausted", 503, MEDIUM_RETRY_MS, "look up an entry instance again and come back later"),
+            Self::KeyExpired => properties("key_expired", STATUS_UNKNOWN, NO_RETRY_MS, "check at the service whether the request ran"),
+            Self::HomeUnreachable => properties("home_unreachable", STATUS_UNKNOWN, MEDIUM_RETRY_MS, "try again with the same key and home"),
+            Self::HomeRestarted => properties("home_restarted", STATUS_UNKNOWN, NO_RETRY_MS, "check at the service whether the request ran"),
+            Self::OutcomeLost => properties("outcome_lost", STATUS_UNKNOWN, NO_RETRY_MS, "check at the service whether the request ran"),
+            Self::DeadlinePassed => properties("deadline_passed", STATUS_UNKNOWN, SHORT_RETRY_MS, "ask again with the same key and home"),
+            Self::InternalInvariant => properties("internal_invariant", STATUS_UNKNOWN, LONG_RETRY_MS, "report the log line of the broken invariant"),
+        }
+    }
+
+    /// The word of counters, logs and the `damaskvane-reason` header.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        self.properties().word
+    }
+
+    /// What the client or the operator can do about it.
+    #[must_use]
+    pub const fn remedy(self) -> &'static str {
+        self.properties().remedy
+    }
+
+    /// The HTTP status of the answer.
+    #[must_use]
+    pub const fn status(self) -> u16 {
+        self.properties().status
+    }
+
+    /// Whether the request is known not to have run; otherwise its outcome is unknown.
+    #[must_use]
+    pub const fn means_not_run(self) -> bool {
+        self.status() != STATUS_UNKNOWN
+    }
+
+    /// When to come back where nothing better is known, such as a queue's drain rate.
+    #[must_use]
+    pub const fn default_retry_after(self) -> time::SpanMs {
+        time::SpanMs::new(self.properties().retry_after_ms)
+    }
+}
+
+impl fmt::Display for RefusalReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
+
+impl str::FromStr for RefusalReason {
+    type Err = ParseReasonError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Self::ALL
+            .into_iter()
+            .find(|reason| reason.as_str() == text)
+            .ok_or(ParseReasonError)
+    }
+}
