--- /dev/null
+++ b/crates/damaskvane-engine/src/event/action.rs
@@ -0,0 +1,77 @@
+//! What the engine wants done.
+//!
+//! ```
+//! use damaskvane_dispatch::refusal;
+//! use damaskvane_engine::event;
+//!
+//! let action = event::Action::CountRefusal(refusal::RefusalReason::QueueFull);
+//! assert!(format!("{action:?}").contains("QueueFull"));
+//! ```
+
+use std::net;
+use std::sync::Arc;
+
+use damaskvane_core::{ids, time};
+use damaskvane_dispatch::{outcome, refusal, retry};
+
+use crate::event::number;
+use crate::{message, peer};
+
+/// An exchange to be run.
+#[derive(Debug, Clone)]
+pub struct Exchange {
+    /// The engine's number for it.
+    pub number: number::ExchangeNumber,
+    /// The backend server.
+    pub backend_server: ids::BackendServerId,
+    /// Where it listens.
+    pub address: net::SocketAddr,
+    /// What to send.
+    pub request: Arc<message::ServiceRequest>,
+    /// When it has to end, as a span from now.
+    pub time_left: time::SpanMs,
+}
+
+/// What the engine wants done; the driver carries it out in order.
+#[derive(Debug)]
+pub enum Action {
+    /// Give a client its final answer.
+    Answer {
+        /// The request.
+        number: number::RequestNumber,
+        /// The answer.
+        outcome: outcome::Outcome<message::BackendAnswer>,
+    },
+    /// Run an exchange and report its end.
+    Start(Exchange),
+    /// Ask a backend server to stop a request; its exchange still reports its end.
+    Cancel {
+        /// Where the backend server listens.
+        address: net::SocketAddr,
+        /// The request.
+        request_id: ids::RequestId,
+    },
+    /// Send a message to another entry instance.
+    Send {
+        /// The receiver.
+        to: ids::InstanceId,
+        /// The message.
+        message: Box<peer::PeerMessage>,
+    },
+    /// Count a refusal.
+    CountRefusal(refusal::RefusalReason),
+    /// Count a retry.
+    CountRetry(retry::RetryReason),
+    /// Count another event by family and word.
+    Count {
+        /// The counter's family.
+        family: &'static str,
+        /// The counter's word.
+        word: &'static str,
+    },
+    /// An invariant was broken and the unsafe action refused.
+    Broken {
+        /// Which invariant.
+        invariant: &'static str,
+    },
+}
--- /dev/null
+++ b/crates/damaskvane-engine/src/event/input.rs
@@ -0,0 +1,50 @@
+//! What the engine is told.
+//!
+//! ```
+//! use damaskvane_engine::event;
+//!
+//! let event = event::Event::ClientGone { number: event::RequestNumber::new(7) };
+//! assert!(format!("{event:?}").contains("ClientGone"));
+//! ```
+
+use std::sync::Arc;
+
+use crate::event::{exchange_end, number};
+use crate::{directory, message, peer};
+
+/// What the engine is told.
+#[derive(Debug)]
+pub enum Event {
+    /// A client's request arrived, whole.
+    Submit {
+        /// The driver's number for it.
+        number: number::RequestNumber,
+        /// The request.
+        request: Box<message::ServiceRequest>,
+    },
+    /// The client closed its connection before the answer.
+    ClientGone {
+        /// The request it waited for.
+        number: number::RequestNumber,
+    },
+    /// An exchange ended.
+    ExchangeEnded {
+        /// Which one.
+        exchange: number::ExchangeNumber,
+        /// How.
+        end: exchange_end::ExchangeEnd,
+    },
+    /// Another entry instance sent a message.
+    Peer {
+        /// Who sent it.
+        from: message::Home,
+        /// What it says.
+        message: Box<peer::PeerMessage>,
+    },
+    /// Configuration or membership changed.
+    Directory(Arc<directory::Directory>),
+    /// A planned stop has begun.
+    Leave,
+    /// Time passed.
+    Tick,
+}
--- /dev/null
+++ b/crates/damaskvane-entry/src/exchange.rs
@@ -0,0 +1,184 @@
+//! One exchange with a backend server: a fresh connection, one request, one whole answer.
+//!
+//! attohttpc keeps no connection pool, so that an abandoned exchange can't leave its answer behind for
+//! the next one, and a silent connection ends with its own request. What it costs is a connect each.
+//!
+//! Two things are checked that the library leaves to its caller. It ends a body quietly where the
+//! connection closes before `content-length`; a client would take half an answer for the whole,
+//! so the length is compared. And an answer without a length that ends with its connection can't be
+//! told from a cut one, so it is refused.
+//!
+//! ```
+//! use damaskvane_entry::exchange;
+//!
+//! let limits = exchange::ExchangeLimits::default();
+//! assert!(limits.answer_limit_bytes > 0);
+//! ```
+
+use core::time::Duration;
+use std::io::{self, Read};
+
+use attohttpc::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
+use damaskvane_core::{ids, time};
+use damaskvane_engine::event::ExchangeEnd;
+use damaskvane_engine::message;
+
+use crate::client_api::header;
+
+const STATUS_UNAVAILABLE: u16 = 503;
+const MOST_HEADERS: usize = 100;
+
+/// What an exchange costs at most.
+#[derive(Debug, Clone, Copy)]
+pub struct ExchangeLimits {
+    /// Time to open the connection.
+    pub connect_timeout: time::SpanMs,
+    /// Largest body of an answer.
+    pub answer_limit_bytes: usize,
+}
+
+impl Default for ExchangeLimits {
+    fn default() -> Self {
+        Self {
+            connect_timeout: time::SpanMs::new(1_000),
+            answer_limit_bytes: 1_048_576,
+        }
+    }
+}
+
+/// Runs one exchange and waits for its end.
+#[must_use]
+pub fn run(
+    address: &str,
+    request: &message::ServiceRequest,
+    time_left: time::SpanMs,
+    limits: ExchangeLimits,
+) -> ExchangeEnd {
+    match send(address, request, time_left, limits) {
+        Ok(response) => read(response, request, limits),
+        Err(error) => failure(&error),
+    }
+}
+
+/// Asks a backend server to stop a request; the answer does not matter.
+pub fn cancel(address: &str, request_id: &ids::RequestId) {
+    let url = format!("http://{address}/cancel/{request_id}");
+    let _ = attohttpc::post(url)
+        .proxy_settings(no_proxy())
+        .timeout(Duration::from_secs(1))
+        .send();
+}
+
+fn no_proxy() -> attohttpc::ProxySettings {
+    attohttpc::ProxySettings::builder().build()
+}
+
+fn send(
+    address: &str,
+    request: &message::ServiceRequest,
+    time_left: time::SpanMs,
+    limits: ExchangeLimits,
+) -> attohttpc::Result<attohttpc::Response> {
+    let method = attohttpc::Method::from_bytes(request.method.as_bytes())
+        .unwrap_or(attohttpc::Method::GET);
+    let url = format!("http://{address}{}", request.path);
+    let mut builder = attohttpc::RequestBuilder::try_new(method, url)?
+        .proxy_settings(no_proxy())
+        .follow_redirects(false)
+        .max_headers(MOST_HEADERS)
+        .connect_timeout(limits.connect_timeout.min(time_left).to_duration())
+        .read_timeout(time_left.to_duration())
+        .timeout(time_left.to_duration())
+        .try_header(header::REQUEST_ID, request.request_id.as_str())?
+        .try_header(header::DEADLINE_MS, time_left.get().to_string())?;
+    if let Some(idempotency) = &request.idempotency {
+        builder = builder.try_header(header::IDEMPOTENCY_KEY, idempotency.key.as_str())?;
+    }
+    for passed in &request.headers {
+        builder = builder.try_header_append(passed.name(), passed.value())?;
+    }
+    builder.bytes(&request.body).send()
+}
+
+fn failure(error: &attohttpc::Error) -> ExchangeEnd {
+    match error.kind() {
+        attohttpc::ErrorKind::Io(error) => io_failure(error),
+        attohttpc::ErrorKind::Http(_)
+        | attohttpc::ErrorKind::InvalidBaseUrl
+        | attohttpc::ErrorKind::InvalidUrlHost
+        | attohttpc::ErrorKind::InvalidUrlPort => ExchangeEnd::NotSent,
+        attohttpc::ErrorKind::InvalidResponse(_) => ExchangeEnd::Cut,
+        _ => ExchangeEnd::Lost,
+    }
+}
+
+/// Only errors that a connect alone can cause prove that nothing was sent.
+fn io_failure(error: &io::Error) -> ExchangeEnd {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused
+        | io::ErrorKind::HostUnreachable
+        | io::ErrorKind::NetworkUnreachable
+        | io::ErrorKind::AddrNotAvailable => ExchangeEnd::NotSent,
+        io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock => ExchangeEnd::Silent,
+        _ => ExchangeEnd::Lost,
+    }
+}
+
+fn read(
+    response: attohttpc::Response,
+    request: &message::ServiceRequest,
+    limits: ExchangeLimits,
+) -> ExchangeEnd {
+    let (status, headers, reader) = response.split();
+    if text(&headers, header::REQUEST_ID) != Some(request.request_id.as_str()) {
+        return ExchangeEnd::Crossed;
+    }
+    if status.as_u16() == STATUS_UNAVAILABLE && text(&headers, header::NOT_RUN) == Some("true") {
+        return ExchangeEnd::Refused;
+    }
+    let mut body = Vec::new();
+    let most = limits.answer_limit_bytes as u64 + 1;
+    if let Err(error) = reader.take(most).read_to_end(&mut body) {
+        return match io_failure(&error) {
+            ExchangeEnd::Silent => ExchangeEnd::Silent,
+            _ => ExchangeEnd::Cut,
+        };
+    }
+    if body.len() > limits.answer_limit_bytes || !is_whole(request, status, &headers, body.len()) {
+        return ExchangeEnd::Cut;
+    }
+    ExchangeEnd::Answered(message::BackendAnswer {
+        status: status.as_u16(),
+        headers: passed_on(&headers),
+        body,
+    })
+}
+
+fn is_whole(
+    request: &message::ServiceRequest,
+    status: attohttpc::StatusCode,
+    headers: &HeaderMap,
+    length: usize,
+) -> bool {
+    let has_no_body = request.method == "HEAD"
+        || status == attohttpc::StatusCode::NO_CONTENT
+        || status == attohttpc::StatusCode::NOT_MODIFIED;
+    if has_no_body || headers.contains_key(TRANSFER_ENCODING) {
+        return true;
+    }
+    text(headers, CONTENT_LENGTH.as_str()).and_then(|value| value.parse().ok()) == Some(length)
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn passed_on(headers: &HeaderMap) -> Vec<message::Header> {
+    headers
+        .iter()
+        .filter(|(name, _)| header::is_passed_on(name.as_str()))
+        .filter_map(|(name, value)| {
+            Some(message::Header::new(name.as_str(), value.to_str().ok()?))
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/damaskvane-entry/src/inbox.rs
@@ -0,0 +1,16 @@
+//! What the engine's thread receives.
+//!
+//! ```
+//! use damaskvane_entry::inbox;
+//!
+//! let (sender, receiver) = flume::unbounded();
+//! drop(inbox::ClientGuard::new(sender, inbox::RequestNumber::new(7)));
+//! assert!(matches!(receiver.recv(), Ok(inbox::Input::ClientGone { .. })));
+//! ```
+
+mod client_guard;
+mod input;
+
+pub use client_guard::ClientGuard;
+pub use damaskvane_engine::event::RequestNumber;
+pub use input::{Input, Reply};
--- /dev/null
+++ b/crates/damaskvane-entry/src/inbox/client_guard.rs
@@ -0,0 +1,46 @@
+//! Tells the engine when a client goes away before its answer.
+//!
+//! ```
+//! use damaskvane_entry::inbox;
+//!
+//! let (sender, receiver) = flume::unbounded();
+//! inbox::ClientGuard::new(sender, inbox::RequestNumber::new(7)).disarm();
+//! assert!(receiver.is_empty());
+//! ```
+
+use damaskvane_engine::event;
+
+use crate::inbox::input;
+
+/// Sends a message when dropped, unless disarmed.
+#[derive(Debug)]
+pub struct ClientGuard {
+    inbox: Option<flume::Sender<input::Input>>,
+    number: event::RequestNumber,
+}
+
+impl ClientGuard {
+    /// Guards one request.
+    #[must_use]
+    pub const fn new(inbox: flume::Sender<input::Input>, number: event::RequestNumber) -> Self {
+        Self {
+            inbox: Some(inbox),
+            number,
+        }
+    }
+
+    /// The answer arrived; nothing is sent.
+    pub fn disarm(mut self) {
+        self.inbox = None;
+    }
+}
+
+impl Drop for ClientGuard {
+    fn drop(&mut self) {
+        if let Some(inbox) = self.inbox.take() {
+            let _ = inbox.send(input::Input::ClientGone {
+                number: self.number,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-entry/src/inbox/input.rs
@@ -0,0 +1,55 @@
+//! One message to the engine's thread.
+//!
+//! ```
+//! use damaskvane_entry::inbox;
+//!
+//! let input = inbox::Input::Stop;
+//! assert!(format!("{input:?}").contains("Stop"));
+//! ```
+
+use std::sync::Arc;
+
+use damaskvane_dispatch::outcome;
+use damaskvane_engine::{directory, event, message, peer};
+
+/// Where a client's handler waits for its answer.
+pub type Reply = flume::Sender<outcome::Outcome<message::BackendAnswer>>;
+
+/// One message to the engine's thread.
+#[derive(Debug)]
+pub enum Input {
+    /// A client's request.
+    Submit {
+        /// Its number.
+        number: event::RequestNumber,
+        /// The request.
+        request: Box<message::ServiceRequest>,
+        /// Where its answer goes.
+        reply: Reply,
+    },
+    /// A client closed its connection before its answer.
+    ClientGone {
+        /// The request it waited for.
+        number: event::RequestNumber,
+    },
+    /// An exchange ended.
+    ExchangeEnded {
+        /// Which one.
+        exchange: event::ExchangeNumber,
+        /// How.
+        end: event::ExchangeEnd,
+    },
+    /// Another entry instance's engine sent a message.
+    Peer {
+        /// Who sent it.
+        from: message::Home,
+        /// What it says.
+        message: Box<peer::PeerMessage>,
+    },
+    /// Configuration or membership changed.
+    Directory(Arc<directory::Directory>),
+    /// A planned stop has begun.
+    Leave,
+    /// The engine's thread ends.
+    Stop,
+}
