--- a/crates/damaskvane-standins/src/lib.rs
+++ b/crates/damaskvane-standins/src/lib.rs
@@ -1,1 +1,14 @@
 //! Small stand-ins for the platform and the backend servers, with fault switches.
+//!
+//! # Crate guide
+//!
+//! - [`backend`]: one process that plays many backend servers, logs what it ran and fails on demand.
+//!
+//! ```
+//! use damaskvane_standins::backend;
+//!
+//! let answer = backend::Answer::new("rider-desk-sask-a-1", "r-1", "k-1", "/work", 16);
+//! assert!(answer.is_whole());
+//! ```
+
+pub mod backend;
