Backend stand-in takes the shared command-line errors

The nearest-flag hint and the exit codes stood twice since the telemetry crate landed; the stand-in now uses the shared ones and drops strsim.

--- a/crates/damaskvane-standins/src/backend/options.rs
+++ b/crates/damaskvane-standins/src/backend/options.rs
@@ -12,6 +12,7 @@
 use std::fs;
 use std::path;
 
+use damaskvane_telemetry::command_line;
 use serde::Deserialize;
 
 use crate::backend::{self, ParseServerSpecError, ServerSpec};
@@ -68,15 +69,8 @@
 /// Why a command line is refused.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub enum OptionsError {
-    /// unknown option {given:?}; did you mean {nearest}?
-    Unknown {
-        /// The option as given.
-        given: String,
-        /// The valid option that is spelt most like it.
-        nearest: &'static str,
-    },
-    /// {0}; see --help
-    Value(#[from] lexopt::Error),
+    /// {0}
+    Usage(#[from] command_line::UsageError),
     /// {0}
     Server(#[from] ParseServerSpecError),
     /// can't read {file}: {cause}; give a TOML file of `server` tables
@@ -103,24 +97,25 @@
     ) -> Result<Self, OptionsError> {
         let mut options = Self::default();
         let mut parser = lexopt::Parser::from_args(arguments);
-        while let Some(argument) = parser.next()? {
+        while let Some(argument) = parser.next().map_err(command_line::UsageError::from)? {
             match argument {
                 lexopt::Arg::Long("server") => {
-                    let text = lexopt::ValueExt::string(parser.value()?)?;
+                    let text = text(&mut parser)?;
                     options.servers.push(text.parse()?);
                 }
                 lexopt::Arg::Long("servers") => {
-                    options.servers.extend(read_servers(parser.value()?)?);
+                    options.servers.extend(read_servers(value(&mut parser)?)?);
                 }
                 lexopt::Arg::Long("admin") => {
-                    options.admin = lexopt::ValueExt::string(parser.value()?)?;
+                    options.admin = text(&mut parser)?;
                 }
                 lexopt::Arg::Long("seed") => {
-                    options.seed = lexopt::ValueExt::parse(&parser.value()?)?;
+                    options.seed = lexopt::ValueExt::parse(&value(&mut parser)?)
+                        .map_err(command_line::UsageError::from)?;
                 }
                 lexopt::Arg::Long("help") | lexopt::Arg::Short('h') => options.help = true,
                 lexopt::Arg::Long("version") | lexopt::Arg::Short('V') => options.version = true,
-                other => return Err(unknown(&other)),
+                other => return Err(command_line::unexpected(other, &FLAGS).into()),
             }
         }
         if options.servers.is_empty() && !options.help && !options.version {
@@ -144,15 +139,10 @@
     }
 }
 
-fn unknown(argument: &lexopt::Arg<'_>) -> OptionsError {
-    let given = match argument {
-        lexopt::Arg::Short(letter) => format!("-{letter}"),
-        lexopt::Arg::Long(name) => format!("--{name}"),
-        lexopt::Arg::Value(value) => value.to_string_lossy().into_owned(),
-    };
-    let nearest = FLAGS
-        .into_iter()
-        .min_by_key(|flag| strsim::damerau_levenshtein(flag, &given))
-        .unwrap_or("--help");
-    OptionsError::Unknown { given, nearest }
+fn value(parser: &mut lexopt::Parser) -> Result<ffi::OsString, command_line::UsageError> {
+    Ok(parser.value()?)
+}
+
+fn text(parser: &mut lexopt::Parser) -> Result<String, command_line::UsageError> {
+    Ok(lexopt::ValueExt::string(parser.value()?)?)
 }
--- a/crates/damaskvane-standins/src/bin/damaskvane-standin-backend.rs
+++ b/crates/damaskvane-standins/src/bin/damaskvane-standin-backend.rs
@@ -7,16 +7,14 @@
 use std::sync::Arc;
 
 use damaskvane_standins::backend;
-
-/// The exit code for a wrong command line.
-const USAGE_EXIT: u8 = 2;
+use damaskvane_telemetry::command_line;
 
 fn main() -> process::ExitCode {
     let options = match backend::Options::parse(env::args_os().skip(1)) {
         Ok(options) => options,
         Err(error) => {
             eprintln!("damaskvane-standin-backend: {error}");
-            return process::ExitCode::from(USAGE_EXIT);
+            return process::ExitCode::from(command_line::EXIT_USAGE);
         }
     };
     if options.help {
