--- /dev/null
+++ b/crates/damaskvane-peer/tests/transport.rs
@@ -0,0 +1,221 @@
+//! The transport between two instances on the loopback address.
+
+use std::time::Duration;
+
+use damaskvane_core::{ids, time};
+use damaskvane_peer::{address, error, settings, transport};
+use serde::{Deserialize, Serialize};
+
+const WAIT: Duration = Duration::from_secs(10);
+
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum Message {
+    Text(String),
+    Number { value: u32 },
+}
+
+impl transport::MessageKind for Message {
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Text(_) => "text",
+            Self::Number { .. } => "number",
+        }
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+enum NewerMessage {
+    Number { value: u32, unit: String },
+    Added,
+}
+
+impl transport::MessageKind for NewerMessage {
+    fn kind(&self) -> &'static str {
+        "newer"
+    }
+}
+
+type Listening<M> = (
+    transport::Transport<M>,
+    flume::Receiver<transport::Received<M>>,
+);
+
+fn instance(name: &str) -> ids::InstanceId {
+    name.parse().expect("a valid name")
+}
+
+fn settings(name: &str) -> settings::PeerSettings {
+    settings::PeerSettings {
+        instance: instance(name),
+        incarnation: ids::Incarnation::new(3),
+        ..settings::PeerSettings::default()
+    }
+}
+
+fn listen<M: transport::MessageKind>(settings: settings::PeerSettings) -> Listening<M> {
+    transport::Transport::listen(settings).expect("a free port")
+}
+
+/// Sends until the other side has it, as callers do: the transport itself promises no delivery.
+fn wait_until(mut check: impl FnMut() -> bool) {
+    let deadline = std::time::Instant::now() + WAIT;
+    while !check() {
+        assert!(std::time::Instant::now() < deadline, "waited too long");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn a_message_arrives_with_its_sender_and_is_counted_on_both_sides() {
+    let (a, _) = listen::<Message>(settings("a"));
+    let (b, from_a) = listen::<Message>(settings("b"));
+    b.set_allowed([instance("a")]);
+    a.send(b.local_address(), &Message::Number { value: 7 })
+        .unwrap();
+    let received = from_a.recv_timeout(WAIT).unwrap();
+    assert_eq!(received.from, instance("a"));
+    assert_eq!(received.incarnation, ids::Incarnation::new(3));
+    assert_eq!(received.message, Message::Number { value: 7 });
+    assert_eq!(a.counters().sent["number"].bytes, received.bytes.get());
+    wait_until(|| b.counters().received.contains_key("number"));
+    assert!(a.is_connected(b.local_address()));
+}
+
+/// A machine that is not one of ours, or one that was taken off the list, sends messages that look right.
+/// If they were believed, a stranger could move traffic; users would see errors from nowhere.
+#[test]
+fn instances_that_are_not_listed_are_not_heard() {
+    let (stranger, _) = listen::<Message>(settings("stranger"));
+    let (b, received) = listen::<Message>(settings("b"));
+    b.set_allowed([instance("a")]);
+    stranger
+        .send(b.local_address(), &Message::Text("obey".into()))
+        .unwrap();
+    wait_until(|| b.counters().dropped.get("unlisted") == Some(&1));
+    assert!(received.is_empty());
+}
+
+/// A peer with a fault sends in a tight loop. Without a bound it would take the processor from requests,
+/// and users would see slow answers everywhere.
+#[test]
+fn a_sender_over_its_rate_is_cut_to_it() {
+    let (a, _) = listen::<Message>(settings("a"));
+    let (b, received) = listen::<Message>(settings::PeerSettings {
+        max_messages_per_second: 1,
+        ..settings("b")
+    });
+    b.set_allowed([instance("a")]);
+    for value in 0..20 {
+        let _ = a.send(b.local_address(), &Message::Number { value });
+    }
+    wait_until(|| b.counters().dropped.contains_key("rate-exceeded"));
+    assert!(!received.is_empty());
+    assert!(received.len() < 20);
+}
+
+/// An oversized message would take memory on every receiver. The sender refuses it and says what to do.
+#[test]
+fn a_message_over_the_limit_is_refused() {
+    let (a, _) = listen::<Message>(settings::PeerSettings {
+        max_message_bytes: 64,
+        ..settings("a")
+    });
+    let result = a.send(a.local_address(), &Message::Text("x".repeat(100)));
+    assert!(matches!(result, Err(error::PeerError::TooLarge { .. })));
+    assert_eq!(a.counters().dropped["too-large"], 1);
+}
+
+/// During an upgrade a newer version sends fields and messages that this one does not know. The fields
+/// are skipped and the messages counted; neither may break the connection for the rest.
+#[test]
+fn a_newer_version_is_understood_as_far_as_possible() {
+    let (newer, _) = listen::<NewerMessage>(settings("a"));
+    let (b, received) = listen::<Message>(settings("b"));
+    b.set_allowed([instance("a")]);
+    let number = NewerMessage::Number {
+        value: 5,
+        unit: "slots".into(),
+    };
+    newer.send(b.local_address(), &NewerMessage::Added).unwrap();
+    newer.send(b.local_address(), &number).unwrap();
+    let message = received.recv_timeout(WAIT).unwrap().message;
+    assert_eq!(message, Message::Number { value: 5 });
+    assert_eq!(b.counters().dropped["unknown-message"], 1);
+}
+
+/// A peer is down. Sending to it must not wait, and what waited for it is given up after the grace: old
+/// heartbeats that arrive after a cut would make a dead instance look alive.
+#[test]
+fn messages_for_a_peer_that_is_down_are_given_up() {
+    let (a, _) = listen::<Message>(settings::PeerSettings {
+        connect_grace_ms: time::SpanMs::new(50),
+        ..settings("a")
+    });
+    let (gone, _) = listen::<Message>(settings("gone"));
+    let address: address::PeerAddress = *gone.local_address();
+    drop(gone);
+    a.send(&address, &Message::Number { value: 1 }).unwrap();
+    assert!(!a.is_connected(&address));
+    wait_until(|| {
+        a.maintain();
+        a.connections() == 0
+    });
+    assert_eq!(a.counters().dropped["not-connected"], 1);
+}
+
+/// A connection goes silent for good while new ones work. The caller notices by its heartbeats and asks
+/// for a fresh one; the next message must then arrive.
+#[test]
+fn a_fresh_connection_is_made_on_demand() {
+    let (a, _) = listen::<Message>(settings("a"));
+    let (b, received) = listen::<Message>(settings("b"));
+    b.set_allowed([instance("a")]);
+    for value in 0..3 {
+        a.send(b.local_address(), &Message::Number { value })
+            .unwrap();
+        let message = received.recv_timeout(WAIT).unwrap().message;
+        assert_eq!(message, Message::Number { value });
+        a.reconnect(b.local_address());
+        assert_eq!(a.connections(), 0);
+    }
+}
+
+/// A restarted peer listens at its old address again. Messages must reach it without anyone's help.
+#[test]
+fn a_restarted_peer_is_reached_again() {
+    let (a, _) = listen::<Message>(settings("a"));
+    let (b, received) = listen::<Message>(settings("b"));
+    b.set_allowed([instance("a")]);
+    a.send(b.local_address(), &Message::Number { value: 1 })
+        .unwrap();
+    received.recv_timeout(WAIT).unwrap();
+    let listen_address = *b.local_address();
+    drop((b, received));
+    let again = settings::PeerSettings {
+        listen_address,
+        ..settings("b")
+    };
+    let (b, received) = listen::<Message>(again);
+    b.set_allowed([instance("a")]);
+    wait_until(|| {
+        let _ = a.send(&listen_address, &Message::Number { value: 2 });
+        !received.is_empty()
+    });
+}
+
+/// Too many peers, or a fault that dials without end, must not use up sockets and memory.
+#[test]
+fn connections_are_limited() {
+    let (a, _) = listen::<Message>(settings::PeerSettings {
+        connection_limit: 1,
+        ..settings("a")
+    });
+    let (b, _) = listen::<Message>(settings("b"));
+    a.send(a.local_address(), &Message::Number { value: 1 })
+        .unwrap();
+    let result = a.send(b.local_address(), &Message::Number { value: 1 });
+    assert!(matches!(
+        result,
+        Err(error::PeerError::ConnectionLimit { limit: 1 })
+    ));
+}
