Declarations, heads and tickets of the configuration

A ticket must land whole or not at all, so the head names every object's chunk by hash and is the one thing that is updated. Types, canonical encoding, TOML reading with place and remedy of each error, and validation of references, ranges and sums.

--- /dev/null
+++ b/crates/damaskvane-config/src/declaration.rs
@@ -0,0 +1,27 @@
+//! The typed state of each kind of object.
+//!
+//! Fields are the keys of the TOML form. Chunks written by a newer program may hold further keys;
+//! they are passed over on reading, so that mixed versions of the program adopt the same head.
+//!
+//! ```
+//! use damaskvane_config::declaration;
+//!
+//! let service = declaration::Service::default();
+//! assert_eq!(service.lookup_ttl_ms.get(), 2_000);
+//! ```
+
+mod any;
+mod backend_server;
+mod client_blocks;
+mod link;
+mod service;
+mod shift;
+mod zone;
+
+pub use any::Declaration;
+pub use backend_server::BackendServer;
+pub use client_blocks::{BlockRange, ClientBlocks};
+pub use link::Link;
+pub use service::{Policy, Service};
+pub use shift::Shift;
+pub use zone::{AvailabilityZone, Region, Site};
--- /dev/null
+++ b/crates/damaskvane-config/src/state.rs
@@ -0,0 +1,15 @@
+//! Everything in force at one version.
+//!
+//! ```
+//! use damaskvane_config::{manifest, state};
+//!
+//! let empty = state::assemble(&manifest::Head::default(), &Default::default());
+//! assert!(empty.expect("valid").services().is_empty());
+//! ```
+
+mod assemble;
+mod config_state;
+mod validate;
+
+pub use assemble::{Chunks, assemble};
+pub use config_state::ConfigState;
--- /dev/null
+++ b/crates/damaskvane-config/src/state/config_state.rs
@@ -0,0 +1,185 @@
+//! The typed state of every object.
+//!
+//! ```
+//! use damaskvane_config::state;
+//!
+//! let state = state::ConfigState::default();
+//! assert_eq!(state.version().get(), 0);
+//! ```
+
+use std::collections::BTreeMap;
+
+use damaskvane_core::{ids, units};
+
+use crate::declaration::{
+    AvailabilityZone, BackendServer, ClientBlocks, Declaration, Link, Region, Service, Shift, Site,
+};
+use crate::object::{ObjectId, ObjectKind, ObjectName};
+
+/// Everything declared at one version, by name.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ConfigState {
+    version: ids::ConfigVersion,
+    regions: BTreeMap<ids::RegionId, Region>,
+    availability_zones: BTreeMap<ids::AvailabilityZoneId, AvailabilityZone>,
+    services: BTreeMap<ids::ServiceId, Service>,
+    backend_servers: BTreeMap<ids::BackendServerId, BackendServer>,
+    links: BTreeMap<ObjectName, Link>,
+    client_blocks: BTreeMap<ObjectName, ClientBlocks>,
+    sites: BTreeMap<ids::SiteId, Site>,
+    shifts: BTreeMap<ObjectName, Shift>,
+}
+
+impl ConfigState {
+    /// The state of a version that holds these objects, not yet validated.
+    pub(super) fn new(
+        version: ids::ConfigVersion,
+        objects: impl IntoIterator<Item = (ObjectId, Declaration)>,
+    ) -> Self {
+        let mut state = Self {
+            version,
+            ..Self::default()
+        };
+        for (id, declaration) in objects {
+            state.insert(&id, declaration);
+        }
+        state
+    }
+
+    fn insert(&mut self, id: &ObjectId, declaration: Declaration) {
+        let name = id.name().clone();
+        match declaration {
+            Declaration::Region(region) => insert(&mut self.regions, &name, region),
+            Declaration::AvailabilityZone(zone) => {
+                insert(&mut self.availability_zones, &name, zone);
+            }
+            Declaration::Service(service) => insert(&mut self.services, &name, service),
+            Declaration::BackendServer(server) => {
+                insert(&mut self.backend_servers, &name, server);
+            }
+            Declaration::Site(site) => insert(&mut self.sites, &name, site),
+            Declaration::Link(link) => _ = self.links.insert(name, link),
+            Declaration::ClientBlocks(blocks) => _ = self.client_blocks.insert(name, blocks),
+            Declaration::Shift(shift) => _ = self.shifts.insert(name, shift),
+        }
+    }
+
+    /// The version this is the state of.
+    #[must_use]
+    pub const fn version(&self) -> ids::ConfigVersion {
+        self.version
+    }
+
+    /// The regions.
+    #[must_use]
+    pub const fn regions(&self) -> &BTreeMap<ids::RegionId, Region> {
+        &self.regions
+    }
+
+    /// The availability zones.
+    #[must_use]
+    pub const fn availability_zones(&self) -> &BTreeMap<ids::AvailabilityZoneId, AvailabilityZone> {
+        &self.availability_zones
+    }
+
+    /// The services.
+    #[must_use]
+    pub const fn services(&self) -> &BTreeMap<ids::ServiceId, Service> {
+        &self.services
+    }
+
+    /// The backend servers.
+    #[must_use]
+    pub const fn backend_servers(&self) -> &BTreeMap<ids::BackendServerId, BackendServer> {
+        &self.backend_servers
+    }
+
+    /// The links between regions.
+    #[must_use]
+    pub const fn links(&self) -> &BTreeMap<ObjectName, Link> {
+        &self.links
+    }
+
+    /// The sets of client blocks.
+    #[must_use]
+    pub const fn client_blocks(&self) -> &BTreeMap<ObjectName, ClientBlocks> {
+        &self.client_blocks
+    }
+
+    /// The sites.
+    #[must_use]
+    pub const fn sites(&self) -> &BTreeMap<ids::SiteId, Site> {
+        &self.sites
+    }
+
+    /// The planned moves of traffic.
+    #[must_use]
+    pub const fn shifts(&self) -> &BTreeMap<ObjectName, Shift> {
+        &self.shifts
+    }
+
+    /// The set that a client block belongs to, with its name.
+    #[must_use]
+    pub fn blocks_of(&self, client: &ids::ClientBlock) -> Option<(&ObjectName, &ClientBlocks)> {
+        self.client_blocks
+            .iter()
+            .find(|(_, blocks)| blocks.contains(client))
+    }
+
+    /// The backend servers of a service in a zone.
+    pub fn servers_of<'a>(
+        &'a self,
+        service: &'a ids::ServiceId,
+        zone: &'a ids::AvailabilityZoneId,
+    ) -> impl Iterator<Item = (&'a ids::BackendServerId, &'a BackendServer)> {
+        self.backend_servers
+            .iter()
+            .filter(move |(_, server)| server.service == *service)
+            .filter(move |(_, server)| server.availability_zone == *zone)
+    }
+
+    /// The slots of a service in a zone, without those of draining backend servers.
+    #[must_use]
+    pub fn slots_of(
+        &self,
+        service: &ids::ServiceId,
+        zone: &ids::AvailabilityZoneId,
+    ) -> units::Slots {
+        self.servers_of(service, zone)
+            .filter(|(_, server)| !server.draining)
+            .map(|(_, server)| server.slots)
+            .sum()
+    }
+
+    /// The names of every declared object of a kind, for messages.
+    #[must_use]
+    pub fn names(&self, kind: ObjectKind) -> Vec<String> {
+        match kind {
+            ObjectKind::Region => to_texts(self.regions.keys()),
+            ObjectKind::AvailabilityZone => to_texts(self.availability_zones.keys()),
+            ObjectKind::Service => to_texts(self.services.keys()),
+            ObjectKind::BackendServer => to_texts(self.backend_servers.keys()),
+            ObjectKind::Link => to_texts(self.links.keys()),
+            ObjectKind::ClientBlocks => to_texts(self.client_blocks.keys()),
+            ObjectKind::Site => to_texts(self.sites.keys()),
+            ObjectKind::Shift => to_texts(self.shifts.keys()),
+        }
+    }
+}
+
+/// Names of objects and identifiers obey the same rules, so the parse of one as the other holds.
+fn insert<K: Ord + core::str::FromStr, V>(
+    map: &mut BTreeMap<K, V>,
+    name: &ObjectName,
+    declaration: V,
+) {
+    let parsed = name.as_str().parse();
+    debug_assert!(parsed.is_ok(), "object names are valid identifiers");
+    if let Ok(key) = parsed {
+        map.insert(key, declaration);
+    }
+}
+
+fn to_texts<K: ToString>(keys: impl Iterator<Item = K>) -> Vec<String> {
+    keys.map(|key| key.to_string()).collect()
+}
--- /dev/null
+++ b/crates/damaskvane-config/src/state/validate.rs
@@ -0,0 +1,19 @@
+//! Checks over a whole state, before submission and again before adoption.
+
+mod capacity;
+mod ranges;
+mod references;
+
+use crate::problem::Problem;
+use crate::state::config_state::ConfigState;
+
+/// Every problem of a state.
+pub(super) fn validate(state: &ConfigState) -> Vec<Problem> {
+    let mut problems = references::check(state);
+    problems.extend(ranges::check(state));
+    // Sums over objects that don't exist would only repeat what was found already.
+    if problems.is_empty() {
+        problems.extend(capacity::check(state));
+    }
+    problems
+}
