Stand-in for the platform's object API with fault switches

Tests need lost answers, stale reads, late and skipped watches, rate limits and outages on demand; a real store gives them only by chance. rouille gives no way to cut a connection without an answer, so a lost answer is a 504, after a hang if asked for; a client must treat both as unknown.

--- /dev/null
+++ b/crates/damaskvane-standins/src/bin/damaskvane-standin-platform.rs
@@ -0,0 +1,115 @@
+//! The platform's stand-in as a program.
+
+use std::error::Error;
+use std::ffi::OsString;
+use std::fs;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use damaskvane_standins::platform;
+use lexopt::ValueExt;
+use serde_json::json;
+use signal_hook::consts;
+use signal_hook::iterator::Signals;
+
+const HELP: &str = "\
+Stands in for the platform's object API in tests.
+
+Usage: damaskvane-standin-platform --tokens FILE [options]
+
+  --tokens FILE            lines of \"token holder\"
+  --listen ADDRESS         where the object API listens (127.0.0.1:0)
+  --admin ADDRESS          where faults are switched and counts read (127.0.0.1:0)
+  --instances-lag-ms MS    how far the list of instances lags (2000)
+  --help                   this text
+  --version                the version
+
+Prints one line of JSON with both addresses. Ends on SIGTERM and SIGINT with 0, on wrong usage with 2.
+";
+
+/// The exit code of wrong usage.
+const USAGE_EXIT: u8 = 2;
+
+struct Settings {
+    tokens: PathBuf,
+    listen: String,
+    admin: String,
+    instances_lag: Duration,
+}
+
+enum Command {
+    Run(Settings),
+    Print(String),
+}
+
+fn parse(args: impl IntoIterator<Item = OsString>) -> Result<Command, lexopt::Error> {
+    let mut tokens = None;
+    let mut listen = "127.0.0.1:0".to_owned();
+    let mut admin = listen.clone();
+    let mut lag_ms = 2_000;
+    let mut parser = lexopt::Parser::from_args(args);
+    while let Some(arg) = parser.next()? {
+        match arg {
+            lexopt::Arg::Long("tokens") => tokens = Some(PathBuf::from(parser.value()?)),
+            lexopt::Arg::Long("listen") => listen = parser.value()?.string()?,
+            lexopt::Arg::Long("admin") => admin = parser.value()?.string()?,
+            lexopt::Arg::Long("instances-lag-ms") => lag_ms = parser.value()?.parse()?,
+            lexopt::Arg::Long("help") => return Ok(Command::Print(HELP.to_owned())),
+            lexopt::Arg::Long("version") => {
+                let version = env!("CARGO_PKG_VERSION");
+                return Ok(Command::Print(format!(
+                    "damaskvane-standin-platform {version}\n"
+                )));
+            }
+            _ => return Err(arg.unexpected()),
+        }
+    }
+    let tokens = tokens.ok_or("--tokens is missing; give the file of tokens")?;
+    Ok(Command::Run(Settings {
+        tokens,
+        listen,
+        admin,
+        instances_lag: Duration::from_millis(lag_ms),
+    }))
+}
+
+fn run(settings: &Settings) -> Result<(), Box<dyn Error + Send + Sync>> {
+    let tokens = fs::read_to_string(&settings.tokens)?.parse()?;
+    let api = Arc::new(platform::Api::new(tokens, settings.instances_lag));
+    let admin = platform::Admin::new(Arc::clone(&api));
+    let objects = rouille::Server::new(&settings.listen, move |request| api.handle(request))?;
+    let switches = rouille::Server::new(&settings.admin, move |request| admin.handle(request))?;
+    let mut signals = Signals::new([consts::SIGTERM, consts::SIGINT])?;
+    let addresses = json!({
+        "listening": objects.server_addr().to_string(),
+        "admin": switches.server_addr().to_string(),
+    });
+    println!("{addresses}");
+    thread::spawn(move || objects.run());
+    thread::spawn(move || switches.run());
+    signals.forever().next();
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    match parse(std::env::args_os().skip(1)) {
+        Ok(Command::Print(text)) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Ok(Command::Run(settings)) => match run(&settings) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("damaskvane-standin-platform: {error}");
+                ExitCode::FAILURE
+            }
+        },
+        Err(error) => {
+            eprintln!("damaskvane-standin-platform: {error}; --help lists the options");
+            ExitCode::from(USAGE_EXIT)
+        }
+    }
+}
