Entry instance: clients, control, store, operators and peers as threads around the engine

Cause: the thin path needs a process that looks up, adopts and dispatches. Ruled out: waiting for the platform on the control thread, since one slow call would stop heartbeats. Conclusion: I/O threads report, one thread decides.

--- /dev/null
+++ b/crates/damaskvane-entry/src/client_api/lookup.rs
@@ -0,0 +1,174 @@
+//! Answers which entry instances a client is to use.
+//!
+//! The plan decides the order of the zones; within a zone a hash of the client block spreads clients
+//! over the instances, so that a client keeps its instance while the fleet stays the same.
+//!
+//! ```
+//! use damaskvane_entry::{client_api::lookup, serving};
+//! use damaskvane_telemetry::counters;
+//!
+//! let serving = serving::Serving::new(counters::Counters::local(), "e-1");
+//! let answer = lookup::answer(&serving, "service=rider-desk&client=c-1");
+//! assert_eq!(answer.status(), 503);
+//! ```
+
+use damaskvane_core::{hash, ids, time};
+use damaskvane_dispatch::refusal;
+use damaskvane_steering::picker;
+use serde::Serialize;
+
+use crate::client_api::{header, reply, route};
+use crate::serving;
+
+const MOST_ENTRIES: usize = 4;
+const LOOKUPS: &str = "lookups";
+
+#[derive(Debug, Serialize)]
+struct Entry<'a> {
+    address: &'a str,
+    instance: &'a ids::InstanceId,
+    incarnation: ids::Incarnation,
+}
+
+#[derive(Debug, Serialize)]
+struct LookupAnswer<'a> {
+    service: &'a ids::ServiceId,
+    entries: Vec<Entry<'a>>,
+    ttl_ms: time::SpanMs,
+    config_version: ids::ConfigVersion,
+}
+
+#[derive(Debug)]
+struct Refusal {
+    reason: refusal::RefusalReason,
+    retry_after: Option<time::SpanMs>,
+    detail: String,
+}
+
+impl Refusal {
+    fn new(reason: refusal::RefusalReason, detail: impl Into<String>) -> Self {
+        Self {
+            reason,
+            retry_after: None,
+            detail: detail.into(),
+        }
+    }
+}
+
+/// Answers one look-up from its query.
+#[must_use]
+pub fn answer(serving: &serving::Serving, query: &str) -> reply::HttpAnswer {
+    let state = serving.state();
+    match find(&state, query, serving.clock.now()) {
+        Ok(answer) => {
+            serving.counters.increment(LOOKUPS, "answered");
+            reply::json(&answer)
+        }
+        Err(refused) => {
+            serving
+                .counters
+                .increment(LOOKUPS, refused.reason.as_str());
+            let mut answer = reply::refused(refused.reason, &refused.detail);
+            if let Some(retry_after) = refused.retry_after {
+                answer
+                    .headers_mut()
+                    .insert(header::RETRY_AFTER_MS, retry_after.get().into());
+            }
+            answer
+        }
+    }
+}
+
+fn find<'a>(
+    state: &'a serving::ServingState,
+    query: &str,
+    now: time::TimeMs,
+) -> Result<LookupAnswer<'a>, Refusal> {
+    let config = state.config.as_ref().ok_or_else(|| {
+        Refusal::new(
+            refusal::RefusalReason::NoConfiguration,
+            "no configuration is in force yet",
+        )
+    })?;
+    let service: ids::ServiceId = parameter(query, "service")?;
+    let client: ids::ClientBlock = parameter(query, "client")?;
+    let Some((service, settings)) = state.services.get_key_value(&service) else {
+        return Err(Refusal::new(
+            refusal::RefusalReason::ServiceUnknown,
+            format!("no service {service} is declared"),
+        ));
+    };
+    let near = config
+        .blocks_of(&client)
+        .map(|(_, blocks)| &blocks.near)
+        .or(state.own_zone.as_ref())
+        .ok_or_else(|| Refusal::new(refusal::RefusalReason::NoConfiguration, "no zone is known"))?;
+    let picked = picker::pick(
+        &state.plan,
+        service,
+        &picker::Client {
+            zone: near.clone(),
+            hash: hash_of(client.as_str()),
+        },
+        now,
+    );
+    let zones = picked.map_err(|refused| Refusal {
+        reason: refusal::RefusalReason::Overloaded,
+        retry_after: Some(refused.retry_after),
+        detail: refused.to_string(),
+    })?;
+    let entries = entries(state, &zones, &client);
+    if entries.is_empty() {
+        return Err(Refusal::new(
+            refusal::RefusalReason::NoBackendServer,
+            "no live entry instance stands in a zone that can carry the client",
+        ));
+    }
+    Ok(LookupAnswer {
+        service,
+        entries,
+        ttl_ms: settings.ttl,
+        config_version: state.version,
+    })
+}
+
+fn parameter<T: core::str::FromStr>(query: &str, name: &'static str) -> Result<T, Refusal> {
+    route::parameter(query, name)
+        .and_then(|value| value.parse().ok())
+        .ok_or_else(|| {
+            Refusal::new(
+                refusal::RefusalReason::MalformedRequest,
+                format!("give {name}=, as in /v1/lookup?service=rider-desk&client=sask-017"),
+            )
+        })
+}
+
+fn entries<'a>(
+    state: &'a serving::ServingState,
+    zones: &[ids::AvailabilityZoneId],
+    client: &ids::ClientBlock,
+) -> Vec<Entry<'a>> {
+    let mut chosen = Vec::new();
+    for points in zones.iter().filter_map(|zone| state.entries.get(zone)) {
+        let mut ranked: Vec<_> = points.iter().collect();
+        ranked.sort_by_key(|point| hash_of(&format!("{client}/{}", point.instance)));
+        chosen.extend(ranked);
+    }
+    chosen
+        .into_iter()
+        .take(MOST_ENTRIES)
+        .map(|point| Entry {
+            address: &point.client_address,
+            instance: &point.instance,
+            incarnation: point.incarnation,
+        })
+        .collect()
+}
+
+fn hash_of(text: &str) -> u64 {
+    let hash = hash::ContentHash::of(text.as_bytes());
+    let bytes: [u8; 8] = hash.as_bytes()[..8]
+        .try_into()
+        .expect("a hash has more than 8 bytes");
+    u64::from_le_bytes(bytes)
+}
--- /dev/null
+++ b/crates/damaskvane-entry/src/engine_thread.rs
@@ -0,0 +1,138 @@
+//! Drives the engine: one thread turns its inbox into events and carries out the actions.
+//!
+//! ```
+//! use damaskvane_entry::engine_thread;
+//!
+//! assert!(engine_thread::TICK.as_millis() > 0);
+//! ```
+
+use core::time::Duration;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use damaskvane_engine::{engine, event, message};
+use slog::{error, warn};
+
+use crate::exchange_pool;
+use crate::inbox;
+use crate::peers;
+use crate::serving;
+
+/// How often the engine is told that time has passed.
+pub const TICK: Duration = Duration::from_millis(10);
+
+/// What the engine's thread works with.
+pub struct EngineThread {
+    engine: engine::Engine,
+    serving: Arc<serving::Serving>,
+    inbox: flume::Receiver<inbox::Input>,
+    exchanges: exchange_pool::ExchangePool,
+    peers: Arc<peers::Peers>,
+    replies: HashMap<event::RequestNumber, inbox::Reply>,
+    logger: slog::Logger,
+}
+
+impl EngineThread {
+    /// A thread's worth of state, not yet running.
+    #[must_use]
+    pub fn new(
+        me: message::Home,
+        serving: Arc<serving::Serving>,
+        inbox: flume::Receiver<inbox::Input>,
+        exchanges: exchange_pool::ExchangePool,
+        peers: Arc<peers::Peers>,
+        logger: slog::Logger,
+    ) -> Self {
+        Self {
+            engine: engine::Engine::new(me),
+            serving,
+            inbox,
+            exchanges,
+            peers,
+            replies: HashMap::new(),
+            logger,
+        }
+    }
+
+    /// Runs until it is told to stop.
+    pub fn run(mut self) {
+        let mut next_tick = self.serving.clock.now();
+        loop {
+            let event = match self.inbox.recv_timeout(TICK) {
+                Ok(inbox::Input::Stop) | Err(flume::RecvTimeoutError::Disconnected) => return,
+                Ok(input) => Some(self.event(input)),
+                Err(flume::RecvTimeoutError::Timeout) => None,
+            };
+            if let Some(event) = event {
+                self.handle(event);
+            }
+            let now = self.serving.clock.now();
+            if now >= next_tick {
+                next_tick = now + damaskvane_core::time::SpanMs::new(TICK.as_millis() as u64);
+                self.handle(event::Event::Tick);
+            }
+        }
+    }
+
+    fn event(&mut self, input: inbox::Input) -> event::Event {
+        match input {
+            inbox::Input::Submit {
+                number,
+                request,
+                reply,
+            } => {
+                self.replies.insert(number, reply);
+                event::Event::Submit { number, request }
+            }
+            inbox::Input::ClientGone { number } => {
+                self.replies.remove(&number);
+                event::Event::ClientGone { number }
+            }
+            inbox::Input::ExchangeEnded { exchange, end } => {
+                event::Event::ExchangeEnded { exchange, end }
+            }
+            inbox::Input::Peer { from, message } => event::Event::Peer { from, message },
+            inbox::Input::Directory(directory) => event::Event::Directory(directory),
+            inbox::Input::Leave => event::Event::Leave,
+            inbox::Input::Stop => event::Event::Tick,
+        }
+    }
+
+    fn handle(&mut self, event: event::Event) {
+        let now = self.serving.clock.now();
+        for action in self.engine.handle(now, event) {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&mut self, action: event::Action) {
+        match action {
+            event::Action::Answer { number, outcome } => {
+                if let Some(reply) = self.replies.remove(&number) {
+                    let _ = reply.send(outcome);
+                }
+            }
+            event::Action::Start(exchange) => self.exchanges.start(exchange),
+            event::Action::Cancel {
+                address,
+                request_id,
+            } => self.exchanges.cancel(address, request_id),
+            event::Action::Send { to, message } => {
+                if !self.peers.send_engine(&to, *message) {
+                    warn!(self.logger, "message to a peer was not sent"; "peer" => %to);
+                }
+            }
+            event::Action::CountRefusal(reason) => {
+                self.serving.counters.increment("refused", reason.as_str());
+            }
+            event::Action::CountRetry(reason) => {
+                self.serving.counters.increment("retried", reason.as_str());
+            }
+            event::Action::Count { family, word } => self.serving.counters.increment(family, word),
+            event::Action::Broken { invariant } => {
+                self.serving.counters.increment("invariant_broken", invariant);
+                error!(self.logger, "an invariant was broken and the action refused"; "reason" => invariant);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-entry/src/peers.rs
@@ -0,0 +1,83 @@
+//! Sends to other entry instances by name, and hands what they send to the right thread.
+//!
+//! ```
+//! use damaskvane_entry::peers;
+//!
+//! let book = peers::AddressBook::default();
+//! assert!(book.get(&"e-1".parse()?).is_none());
+//! # Ok::<(), damaskvane_core::ids::ParseIdError>(())
+//! ```
+
+mod address_book;
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+pub use address_book::AddressBook;
+use damaskvane_core::ids;
+use damaskvane_engine::peer;
+use damaskvane_peer::{address, counters, transport};
+
+use crate::wire;
+
+/// The transport with the addresses of all known instances.
+pub struct Peers {
+    transport: transport::Transport<wire::WireMessage>,
+    book: Mutex<AddressBook>,
+}
+
+impl Peers {
+    /// Wraps a transport; nobody is known yet.
+    #[must_use]
+    pub fn new(transport: transport::Transport<wire::WireMessage>) -> Self {
+        Self {
+            transport,
+            book: Mutex::default(),
+        }
+    }
+
+    fn book(&self) -> MutexGuard<'_, AddressBook> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Where this instance listens.
+    #[must_use]
+    pub const fn local_address(&self) -> &address::PeerAddress {
+        self.transport.local_address()
+    }
+
+    /// Replaces the addresses, and with them the instances that are listened to.
+    pub fn set_book(&self, book: AddressBook) {
+        self.transport.set_allowed(book.instances());
+        *self.book() = book;
+    }
+
+    /// Sends a message; false if it was dropped, which the transport counts by reason.
+    pub fn send(&self, to: &ids::InstanceId, message: &wire::WireMessage) -> bool {
+        let address = self.book().get(to);
+        address.is_some_and(|address| self.transport.send(&address, message).is_ok())
+    }
+
+    /// Sends a message of the engine.
+    pub fn send_engine(&self, to: &ids::InstanceId, message: peer::PeerMessage) -> bool {
+        self.send(to, &wire::WireMessage::Engine(message))
+    }
+
+    /// Replaces the connection to an instance that has been silent.
+    pub fn reconnect(&self, to: &ids::InstanceId) {
+        let address = self.book().get(to);
+        if let Some(address) = address {
+            self.transport.reconnect(&address);
+        }
+    }
+
+    /// Closes connections that are idle or can't be made; about once a second.
+    pub fn maintain(&self) {
+        self.transport.maintain();
+    }
+
+    /// Messages and bytes by kind, both ways.
+    #[must_use]
+    pub fn counters(&self) -> counters::CounterSnapshot {
+        self.transport.counters()
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-entry/src/process.rs
@@ -0,0 +1,267 @@
+//! Puts the threads of an entry instance together and runs them until it is stopped.
+//!
+//! ```no_run
+//! use damaskvane_entry::{process, settings};
+//!
+//! process::run(settings::EntrySettings::default())?;
+//! # Ok::<(), process::StartError>(())
+//! ```
+
+mod error;
+mod ready;
+mod stop;
+
+use std::fs;
+use std::net;
+use std::sync::Arc;
+use std::thread;
+
+use damaskvane_engine::message;
+use damaskvane_peer::{settings as peer_settings, transport};
+use damaskvane_platform::{api, http};
+use damaskvane_telemetry::{counters, logging};
+pub use error::StartError;
+use slog::{info, o};
+
+use crate::client_api::listener;
+use crate::clock;
+use crate::control;
+use crate::engine_thread;
+use crate::exchange;
+use crate::exchange_pool;
+use crate::inbox;
+use crate::operator_api::{self, status};
+use crate::peers;
+use crate::serving;
+use crate::settings;
+use crate::store;
+
+/// Runs an entry instance until SIGTERM or SIGINT, then stops it gracefully.
+///
+/// # Errors
+///
+/// Fails if an address can't be listened on, or the platform's settings are wrong.
+pub fn run(settings: settings::EntrySettings) -> Result<(), StartError> {
+    let logger = logging::logger("damaskvane-entry", settings.log_level).new(o!(
+        logging::field::INSTANCE => settings.instance.to_string(),
+        logging::field::AVAILABILITY_ZONE => settings.availability_zone.to_string(),
+    ));
+    let signals = stop::Signals::register()?;
+    let me = message::Home {
+        instance: settings.instance.clone(),
+        incarnation: clock::incarnation(),
+    };
+    let serving = Arc::new(serving::Serving::new(
+        counters(&settings)?,
+        format!("{}-{}", me.instance, me.incarnation),
+    ));
+    let clients = listen("client_address", &settings.client_address)?;
+    let client_address = local_address(&clients)?;
+    let (transport, received) = listen_for_peers(&settings, &me)?;
+    let peers = Arc::new(peers::Peers::new(transport));
+    let status = status::Source {
+        me: me.clone(),
+        availability_zone: settings.availability_zone.clone(),
+        region: settings.region.clone(),
+        peers: Arc::clone(&peers),
+        leaving: Arc::default(),
+        published: status::Published::default(),
+    };
+    let operators =
+        operator_api::start(&settings.operator_address, Arc::clone(&serving), status.clone())
+            .map_err(|error| StartError::Listen {
+                key: "operator_address",
+                address: settings.operator_address.clone(),
+                error: error.to_string(),
+            })?;
+    let record = api::InstanceRecord {
+        instance: me.instance.clone(),
+        availability_zone: settings.availability_zone.clone(),
+        region: settings.region.clone(),
+        incarnation: me.incarnation,
+        client_address,
+        peer_address: peers.local_address().get(),
+        operator_address: operators,
+        leaving: false,
+    };
+    let (engine, engine_inbox) = flume::unbounded();
+    let (control, control_inbox) = flume::unbounded();
+    start_engine(&settings, me, &serving, &engine, engine_inbox, &peers, &logger)?;
+    start_control(
+        control::ControlParts {
+            record: record.clone(),
+            settings: settings.clone(),
+            serving: Arc::clone(&serving),
+            engine: engine.clone(),
+            peers: Arc::clone(&peers),
+            store: start_store(&settings, &serving, &control)?,
+            status,
+            logger: logger.clone(),
+        },
+        control_inbox,
+    )?;
+    forward_peer_messages(received, control.clone())?;
+    start_clients(clients, &settings, &serving, &engine)?;
+    ready::announce(&record);
+    info!(logger, "serving"; "client_address" => client_address.to_string());
+    stop::wait_and_stop(signals, &control, &engine, &serving, &settings, &logger);
+    Ok(())
+}
+
+fn counters(settings: &settings::EntrySettings) -> Result<counters::Counters, StartError> {
+    if settings.statsd_address.is_empty() {
+        return Ok(counters::Counters::local());
+    }
+    let wrong = |error: String| StartError::Listen {
+        key: "statsd_address",
+        address: settings.statsd_address.clone(),
+        error,
+    };
+    let address: net::SocketAddr = settings
+        .statsd_address
+        .parse()
+        .map_err(|error: net::AddrParseError| wrong(error.to_string()))?;
+    counters::Counters::to_statsd(address).map_err(|error| wrong(error.to_string()))
+}
+
+fn listen(key: &'static str, address: &str) -> Result<net::TcpListener, StartError> {
+    net::TcpListener::bind(address).map_err(|error| StartError::Listen {
+        key,
+        address: address.to_owned(),
+        error: error.to_string(),
+    })
+}
+
+fn local_address(listener: &net::TcpListener) -> Result<net::SocketAddr, StartError> {
+    listener.local_addr().map_err(StartError::Thread)
+}
+
+fn listen_for_peers(
+    settings: &settings::EntrySettings,
+    me: &message::Home,
+) -> Result<
+    (
+        transport::Transport<crate::wire::WireMessage>,
+        flume::Receiver<transport::Received<crate::wire::WireMessage>>,
+    ),
+    StartError,
+> {
+    let wrong = |error: String| StartError::Listen {
+        key: "peer_address",
+        address: settings.peer_address.clone(),
+        error,
+    };
+    let listen_address = settings
+        .peer_address
+        .parse()
+        .map_err(|error: damaskvane_peer::address::ParseAddressError| wrong(error.to_string()))?;
+    transport::Transport::listen(peer_settings::PeerSettings {
+        listen_address,
+        instance: me.instance.clone(),
+        incarnation: me.incarnation,
+        ..peer_settings::PeerSettings::default()
+    })
+    .map_err(|error| wrong(error.to_string()))
+}
+
+fn start_engine(
+    settings: &settings::EntrySettings,
+    me: message::Home,
+    serving: &Arc<serving::Serving>,
+    ended: &flume::Sender<inbox::Input>,
+    inbox: flume::Receiver<inbox::Input>,
+    peers: &Arc<peers::Peers>,
+    logger: &slog::Logger,
+) -> Result<(), StartError> {
+    let limits = exchange::ExchangeLimits {
+        answer_limit_bytes: settings.body_limit_bytes,
+        ..exchange::ExchangeLimits::default()
+    };
+    let pool =
+        exchange_pool::ExchangePool::new(settings.exchange_limit, limits, ended.clone());
+    let engine = engine_thread::EngineThread::new(
+        me,
+        Arc::clone(serving),
+        inbox,
+        pool,
+        Arc::clone(peers),
+        logger.clone(),
+    );
+    spawn("engine", move || engine.run())
+}
+
+fn start_store(
+    settings: &settings::EntrySettings,
+    serving: &Arc<serving::Serving>,
+    control: &flume::Sender<control::ControlInput>,
+) -> Result<store::Store, StartError> {
+    let token = read_token(&settings.token_file)?;
+    let platform = http::PlatformSettings::new(settings.platform_address.clone(), token);
+    let api = Arc::new(http::HttpObjectApi::new(platform));
+    let control = control.clone();
+    store::Store::start(&api, serving, move |report| {
+        let _ = control.send(control::ControlInput::Store(report));
+    })
+    .map_err(StartError::Thread)
+}
+
+fn read_token(path: &str) -> Result<damaskvane_platform::credential::Token, StartError> {
+    let wrong = |error: String| StartError::Token {
+        path: path.to_owned(),
+        error,
+    };
+    let text = fs::read_to_string(path).map_err(|error| wrong(error.to_string()))?;
+    text.trim()
+        .parse()
+        .map_err(|error: damaskvane_platform::credential::ParseTokenError| wrong(error.to_string()))
+}
+
+fn start_control(
+    parts: control::ControlParts,
+    inbox: flume::Receiver<control::ControlInput>,
+) -> Result<(), StartError> {
+    let control = control::Control::new(parts);
+    spawn("control", move || control.run(&inbox))
+}
+
+fn forward_peer_messages(
+    received: flume::Receiver<transport::Received<crate::wire::WireMessage>>,
+    control: flume::Sender<control::ControlInput>,
+) -> Result<(), StartError> {
+    spawn("peers", move || {
+        while let Ok(message) = received.recv() {
+            let _ = control.send(control::ControlInput::Peer(Box::new(message)));
+        }
+    })
+}
+
+fn start_clients(
+    clients: net::TcpListener,
+    settings: &settings::EntrySettings,
+    serving: &Arc<serving::Serving>,
+    inbox: &flume::Sender<inbox::Input>,
+) -> Result<(), StartError> {
+    let api = Arc::new(listener::ClientApi {
+        serving: Arc::clone(serving),
+        inbox: inbox.clone(),
+        settings: settings.clone(),
+    });
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .thread_name("clients")
+        .enable_all()
+        .build()
+        .map_err(StartError::Thread)?;
+    spawn("client-listener", move || {
+        let _ = runtime.block_on(listener::serve(clients, api));
+    })
+}
+
+fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<(), StartError> {
+    thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(work)
+        .map(|_| ())
+        .map_err(StartError::Thread)
+}
+
--- /dev/null
+++ b/crates/damaskvane-entry/src/process/ready.rs
@@ -0,0 +1,25 @@
+//! Tells whoever started the process where it listens.
+//!
+//! ```text
+//! {"client":"127.0.0.1:40001","operator":"127.0.0.1:40002","peer":"127.0.0.1:40003"}
+//! ```
+
+use damaskvane_platform::api;
+use serde::Serialize;
+
+#[derive(Debug, Serialize)]
+struct Ready {
+    client: String,
+    operator: String,
+    peer: String,
+}
+
+/// Prints one JSON line on standard output.
+pub fn announce(record: &api::InstanceRecord) {
+    let ready = Ready {
+        client: record.client_address.to_string(),
+        operator: record.operator_address.to_string(),
+        peer: record.peer_address.to_string(),
+    };
+    println!("{}", serde_json::to_string(&ready).unwrap_or_default());
+}
--- /dev/null
+++ b/crates/damaskvane-entry/src/process/stop.rs
@@ -0,0 +1,68 @@
+//! Waits for the signal to stop, then stops without cutting work.
+//!
+//! ```text
+//! SIGTERM -> out of look-up answers -> one look-up TTL -> what runs ends -> exit
+//! ```
+
+use core::time::Duration;
+use std::io;
+use std::thread;
+use std::time::Instant;
+
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator;
+use slog::{info, warn};
+
+use crate::control;
+use crate::inbox;
+use crate::process::error::StartError;
+use crate::serving;
+use crate::settings;
+
+const POLL: Duration = Duration::from_millis(50);
+
+/// The signals that stop the process.
+pub struct Signals(iterator::Signals);
+
+impl Signals {
+    /// Takes the signals over before any thread starts.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system refuses.
+    pub fn register() -> Result<Self, StartError> {
+        let signals = iterator::Signals::new([SIGTERM, SIGINT])
+            .map_err(|error: io::Error| StartError::Thread(error))?;
+        Ok(Self(signals))
+    }
+
+    fn wait(mut self) {
+        let _ = self.0.forever().next();
+    }
+}
+
+/// Blocks until a signal, then leaves and waits until nothing runs or the time is over.
+pub fn wait_and_stop(
+    signals: Signals,
+    control: &flume::Sender<control::ControlInput>,
+    engine: &flume::Sender<inbox::Input>,
+    serving: &serving::Serving,
+    settings: &settings::EntrySettings,
+    logger: &slog::Logger,
+) {
+    signals.wait();
+    info!(logger, "leaving");
+    let began = Instant::now();
+    let _ = control.send(control::ControlInput::Leave);
+    let longest = Duration::from_millis(settings.stop_timeout_ms);
+    while !serving.is_drained() {
+        if began.elapsed() >= longest {
+            warn!(logger, "stopped with work unfinished"; "reason" => "stop_timeout");
+            break;
+        }
+        thread::sleep(POLL);
+    }
+    let _ = engine.send(inbox::Input::Stop);
+    info!(logger, "stopped"; "drain_ms" => u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX));
+    thread::sleep(POLL);
+}
--- /dev/null
+++ b/crates/damaskvane-entry/src/serving.rs
@@ -0,0 +1,90 @@
+//! What look-ups are answered from: one immutable state, swapped whole.
+//!
+//! Look-ups are many and must not wait for decisions, so they read a snapshot that the control thread
+//! replaces; no look-up ever sees half of a change.
+//!
+//! ```
+//! use damaskvane_entry::serving;
+//! use damaskvane_telemetry::counters;
+//!
+//! let serving = serving::Serving::new(counters::Counters::local(), "e-1");
+//! assert_eq!(serving.config_version().get(), 0);
+//! ```
+
+mod state;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use arc_swap::ArcSwap;
+use damaskvane_core::ids;
+use damaskvane_engine::event;
+use damaskvane_telemetry::counters;
+pub use state::{EntryPoint, LookupService, ServingState};
+
+use crate::clock;
+
+/// What the threads of an entry instance share.
+#[derive(Debug)]
+pub struct Serving {
+    /// Counts of everything that happens.
+    pub counters: counters::Counters,
+    /// The process's clock.
+    pub clock: clock::MonotonicClock,
+    state: ArcSwap<ServingState>,
+    next_request: AtomicU64,
+    id_prefix: String,
+}
+
+impl Serving {
+    /// Serving without a configuration; `id_prefix` makes generated request ids unique in the fleet.
+    #[must_use]
+    pub fn new(counters: counters::Counters, id_prefix: impl Into<String>) -> Self {
+        Self {
+            counters,
+            clock: clock::MonotonicClock::start(),
+            state: ArcSwap::default(),
+            next_request: AtomicU64::new(1),
+            id_prefix: id_prefix.into(),
+        }
+    }
+
+    /// The present state.
+    #[must_use]
+    pub fn state(&self) -> Arc<ServingState> {
+        self.state.load_full()
+    }
+
+    /// Replaces the state.
+    pub fn replace(&self, state: ServingState) {
+        self.state.store(Arc::new(state));
+    }
+
+    /// The configuration version in force on this instance; zero before the first.
+    #[must_use]
+    pub fn config_version(&self) -> ids::ConfigVersion {
+        self.state.load().version
+    }
+
+    /// A number for a request that has just arrived.
+    #[must_use]
+    pub fn next_request_number(&self) -> event::RequestNumber {
+        event::RequestNumber::new(self.next_request.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// An id for a request whose client sent none.
+    #[must_use]
+    pub fn new_request_id(&self) -> ids::RequestId {
+        let number = self.next_request.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{number}", self.id_prefix)
+            .parse()
+            .unwrap_or_else(|_| fallback_id(number))
+    }
+}
+
+fn fallback_id(number: u64) -> ids::RequestId {
+    number
+        .to_string()
+        .parse()
+        .expect("digits are a valid identifier")
+}
--- /dev/null
+++ b/crates/damaskvane-entry/src/store.rs
@@ -0,0 +1,17 @@
+//! Calls on the platform's object API, on threads of their own.
+//!
+//! A call may take seconds while the platform is slow or down. The control thread never waits for one:
+//! it sends a [`StoreJob`] and later receives a [`StoreReport`].
+//!
+//! ```
+//! use damaskvane_entry::store;
+//!
+//! let job = store::StoreJob::ListInstances;
+//! assert!(format!("{job:?}").contains("ListInstances"));
+//! ```
+
+mod job;
+mod worker;
+
+pub use job::{StoreJob, StoreReport};
+pub use worker::Store;
--- /dev/null
+++ b/crates/damaskvane-entry/src/translate/directory.rs
@@ -0,0 +1,68 @@
+//! What the engine needs of the configuration and the membership.
+//!
+//! ```
+//! use damaskvane_config::state;
+//! use damaskvane_entry::translate;
+//!
+//! let zone = "sask-a".parse()?;
+//! let directory = translate::directory(&state::ConfigState::default(), &zone, |_| None, Default::default());
+//! assert!(directory.backend_servers.is_empty());
+//! # Ok::<(), damaskvane_core::ids::ParseIdError>(())
+//! ```
+
+use std::collections::BTreeMap;
+
+use damaskvane_config::{declaration, state};
+use damaskvane_core::ids;
+use damaskvane_engine::directory;
+
+/// The directory of an instance in `zone`; `owner` names the instance that owns a backend server.
+///
+/// A backend server without an owner is left out: nobody may grant its slots.
+#[must_use]
+pub fn directory(
+    config: &state::ConfigState,
+    zone: &ids::AvailabilityZoneId,
+    owner: impl Fn(&ids::BackendServerId) -> Option<ids::InstanceId>,
+    instances: BTreeMap<ids::InstanceId, directory::PeerInstance>,
+) -> directory::Directory {
+    let backend_servers = config
+        .backend_servers()
+        .iter()
+        .filter(|(_, server)| server.availability_zone == *zone)
+        .filter_map(|(id, server)| Some((id.clone(), backend_server(server, owner(id)?))))
+        .collect();
+    directory::Directory {
+        version: config.version(),
+        services: config
+            .services()
+            .iter()
+            .map(|(id, service)| (id.clone(), engine_service(service)))
+            .collect(),
+        backend_servers,
+        instances,
+    }
+}
+
+fn backend_server(
+    server: &declaration::BackendServer,
+    owner: ids::InstanceId,
+) -> directory::BackendServer {
+    directory::BackendServer {
+        service: server.service.clone(),
+        address: server.address,
+        slots: server.slots,
+        connections: server.connections,
+        draining: server.draining,
+        owner,
+    }
+}
+
+fn engine_service(service: &declaration::Service) -> directory::Service {
+    directory::Service {
+        request_timeout: service.request_timeout_ms,
+        typical_request: service.typical_request_ms,
+        queue_limit: service.queue_limit,
+        retry_budget: service.retry_budget_permille,
+    }
+}
