Client of the platform's object API with typed results

A write whose answer is lost must neither be run twice nor undo a later one, so each try is the same conditional write and doubt is resolved by reading the write's identity back.

--- /dev/null
+++ b/crates/damaskvane-platform/src/api/read.rs
@@ -0,0 +1,38 @@
+//! Why a read gave nothing.
+//!
+//! ```
+//! use damaskvane_platform::api;
+//!
+//! assert!(api::ReadError::Unauthorized.to_string().contains("token"));
+//! ```
+
+use damaskvane_core::time;
+
+/// Why a read, a listing or a watch gave nothing.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
+pub enum ReadError {
+    /// the platform can't be reached ({0}); call again after a pause
+    Unavailable(String),
+    /// the platform refuses by rate; call again after {0}
+    RateLimited(time::SpanMs),
+    /// this program's own rate budget is spent; call again after {0} or raise calls_per_second
+    BudgetSpent(time::SpanMs),
+    /// the platform refuses the token; check the token file and its holder
+    Unauthorized,
+    /// the platform's answer is not understood ({0}); check the address and the versions
+    Protocol(String),
+}
+
+impl ReadError {
+    /// The word under which refusals of this kind are counted.
+    #[must_use]
+    pub const fn reason(&self) -> &'static str {
+        match self {
+            Self::Unavailable(_) => "unavailable",
+            Self::RateLimited(_) => "rate-limited",
+            Self::BudgetSpent(_) => "budget-spent",
+            Self::Unauthorized => "unauthorized",
+            Self::Protocol(_) => "protocol",
+        }
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-platform/src/api/version.rs
@@ -0,0 +1,67 @@
+//! Versions of objects and revisions of kinds.
+//!
+//! ```
+//! use damaskvane_platform::api;
+//!
+//! assert!(api::Revision::new(2) > api::Revision::START);
+//! ```
+
+use core::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// The version of one object in the platform; it rises with each write.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ObjectVersion(u64);
+
+impl ObjectVersion {
+    /// The version of an object that doesn't exist.
+    pub const ABSENT: Self = Self(0);
+
+    /// Wraps a plain number.
+    #[must_use]
+    pub const fn new(version: u64) -> Self {
+        Self(version)
+    }
+
+    /// The plain number.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for ObjectVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// The revision of a kind; it rises with each write of any of its objects.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Revision(u64);
+
+impl Revision {
+    /// Before the first write.
+    pub const START: Self = Self(0);
+
+    /// Wraps a plain number.
+    #[must_use]
+    pub const fn new(revision: u64) -> Self {
+        Self(revision)
+    }
+
+    /// The plain number.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-platform/src/write.rs
@@ -0,0 +1,88 @@
+//! A write whose lost answer is resolved by reading its own identity back.
+//!
+//! ```
+//! use damaskvane_platform::write;
+//!
+//! assert_eq!(write::Outcome::Lost, write::Outcome::Lost);
+//! ```
+
+use std::thread;
+
+use damaskvane_core::time;
+
+use crate::api::{NotAppliedReason, ObjectApi, ObjectKey, ObjectVersion, WriteId, WriteResult};
+use crate::backoff::Backoff;
+
+/// What became of a write after doubt was resolved.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// It took effect and made this version.
+    Applied(ObjectVersion),
+    /// The object has another version, made by another write.
+    ///
+    /// Where an answer was lost before, this write may have taken effect and been followed by
+    /// others; only what the later versions say of their past can tell.
+    Overtaken {
+        /// The object's version.
+        current: ObjectVersion,
+        /// Whether any try's answer was lost.
+        doubted: bool,
+    },
+    /// It had no effect and another try has no better prospects.
+    Refused(NotAppliedReason),
+    /// The tries are spent and it is still unknown.
+    Lost,
+}
+
+/// Writes an object, trying up to `tries` times.
+///
+/// Each try is the same conditional write, so at most one of them takes effect, and none can undo a
+/// later write: the version it asks for is gone by then.
+pub fn put(
+    api: &impl ObjectApi,
+    key: &ObjectKey,
+    if_version: ObjectVersion,
+    value: &[u8],
+    write_id: &WriteId,
+    backoff: &mut Backoff,
+    tries: u32,
+) -> Outcome {
+    let mut doubted = false;
+    for _ in 0..tries {
+        match api.put_if(key, if_version, value, write_id) {
+            WriteResult::Applied { version } => return Outcome::Applied(version),
+            WriteResult::Conflict { current } => {
+                if let Some(version) = own_version(api, key, write_id) {
+                    return Outcome::Applied(version);
+                }
+                return Outcome::Overtaken { current, doubted };
+            }
+            WriteResult::NotApplied(reason) if !reason.is_passing() => {
+                return if doubted {
+                    Outcome::Lost
+                } else {
+                    Outcome::Refused(reason)
+                };
+            }
+            WriteResult::NotApplied(_) => {}
+            WriteResult::Unknown(_) => {
+                doubted = true;
+                if let Some(version) = own_version(api, key, write_id) {
+                    return Outcome::Applied(version);
+                }
+            }
+        }
+        sleep(backoff.pause());
+    }
+    Outcome::Lost
+}
+
+/// The object's version, if this very write made it.
+fn own_version(api: &impl ObjectApi, key: &ObjectKey, write_id: &WriteId) -> Option<ObjectVersion> {
+    let object = api.get(key).ok().flatten()?;
+    (object.write_id.as_ref() == Some(write_id)).then_some(object.version)
+}
+
+fn sleep(pause: time::SpanMs) {
+    thread::sleep(pause.to_duration());
+}
