Entry instance builds and passes lints

Cause: the plan had no default and header names need an owned type. Ruled out: a default plan in the steering crate, since an empty plan has a time.

--- a/crates/damaskvane-engine/src/engine.rs
+++ b/crates/damaskvane-engine/src/engine.rs
@@ -31,6 +31,7 @@
     directory: Arc<directory::Directory>,
     flights: BTreeMap<ExchangeNumber, Flight>,
     next_exchange: u64,
+    leaving: bool,
 }
 
 impl Engine {
@@ -42,6 +43,7 @@
             directory: Arc::default(),
             flights: BTreeMap::new(),
             next_exchange: 1,
+            leaving: false,
         }
     }
 
@@ -51,6 +53,12 @@
         self.flights.len()
     }
 
+    /// Whether a planned stop has finished all work.
+    #[must_use]
+    pub fn is_drained(&self) -> bool {
+        self.leaving && self.flights.is_empty()
+    }
+
     /// Takes an event at a point in time and returns what is to be done.
     #[must_use]
     pub fn handle(&mut self, now: time::TimeMs, event: Event) -> Vec<Action> {
@@ -62,7 +70,11 @@
                 self.directory = directory;
                 Vec::new()
             }
-            Event::ClientGone { .. } | Event::Peer { .. } | Event::Leave | Event::Tick => Vec::new(),
+            Event::Leave => {
+                self.leaving = true;
+                Vec::new()
+            }
+            Event::ClientGone { .. } | Event::Peer { .. } | Event::Tick => Vec::new(),
         }
     }
 
--- a/crates/damaskvane-engine/src/message/request.rs
+++ b/crates/damaskvane-engine/src/message/request.rs
@@ -53,7 +53,11 @@
 impl ServiceRequest {
     /// A repeatable request without a body.
     #[must_use]
-    pub fn get(service: ids::ServiceId, path: impl Into<String>, request_id: ids::RequestId) -> Self {
+    pub fn get(
+        service: ids::ServiceId,
+        path: impl Into<String>,
+        request_id: ids::RequestId,
+    ) -> Self {
         Self {
             service,
             request_id,
--- a/crates/damaskvane-entry/src/client_api/listener.rs
+++ b/crates/damaskvane-entry/src/client_api/listener.rs
@@ -112,12 +112,14 @@
         .map_or_else(String::new, |target| target.as_str().to_owned());
     match route::Route::parse(&target) {
         route::Route::Lookup => lookup::answer(&api.serving, request.uri().query().unwrap_or("")),
-        route::Route::Service { service, path } => {
-            match service.parse() {
-                Ok(service) => submit(api, request, service, path).await,
-                Err(error) => refuse(api, refusal::RefusalReason::ServiceUnknown, &error.to_string()),
-            }
-        }
+        route::Route::Service { service, path } => match service.parse() {
+            Ok(service) => submit(api, request, service, path).await,
+            Err(error) => refuse(
+                api,
+                refusal::RefusalReason::ServiceUnknown,
+                &error.to_string(),
+            ),
+        },
         route::Route::Unknown => refuse(
             api,
             refusal::RefusalReason::MalformedRequest,
@@ -182,4 +184,3 @@
     guard.disarm();
     outcome.unwrap_or(lost)
 }
-
--- a/crates/damaskvane-entry/src/client_api/lookup.rs
+++ b/crates/damaskvane-entry/src/client_api/lookup.rs
@@ -65,9 +65,7 @@
             reply::json(&answer)
         }
         Err(refused) => {
-            serving
-                .counters
-                .increment(LOOKUPS, refused.reason.as_str());
+            serving.counters.increment(LOOKUPS, refused.reason.as_str());
             let mut answer = reply::refused(refused.reason, &refused.detail);
             if let Some(retry_after) = refused.retry_after {
                 answer
--- a/crates/damaskvane-entry/src/client_api/reply.rs
+++ b/crates/damaskvane-entry/src/client_api/reply.rs
@@ -51,7 +51,11 @@
     };
     set(&mut answer, header::OUTCOME, word);
     set(&mut answer, header::REQUEST_ID, request_id);
-    set(&mut answer, header::CONFIG_VERSION, &config_version.to_string());
+    set(
+        &mut answer,
+        header::CONFIG_VERSION,
+        &config_version.to_string(),
+    );
     answer
 }
 
--- a/crates/damaskvane-entry/src/control.rs
+++ b/crates/damaskvane-entry/src/control.rs
@@ -112,7 +112,8 @@
         let list = timers.subscribe(LIST_PERIOD);
         let steer = timers.subscribe(PLAN_PERIOD);
         let maintenance = timers.subscribe(MAINTENANCE_PERIOD);
-        self.store.submit(store::StoreJob::Announce(self.record.clone()));
+        self.store
+            .submit(store::StoreJob::Announce(self.record.clone()));
         self.store.submit(store::StoreJob::ListInstances);
         self.watch();
         loop {
@@ -223,7 +224,8 @@
             Ok(config) => {
                 info!(self.logger, "configuration in force";
                     "config_version" => head.version.get(), "ticket" => head.ticket.get());
-                self.chunks.retain(|hash, _| head.objects.values().any(|entry| entry.hash == *hash));
+                self.chunks
+                    .retain(|hash, _| head.objects.values().any(|entry| entry.hash == *hash));
                 self.config = Some(Arc::new(config));
                 self.publish();
             }
@@ -262,7 +264,9 @@
             |server| self.owner(server),
             self.peer_instances(),
         );
-        let _ = self.engine.send(inbox::Input::Directory(Arc::new(directory)));
+        let _ = self
+            .engine
+            .send(inbox::Input::Directory(Arc::new(directory)));
         self.steer();
     }
 
@@ -347,7 +351,8 @@
     fn leave(&mut self) {
         self.record.leaving = true;
         self.status.leaving.store(1, Ordering::Release);
-        self.store.submit(store::StoreJob::Announce(self.record.clone()));
+        self.store
+            .submit(store::StoreJob::Announce(self.record.clone()));
         self.instances
             .insert(self.record.instance.clone(), self.record.clone());
         self.send_heartbeats();
@@ -355,4 +360,3 @@
         let _ = self.engine.send(inbox::Input::Leave);
     }
 }
-
--- a/crates/damaskvane-entry/src/engine_thread.rs
+++ b/crates/damaskvane-entry/src/engine_thread.rs
@@ -103,6 +103,9 @@
         for action in self.engine.handle(now, event) {
             self.carry_out(action);
         }
+        if self.engine.is_drained() {
+            self.serving.set_drained();
+        }
     }
 
     fn carry_out(&mut self, action: event::Action) {
@@ -130,7 +133,9 @@
             }
             event::Action::Count { family, word } => self.serving.counters.increment(family, word),
             event::Action::Broken { invariant } => {
-                self.serving.counters.increment("invariant_broken", invariant);
+                self.serving
+                    .counters
+                    .increment("invariant_broken", invariant);
                 error!(self.logger, "an invariant was broken and the action refused"; "reason" => invariant);
             }
         }
--- a/crates/damaskvane-entry/src/exchange.rs
+++ b/crates/damaskvane-entry/src/exchange.rs
@@ -18,7 +18,7 @@
 use core::time::Duration;
 use std::io::{self, Read};
 
-use attohttpc::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
+use attohttpc::header::{CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use damaskvane_core::{ids, time};
 use damaskvane_engine::event::ExchangeEnd;
 use damaskvane_engine::message;
@@ -79,8 +79,8 @@
     time_left: time::SpanMs,
     limits: ExchangeLimits,
 ) -> attohttpc::Result<attohttpc::Response> {
-    let method = attohttpc::Method::from_bytes(request.method.as_bytes())
-        .unwrap_or(attohttpc::Method::GET);
+    let method =
+        attohttpc::Method::from_bytes(request.method.as_bytes()).unwrap_or(attohttpc::Method::GET);
     let url = format!("http://{address}{}", request.path);
     let mut builder = attohttpc::RequestBuilder::try_new(method, url)?
         .proxy_settings(no_proxy())
@@ -95,7 +95,10 @@
         builder = builder.try_header(header::IDEMPOTENCY_KEY, idempotency.key.as_str())?;
     }
     for passed in &request.headers {
-        builder = builder.try_header_append(passed.name(), passed.value())?;
+        let Ok(name) = HeaderName::from_bytes(passed.name().as_bytes()) else {
+            continue;
+        };
+        builder = builder.try_header_append(name, passed.value())?;
     }
     builder.bytes(&request.body).send()
 }
@@ -177,8 +180,6 @@
     headers
         .iter()
         .filter(|(name, _)| header::is_passed_on(name.as_str()))
-        .filter_map(|(name, value)| {
-            Some(message::Header::new(name.as_str(), value.to_str().ok()?))
-        })
+        .filter_map(|(name, value)| Some(message::Header::new(name.as_str(), value.to_str().ok()?)))
         .collect()
 }
--- a/crates/damaskvane-entry/src/main.rs
+++ b/crates/damaskvane-entry/src/main.rs
@@ -72,7 +72,7 @@
         println!("{path}: settings are valid");
         return process::ExitCode::SUCCESS;
     }
-    match damaskvane_entry::process::run(settings) {
+    match damaskvane_entry::process::run(&settings) {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{PROGRAM}: {path}: {error}");
--- a/crates/damaskvane-entry/src/operator_api.rs
+++ b/crates/damaskvane-entry/src/operator_api.rs
@@ -32,10 +32,8 @@
     serving: Arc<serving::Serving>,
     source: status::Source,
 ) -> Result<net::SocketAddr, Box<dyn error::Error + Send + Sync>> {
-    let server = rouille::Server::new(address, move |request| {
-        answer(request, &serving, &source)
-    })?
-    .pool_size(THREADS);
+    let server = rouille::Server::new(address, move |request| answer(request, &serving, &source))?
+        .pool_size(THREADS);
     let listening = server.server_addr();
     thread::Builder::new()
         .name("operators".to_owned())
--- a/crates/damaskvane-entry/src/process.rs
+++ b/crates/damaskvane-entry/src/process.rs
@@ -3,7 +3,7 @@
 //! ```no_run
 //! use damaskvane_entry::{process, settings};
 //!
-//! process::run(settings::EntrySettings::default())?;
+//! process::run(&settings::EntrySettings::default())?;
 //! # Ok::<(), process::StartError>(())
 //! ```
 
@@ -41,7 +41,7 @@
 /// # Errors
 ///
 /// Fails if an address can't be listened on, or the platform's settings are wrong.
-pub fn run(settings: settings::EntrySettings) -> Result<(), StartError> {
+pub fn run(settings: &settings::EntrySettings) -> Result<(), StartError> {
     let logger = logging::logger("damaskvane-entry", settings.log_level).new(o!(
         logging::field::INSTANCE => settings.instance.to_string(),
         logging::field::AVAILABILITY_ZONE => settings.availability_zone.to_string(),
@@ -52,12 +52,12 @@
         incarnation: clock::incarnation(),
     };
     let serving = Arc::new(serving::Serving::new(
-        counters(&settings)?,
+        counters(settings)?,
         format!("{}-{}", me.instance, me.incarnation),
     ));
     let clients = listen("client_address", &settings.client_address)?;
     let client_address = local_address(&clients)?;
-    let (transport, received) = listen_for_peers(&settings, &me)?;
+    let (transport, received) = listen_for_peers(settings, &me)?;
     let peers = Arc::new(peers::Peers::new(transport));
     let status = status::Source {
         me: me.clone(),
@@ -67,13 +67,16 @@
         leaving: Arc::default(),
         published: status::Published::default(),
     };
-    let operators =
-        operator_api::start(&settings.operator_address, Arc::clone(&serving), status.clone())
-            .map_err(|error| StartError::Listen {
-                key: "operator_address",
-                address: settings.operator_address.clone(),
-                error: error.to_string(),
-            })?;
+    let operators = operator_api::start(
+        &settings.operator_address,
+        Arc::clone(&serving),
+        status.clone(),
+    )
+    .map_err(|error| StartError::Listen {
+        key: "operator_address",
+        address: settings.operator_address.clone(),
+        error: error.to_string(),
+    })?;
     let record = api::InstanceRecord {
         instance: me.instance.clone(),
         availability_zone: settings.availability_zone.clone(),
@@ -86,7 +89,15 @@
     };
     let (engine, engine_inbox) = flume::unbounded();
     let (control, control_inbox) = flume::unbounded();
-    start_engine(&settings, me, &serving, &engine, engine_inbox, &peers, &logger)?;
+    start_engine(
+        settings,
+        me,
+        &serving,
+        &engine,
+        engine_inbox,
+        &peers,
+        &logger,
+    )?;
     start_control(
         control::ControlParts {
             record: record.clone(),
@@ -94,17 +105,17 @@
             serving: Arc::clone(&serving),
             engine: engine.clone(),
             peers: Arc::clone(&peers),
-            store: start_store(&settings, &serving, &control)?,
+            store: start_store(settings, &serving, &control)?,
             status,
             logger: logger.clone(),
         },
         control_inbox,
     )?;
     forward_peer_messages(received, control.clone())?;
-    start_clients(clients, &settings, &serving, &engine)?;
+    start_clients(clients, settings, &serving, &engine)?;
     ready::announce(&record);
     info!(logger, "serving"; "client_address" => client_address.to_string());
-    stop::wait_and_stop(signals, &control, &engine, &serving, &settings, &logger);
+    stop::wait_and_stop(signals, &control, &engine, &serving, settings, &logger);
     Ok(())
 }
 
@@ -177,8 +188,7 @@
         answer_limit_bytes: settings.body_limit_bytes,
         ..exchange::ExchangeLimits::default()
     };
-    let pool =
-        exchange_pool::ExchangePool::new(settings.exchange_limit, limits, ended.clone());
+    let pool = exchange_pool::ExchangePool::new(settings.exchange_limit, limits, ended.clone());
     let engine = engine_thread::EngineThread::new(
         me,
         Arc::clone(serving),
@@ -264,4 +274,3 @@
         .map(|_| ())
         .map_err(StartError::Thread)
 }
-
--- a/crates/damaskvane-entry/src/process/ready.rs
+++ b/crates/damaskvane-entry/src/process/ready.rs
@@ -15,7 +15,7 @@
 }
 
 /// Prints one JSON line on standard output.
-pub fn announce(record: &api::InstanceRecord) {
+pub(super) fn announce(record: &api::InstanceRecord) {
     let ready = Ready {
         client: record.client_address.to_string(),
         operator: record.operator_address.to_string(),
--- a/crates/damaskvane-entry/src/process/stop.rs
+++ b/crates/damaskvane-entry/src/process/stop.rs
@@ -22,7 +22,7 @@
 const POLL: Duration = Duration::from_millis(50);
 
 /// The signals that stop the process.
-pub struct Signals(iterator::Signals);
+pub(super) struct Signals(iterator::Signals);
 
 impl Signals {
     /// Takes the signals over before any thread starts.
@@ -30,7 +30,7 @@
     /// # Errors
     ///
     /// Fails if the system refuses.
-    pub fn register() -> Result<Self, StartError> {
+    pub(super) fn register() -> Result<Self, StartError> {
         let signals = iterator::Signals::new([SIGTERM, SIGINT])
             .map_err(|error: io::Error| StartError::Thread(error))?;
         Ok(Self(signals))
@@ -42,7 +42,7 @@
 }
 
 /// Blocks until a signal, then leaves and waits until nothing runs or the time is over.
-pub fn wait_and_stop(
+pub(super) fn wait_and_stop(
     signals: Signals,
     control: &flume::Sender<control::ControlInput>,
     engine: &flume::Sender<inbox::Input>,
--- a/crates/damaskvane-entry/src/serving.rs
+++ b/crates/damaskvane-entry/src/serving.rs
@@ -14,7 +14,7 @@
 mod state;
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use arc_swap::ArcSwap;
 use damaskvane_core::ids;
@@ -34,6 +34,7 @@
     state: ArcSwap<ServingState>,
     next_request: AtomicU64,
     id_prefix: String,
+    drained: AtomicBool,
 }
 
 impl Serving {
@@ -46,6 +47,7 @@
             state: ArcSwap::default(),
             next_request: AtomicU64::new(1),
             id_prefix: id_prefix.into(),
+            drained: AtomicBool::new(false),
         }
     }
 
@@ -66,6 +68,17 @@
         self.state.load().version
     }
 
+    /// Whether a planned stop has finished all work.
+    #[must_use]
+    pub fn is_drained(&self) -> bool {
+        self.drained.load(Ordering::Acquire)
+    }
+
+    /// Says that a planned stop has finished all work.
+    pub fn set_drained(&self) {
+        self.drained.store(true, Ordering::Release);
+    }
+
     /// A number for a request that has just arrived.
     #[must_use]
     pub fn next_request_number(&self) -> event::RequestNumber {
--- a/crates/damaskvane-entry/src/serving/state.rs
+++ b/crates/damaskvane-entry/src/serving/state.rs
@@ -33,7 +33,7 @@
 }
 
 /// One snapshot of what look-ups need.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ServingState {
     /// The configuration version it rests on.
     pub version: ids::ConfigVersion,
@@ -48,3 +48,16 @@
     /// Live entry instances that are not leaving, by zone.
     pub entries: BTreeMap<ids::AvailabilityZoneId, Vec<EntryPoint>>,
 }
+
+impl Default for ServingState {
+    fn default() -> Self {
+        Self {
+            version: ids::ConfigVersion::default(),
+            config: None,
+            own_zone: None,
+            services: BTreeMap::new(),
+            plan: plan::Plan::empty(time::TimeMs::ZERO),
+            entries: BTreeMap::new(),
+        }
+    }
+}
--- a/crates/damaskvane-entry/src/settings.rs
+++ b/crates/damaskvane-entry/src/settings.rs
@@ -92,8 +92,16 @@
         settings::Key::text("operator_address", ANY_PORT, "where operators reach it"),
         settings::Key::text("peer_address", ANY_PORT, "where other instances reach it"),
         settings::Key::required("platform_address", "address of the object API"),
-        settings::Key::text("token_file", "", "file with the credential for the object API"),
-        settings::Key::text("statsd_address", "", "statsd server for metrics; empty for none"),
+        settings::Key::text(
+            "token_file",
+            "",
+            "file with the credential for the object API",
+        ),
+        settings::Key::text(
+            "statsd_address",
+            "",
+            "statsd server for metrics; empty for none",
+        ),
         settings::Key::text("log_level", "info", "debug, info, warning or error"),
         settings::Key::number(
             "connection_limit",
