At most once at the home, the exchange life cycle and retries

Cause: a booking must run once whichever instance its tries reach. Ruled out: a claim per request in the store (rates, outages), a hash owner (two owners in a partition), forgetting keys after the window (a late try runs again). The table keeps outcomes for a window, then eight bytes a key until the instance takes a new incarnation; a leaving instance surrenders to one successor for good. Conclusion: an untrue not-run has no constructor outside the life cycle that proves it.

--- /dev/null
+++ b/crates/damaskvane-dispatch/src/exchange.rs
@@ -0,0 +1,42 @@
+//! The life cycle of one request: received, admitted, sent, answered.
+//!
+//! Each state is a type, and only the steps that are safe exist on it. *Not run* comes from a request
+//! that was never sent or was refused by the backend server before running; once a byte may have
+//! reached a backend server without such a refusal, the only refusal left is *outcome unknown*.
+//!
+//! ```
+//! use damaskvane_core::time;
+//! use damaskvane_dispatch::{deadline, exchange, refusal, retry};
+//!
+//! let now = time::TimeMs::ZERO;
+//! let deadline = deadline::Deadline::after(now, time::SpanMs::new(2_000));
+//! let received = exchange::Received::repeatable("try-1".parse()?, deadline);
+//! let sent = received.admit().send(now, "desk-1".parse()?);
+//! let exchange::Progress::Retry { admitted, .. } =
+//!     sent.failed::<Vec<u8>>(retry::RetryReason::ConnectionLost)
+//! else {
+//!     panic!("a repeatable request may be retried");
+//! };
+//! let answered = admitted.refuse::<Vec<u8>>(refusal::RefusalReason::Overloaded);
+//! assert_eq!(answered.outcome().word(), "unknown");
+//! # Ok::<(), damaskvane_core::ids::ParseIdError>(())
+//! ```
+
+mod admitted;
+mod answered;
+mod backend_answer;
+mod basis;
+mod forwarded;
+mod progress;
+mod received;
+mod rejection;
+mod sent;
+
+pub use admitted::Admitted;
+pub use answered::Answered;
+pub use backend_answer::BackendAnswer;
+pub use forwarded::Forwarded;
+pub use progress::Progress;
+pub use received::Received;
+pub use rejection::Rejection;
+pub use sent::Sent;
--- /dev/null
+++ b/crates/damaskvane-dispatch/src/exchange/answered.rs
@@ -0,0 +1,64 @@
+//! A request with its final answer.
+//!
+//! ```
+//! use damaskvane_dispatch::exchange;
+//!
+//! let rejection = exchange::Rejection::MalformedRequest;
+//! let answered = exchange::Answered::<()>::rejected("try-1".parse()?, rejection);
+//! assert_eq!(answered.request().as_str(), "try-1");
+//! # Ok::<(), damaskvane_core::ids::ParseIdError>(())
+//! ```
+
+use damaskvane_core::ids;
+
+use crate::exchange::rejection;
+use crate::home;
+use crate::outcome;
+
+/// The final answer, with the client's request that it belongs to.
+#[derive(Debug)]
+#[must_use]
+pub struct Answered<A> {
+    request: ids::RequestId,
+    permit: Option<home::DispatchPermit>,
+    outcome: outcome::Outcome<A>,
+}
+
+impl<A> Answered<A> {
+    pub(super) const fn new(
+        request: ids::RequestId,
+        permit: Option<home::DispatchPermit>,
+        outcome: outcome::Outcome<A>,
+    ) -> Self {
+        Self {
+            request,
+            permit,
+            outcome,
+        }
+    }
+
+    /// A request that no instance would ever run; this needs no look at its key.
+    pub const fn rejected(request: ids::RequestId, rejection: rejection::Rejection) -> Self {
+        let reason = rejection.reason();
+        let refused = outcome::NotRun::new(reason, reason.default_retry_after());
+        Self::new(request, None, outcome::Outcome::NotRun(refused))
+    }
+
+    /// The request to answer.
+    #[must_use]
+    pub const fn request(&self) -> &ids::RequestId {
+        &self.request
+    }
+
+    /// The answer.
+    #[must_use]
+    pub const fn outcome(&self) -> &outcome::Outcome<A> {
+        &self.outcome
+    }
+
+    /// The permit for [`home::HomeTable::finish`], where the request was keyed, and the answer.
+    #[must_use]
+    pub fn into_parts(self) -> (Option<home::DispatchPermit>, outcome::Outcome<A>) {
+        (self.permit, self.outcome)
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-dispatch/src/exchange/basis.rs
@@ -0,0 +1,45 @@
+//! What every state of a request carries.
+
+use damaskvane_core::{ids, time};
+
+use crate::deadline;
+use crate::exchange::answered;
+use crate::home;
+use crate::outcome;
+use crate::refusal;
+
+/// The request, the right to run it, and whether it may have run already.
+#[derive(Debug)]
+pub(super) struct Basis {
+    pub(super) request: ids::RequestId,
+    pub(super) deadline: deadline::Deadline,
+    /// The right to run a non-repeatable request; a repeatable one needs none.
+    pub(super) permit: Option<home::DispatchPermit>,
+    pub(super) may_have_run: bool,
+    pub(super) tried: Vec<ids::BackendServerId>,
+}
+
+impl Basis {
+    pub(super) const fn is_repeatable(&self) -> bool {
+        self.permit.is_none()
+    }
+
+    pub(super) fn refuse<A>(
+        self,
+        reason: refusal::RefusalReason,
+        retry_after: time::SpanMs,
+    ) -> answered::Answered<A> {
+        let outcome = if !reason.means_not_run() {
+            outcome::Outcome::unknown(reason)
+        } else if self.may_have_run {
+            outcome::Outcome::unknown(refusal::RefusalReason::OutcomeLost)
+        } else {
+            outcome::Outcome::NotRun(outcome::NotRun::new(reason, retry_after))
+        };
+        self.answer(outcome)
+    }
+
+    pub(super) fn answer<A>(self, outcome: outcome::Outcome<A>) -> answered::Answered<A> {
+        answered::Answered::new(self.request, self.permit, outcome)
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-dispatch/src/home/parts.rs
@@ -0,0 +1,39 @@
+//! Cutting a table into messages.
+
+use crate::home::{handover, name, scope};
+
+/// All that a successor has to know.
+#[derive(Debug)]
+pub(super) struct WholeTable<A> {
+    pub(super) from: name::Home,
+    pub(super) successor: name::Home,
+    pub(super) homes: Vec<(name::Home, Vec<u64>)>,
+    pub(super) records: Vec<handover::HandedRecord<A>>,
+    pub(super) superseded: Vec<(scope::Scope, u32)>,
+}
+
+impl<A> WholeTable<A> {
+    /// Parts of so many records; the first also carries the tombstones and superseded tries.
+    pub(super) fn split(self, records_per_part: usize) -> Vec<handover::Handover<A>> {
+        let chunk = records_per_part.max(1);
+        let parts = self.records.len().div_ceil(chunk).max(1);
+        let mut homes = self.homes;
+        let mut superseded = self.superseded;
+        let mut records = self.records.into_iter();
+        let mut messages = Vec::with_capacity(parts);
+        for part in 0..parts {
+            let later_homes = homes.iter().map(|(home, _)| (home.clone(), Vec::new()));
+            let later_homes = later_homes.collect();
+            messages.push(handover::Handover {
+                from: self.from.clone(),
+                successor: self.successor.clone(),
+                part: u32::try_from(part).unwrap_or(u32::MAX),
+                parts: u32::try_from(parts).unwrap_or(u32::MAX),
+                homes: core::mem::replace(&mut homes, later_homes),
+                records: records.by_ref().take(chunk).collect(),
+                superseded: core::mem::take(&mut superseded),
+            });
+        }
+        messages
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-dispatch/src/home/records.rs
@@ -0,0 +1,137 @@
+//! The kept keys, with their memory and the points at which they are due.
+
+use std::collections;
+
+use damaskvane_core::time;
+
+use crate::home::answer_size::AnswerSize;
+use crate::home::{permit, record, scope};
+use crate::outcome;
+
+/// What a key takes besides its answer: two ids of at most 64 bytes, hash, map and queue entries.
+const ENTRY_BYTES: u64 = 400;
+
+/// Keys by scope, and by the point at which something is to be done about them.
+#[derive(Debug)]
+pub(super) struct Records<A> {
+    entries: collections::BTreeMap<scope::Scope, record::Record<A>>,
+    due: collections::BTreeSet<(time::TimeMs, scope::Scope)>,
+    running: usize,
+    bytes: u64,
+    reserved_bytes: u64,
+}
+
+impl<A: AnswerSize> Records<A> {
+    /// Every running key reserves `reserved_bytes` for its answer.
+    pub(super) const fn new(reserved_bytes: u64) -> Self {
+        Self {
+            entries: collections::BTreeMap::new(),
+            due: collections::BTreeSet::new(),
+            running: 0,
+            bytes: 0,
+            reserved_bytes,
+        }
+    }
+
+    pub(super) fn get(&self, scope: &scope::Scope) -> Option<&record::Record<A>> {
+        self.entries.get(scope)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub(super) const fn running(&self) -> usize {
+        self.running
+    }
+
+    pub(super) const fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// The bytes after one more key was taken.
+    pub(super) const fn bytes_with_one_more(&self) -> u64 {
+        self.bytes + ENTRY_BYTES + self.reserved_bytes
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&scope::Scope, &record::Record<A>)> {
+        self.entries.iter()
+    }
+
+    pub(super) fn insert(&mut self, scope: scope::Scope, record: record::Record<A>) {
+        self.remove(&scope);
+        self.count_in(&record.state);
+        self.due.insert((record.state.due(), scope.clone()));
+        self.entries.insert(scope, record);
+    }
+
+    pub(super) fn remove(&mut self, scope: &scope::Scope) -> Option<record::Record<A>> {
+        let record = self.entries.remove(scope)?;
+        self.count_out(&record.state);
+        self.due.remove(&(record.state.due(), scope.clone()));
+        Some(record)
+    }
+
+    /// Adds a waiter to a running key, up to `max_waiters`.
+    pub(super) fn join(
+        &mut self,
+        scope: &scope::Scope,
+        waiter: permit::WaiterId,
+        try_number: u32,
+        max_waiters: usize,
+    ) -> bool {
+        let Some(record) = self.entries.get_mut(scope) else {
+            return false;
+        };
+        let record::State::Running { waiters, .. } = &mut record.state else {
+            return false;
+        };
+        if waiters.len() >= max_waiters {
+            return false;
+        }
+        waiters.push(waiter);
+        record.highest_try = record.highest_try.max(try_number);
+        true
+    }
+
+    pub(super) fn leave(&mut self, scope: &scope::Scope, waiter: permit::WaiterId) {
+        if let Some(record) = self.entries.get_mut(scope)
+            && let record::State::Running { waiters, .. } = &mut record.state
+        {
+            waiters.retain(|waiting| *waiting != waiter);
+        }
+    }
+
+    /// Takes out the next key that is due.
+    pub(super) fn pop_due(
+        &mut self,
+        now: time::TimeMs,
+    ) -> Option<(scope::Scope, record::Record<A>)> {
+        let (_, scope) = self.due.first().filter(|(due, _)| *due <= now)?;
+        let scope = scope.clone();
+        let record = self.remove(&scope)?;
+        Some((scope, record))
+    }
+
+    fn size(&self, state: &record::State<A>) -> u64 {
+        let answer_bytes = match state {
+            record::State::Running { .. } => self.reserved_bytes,
+            record::State::Done {
+                outcome: outcome::Outcome::Completed(answer),
+                ..
+            } => answer.size_bytes(),
+            record::State::Done { .. } => 0,
+        };
+        ENTRY_BYTES + answer_bytes
+    }
+
+    fn count_in(&mut self, state: &record::State<A>) {
+        self.bytes += self.size(state);
+        self.running += usize::from(state.is_running());
+    }
+
+    fn count_out(&mut self, state: &record::State<A>) {
+        self.bytes -= self.size(state);
+        self.running -= usize::from(state.is_running());
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-dispatch/src/home/scope.rs
@@ -0,0 +1,38 @@
+//! What a key is unique within.
+//!
+//! ```
+//! use damaskvane_dispatch::home;
+//!
+//! let scope = home::Scope::new("sask-a-1".parse()?, "booking-1".parse()?);
+//! assert_eq!(scope.key.as_str(), "booking-1");
+//! # Ok::<(), damaskvane_core::ids::ParseIdError>(())
+//! ```
+
+use damaskvane_core::{hash, ids};
+use serde::{Deserialize, Serialize};
+
+/// A key together with the instance that is its home.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Scope {
+    /// The instance named as home.
+    pub instance: ids::InstanceId,
+    /// The client's key.
+    pub key: ids::IdempotencyKey,
+}
+
+impl Scope {
+    /// A key at its home instance.
+    #[must_use]
+    pub const fn new(instance: ids::InstanceId, key: ids::IdempotencyKey) -> Self {
+        Self { instance, key }
+    }
+
+    /// Eight bytes that stand for the scope; two scopes that share them are answered with *unknown*.
+    pub(super) fn digest(&self) -> u64 {
+        let text = format!("{}/{}", self.instance, self.key);
+        let hash = hash::ContentHash::of(text.as_bytes());
+        let mut digest = [0; 8];
+        digest.copy_from_slice(&hash.as_bytes()[..8]);
+        u64::from_le_bytes(digest)
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-dispatch/src/home/tombstones.rs
@@ -0,0 +1,37 @@
+//! Keys whose outcome is no longer kept.
+
+use std::collections;
+
+/// Digests of the keys that an incarnation has taken and no longer keeps.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Tombstones {
+    digests: collections::HashSet<u64>,
+}
+
+impl Tombstones {
+    pub(super) fn extend(&mut self, digests: &[u64]) {
+        self.digests.extend(digests);
+    }
+
+    pub(super) fn insert(&mut self, digest: u64) {
+        self.digests.insert(digest);
+    }
+
+    pub(super) fn contains(&self, digest: u64) -> bool {
+        self.digests.contains(&digest)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.digests.len()
+    }
+
+    pub(super) fn clear(&mut self) {
+        self.digests = collections::HashSet::new();
+    }
+
+    pub(super) fn sorted(&self) -> Vec<u64> {
+        let mut digests: Vec<_> = self.digests.iter().copied().collect();
+        digests.sort_unstable();
+        digests
+    }
+}
--- a/crates/damaskvane-dispatch/src/outcome/refused.rs
+++ b/crates/damaskvane-dispatch/src/outcome/refused.rs
@@ -31,7 +31,6 @@
 }
 
 impl NotRun {
-    #[expect(dead_code, reason = "the life cycles that hold the proof follow")]
     pub(crate) const fn new(reason: refusal::RefusalReason, retry_after: time::SpanMs) -> Self {
         Self {
             reason,
--- a/crates/damaskvane-dispatch/src/refusal/reason.rs
+++ b/crates/damaskvane-dispatch/src/refusal/reason.rs
@@ -64,6 +64,10 @@
     HomeRestarted,
     /// The request was sent, and its answer was lost, cut or not the request's own.
     OutcomeLost,
+    /// Too many tries of the key wait for its answer.
+    TriesPending,
+    /// The request ran and its answer was too long to be kept for a repeat.
+    AnswerNotKept,
     /// The time ran out after the request was sent.
     DeadlinePassed,
     /// An invariant of the decision code was broken; the unsafe action was refused.
@@ -109,7 +113,7 @@
 
 impl RefusalReason {
     /// Every reason, in the order of the counters' page.
-    pub const ALL: [Self; 25] = [
+    pub const ALL: [Self; 27] = [
         Self::MalformedRequest,
         Self::BodyTooLarge,
         Self::KeyMissing,
@@ -133,6 +137,8 @@
         Self::HomeUnreachable,
         Self::HomeRestarted,
         Self::OutcomeLost,
+        Self::TriesPending,
+        Self::AnswerNotKept,
         Self::DeadlinePassed,
         Self::InternalInvariant,
     ];
@@ -163,6 +169,8 @@
             Self::HomeUnreachable => properties("home_unreachable", STATUS_UNKNOWN, MEDIUM_RETRY_MS, "try again with the same key and home"),
             Self::HomeRestarted => properties("home_restarted", STATUS_UNKNOWN, NO_RETRY_MS, "check at the service whether the request ran"),
             Self::OutcomeLost => properties("outcome_lost", STATUS_UNKNOWN, NO_RETRY_MS, "check at the service whether the request ran"),
+            Self::TriesPending => properties("tries_pending", STATUS_UNKNOWN, SHORT_RETRY_MS, "wait for an earlier try's answer before the next try"),
+            Self::AnswerNotKept => properties("answer_not_kept", STATUS_UNKNOWN, NO_RETRY_MS, "check at the service, where the request ran; operators raise max_answer_bytes"),
             Self::DeadlinePassed => properties("deadline_passed", STATUS_UNKNOWN, SHORT_RETRY_MS, "ask again with the same key and home"),
             Self::InternalInvariant => properties("internal_invariant", STATUS_UNKNOWN, LONG_RETRY_MS, "report the log line of the broken invariant"),
         }
--- /dev/null
+++ b/crates/damaskvane-dispatch/tests/support/mod.rs
@@ -0,0 +1,9 @@
+//! What several test files share.
+
+#![allow(
+    dead_code,
+    unreachable_pub,
+    reason = "each test file uses a part of it"
+)]
+
+pub mod keys;
