Submission, adoption and dissemination of the configuration as pure state machines

Adoption switches at one place that refuses a version that falls. Doctests pass; failure tests come next.

--- /dev/null
+++ b/crates/damaskvane-config/src/adopt/adopter.rs
@@ -0,0 +1,253 @@
+//! The adopter of one instance.
+//!
+//! ```
+//! use damaskvane_config::adopt;
+//!
+//! let mut adopter = adopt::Adopter::default();
+//! let verdict = adopter.offer_chunks([b"stray".as_slice()]);
+//! assert_eq!(verdict, adopt::Verdict::Ignored(adopt::IgnoreReason::NothingWanted));
+//! ```
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use damaskvane_core::hash::ContentHash;
+use damaskvane_core::ids;
+
+use crate::adopt::in_force::InForce;
+use crate::adopt::verdict::{IgnoreReason, Verdict};
+use crate::chunk::{Chunk, MAX_CHUNK_BYTES};
+use crate::manifest::Head;
+use crate::state::{Chunks, assemble};
+
+/// How many heads may wait for chunks at a time; the lowest versions give way.
+const MAX_WAITING: usize = 3;
+
+/// How many refused heads are remembered, so that they aren't fetched again and again.
+const MAX_REFUSED: usize = 16;
+
+/// A head that waits for chunks.
+#[derive(Debug, Clone)]
+struct Waiting {
+    head: Head,
+    bytes: Arc<[u8]>,
+    chunks: Chunks,
+}
+
+/// Counts of what the adopter met.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AdoptCounts {
+    /// Heads that came into force.
+    pub adopted: u64,
+    /// Heads that were whole but not valid.
+    pub refused: u64,
+    /// Bytes that were no head.
+    pub malformed: u64,
+    /// Chunks that no waiting head names; a corrupted chunk is one of these.
+    pub stray_chunks: u64,
+    /// Switches that would have made the version fall; always 0 unless the program is wrong.
+    pub unsafe_switches: u64,
+    /// Peers with the same version and another state; always 0 unless a store or program is wrong.
+    pub split_states: u64,
+}
+
+/// Takes heads into force, from whatever source, never backwards.
+#[derive(Debug, Clone, Default)]
+pub struct Adopter {
+    in_force: Option<Arc<InForce>>,
+    waiting: BTreeMap<ids::ConfigVersion, Waiting>,
+    refused: VecDeque<ContentHash>,
+    counts: AdoptCounts,
+}
+
+impl Adopter {
+    /// What is in force; `None` on an instance that has not adopted anything yet.
+    #[must_use]
+    pub const fn in_force(&self) -> Option<&Arc<InForce>> {
+        self.in_force.as_ref()
+    }
+
+    /// The version in force; 0 where there is none.
+    #[must_use]
+    pub fn version(&self) -> ids::ConfigVersion {
+        self.in_force
+            .as_ref()
+            .map_or(ids::ConfigVersion::new(0), |in_force| in_force.version())
+    }
+
+    /// The counts so far.
+    #[must_use]
+    pub const fn counts(&self) -> AdoptCounts {
+        self.counts
+    }
+
+    /// Offers a head.
+    pub fn offer_head(&mut self, bytes: &[u8]) -> Verdict {
+        if self.refused.contains(&ContentHash::of(bytes)) {
+            return Verdict::Ignored(IgnoreReason::RefusedBefore);
+        }
+        let Ok(head) = Head::decode(bytes) else {
+            self.counts.malformed += 1;
+            return Verdict::Ignored(IgnoreReason::Malformed);
+        };
+        if head.version <= self.version() {
+            return Verdict::Ignored(IgnoreReason::NotNewer);
+        }
+        let version = head.version;
+        let known = self
+            .waiting
+            .get(&version)
+            .is_some_and(|waiting| *waiting.bytes == *bytes);
+        if !known {
+            let waiting = self.start_waiting(head, bytes);
+            self.waiting.insert(version, waiting);
+            self.drop_lowest_waiting();
+        }
+        self.try_switch(version)
+    }
+
+    /// Offers chunks, whole or corrupted; each is hashed here and kept only if a head wants it.
+    pub fn offer_chunks<'a>(&mut self, chunks: impl IntoIterator<Item = &'a [u8]>) -> Verdict {
+        for bytes in chunks {
+            if bytes.len() > MAX_CHUNK_BYTES || !self.keep(&Chunk::from_bytes(bytes)) {
+                self.counts.stray_chunks += 1;
+            }
+        }
+        let versions: Vec<_> = self.waiting.keys().rev().copied().collect();
+        let mut last = Verdict::Ignored(IgnoreReason::NothingWanted);
+        for version in versions {
+            last = self.try_switch(version);
+            if matches!(last, Verdict::Adopted(_)) {
+                return last;
+            }
+        }
+        last
+    }
+
+    /// Compares a peer's state with this one; false where both have one version but not one state.
+    ///
+    /// The head's conditional update gives each version one content. If two differ all the same, a
+    /// chunk, a store or a program is wrong, and callers get answers that depend on whom they ask.
+    pub fn agrees_with(&mut self, version: ids::ConfigVersion, state_hash: &ContentHash) -> bool {
+        let Some(in_force) = &self.in_force else {
+            return true;
+        };
+        let agrees = in_force.version() != version || in_force.state_hash == *state_hash;
+        if !agrees {
+            self.counts.split_states += 1;
+        }
+        agrees
+    }
+
+    fn start_waiting(&self, head: Head, bytes: &[u8]) -> Waiting {
+        let mut chunks = Chunks::new();
+        for entry in head.objects.values() {
+            let held = self
+                .in_force
+                .as_ref()
+                .and_then(|in_force| in_force.chunks.get(&entry.hash));
+            let held = held.or_else(|| self.waiting_chunk(&entry.hash));
+            if let Some(chunk) = held {
+                chunks.insert(entry.hash, chunk.clone());
+            }
+        }
+        Waiting {
+            head,
+            bytes: bytes.into(),
+            chunks,
+        }
+    }
+
+    fn waiting_chunk(&self, hash: &ContentHash) -> Option<&Chunk> {
+        self.waiting
+            .values()
+            .find_map(|waiting| waiting.chunks.get(hash))
+    }
+
+    /// Keeps a chunk for every waiting head that names it; whether one did.
+    fn keep(&mut self, chunk: &Chunk) -> bool {
+        let mut wanted = false;
+        for waiting in self.waiting.values_mut() {
+            let mut entries = waiting.head.objects.values();
+            if entries.any(|entry| entry.hash == chunk.hash()) {
+                waiting.chunks.insert(chunk.hash(), chunk.clone());
+                wanted = true;
+            }
+        }
+        wanted
+    }
+
+    fn drop_lowest_waiting(&mut self) {
+        while self.waiting.len() > MAX_WAITING {
+            self.waiting.pop_first();
+        }
+    }
+
+    fn try_switch(&mut self, version: ids::ConfigVersion) -> Verdict {
+        let Some(waiting) = self.waiting.get(&version) else {
+            return Verdict::Ignored(IgnoreReason::NothingWanted);
+        };
+        let missing = missing_chunks(waiting);
+        if !missing.is_empty() {
+            return Verdict::Wanting(missing);
+        }
+        // The old state serves until the new one is whole and valid.
+        match assemble(&waiting.head, &waiting.chunks) {
+            Ok(state) => {
+                let next = InForce {
+                    head: waiting.head.clone(),
+                    head_bytes: Arc::clone(&waiting.bytes),
+                    state_hash: waiting.head.state_hash(),
+                    state: Arc::new(state),
+                    chunks: waiting.chunks.clone(),
+                };
+                self.switch(next)
+            }
+            Err(problems) => {
+                self.refuse(version);
+                Verdict::Refused(problems)
+            }
+        }
+    }
+
+    fn refuse(&mut self, version: ids::ConfigVersion) {
+        self.counts.refused += 1;
+        if let Some(waiting) = self.waiting.remove(&version) {
+            self.refused.push_back(ContentHash::of(&waiting.bytes));
+        }
+        while self.refused.len() > MAX_REFUSED {
+            self.refused.pop_front();
+        }
+    }
+
+    /// Puts a whole and valid head in force.
+    ///
+    /// A version that falls would bring back what a later ticket took away, on one instance only;
+    /// operators would see it as an instance that reverted. The check stands here, at the only
+    /// place that switches, whatever the callers above checked.
+    fn switch(&mut self, next: InForce) -> Verdict {
+        let version = next.version();
+        if version <= self.version() {
+            self.counts.unsafe_switches += 1;
+            debug_assert!(false, "the version in force must never fall");
+            return Verdict::Ignored(IgnoreReason::NotNewer);
+        }
+        self.in_force = Some(Arc::new(next));
+        self.counts.adopted += 1;
+        self.waiting.retain(|waiting, _| *waiting > version);
+        Verdict::Adopted(version)
+    }
+}
+
+fn missing_chunks(waiting: &Waiting) -> Vec<ContentHash> {
+    let mut missing: Vec<ContentHash> = waiting
+        .head
+        .objects
+        .values()
+        .map(|entry| entry.hash)
+        .filter(|hash| !waiting.chunks.contains_key(hash))
+        .collect();
+    missing.sort_unstable();
+    missing.dedup();
+    missing
+}
--- a/crates/damaskvane-config/src/lib.rs
+++ b/crates/damaskvane-config/src/lib.rs
@@ -9,6 +9,9 @@
 //! - [`ticket`]: a numbered change with its author, its reason and the whole new state.
 //! - [`document`]: declarations as operators write them, in TOML.
 //! - [`state`]: everything in force at one version, and how it is assembled from chunks.
+//! - [`submit`]: how a ticket gets into the store, step by step.
+//! - [`adopt`]: how an instance takes a head into force, from whatever source, never backwards.
+//! - [`relay`]: who watches the store and who tells whom.
 //! - [`problem`]: what is wrong with a declaration, where, and the remedy.
 //!
 //! ```
@@ -19,11 +22,14 @@
 //! assert_eq!(document.changes().count(), 2);
 //! ```
 
+pub mod adopt;
 pub mod chunk;
 pub mod declaration;
 pub mod document;
 pub mod manifest;
 pub mod object;
 pub mod problem;
+pub mod relay;
 pub mod state;
+pub mod submit;
 pub mod ticket;
--- a/crates/damaskvane-config/src/ticket.rs
+++ b/crates/damaskvane-config/src/ticket.rs
@@ -67,8 +67,9 @@
     pub base_version: ids::ConfigVersion,
     /// The versions of the objects it was written against.
     pub base: Base,
-    /// The new states.
-    pub changes: Changes,
+    /// Names the chunk with the new state of each object; `None` deletes it. Chunks are kept for
+    /// good, so the ticket stays readable exactly as accepted.
+    pub changes: BTreeMap<ObjectId, Option<ContentHash>>,
     /// The declarations as they were written.
     pub text: String,
 }
@@ -119,11 +120,29 @@
             previous: head.ticket_hash,
             base_version: self.base_version,
             base: self.base.clone(),
-            changes: self.changes.clone(),
+            changes: self.change_hashes(),
             text: self.text.clone(),
         }
     }
 
+    /// The chunks of the new states.
+    #[must_use]
+    pub fn object_chunks(&self) -> BTreeMap<ObjectId, Chunk> {
+        self.changes
+            .iter()
+            .filter_map(|(id, state)| Some((id.clone(), Chunk::encode(id, state.as_ref()?))))
+            .collect()
+    }
+
+    fn change_hashes(&self) -> BTreeMap<ObjectId, Option<ContentHash>> {
+        let hash = |(id, state): (&ObjectId, &Option<Declaration>)| {
+            let state = state.as_ref();
+            let hash = state.map(|state| Chunk::encode(id, state).hash());
+            (id.clone(), hash)
+        };
+        self.changes.iter().map(hash).collect()
+    }
+
     fn base_of(&self, object: &ObjectId) -> ids::TicketNumber {
         self.base.get(object).copied().unwrap_or_default()
     }
@@ -145,29 +164,17 @@
         serde_json::from_slice(bytes).map_err(|error| TicketError::Decode(error.to_string()))
     }
 
-    /// The chunks of the new states.
-    #[must_use]
-    pub fn object_chunks(&self) -> BTreeMap<ObjectId, Chunk> {
-        self.changes
-            .iter()
-            .filter_map(|(id, state)| Some((id.clone(), Chunk::encode(id, state.as_ref()?))))
-            .collect()
-    }
-
     /// The head that accepts this ticket.
     #[must_use]
     pub fn head_after(&self, before: &Head) -> Head {
         let mut objects = before.objects.clone();
         for (id, state) in &self.changes {
-            let Some(state) = state else {
+            let Some(hash) = *state else {
                 objects.remove(id);
                 continue;
             };
-            let entry = ObjectEntry {
-                hash: Chunk::encode(id, state).hash(),
-                ticket: self.number,
-            };
-            objects.insert(id.clone(), entry);
+            let ticket = self.number;
+            objects.insert(id.clone(), ObjectEntry { hash, ticket });
         }
         Head {
             version: ids::ConfigVersion::new(self.number.get()),
--- a/crates/damaskvane-platform/src/write.rs
+++ b/crates/damaskvane-platform/src/write.rs
@@ -28,7 +28,7 @@
         /// Whether any try's answer was lost.
         doubted: bool,
     },
-    /// It had no effect and another try has no better prospects.
+    /// It had no effect, and the tries are spent or would not help.
     Refused(NotAppliedReason),
     /// The tries are spent and it is still unknown.
     Lost,
@@ -48,6 +48,7 @@
     tries: u32,
 ) -> Outcome {
     let mut doubted = false;
+    let mut last_refusal = None;
     for _ in 0..tries {
         match api.put_if(key, if_version, value, write_id) {
             WriteResult::Applied { version } => return Outcome::Applied(version),
@@ -64,7 +65,7 @@
                     Outcome::Refused(reason)
                 };
             }
-            WriteResult::NotApplied(_) => {}
+            WriteResult::NotApplied(reason) => last_refusal = Some(reason),
             WriteResult::Unknown(_) => {
                 doubted = true;
                 if let Some(version) = own_version(api, key, write_id) {
@@ -74,7 +75,10 @@
         }
         sleep(backoff.pause());
     }
-    Outcome::Lost
+    match last_refusal {
+        Some(reason) if !doubted => Outcome::Refused(reason),
+        _ => Outcome::Lost,
+    }
 }
 
 /// The object's version, if this very write made it.
