--- /dev/null
+++ b/crates/damaskvane-steering/src/blocks/chunk.rs
@@ -0,0 +1,67 @@
+//! One chunk of the table: sorted tails, then the classes, four to a word, in one allocation.
+//!
+//! One allocation costs one cache miss less than two, and the number of blocks follows from the
+//! length, so that no header is read.
+
+use std::sync::Arc;
+
+use crate::blocks::key::Class;
+
+const CLASSES_PER_WORD: usize = 4;
+
+#[derive(Debug, Clone)]
+pub(super) struct Chunk(Arc<[u32]>);
+
+impl Chunk {
+    pub(super) fn empty() -> Self {
+        Self(Arc::from([]))
+    }
+
+    /// A chunk of blocks that are sorted by their tails.
+    pub(super) fn new(blocks: &[(u32, Class)]) -> Self {
+        let tails = blocks.iter().map(|(tail, _)| *tail);
+        let words = blocks.chunks(CLASSES_PER_WORD).map(pack);
+        Self(tails.chain(words).collect())
+    }
+
+    pub(super) fn class(&self, tail: u32) -> Option<Class> {
+        let (tails, words) = self.0.split_at(self.len());
+        let position = tails.partition_point(|held| *held < tail);
+        if *tails.get(position)? != tail {
+            return None;
+        }
+        words
+            .get(position / CLASSES_PER_WORD)
+            .map(|word| unpack(*word, position))
+    }
+
+    pub(super) fn blocks(&self) -> impl Iterator<Item = (u32, Class)> {
+        let (tails, words) = self.0.split_at(self.len());
+        let classes = (0..tails.len()).map(|position| {
+            let word = words.get(position / CLASSES_PER_WORD);
+            word.map_or(Class::new(0), |word| unpack(*word, position))
+        });
+        tails.iter().copied().zip(classes)
+    }
+
+    /// The number of blocks: each takes a word for its tail and a quarter for its class.
+    pub(super) fn len(&self) -> usize {
+        self.0.len() * CLASSES_PER_WORD / (CLASSES_PER_WORD + 1)
+    }
+
+    pub(super) fn is_shared_with(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.0, &other.0)
+    }
+}
+
+fn pack(blocks: &[(u32, Class)]) -> u32 {
+    let mut bytes = [0; CLASSES_PER_WORD];
+    for (byte, (_, class)) in bytes.iter_mut().zip(blocks) {
+        *byte = class.get();
+    }
+    u32::from_le_bytes(bytes)
+}
+
+fn unpack(word: u32, position: usize) -> Class {
+    Class::new(word.to_le_bytes()[position % CLASSES_PER_WORD])
+}
--- a/crates/damaskvane-steering/src/input.rs
+++ b/crates/damaskvane-steering/src/input.rs
@@ -8,9 +8,11 @@
 //! ```
 
 mod latency;
+mod movement;
 mod service;
 mod topology;
 
 pub use latency::Latency;
+pub use movement::Movement;
 pub use service::Service;
 pub use topology::{Distance, Topology};
--- a/crates/damaskvane-steering/src/input/topology.rs
+++ b/crates/damaskvane-steering/src/input/topology.rs
@@ -11,6 +11,7 @@
 use damaskvane_core::{ids, units};
 
 use crate::input::latency::Latency;
+use crate::input::movement::Movement;
 use crate::input::service::Service;
 
 /// How far a destination zone is from a source zone, nearest first.
@@ -39,6 +40,8 @@
     pub latency: Latency,
     /// Latency measured between two zones, where it differs from its distance class.
     pub measured_latency_ms: BTreeMap<(ids::AvailabilityZoneId, ids::AvailabilityZoneId), u32>,
+    /// Parts of sources that tickets move now.
+    pub movements: Vec<Movement>,
 }
 
 impl Topology {
--- a/crates/damaskvane-steering/src/lib.rs
+++ b/crates/damaskvane-steering/src/lib.rs
@@ -13,6 +13,10 @@
 //! - [`policy`]: latency first or headroom first.
 //! - [`planner`]: makes a [`plan`] of weights, from every source zone to every destination zone.
 //! - [`picker`]: turns a plan into an ordered list of zones for one client.
+//! - [`credit`]: rate that a receiving zone grants to the other zones.
+//! - [`shift`]: moves of traffic by ticket, under a cap.
+//! - [`health`]: which backend servers of a pool take work.
+//! - [`blocks`]: which steering class a client block belongs to.
 //!
 //! ```
 //! use damaskvane_steering::policy;
@@ -20,11 +24,15 @@
 //! assert_eq!("headroom".parse(), Ok(policy::Policy::Headroom));
 //! ```
 
+pub mod blocks;
+pub mod credit;
 pub mod digest;
+pub mod health;
 pub mod input;
 pub mod picker;
 pub mod plan;
 pub mod planner;
 pub mod policy;
 pub mod rate;
+pub mod shift;
 pub mod staleness;
--- a/crates/damaskvane-steering/src/plan/service.rs
+++ b/crates/damaskvane-steering/src/plan/service.rs
@@ -48,6 +48,14 @@
         cached.copied().unwrap_or(0).min(WHOLE_PPM)
     }
 
+    /// All parts of sources that clients may still use from their caches; a pair may come twice.
+    pub(crate) fn cached(
+        &self,
+    ) -> impl Iterator<Item = (&ids::AvailabilityZoneId, &ids::AvailabilityZoneId, u32)> {
+        let shares = self.answered.iter().flat_map(|(_, shares)| shares);
+        shares.map(|((source, destination), share_ppm)| (source, destination, *share_ppm))
+    }
+
     /// Whether any earlier plan can still be in a cache.
     #[must_use]
     pub fn has_history(&self) -> bool {
--- a/crates/damaskvane-steering/src/planner.rs
+++ b/crates/damaskvane-steering/src/planner.rs
@@ -19,10 +19,13 @@
 mod check;
 mod demand;
 mod fill;
+mod flows;
+mod inputs;
 mod links;
+mod matrix;
 mod settings;
 
-use damaskvane_core::{ids, time};
+use damaskvane_core::time;
 
 use crate::{digest, input, plan};
 
@@ -34,18 +37,6 @@
     settings: Settings,
 }
 
-/// What planning one service reads.
-struct Inputs<'a> {
-    settings: &'a Settings,
-    topology: &'a input::Topology,
-    service: &'a input::Service,
-    id: &'a ids::ServiceId,
-    view: &'a digest::View,
-    previous: Option<&'a plan::ServicePlan>,
-    zones: Vec<&'a ids::AvailabilityZoneId>,
-    now: time::TimeMs,
-}
-
 impl Planner {
     /// A planner with these settings.
     #[must_use]
@@ -68,17 +59,17 @@
         previous: Option<&plan::Plan>,
         now: time::TimeMs,
     ) -> plan::Plan {
+        let geometry = inputs::Geometry::new(topology);
         let mut next = plan::Plan::empty(now);
-        let mut links = links::Budgets::new(topology);
+        let mut links = links::Budgets::new(&geometry);
         for (id, service) in &topology.services {
-            let inputs = Inputs {
+            let inputs = inputs::Inputs {
                 settings: &self.settings,
-                topology,
+                geometry: &geometry,
                 service,
                 id,
                 view,
                 previous: previous.and_then(|plan| plan.services.get(id)),
-                zones: topology.zones.keys().collect(),
                 now,
             };
             let planned = plan_service(&inputs, &mut links, &mut next.broken_invariants);
@@ -89,21 +80,22 @@
 }
 
 fn plan_service(
-    inputs: &Inputs<'_>,
+    inputs: &inputs::Inputs<'_>,
     links: &mut links::Budgets,
     broken_invariants: &mut u32,
 ) -> plan::ServicePlan {
     let trust = capacity::Trust::judge(inputs);
     let demand = demand::estimate(inputs);
     let capacity = capacity::Capacity::of(inputs, &trust);
-    let mut flows = fill::fill(inputs, links, &capacity, &demand);
-    *broken_invariants += check::enforce(inputs, &capacity, &demand, &mut flows);
-    let mut planned = plan::ServicePlan {
-        sources: flows.into_sources(inputs, &demand),
+    let cached = flows::Flows::cached(inputs, &demand);
+    let mut planned = fill::fill(inputs, links, &capacity, &demand, &cached);
+    *broken_invariants += check::enforce(inputs, &capacity, &cached, &mut planned);
+    let mut plan = plan::ServicePlan {
+        sources: planned.into_sources(inputs, &demand),
         trusted_permille: trust.trusted_permille,
         judged_sequence: trust.judged_sequence,
         ..plan::ServicePlan::default()
     };
-    planned.remember(inputs.previous, inputs.now, inputs.settings.answer_ttl);
-    planned
+    plan.remember(inputs.previous, inputs.now, inputs.settings.answer_ttl);
+    plan
 }
--- a/crates/damaskvane-steering/src/planner/capacity.rs
+++ b/crates/damaskvane-steering/src/planner/capacity.rs
@@ -4,7 +4,7 @@
 
 use damaskvane_core::ids;
 
-use crate::planner::Inputs;
+use crate::planner::inputs::Inputs;
 use crate::{digest, rate, staleness};
 
 /// A report of less than this part of the declared capacity needs evidence, in thousandths.
@@ -36,9 +36,9 @@
     pub(super) usable: rate::Rate,
 }
 
-/// The limits of every destination zone.
-pub(super) struct Capacity<'a> {
-    pub(super) limits: BTreeMap<&'a ids::AvailabilityZoneId, Limit>,
+/// The limits of every destination zone, by index.
+pub(super) struct Capacity {
+    pub(super) limits: Vec<Limit>,
 }
 
 impl Trust {
@@ -51,7 +51,7 @@
             trusted_permille: BTreeMap::new(),
             judged_sequence: BTreeMap::new(),
         };
-        for zone in &inputs.zones {
+        for zone in &inputs.geometry.zones {
             trust.judge_zone(inputs, zone);
         }
         trust
@@ -87,36 +87,25 @@
     }
 }
 
-impl<'a> Capacity<'a> {
-    pub(super) fn of(inputs: &Inputs<'a>, trust: &Trust) -> Self {
-        let zones = inputs.zones.iter();
-        let limits = zones
-            .map(|zone| (*zone, limit(inputs, trust, zone)))
-            .collect();
+impl Capacity {
+    pub(super) fn of(inputs: &Inputs<'_>, trust: &Trust) -> Self {
+        let zones = inputs.geometry.zones.iter();
+        let limits = zones.map(|zone| limit(inputs, trust, zone)).collect();
         Self { limits }
     }
 
-    pub(super) fn limit(&self, zone: &ids::AvailabilityZoneId) -> Limit {
-        self.limits.get(zone).copied().unwrap_or(Limit {
-            decision: staleness::Decision::Exclude,
-            capacity: rate::Rate::ZERO,
-            usable: rate::Rate::ZERO,
-        })
-    }
-
     pub(super) fn usable_sum(&self) -> rate::Rate {
-        self.limits.values().map(|limit| limit.usable).sum()
+        self.limits.iter().map(|limit| limit.usable).sum()
     }
 
     pub(super) fn any_excluded(&self) -> bool {
         let excluded = staleness::Decision::Exclude;
-        self.limits.values().any(|limit| limit.decision == excluded)
+        self.limits.iter().any(|limit| limit.decision == excluded)
     }
 }
 
 fn limit(inputs: &Inputs<'_>, trust: &Trust, zone: &ids::AvailabilityZoneId) -> Limit {
-    let age = inputs.view.age(zone, inputs.settings.limits, inputs.now);
-    let decision = staleness::decide(age, inputs.view.reach(zone));
+    let decision = inputs.decision(zone);
     let declared = inputs.service.capacity(zone);
     let capacity = match decision {
         staleness::Decision::Exclude => rate::Rate::ZERO,
@@ -143,8 +132,7 @@
     zone: &ids::AvailabilityZoneId,
     declared: rate::Rate,
 ) -> rate::Rate {
-    let digest = inputs.view.digest(zone);
-    let Some(report) = digest.and_then(|digest| digest.services.get(inputs.id)) else {
+    let Some(report) = inputs.report(zone) else {
         return declared;
     };
     let reported = report.capacity.min(declared);
--- a/crates/damaskvane-steering/src/planner/demand.rs
+++ b/crates/damaskvane-steering/src/planner/demand.rs
@@ -1,13 +1,12 @@
 //! Estimates the demand of every source zone.
 
-use std::collections::BTreeMap;
-
 use damaskvane_core::ids;
 
-use crate::planner::Inputs;
+use crate::planner::inputs::Inputs;
 use crate::{plan, rate, staleness};
 
-pub(super) type Demand<'a> = BTreeMap<&'a ids::AvailabilityZoneId, rate::Rate>;
+/// The demand of every source zone, by index.
+pub(super) type Demand = Vec<rate::Rate>;
 
 /// How much of a measured change the estimate takes over in one step, in thousandths.
 const GAIN_PERMILLE: u32 = 300;
@@ -24,19 +23,17 @@
 /// At least this part of a source counts as admitted when refused demand is worked out.
 const LEAST_ADMITTED_PPM: u32 = 100_000;
 
-pub(super) fn estimate<'a>(inputs: &Inputs<'a>) -> Demand<'a> {
-    let all_heard = inputs.zones.iter().all(|zone| is_heard(inputs, zone));
-    let sources = inputs.zones.iter();
-    sources
-        .map(|zone| (*zone, of_source(inputs, zone, all_heard)))
+pub(super) fn estimate(inputs: &Inputs<'_>) -> Demand {
+    let zones = &inputs.geometry.zones;
+    let is_heard =
+        |zone: &ids::AvailabilityZoneId| inputs.decision(zone) == staleness::Decision::Measured;
+    let all_heard = zones.iter().all(|zone| is_heard(zone));
+    zones
+        .iter()
+        .map(|zone| of_source(inputs, zone, all_heard))
         .collect()
 }
 
-fn is_heard(inputs: &Inputs<'_>, zone: &ids::AvailabilityZoneId) -> bool {
-    let age = inputs.view.age(zone, inputs.settings.limits, inputs.now);
-    staleness::decide(age, inputs.view.reach(zone)) == staleness::Decision::Measured
-}
-
 fn of_source(inputs: &Inputs<'_>, zone: &ids::AvailabilityZoneId, all_heard: bool) -> rate::Rate {
     let previous = inputs.previous.and_then(|plan| plan.sources.get(zone));
     let measured = measured(inputs, zone, previous);
@@ -61,8 +58,10 @@
     zone: &ids::AvailabilityZoneId,
     previous: Option<&plan::SourcePlan>,
 ) -> rate::Rate {
-    let digests = inputs.view.digests();
-    let reports = digests.filter_map(|digest| digest.services.get(inputs.id));
+    let reports = inputs
+        .view
+        .digests()
+        .filter_map(|digest| digest.services.get(inputs.id));
     let arrived: rate::Rate = reports
         .filter_map(|report| report.demand.get(zone).copied())
         .sum();
@@ -71,10 +70,7 @@
     let refused_ppm = previous.map_or(0, plan::SourcePlan::refused_ppm);
     let admitted_ppm = (plan::WHOLE_PPM - refused_ppm).max(LEAST_ADMITTED_PPM);
     let offered = arrived.scaled(u64::from(plan::WHOLE_PPM), u64::from(admitted_ppm));
-    let declared: rate::Rate = inputs
-        .zones
-        .iter()
-        .map(|zone| inputs.service.capacity(zone))
-        .sum();
+    let zones = inputs.geometry.zones.iter();
+    let declared: rate::Rate = zones.map(|zone| inputs.service.capacity(zone)).sum();
     offered.min(declared.scaled(ABSURD_MULTIPLE, 1))
 }
--- a/crates/damaskvane-steering/src/planner/links.rs
+++ b/crates/damaskvane-steering/src/planner/links.rs
@@ -1,31 +1,31 @@
 //! Byte budgets of the links between regions.
 
-use std::collections::BTreeMap;
-
-use damaskvane_core::ids;
-
+use crate::planner::inputs::Geometry;
+use crate::planner::matrix::Matrix;
 use crate::{input, rate};
 
 const BITS_PER_BYTE: u64 = 8;
 const BITS_PER_MEGABIT: u64 = 1_000_000;
 
-type Direction = (ids::RegionId, ids::RegionId);
-
-/// What is left of every link's budget in each direction, in bits a second.
+/// What is left of every link's budget, in bits a second.
 ///
-/// All services share the links, so one set of budgets is passed through the whole plan. Both
-/// directions are charged with the whole request and answer: the declared size does not say how
-/// it divides.
+/// All services share the links, so one set of budgets is passed through the whole plan. Each link
+/// has its budget each way; a request goes one way and its answer the other, and the declared size
+/// does not say how it divides. The whole is therefore charged to the pair, whichever region sends.
 pub(super) struct Budgets {
-    left_bits: BTreeMap<Direction, u64>,
+    left_bits: Matrix<Option<u64>>,
 }
 
 impl Budgets {
-    pub(super) fn new(topology: &input::Topology) -> Self {
-        let mut left_bits = BTreeMap::new();
-        for ((left, right), budget) in &topology.links {
-            let bits = u64::from(budget.get()) * BITS_PER_MEGABIT;
-            left_bits.insert((left.clone(), right.clone()), bits);
+    pub(super) fn new(geometry: &Geometry<'_>) -> Self {
+        let mut left_bits = Matrix::new(geometry.region_ids.len());
+        for ((left, right), budget) in &geometry.topology.links {
+            let left = geometry.region_ids.binary_search(&left);
+            let right = geometry.region_ids.binary_search(&right);
+            if let (Ok(left), Ok(right)) = (left, right) {
+                let bits = u64::from(budget.get()) * BITS_PER_MEGABIT;
+                *left_bits.at_mut(left.min(right), left.max(right)) = Some(bits);
+            }
         }
         Self { left_bits }
     }
@@ -33,28 +33,28 @@
     /// The flow that still fits between two zones; none where the link has no limit.
     pub(super) fn room(
         &self,
-        topology: &input::Topology,
+        geometry: &Geometry<'_>,
         service: &input::Service,
-        source: &ids::AvailabilityZoneId,
-        destination: &ids::AvailabilityZoneId,
+        source: usize,
+        destination: usize,
     ) -> Option<rate::Rate> {
-        let link = link_of(topology, source, destination)?;
-        let left_bits = self.left_bits.get(&link)?;
-        Some(rate::Rate::per_second(*left_bits).scaled(1, bits(service)))
+        let (left, right) = link_of(geometry, source, destination)?;
+        let left_bits = self.left_bits.at(left, right)?;
+        Some(rate::Rate::per_second(left_bits).scaled(1, bits(service)))
     }
 
     /// Charges a flow between two zones.
     pub(super) fn charge(
         &mut self,
-        topology: &input::Topology,
+        geometry: &Geometry<'_>,
         service: &input::Service,
-        pair: (&ids::AvailabilityZoneId, &ids::AvailabilityZoneId),
+        (source, destination): (usize, usize),
         flow: rate::Rate,
     ) {
-        let Some(link) = link_of(topology, pair.0, pair.1) else {
+        let Some((left, right)) = link_of(geometry, source, destination) else {
             return;
         };
-        if let Some(left_bits) = self.left_bits.get_mut(&link) {
+        if let Some(left_bits) = self.left_bits.at_mut(left, right) {
             let used = flow.scaled(bits(service), 1_000).milli();
             *left_bits = left_bits.saturating_sub(used.saturating_add(1));
         }
@@ -65,12 +65,7 @@
     (u64::from(service.typical_bytes) * BITS_PER_BYTE).max(1)
 }
 
-fn link_of(
-    topology: &input::Topology,
-    source: &ids::AvailabilityZoneId,
-    destination: &ids::AvailabilityZoneId,
-) -> Option<Direction> {
-    let from = topology.zones.get(source)?;
-    let to = topology.zones.get(destination)?;
-    (from != to).then(|| (from.min(to).clone(), from.max(to).clone()))
+fn link_of(geometry: &Geometry<'_>, source: usize, destination: usize) -> Option<(usize, usize)> {
+    let (from, to) = (geometry.regions[source], geometry.regions[destination]);
+    (from != to).then(|| (from.min(to), from.max(to)))
 }
--- /dev/null
+++ b/crates/damaskvane-steering/tests/common/mod.rs
@@ -0,0 +1,83 @@
+//! Deployments and reports that several tests use.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+
+use damaskvane_core::{ids, time, units};
+use damaskvane_steering::{digest, input, plan, rate};
+
+pub(crate) const SERVICE: &str = "rider-desk";
+
+pub(crate) fn zone(text: &str) -> ids::AvailabilityZoneId {
+    text.parse().unwrap()
+}
+
+pub(crate) fn service_id() -> ids::ServiceId {
+    SERVICE.parse().unwrap()
+}
+
+pub(crate) fn at(ms: u64) -> time::TimeMs {
+    time::TimeMs::new(ms)
+}
+
+pub(crate) fn rps(requests: u64) -> rate::Rate {
+    rate::Rate::per_second(requests)
+}
+
+/// Three regions of two zones; 20 slots a zone at 100 ms are 200 requests a second.
+pub(crate) fn topology() -> input::Topology {
+    let regions = ["ab", "mb", "sask"];
+    let mut topology = input::Topology::default();
+    let mut service = input::Service::default();
+    for region in regions {
+        for letter in ["a", "b"] {
+            let id = zone(&format!("{region}-{letter}"));
+            service.slots.insert(id.clone(), units::Slots::new(20));
+            topology.zones.insert(id, region.parse().unwrap());
+        }
+    }
+    topology.services.insert(service_id(), service);
+    for (left, right) in [("ab", "mb"), ("ab", "sask"), ("mb", "sask")] {
+        let pair = (left.parse().unwrap(), right.parse().unwrap());
+        topology
+            .links
+            .insert(pair, units::MegabitsPerSecond::new(4_000));
+    }
+    topology
+}
+
+/// A report of a zone that carries `demand` of its own clients.
+pub(crate) fn report(
+    id: &ids::AvailabilityZoneId,
+    sequence: u64,
+    now_ms: u64,
+    demand: u64,
+) -> digest::ZoneDigest {
+    let mut report = digest::ZoneDigest::new(id.clone(), sequence, at(now_ms));
+    let service = digest::ServiceDigest {
+        capacity: rps(200),
+        demand: BTreeMap::from([(id.clone(), rps(demand))]),
+        ..digest::ServiceDigest::default()
+    };
+    report.services.insert(service_id(), service);
+    report
+}
+
+/// Fresh reports of all zones, with the same demand of each zone's clients.
+pub(crate) fn all_report(view: &mut digest::View, sequence: u64, now_ms: u64, demand: u64) {
+    for id in topology().zones.keys() {
+        view.adopt(report(id, sequence, now_ms, demand));
+    }
+}
+
+/// All planned flows to a destination.
+pub(crate) fn planned_to(plan: &plan::Plan, destination: &ids::AvailabilityZoneId) -> rate::Rate {
+    let sources = plan.services[&service_id()].sources.values();
+    sources.map(|source| source.flow(destination)).sum()
+}
+
+/// The flow between two zones.
+pub(crate) fn flow(plan: &plan::Plan, source: &str, destination: &str) -> rate::Rate {
+    let source = plan.source(&service_id(), &zone(source)).unwrap();
+    source.flow(&zone(destination))
+}
--- /dev/null
+++ b/crates/damaskvane-steering/tests/credit.rs
@@ -0,0 +1,188 @@
+//! Granted, local and cached together stay within capacity; grants lapse at the source first.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::{at, rps, zone};
+use damaskvane_core::time;
+use damaskvane_steering::{credit, rate};
+use rand::{RngExt, SeedableRng};
+
+const SOURCES: [&str; 3] = ["mb-a", "mb-b", "sask-a"];
+
+fn settings() -> credit::GranterSettings {
+    credit::GranterSettings {
+        static_shares: SOURCES.iter().map(|id| (zone(id), rps(3))).collect(),
+        ..credit::GranterSettings::default()
+    }
+}
+
+#[test]
+fn a_grant_lapses_to_the_static_share() {
+    let mut holder = credit::Holder::new(rps(3), at(0));
+    let ask = holder.ask(rps(40), at(1_000));
+    let grant = credit::Grant {
+        number: ask.number,
+        rate: rps(40),
+        lasts: time::SpanMs::new(5_000),
+    };
+    assert!(holder.accept(grant, at(1_400)));
+    assert_eq!(holder.rate(at(5_999)), rps(40));
+    assert_eq!(
+        holder.rate(at(6_000)),
+        rps(3),
+        "counted from the ask, not from the arrival"
+    );
+}
+
+/// A grant is held up on its way and arrives when the receiver has given its rate to another source.
+/// Counting from the arrival, both would use it and the receiver is sent twice what it granted.
+#[test]
+fn a_late_grant_is_not_used() {
+    let mut holder = credit::Holder::new(rps(3), at(0));
+    let ask = holder.ask(rps(40), at(0));
+    let grant = credit::Grant {
+        number: ask.number,
+        rate: rps(40),
+        lasts: time::SpanMs::new(5_000),
+    };
+    assert!(!holder.accept(grant, at(5_000)));
+    assert_eq!(holder.rate(at(5_000)), rps(3));
+    assert!(!holder.accept(grant, at(5_001)), "an answer counts once");
+}
+
+/// A source is paused between taking a permit and sending, past the end of its grant.
+#[test]
+fn a_permit_is_void_once_its_grant_has_lapsed() {
+    let mut holder = credit::Holder::new(rps(3), at(0));
+    let ask = holder.ask(rps(40), at(0));
+    holder.accept(
+        credit::Grant {
+            number: ask.number,
+            rate: rps(40),
+            lasts: time::SpanMs::new(5_000),
+        },
+        at(10),
+    );
+    let permit = holder.take(at(4_000)).unwrap();
+    assert!(permit.is_valid(at(4_999)));
+    assert!(!permit.is_valid(at(5_000)));
+}
+
+#[test]
+fn tokens_follow_the_rate() {
+    let mut holder = credit::Holder::new(rps(3), at(0));
+    let ask = holder.ask(rps(40), at(0));
+    holder.accept(
+        credit::Grant {
+            number: ask.number,
+            rate: rps(40),
+            lasts: time::SpanMs::new(5_000),
+        },
+        at(0),
+    );
+    let mut taken = BTreeMap::new();
+    for now_ms in 0..10_000 {
+        while holder.take(at(now_ms)).is_some() {
+            *taken.entry(now_ms / 1_000).or_insert(0) += 1;
+        }
+    }
+    assert!((39..=51).contains(&taken[&1]), "{taken:?}");
+    assert!((3..=4).contains(&taken[&7]), "{taken:?}");
+}
+
+#[test]
+fn a_source_without_any_rate_sends_nothing() {
+    let mut holder = credit::Holder::new(rate::Rate::ZERO, at(0));
+    let ask = holder.ask(rps(4), at(0));
+    holder.accept(
+        credit::Grant {
+            number: ask.number,
+            rate: rate::Rate::ZERO,
+            lasts: time::SpanMs::new(5_000),
+        },
+        at(0),
+    );
+    assert!((0..20).all(|step| holder.take(at(step * 1_000)).is_none()));
+}
+
+/// Asks and grants are delayed and lost, local demand jumps, and sources ask for all they can get.
+/// Were the sum to pass the capacity, the receiver's own clients would be refused for strangers.
+#[test]
+fn granted_local_and_cached_never_pass_the_capacity() {
+    for seed in 0..30 {
+        let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(seed);
+        let mut granter = credit::Granter::new(settings());
+        let mut holders: Vec<_> = SOURCES
+            .iter()
+            .map(|_| credit::Holder::new(rps(3), at(0)))
+            .collect();
+        let mut on_the_way: Vec<(u64, usize, credit::Grant)> = Vec::new();
+        let mut local = rps(100);
+        for now_ms in (0..120_000).step_by(100) {
+            granter.forget_lapsed(at(now_ms));
+            // Local clients are admitted up to what is not reserved, as the entry instance does.
+            let wished = rps(rng.random_range(50..200));
+            local = if rng.random_range(0..20) == 0 {
+                wished
+            } else {
+                local
+            };
+            local = local.min(granter.local_room(rps(200)));
+            for (index, holder) in holders.iter_mut().enumerate() {
+                if rng.random_range(0..10) > 0 {
+                    continue;
+                }
+                let ask = holder.ask(rps(rng.random_range(0..300)), at(now_ms));
+                let account = credit::Account {
+                    capacity: rps(200),
+                    local,
+                };
+                let grant = granter.grant(&zone(SOURCES[index]), ask, account, at(now_ms));
+                if rng.random_range(0..5) > 0 {
+                    on_the_way.push((now_ms + rng.random_range(0..8_000), index, grant));
+                }
+            }
+            let (due, later): (Vec<_>, Vec<_>) = on_the_way
+                .into_iter()
+                .partition(|(due_ms, ..)| *due_ms <= now_ms);
+            on_the_way = later;
+            for (_, index, grant) in due {
+                holders[index].accept(grant, at(now_ms));
+            }
+            let used: rate::Rate = holders.iter().map(|holder| holder.rate(at(now_ms))).sum();
+            assert!(used <= granter.reserved(), "seed {seed} at {now_ms}");
+            assert!(
+                used + local <= rps(200),
+                "seed {seed} at {now_ms}: {used} and {local}"
+            );
+            assert_eq!(granter.refused_unsafe(), 0);
+        }
+    }
+}
+
+#[test]
+fn a_receiver_over_its_capacity_renews_nothing() {
+    let mut granter = credit::Granter::new(settings());
+    let ask = credit::Ask {
+        number: 1,
+        rate: rps(60),
+    };
+    let calm = credit::Account {
+        capacity: rps(200),
+        local: rps(50),
+    };
+    assert_eq!(granter.grant(&zone("mb-a"), ask, calm, at(0)).rate, rps(60));
+    let over = credit::Account {
+        capacity: rps(200),
+        local: rps(180),
+    };
+    assert_eq!(
+        granter.grant(&zone("mb-a"), ask, over, at(1_000)).rate,
+        rps(3)
+    );
+    granter.forget_lapsed(at(8_000));
+    assert_eq!(granter.reserved(), rps(9));
+}
--- /dev/null
+++ b/crates/damaskvane-steering/tests/health.rs
@@ -0,0 +1,152 @@
+//! Reports against what is seen in use.
+#![allow(clippy::unwrap_used)]
+
+use damaskvane_core::{ids, time};
+use damaskvane_steering::health;
+use health::{Admission, OutReason, Outcome};
+
+fn at(ms: u64) -> time::TimeMs {
+    time::TimeMs::new(ms)
+}
+
+fn servers(count: usize) -> Vec<ids::BackendServerId> {
+    (0..count)
+        .map(|index| format!("rider-desk-{index}").parse().unwrap())
+        .collect()
+}
+
+fn pool(count: usize) -> (health::Pool, Vec<ids::BackendServerId>) {
+    let mut pool = health::Pool::new(health::Settings::default());
+    let servers = servers(count);
+    servers
+        .iter()
+        .for_each(|server| pool.join(server.clone(), at(0)));
+    (pool, servers)
+}
+
+fn answered() -> Outcome {
+    Outcome::Answered {
+        took: time::SpanMs::new(50),
+    }
+}
+
+/// Every health endpoint says ill at once, for a reason that has nothing to do with the service. A pool
+/// that believes them refuses everyone although every request would work.
+#[test]
+fn reports_alone_take_out_no_more_than_their_bound() {
+    for count in 1..=20 {
+        let (mut pool, servers) = pool(count);
+        for server in &servers {
+            pool.reported(server, false, at(60_000));
+        }
+        let out = pool
+            .admissions(at(60_000))
+            .into_values()
+            .filter(|admission| !admission.takes_work())
+            .count();
+        assert_eq!(out, count * 340 / 1_000, "of {count}");
+    }
+}
+
+#[test]
+fn a_server_that_just_answered_outweighs_its_report() {
+    let (mut pool, servers) = pool(3);
+    pool.reported(&servers[0], false, at(60_000));
+    assert_eq!(
+        pool.admission(&servers[0], at(60_000)),
+        Admission::Out {
+            reason: OutReason::Report
+        }
+    );
+    pool.ended(&servers[0], answered(), at(60_100));
+    assert_eq!(pool.admission(&servers[0], at(60_200)), Admission::Full);
+}
+
+#[test]
+fn an_old_report_says_nothing() {
+    let (mut pool, servers) = pool(3);
+    pool.reported(&servers[0], false, at(60_000));
+    assert_eq!(pool.admission(&servers[0], at(65_001)), Admission::Full);
+}
+
+/// A server's report says healthy while its requests fail.
+#[test]
+fn failures_take_a_server_out_whatever_its_report_says() {
+    let (mut pool, servers) = pool(3);
+    for _ in 0..3 {
+        pool.started(&servers[0]);
+        pool.ended(&servers[0], Outcome::Failed, at(60_000));
+    }
+    pool.reported(&servers[0], true, at(60_000));
+    assert_eq!(
+        pool.admission(&servers[0], at(60_001)),
+        Admission::Out {
+            reason: OutReason::Failures
+        }
+    );
+    assert_eq!(pool.admission(&servers[0], at(62_000)), Admission::Probe);
+    pool.started(&servers[0]);
+    assert!(
+        !pool.admission(&servers[0], at(62_001)).takes_work(),
+        "one probe at a time"
+    );
+    pool.ended(&servers[0], answered(), at(62_100));
+    assert_eq!(
+        pool.admission(&servers[0], at(62_100)),
+        Admission::Part { permille: 200 }
+    );
+    assert_eq!(pool.admission(&servers[0], at(72_100)), Admission::Full);
+}
+
+#[test]
+fn a_cold_server_gets_a_part_that_grows() {
+    let (pool, servers) = pool(3);
+    let slots = |ms| pool.admission(&servers[0], at(ms)).slots(6);
+    assert_eq!([slots(0), slots(5_000), slots(10_000)], [1, 3, 6]);
+}
+
+/// A server's report says idle while it sheds. Its refusals are seen here and halve what it gets.
+#[test]
+fn a_server_that_refuses_gets_half() {
+    let (mut pool, servers) = pool(3);
+    for _ in 0..3 {
+        pool.ended(&servers[0], Outcome::Refused, at(60_000));
+    }
+    assert_eq!(
+        pool.admission(&servers[0], at(60_000)),
+        Admission::Part { permille: 500 }
+    );
+    pool.ended(&servers[0], answered(), at(60_100));
+    assert_eq!(pool.admission(&servers[0], at(60_100)), Admission::Full);
+}
+
+#[test]
+fn a_slow_server_gets_half() {
+    let (mut pool, servers) = pool(3);
+    for (index, took_ms) in [(0, 400), (1, 50), (2, 50)] {
+        let took = time::SpanMs::new(took_ms);
+        pool.ended(&servers[index], Outcome::Answered { took }, at(60_000));
+    }
+    assert_eq!(
+        pool.admission(&servers[0], at(60_000)),
+        Admission::Part { permille: 500 }
+    );
+    assert_eq!(pool.admission(&servers[1], at(60_000)), Admission::Full);
+}
+
+#[test]
+fn a_leaving_server_gets_nothing_new_at_once() {
+    let (mut pool, servers) = pool(2);
+    pool.leave(&servers[0]);
+    assert_eq!(
+        pool.admission(&servers[0], at(60_000)),
+        Admission::Out {
+            reason: OutReason::Leaving
+        }
+    );
+    pool.join(servers[0].clone(), at(60_000));
+    assert!(
+        !pool.admission(&servers[0], at(60_000)).takes_work(),
+        "a late list does not bring it back"
+    );
+}
--- /dev/null
+++ b/crates/damaskvane-steering/tests/planner.rs
@@ -0,0 +1,327 @@
+//! What plans keep to, over random runs with fixed seeds.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::collections::{BTreeMap, VecDeque};
+
+use common::{all_report, at, flow, planned_to, rps, service_id, topology, zone};
+use damaskvane_core::{ids, units};
+use damaskvane_steering::{digest, plan, planner, policy, rate};
+use rand::{RngExt, SeedableRng};
+
+const STEP_MS: u64 = 1_000;
+
+type Shares = BTreeMap<(ids::AvailabilityZoneId, ids::AvailabilityZoneId), u32>;
+
+fn shares(plan: &plan::Plan) -> Shares {
+    let mut shares = Shares::new();
+    for (source, planned) in &plan.services[&service_id()].sources {
+        for share in &planned.shares {
+            shares.insert((source.clone(), share.zone.clone()), share.share_ppm);
+        }
+    }
+    shares
+}
+
+/// What can arrive at a destination while caches hold any of the recent answers.
+fn worst_arrival(
+    recent: &VecDeque<Shares>,
+    plan: &plan::Plan,
+    to: &ids::AvailabilityZoneId,
+) -> rate::Rate {
+    let sources = plan.services[&service_id()].sources.iter();
+    let worst = sources.map(|(source, planned)| {
+        let pair = (source.clone(), to.clone());
+        let shares = recent.iter().filter_map(|shares| shares.get(&pair));
+        planned.demand.ppm(shares.copied().max().unwrap_or(0))
+    });
+    worst.sum()
+}
+
+fn random_report(
+    rng: &mut impl RngExt,
+    id: &ids::AvailabilityZoneId,
+    step: u64,
+) -> digest::ZoneDigest {
+    let mut report = common::report(id, step, step * STEP_MS, rng.random_range(0..400));
+    let service = report.services.get_mut(&service_id()).unwrap();
+    match rng.random_range(0..12) {
+        0 => service.capacity = rate::Rate::from_milli(rng.random()),
+        1 => service.capacity = rate::Rate::ZERO,
+        2 => service.overload = true,
+        3 => service.demand = BTreeMap::from([(id.clone(), rate::Rate::from_milli(rng.random()))]),
+        4 => service.refused = rps(50),
+        _ => {}
+    }
+    report
+}
+
+/// Reports are lost, late, frozen and absurd, zones are cut off and come back, and a plan is made
+/// each second. A user would notice a broken promise as refusals in one zone while others are free.
+#[test]
+fn no_destination_is_ever_promised_more_than_it_can_carry() {
+    for seed in 0..40 {
+        let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(seed);
+        let policy = [policy::Policy::Latency, policy::Policy::Headroom][seed as usize % 2];
+        let settings = planner::Settings {
+            policy,
+            ..planner::Settings::default()
+        };
+        let planner = planner::Planner::new(settings.clone());
+        let topology = topology();
+        let mut view = digest::View::default();
+        let mut recent = VecDeque::new();
+        let mut previous: Option<plan::Plan> = None;
+        for step in 1..120 {
+            for id in topology.zones.keys() {
+                if rng.random_range(0..4) > 0 {
+                    view.adopt(random_report(&mut rng, id, step));
+                }
+                if rng.random_range(0..40) == 0 {
+                    view.set_cut_off(id, rng.random());
+                }
+            }
+            let plan = planner.plan(&topology, &view, previous.as_ref(), at(step * STEP_MS));
+            assert_eq!(plan.broken_invariants, 0, "seed {seed} step {step}");
+            let before: Vec<_> = topology
+                .zones
+                .keys()
+                .map(|to| worst_arrival(&recent, &plan, to))
+                .collect();
+            recent.push_back(shares(&plan));
+            if recent.len() as u64 * STEP_MS > settings.answer_ttl.get() + STEP_MS {
+                recent.pop_front();
+            }
+            for (to, before) in topology.zones.keys().zip(before) {
+                let usable = rps(200).permille(settings.usable_permille);
+                assert!(
+                    planned_to(&plan, to) <= usable,
+                    "seed {seed} step {step} {to}"
+                );
+                let after = worst_arrival(&recent, &plan, to);
+                assert!(
+                    after <= usable.max(before),
+                    "seed {seed} step {step} {to}: {after}"
+                );
+                let may_rise = rps(200).permille(settings.rescue_step_permille);
+                let rose = after.saturating_sub(before);
+                assert!(
+                    previous.is_none() || rose <= may_rise,
+                    "seed {seed} step {step} {to}: {rose}"
+                );
+            }
+            previous = Some(plan);
+        }
+    }
+}
+
+#[test]
+fn equal_input_gives_an_equal_plan() {
+    let planner = planner::Planner::new(planner::Settings::default());
+    let mut view = digest::View::default();
+    all_report(&mut view, 1, 0, 190);
+    let first = planner.plan(&topology(), &view, None, at(0));
+    let second = planner.plan(&topology(), &view, None, at(0));
+    assert_eq!(first, second);
+}
+
+fn steady(
+    settings: planner::Settings,
+    demand: &[(&str, u64)],
+    topology: &damaskvane_steering::input::Topology,
+) -> plan::Plan {
+    let planner = planner::Planner::new(settings);
+    let mut view = digest::View::default();
+    let mut plan = None;
+    for step in 1..60 {
+        for (id, demand) in demand {
+            view.adopt(common::report(&zone(id), step, step * STEP_MS, *demand));
+        }
+        plan = Some(planner.plan(topology, &view, plan.as_ref(), at(step * STEP_MS)));
+    }
+    plan.unwrap()
+}
+
+const CALM: [(&str, u64); 6] = [
+    ("ab-a", 100),
+    ("ab-b", 100),
+    ("mb-a", 100),
+    ("mb-b", 100),
+    ("sask-a", 100),
+    ("sask-b", 100),
+];
+
+#[test]
+fn clients_stay_in_their_zone_while_it_is_below_the_knee() {
+    let plan = steady(planner::Settings::default(), &CALM, &topology());
+    for (id, _) in CALM {
+        assert_eq!(flow(&plan, id, id), rps(100));
+    }
+}
+
+#[test]
+fn what_a_zone_cannot_carry_goes_to_its_region_first() {
+    let mut demand = CALM;
+    demand[0].1 = 220;
+    let plan = steady(planner::Settings::default(), &demand, &topology());
+    let sent = |to: &str| flow(&plan, "ab-a", to).milli();
+    assert!(sent("ab-a") >= 160_000, "{}", sent("ab-a"));
+    assert!(sent("ab-b") >= 40_000, "{}", sent("ab-b"));
+    assert_eq!(
+        sent("mb-a") + sent("mb-b") + sent("sask-a") + sent("sask-b"),
+        0
+    );
+}
+
+#[test]
+fn the_headroom_policy_levels_the_use_of_regions_to_one_level() {
+    let mut demand = CALM;
+    demand[0].1 = 190;
+    demand[1].1 = 190;
+    let lowest = |policy| {
+        let settings = planner::Settings {
+            policy,
+            ..planner::Settings::default()
+        };
+        let plan = steady(settings, &demand, &topology());
+        let used = ["ab-a", "ab-b"].map(|id| planned_to(&plan, &zone(id)).milli());
+        400_000 - used.iter().sum::<u64>()
+    };
+    // 780 of 1,200 requests a second are 65%: level, a region of 400 has 140 free, and the levels
+    // are 5% (20) high.
+    let headroom = lowest(policy::Policy::Headroom);
+    assert!((120_000..=140_000).contains(&headroom), "{headroom}");
+    let latency = lowest(policy::Policy::Latency);
+    assert!(latency < 80_000, "{latency}");
+}
+
+#[test]
+fn a_shortage_refuses_the_same_part_of_every_source() {
+    let mut demand = CALM.map(|(id, _)| (id, 200));
+    demand[0].1 = 600;
+    let plan = steady(planner::Settings::default(), &demand, &topology());
+    let sources = plan.services[&service_id()].sources.values();
+    let refused: Vec<_> = sources.map(plan::SourcePlan::refused_ppm).collect();
+    let (least, most) = (refused.iter().min().unwrap(), refused.iter().max().unwrap());
+    assert!(*least > 200_000 && most - least < 20_000, "{refused:?}");
+}
+
+/// A link between regions carries every service's traffic. Steering that counts requests alone fills
+/// it, and users of all services see answers slow down.
+#[test]
+fn flows_between_regions_keep_within_the_links_bytes() {
+    let mut topology = topology();
+    let services = topology.services.values_mut();
+    services.for_each(|service| service.typical_bytes = 125_000);
+    for budget in topology.links.values_mut() {
+        *budget = units::MegabitsPerSecond::new(20);
+    }
+    let mut demand = CALM;
+    demand[0].1 = 600;
+    let plan = steady(planner::Settings::default(), &demand, &topology);
+    for region in ["mb", "sask"] {
+        let zones = ["a", "b"].map(|letter| format!("{region}-{letter}"));
+        let sent: rate::Rate = zones.iter().map(|to| flow(&plan, "ab-a", to)).sum();
+        assert!(sent <= rps(20) && sent >= rps(18), "{region}: {sent}");
+    }
+}
+
+/// A service sheds but its load report says idle. Steering that believes load sends it more and more,
+/// and its users are refused while other zones are free.
+#[test]
+fn a_zone_that_sheds_loses_traffic_whatever_its_load_says() {
+    let planner = planner::Planner::new(planner::Settings::default());
+    let mut view = digest::View::default();
+    let mut plan = None;
+    for step in 1..30 {
+        all_report(&mut view, step, step * STEP_MS, 100);
+        let mut report = common::report(&zone("ab-a"), step + 1_000, step * STEP_MS, 100);
+        let service = report.services.get_mut(&service_id()).unwrap();
+        service.running = units::Slots::ZERO;
+        service.refused = rps(30);
+        view.adopt(report);
+        plan = Some(planner.plan(&topology(), &view, plan.as_ref(), at(step * STEP_MS)));
+    }
+    let plan = plan.unwrap();
+    assert!(
+        planned_to(&plan, &zone("ab-a")) < rps(60),
+        "{}",
+        planned_to(&plan, &zone("ab-a"))
+    );
+    assert_eq!(
+        plan.source(&service_id(), &zone("ab-a"))
+            .unwrap()
+            .refused_ppm(),
+        0
+    );
+}
+
+/// All zones report no capacity although they work. Believing it refuses everyone at once.
+#[test]
+fn reports_of_no_capacity_without_evidence_do_not_empty_the_system() {
+    let planner = planner::Planner::new(planner::Settings::default());
+    let mut view = digest::View::default();
+    for id in topology().zones.keys() {
+        let mut report = common::report(id, 1, 0, 40);
+        report.services.get_mut(&service_id()).unwrap().capacity = rate::Rate::ZERO;
+        view.adopt(report);
+    }
+    let plan = planner.plan(&topology(), &view, None, at(0));
+    assert_eq!(
+        plan.source(&service_id(), &zone("ab-a"))
+            .unwrap()
+            .refused_ppm(),
+        0
+    );
+}
+
+/// A region fails at peak. Its clients must find a place within what the others can carry; sending
+/// them all at once overloads the rest, and users of healthy regions are refused as well.
+#[test]
+fn a_lost_region_spreads_over_the_others_within_their_capacity() {
+    let planner = planner::Planner::new(planner::Settings::default());
+    let mut view = digest::View::default();
+    let mut plan = None;
+    for step in 1..60 {
+        let now_ms = step * STEP_MS;
+        for id in topology().zones.keys() {
+            let is_lost = step > 20 && topology().zones[id].as_str() == "ab";
+            view.set_cut_off(id, is_lost);
+            if !is_lost {
+                view.adopt(common::report(id, step, now_ms, 120));
+            }
+        }
+        if step == 26 {
+            let plan: &plan::Plan = plan.as_ref().unwrap();
+            let refused = plan
+                .source(&service_id(), &zone("ab-a"))
+                .unwrap()
+                .refused_ppm();
+            assert!(refused < 50_000, "{refused} after 6 s");
+        }
+        let next = planner.plan(&topology(), &view, plan.as_ref(), at(now_ms));
+        assert!(step <= 20 || planned_to(&next, &zone("ab-a")) == rate::Rate::ZERO);
+        assert!(planned_to(&next, &zone("mb-a")) <= rps(194));
+        plan = Some(next);
+    }
+}
+
+#[test]
+fn a_moved_part_goes_to_its_destination_while_there_is_room() {
+    let mut topology = topology();
+    topology
+        .movements
+        .push(damaskvane_steering::input::Movement {
+            service: service_id(),
+            source: zone("ab-a"),
+            destination: zone("mb-a"),
+            moved_permille: 300,
+        });
+    let plan = steady(planner::Settings::default(), &CALM, &topology);
+    assert_eq!(flow(&plan, "ab-a", "mb-a"), rps(30));
+    let full = CALM.map(|(id, demand)| (id, if id == "mb-a" { 194 } else { demand }));
+    let plan = steady(planner::Settings::default(), &full, &topology);
+    assert!(planned_to(&plan, &zone("mb-a")) <= rps(194));
+    assert_eq!(plan.broken_invariants, 0);
+}
--- /dev/null
+++ b/crates/damaskvane-steering/tests/shift.rs
@@ -0,0 +1,143 @@
+//! Shifts stay under their cap, freeze, and go back.
+#![allow(clippy::unwrap_used)]
+
+use damaskvane_core::time;
+use damaskvane_steering::shift;
+use rand::{RngExt, SeedableRng};
+
+fn at(ms: u64) -> time::TimeMs {
+    time::TimeMs::new(ms)
+}
+
+fn start(order: shift::Order) -> shift::Stage {
+    shift::Stage::Ramping(shift::Shift::accept(order).start(at(0)))
+}
+
+/// Runs a shift with random signals and irregular steps and returns what it had moved, and when.
+fn random_run(seed: u64, order: shift::Order) -> Vec<(u64, u32)> {
+    let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(seed);
+    let mut stage = start(order);
+    let mut moved = vec![(0, 0)];
+    let mut now_ms = 0;
+    for _ in 0..2_000 {
+        now_ms += rng.random_range(1..5_000);
+        let signal = match rng.random_range(0..40) {
+            0 => shift::Signal::Overload,
+            1 => shift::Signal::Errors,
+            2 => shift::Signal::Unknown,
+            _ => shift::Signal::Calm,
+        };
+        stage = stage.advance(at(now_ms), signal);
+        assert_eq!(stage.progress().refused_unsafe, 0);
+        moved.push((now_ms, stage.progress().moved_permille));
+    }
+    moved
+}
+
+/// A ticket promises that no more than its cap moves in any window. Were steps counted from the start
+/// of fixed windows, two of them could meet at a boundary, and caches would see double the promise.
+#[test]
+fn in_no_window_more_than_the_cap_moves() {
+    for seed in 0..30 {
+        let order = shift::Order {
+            cap_permille: [150, 30, 7][seed as usize % 3],
+            ..shift::Order::default()
+        };
+        let moved = random_run(seed, order);
+        let steps = moved
+            .windows(2)
+            .map(|pair| (pair[1].0, pair[1].1.abs_diff(pair[0].1)));
+        let steps: Vec<_> = steps.collect();
+        for (start_ms, _) in &steps {
+            let in_window = steps
+                .iter()
+                .filter(|(at_ms, _)| at_ms >= start_ms && at_ms - start_ms < order.window.get());
+            let sum: u32 = in_window.map(|(_, step)| step).sum();
+            assert!(
+                sum <= order.cap_permille,
+                "seed {seed}: {sum} from {start_ms} ms"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_calm_shift_completes() {
+    let mut stage = start(shift::Order::default());
+    for step in 0..2_000 {
+        stage = stage.advance(at(step * 1_000), shift::Signal::Calm);
+    }
+    assert_eq!(stage.progress().phase, shift::Phase::Complete);
+    assert_eq!(stage.progress().moved_permille, 1_000);
+}
+
+#[test]
+fn steps_wait_for_caches_to_warm_up_and_grow_with_what_is_warm() {
+    let order = shift::Order::default();
+    let mut stage = start(order);
+    let mut steps = Vec::new();
+    for now_ms in (0..60_000).step_by(500) {
+        let before = stage.progress().moved_permille;
+        stage = stage.advance(at(now_ms), shift::Signal::Calm);
+        let moved = stage.progress().moved_permille - before;
+        if moved > 0 {
+            steps.push((now_ms, moved));
+        }
+    }
+    assert_eq!(steps[0], (0, 20));
+    assert!(
+        steps.windows(2).all(|pair| pair[1].0 - pair[0].0 >= 10_000),
+        "{steps:?}"
+    );
+    assert!(steps.iter().all(|(_, moved)| *moved <= 50), "{steps:?}");
+}
+
+/// A big move meets cold caches and the destination is overloaded. A shift that goes on makes it
+/// worse; users of the destination, old and new, are refused.
+#[test]
+fn overload_freezes_and_takes_a_step_back() {
+    for signal in [shift::Signal::Overload, shift::Signal::Errors] {
+        let mut stage = start(shift::Order::default());
+        for now_ms in (0..100_000).step_by(1_000) {
+            stage = stage.advance(at(now_ms), shift::Signal::Calm);
+        }
+        let before = stage.progress().moved_permille;
+        stage = stage.advance(at(100_000), signal);
+        let after = stage.progress();
+        assert_eq!(after.phase, shift::Phase::Frozen);
+        assert!(after.moved_permille < before, "{after:?} after {before}");
+        stage = stage.advance(at(129_999), shift::Signal::Calm);
+        assert_eq!(
+            stage.progress().phase,
+            shift::Phase::Frozen,
+            "calm for less than 30 s"
+        );
+        stage = stage.advance(at(130_000), shift::Signal::Calm);
+        assert_eq!(stage.progress().phase, shift::Phase::Ramping);
+    }
+}
+
+#[test]
+fn without_a_fresh_report_a_shift_holds() {
+    let mut stage = start(shift::Order::default());
+    stage = stage.advance(at(0), shift::Signal::Calm);
+    let before = stage.progress().moved_permille;
+    for now_ms in (1_000..200_000).step_by(1_000) {
+        stage = stage.advance(at(now_ms), shift::Signal::Unknown);
+    }
+    assert_eq!(stage.progress().moved_permille, before);
+}
+
+/// The instance that runs a shift is replaced. One that began again at zero would send every moved
+/// client back in one step, far over the cap.
+#[test]
+fn a_resumed_shift_keeps_what_moved_and_waits_a_window() {
+    let shift = shift::Shift::accept(shift::Order::default()).resume(400, at(5_000));
+    let mut stage = shift::Stage::Ramping(shift);
+    for now_ms in (5_000..65_000).step_by(1_000) {
+        stage = stage.advance(at(now_ms), shift::Signal::Calm);
+        assert_eq!(stage.progress().moved_permille, 400, "{now_ms}");
+    }
+    stage = stage.advance(at(65_000), shift::Signal::Calm);
+    assert!(stage.progress().moved_permille > 400);
+}
--- /dev/null
+++ b/crates/damaskvane-steering/tests/staleness.rs
@@ -0,0 +1,138 @@
+//! The table of `docs/operations/steering.md`, row by row: the decision and what the plan does.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use common::{all_report, at, planned_to, rps, topology, zone};
+use damaskvane_core::time;
+use damaskvane_steering::{digest, planner, rate, staleness};
+use staleness::{Age, Decision, Reach};
+
+const TABLE: [(Age, Reach, Decision); 6] = [
+    (Age::Fresh, Reach::Connected, Decision::Measured),
+    (Age::Old, Reach::Connected, Decision::Hold),
+    (Age::Gone, Reach::Connected, Decision::StaticShare),
+    (Age::Fresh, Reach::CutOff, Decision::Exclude),
+    (Age::Old, Reach::CutOff, Decision::Exclude),
+    (Age::Gone, Reach::CutOff, Decision::Exclude),
+];
+
+#[test]
+fn every_age_and_reach_has_its_decision() {
+    for (age, reach, decision) in TABLE {
+        assert_eq!(staleness::decide(age, reach), decision, "{age:?} {reach:?}");
+    }
+}
+
+#[test]
+fn ages_turn_at_their_limits() {
+    let limits = staleness::Limits::default();
+    let cases = [
+        (Some(0), Age::Fresh),
+        (Some(3_000), Age::Fresh),
+        (Some(3_001), Age::Old),
+        (Some(15_000), Age::Old),
+        (Some(15_001), Age::Gone),
+        (None, Age::Gone),
+    ];
+    for (age_ms, age) in cases {
+        let taken_at = age_ms.map(|age_ms: u64| at(100_000 - age_ms));
+        assert_eq!(limits.age(taken_at, at(100_000)), age, "{age_ms:?}");
+    }
+    assert_eq!(limits.age(Some(at(200_000)), at(100_000)), Age::Fresh);
+}
+
+/// Plans one step after the report of `mb-a` reached an age, with 160 requests a second of its clients
+/// before and 190 wished for by a neighbour.
+fn planned_to_mb_a(silent_ms: u64, reach: Reach) -> (rate::Rate, rate::Rate) {
+    let planner = planner::Planner::new(planner::Settings::default());
+    let mut view = digest::View::default();
+    let (mut before, mut plan) = (rate::Rate::ZERO, None);
+    let last_heard_ms = 20_000;
+    for now_ms in (1_000..=last_heard_ms + silent_ms).step_by(1_000) {
+        let sequence = now_ms / 1_000;
+        let silent = now_ms > last_heard_ms;
+        for id in topology().zones.keys() {
+            let demand = if silent && id.as_str() == "mb-b" {
+                260
+            } else {
+                100
+            };
+            if !silent || *id != zone("mb-a") {
+                view.adopt(common::report(id, sequence, now_ms, demand));
+            }
+        }
+        let is_cut = silent && reach == Reach::CutOff;
+        view.set_cut_off(&zone("mb-a"), is_cut);
+        let next = planner.plan(&topology(), &view, plan.as_ref(), at(now_ms));
+        if now_ms == last_heard_ms {
+            before = planned_to(&next, &zone("mb-a"));
+        }
+        plan = Some(next);
+    }
+    (before, planned_to(&plan.unwrap(), &zone("mb-a")))
+}
+
+#[test]
+fn a_fresh_report_is_steered_by() {
+    let (before, after) = planned_to_mb_a(3_000, Reach::Connected);
+    assert!(
+        after > before,
+        "{after} after {before}: the neighbour's clients come in"
+    );
+}
+
+/// The report of a zone stops while it still answers. Raising its load on numbers that are seconds old
+/// sends it every neighbour's overflow at once; its users are refused.
+#[test]
+fn an_old_report_holds_what_was_planned() {
+    let (_, at_old) = planned_to_mb_a(4_000, Reach::Connected);
+    let (_, later) = planned_to_mb_a(14_000, Reach::Connected);
+    assert!(later <= at_old, "{later} after {at_old}");
+    assert!(later >= rps(90), "its own clients stay: {later}");
+}
+
+#[test]
+fn a_zone_without_a_report_gets_its_static_share() {
+    let (_, after) = planned_to_mb_a(20_000, Reach::Connected);
+    assert!(after > rps(80) && after <= rps(190 + 10), "{after}");
+    let planner = planner::Planner::new(planner::Settings::default());
+    let plan = planner.plan(&topology(), &digest::View::default(), None, at(0));
+    let own = common::flow(&plan, "mb-a", "mb-a");
+    assert!(
+        own > rate::Rate::ZERO,
+        "without any report, clients use their own zone"
+    );
+}
+
+#[test]
+fn a_zone_cut_off_gets_nothing_at_any_age() {
+    for silent_ms in [1_000, 10_000, 20_000] {
+        let (_, after) = planned_to_mb_a(silent_ms, Reach::CutOff);
+        assert_eq!(after, rate::Rate::ZERO, "{silent_ms} ms");
+    }
+}
+
+/// A zone is cut from everything and hears only itself. It must go on serving its own clients, up to
+/// what it can carry, without waiting for the others.
+#[test]
+fn a_zone_alone_serves_its_own_clients_within_its_capacity() {
+    let planner = planner::Planner::new(planner::Settings::default());
+    let mut view = digest::View::default();
+    let mut plan = None;
+    for step in 1..40 {
+        if step < 10 {
+            all_report(&mut view, step, step * 1_000, 100);
+        }
+        for id in topology().zones.keys() {
+            view.set_cut_off(id, step >= 10 && *id != zone("ab-a"));
+        }
+        view.adopt(common::report(&zone("ab-a"), step, step * 1_000, 100));
+        plan = Some(planner.plan(&topology(), &view, plan.as_ref(), at(step * 1_000)));
+    }
+    let plan = plan.unwrap();
+    let own = plan.source(&common::service_id(), &zone("ab-a")).unwrap();
+    assert!(own.share_ppm(&zone("ab-a")) > 0);
+    assert!(planned_to(&plan, &zone("ab-a")) <= rps(194));
+    assert_eq!(own.retry_after, time::SpanMs::new(2_000));
+}
