Bench: a client by the interface page, open-loop load and the checker

Latency counts from when a request was due. The checker compares each try's claim with the executions: a key's run before a not-run answer is a broken promise, a refused connection isn't one. The table of sub-commands takes one line for each further one.

--- /dev/null
+++ b/crates/damaskvane-bench/src/commands.rs
@@ -0,0 +1,55 @@
+//! The table of sub-commands.
+//!
+//! ```
+//! use damaskvane_bench::commands;
+//!
+//! assert!(commands::usage().contains("load"));
+//! ```
+
+use std::process;
+
+use crate::error::BenchError;
+use crate::{checker, load};
+
+/// One sub-command.
+#[derive(Debug, Clone, Copy)]
+pub struct Command {
+    /// The word on the command line.
+    pub name: &'static str,
+    /// What it is for, in one line.
+    pub summary: &'static str,
+    /// Runs it with the rest of the command line.
+    pub run: fn(&mut lexopt::Parser) -> Result<process::ExitCode, BenchError>,
+}
+
+/// Every sub-command.
+pub const ALL: &[Command] = &[
+    Command {
+        name: "load",
+        summary: "open-loop load through entry instances",
+        run: load::command::run,
+    },
+    Command {
+        name: "checker",
+        summary: "compares what ran with the answers given",
+        run: checker::command::run,
+    },
+];
+
+/// The sub-command of that name.
+#[must_use]
+pub fn find(name: &str) -> Option<Command> {
+    ALL.iter().copied().find(|command| command.name == name)
+}
+
+/// What `--help` prints.
+#[must_use]
+pub fn usage() -> String {
+    let mut text = "damaskvane-bench: experiments and load\n\n".to_owned();
+    for command in ALL {
+        text.push_str(&format!("  {:<10} {}\n", command.name, command.summary));
+    }
+    text.push_str("\nEach takes --seed N, --json, --help and --version. Exit codes: 0 done and held, 1 failed or");
+    text.push_str("\na promise broken, 2 wrong command line.");
+    text
+}
--- a/crates/damaskvane-bench/src/lib.rs
+++ b/crates/damaskvane-bench/src/lib.rs
@@ -1,1 +1,25 @@
 //! Experiments and load: one sub-command each.
+//!
+//! # Crate guide
+//!
+//! - [`commands`]: the table of sub-commands; one line registers another.
+//! - [`client`]: a client of the system as docs/API.md asks for one.
+//! - [`load`]: open-loop load, and what each request was answered.
+//! - [`checker`]: what ran, compared with every answer given.
+//! - [`histogram`], [`fit`]: quantiles and lines through measured points.
+//!
+//! ```
+//! use damaskvane_bench::commands;
+//!
+//! assert!(commands::find("load").is_some());
+//! ```
+
+pub mod arguments;
+pub mod checker;
+pub mod client;
+pub mod commands;
+pub mod error;
+pub mod fit;
+pub mod histogram;
+pub mod http;
+pub mod load;
