--- a/crates/damaskvane-standins/src/lib.rs
+++ b/crates/damaskvane-standins/src/lib.rs
@@ -3,12 +3,15 @@
 //! # Crate guide
 //!
 //! - [`backend`]: one process that plays many backend servers, logs what it ran and fails on demand.
+//! - [`platform`]: the platform's object API, in memory.
 //!
 //! ```
-//! use damaskvane_standins::backend;
+//! use damaskvane_standins::{backend, platform};
 //!
 //! let answer = backend::Answer::new("rider-desk-sask-a-1", "r-1", "k-1", "/work", 16);
 //! assert!(answer.is_whole());
+//! assert!(!platform::Faults::default().down);
 //! ```
 
 pub mod backend;
+pub mod platform;
