--- a/crates/damaskvane-bench/src/arguments.rs
+++ b/crates/damaskvane-bench/src/arguments.rs
@@ -10,6 +10,7 @@
 //! ```
 
 use core::str;
+use std::process;
 
 use damaskvane_telemetry::command_line;
 
@@ -29,6 +30,21 @@
     pub version: bool,
 }
 
+impl Shared {
+    /// Prints what `--help` or `--version` asks for; the exit code if one was given.
+    #[must_use]
+    pub fn answer(self, usage: &str) -> Option<process::ExitCode> {
+        if self.help {
+            println!("{usage}");
+        } else if self.version {
+            println!("damaskvane-bench {}", env!("CARGO_PKG_VERSION"));
+        } else {
+            return None;
+        }
+        Some(process::ExitCode::SUCCESS)
+    }
+}
+
 impl Default for Shared {
     fn default() -> Self {
         Self {
--- a/crates/damaskvane-bench/src/checker/command.rs
+++ b/crates/damaskvane-bench/src/checker/command.rs
@@ -3,12 +3,12 @@
 use std::fs;
 use std::process;
 
-use damaskvane_standins::backend;
 use damaskvane_telemetry::command_line;
 
 use crate::arguments;
 use crate::checker;
 use crate::client;
+use crate::cluster;
 use crate::error::BenchError;
 
 const USAGE: &str = "\
@@ -34,13 +34,8 @@
         }
         Ok(true)
     })?;
-    if shared.help {
-        println!("{USAGE}");
-        return Ok(process::ExitCode::SUCCESS);
-    }
-    if shared.version {
-        println!("damaskvane-bench {}", env!("CARGO_PKG_VERSION"));
-        return Ok(process::ExitCode::SUCCESS);
+    if let Some(code) = shared.answer(USAGE) {
+        return Ok(code);
     }
     if answers.is_empty() {
         return Err(command_line::UsageError::Missing { flag: "--answers" }.into());
@@ -48,7 +43,7 @@
     let given = read_answers(&answers)?;
     let mut executions = Vec::new();
     for admin in &admins {
-        executions.extend(fetch_executions(admin)?);
+        executions.extend(cluster::BackendAdmin::new(admin).executions()?);
     }
     let verdict = checker::check(&executions, &given);
     if shared.json {
@@ -64,16 +59,3 @@
     let parsed: Result<_, _> = text.lines().map(serde_json::from_str).collect();
     parsed.map_err(|cause| BenchError::file(file, &cause))
 }
-
-/// All executions that a stand-in logged.
-pub fn fetch_executions(admin: &str) -> Result<Vec<backend::Execution>, BenchError> {
-    let response = attohttpc::get(format!("http://{admin}/executions")).send();
-    let response = response.map_err(|cause| BenchError::answer(admin, &cause))?;
-    let text = response
-        .text()
-        .map_err(|cause| BenchError::answer(admin, &cause))?;
-    let page: Result<backend::ExecutionPage, _> = serde_json::from_str(&text);
-    Ok(page
-        .map_err(|cause| BenchError::answer(admin, &cause))?
-        .executions)
-}
--- a/crates/damaskvane-bench/src/commands.rs
+++ b/crates/damaskvane-bench/src/commands.rs
@@ -9,7 +9,7 @@
 use std::process;
 
 use crate::error::BenchError;
-use crate::{checker, load};
+use crate::{checker, cluster, load};
 
 /// One sub-command.
 #[derive(Debug, Clone, Copy)]
@@ -34,6 +34,11 @@
         summary: "compares what ran with the answers given",
         run: checker::command::run,
     },
+    Command {
+        name: "cluster",
+        summary: "a deployment to try things on by hand",
+        run: cluster::command::run,
+    },
 ];
 
 /// The sub-command of that name.
--- a/crates/damaskvane-bench/src/histogram.rs
+++ b/crates/damaskvane-bench/src/histogram.rs
@@ -12,6 +12,8 @@
 
 /// Significant digits kept of each value.
 const DIGITS: u8 = 3;
+/// The longest span kept as it is, in microseconds; longer ones count as this.
+const LONGEST_US: u64 = 600_000_000;
 
 /// Count and quantiles of some spans.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
@@ -30,11 +32,12 @@
     /// Sums up spans in microseconds.
     #[must_use]
     pub fn of(spans_us: impl IntoIterator<Item = u64>) -> Self {
-        let Ok(mut histogram) = hdrhistogram::Histogram::<u64>::new(DIGITS) else {
+        let Ok(mut histogram) = hdrhistogram::Histogram::<u64>::new_with_max(LONGEST_US, DIGITS)
+        else {
             return Self::default();
         };
         for span_us in spans_us {
-            histogram.saturating_record(span_us);
+            histogram.saturating_record(span_us.min(LONGEST_US));
         }
         let quantile = |q| to_ms(histogram.value_at_quantile(q));
         Self {
--- a/crates/damaskvane-bench/src/lib.rs
+++ b/crates/damaskvane-bench/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`client`]: a client of the system as docs/API.md asks for one.
 //! - [`load`]: open-loop load, and what each request was answered.
 //! - [`checker`]: what ran, compared with every answer given.
+//! - [`cluster`]: the real programs on free loopback ports.
 //! - [`histogram`], [`fit`]: quantiles and lines through measured points.
 //!
 //! ```
@@ -17,6 +18,7 @@
 pub mod arguments;
 pub mod checker;
 pub mod client;
+pub mod cluster;
 pub mod commands;
 pub mod error;
 pub mod fit;
--- a/crates/damaskvane-bench/src/load/command.rs
+++ b/crates/damaskvane-bench/src/load/command.rs
@@ -21,7 +21,7 @@
   --seconds N           how long [10]
   --write-percent N     share of non-repeatable requests [30]
   --clients N           clients, each with its own cache of look-ups [20]
-  --client-prefix TEXT  the client blocks' common beginning [client]
+  --client-prefix A,... beginnings of the client blocks, taken in turn [client]
   --deadline-ms N       time for a request with all its tries [2000]
   --service-ms N        how long the stand-in runs a request [its own time]
   --answer-bytes N      padding of each answer [0]
@@ -55,13 +55,8 @@
         }
         set(&mut settings, name, parser)
     })?;
-    if shared.help {
-        println!("{USAGE}");
-        return Ok(process::ExitCode::SUCCESS);
-    }
-    if shared.version {
-        println!("damaskvane-bench {}", env!("CARGO_PKG_VERSION"));
-        return Ok(process::ExitCode::SUCCESS);
+    if let Some(code) = shared.answer(USAGE) {
+        return Ok(code);
     }
     if settings.entries.is_empty() {
         return Err(command_line::UsageError::Missing { flag: "--entries" }.into());
@@ -93,7 +88,7 @@
         "seconds" => settings.seconds = arguments::value(parser)?,
         "write-percent" => settings.write_percent = arguments::value(parser)?,
         "clients" => settings.clients = arguments::value(parser)?,
-        "client-prefix" => settings.client_prefix = arguments::value(parser)?,
+        "client-prefix" => settings.client_prefixes = arguments::values(parser)?,
         "deadline-ms" => settings.deadline_ms = arguments::value(parser)?,
         "service-ms" => settings.service_ms = Some(arguments::value(parser)?),
         "answer-bytes" => settings.answer_bytes = arguments::value(parser)?,
--- a/crates/damaskvane-bench/src/load/generator.rs
+++ b/crates/damaskvane-bench/src/load/generator.rs
@@ -97,7 +97,7 @@
         entries.rotate_left(first);
         let own = client::ClientSettings {
             entries,
-            client: format!("{}-{number}", settings.client_prefix),
+            client: settings.client(number),
             deadline_ms: settings.deadline_ms,
             ..client::ClientSettings::default()
         };
--- a/crates/damaskvane-bench/src/load/settings.rs
+++ b/crates/damaskvane-bench/src/load/settings.rs
@@ -23,8 +23,8 @@
     pub write_percent: u32,
     /// How many clients, each with its own cache of look-ups.
     pub clients: usize,
-    /// The client blocks' common beginning.
-    pub client_prefix: String,
+    /// Beginnings of the client blocks' names, taken in turn; client N is `{prefix}-{N}`.
+    pub client_prefixes: Vec<String>,
     /// The time for a request with all its tries, in milliseconds.
     pub deadline_ms: u64,
     /// How long a request runs, in milliseconds; the stand-in's own time where none.
@@ -44,7 +44,7 @@
             seconds: 10,
             write_percent: 30,
             clients: 20,
-            client_prefix: "client".to_owned(),
+            client_prefixes: vec!["client".to_owned()],
             deadline_ms: 2_000,
             service_ms: None,
             answer_bytes: 0,
@@ -60,6 +60,14 @@
         self.rate * self.seconds
     }
 
+    /// The client block of client `number`.
+    #[must_use]
+    pub fn client(&self, number: usize) -> String {
+        let prefixes = &self.client_prefixes;
+        let prefix = prefixes.get(number % prefixes.len().max(1));
+        format!("{}-{number}", prefix.map_or("client", String::as_str))
+    }
+
     /// Path and query of each request.
     #[must_use]
     pub fn path(&self) -> String {
