Control thread drives relay and membership as pure state machines

Cause: each instance read the store for itself and judged nobody. Ruled out: a watch on every instance, whose calls grow with the fleet. Conclusion: one file per concern, actions of pure code turned into calls and messages.

--- a/crates/damaskvane-entry/src/control/input.rs
+++ b/crates/damaskvane-entry/src/control/input.rs
@@ -6,6 +6,7 @@
 //! assert!(format!("{:?}", control::ControlInput::Leave).contains("Leave"));
 //! ```
 
+use damaskvane_core::ids;
 use damaskvane_peer::transport;
 
 use crate::store;
@@ -18,6 +19,13 @@
     Store(store::StoreReport),
     /// Another instance sent a message.
     Peer(Box<transport::Received<wire::WireMessage>>),
+    /// Nothing listens at the address of an instance that was silent.
+    Probed {
+        /// The instance.
+        instance: ids::InstanceId,
+        /// The start that was asked about.
+        incarnation: ids::Incarnation,
+    },
     /// A planned stop has begun.
     Leave,
 }
--- /dev/null
+++ b/crates/damaskvane-entry/src/control/publishing.rs
@@ -0,0 +1,143 @@
+//! Publishes what the control thread knows: to look-ups, to the engine, to operators.
+//!
+//! ```text
+//! configuration in force + membership -> serving state, directory, status
+//! ```
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use damaskvane_config::state;
+use damaskvane_core::ids;
+use damaskvane_engine::directory;
+use damaskvane_membership::{ownership, state as membership_state, view};
+use damaskvane_steering::plan;
+use serde_json::json;
+
+use crate::control::Control;
+use crate::inbox;
+use crate::serving;
+use crate::translate;
+
+impl Control {
+    /// Sends the engine a new directory and look-ups a new state.
+    pub(super) fn publish(&mut self) {
+        let Some(in_force) = self.relay.adopter().in_force().cloned() else {
+            return;
+        };
+        let config = in_force.state();
+        let roster = self.membership.roster();
+        let owners: Vec<&ids::InstanceId> = roster
+            .members
+            .iter()
+            .filter(|member| !member.leaving && member.gone.is_none())
+            .map(|member| &member.instance)
+            .collect();
+        let directory = translate::directory(
+            &config,
+            &self.record.availability_zone,
+            |server| ownership::owner(server.as_str(), owners.iter().copied()),
+            self.peer_instances(),
+        );
+        let _ = self
+            .engine
+            .send(inbox::Input::Directory(Arc::new(directory)));
+        self.steer();
+    }
+
+    pub(super) fn publish_serving(&self, config: Arc<state::ConfigState>, plan: plan::Plan) {
+        let services = config
+            .services()
+            .iter()
+            .map(|(id, service)| {
+                let ttl = service.lookup_ttl_ms;
+                (id.clone(), serving::LookupService { ttl })
+            })
+            .collect();
+        self.serving.replace(serving::ServingState {
+            version: config.version(),
+            own_zone: Some(self.record.availability_zone.clone()),
+            services,
+            plan,
+            entries: self.entry_points(),
+            config: Some(config),
+        });
+    }
+
+    fn entry_points(&self) -> BTreeMap<ids::AvailabilityZoneId, Vec<serving::EntryPoint>> {
+        let mut points: BTreeMap<_, Vec<_>> = BTreeMap::new();
+        for instance in self.membership.instances() {
+            if instance.state.takes_new_work() {
+                points
+                    .entry(instance.record.zone.clone())
+                    .or_default()
+                    .push(serving::EntryPoint {
+                        instance: instance.record.instance.clone(),
+                        incarnation: instance.incarnation,
+                        client_address: instance.record.client_address.to_string(),
+                    });
+            }
+        }
+        if !self.record.leaving && !self.membership.is_fenced() {
+            points
+                .entry(self.record.availability_zone.clone())
+                .or_default()
+                .push(serving::EntryPoint {
+                    instance: self.record.instance.clone(),
+                    incarnation: self.record.incarnation,
+                    client_address: self.record.client_address.to_string(),
+                });
+        }
+        points
+    }
+
+    fn peer_instances(&self) -> BTreeMap<ids::InstanceId, directory::PeerInstance> {
+        self.membership
+            .instances()
+            .map(|instance| {
+                let peer = directory::PeerInstance {
+                    incarnation: instance.incarnation,
+                    availability_zone: instance.record.zone.clone(),
+                    reachability: reachability(instance.state),
+                };
+                (instance.record.instance.clone(), peer)
+            })
+            .collect()
+    }
+
+    pub(super) fn publish_status(&self) {
+        let instances: Vec<_> = self.membership.instances().map(described).collect();
+        self.status.publish("instances", json!(instances));
+        self.status
+            .publish("relay", json!(self.relay.is_watching()));
+        let state_hash = self
+            .relay
+            .adopter()
+            .in_force()
+            .map(|in_force| in_force.state_hash().to_string());
+        self.status.publish("state_hash", json!(state_hash));
+    }
+}
+
+const fn reachability(state: membership_state::InstanceState) -> directory::Reachability {
+    match state {
+        membership_state::InstanceState::Live | membership_state::InstanceState::Suspect => {
+            directory::Reachability::Live
+        }
+        membership_state::InstanceState::Leaving => directory::Reachability::Leaving,
+        membership_state::InstanceState::Dead | membership_state::InstanceState::Gone => {
+            directory::Reachability::Dead
+        }
+    }
+}
+
+fn described(instance: view::InstanceView<'_>) -> serde_json::Value {
+    json!({
+        "instance": instance.record.instance,
+        "availability_zone": instance.record.zone,
+        "incarnation": instance.incarnation,
+        "state": instance.state.as_str(),
+        "silent_ms": instance.silent,
+        "config_version": instance.config_version,
+    })
+}
--- a/crates/damaskvane-entry/src/process.rs
+++ b/crates/damaskvane-entry/src/process.rs
@@ -46,7 +46,8 @@
         logging::field::INSTANCE => settings.instance.to_string(),
         logging::field::AVAILABILITY_ZONE => settings.availability_zone.to_string(),
     ));
-    let signals = stop::Signals::register()?;
+    let (stop_sender, stop_requests) = flume::unbounded();
+    stop::register(stop_sender.clone())?;
     let me = home::Home::new(settings.instance.clone(), clock::incarnation());
     let serving = Arc::new(serving::Serving::new(
         counters(settings)?,
@@ -104,6 +105,8 @@
             peers: Arc::clone(&peers),
             store: start_store(settings, &serving, &control)?,
             status,
+            stop: stop_sender,
+            own_inbox: control.clone(),
             logger: logger.clone(),
         },
         control_inbox,
@@ -112,7 +115,7 @@
     start_clients(clients, settings, &serving, &engine)?;
     ready::announce(&record);
     info!(logger, "serving"; "client_address" => client_address.to_string());
-    stop::wait_and_stop(signals, &control, &engine, &serving, settings, &logger);
+    stop::wait_and_stop(&stop_requests, &control, &engine, &serving, settings, &logger);
     Ok(())
 }
 
--- a/crates/damaskvane-entry/src/process/stop.rs
+++ b/crates/damaskvane-entry/src/process/stop.rs
@@ -5,7 +5,6 @@
 //! ```
 
 use core::time::Duration;
-use std::io;
 use std::thread;
 use std::time::Instant;
 
@@ -21,36 +20,34 @@
 
 const POLL: Duration = Duration::from_millis(50);
 
-/// The signals that stop the process.
-pub(super) struct Signals(iterator::Signals);
-
-impl Signals {
-    /// Takes the signals over before any thread starts.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the system refuses.
-    pub(super) fn register() -> Result<Self, StartError> {
-        let signals = iterator::Signals::new([SIGTERM, SIGINT])
-            .map_err(|error: io::Error| StartError::Thread(error))?;
-        Ok(Self(signals))
-    }
-
-    fn wait(mut self) {
-        let _ = self.0.forever().next();
-    }
+/// Turns SIGTERM and SIGINT into requests to stop.
+///
+/// # Errors
+///
+/// Fails if the system refuses.
+pub(super) fn register(stop: flume::Sender<()>) -> Result<(), StartError> {
+    let mut signals = iterator::Signals::new([SIGTERM, SIGINT]).map_err(StartError::Thread)?;
+    thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(move || {
+            for _ in signals.forever() {
+                let _ = stop.send(());
+            }
+        })
+        .map(|_| ())
+        .map_err(StartError::Thread)
 }
 
-/// Blocks until a signal, then leaves and waits until nothing runs or the time is over.
+/// Blocks until a request to stop, then leaves and waits until nothing runs or the time is over.
 pub(super) fn wait_and_stop(
-    signals: Signals,
+    stop: &flume::Receiver<()>,
     control: &flume::Sender<control::ControlInput>,
     engine: &flume::Sender<inbox::Input>,
     serving: &serving::Serving,
     settings: &settings::EntrySettings,
     logger: &slog::Logger,
 ) {
-    signals.wait();
+    let _ = stop.recv();
     info!(logger, "leaving");
     let began = Instant::now();
     let _ = control.send(control::ControlInput::Leave);
--- a/crates/damaskvane-entry/src/store.rs
+++ b/crates/damaskvane-entry/src/store.rs
@@ -6,12 +6,12 @@
 //! ```
 //! use damaskvane_entry::store;
 //!
-//! let job = store::StoreJob::ListInstances;
-//! assert!(format!("{job:?}").contains("ListInstances"));
+//! let job = store::StoreJob::ReadHead;
+//! assert!(format!("{job:?}").contains("ReadHead"));
 //! ```
 
 mod job;
 mod worker;
 
-pub use job::{StoreJob, StoreReport};
+pub use job::{Call, FenceOutcome, StoreJob, StoreReport};
 pub use worker::Store;
--- a/crates/damaskvane-entry/src/store/job.rs
+++ b/crates/damaskvane-entry/src/store/job.rs
@@ -3,20 +3,19 @@
 //! ```
 //! use damaskvane_entry::store;
 //!
-//! let report = store::StoreReport::Unavailable { call: "watch" };
-//! assert!(format!("{report:?}").contains("watch"));
+//! let report = store::StoreReport::Unavailable { call: store::Call::Watch };
+//! assert!(format!("{report:?}").contains("Watch"));
 //! ```
 
-use std::collections::BTreeMap;
+use std::sync::Arc;
 
-use damaskvane_config::{chunk, manifest};
-use damaskvane_core::{hash, time};
+use damaskvane_core::{hash, ids, time};
 use damaskvane_platform::api;
 
 /// One call on the platform.
 #[derive(Debug, Clone)]
 pub enum StoreJob {
-    /// Wait until the head changes, then read it.
+    /// Wait until the head changes.
     WatchHead {
         /// The revision last seen.
         after: api::Revision,
@@ -28,30 +27,100 @@
     /// Read chunks by their hashes.
     ReadChunks(Vec<hash::ContentHash>),
     /// Read the platform's list of instances.
-    ListInstances,
+    ListInstances {
+        /// When the call was asked for.
+        asked_at: time::TimeMs,
+    },
     /// Write this instance's own record.
     Announce(api::InstanceRecord),
+    /// Mark another instance's record as leaving, if it still has this incarnation.
+    Fence {
+        /// The instance.
+        instance: ids::InstanceId,
+        /// The start in question.
+        incarnation: ids::Incarnation,
+    },
+}
+
+/// A call that can fail.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Call {
+    /// Waiting for the head to change.
+    Watch,
+    /// Reading the head.
+    Head,
+    /// Reading chunks.
+    Chunk,
+    /// Reading the list of instances.
+    Instances,
+    /// Writing the own record.
+    Announce,
+}
+
+impl Call {
+    /// The word for counters and logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Watch => "watch",
+            Self::Head => "head",
+            Self::Chunk => "chunk",
+            Self::Instances => "instances",
+            Self::Announce => "announce",
+        }
+    }
+}
+
+/// What became of the mark on another instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FenceOutcome {
+    /// The platform took it.
+    Taken,
+    /// It surely was not taken.
+    NotTaken,
+    /// Nobody knows yet; it is tried again.
+    Unknown,
 }
 
 /// What became of a call.
 #[derive(Debug, Clone)]
 pub enum StoreReport {
-    /// The head as it stands; none before the first ticket.
+    /// A watch ended; the head may have changed if the revision did.
+    Watched {
+        /// The revision now.
+        revision: api::Revision,
+    },
+    /// The head as it stands, not yet checked.
     Head {
-        /// The head.
-        head: Option<Box<manifest::Head>>,
-        /// The revision it was read at, where a watch told it.
-        revision: Option<api::Revision>,
+        /// Its bytes.
+        bytes: Arc<[u8]>,
+    },
+    /// Chunks that were found, not yet checked.
+    Chunks {
+        /// Their bytes.
+        chunks: Vec<Arc<[u8]>>,
     },
-    /// Chunks that were found, each checked against its hash.
-    Chunks(BTreeMap<hash::ContentHash, chunk::Chunk>),
     /// The list of instances.
-    Instances(Vec<api::InstanceRecord>),
+    Instances {
+        /// Its entries.
+        records: Vec<api::InstanceRecord>,
+        /// When the call was asked for.
+        asked_before: time::TimeMs,
+    },
     /// The own record stands in the platform.
     Announced,
+    /// The call to mark an instance ended.
+    Fenced {
+        /// The instance.
+        instance: ids::InstanceId,
+        /// The start in question.
+        incarnation: ids::Incarnation,
+        /// What became of it.
+        outcome: FenceOutcome,
+    },
     /// The call failed and may be made again later.
     Unavailable {
         /// Which call.
-        call: &'static str,
+        call: Call,
     },
 }
--- a/crates/damaskvane-entry/src/store/worker.rs
+++ b/crates/damaskvane-entry/src/store/worker.rs
@@ -8,23 +8,21 @@
 //! }
 //! ```
 
-use std::collections::BTreeMap;
 use std::io;
 use std::sync::Arc;
 use std::thread;
 
-use damaskvane_config::{chunk, manifest};
-use damaskvane_core::hash;
+use damaskvane_core::{hash, ids};
 use damaskvane_platform::{api, api::ObjectApi, backoff, http, write};
-use damaskvane_telemetry::counters;
 
-use crate::store::job::{StoreJob, StoreReport};
+use crate::serving;
+use crate::store::job::{Call, FenceOutcome, StoreJob, StoreReport};
 
 const HEAD_KIND: &str = "head";
 const HEAD_NAME: &str = "config";
 const CHUNK_KIND: &str = "chunk";
 const INSTANCE_KIND: &str = "instance";
-const ANNOUNCE_TRIES: u32 = 3;
+const WRITE_TRIES: u32 = 3;
 const CALLS: &str = "store";
 
 /// Makes calls on the platform: watches on one thread, everything else on another.
@@ -36,7 +34,7 @@
 
 struct Worker {
     api: Arc<http::HttpObjectApi>,
-    serving: Arc<crate::serving::Serving>,
+    serving: Arc<serving::Serving>,
     reports: Box<dyn Fn(StoreReport) + Send>,
 }
 
@@ -48,7 +46,7 @@
     /// Fails if no thread can be started.
     pub fn start(
         api: &Arc<http::HttpObjectApi>,
-        serving: &Arc<crate::serving::Serving>,
+        serving: &Arc<serving::Serving>,
         report: impl Fn(StoreReport) + Clone + Send + 'static,
     ) -> io::Result<Self> {
         let (watches, watch_jobs) = flume::unbounded();
@@ -81,105 +79,146 @@
         while let Ok(job) = jobs.recv() {
             let report = self.call(job);
             if let StoreReport::Unavailable { call } = report {
-                self.counters().increment(CALLS, &format!("{call}_failed"));
+                let word = format!("{}_failed", call.as_str());
+                self.serving.counters.increment(CALLS, &word);
             }
             (self.reports)(report);
         }
     }
 
-    fn counters(&self) -> &counters::Counters {
-        &self.serving.counters
+    fn count(&self, call: Call) {
+        self.serving.counters.increment(CALLS, call.as_str());
     }
 
     fn call(&self, job: StoreJob) -> StoreReport {
         match job {
             StoreJob::WatchHead { after, wait } => {
-                self.counters().increment(CALLS, "watch");
+                self.count(Call::Watch);
                 match self.api.watch(HEAD_KIND, after, wait) {
-                    Ok(listing) => self.read_head(Some(listing.revision)),
-                    Err(_) => StoreReport::Unavailable { call: "watch" },
+                    Ok(listing) => StoreReport::Watched {
+                        revision: listing.revision,
+                    },
+                    Err(_) => StoreReport::Unavailable { call: Call::Watch },
                 }
             }
-            StoreJob::ReadHead => self.read_head(None),
-            StoreJob::ReadChunks(hashes) => self.read_chunks(hashes),
-            StoreJob::ListInstances => {
-                self.counters().increment(CALLS, "instances");
+            StoreJob::ReadHead => self.read_head(),
+            StoreJob::ReadChunks(hashes) => self.read_chunks(&hashes),
+            StoreJob::ListInstances { asked_at } => {
+                self.count(Call::Instances);
                 match self.api.instances() {
-                    Ok(instances) => StoreReport::Instances(instances),
-                    Err(_) => StoreReport::Unavailable { call: "instances" },
+                    Ok(records) => StoreReport::Instances {
+                        records,
+                        asked_before: asked_at,
+                    },
+                    Err(_) => StoreReport::Unavailable {
+                        call: Call::Instances,
+                    },
                 }
             }
             StoreJob::Announce(record) => self.announce(&record),
+            StoreJob::Fence {
+                instance,
+                incarnation,
+            } => {
+                let outcome = self.fence(&instance, incarnation);
+                StoreReport::Fenced {
+                    instance,
+                    incarnation,
+                    outcome,
+                }
+            }
         }
     }
 
-    fn read_head(&self, revision: Option<api::Revision>) -> StoreReport {
-        self.counters().increment(CALLS, "head");
-        let failed = StoreReport::Unavailable { call: "head" };
-        let Ok(object) = self.api.get(&api::ObjectKey::new(HEAD_KIND, HEAD_NAME)) else {
-            return failed;
-        };
-        let Some(object) = object else {
-            return StoreReport::Head {
-                head: None,
-                revision,
-            };
-        };
-        match manifest::Head::decode(&object.value) {
-            Ok(head) => StoreReport::Head {
-                head: Some(Box::new(head)),
-                revision,
+    fn read_head(&self) -> StoreReport {
+        self.count(Call::Head);
+        match self.api.get(&api::ObjectKey::new(HEAD_KIND, HEAD_NAME)) {
+            Ok(Some(object)) => StoreReport::Head {
+                bytes: object.value.into(),
             },
-            Err(_) => failed,
+            Ok(None) | Err(_) => StoreReport::Unavailable { call: Call::Head },
         }
     }
 
-    fn read_chunks(&self, hashes: Vec<hash::ContentHash>) -> StoreReport {
-        let mut chunks = BTreeMap::new();
+    fn read_chunks(&self, hashes: &[hash::ContentHash]) -> StoreReport {
+        let mut chunks = Vec::new();
         for hash in hashes {
-            self.counters().increment(CALLS, "chunk");
+            self.count(Call::Chunk);
             let key = api::ObjectKey::new(CHUNK_KIND, hash.to_string());
             let Ok(Some(object)) = self.api.get(&key) else {
-                return StoreReport::Unavailable { call: "chunk" };
+                return StoreReport::Unavailable { call: Call::Chunk };
             };
-            let chunk = chunk::Chunk::from_bytes(object.value);
-            if chunk.hash() == hash {
-                chunks.insert(hash, chunk);
-            }
+            chunks.push(object.value.into());
         }
-        StoreReport::Chunks(chunks)
+        StoreReport::Chunks { chunks }
     }
 
     fn announce(&self, record: &api::InstanceRecord) -> StoreReport {
-        self.counters().increment(CALLS, "announce");
-        let failed = StoreReport::Unavailable { call: "announce" };
-        let key = api::ObjectKey::new(INSTANCE_KIND, record.instance.as_str());
-        let Ok(value) = serde_json::to_vec(record) else {
-            return failed;
+        self.count(Call::Announce);
+        let failed = StoreReport::Unavailable {
+            call: Call::Announce,
         };
+        let key = instance_key(&record.instance);
         let version = match self.api.get(&key) {
             Ok(object) => object.map_or(api::ObjectVersion::ABSENT, |object| object.version),
             Err(_) => return failed,
         };
+        match self.put_record(&key, version, record) {
+            write::Outcome::Applied(_) => StoreReport::Announced,
+            _ => failed,
+        }
+    }
+
+    /// The conditional update makes the mark hit the start in question or nothing: a restarted
+    /// instance has written another version.
+    fn fence(&self, instance: &ids::InstanceId, incarnation: ids::Incarnation) -> FenceOutcome {
+        self.serving.counters.increment(CALLS, "fence");
+        let key = instance_key(instance);
+        let object = match self.api.get(&key) {
+            Ok(Some(object)) => object,
+            Ok(None) => return FenceOutcome::NotTaken,
+            Err(_) => return FenceOutcome::Unknown,
+        };
+        let Ok(mut record) = serde_json::from_slice::<api::InstanceRecord>(&object.value) else {
+            return FenceOutcome::NotTaken;
+        };
+        if record.incarnation != incarnation {
+            return FenceOutcome::NotTaken;
+        }
+        record.leaving = true;
+        match self.put_record(&key, object.version, &record) {
+            write::Outcome::Applied(_) => FenceOutcome::Taken,
+            write::Outcome::Overtaken { .. } | write::Outcome::Refused(_) => FenceOutcome::NotTaken,
+            write::Outcome::Lost => FenceOutcome::Unknown,
+        }
+    }
+
+    fn put_record(
+        &self,
+        key: &api::ObjectKey,
+        version: api::ObjectVersion,
+        record: &api::InstanceRecord,
+    ) -> write::Outcome {
+        let Ok(value) = serde_json::to_vec(record) else {
+            return write::Outcome::Lost;
+        };
         let id = format!(
-            "{}-{}-{}",
+            "{}-{}-{}-{version}",
             record.instance, record.incarnation, record.leaving
         );
-        let mut backoff = backoff::Backoff::new(
-            backoff::BackoffSettings::default(),
-            record.incarnation.get(),
-        );
-        match write::put(
+        let settings = backoff::BackoffSettings::default();
+        write::put(
             &*self.api,
-            &key,
+            key,
             version,
             &value,
             &api::WriteId::new(&id),
-            &mut backoff,
-            ANNOUNCE_TRIES,
-        ) {
-            write::Outcome::Applied(_) => StoreReport::Announced,
-            _ => failed,
-        }
+            &mut backoff::Backoff::new(settings, record.incarnation.get()),
+            WRITE_TRIES,
+        )
     }
 }
+
+fn instance_key(instance: &ids::InstanceId) -> api::ObjectKey {
+    api::ObjectKey::new(INSTANCE_KIND, instance.as_str())
+}
--- a/crates/damaskvane-entry/src/translate.rs
+++ b/crates/damaskvane-entry/src/translate.rs
@@ -9,9 +9,7 @@
 //! ```
 
 mod directory;
-mod entry_points;
 mod topology;
 
 pub use directory::directory;
-pub use entry_points::entry_points;
 pub use topology::topology;
--- a/crates/damaskvane-entry/src/wire.rs
+++ b/crates/damaskvane-entry/src/wire.rs
@@ -4,12 +4,12 @@
 //! use damaskvane_entry::wire;
 //! use damaskvane_peer::transport::MessageKind;
 //!
-//! let heartbeat = wire::WireMessage::Heartbeat(wire::Heartbeat::default());
-//! assert_eq!(heartbeat.kind(), "heartbeat");
+//! let ask = wire::WireMessage::Configuration(wire::ConfigurationMessage::AskHead);
+//! assert_eq!(ask.kind(), "ask_head");
 //! ```
 
-mod heartbeat;
+mod configuration;
 mod message;
 
-pub use heartbeat::Heartbeat;
+pub use configuration::{ConfigurationMessage, MOST_CHUNK_BYTES};
 pub use message::WireMessage;
--- a/crates/damaskvane-entry/src/wire/message.rs
+++ b/crates/damaskvane-entry/src/wire/message.rs
@@ -4,21 +4,26 @@
 //! use damaskvane_entry::wire;
 //! use damaskvane_peer::transport::MessageKind;
 //!
-//! assert_eq!(wire::WireMessage::Heartbeat(wire::Heartbeat::default()).kind(), "heartbeat");
+//! let ask = wire::WireMessage::Configuration(wire::ConfigurationMessage::AskHead);
+//! assert_eq!(ask.kind(), "ask_head");
 //! ```
 
 use damaskvane_engine::peer;
+use damaskvane_membership::heartbeat;
 use damaskvane_peer::transport;
 use serde::{Deserialize, Serialize};
 
-use crate::wire::heartbeat;
+use crate::wire::configuration;
 
-/// A message between entry instances.
+/// A message between entry instances. Names are short because heartbeats are sent all the time.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum WireMessage {
     /// A sign of life.
     #[serde(rename = "h")]
     Heartbeat(heartbeat::Heartbeat),
+    /// About the configuration.
+    #[serde(rename = "c")]
+    Configuration(configuration::ConfigurationMessage),
     /// From engine to engine.
     #[serde(rename = "e")]
     Engine(Box<peer::PeerMessage>),
@@ -28,6 +33,7 @@
     fn kind(&self) -> &'static str {
         match self {
             Self::Heartbeat(_) => "heartbeat",
+            Self::Configuration(message) => message.kind(),
             Self::Engine(message) => message.kind(),
         }
     }
