--- a/crates/damaskvane-config/src/document/reader.rs
+++ b/crates/damaskvane-config/src/document/reader.rs
@@ -102,9 +102,7 @@
         };
         let found_before = self.problems.len();
         self.check_keys(&object, span, &keys);
-        if self.problems.len() == found_before {
-            self.decode(&object, keys, &body_span);
-        }
+        self.decode(&object, keys, &body_span, found_before);
     }
 
     fn check_keys(&mut self, object: &ObjectId, span: &ops::Range<usize>, keys: &DeTable<'_>) {
@@ -129,8 +127,13 @@
     }
 
     /// Decodes the table; on an error drops the key at fault and goes on, to find the next one too.
-    fn decode(&mut self, object: &ObjectId, keys: DeTable<'_>, span: &ops::Range<usize>) {
-        let found_before = self.problems.len();
+    fn decode(
+        &mut self,
+        object: &ObjectId,
+        keys: DeTable<'_>,
+        span: &ops::Range<usize>,
+        found_before: usize,
+    ) {
         let mut keys = keys;
         loop {
             let value = Spanned::new(span.clone(), DeValue::Table(keys.clone()));
--- /dev/null
+++ b/crates/damaskvane-ctl/src/store.rs
@@ -0,0 +1,168 @@
+//! Runs a submission against the platform's object API.
+//!
+//! ```
+//! use damaskvane_config::submit;
+//! use damaskvane_ctl::store;
+//!
+//! assert_eq!(store::key(&submit::Call::ReadHead).to_string(), "head/config");
+//! ```
+
+use std::thread;
+
+use damaskvane_config::manifest::Head;
+use damaskvane_config::state::{self, Chunks, ConfigState};
+use damaskvane_config::submit::{Answer, Call, Outcome, Step, Submission};
+use damaskvane_config::{chunk, ticket};
+use damaskvane_core::hash::ContentHash;
+use damaskvane_platform::api::{ObjectApi, ObjectKey, ObjectVersion, WriteId, WriteResult};
+use damaskvane_platform::backoff::Backoff;
+
+use crate::error::CtlError;
+
+/// What is accepted, with every chunk of it.
+#[derive(Debug, Clone, Default)]
+pub struct Accepted {
+    /// The head; the empty one before the first ticket.
+    pub head: Head,
+    /// The chunks that the head names.
+    pub chunks: Chunks,
+}
+
+impl Accepted {
+    /// The typed state.
+    ///
+    /// # Errors
+    ///
+    /// When what the platform holds is not valid.
+    pub fn state(&self) -> Result<ConfigState, CtlError> {
+        state::assemble(&self.head, &self.chunks).map_err(CtlError::Invalid)
+    }
+
+    /// The state as it would be with a draft on top.
+    ///
+    /// # Errors
+    ///
+    /// Every problem of it.
+    pub fn state_with(&self, draft: &ticket::Draft) -> Result<ConfigState, CtlError> {
+        let head = draft.on(&self.head).head_after(&self.head);
+        let mut chunks = self.chunks.clone();
+        let new = draft.object_chunks().into_values();
+        chunks.extend(new.map(|chunk| (chunk.hash(), chunk)));
+        state::assemble(&head, &chunks).map_err(CtlError::Invalid)
+    }
+}
+
+/// The object that a call is about.
+#[must_use]
+pub fn key(call: &Call) -> ObjectKey {
+    let (kind, name) = call.key();
+    ObjectKey::new(kind, name)
+}
+
+/// Reads the head and every chunk it names.
+///
+/// # Errors
+///
+/// When the platform can't be read or holds something broken.
+pub fn read_accepted(api: &impl ObjectApi) -> Result<Accepted, CtlError> {
+    let head = read_head(api)?;
+    let mut chunks = Chunks::new();
+    for entry in head.objects.values() {
+        let chunk = read_chunk(api, entry.hash)?;
+        chunks.insert(entry.hash, chunk);
+    }
+    Ok(Accepted { head, chunks })
+}
+
+/// Reads the head; the empty one where there is none.
+///
+/// # Errors
+///
+/// When the platform can't be read or the head is broken.
+pub fn read_head(api: &impl ObjectApi) -> Result<Head, CtlError> {
+    match api.get(&key(&Call::ReadHead))? {
+        None => Ok(Head::default()),
+        Some(object) => {
+            Head::decode(&object.value).map_err(|error| CtlError::Broken(error.to_string()))
+        }
+    }
+}
+
+/// Reads a chunk and compares it with its hash.
+///
+/// # Errors
+///
+/// When the platform can't be read or the chunk is missing or broken.
+pub fn read_chunk(api: &impl ObjectApi, hash: ContentHash) -> Result<chunk::Chunk, CtlError> {
+    let object = api
+        .get(&key(&Call::ReadChunk(hash)))?
+        .ok_or_else(|| CtlError::Broken(format!("chunk {hash} is missing")))?;
+    let chunk = chunk::Chunk::from_bytes(object.value);
+    if chunk.hash() != hash {
+        let text = format!("chunk {hash} doesn't match its hash");
+        return Err(CtlError::Broken(text));
+    }
+    Ok(chunk)
+}
+
+/// Submits a draft and waits for the outcome.
+pub fn submit(api: &impl ObjectApi, draft: ticket::Draft, backoff: &mut Backoff) -> Outcome {
+    let mut submission = Submission::new(draft);
+    loop {
+        match submission.next_step() {
+            Step::Call(call) => submission.answer(&call, make(api, &call)),
+            Step::Pause => thread::sleep(backoff.pause().to_duration()),
+            Step::Done(outcome) => return outcome,
+        }
+    }
+}
+
+/// Makes one call of a submission.
+pub fn make(api: &impl ObjectApi, call: &Call) -> Answer {
+    match call {
+        Call::ReadHead | Call::ReadChunk(_) => read(api, call),
+        Call::WriteChunk(chunk) => write(api, call, 0, chunk.bytes(), &chunk.hash().to_string()),
+        Call::FileTicket(number, chunk) => {
+            write(api, call, 0, chunk.bytes(), &format!("ticket-{number}"))
+        }
+        Call::WriteHead {
+            if_version,
+            bytes,
+            write_id,
+        } => write(api, call, *if_version, bytes, write_id),
+    }
+}
+
+fn read(api: &impl ObjectApi, call: &Call) -> Answer {
+    use damaskvane_platform::api::ReadError;
+    match api.get(&key(call)) {
+        Ok(None) => Answer::Absent,
+        Ok(Some(object)) => Answer::Found {
+            version: object.version.get(),
+            bytes: object.value.into(),
+        },
+        Err(error @ (ReadError::Unauthorized | ReadError::Protocol(_))) => {
+            Answer::Refused(error.to_string())
+        }
+        Err(error) => Answer::Failed(error.to_string()),
+    }
+}
+
+fn write(
+    api: &impl ObjectApi,
+    call: &Call,
+    if_version: u64,
+    bytes: &[u8],
+    write_id: &str,
+) -> Answer {
+    let if_version = ObjectVersion::new(if_version);
+    match api.put_if(&key(call), if_version, bytes, &WriteId::new(write_id)) {
+        WriteResult::Applied { .. } => Answer::Applied,
+        WriteResult::Conflict { .. } => Answer::Conflict,
+        WriteResult::NotApplied(reason) if reason.is_passing() => {
+            Answer::Failed(reason.to_string())
+        }
+        WriteResult::NotApplied(reason) => Answer::Refused(reason.to_string()),
+        WriteResult::Unknown(reason) => Answer::Unknown(reason.to_string()),
+    }
+}
