Membership by list, heartbeats and proof

Silence can't tell a dead instance from a paused or cut one, so it only takes an instance out of look-ups; what it owns passes on by proof: a refused connection, a later start, or a mark in the platform. An instance that can't see whether it was marked stops by itself: heartbeats echo the neighbour's last sequence, and only what was sent before an echo counts. A majority of the zone was ruled out, as zones have one or two instances today.

--- /dev/null
+++ b/crates/damaskvane-membership/src/ownership.rs
@@ -0,0 +1,50 @@
+//! The rendezvous hash that names the owner of a backend server.
+//!
+//! Every instance computes the same owner from the same candidates, without a message. If a candidate
+//! comes or goes, only the backend servers that it gets or had change their owner.
+//!
+//! ```
+//! use damaskvane_core::ids;
+//! use damaskvane_membership::ownership;
+//!
+//! let candidates: [ids::InstanceId; 2] = ["sask-a-1".parse()?, "sask-a-2".parse()?];
+//! let owner = ownership::owner("rider-desk-1", &candidates);
+//! assert!(owner.is_some());
+//! # Ok::<(), ids::ParseIdError>(())
+//! ```
+
+use damaskvane_core::ids;
+
+/// A byte that occurs in no identifier, so that no two pairs of texts hash alike.
+const SEPARATOR: &[u8] = &[0];
+
+fn weight(key: &str, candidate: &ids::InstanceId) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(key.as_bytes());
+    hasher.update(SEPARATOR);
+    hasher.update(candidate.as_str().as_bytes());
+    *hasher.finalize().as_bytes()
+}
+
+/// The owner of a key among the candidates; nobody if there is none.
+#[must_use]
+pub fn owner<'a>(
+    key: &str,
+    candidates: impl IntoIterator<Item = &'a ids::InstanceId>,
+) -> Option<ids::InstanceId> {
+    candidates
+        .into_iter()
+        .max_by_key(|candidate| weight(key, candidate))
+        .cloned()
+}
+
+/// All candidates, the owner of the key first, then who would own it without those before.
+#[must_use]
+pub fn ranking<'a>(
+    key: &str,
+    candidates: impl IntoIterator<Item = &'a ids::InstanceId>,
+) -> Vec<ids::InstanceId> {
+    let mut ranked: Vec<&ids::InstanceId> = candidates.into_iter().collect();
+    ranked.sort_by_cached_key(|candidate| core::cmp::Reverse(weight(key, candidate)));
+    ranked.into_iter().cloned().collect()
+}
--- /dev/null
+++ b/crates/damaskvane-membership/src/settings.rs
@@ -0,0 +1,64 @@
+//! Periods and bounds of membership; equal on all instances.
+//!
+//! ```
+//! use damaskvane_membership::settings;
+//!
+//! let settings = settings::MembershipSettings::default();
+//! assert!(settings.min_period_ms < settings.max_period_ms);
+//! ```
+
+use damaskvane_core::time::SpanMs;
+
+/// Periods and bounds of membership.
+#[derive(Debug, Clone)]
+pub struct MembershipSettings {
+    /// How many heartbeats a second an instance sends to all its neighbours together.
+    pub heartbeats_per_second: u32,
+    /// The shortest time between two heartbeats to one neighbour.
+    pub min_period_ms: SpanMs,
+    /// The longest time between two heartbeats to one neighbour.
+    pub max_period_ms: SpanMs,
+    /// Up to so many neighbours all of a zone hear each other; beyond, each hears so many.
+    pub mesh_limit: usize,
+    /// A neighbour that was silent for less than this is never suspect.
+    pub min_suspect_ms: SpanMs,
+    /// A neighbour that was silent for less than this is never dead.
+    pub min_dead_ms: SpanMs,
+    /// How long a listed neighbour that was never heard counts as live.
+    pub unheard_trust_ms: SpanMs,
+    /// How long an instance that left the list but goes on sending counts as live.
+    pub delisted_grace_ms: SpanMs,
+    /// A gap between two events above this was a pause of this process.
+    pub pause_ms: SpanMs,
+    /// How long what an instance owns stays its own after its last heartbeat that was heard.
+    pub authority_ms: SpanMs,
+    /// How far the platform's list lags at most.
+    pub list_lag_ms: SpanMs,
+    /// After this time without contact an instance can't reach the platform.
+    pub platform_lost_ms: SpanMs,
+    /// How long a neighbour is dead before it is fenced through the platform.
+    pub fence_after_ms: SpanMs,
+    /// Time between two probes of, or new connections to, one silent neighbour.
+    pub retry_ms: SpanMs,
+}
+
+impl Default for MembershipSettings {
+    fn default() -> Self {
+        Self {
+            heartbeats_per_second: 8,
+            min_period_ms: SpanMs::new(250),
+            max_period_ms: SpanMs::new(2_500),
+            mesh_limit: 20,
+            min_suspect_ms: SpanMs::new(1_000),
+            min_dead_ms: SpanMs::new(3_000),
+            unheard_trust_ms: SpanMs::new(5_000),
+            delisted_grace_ms: SpanMs::new(60_000),
+            pause_ms: SpanMs::new(1_000),
+            authority_ms: SpanMs::new(8_000),
+            list_lag_ms: SpanMs::new(10_000),
+            platform_lost_ms: SpanMs::new(5_000),
+            fence_after_ms: SpanMs::new(5_000),
+            retry_ms: SpanMs::new(1_000),
+        }
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-membership/src/view/event.rs
@@ -0,0 +1,125 @@
+//! What the aggregate is told, and what it asks for.
+
+use core::net;
+
+use damaskvane_core::{ids, time};
+
+use crate::heartbeat::{Heartbeat, LoadSummary};
+use crate::record::InstanceRecord;
+use crate::state::InstanceState;
+
+/// Where a copy of the list came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListSource {
+    /// The platform itself.
+    Platform,
+    /// Another instance, for one that starts while the platform is down.
+    Peer,
+}
+
+/// What the aggregate is told.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// The list was read.
+    List {
+        /// All of its entries.
+        records: Vec<InstanceRecord>,
+        /// The time since it was asked for.
+        age: time::SpanMs,
+        /// Where it came from.
+        source: ListSource,
+    },
+    /// A heartbeat arrived.
+    Heartbeat {
+        /// The sender.
+        from: ids::InstanceId,
+        /// Which start of the sender it is.
+        incarnation: ids::Incarnation,
+        /// What it says.
+        heartbeat: Heartbeat,
+    },
+    /// A probe found that nothing listens at the address of an instance.
+    Refused {
+        /// The instance.
+        instance: ids::InstanceId,
+        /// The start that was asked about.
+        incarnation: ids::Incarnation,
+    },
+    /// The platform took the mark that an instance is fenced.
+    Fenced {
+        /// The instance.
+        instance: ids::InstanceId,
+        /// The start that was fenced.
+        incarnation: ids::Incarnation,
+    },
+    /// The mark was surely not taken; an unknown outcome is not this.
+    FenceFailed {
+        /// The instance.
+        instance: ids::InstanceId,
+    },
+    /// What this instance says of itself from now on.
+    Report {
+        /// The configuration in force.
+        config_version: ids::ConfigVersion,
+        /// Its load.
+        load: LoadSummary,
+    },
+    /// This instance is about to stop.
+    Leave,
+    /// Time has passed; send it at least four times a second.
+    Tick,
+}
+
+/// What the aggregate asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send a heartbeat.
+    Send {
+        /// The neighbour.
+        to: ids::InstanceId,
+        /// Where it listens.
+        address: net::SocketAddr,
+        /// The heartbeat.
+        heartbeat: Heartbeat,
+    },
+    /// Drop the connection to a neighbour and make a fresh one: it does not hear this instance.
+    Reconnect {
+        /// The neighbour.
+        to: ids::InstanceId,
+        /// Where it listens.
+        address: net::SocketAddr,
+    },
+    /// Try to connect, and report [`Event::Refused`] if the connection is refused (not if it times out).
+    Probe {
+        /// The silent neighbour.
+        instance: ids::InstanceId,
+        /// The start in question.
+        incarnation: ids::Incarnation,
+        /// Where it listens.
+        address: net::SocketAddr,
+    },
+    /// Mark the instance as leaving in its object at the platform, on condition that it still has this
+    /// incarnation, and report [`Event::Fenced`] or [`Event::FenceFailed`].
+    Fence {
+        /// The dead neighbour.
+        instance: ids::InstanceId,
+        /// The start in question.
+        incarnation: ids::Incarnation,
+    },
+    /// Listen to these instances only.
+    Allow(Vec<ids::InstanceId>),
+    /// The state of an instance changed.
+    Changed {
+        /// The instance.
+        instance: ids::InstanceId,
+        /// The state from now on; nothing if it was forgotten.
+        state: Option<InstanceState>,
+    },
+    /// This process was paused for so long.
+    Woke {
+        /// The length of the pause.
+        paused: time::SpanMs,
+    },
+    /// Others have fenced this instance or started it again elsewhere: stop, and start anew.
+    OwnFenced,
+}
--- /dev/null
+++ b/crates/damaskvane-membership/src/view/listing.rs
@@ -0,0 +1,137 @@
+//! What the platform's lagging list changes.
+
+use std::collections::BTreeMap;
+
+use damaskvane_core::{ids, time};
+
+use crate::record::InstanceRecord;
+use crate::state::{GoneProof, InstanceState};
+use crate::view::event::{Action, ListSource};
+use crate::view::member::Member;
+use crate::view::membership::Membership;
+
+impl Membership {
+    pub(super) fn take_list(
+        &mut self,
+        records: Vec<InstanceRecord>,
+        age: time::SpanMs,
+        source: ListSource,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.list_age().is_some_and(|held| held < age) {
+            // A copy that was read earlier but came later would bring back who has left.
+            self.counters.old_lists += 1;
+            return;
+        }
+        self.list = Some((self.now, age));
+        let made_at = time::TimeMs::new(self.now.get().saturating_sub(age.get()));
+        let mut listed: BTreeMap<ids::InstanceId, InstanceRecord> = records
+            .into_iter()
+            .map(|record| (record.instance.clone(), record))
+            .collect();
+        let own = listed.remove(&self.own.instance);
+        self.take_own_record(own, source, made_at, actions);
+        self.mark_delisted(&listed);
+        for (instance, record) in listed {
+            self.take_record(instance, record);
+        }
+        self.plan_neighbours();
+        self.allow(actions);
+    }
+
+    /// An entry that says this instance is leaving when it is not was written by one who fenced it.
+    fn take_own_record(
+        &mut self,
+        own: Option<InstanceRecord>,
+        source: ListSource,
+        made_at: time::TimeMs,
+        actions: &mut Vec<Action>,
+    ) {
+        let is_replaced = own
+            .as_ref()
+            .is_some_and(|record| record.incarnation > self.own.incarnation);
+        let is_current = own
+            .as_ref()
+            .is_some_and(|record| record.incarnation == self.own.incarnation);
+        let is_marked = is_current && !self.leaving && own.as_ref().is_some_and(|own| own.leaving);
+        let is_dropped = self.is_listed && own.is_none();
+        if is_replaced || is_marked || is_dropped {
+            self.fence_own(actions);
+        }
+        self.is_listed |= is_current;
+        if own.is_some() {
+            self.own_record = own;
+        }
+        if source == ListSource::Platform {
+            self.platform_seen_at = Some(made_at);
+        }
+    }
+
+    fn mark_delisted(&mut self, listed: &BTreeMap<ids::InstanceId, InstanceRecord>) {
+        let now = self.now;
+        for (instance, member) in &mut self.members {
+            if listed.contains_key(instance) {
+                member.delisted_at = None;
+            } else if member.delisted_at.is_none() {
+                member.delisted_at = Some(now);
+            }
+        }
+    }
+
+    fn take_record(&mut self, instance: ids::InstanceId, record: InstanceRecord) {
+        let now = self.now;
+        let Some(member) = self.members.get_mut(&instance) else {
+            self.members.insert(instance, Member::new(record, now));
+            return;
+        };
+        if record.incarnation < member.incarnation {
+            return;
+        }
+        if record.incarnation > member.incarnation {
+            member.start_anew(record.incarnation, now);
+        }
+        member.leaving |= record.leaving;
+        member.record = record;
+    }
+
+    /// Drops whom the list has not named for the grace, and takes the list as proof against the silent.
+    pub(super) fn forget_delisted(&mut self, actions: &mut Vec<Action>) {
+        let grace = self.settings.delisted_grace_ms;
+        let mut proven = Vec::new();
+        let mut forgotten = Vec::new();
+        for (instance, member) in &self.members {
+            let Some(delisted_at) = member.delisted_at else {
+                continue;
+            };
+            let is_over = self.now.since(delisted_at) >= grace;
+            let is_silent = self.state_of(member) == InstanceState::Dead;
+            if member
+                .gone
+                .is_some_and(|gone| is_over && gone.from <= self.now)
+            {
+                forgotten.push(instance.clone());
+            } else if is_over || is_silent {
+                proven.push((instance.clone(), member.incarnation));
+            }
+        }
+        for (instance, incarnation) in proven {
+            self.prove_gone(&instance, incarnation, GoneProof::Delisted);
+        }
+        if forgotten.is_empty() {
+            return;
+        }
+        for instance in forgotten {
+            self.members.remove(&instance);
+            actions.push(Action::Changed {
+                instance,
+                state: None,
+            });
+        }
+        self.allow(actions);
+    }
+
+    fn allow(&self, actions: &mut Vec<Action>) {
+        let allowed = self.members.keys().cloned().collect();
+        actions.push(Action::Allow(allowed));
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-membership/src/view/member.rs
@@ -0,0 +1,173 @@
+//! What is known of one other instance.
+
+use damaskvane_core::{ids, time};
+
+use crate::heartbeat::Heartbeat;
+use crate::record::InstanceRecord;
+use crate::settings::MembershipSettings;
+use crate::state::{Gone, InstanceState};
+use crate::view::counters::HeartbeatRefusal;
+
+const SUSPECT_HALF_PERIODS: u64 = 5;
+const DEAD_PERIODS: u64 = 4;
+
+/// The last heartbeat of an instance.
+#[derive(Debug)]
+pub(super) struct Heard {
+    pub(super) at: time::TimeMs,
+    pub(super) heartbeat: Heartbeat,
+}
+
+/// What is known of one other instance.
+#[derive(Debug)]
+pub(super) struct Member {
+    pub(super) record: InstanceRecord,
+    /// The latest incarnation that the list or a heartbeat named.
+    pub(super) incarnation: ids::Incarnation,
+    pub(super) leaving: bool,
+    pub(super) delisted_at: Option<time::TimeMs>,
+    pub(super) is_neighbour: bool,
+    /// Since when heartbeats are to be expected.
+    pub(super) expected_from: time::TimeMs,
+    pub(super) heard: Option<Heard>,
+    /// When the latest of our heartbeats that it says it heard was sent.
+    pub(super) supported_from: Option<time::TimeMs>,
+    pub(super) gone: Option<Gone>,
+    /// The start that is being fenced.
+    pub(super) fencing: Option<ids::Incarnation>,
+    pub(super) retried_at: time::TimeMs,
+    pub(super) last_state: InstanceState,
+}
+
+impl Member {
+    pub(super) fn new(record: InstanceRecord, now: time::TimeMs) -> Self {
+        Self {
+            incarnation: record.incarnation,
+            leaving: record.leaving,
+            record,
+            delisted_at: None,
+            is_neighbour: false,
+            expected_from: now,
+            heard: None,
+            supported_from: None,
+            gone: None,
+            fencing: None,
+            retried_at: now,
+            last_state: InstanceState::Live,
+        }
+    }
+
+    /// A later start voids all that is known of the earlier one.
+    pub(super) fn start_anew(&mut self, incarnation: ids::Incarnation, now: time::TimeMs) {
+        self.incarnation = incarnation;
+        self.leaving = false;
+        self.expected_from = now;
+        self.heard = None;
+        self.supported_from = None;
+        self.gone = None;
+        self.fencing = None;
+    }
+
+    pub(super) fn is_gone(&self) -> bool {
+        self.gone.is_some()
+    }
+
+    pub(super) fn hear(
+        &mut self,
+        incarnation: ids::Incarnation,
+        heartbeat: Heartbeat,
+        now: time::TimeMs,
+    ) -> Result<(), HeartbeatRefusal> {
+        if incarnation < self.incarnation || (incarnation == self.incarnation && self.is_gone()) {
+            return Err(HeartbeatRefusal::OldIncarnation);
+        }
+        if incarnation > self.incarnation {
+            self.start_anew(incarnation, now);
+        }
+        let last = self.heard.as_ref().map(|heard| heard.heartbeat.sequence);
+        if last.is_some_and(|last| last >= heartbeat.sequence) {
+            return Err(HeartbeatRefusal::Overtaken);
+        }
+        self.leaving |= heartbeat.leaving;
+        self.heard = Some(Heard { at: now, heartbeat });
+        Ok(())
+    }
+
+    pub(super) fn support(&mut self, sent_at: time::TimeMs) {
+        self.supported_from = self.supported_from.max(Some(sent_at));
+    }
+
+    /// Does not count a pause of this process as silence of the other.
+    ///
+    /// Otherwise a process that wakes up would find every other dead at once, and would answer look-ups
+    /// with itself alone.
+    pub(super) fn excuse(&mut self, pause: time::SpanMs, now: time::TimeMs) {
+        self.expected_from = (self.expected_from + pause).min(now);
+        if let Some(heard) = &mut self.heard {
+            heard.at = (heard.at + pause).min(now);
+        }
+    }
+
+    pub(super) fn silence(&self, now: time::TimeMs) -> time::SpanMs {
+        let last = self.heard.as_ref().map(|heard| heard.at);
+        now.since(last.unwrap_or(self.expected_from))
+    }
+
+    pub(super) fn state(&self, now: time::TimeMs, settings: &MembershipSettings) -> InstanceState {
+        if self.is_gone() {
+            return InstanceState::Gone;
+        }
+        if !self.is_neighbour {
+            return self.state_by_list();
+        }
+        let silence = self.silence(now);
+        match &self.heard {
+            None if silence < settings.unheard_trust_ms => self.alive(),
+            None => InstanceState::Dead,
+            Some(heard) => self.state_by_silence(silence, heard.heartbeat.period_ms, settings),
+        }
+    }
+
+    const fn alive(&self) -> InstanceState {
+        if self.leaving {
+            InstanceState::Leaving
+        } else {
+            InstanceState::Live
+        }
+    }
+
+    fn state_by_list(&self) -> InstanceState {
+        match (self.alive(), self.delisted_at) {
+            (InstanceState::Live, Some(_)) => InstanceState::Suspect,
+            (alive, _) => alive,
+        }
+    }
+
+    fn state_by_silence(
+        &self,
+        silence: time::SpanMs,
+        period: time::SpanMs,
+        settings: &MembershipSettings,
+    ) -> InstanceState {
+        // The period is what another process says: beyond its bound it would never be judged.
+        let period_ms = period.get().min(settings.max_period_ms.get());
+        let dead_ms = (period_ms * DEAD_PERIODS).max(settings.min_dead_ms.get());
+        let suspect_ms = (period_ms * SUSPECT_HALF_PERIODS / 2).max(settings.min_suspect_ms.get());
+        if silence.get() >= dead_ms {
+            InstanceState::Dead
+        } else if silence.get() >= suspect_ms && !self.leaving {
+            InstanceState::Suspect
+        } else {
+            self.alive()
+        }
+    }
+
+    /// Whether the instance could mark others as fenced when it was last heard.
+    pub(super) fn could_fence(&self, settings: &MembershipSettings) -> bool {
+        let age = self
+            .heard
+            .as_ref()
+            .and_then(|heard| heard.heartbeat.platform_age_ms);
+        self.heard.is_none() || age.is_some_and(|age| age < settings.platform_lost_ms)
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-membership/src/view/roster.rs
@@ -0,0 +1,69 @@
+//! Who may own backend servers of this zone.
+
+use damaskvane_core::{ids, time};
+
+use crate::state::{Gone, InstanceState};
+use crate::view::membership::Membership;
+
+/// One instance of the own zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RosterMember {
+    /// Its name.
+    pub instance: ids::InstanceId,
+    /// Its latest start.
+    pub incarnation: ids::Incarnation,
+    /// Whether it is about to stop, and so may own nothing more.
+    pub leaving: bool,
+    /// Whether that start is proven gone, and from when on.
+    pub gone: Option<Gone>,
+}
+
+/// The instances of the own zone, this one among them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Roster {
+    /// All that are, or may still be, at work, and those that are gone.
+    pub members: Vec<RosterMember>,
+    /// Until when this instance may use what it owns.
+    pub authority_until: Option<time::TimeMs>,
+    /// Whether this instance has seen itself on the list, so that the list names all that came before.
+    pub is_listed: bool,
+}
+
+impl Membership {
+    /// The instances of the own zone as owners of backend servers.
+    ///
+    /// A member that is dead by silence alone stays an owner: what it owns passes on only by proof.
+    #[must_use]
+    pub fn roster(&self) -> Roster {
+        let own = RosterMember {
+            instance: self.own.instance.clone(),
+            incarnation: self.own.incarnation,
+            leaving: self.leaving,
+            gone: None,
+        };
+        let zone = self
+            .members
+            .values()
+            .filter(|member| member.record.zone == self.own.zone);
+        let others = zone.map(|member| RosterMember {
+            instance: member.record.instance.clone(),
+            incarnation: member.incarnation,
+            leaving: member.leaving,
+            gone: member.gone,
+        });
+        let mut members: Vec<RosterMember> = others.chain([own]).collect();
+        members.sort_by(|a, b| a.instance.cmp(&b.instance));
+        Roster {
+            members,
+            authority_until: self.authority_until(),
+            is_listed: self.is_listed,
+        }
+    }
+
+    /// Whether every instance of the own zone is heard, for status.
+    #[must_use]
+    pub fn is_zone_whole(&self) -> bool {
+        self.neighbours()
+            .all(|member| self.state_of(member) <= InstanceState::Leaving)
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-membership/src/view/rounds.rs
@@ -0,0 +1,34 @@
+//! When which round of heartbeats was sent.
+
+use std::collections::VecDeque;
+
+use damaskvane_core::time::TimeMs;
+
+/// How many rounds are kept; older echoes come too late to matter.
+const KEPT: usize = 64;
+
+/// The rounds of heartbeats of this incarnation.
+#[derive(Debug, Default)]
+pub(super) struct Rounds {
+    last: u64,
+    sent_at: VecDeque<TimeMs>,
+}
+
+impl Rounds {
+    /// Begins a round and returns its sequence.
+    pub(super) fn begin(&mut self, now: TimeMs) -> u64 {
+        self.last += 1;
+        self.sent_at.push_back(now);
+        if self.sent_at.len() > KEPT {
+            self.sent_at.pop_front();
+        }
+        self.last
+    }
+
+    /// When the round with this sequence began; nothing for one that is too old or was never sent.
+    pub(super) fn sent_at(&self, sequence: u64) -> Option<TimeMs> {
+        let back = usize::try_from(self.last.checked_sub(sequence)?).ok()?;
+        let index = self.sent_at.len().checked_sub(back + 1)?;
+        self.sent_at.get(index).copied()
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-membership/tests/authority.rs
@@ -0,0 +1,132 @@
+//! Whether one may go on with what it owns, and whether another may take it: never both.
+
+mod common;
+
+use common::{STEP_MS, Zone, id};
+use damaskvane_membership::state::InstanceState;
+use damaskvane_membership::view;
+use rand::{RngExt, SeedableRng};
+
+/// A process dies and its machine answers for it. The proof is there at once, and its work can be
+/// taken over without waiting for the platform.
+#[test]
+fn a_refused_probe_proves_a_death() {
+    let mut zone = Zone::new(&["z-a-1", "z-a-2"]);
+    zone.instances.remove(&id("z-a-2"));
+    zone.run(4_500);
+    assert_eq!(zone.state("z-a-1", "z-a-2"), Some(InstanceState::Gone));
+    assert!(zone.has_authority(&id("z-a-1")));
+}
+
+/// A process is paused. To its neighbour it looks dead, but nothing proves it, so what it owns stays
+/// its own; it is then fenced through the platform, and when it wakes up it must not go on. If it did,
+/// two instances would fill the same slots.
+#[test]
+fn a_paused_owner_is_fenced_and_stays_out() {
+    let mut zone = Zone::new(&["z-a-1", "z-a-2"]);
+    zone.paused.insert(id("z-a-2"));
+    zone.run(5_000);
+    assert_eq!(zone.state("z-a-1", "z-a-2"), Some(InstanceState::Dead));
+    zone.run(30_000);
+    assert_eq!(zone.state("z-a-1", "z-a-2"), Some(InstanceState::Gone));
+    assert!(!zone.has_authority(&id("z-a-2")));
+    zone.paused.clear();
+    zone.run(5_000);
+    assert!(zone.instances[&id("z-a-2")].is_fenced());
+    zone.check();
+}
+
+/// An instance is cut off from its neighbour and from the platform, but not from backend servers. It
+/// can't learn that it was fenced, so it must stop by itself before the other begins.
+#[test]
+fn an_instance_that_is_cut_off_stops_by_itself() {
+    let mut zone = Zone::new(&["z-a-1", "z-a-2"]);
+    zone.cut("z-a-1", "z-a-2");
+    zone.cut("z-a-2", "z-a-1");
+    zone.without_platform.insert(id("z-a-2"));
+    zone.run(9_000);
+    assert!(!zone.has_authority(&id("z-a-2")));
+    for _ in 0..600 {
+        zone.step(5);
+        zone.check();
+    }
+    assert!(zone.has_authority(&id("z-a-1")));
+}
+
+/// Only one direction is broken: the owner hears its neighbour, the neighbour does not hear the owner.
+/// Hearing others is then no sign of being heard.
+#[test]
+fn hearing_is_not_being_heard() {
+    let mut zone = Zone::new(&["z-a-1", "z-a-2"]);
+    zone.cut("z-a-2", "z-a-1");
+    zone.without_platform.insert(id("z-a-2"));
+    zone.run(7_500);
+    assert_eq!(zone.state("z-a-2", "z-a-1"), Some(InstanceState::Live));
+    zone.run(1_500);
+    assert!(!zone.has_authority(&id("z-a-2")));
+}
+
+/// The zone is cut off from the platform, and then the machine of its other instance is lost. Nobody
+/// could have fenced the last one: it goes on, or the zone would serve nothing until the cut heals.
+#[test]
+fn the_last_instance_of_a_cut_zone_goes_on() {
+    let mut zone = Zone::new(&["z-a-1", "z-a-2"]);
+    zone.without_platform.extend([id("z-a-1"), id("z-a-2")]);
+    zone.run(10_000);
+    zone.paused.insert(id("z-a-2"));
+    zone.run(60_000);
+    assert!(zone.has_authority(&id("z-a-1")));
+    assert_eq!(zone.state("z-a-1", "z-a-2"), Some(InstanceState::Dead));
+}
+
+/// A connection goes silent for good in one direction while new ones work. The sender sees by the echoes
+/// that it is not heard, and dials anew.
+#[test]
+fn a_silent_connection_is_made_anew() {
+    let mut zone = Zone::new(&["z-a-1", "z-a-2"]);
+    zone.cut("z-a-2", "z-a-1");
+    zone.run(6_000);
+    let wanted = (id("z-a-2"), id("z-a-1"));
+    assert!(zone.reconnects.contains(&wanted));
+}
+
+/// An instance that is about to stop says so at once, and its neighbours give it nothing new.
+#[test]
+fn leaving_is_told_at_once() {
+    let mut zone = Zone::new(&["z-a-1", "z-a-2"]);
+    zone.feed(&id("z-a-2"), view::Event::Leave, 5);
+    zone.run(2 * STEP_MS);
+    assert_eq!(zone.state("z-a-1", "z-a-2"), Some(InstanceState::Leaving));
+}
+
+/// Cuts in one or both directions, pauses, deaths and an unreachable platform come and go at random.
+/// At no time may one instance be free to take over from another that would still act.
+#[test]
+fn random_faults_never_leave_two_owners() {
+    for seed in 0..40 {
+        let mut random = rand_pcg::Pcg32::seed_from_u64(seed);
+        let names = ["z-a-1", "z-a-2", "z-a-3"];
+        let mut zone = Zone::new(&names);
+        for _ in 0..2_400 {
+            if random.random_ratio(1, 60) {
+                disturb(&mut zone, &names, &mut random);
+            }
+            zone.step(random.random_range(0..400));
+            zone.check();
+        }
+    }
+}
+
+fn disturb(zone: &mut Zone, names: &[&str], random: &mut rand_pcg::Pcg32) {
+    let a = id(names[random.random_range(0..names.len())]);
+    let b = id(names[random.random_range(0..names.len())]);
+    match random.random_range(0..8) {
+        0 => drop(zone.cuts.insert((a, b))),
+        1 => zone.cuts.extend([(a.clone(), b.clone()), (b, a)]),
+        2 | 3 => zone.cuts.clear(),
+        4 => drop(zone.paused.insert(a)),
+        5 => zone.paused.clear(),
+        6 => drop(zone.without_platform.insert(a)),
+        _ => zone.without_platform.clear(),
+    }
+}
