--- a/crates/damaskvane-entry/src/control.rs
+++ b/crates/damaskvane-entry/src/control.rs
@@ -167,6 +167,7 @@
             self.tell_membership(view::Event::Tick);
             self.read_list_if_due();
         } else if fired == timers.plan {
+            self.report();
             self.steer();
         } else if fired == timers.maintenance {
             self.maintain();
--- a/crates/damaskvane-entry/src/control/configuration.rs
+++ b/crates/damaskvane-entry/src/control/configuration.rs
@@ -69,6 +69,7 @@
             relay::Action::InForce { version } => {
                 info!(self.logger, "configuration in force"; "config_version" => version.get());
                 self.serving.counters.increment("config", "adopted");
+                self.report();
                 self.publish();
             }
         }
--- a/crates/damaskvane-entry/src/control/fleet.rs
+++ b/crates/damaskvane-entry/src/control/fleet.rs
@@ -153,6 +153,15 @@
         self.tell_relay(heard);
     }
 
+    /// What heartbeats say of this instance from now on.
+    pub(super) fn report(&mut self) {
+        let config_version = self.relay.adopter().version();
+        self.tell_membership(view::Event::Report {
+            config_version,
+            load: heartbeat::LoadSummary::default(),
+        });
+    }
+
     /// A refused connection proves that the process is gone; silence proves nothing.
     fn probe(
         &self,
@@ -189,11 +198,7 @@
             .submit(store::StoreJob::ListInstances { asked_at: now });
     }
 
-    pub(super) fn take_list(
-        &mut self,
-        records: Vec<api::InstanceRecord>,
-        asked_at: time::TimeMs,
-    ) {
+    pub(super) fn take_list(&mut self, records: Vec<api::InstanceRecord>, asked_at: time::TimeMs) {
         let now = self.now();
         self.list.is_out = false;
         self.list.known = records.len();
--- a/crates/damaskvane-entry/src/control/publishing.rs
+++ b/crates/damaskvane-entry/src/control/publishing.rs
@@ -106,7 +106,11 @@
     }
 
     pub(super) fn publish_status(&self) {
-        let instances: Vec<_> = self.membership.instances().map(described).collect();
+        let instances: Vec<_> = self
+            .membership
+            .instances()
+            .map(|instance| described(&instance))
+            .collect();
         self.status.publish("instances", json!(instances));
         self.status
             .publish("relay", json!(self.relay.is_watching()));
@@ -131,7 +135,7 @@
     }
 }
 
-fn described(instance: view::InstanceView<'_>) -> serde_json::Value {
+fn described(instance: &view::InstanceView<'_>) -> serde_json::Value {
     json!({
         "instance": instance.record.instance,
         "availability_zone": instance.record.zone,
--- a/crates/damaskvane-entry/src/process.rs
+++ b/crates/damaskvane-entry/src/process.rs
@@ -115,7 +115,14 @@
     start_clients(clients, settings, &serving, &engine)?;
     ready::announce(&record);
     info!(logger, "serving"; "client_address" => client_address.to_string());
-    stop::wait_and_stop(&stop_requests, &control, &engine, &serving, settings, &logger);
+    stop::wait_and_stop(
+        &stop_requests,
+        &control,
+        &engine,
+        &serving,
+        settings,
+        &logger,
+    );
     Ok(())
 }
 
--- a/crates/damaskvane-entry/tests/reference_pages.rs
+++ b/crates/damaskvane-entry/tests/reference_pages.rs
@@ -23,7 +23,11 @@
         assert!(page.contains(&line), "docs/SETTINGS.md lacks: {line}");
     }
     let rows = page.lines().filter(|line| line.starts_with("| `")).count();
-    assert_eq!(rows, EntrySettings::KEYS.len(), "docs/SETTINGS.md has other rows too");
+    assert_eq!(
+        rows,
+        EntrySettings::KEYS.len(),
+        "docs/SETTINGS.md has other rows too"
+    );
 }
 
 #[test]
@@ -31,7 +35,11 @@
     let page = page("COUNTERS.md");
     let mut rows = 0;
     for reason in refusal::RefusalReason::ALL {
-        let kind = if reason.means_not_run() { "not run" } else { "unknown" };
+        let kind = if reason.means_not_run() {
+            "not run"
+        } else {
+            "unknown"
+        };
         let line = format!(
             "| `refused.{}` | {kind} | {} | {} | {} |",
             reason.as_str(),
