--- a/crates/damaskvane-bench/src/cluster/command.rs
+++ b/crates/damaskvane-bench/src/cluster/command.rs
@@ -6,7 +6,7 @@
 use damaskvane_telemetry::command_line;
 
 use crate::arguments;
-use crate::cluster::{Cluster, Deployment};
+use crate::cluster::{self, Cluster, Deployment};
 use crate::error::BenchError;
 
 const USAGE: &str = "\
@@ -45,7 +45,7 @@
     let line = serde_json::json!({
         "directory": cluster.directory(),
         "entries": cluster.client_addresses(),
-        "operators": cluster.entries.iter().map(|entry| entry.operator_address()).collect::<Vec<_>>(),
+        "operators": cluster.entries.iter().map(cluster::Entry::operator_address).collect::<Vec<_>>(),
         "platform": cluster.platform_address(),
         "platform_admin": cluster.platform().address(),
         "backend_servers": cluster.backend_addresses(),
--- a/crates/damaskvane-bench/src/cluster/declarations.rs
+++ b/crates/damaskvane-bench/src/cluster/declarations.rs
@@ -102,7 +102,7 @@
 
 /// A set of client blocks near a zone.
 #[must_use]
-pub fn client_blocks(zone: &str, first: u32, last: u32) -> String {
+fn client_blocks(zone: &str, first: u32, last: u32) -> String {
     format!(
         "[client_blocks.{zone}]\nnear = \"{zone}\"\nranges = [{{ prefix = \"{zone}-\", first = {first}, last = {last} }}]\n\n"
     )
