--- a/crates/damaskvane-bench/src/lib.rs
+++ b/crates/damaskvane-bench/src/lib.rs
@@ -7,6 +7,8 @@
 //! - [`load`]: open-loop load, and what each request was answered.
 //! - [`checker`]: what ran, compared with every answer given.
 //! - [`cluster`]: the real programs on free loopback ports.
+//! - [`demo`]: both deployments under traffic and faults, one line for each promise.
+//! - [`in_force`]: how long a ticket takes until it holds everywhere.
 //! - [`histogram`], [`fit`]: quantiles and lines through measured points.
 //!
 //! ```
@@ -20,8 +22,10 @@
 pub mod client;
 pub mod cluster;
 pub mod commands;
+pub mod demo;
 pub mod error;
 pub mod fit;
 pub mod histogram;
 pub mod http;
+pub mod in_force;
 pub mod load;
--- a/crates/damaskvane-bench/src/load.rs
+++ b/crates/damaskvane-bench/src/load.rs
@@ -15,6 +15,6 @@
 mod report;
 mod settings;
 
-pub use generator::{Generator, run};
+pub use generator::{Generator, run, run_until};
 pub use report::Report;
 pub use settings::LoadSettings;
--- a/crates/damaskvane-bench/src/load/generator.rs
+++ b/crates/damaskvane-bench/src/load/generator.rs
@@ -1,6 +1,7 @@
 //! Sends requests when they are due.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use rand::{RngExt, SeedableRng};
@@ -10,6 +11,9 @@
 use crate::http;
 use crate::load::LoadSettings;
 
+/// Threads that send.
+const WORKERS: usize = 2;
+
 /// Makes the requests of a load, the same for the same seed.
 #[derive(Debug)]
 pub struct Generator {
@@ -54,24 +58,36 @@
 
 /// Runs a load to its end; `run` names it.
 pub fn run(settings: &LoadSettings, run: &str) -> Result<Vec<client::Given>, BenchError> {
+    run_until(settings, run, &AtomicBool::new(false))
+}
+
+/// Runs a load to its end, or until `stop` is set; requests on their way are waited for.
+pub fn run_until(
+    settings: &LoadSettings,
+    run: &str,
+    stop: &AtomicBool,
+) -> Result<Vec<client::Given>, BenchError> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
+        .worker_threads(WORKERS)
         .enable_all()
         .build()
         .map_err(|cause| BenchError::Start {
             program: "load".into(),
             cause: cause.to_string(),
         })?;
-    Ok(runtime.block_on(drive(settings, run)))
+    Ok(runtime.block_on(drive(settings, run, stop)))
 }
 
-async fn drive(settings: &LoadSettings, run: &str) -> Vec<client::Given> {
+async fn drive(settings: &LoadSettings, run: &str, stop: &AtomicBool) -> Vec<client::Given> {
     let clients = clients(settings);
     let generator = Generator::new(settings.clone(), run);
     let (sender, receiver) = flume::unbounded();
     let start = Instant::now();
     let count = usize::try_from(settings.requests()).unwrap_or(usize::MAX);
     for (number, order) in generator.take(count).enumerate() {
+        if stop.load(Ordering::Relaxed) {
+            break;
+        }
         let due = start + Duration::from_secs_f64(number as f64 / settings.rate as f64);
         tokio::time::sleep_until(due.into()).await;
         let client = Arc::clone(&clients[number % clients.len()]);
