--- a/crates/damaskvane-entry/src/client_api/listener.rs
+++ b/crates/damaskvane-entry/src/client_api/listener.rs
@@ -112,12 +112,14 @@
         .map_or_else(String::new, |target| target.as_str().to_owned());
     match route::Route::parse(&target) {
         route::Route::Lookup => lookup::answer(&api.serving, request.uri().query().unwrap_or("")),
-        route::Route::Service { service, path } => {
-            match service.parse() {
-                Ok(service) => submit(api, request, service, path).await,
-                Err(error) => refuse(api, refusal::RefusalReason::ServiceUnknown, &error.to_string()),
-            }
-        }
+        route::Route::Service { service, path } => match service.parse() {
+            Ok(service) => submit(api, request, service, path).await,
+            Err(error) => refuse(
+                api,
+                refusal::RefusalReason::ServiceUnknown,
+                &error.to_string(),
+            ),
+        },
         route::Route::Unknown => refuse(
             api,
             refusal::RefusalReason::MalformedRequest,
@@ -165,7 +167,7 @@
 async fn run(
     api: &ClientApi,
     request: message::ServiceRequest,
-) -> outcome::Outcome<message::BackendAnswer> {
+) -> outcome::Outcome<Arc<message::BackendAnswer>> {
     let lost = outcome::Outcome::unknown(refusal::RefusalReason::InternalInvariant);
     let number = api.serving.next_request_number();
     let (sender, receiver) = flume::bounded(1);
@@ -182,4 +184,3 @@
     guard.disarm();
     outcome.unwrap_or(lost)
 }
-
--- a/crates/damaskvane-entry/src/control.rs
+++ b/crates/damaskvane-entry/src/control.rs
@@ -19,6 +19,7 @@
 
 use damaskvane_config::{manifest, state};
 use damaskvane_core::{hash, ids, time, timer};
+use damaskvane_dispatch::home;
 use damaskvane_platform::api;
 use damaskvane_steering::{digest, plan, planner};
 pub use input::ControlInput;
@@ -112,7 +113,8 @@
         let list = timers.subscribe(LIST_PERIOD);
         let steer = timers.subscribe(PLAN_PERIOD);
         let maintenance = timers.subscribe(MAINTENANCE_PERIOD);
-        self.store.submit(store::StoreJob::Announce(self.record.clone()));
+        self.store
+            .submit(store::StoreJob::Announce(self.record.clone()));
         self.store.submit(store::StoreJob::ListInstances);
         self.watch();
         loop {
@@ -152,11 +154,7 @@
         match received.message {
             wire::WireMessage::Heartbeat(_) => {}
             wire::WireMessage::Engine(message) => {
-                let from = damaskvane_engine::message::Home {
-                    instance: received.from,
-                    incarnation: received.incarnation,
-                };
-                let message = Box::new(message);
+                let from = home::Home::new(received.from, received.incarnation);
                 let _ = self.engine.send(inbox::Input::Peer { from, message });
             }
         }
@@ -223,7 +221,8 @@
             Ok(config) => {
                 info!(self.logger, "configuration in force";
                     "config_version" => head.version.get(), "ticket" => head.ticket.get());
-                self.chunks.retain(|hash, _| head.objects.values().any(|entry| entry.hash == *hash));
+                self.chunks
+                    .retain(|hash, _| head.objects.values().any(|entry| entry.hash == *hash));
                 self.config = Some(Arc::new(config));
                 self.publish();
             }
@@ -262,7 +261,9 @@
             |server| self.owner(server),
             self.peer_instances(),
         );
-        let _ = self.engine.send(inbox::Input::Directory(Arc::new(directory)));
+        let _ = self
+            .engine
+            .send(inbox::Input::Directory(Arc::new(directory)));
         self.steer();
     }
 
@@ -347,7 +348,8 @@
     fn leave(&mut self) {
         self.record.leaving = true;
         self.status.leaving.store(1, Ordering::Release);
-        self.store.submit(store::StoreJob::Announce(self.record.clone()));
+        self.store
+            .submit(store::StoreJob::Announce(self.record.clone()));
         self.instances
             .insert(self.record.instance.clone(), self.record.clone());
         self.send_heartbeats();
@@ -355,4 +357,3 @@
         let _ = self.engine.send(inbox::Input::Leave);
     }
 }
-
