--- a/crates/damaskvane-bench/tests/promises.rs
+++ b/crates/damaskvane-bench/tests/promises.rs
@@ -129,12 +129,12 @@
     let cases: [(usize, Break); 13] = [
         (0, |run| run.shares[1].permille = 301),
         (0, |run| {
-            run.shares.iter_mut().for_each(|share| share.permille = 0)
+            run.shares.iter_mut().for_each(|share| share.permille = 0);
         }),
         (1, |run| {
             run.stats
                 .values_mut()
-                .for_each(|stats| stats.over_slots = 1)
+                .for_each(|stats| stats.over_slots = 1);
         }),
         (2, |run| run.given[0].fault = Some(AnswerFault::NotWhole)),
         (3, |run| {
@@ -156,7 +156,7 @@
                 Outcome::Unknown,
                 "connection-broken",
                 STOP_AT + 500,
-            ))
+            ));
         }),
         (7, |run| run.tickets[0].in_force_ms = None),
         (7, |run| run.versions.push(version(3, 1))),
