--- a/crates/damaskvane-standins/src/lib.rs
+++ b/crates/damaskvane-standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! # Crate guide
 //!
 //! - [`platform`]: the platform's object API, in memory.
+//! - [`config_run`]: randomised runs of the configuration through mixed faults.
 //!
 //! ```
 //! use damaskvane_standins::platform;
@@ -10,4 +11,5 @@
 //! assert!(!platform::Faults::default().down);
 //! ```
 
+pub mod config_run;
 pub mod platform;
