--- a/crates/damaskvane-standins/src/lib.rs
+++ b/crates/damaskvane-standins/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! - [`backend`]: one process that plays many backend servers, logs what it ran and fails on demand.
 //! - [`platform`]: the platform's object API, in memory.
+//! - [`config_run`]: randomised runs of the configuration through mixed faults.
 //!
 //! ```
 //! use damaskvane_standins::{backend, platform};
@@ -14,4 +15,5 @@
 //! ```
 
 pub mod backend;
+pub mod config_run;
 pub mod platform;
