Rustdoc links hold in every crate

Cause: two guides linked to private or ambiguous items, which rustdoc denies. Ruled out: allowing the lint. Conclusion: documentation builds without warnings.

--- a/crates/damaskvane-entry/src/control.rs
+++ b/crates/damaskvane-entry/src/control.rs
@@ -1,8 +1,8 @@
 //! The control thread: configuration, membership and steering of this instance.
 //!
 //! It owns every slow decision and publishes the results: a serving state for look-ups, a directory
-//! for the engine, an address book for the peers. [`configuration`] drives the relay of the
-//! configuration, [`fleet`] the membership, [`steering`] the plan; each turns actions of pure decision code
+//! for the engine, an address book for the peers. `configuration` drives the relay of the
+//! configuration, `fleet` the membership, `steering` the plan; each turns actions of pure decision code
 //! into calls and messages, and their ends back into events.
 //!
 //! ```
--- a/crates/damaskvane-platform/src/lib.rs
+++ b/crates/damaskvane-platform/src/lib.rs
@@ -4,7 +4,7 @@
 //!
 //! - [`api`]: the trait that programs and fakes implement, with its typed results.
 //! - [`http`]: the implementation over HTTP.
-//! - [`write`]: a write whose lost answer is resolved by reading its own identity back.
+//! - [`mod@write`]: a write whose lost answer is resolved by reading its own identity back.
 //! - [`backoff`]: growing pauses with jitter.
 //! - [`budget`]: the rate budget, which counts each call, a waiting watch as one.
 //! - [`credential`]: tokens, which are never shown.
