--- a/crates/damaskvane-bench/src/commands.rs
+++ b/crates/damaskvane-bench/src/commands.rs
@@ -9,7 +9,7 @@
 use std::process;
 
 use crate::error::BenchError;
-use crate::{checker, cluster, demo, load};
+use crate::{checker, cluster, demo, load, steering};
 
 /// One sub-command.
 #[derive(Debug, Clone, Copy)]
@@ -39,6 +39,11 @@
         summary: "a deployment to try things on by hand",
         run: cluster::command::run,
     },
+    Command {
+        name: "steering",
+        summary: "the decision code against baselines, in virtual time",
+        run: steering::command::run,
+    },
     Command {
         name: "demo",
         summary: "both deployments under traffic and faults",
--- a/crates/damaskvane-bench/src/lib.rs
+++ b/crates/damaskvane-bench/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`cluster`]: the real programs on free loopback ports.
 //! - [`demo`]: both deployments under traffic and faults, one line for each promise.
 //! - [`in_force`]: how long a ticket takes until it holds everywhere.
+//! - [`steering`]: the decision code against baselines, in virtual time.
 //! - [`histogram`], [`fit`]: quantiles and lines through measured points.
 //!
 //! ```
@@ -29,3 +30,4 @@
 pub mod http;
 pub mod in_force;
 pub mod load;
+pub mod steering;
