--- a/crates/damaskvane-bench/src/commands.rs
+++ b/crates/damaskvane-bench/src/commands.rs
@@ -9,7 +9,7 @@
 use std::process;
 
 use crate::error::BenchError;
-use crate::{checker, cluster, demo, load};
+use crate::{checker, cluster, config, demo, load, speed};
 
 /// One sub-command.
 #[derive(Debug, Clone, Copy)]
@@ -44,6 +44,16 @@
         summary: "both deployments under traffic and faults",
         run: demo::command::run,
     },
+    Command {
+        name: "speed",
+        summary: "what an entry instance adds to a request, and its look-ups",
+        run: speed::command::run,
+    },
+    Command {
+        name: "config",
+        summary: "from acceptance to in force everywhere",
+        run: config::run,
+    },
 ];
 
 /// The sub-command of that name.
--- a/crates/damaskvane-bench/src/lib.rs
+++ b/crates/damaskvane-bench/src/lib.rs
@@ -9,6 +9,8 @@
 //! - [`cluster`]: the real programs on free loopback ports.
 //! - [`demo`]: both deployments under traffic and faults, one line for each promise.
 //! - [`in_force`]: how long a ticket takes until it holds everywhere.
+//! - [`config`]: the same by the number of daemons.
+//! - [`speed`]: what an entry instance adds to a request, and its look-ups.
 //! - [`histogram`], [`fit`]: quantiles and lines through measured points.
 //!
 //! ```
@@ -22,6 +24,7 @@
 pub mod client;
 pub mod cluster;
 pub mod commands;
+pub mod config;
 pub mod demo;
 pub mod error;
 pub mod fit;
@@ -29,3 +32,4 @@
 pub mod http;
 pub mod in_force;
 pub mod load;
+pub mod speed;
