--- a/crates/damaskvane-bench/src/lib.rs
+++ b/crates/damaskvane-bench/src/lib.rs
@@ -10,6 +10,8 @@
 //! - [`demo`]: both deployments under traffic and faults, one line for each promise.
 //! - [`in_force`]: how long a ticket takes until it holds everywhere.
 //! - [`steering`]: the decision code against baselines, in virtual time.
+//! - [`config`]: the same by the number of daemons.
+//! - [`speed`]: what an entry instance adds to a request, and its look-ups.
 //! - [`histogram`], [`fit`]: quantiles and lines through measured points.
 //!
 //! ```
@@ -23,6 +25,7 @@
 pub mod client;
 pub mod cluster;
 pub mod commands;
+pub mod config;
 pub mod demo;
 pub mod error;
 pub mod fit;
@@ -30,4 +33,5 @@
 pub mod http;
 pub mod in_force;
 pub mod load;
+pub mod speed;
 pub mod steering;
