Exact slots: an owner lends leases, and changes only by consent or proof

The sum of work on a backend server must never exceed its slots while its zone's instances disagree. One owner for each backend server lends slots for a bounded time; a holder counts its lease from its own ask and a margin shorter, and gives the backend server a deadline within it. A new owner begins with its predecessor's ledger, or with the consent of all who are not proven gone and a wait of one lease. Waiting alone was ruled out: two that don't hear each other would both wait and both begin.

--- /dev/null
+++ b/crates/damaskvane-slots/src/exchange/aggregate.rs
@@ -0,0 +1,345 @@
+//! The aggregate itself: events, permits, and who is assigned what.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use damaskvane_core::{ids, time, units};
+use damaskvane_membership::{ownership, view};
+
+use crate::counters::SlotCounters;
+use crate::exchange::event::{Action, Event, ServerSlots};
+use crate::exchange::server::{Ownership, Sender, Server};
+use crate::message::{Addressed, SlotMessage};
+use crate::permit::{Permit, Ready, Returned};
+use crate::settings::SlotSettings;
+
+/// Why there is no permit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
+pub enum Unavailable {
+    /// the backend server is not one of this zone; check the configuration in force
+    UnknownServer,
+    /// no borrowed slot is free; report the demand and begin again when slots are available
+    NoSlot,
+}
+
+/// How the use of a slot ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Finish {
+    /// The whole answer came, or the request was never sent.
+    Ended,
+    /// It was given up; the backend server may work on it until its deadline.
+    MayStillRun,
+}
+
+/// All slots of the backend servers of one zone, as one of its instances knows them.
+#[derive(Debug)]
+pub struct SlotExchange {
+    pub(super) own: Sender,
+    pub(super) settings: SlotSettings,
+    pub(super) servers: BTreeMap<ids::BackendServerId, Server>,
+    pub(super) roster: view::Roster,
+    pub(super) counters: SlotCounters,
+    pub(super) now: time::TimeMs,
+    pub(super) last_claim: u64,
+    pub(super) actions: Vec<Action>,
+    /// Messages to this instance itself.
+    local: VecDeque<SlotMessage>,
+}
+
+impl SlotExchange {
+    /// An instance that knows neither others nor backend servers yet.
+    #[must_use]
+    pub const fn new(
+        instance: ids::InstanceId,
+        incarnation: ids::Incarnation,
+        settings: SlotSettings,
+    ) -> Self {
+        Self {
+            own: Sender {
+                instance,
+                incarnation,
+            },
+            settings,
+            servers: BTreeMap::new(),
+            roster: view::Roster {
+                members: Vec::new(),
+                authority_until: None,
+                is_listed: false,
+            },
+            counters: SlotCounters {
+                granted: 0,
+                queued: 0,
+                refused: BTreeMap::new(),
+                recalled: 0,
+                borrowed: 0,
+                late_grants: 0,
+                lapsed: 0,
+                sent_late: 0,
+                handed_over: 0,
+                waited_out: 0,
+                declined: 0,
+                old_messages: 0,
+            },
+            now: time::TimeMs::ZERO,
+            last_claim: 0,
+            actions: Vec::new(),
+            local: VecDeque::new(),
+        }
+    }
+
+    /// Takes an event at a time and returns what is to be done.
+    pub fn handle(&mut self, now: time::TimeMs, event: Event) -> Vec<Action> {
+        self.now = self.now.max(now);
+        match event {
+            Event::Servers(servers) => self.set_servers(servers),
+            Event::Roster(roster) => self.set_roster(roster),
+            Event::Message {
+                from,
+                incarnation,
+                message,
+            } => self.take_message(from, incarnation, message),
+            Event::Demand { server, waiting } => self.demand(&server, waiting),
+            Event::Tick => self.tick(),
+        }
+        self.flush()
+    }
+
+    fn flush(&mut self) -> Vec<Action> {
+        while let Some(message) = self.local.pop_front() {
+            let own = self.own.clone();
+            self.dispatch(&own, message);
+        }
+        core::mem::take(&mut self.actions)
+    }
+
+    /// Takes a slot for one request that may run for up to `wanted_ms`, and needs `at_least_ms`.
+    ///
+    /// # Errors
+    ///
+    /// [`Unavailable`] if no borrowed slot is free for so long; none is borrowed by this call.
+    pub fn begin(
+        &mut self,
+        now: time::TimeMs,
+        server: &ids::BackendServerId,
+        wanted_ms: time::SpanMs,
+        at_least_ms: time::SpanMs,
+    ) -> Result<Permit<Ready>, Unavailable> {
+        let known = self
+            .servers
+            .get_mut(server)
+            .ok_or(Unavailable::UnknownServer)?;
+        let (number, lapses_at) = known
+            .pool
+            .begin(now, at_least_ms)
+            .ok_or(Unavailable::NoSlot)?;
+        Ok(Permit::new(
+            server.clone(),
+            number,
+            now,
+            lapses_at,
+            wanted_ms,
+        ))
+    }
+
+    /// Gives a slot back that was in use.
+    pub fn finish(&mut self, now: time::TimeMs, permit: &Returned, how: Finish) -> Vec<Action> {
+        self.now = self.now.max(now);
+        let still_runs_until = match how {
+            Finish::Ended => None,
+            Finish::MayStillRun => Some(permit.ends_by + self.settings.margin_ms),
+        };
+        if let Some(server) = self.servers.get_mut(&permit.server) {
+            server.pool.finish(now, permit.number, still_runs_until);
+        }
+        self.return_excess(&permit.server);
+        self.flush()
+    }
+
+    /// Counts a permit whose lease lapsed before the request was sent.
+    pub const fn count_lapsed(&mut self) {
+        self.counters.lapsed += 1;
+    }
+
+    /// Counts a request that was sent after its lease had lapsed.
+    pub const fn count_sent_late(&mut self) {
+        self.counters.sent_late += 1;
+    }
+
+    /// What has been counted so far.
+    #[must_use]
+    pub const fn counters(&self) -> &SlotCounters {
+        &self.counters
+    }
+
+    /// Borrowed slots of a backend server that requests may use now.
+    #[must_use]
+    pub fn free(&self, now: time::TimeMs, server: &ids::BackendServerId) -> units::Slots {
+        let server = self.servers.get(server);
+        server.map_or(units::Slots::ZERO, |server| server.pool.free(now))
+    }
+
+    /// Whether the hash names this instance as owner; it then borrows without a message.
+    #[must_use]
+    pub fn is_assigned(&self, server: &ids::BackendServerId) -> bool {
+        self.assigned(server).as_ref() == Some(&self.own.instance)
+    }
+
+    /// Whether a planned stop has handed over all that this instance owned and runs nothing.
+    #[must_use]
+    pub fn is_drained(&self, now: time::TimeMs) -> bool {
+        let has_successor = self.candidates().next().is_some();
+        self.servers.values().all(|server| {
+            let is_idle = server.pool.busy(now) == units::Slots::ZERO;
+            is_idle && (!has_successor || matches!(server.ownership, Ownership::None))
+        })
+    }
+
+    fn set_servers(&mut self, servers: Vec<ServerSlots>) {
+        let mut kept = core::mem::take(&mut self.servers);
+        for limit in servers {
+            let mut server = kept
+                .remove(&limit.server)
+                .unwrap_or_else(|| Server::new(limit.slots));
+            server.set_slots(limit.slots);
+            self.servers.insert(limit.server, server);
+        }
+        self.follow_assignments();
+    }
+
+    fn set_roster(&mut self, roster: view::Roster) {
+        let is_same =
+            self.roster.members == roster.members && self.roster.is_listed == roster.is_listed;
+        self.roster = roster;
+        if !is_same {
+            self.follow_assignments();
+        }
+    }
+
+    fn follow_assignments(&mut self) {
+        let names: Vec<ids::BackendServerId> = self.servers.keys().cloned().collect();
+        for name in names {
+            let assigned = self.assigned(&name);
+            let is_own = assigned.as_ref() == Some(&self.own.instance);
+            if let Some(server) = self.servers.get_mut(&name) {
+                server.set_owner(assigned);
+            }
+            self.follow_assignment(&name, is_own);
+        }
+    }
+
+    fn take_message(
+        &mut self,
+        from: ids::InstanceId,
+        incarnation: ids::Incarnation,
+        message: Addressed,
+    ) {
+        let member = self
+            .roster
+            .members
+            .iter()
+            .find(|member| member.instance == from);
+        let is_current = member.is_some_and(|member| {
+            let is_gone = member
+                .gone
+                .is_some_and(|gone| gone.incarnation >= incarnation);
+            incarnation >= member.incarnation && !is_gone
+        });
+        if !is_current || message.incarnation != self.own.incarnation {
+            self.counters.old_messages += 1;
+            return;
+        }
+        let instance = from;
+        let sender = Sender {
+            instance,
+            incarnation,
+        };
+        self.dispatch(&sender, message.message);
+    }
+
+    fn dispatch(&mut self, from: &Sender, message: SlotMessage) {
+        match message {
+            SlotMessage::Acquire { .. }
+            | SlotMessage::Renew { .. }
+            | SlotMessage::Return { .. } => self.lend(from, message),
+            SlotMessage::Granted { .. }
+            | SlotMessage::Refused { .. }
+            | SlotMessage::Renewed { .. }
+            | SlotMessage::Recall { .. } => self.borrow(from, &message),
+            SlotMessage::Claim { .. }
+            | SlotMessage::Consent { .. }
+            | SlotMessage::Decline { .. } => self.take_claim_message(from, message),
+        }
+    }
+
+    fn tick(&mut self) {
+        let names: Vec<ids::BackendServerId> = self.servers.keys().cloned().collect();
+        for name in names {
+            self.tick_claim(&name);
+            self.tick_lending(&name);
+            self.tick_borrowing(&name);
+        }
+    }
+
+    /// Sends to the latest known start of an instance.
+    pub(super) fn send(&mut self, to: &ids::InstanceId, message: SlotMessage) {
+        let member = self
+            .roster
+            .members
+            .iter()
+            .find(|member| member.instance == *to);
+        if let Some(incarnation) = member.map(|member| member.incarnation) {
+            let instance = to.clone();
+            let to = Sender {
+                instance,
+                incarnation,
+            };
+            self.reply(&to, message);
+        }
+    }
+
+    /// Sends to the start of an instance that has sent something.
+    pub(super) fn reply(&mut self, to: &Sender, message: SlotMessage) {
+        if *to == self.own {
+            self.local.push_back(message);
+            return;
+        }
+        let incarnation = to.incarnation;
+        let to = to.instance.clone();
+        let message = Addressed {
+            incarnation,
+            message,
+        };
+        self.actions.push(Action::Send { to, message });
+    }
+
+    /// Who may own backend servers. One that is merely silent stays: it may still lend.
+    fn candidates(&self) -> impl Iterator<Item = &ids::InstanceId> {
+        self.roster
+            .members
+            .iter()
+            .filter(|member| !member.leaving && member.gone.is_none())
+            .map(|member| &member.instance)
+    }
+
+    pub(super) fn assigned(&self, server: &ids::BackendServerId) -> Option<ids::InstanceId> {
+        ownership::owner(server.as_str(), self.candidates())
+    }
+
+    pub(super) fn is_leaving(&self) -> bool {
+        self.roster
+            .members
+            .iter()
+            .any(|member| member.instance == self.own.instance && member.leaving)
+    }
+
+    /// Whether this instance may use what it owns.
+    pub(super) fn has_authority(&self) -> bool {
+        self.roster
+            .authority_until
+            .is_some_and(|until| self.now < until)
+    }
+
+    pub(super) fn broken(&mut self, invariant: &'static str) {
+        debug_assert!(false, "invariant broken: {invariant}");
+        self.actions.push(Action::Broken { invariant });
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-slots/src/exchange/claiming.rs
@@ -0,0 +1,232 @@
+//! The part of the aggregate that takes over backend servers and hands them on.
+
+use damaskvane_core::{ids, time};
+use damaskvane_membership::view;
+
+use crate::claim::Claim;
+use crate::exchange::aggregate::SlotExchange;
+use crate::exchange::server::{Ownership, Sender};
+use crate::ledger::{Grant, SlotLedger};
+use crate::message::{HandedLedger, HeldLease, SlotMessage};
+
+impl SlotExchange {
+    /// Begins or ends a claim after the hash has named another owner.
+    pub(super) fn follow_assignment(&mut self, name: &ids::BackendServerId, is_own: bool) {
+        // Without having seen itself on the list an instance may know too few others to ask.
+        let may_claim = is_own && self.roster.is_listed;
+        let now = self.now;
+        let Some(server) = self.servers.get_mut(name) else {
+            return;
+        };
+        match server.ownership {
+            Ownership::None if may_claim => {
+                self.last_claim += 1;
+                server.ownership = Ownership::Claiming(Claim::new(self.last_claim, now));
+                self.ask_consent(name);
+                self.complete_if_agreed(name);
+            }
+            Ownership::Claiming(_) if !is_own => server.ownership = Ownership::None,
+            // Others may have gone, or been proven gone, since they were asked.
+            Ownership::Claiming(_) => self.complete_if_agreed(name),
+            _ => {}
+        }
+    }
+
+    pub(super) fn tick_claim(&mut self, name: &ids::BackendServerId) {
+        let (now, every) = (self.now, self.settings.claim_retry_ms);
+        let Some(server) = self.servers.get_mut(name) else {
+            return;
+        };
+        match core::mem::take(&mut server.ownership) {
+            Ownership::Claiming(mut claim) => {
+                let is_due = claim.is_retry_due(now, every);
+                server.ownership = Ownership::Claiming(claim);
+                if is_due {
+                    self.ask_consent(name);
+                }
+            }
+            Ownership::Waiting(ledger) => {
+                server.ownership = match ledger.start(now) {
+                    Ok(serving) => Ownership::Serving(serving),
+                    Err(waiting) => Ownership::Waiting(waiting),
+                };
+            }
+            other => server.ownership = other,
+        }
+    }
+
+    fn ask_consent(&mut self, name: &ids::BackendServerId) {
+        let Some(claim) = self.claim(name) else {
+            return;
+        };
+        let number = claim.number();
+        let missing: Vec<ids::InstanceId> = self
+            .others()
+            .filter(|member| !claim.has_consent(&member.instance))
+            .map(|member| member.instance.clone())
+            .collect();
+        for to in missing {
+            let server = name.clone();
+            let message = SlotMessage::Claim {
+                server,
+                claim: number,
+            };
+            self.send(&to, message);
+        }
+    }
+
+    fn claim(&self, name: &ids::BackendServerId) -> Option<&Claim> {
+        match self.servers.get(name).map(|server| &server.ownership) {
+            Some(Ownership::Claiming(claim)) => Some(claim),
+            _ => None,
+        }
+    }
+
+    /// All other instances of the zone that are not proven gone, the silent ones among them.
+    fn others(&self) -> impl Iterator<Item = &view::RosterMember> {
+        self.roster
+            .members
+            .iter()
+            .filter(|member| member.instance != self.own.instance && member.gone.is_none())
+    }
+
+    /// Completes a claim to which all have consented, and waits for unknown grants to lapse.
+    fn complete_if_agreed(&mut self, name: &ids::BackendServerId) {
+        let is_agreed = self.claim(name).is_some_and(|claim| {
+            self.others()
+                .all(|member| claim.has_consent(&member.instance))
+        });
+        if !is_agreed {
+            return;
+        }
+        let gone_from = self
+            .roster
+            .members
+            .iter()
+            .filter_map(|member| member.gone.map(|gone| gone.from))
+            .max();
+        let last_use = gone_from.max(Some(self.now)).unwrap_or(self.now);
+        let until = last_use + self.settings.lapse_ms();
+        self.counters.waited_out += 1;
+        self.complete(name, Vec::new(), until);
+    }
+
+    /// Begins as owner, with what was handed over and what was reported.
+    fn complete(&mut self, name: &ids::BackendServerId, handed: Vec<Grant>, until: time::TimeMs) {
+        let (now, own) = (self.now, self.own.clone());
+        let margin = self.settings.margin_ms;
+        let Some(server) = self.servers.get_mut(name) else {
+            return;
+        };
+        let Ownership::Claiming(mut claim) = core::mem::take(&mut server.ownership) else {
+            return;
+        };
+        let leases = server.pool.report(now);
+        claim.consent(now, own.instance, own.incarnation, leases, margin);
+        let mut known = claim.into_reports();
+        for grant in handed {
+            known
+                .entry(grant.key.clone())
+                .and_modify(|report| report.until = report.until.max(grant.until))
+                .or_insert(grant);
+        }
+        server.queue.clear();
+        let ledger = SlotLedger::waiting(server.slots, known.into_values(), until);
+        server.ownership = Ownership::Waiting(ledger);
+        self.tick_claim(name);
+    }
+
+    pub(super) fn take_claim_message(&mut self, from: &Sender, message: SlotMessage) {
+        match message {
+            SlotMessage::Claim { server, claim } => self.answer_claim(from, &server, claim),
+            SlotMessage::Consent {
+                server,
+                claim,
+                leases,
+                ledger,
+            } => self.take_consent(from, &server, claim, leases, ledger),
+            SlotMessage::Decline { .. } => self.counters.declined += 1,
+            _ => {}
+        }
+    }
+
+    fn answer_claim(&mut self, from: &Sender, name: &ids::BackendServerId, claim: u64) {
+        let is_agreed = self.assigned(name).as_ref() == Some(&from.instance);
+        let answer = if is_agreed {
+            self.consent(name, claim)
+        } else {
+            None
+        };
+        let declined = SlotMessage::Decline {
+            server: name.clone(),
+            claim,
+        };
+        self.reply(from, answer.unwrap_or(declined));
+    }
+
+    /// Gives up all part in owning a backend server.
+    ///
+    /// The ledger goes with the consent. Should it be lost, the new owner gets the next consent without
+    /// it and waits for everything to lapse.
+    fn consent(&mut self, name: &ids::BackendServerId, claim: u64) -> Option<SlotMessage> {
+        let now = self.now;
+        let server = self.servers.get_mut(name)?;
+        let ledger = match core::mem::take(&mut server.ownership) {
+            Ownership::None | Ownership::Claiming(_) => None,
+            Ownership::Waiting(ledger) => Some(HandedLedger {
+                entries: ledger.entries(now),
+                wait_ms: ledger.until().since(now),
+            }),
+            Ownership::Serving(ledger) => Some(HandedLedger {
+                entries: ledger.entries(now),
+                wait_ms: time::SpanMs::ZERO,
+            }),
+        };
+        server.queue.clear();
+        server.pool.forget_asks();
+        Some(SlotMessage::Consent {
+            server: name.clone(),
+            claim,
+            leases: server.pool.report(now),
+            ledger,
+        })
+    }
+
+    fn take_consent(
+        &mut self,
+        from: &Sender,
+        name: &ids::BackendServerId,
+        number: u64,
+        leases: Vec<HeldLease>,
+        ledger: Option<HandedLedger>,
+    ) {
+        let (now, margin) = (self.now, self.settings.margin_ms);
+        let Some(server) = self.servers.get_mut(name) else {
+            return;
+        };
+        let Ownership::Claiming(claim) = &mut server.ownership else {
+            return;
+        };
+        if claim.number() != number {
+            return;
+        }
+        let instance = from.instance.clone();
+        claim.consent(now, instance, from.incarnation, leases, margin);
+        match ledger {
+            None => self.complete_if_agreed(name),
+            Some(ledger) => self.take_over(name, ledger),
+        }
+    }
+
+    /// The present owner's ledger names all grants there are, so it needs nobody else's consent.
+    fn take_over(&mut self, name: &ids::BackendServerId, ledger: HandedLedger) {
+        let now = self.now;
+        let grants = ledger.entries.into_iter().map(|entry| Grant {
+            key: entry.key,
+            slots: entry.slots,
+            until: now + entry.left_ms,
+        });
+        self.counters.handed_over += 1;
+        self.complete(name, grants.collect(), now + ledger.wait_ms);
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-slots/src/holder/held_grant.rs
@@ -0,0 +1,140 @@
+//! One grant as its holder keeps it.
+
+use damaskvane_core::{time, units};
+
+use crate::message::GrantNumber;
+
+/// A renewal that is not answered.
+#[derive(Debug)]
+struct Renewal {
+    attempt: u32,
+    asked_at: time::TimeMs,
+}
+
+/// One grant as its holder keeps it.
+#[derive(Debug)]
+pub struct HeldGrant {
+    number: GrantNumber,
+    slots: units::Slots,
+    running: units::Slots,
+    /// When work ends that was given up but may still run on the backend server.
+    abandoned: Vec<time::TimeMs>,
+    usable_until: time::TimeMs,
+    used_at: time::TimeMs,
+    renewal: Option<Renewal>,
+    attempts: u32,
+}
+
+const ONE: units::Slots = units::Slots::new(1);
+
+impl HeldGrant {
+    pub(super) const fn new(
+        number: GrantNumber,
+        slots: units::Slots,
+        usable_until: time::TimeMs,
+        now: time::TimeMs,
+    ) -> Self {
+        Self {
+            number,
+            slots,
+            running: units::Slots::ZERO,
+            abandoned: Vec::new(),
+            usable_until,
+            used_at: now,
+            renewal: None,
+            attempts: 0,
+        }
+    }
+
+    /// Its number.
+    #[must_use]
+    pub const fn number(&self) -> GrantNumber {
+        self.number
+    }
+
+    /// How many slots it has.
+    #[must_use]
+    pub const fn slots(&self) -> units::Slots {
+        self.slots
+    }
+
+    /// When it lapses.
+    #[must_use]
+    pub const fn usable_until(&self) -> time::TimeMs {
+        self.usable_until
+    }
+
+    /// Whether it has lapsed.
+    #[must_use]
+    pub fn is_over(&self, now: time::TimeMs) -> bool {
+        now >= self.usable_until
+    }
+
+    /// Slots that work runs on, or may still run on.
+    #[must_use]
+    pub fn busy(&self, now: time::TimeMs) -> units::Slots {
+        let abandoned = self.abandoned.iter().filter(|ends_at| **ends_at > now);
+        self.running + units::Slots::new(u32::try_from(abandoned.count()).unwrap_or(u32::MAX))
+    }
+
+    /// Slots that a request may use now.
+    #[must_use]
+    pub fn free(&self, now: time::TimeMs) -> units::Slots {
+        if self.is_over(now) {
+            return units::Slots::ZERO;
+        }
+        self.slots.saturating_sub(self.busy(now))
+    }
+
+    pub(super) fn begin(&mut self, now: time::TimeMs) {
+        self.running = self.running + ONE;
+        self.used_at = now;
+    }
+
+    /// Work that was given up keeps its slot until the backend server has stopped it by its deadline.
+    pub(super) fn finish(&mut self, now: time::TimeMs, still_runs_until: Option<time::TimeMs>) {
+        self.running = self.running.saturating_sub(ONE);
+        self.used_at = now;
+        self.abandoned.retain(|ends_at| *ends_at > now);
+        self.abandoned.extend(still_runs_until);
+    }
+
+    pub(super) fn is_idle(&self, now: time::TimeMs, limit: time::SpanMs) -> bool {
+        now.since(self.used_at) >= limit
+    }
+
+    /// Gives back up to `slots` free ones; how many remain.
+    pub(super) fn shrink(&mut self, now: time::TimeMs, slots: units::Slots) -> units::Slots {
+        self.slots = self.slots.saturating_sub(slots.min(self.free(now)));
+        self.slots
+    }
+
+    pub(super) fn is_renewal_due(
+        &self,
+        now: time::TimeMs,
+        before: time::SpanMs,
+        answer: time::SpanMs,
+    ) -> bool {
+        let is_asked = self
+            .renewal
+            .as_ref()
+            .is_some_and(|renewal| now.since(renewal.asked_at) < answer);
+        !is_asked && self.usable_until.since(now) < before
+    }
+
+    pub(super) fn ask_renewal(&mut self, now: time::TimeMs) -> u32 {
+        self.attempts += 1;
+        self.renewal = Some(Renewal {
+            attempt: self.attempts,
+            asked_at: now,
+        });
+        self.attempts
+    }
+
+    /// Counts the new lease from when it was asked for; an answer to an earlier ask is void.
+    pub(super) fn renewed(&mut self, attempt: u32, usable: time::SpanMs) {
+        if let Some(renewal) = self.renewal.take_if(|renewal| renewal.attempt == attempt) {
+            self.usable_until = self.usable_until.max(renewal.asked_at + usable);
+        }
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-slots/src/ledger.rs
@@ -0,0 +1,28 @@
+//! What the owner of a backend server has lent.
+//!
+//! A new owner that did not get its predecessor's ledger begins by waiting: whatever the predecessor lent
+//! must have lapsed before anything else is lent.
+//!
+//! ```
+//! use damaskvane_core::{ids, time, units};
+//! use damaskvane_slots::{ledger, message};
+//!
+//! let key = |number| message::GrantKey {
+//!     holder: "a-1".parse().expect("a valid name"),
+//!     incarnation: ids::Incarnation::new(1),
+//!     number: message::GrantNumber::new(number),
+//! };
+//! let (now, until) = (time::TimeMs::new(10), time::TimeMs::new(20));
+//! let waiting = ledger::SlotLedger::waiting(units::Slots::new(3), Vec::new(), now);
+//! let mut ledger = waiting.start(now).expect("nothing to wait for");
+//! assert_eq!(ledger.grant(now, key(1), units::Slots::new(2), until), Ok(units::Slots::new(2)));
+//! assert_eq!(ledger.grant(now, key(2), units::Slots::new(2), until), Ok(units::Slots::new(1)));
+//! assert!(ledger.grant(now, key(3), units::Slots::new(1), until).is_err());
+//! assert_eq!(ledger.grant(until, key(3), units::Slots::new(1), until), Ok(units::Slots::new(1)));
+//! ```
+
+mod grant;
+mod slot_ledger;
+
+pub use grant::{Full, Grant};
+pub use slot_ledger::{Serving, SlotLedger, Waiting};
