Engine takes slots on lease from their owners, and knows the health of backend servers

Cause: an instance used only the backend servers it owned, so half of a zone's slots were stranded for each request that arrived. Ruled out: dispatch through the owner, which copies bodies. Not measured yet in processes. A pause between decision and sending is checked on the clock before the first byte and after the last. Conclusion: the sum of slots is the ledger's to hold, the engine only borrows.

--- a/crates/damaskvane-engine/src/directory.rs
+++ b/crates/damaskvane-engine/src/directory.rs
@@ -25,6 +25,8 @@
 pub struct Directory {
     /// The configuration version that it rests on.
     pub version: ids::ConfigVersion,
+    /// The availability zone of this instance.
+    pub own_zone: Option<ids::AvailabilityZoneId>,
     /// Every declared service.
     pub services: BTreeMap<ids::ServiceId, Service>,
     /// The backend servers of the own availability zone.
--- a/crates/damaskvane-engine/src/directory/backend_server.rs
+++ b/crates/damaskvane-engine/src/directory/backend_server.rs
@@ -3,7 +3,7 @@
 //! ```
 //! use damaskvane_engine::directory;
 //!
-//! let server = directory::BackendServer::new("rider-desk".parse()?, ([127, 0, 0, 1], 9000).into(), "e-1".parse()?);
+//! let server = directory::BackendServer::new("rider-desk".parse()?, ([127, 0, 0, 1], 9000).into());
 //! assert!(!server.draining);
 //! # Ok::<(), damaskvane_core::ids::ParseIdError>(())
 //! ```
@@ -12,7 +12,7 @@
 
 use damaskvane_core::{ids, units};
 
-/// A backend server and the entry instance that owns its slots.
+/// A backend server of the own availability zone.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BackendServer {
     /// The service it runs.
@@ -25,25 +25,18 @@
     pub connections: u32,
     /// Whether it takes no new work.
     pub draining: bool,
-    /// The entry instance that grants its slots.
-    pub owner: ids::InstanceId,
 }
 
 impl BackendServer {
     /// A backend server with one slot.
     #[must_use]
-    pub const fn new(
-        service: ids::ServiceId,
-        address: net::SocketAddr,
-        owner: ids::InstanceId,
-    ) -> Self {
+    pub const fn new(service: ids::ServiceId, address: net::SocketAddr) -> Self {
         Self {
             service,
             address,
             slots: units::Slots::new(1),
             connections: 1,
             draining: false,
-            owner,
         }
     }
 }
--- a/crates/damaskvane-engine/src/engine.rs
+++ b/crates/damaskvane-engine/src/engine.rs
@@ -21,8 +21,8 @@
 mod leaving;
 mod pending;
 mod pump;
+mod servers;
 mod settings;
-mod slots;
 mod submit;
 
 use std::collections::BTreeMap;
@@ -30,6 +30,7 @@
 
 use damaskvane_core::{ids, time};
 use damaskvane_dispatch::{home, retry};
+use damaskvane_slots::exchange;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 pub use settings::EngineSettings;
@@ -51,7 +52,7 @@
     waiters: BTreeMap<home::WaiterId, pending::LocalId>,
     queue: Vec<pending::LocalId>,
     flights: BTreeMap<ExchangeNumber, pending::Flight>,
-    slots: slots::SlotKeeper,
+    servers: servers::Servers,
     retries: BTreeMap<ids::ServiceId, retry::RetryPolicy>,
     departure: leaving::Departure,
     handed_to: Option<home::Home>,
@@ -67,6 +68,7 @@
         Self {
             keys: home::HomeTable::new(me.clone(), settings.keys.clone()),
             rng: Pcg64Mcg::seed_from_u64(me.incarnation.get()),
+            servers: servers::Servers::new(&me),
             me,
             settings,
             directory: Arc::default(),
@@ -75,7 +77,6 @@
             waiters: BTreeMap::new(),
             queue: Vec::new(),
             flights: BTreeMap::new(),
-            slots: slots::SlotKeeper::default(),
             retries: BTreeMap::new(),
             departure: leaving::Departure::default(),
             handed_to: None,
@@ -113,9 +114,10 @@
             Event::ExchangeEnded { exchange, end } => self.ended(now, exchange, end),
             Event::Peer { from, message } => self.peer(now, &from, *message),
             Event::Directory(directory) => {
-                self.learn(directory);
+                self.learn(now, directory);
                 self.give_up_unreachable(now);
             }
+            Event::Roster(roster) => self.servers.roster(now, *roster),
             Event::Leave => self.leave(now),
             Event::Tick => {
                 self.expire(now);
@@ -133,6 +135,7 @@
             peer::PeerMessage::Handover(part) => self.take_over(now, from, *part),
             peer::PeerMessage::HandoverTaken(taken) => self.handover_taken(from, taken),
             peer::PeerMessage::Amendment(record) => self.amended(now, *record),
+            peer::PeerMessage::Slots(message) => self.servers.message(now, from, *message),
             peer::PeerMessage::Departed(departed) => {
                 self.keys
                     .learn_successor(now, departed.departed, departed.successor);
@@ -140,7 +143,8 @@
         }
     }
 
-    fn learn(&mut self, directory: Arc<directory::Directory>) {
+    fn learn(&mut self, now: time::TimeMs, directory: Arc<directory::Directory>) {
+        self.servers.learn(now, &directory);
         self.directory = directory;
         for (id, service) in &self.directory.services {
             self.retries.entry(id.clone()).or_insert_with(|| {
@@ -152,6 +156,21 @@
         }
     }
 
+    fn carry_slot_actions(&mut self) {
+        for action in self.servers.take_actions() {
+            match action {
+                exchange::Action::Send { to, message } => self.actions.push(Action::Send {
+                    to,
+                    message: Box::new(peer::PeerMessage::Slots(Box::new(message))),
+                }),
+                exchange::Action::Available { .. } => {}
+                exchange::Action::Broken { invariant } => {
+                    self.actions.push(Action::Broken { invariant });
+                }
+            }
+        }
+    }
+
     fn next_id(&mut self) -> u64 {
         let id = self.next_id;
         self.next_id += 1;
--- a/crates/damaskvane-engine/src/engine/ended.rs
+++ b/crates/damaskvane-engine/src/engine/ended.rs
@@ -7,11 +7,11 @@
 
 use std::sync::Arc;
 
-use damaskvane_core::{ids, time};
+use damaskvane_core::time;
 use damaskvane_dispatch::{exchange, retry};
 
 use crate::engine::Engine;
-use crate::engine::pending::{Flight, LocalId, Stage};
+use crate::engine::pending::{LocalId, Stage};
 use crate::event::{Action, ExchangeEnd, ExchangeNumber};
 
 impl Engine {
@@ -19,12 +19,16 @@
         let Some(flight) = self.flights.remove(&exchange) else {
             return;
         };
-        self.free_slot(now, &flight, &end);
+        let took = now.since(flight.sent.sent_at());
+        self.servers
+            .ended(now, &flight.service, flight.taken, took, &end);
         let progress = match end {
+            // The exchange compared the answer's request id with the request's own; a mismatch comes
+            // here as Crossed, a wrong length as Cut.
             ExchangeEnd::Answered(answer) => {
                 let length = answer.body.len() as u64;
                 flight.sent.answered(exchange::BackendAnswer {
-                    request: self.request_id(flight.id),
+                    request: flight.request_id,
                     declared_bytes: length,
                     received_bytes: length,
                     answer: Arc::new(answer),
@@ -51,31 +55,6 @@
         }
     }
 
-    /// The answer's request id was compared with the request's own by the exchange; a mismatch comes
-    /// here as [`ExchangeEnd::Crossed`].
-    fn request_id(&self, id: LocalId) -> ids::RequestId {
-        self.requests.get(&id).map_or_else(
-            || "gone".parse().expect("a valid identifier"),
-            |pending| pending.request.request_id.clone(),
-        )
-    }
-
-    /// A slot is free again when the backend server is known to have finished. After a lost or silent
-    /// connection it may still run the request, until the deadline that it was sent: one would see
-    /// it run more than its slots if the slot were used again before.
-    fn free_slot(&mut self, now: time::TimeMs, flight: &Flight, end: &ExchangeEnd) {
-        let is_over = matches!(end, ExchangeEnd::Answered(_)) || end.proves_not_run();
-        if is_over {
-            self.slots.release(&flight.backend_server);
-            return;
-        }
-        let until = self
-            .requests
-            .get(&flight.id)
-            .map_or(now, |pending| now + pending.deadline.time_left(now));
-        self.slots.linger(&flight.backend_server, until);
-    }
-
     fn retry(
         &mut self,
         now: time::TimeMs,
@@ -88,7 +67,7 @@
         };
         let service = pending.request.service.clone();
         let has_client = pending.origin.is_some();
-        let untried = self.untried(&service, &admitted);
+        let untried = self.servers.count(now, &service, admitted.tried());
         let decision = match self.retries.get_mut(&service) {
             Some(policy) if has_client => policy.decide(now, &admitted, untried, &mut self.rng),
             _ => retry::RetryDecision::Stop(retry::RetryStop::NoOtherServer),
@@ -107,13 +86,4 @@
             }
         }
     }
-
-    fn untried(&self, service: &ids::ServiceId, admitted: &exchange::Admitted) -> usize {
-        self.directory
-            .backend_servers
-            .iter()
-            .filter(|(_, server)| server.service == *service && !server.draining)
-            .filter(|(id, _)| !admitted.tried().contains(id))
-            .count()
-    }
 }
--- a/crates/damaskvane-engine/src/engine/expiry.rs
+++ b/crates/damaskvane-engine/src/engine/expiry.rs
@@ -13,7 +13,7 @@
 
 impl Engine {
     pub(super) fn expire(&mut self, now: time::TimeMs) {
-        self.slots.expire(now);
+        self.servers.tick(now);
         for finish in self.keys.expire(now) {
             self.answer_waiters(finish);
         }
--- a/crates/damaskvane-engine/src/engine/leaving.rs
+++ b/crates/damaskvane-engine/src/engine/leaving.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use damaskvane_core::{ids, time};
+use damaskvane_core::time;
 use damaskvane_dispatch::home;
 
 use crate::engine::Engine;
@@ -45,8 +45,9 @@
 impl Engine {
     /// Whether a planned stop has finished all work.
     #[must_use]
-    pub fn is_drained(&self) -> bool {
+    pub fn is_drained(&self, now: time::TimeMs) -> bool {
         matches!(self.departure, Departure::Done)
+            && self.servers.is_drained(now)
             && self.requests.is_empty()
             && self.flights.is_empty()
     }
@@ -105,13 +106,6 @@
 
     /// A live instance, of the own zone if there is one.
     fn successor(&self) -> Option<home::Home> {
-        let zones: BTreeSet<&ids::AvailabilityZoneId> = self
-            .directory
-            .backend_servers
-            .values()
-            .filter_map(|server| self.directory.instances.get(&server.owner))
-            .map(|peer| &peer.availability_zone)
-            .collect();
         let live = || {
             self.directory
                 .instances
@@ -119,7 +113,7 @@
                 .filter(|(_, peer)| peer.reachability == directory::Reachability::Live)
         };
         live()
-            .find(|(_, peer)| zones.contains(&peer.availability_zone))
+            .find(|(_, peer)| Some(&peer.availability_zone) == self.directory.own_zone.as_ref())
             .or_else(|| live().next())
             .map(|(id, peer)| home::Home::new(id.clone(), peer.incarnation))
     }
--- a/crates/damaskvane-engine/src/engine/pending.rs
+++ b/crates/damaskvane-engine/src/engine/pending.rs
@@ -11,6 +11,7 @@
 use damaskvane_core::{ids, time};
 use damaskvane_dispatch::{deadline, exchange, home};
 
+use crate::engine::servers::Taken;
 use crate::event::{ExchangeNumber, RequestNumber};
 use crate::message;
 
@@ -70,6 +71,8 @@
 #[derive(Debug)]
 pub(super) struct Flight {
     pub(super) id: LocalId,
+    pub(super) service: ids::ServiceId,
+    pub(super) request_id: ids::RequestId,
     pub(super) sent: exchange::Sent,
-    pub(super) backend_server: ids::BackendServerId,
+    pub(super) taken: Taken,
 }
--- a/crates/damaskvane-engine/src/engine/pump.rs
+++ b/crates/damaskvane-engine/src/engine/pump.rs
@@ -1,17 +1,46 @@
 //! Takes requests off the queue while backend servers have free slots.
 //!
 //! ```text
-//! queue -> a backend server not tried yet, with a free slot -> exchange
+//! queue -> a backend server not tried yet, with a free leased slot -> exchange
+//! what still waits -> slots are asked for: own backend servers first, then other owners
 //! ```
 
+use std::collections::BTreeMap;
+
 use damaskvane_core::{ids, time};
 
 use crate::engine::Engine;
 use crate::engine::pending::{Flight, LocalId, Stage};
+use crate::engine::servers::Taken;
 use crate::event::{Action, Exchange, ExchangeNumber};
 
 impl Engine {
     pub(super) fn pump(&mut self, now: time::TimeMs) {
+        self.launch_all(now);
+        let waiting = self.waiting_by_service();
+        if !waiting.is_empty() {
+            for (service, count) in waiting {
+                self.servers.demand_own(now, &service, count);
+            }
+            self.launch_all(now);
+            for (service, count) in self.waiting_by_service() {
+                self.servers.demand_others(now, &service, count);
+            }
+        }
+        self.carry_slot_actions();
+    }
+
+    fn waiting_by_service(&self) -> BTreeMap<ids::ServiceId, usize> {
+        let mut waiting = BTreeMap::new();
+        for id in &self.queue {
+            if let Some(pending) = self.requests.get(id) {
+                *waiting.entry(pending.request.service.clone()).or_default() += 1;
+            }
+        }
+        waiting
+    }
+
+    fn launch_all(&mut self, now: time::TimeMs) {
         let mut full: Vec<ids::ServiceId> = Vec::new();
         for id in core::mem::take(&mut self.queue) {
             let Some(pending) = self.requests.get(&id) else {
@@ -22,41 +51,31 @@
                 self.queue.push(id);
                 continue;
             }
-            match self.free_server(id) {
-                Some(server) => self.launch(now, id, server),
+            let wanted = pending.deadline.time_left(now);
+            let tried: &[ids::BackendServerId] = match &pending.stage {
+                Stage::Requeued(admitted) => admitted.tried(),
+                _ => &[],
+            };
+            match self.servers.take(now, &service, tried, wanted) {
+                Some(taken) => self.launch(now, id, taken),
                 None => {
-                    full.push(service);
+                    // A retry has fewer servers to choose from: it says nothing about the others.
+                    if tried.is_empty() {
+                        full.push(service);
+                    }
                     self.queue.push(id);
                 }
             }
         }
     }
 
-    /// The backend server with the most free slots that this request has not tried.
-    fn free_server(&self, id: LocalId) -> Option<ids::BackendServerId> {
-        let pending = self.requests.get(&id)?;
-        let tried: &[ids::BackendServerId] = match &pending.stage {
-            Stage::Requeued(admitted) => admitted.tried(),
-            _ => &[],
-        };
-        self.directory
-            .backend_servers
-            .iter()
-            .filter(|(_, server)| server.service == pending.request.service && !server.draining)
-            .filter(|(_, server)| server.owner == self.me.instance)
-            .filter(|(id, _)| !tried.contains(id))
-            .map(|(id, server)| (self.slots.free(id, server.slots), id))
-            .filter(|(free, _)| *free > 0)
-            .max_by_key(|(free, _)| *free)
-            .map(|(_, id)| id.clone())
-    }
-
-    fn launch(&mut self, now: time::TimeMs, id: LocalId, server: ids::BackendServerId) {
+    fn launch(&mut self, now: time::TimeMs, id: LocalId, taken: Taken) {
         let exchange = ExchangeNumber::new(self.next_id());
-        let Some(entry) = self.directory.backend_servers.get(&server).cloned() else {
-            return;
-        };
-        let Some(pending) = self.requests.get_mut(&id) else {
+        let server = taken.server().clone();
+        let (Some(address), Some(pending)) =
+            (self.servers.address(&server), self.requests.get_mut(&id))
+        else {
+            self.broken("a slot was taken for a request or server that is not known");
             return;
         };
         let stage = core::mem::replace(&mut pending.stage, Stage::Flying(exchange));
@@ -70,28 +89,24 @@
             }
         };
         let request = pending.request.clone();
-        let mut time_left = pending.deadline.time_left(now);
-        if !request.is_repeatable() {
-            time_left = time::SpanMs::new(time_left.get() + self.settings.late_answer.get());
-        }
-        if !self.slots.take(&server, entry.slots) {
-            self.broken("a slot was taken above the limit");
-        }
-        let sent = admitted.send(now, server.clone());
+        let deadline = taken.deadline_ms();
         self.flights.insert(
             exchange,
             Flight {
                 id,
-                sent,
-                backend_server: server.clone(),
+                service: request.service.clone(),
+                request_id: request.request_id.clone(),
+                sent: admitted.send(now, server.clone()),
+                taken,
             },
         );
         self.actions.push(Action::Start(Exchange {
             number: exchange,
             backend_server: server,
-            address: entry.address,
+            address,
             request,
-            time_left,
+            deadline,
+            begin_before: now + deadline,
         }));
     }
 
@@ -99,12 +114,11 @@
         let Some(flight) = self.flights.get(&exchange) else {
             return;
         };
-        let Some(server) = self.directory.backend_servers.get(&flight.backend_server) else {
-            return;
-        };
-        self.actions.push(Action::Cancel {
-            address: server.address,
-            request_id: flight.sent.request().clone(),
-        });
+        if let Some(address) = self.servers.address(flight.taken.server()) {
+            self.actions.push(Action::Cancel {
+                address,
+                request_id: flight.request_id.clone(),
+            });
+        }
     }
 }
--- /dev/null
+++ b/crates/damaskvane-engine/src/engine/servers.rs
@@ -0,0 +1,311 @@
+//! Backend servers as this instance may use them: slots on lease, connections in share, health.
+//!
+//! ```text
+//! candidate = declared, not draining, healthy, with a connection left and a leased slot free
+//! ```
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use damaskvane_core::{ids, time, units};
+use damaskvane_dispatch::home;
+use damaskvane_membership::view;
+use damaskvane_slots::{connections, exchange, message, permit, settings};
+use damaskvane_steering::health;
+
+use crate::directory;
+use crate::event::ExchangeEnd;
+
+/// Connections are shared out for so many instances of a zone, whoever of them lives.
+const MOST_INSTANCES_OF_A_ZONE: u32 = 32;
+
+/// A slot that was taken for one request.
+pub(super) type Taken = permit::Permit<permit::Sending>;
+
+/// Backend servers of the own zone.
+#[derive(Debug)]
+pub(super) struct Servers {
+    slots: exchange::SlotExchange,
+    pools: BTreeMap<ids::ServiceId, health::Pool>,
+    connections: BTreeMap<ids::BackendServerId, connections::ConnectionBudget>,
+    directory: Arc<directory::Directory>,
+    actions: Vec<exchange::Action>,
+}
+
+impl Servers {
+    pub(super) fn new(me: &home::Home) -> Self {
+        Self {
+            slots: exchange::SlotExchange::new(
+                me.instance.clone(),
+                me.incarnation,
+                settings::SlotSettings::default(),
+            ),
+            pools: BTreeMap::new(),
+            connections: BTreeMap::new(),
+            directory: Arc::default(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// What the slots want done since the last call.
+    pub(super) fn take_actions(&mut self) -> Vec<exchange::Action> {
+        core::mem::take(&mut self.actions)
+    }
+
+    fn tell(&mut self, now: time::TimeMs, event: exchange::Event) {
+        let actions = self.slots.handle(now, event);
+        self.actions.extend(actions);
+    }
+
+    pub(super) fn learn(&mut self, now: time::TimeMs, directory: &Arc<directory::Directory>) {
+        let is_first = self.directory.version == ids::ConfigVersion::default();
+        self.directory = Arc::clone(directory);
+        let limits = directory
+            .backend_servers
+            .iter()
+            .map(|(server, entry)| exchange::ServerSlots {
+                server: server.clone(),
+                slots: entry.slots,
+            })
+            .collect();
+        self.tell(now, exchange::Event::Servers(limits));
+        for (id, entry) in &directory.backend_servers {
+            let pool = self
+                .pools
+                .entry(entry.service.clone())
+                .or_insert_with(|| health::Pool::new(health::Settings::default()));
+            if is_first {
+                pool.join_warm(id.clone(), now);
+            } else {
+                pool.join(id.clone(), now);
+            }
+            self.connections.entry(id.clone()).or_insert_with(|| {
+                connections::ConnectionBudget::new(entry.connections, MOST_INSTANCES_OF_A_ZONE)
+            });
+        }
+    }
+
+    pub(super) fn roster(&mut self, now: time::TimeMs, roster: view::Roster) {
+        self.tell(now, exchange::Event::Roster(roster));
+    }
+
+    pub(super) fn message(
+        &mut self,
+        now: time::TimeMs,
+        from: &home::Home,
+        message: message::Addressed,
+    ) {
+        self.tell(
+            now,
+            exchange::Event::Message {
+                from: from.instance.clone(),
+                incarnation: from.incarnation,
+                message,
+            },
+        );
+    }
+
+    pub(super) fn tick(&mut self, now: time::TimeMs) {
+        self.tell(now, exchange::Event::Tick);
+    }
+
+    /// Whether a planned stop has handed over what this instance owned.
+    pub(super) fn is_drained(&self, now: time::TimeMs) -> bool {
+        self.slots.is_drained(now)
+    }
+
+    fn candidates<'a>(
+        &'a self,
+        now: time::TimeMs,
+        service: &'a ids::ServiceId,
+        tried: &'a [ids::BackendServerId],
+    ) -> impl Iterator<Item = (&'a ids::BackendServerId, &'a directory::BackendServer)> {
+        self.directory
+            .backend_servers
+            .iter()
+            .filter(move |(_, server)| server.service == *service && !server.draining)
+            .filter(|(id, _)| !tried.contains(id))
+            .filter(move |(id, _)| self.admits(now, service, id))
+    }
+
+    fn admits(
+        &self,
+        now: time::TimeMs,
+        service: &ids::ServiceId,
+        server: &ids::BackendServerId,
+    ) -> bool {
+        let pool = self.pools.get(service);
+        pool.is_some_and(|pool| pool.admission(server, now).takes_work())
+    }
+
+    /// How many backend servers could take a request now or soon.
+    pub(super) fn count(
+        &self,
+        now: time::TimeMs,
+        service: &ids::ServiceId,
+        tried: &[ids::BackendServerId],
+    ) -> usize {
+        self.candidates(now, service, tried).count()
+    }
+
+    /// Slots of a service that take work now.
+    pub(super) fn capacity(&self, now: time::TimeMs, service: &ids::ServiceId) -> units::Slots {
+        self.candidates(now, service, &[])
+            .map(|(_, server)| server.slots)
+            .sum()
+    }
+
+    /// Takes a slot of the backend server with the most free ones.
+    pub(super) fn take(
+        &mut self,
+        now: time::TimeMs,
+        service: &ids::ServiceId,
+        tried: &[ids::BackendServerId],
+        wanted: time::SpanMs,
+    ) -> Option<Taken> {
+        let server = self
+            .candidates(now, service, tried)
+            .filter(|(id, server)| self.has_room(now, id, server))
+            .map(|(id, _)| (self.slots.free(now, id), id))
+            .filter(|(free, _)| *free > units::Slots::ZERO)
+            .max_by_key(|(free, _)| *free)
+            .map(|(_, id)| id.clone())?;
+        let least = self.least_time(service).min(wanted);
+        let ready = self.slots.begin(now, &server, wanted, least).ok()?;
+        match ready.send(now) {
+            Ok(taken) => {
+                self.opened(service, &server);
+                Some(taken)
+            }
+            Err(permit::Lapsed(returned)) => {
+                self.slots.count_lapsed();
+                let actions = self.slots.finish(now, &returned, exchange::Finish::Ended);
+                self.actions.extend(actions);
+                None
+            }
+        }
+    }
+
+    /// A cold or ailing server gets a part of its slots only; the connections have their own limit.
+    fn has_room(
+        &self,
+        now: time::TimeMs,
+        id: &ids::BackendServerId,
+        server: &directory::BackendServer,
+    ) -> bool {
+        let in_use = self
+            .connections
+            .get(id)
+            .map_or(0, connections::ConnectionBudget::in_use);
+        let share = self
+            .connections
+            .get(id)
+            .map_or(0, connections::ConnectionBudget::share);
+        let admitted = self
+            .pools
+            .get(&server.service)
+            .map_or(0, |pool| pool.admission(id, now).slots(server.slots.get()));
+        in_use < share.min(admitted)
+    }
+
+    fn least_time(&self, service: &ids::ServiceId) -> time::SpanMs {
+        self.directory
+            .services
+            .get(service)
+            .map_or(time::SpanMs::ZERO, |service| service.typical_request)
+    }
+
+    fn opened(&mut self, service: &ids::ServiceId, server: &ids::BackendServerId) {
+        if let Some(budget) = self.connections.get_mut(server) {
+            let _ = budget.open();
+        }
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.started(server);
+        }
+    }
+
+    /// An exchange ended: its slot is free, or counts as taken until the backend server has stopped.
+    ///
+    /// After a lost or silent connection the request may still run until the deadline it was sent. One
+    /// would see the backend server run more than its slots if the slot were used again before.
+    pub(super) fn ended(
+        &mut self,
+        now: time::TimeMs,
+        service: &ids::ServiceId,
+        taken: Taken,
+        took: time::SpanMs,
+        end: &ExchangeEnd,
+    ) {
+        let server = taken.server().clone();
+        let (finish, outcome) = judge(end, took);
+        if let Some(budget) = self.connections.get_mut(&server) {
+            budget.close();
+        }
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.ended(&server, outcome, now);
+        }
+        let actions = self.slots.finish(now, &taken.into_returned(), finish);
+        self.actions.extend(actions);
+    }
+
+    /// Asks for slots while requests wait: of the own backend servers first, which takes no message,
+    /// then of the others in equal parts.
+    pub(super) fn demand_own(
+        &mut self,
+        now: time::TimeMs,
+        service: &ids::ServiceId,
+        waiting: usize,
+    ) {
+        let own = self.assigned(now, service, true);
+        self.demand(now, &own, waiting);
+    }
+
+    pub(super) fn demand_others(
+        &mut self,
+        now: time::TimeMs,
+        service: &ids::ServiceId,
+        waiting: usize,
+    ) {
+        let others = self.assigned(now, service, false);
+        let each = waiting.div_ceil(others.len().max(1));
+        self.demand(now, &others, each);
+    }
+
+    fn assigned(
+        &self,
+        now: time::TimeMs,
+        service: &ids::ServiceId,
+        to_me: bool,
+    ) -> Vec<ids::BackendServerId> {
+        self.candidates(now, service, &[])
+            .filter(|(id, server)| self.has_room(now, id, server))
+            .map(|(id, _)| id)
+            .filter(|id| self.slots.is_assigned(id) == to_me)
+            .cloned()
+            .collect()
+    }
+
+    fn demand(&mut self, now: time::TimeMs, servers: &[ids::BackendServerId], waiting: usize) {
+        let waiting = units::Slots::new(u32::try_from(waiting).unwrap_or(u32::MAX));
+        for server in servers {
+            let server = server.clone();
+            self.tell(now, exchange::Event::Demand { server, waiting });
+        }
+    }
+
+    pub(super) fn address(&self, server: &ids::BackendServerId) -> Option<std::net::SocketAddr> {
+        let entry = self.directory.backend_servers.get(server)?;
+        Some(entry.address)
+    }
+}
+
+const fn judge(end: &ExchangeEnd, took: time::SpanMs) -> (exchange::Finish, health::Outcome) {
+    match end {
+        ExchangeEnd::Answered(_) => (exchange::Finish::Ended, health::Outcome::Answered { took }),
+        ExchangeEnd::Refused => (exchange::Finish::Ended, health::Outcome::Refused),
+        ExchangeEnd::NotSent => (exchange::Finish::Ended, health::Outcome::Failed),
+        ExchangeEnd::Lost | ExchangeEnd::Silent | ExchangeEnd::Cut | ExchangeEnd::Crossed => {
+            (exchange::Finish::MayStillRun, health::Outcome::Failed)
+        }
+    }
+}
--- a/crates/damaskvane-engine/src/engine/settings.rs
+++ b/crates/damaskvane-engine/src/engine/settings.rs
@@ -25,8 +25,6 @@
     pub handover_resend: time::SpanMs,
     /// How long a successor gets to take a handover.
     pub handover_timeout: time::SpanMs,
-    /// How long the outcome of a non-repeatable request is awaited after its deadline.
-    pub late_answer: time::SpanMs,
 }
 
 impl Default for EngineSettings {
@@ -38,7 +36,6 @@
             answer_ttl: time::SpanMs::new(2_000),
             handover_resend: time::SpanMs::new(200),
             handover_timeout: time::SpanMs::new(5_000),
-            late_answer: time::SpanMs::new(1_000),
         }
     }
 }
--- a/crates/damaskvane-engine/src/engine/submit.rs
+++ b/crates/damaskvane-engine/src/engine/submit.rs
@@ -91,24 +91,17 @@
         if self.departure.takes_no_requests(now) {
             return refused(refusal::RefusalReason::InstanceLeaving);
         }
-        if !self.has_backend_server(service) {
+        if self.servers.count(now, service, &[]) == 0 {
             return refused(refusal::RefusalReason::NoBackendServer);
         }
         let waiting = self.waiting_for(service);
         if waiting >= settings.queue_limit as usize {
-            let retry_after = self.time_to_drain(service, settings, waiting);
+            let retry_after = self.time_to_drain(now, service, settings, waiting);
             return Some((refusal::RefusalReason::QueueFull, retry_after));
         }
         None
     }
 
-    fn has_backend_server(&self, service: &ids::ServiceId) -> bool {
-        self.directory
-            .backend_servers
-            .values()
-            .any(|server| server.service == *service && !server.draining)
-    }
-
     fn waiting_for(&self, service: &ids::ServiceId) -> usize {
         self.queue
             .iter()
@@ -120,17 +113,12 @@
     /// When the requests that wait now will have been served at the service's usual pace.
     fn time_to_drain(
         &self,
+        now: time::TimeMs,
         service: &ids::ServiceId,
         settings: &directory::Service,
         waiting: usize,
     ) -> time::SpanMs {
-        let slots: u64 = self
-            .directory
-            .backend_servers
-            .values()
-            .filter(|server| server.service == *service && !server.draining)
-            .map(|server| u64::from(server.slots.get()))
-            .sum();
+        let slots = u64::from(self.servers.capacity(now, service).get());
         let rounds = (waiting as u64).div_ceil(slots.max(1));
         time::SpanMs::new(rounds * settings.typical_request.get())
     }
--- a/crates/damaskvane-engine/src/event/action.rs
+++ b/crates/damaskvane-engine/src/event/action.rs
@@ -28,8 +28,10 @@
     pub address: net::SocketAddr,
     /// What to send.
     pub request: Arc<message::ServiceRequest>,
-    /// When it has to end, as a span from now.
-    pub time_left: time::SpanMs,
+    /// The deadline that the backend server is given, as a span from the sending on.
+    pub deadline: time::SpanMs,
+    /// The lease of its slot ends here: after this point it must not be sent any more.
+    pub begin_before: time::TimeMs,
 }
 
 /// What the engine wants done; the driver carries it out in order.
--- a/crates/damaskvane-engine/src/event/input.rs
+++ b/crates/damaskvane-engine/src/event/input.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 
 use damaskvane_dispatch::home;
+use damaskvane_membership::view;
 
 use crate::event::{exchange_end, number};
 use crate::{directory, message, peer};
@@ -45,6 +46,8 @@
     },
     /// Configuration or membership changed.
     Directory(Arc<directory::Directory>),
+    /// The instances of the own zone, as owners of slots.
+    Roster(Box<view::Roster>),
     /// A planned stop has begun.
     Leave,
     /// Time passed.
--- a/crates/damaskvane-engine/src/peer/peer_message.rs
+++ b/crates/damaskvane-engine/src/peer/peer_message.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 
 use damaskvane_dispatch::home;
+use damaskvane_slots::message as slot_message;
 use serde::{Deserialize, Serialize};
 
 use crate::message;
@@ -28,6 +29,8 @@
     HandoverTaken(departure::HandoverTaken),
     /// An outcome that a leaving instance learned after its handover.
     Amendment(Box<home::HandedRecord<Arc<message::BackendAnswer>>>),
+    /// About slots of backend servers.
+    Slots(Box<slot_message::Addressed>),
     /// Who answers for a home that has left.
     Departed(departure::Departed),
 }
@@ -42,6 +45,7 @@
             Self::Handover(_) => "handover",
             Self::HandoverTaken(_) => "handover_taken",
             Self::Amendment(_) => "amendment",
+            Self::Slots(addressed) => addressed.message.kind(),
             Self::Departed(_) => "departed",
         }
     }
--- a/crates/damaskvane-entry/src/control/fleet.rs
+++ b/crates/damaskvane-entry/src/control/fleet.rs
@@ -18,6 +18,7 @@
 
 use crate::control::Control;
 use crate::control::input::ControlInput;
+use crate::inbox;
 use crate::peers;
 use crate::store;
 use crate::wire;
@@ -66,6 +67,8 @@
         for action in self.membership.handle(now, event) {
             changed |= self.membership_action(action);
         }
+        let roster = Box::new(self.membership.roster());
+        let _ = self.engine.send(inbox::Input::Roster(roster));
         if changed {
             self.fleet_changed();
         }
--- a/crates/damaskvane-entry/src/control/publishing.rs
+++ b/crates/damaskvane-entry/src/control/publishing.rs
@@ -10,7 +10,7 @@
 use damaskvane_config::state;
 use damaskvane_core::ids;
 use damaskvane_engine::directory;
-use damaskvane_membership::{ownership, state as membership_state, view};
+use damaskvane_membership::{state as membership_state, view};
 use damaskvane_steering::plan;
 use serde_json::json;
 
@@ -26,17 +26,9 @@
             return;
         };
         let config = in_force.state();
-        let roster = self.membership.roster();
-        let owners: Vec<&ids::InstanceId> = roster
-            .members
-            .iter()
-            .filter(|member| !member.leaving && member.gone.is_none())
-            .map(|member| &member.instance)
-            .collect();
         let directory = translate::directory(
             &config,
             &self.record.availability_zone,
-            |server| ownership::owner(server.as_str(), owners.iter().copied()),
             self.peer_instances(),
         );
         let _ = self
--- a/crates/damaskvane-entry/src/engine_thread.rs
+++ b/crates/damaskvane-entry/src/engine_thread.rs
@@ -94,6 +94,7 @@
             }
             inbox::Input::Peer { from, message } => event::Event::Peer { from, message },
             inbox::Input::Directory(directory) => event::Event::Directory(directory),
+            inbox::Input::Roster(roster) => event::Event::Roster(roster),
             inbox::Input::Leave => event::Event::Leave,
             inbox::Input::Stop => event::Event::Tick,
         }
@@ -104,7 +105,7 @@
         for action in self.engine.handle(now, event) {
             self.carry_out(action);
         }
-        if self.engine.is_drained() {
+        if self.engine.is_drained(now) {
             self.serving.set_drained();
         }
     }
--- a/crates/damaskvane-entry/src/exchange.rs
+++ b/crates/damaskvane-entry/src/exchange.rs
@@ -15,19 +15,26 @@
 //! assert!(limits.answer_limit_bytes > 0);
 //! ```
 
+mod leased_body;
+
 use core::time::Duration;
 use std::io::{self, Read};
+use std::sync::atomic::Ordering;
 
 use attohttpc::header::{CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use damaskvane_core::{ids, time};
-use damaskvane_engine::event::ExchangeEnd;
+use damaskvane_engine::event::{self, ExchangeEnd};
 use damaskvane_engine::message;
 
 use crate::client_api::header;
+use crate::clock;
 
 const STATUS_UNAVAILABLE: u16 = 503;
 const MOST_HEADERS: usize = 100;
 
+/// How long an answer that left the backend server at its deadline may still be on its way.
+const LATE_ANSWER_MS: u64 = 150;
+
 /// What an exchange costs at most.
 #[derive(Debug, Clone, Copy)]
 pub struct ExchangeLimits {
@@ -47,14 +54,28 @@
 }
 
 /// Runs one exchange and waits for its end.
+///
+/// A process can be paused between the decision to send and the sending, for longer than the lease of
+/// the slot. The request would then run on a slot that others may hold by now, and the backend server
+/// would run more than it has slots; so the clock is read again directly before the first byte, and once
+/// more after the last: a request that was sent too late is cancelled at once.
 #[must_use]
 pub fn run(
-    address: &str,
-    request: &message::ServiceRequest,
-    time_left: time::SpanMs,
+    exchange: &event::Exchange,
+    clock: clock::MonotonicClock,
     limits: ExchangeLimits,
 ) -> ExchangeEnd {
-    match send(address, request, time_left, limits) {
+    if clock.now() >= exchange.begin_before {
+        return ExchangeEnd::NotSent;
+    }
+    let request = &exchange.request;
+    let body = leased_body::LeasedBody::new(&request.body, clock, exchange.begin_before);
+    let sent_late = body.sent_late();
+    let result = send(exchange, body, limits);
+    if sent_late.load(Ordering::Acquire) {
+        cancel(&exchange.address.to_string(), &request.request_id);
+    }
+    match result {
         Ok(response) => read(response, request, limits),
         Err(error) => failure(&error),
     }
@@ -74,23 +95,24 @@
 }
 
 fn send(
-    address: &str,
-    request: &message::ServiceRequest,
-    time_left: time::SpanMs,
+    exchange: &event::Exchange,
+    body: leased_body::LeasedBody,
     limits: ExchangeLimits,
 ) -> attohttpc::Result<attohttpc::Response> {
+    let request = &exchange.request;
+    let wait = time::SpanMs::new(exchange.deadline.get() + LATE_ANSWER_MS);
     let method =
         attohttpc::Method::from_bytes(request.method.as_bytes()).unwrap_or(attohttpc::Method::GET);
-    let url = format!("http://{address}{}", request.path);
+    let url = format!("http://{}{}", exchange.address, request.path);
     let mut builder = attohttpc::RequestBuilder::try_new(method, url)?
         .proxy_settings(no_proxy())
         .follow_redirects(false)
         .max_headers(MOST_HEADERS)
-        .connect_timeout(limits.connect_timeout.min(time_left).to_duration())
-        .read_timeout(time_left.to_duration())
-        .timeout(time_left.to_duration())
+        .connect_timeout(limits.connect_timeout.min(wait).to_duration())
+        .read_timeout(wait.to_duration())
+        .timeout(wait.to_duration())
         .try_header(header::REQUEST_ID, request.request_id.as_str())?
-        .try_header(header::DEADLINE_MS, time_left.get().to_string())?;
+        .try_header(header::DEADLINE_MS, exchange.deadline.get().to_string())?;
     if let Some(idempotency) = &request.idempotency {
         builder = builder.try_header(header::IDEMPOTENCY_KEY, idempotency.key.as_str())?;
     }
@@ -100,7 +122,7 @@
         };
         builder = builder.try_header_append(name, passed.value())?;
     }
-    builder.bytes(&request.body).send()
+    builder.body(body).send()
 }
 
 fn failure(error: &attohttpc::Error) -> ExchangeEnd {
--- a/crates/damaskvane-entry/src/exchange_pool.rs
+++ b/crates/damaskvane-entry/src/exchange_pool.rs
@@ -3,10 +3,11 @@
 //! Threads are made as they are needed, up to a limit, and wait for the next exchange on one channel.
 //!
 //! ```
-//! use damaskvane_entry::{exchange, exchange_pool};
+//! use damaskvane_entry::{clock, exchange, exchange_pool};
 //!
 //! let (ended, _) = flume::unbounded();
-//! let pool = exchange_pool::ExchangePool::new(8, exchange::ExchangeLimits::default(), ended);
+//! let clock = clock::MonotonicClock::start();
+//! let pool = exchange_pool::ExchangePool::new(8, exchange::ExchangeLimits::default(), clock, ended);
 //! assert_eq!(pool.threads(), 0);
 //! ```
 
@@ -18,6 +19,7 @@
 use damaskvane_core::ids;
 use damaskvane_engine::event;
 
+use crate::clock;
 use crate::exchange;
 use crate::inbox;
 
@@ -39,6 +41,7 @@
     threads: usize,
     limit: usize,
     limits: exchange::ExchangeLimits,
+    clock: clock::MonotonicClock,
     ended: flume::Sender<inbox::Input>,
 }
 
@@ -48,6 +51,7 @@
     pub fn new(
         limit: usize,
         limits: exchange::ExchangeLimits,
+        clock: clock::MonotonicClock,
         ended: flume::Sender<inbox::Input>,
     ) -> Self {
         let (jobs, waiting) = flume::unbounded();
@@ -58,6 +62,7 @@
             threads: 0,
             limit,
             limits,
+            clock,
             ended,
         }
     }
@@ -93,10 +98,11 @@
         let ended = self.ended.clone();
         let idle = Arc::clone(&self.idle);
         let limits = self.limits;
+        let clock = self.clock;
         let spawned = thread::Builder::new()
             .name("exchange".to_owned())
             .stack_size(STACK_BYTES)
-            .spawn(move || work(&waiting, &ended, &idle, limits));
+            .spawn(move || work(&waiting, &ended, &idle, limits, clock));
         if spawned.is_ok() {
             self.threads += 1;
         }
@@ -108,6 +114,7 @@
     ended: &flume::Sender<inbox::Input>,
     idle: &AtomicUsize,
     limits: exchange::ExchangeLimits,
+    clock: clock::MonotonicClock,
 ) {
     loop {
         idle.fetch_add(1, Ordering::AcqRel);
@@ -115,12 +122,7 @@
         idle.fetch_sub(1, Ordering::AcqRel);
         match job {
             Ok(Job::Exchange(exchange)) => {
-                let end = exchange::run(
-                    &exchange.address.to_string(),
-                    &exchange.request,
-                    exchange.time_left,
-                    limits,
-                );
+                let end = exchange::run(&exchange, clock, limits);
                 let _ = ended.send(inbox::Input::ExchangeEnded {
                     exchange: exchange.number,
                     end,
--- a/crates/damaskvane-entry/src/inbox/input.rs
+++ b/crates/damaskvane-entry/src/inbox/input.rs
@@ -11,6 +11,7 @@
 
 use damaskvane_dispatch::{home, outcome};
 use damaskvane_engine::{directory, event, message, peer};
+use damaskvane_membership::view;
 
 /// Where a client's handler waits for its answer.
 pub type Reply = flume::Sender<outcome::Outcome<Arc<message::BackendAnswer>>>;
@@ -48,6 +49,8 @@
     },
     /// Configuration or membership changed.
     Directory(Arc<directory::Directory>),
+    /// The instances of the own zone, as owners of slots.
+    Roster(Box<view::Roster>),
     /// A planned stop has begun.
     Leave,
     /// The engine's thread ends.
--- a/crates/damaskvane-entry/src/process.rs
+++ b/crates/damaskvane-entry/src/process.rs
@@ -195,7 +195,12 @@
         answer_limit_bytes: settings.body_limit_bytes,
         ..exchange::ExchangeLimits::default()
     };
-    let pool = exchange_pool::ExchangePool::new(settings.exchange_limit, limits, ended.clone());
+    let pool = exchange_pool::ExchangePool::new(
+        settings.exchange_limit,
+        limits,
+        serving.clock,
+        ended.clone(),
+    );
     let engine = engine_thread::EngineThread::new(
         me,
         Arc::clone(serving),
--- a/crates/damaskvane-entry/src/translate/directory.rs
+++ b/crates/damaskvane-entry/src/translate/directory.rs
@@ -5,7 +5,7 @@
 //! use damaskvane_entry::translate;
 //!
 //! let zone = "sask-a".parse()?;
-//! let directory = translate::directory(&state::ConfigState::default(), &zone, |_| None, Default::default());
+//! let directory = translate::directory(&state::ConfigState::default(), &zone, Default::default());
 //! assert!(directory.backend_servers.is_empty());
 //! # Ok::<(), damaskvane_core::ids::ParseIdError>(())
 //! ```
@@ -16,24 +16,22 @@
 use damaskvane_core::ids;
 use damaskvane_engine::directory;
 
-/// The directory of an instance in `zone`; `owner` names the instance that owns a backend server.
-///
-/// A backend server without an owner is left out: nobody may grant its slots.
+/// The directory of an instance in `zone`.
 #[must_use]
 pub fn directory(
     config: &state::ConfigState,
     zone: &ids::AvailabilityZoneId,
-    owner: impl Fn(&ids::BackendServerId) -> Option<ids::InstanceId>,
     instances: BTreeMap<ids::InstanceId, directory::PeerInstance>,
 ) -> directory::Directory {
     let backend_servers = config
         .backend_servers()
         .iter()
         .filter(|(_, server)| server.availability_zone == *zone)
-        .filter_map(|(id, server)| Some((id.clone(), backend_server(server, owner(id)?))))
+        .map(|(id, server)| (id.clone(), backend_server(server)))
         .collect();
     directory::Directory {
         version: config.version(),
+        own_zone: Some(zone.clone()),
         services: config
             .services()
             .iter()
@@ -44,17 +42,13 @@
     }
 }
 
-fn backend_server(
-    server: &declaration::BackendServer,
-    owner: ids::InstanceId,
-) -> directory::BackendServer {
+fn backend_server(server: &declaration::BackendServer) -> directory::BackendServer {
     directory::BackendServer {
         service: server.service.clone(),
         address: server.address,
         slots: server.slots,
         connections: server.connections,
         draining: server.draining,
-        owner,
     }
 }
 
--- a/crates/damaskvane-steering/src/health/pool.rs
+++ b/crates/damaskvane-steering/src/health/pool.rs
@@ -45,6 +45,18 @@
         self.servers.entry(server).or_insert(Seen::new(now));
     }
 
+    /// A server joins that was at work before; one that is known stays as it is.
+    ///
+    /// An instance that has just started finds every server running. Were they cold to it, each
+    /// restart of an instance would take most of its zone's capacity away for a while.
+    pub fn join_warm(&mut self, server: ids::BackendServerId, now: time::TimeMs) {
+        let warm = Seen {
+            is_warm: true,
+            ..Seen::new(now)
+        };
+        self.servers.entry(server).or_insert(warm);
+    }
+
     /// A server leaves: it gets no new work from now on.
     pub fn leave(&mut self, server: &ids::BackendServerId) {
         if let Some(seen) = self.servers.get_mut(server) {
@@ -163,6 +175,9 @@
     }
 
     fn warm_permille(&self, seen: &Seen, now: time::TimeMs) -> u32 {
+        if seen.is_warm {
+            return 1_000;
+        }
         let settings = &self.settings;
         let span_ms = settings.slow_start.get().max(1);
         let up_ms = now.since(seen.joined_at).get().min(span_ms);
--- a/crates/damaskvane-steering/src/health/seen.rs
+++ b/crates/damaskvane-steering/src/health/seen.rs
@@ -29,6 +29,8 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Seen {
     pub(super) joined_at: time::TimeMs,
+    /// Whether it was at work before this instance knew it.
+    pub(super) is_warm: bool,
     pub(super) leaving: bool,
     pub(super) answered_at: Option<time::TimeMs>,
     pub(super) failed_at: Option<time::TimeMs>,
@@ -43,6 +45,7 @@
     pub(super) const fn new(now: time::TimeMs) -> Self {
         Self {
             joined_at: now,
+            is_warm: false,
             leaving: false,
             answered_at: None,
             failed_at: None,
@@ -61,6 +64,7 @@
                 if self.failures >= failures_out {
                     // It was out and works again: its caches are cold, as after a start.
                     self.joined_at = now;
+                    self.is_warm = false;
                 }
                 self.failures = 0;
                 self.refusals = 0;
