Failure tests of submission, adoption and dissemination

Each test opens with how the failure comes about. Objects of kinds that a program doesn't know are carried on and served, since an older instance that refused the head would hold up a change until its own upgrade; dropping them was ruled out, as a later submission would delete them. The run of mixed faults now also checks each ticket's base and that a refusal names objects that did change: with stale heads taken or overlaps ignored it fails, before it did not.

--- a/crates/damaskvane-config/src/adopt/adopter.rs
+++ b/crates/damaskvane-config/src/adopt/adopter.rs
@@ -141,7 +141,7 @@
 
     fn start_waiting(&self, head: Head, bytes: &[u8]) -> Waiting {
         let mut chunks = Chunks::new();
-        for entry in head.objects.values() {
+        for entry in head.entries() {
             let held = self
                 .in_force
                 .as_ref()
@@ -168,7 +168,7 @@
     fn keep(&mut self, chunk: &Chunk) -> bool {
         let mut wanted = false;
         for waiting in self.waiting.values_mut() {
-            let mut entries = waiting.head.objects.values();
+            let mut entries = waiting.head.entries();
             if entries.any(|entry| entry.hash == chunk.hash()) {
                 waiting.chunks.insert(chunk.hash(), chunk.clone());
                 wanted = true;
@@ -242,8 +242,7 @@
 fn missing_chunks(waiting: &Waiting) -> Vec<ContentHash> {
     let mut missing: Vec<ContentHash> = waiting
         .head
-        .objects
-        .values()
+        .entries()
         .map(|entry| entry.hash)
         .filter(|hash| !waiting.chunks.contains_key(hash))
         .collect();
--- a/crates/damaskvane-config/src/manifest.rs
+++ b/crates/damaskvane-config/src/manifest.rs
@@ -27,6 +27,7 @@
 
 /// The head of the configuration.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "StoredHead", into = "StoredHead")]
 pub struct Head {
     /// The version; it rises by one with each ticket.
     pub version: ids::ConfigVersion,
@@ -40,6 +41,55 @@
     pub write_id: String,
     /// Every object in force.
     pub objects: BTreeMap<ObjectId, ObjectEntry>,
+    /// Objects of kinds that this program doesn't know. During an upgrade a newer program declares
+    /// them; they are carried on and served to peers, but not interpreted.
+    pub foreign: BTreeMap<String, ObjectEntry>,
+}
+
+/// The head as it is stored.
+#[derive(Debug, Serialize, Deserialize)]
+struct StoredHead {
+    version: ids::ConfigVersion,
+    ticket: ids::TicketNumber,
+    ticket_hash: Option<ContentHash>,
+    author: String,
+    write_id: String,
+    objects: BTreeMap<String, ObjectEntry>,
+}
+
+impl From<StoredHead> for Head {
+    fn from(stored: StoredHead) -> Self {
+        let mut objects = BTreeMap::new();
+        let mut foreign = BTreeMap::new();
+        for (name, entry) in stored.objects {
+            match name.parse() {
+                Ok(id) => _ = objects.insert(id, entry),
+                Err(_) => _ = foreign.insert(name, entry),
+            }
+        }
+        Self {
+            version: stored.version,
+            ticket: stored.ticket,
+            ticket_hash: stored.ticket_hash,
+            author: stored.author,
+            write_id: stored.write_id,
+            objects,
+            foreign,
+        }
+    }
+}
+
+impl From<Head> for StoredHead {
+    fn from(head: Head) -> Self {
+        Self {
+            objects: head.named_entries(),
+            version: head.version,
+            ticket: head.ticket,
+            ticket_hash: head.ticket_hash,
+            author: head.author,
+            write_id: head.write_id,
+        }
+    }
 }
 
 /// Why bytes are no head.
@@ -83,7 +133,24 @@
     /// The hash over everything in force; equal at equal version on every instance.
     #[must_use]
     pub fn state_hash(&self) -> ContentHash {
-        ContentHash::of(&chunk::to_json(&self.objects))
+        ContentHash::of(&chunk::to_json(&self.named_entries()))
+    }
+
+    /// What the head says of each object, of unknown kinds too.
+    pub fn entries(&self) -> impl Iterator<Item = &ObjectEntry> {
+        self.objects.values().chain(self.foreign.values())
+    }
+
+    fn named_entries(&self) -> BTreeMap<String, ObjectEntry> {
+        let known = self
+            .objects
+            .iter()
+            .map(|(id, entry)| (id.to_string(), *entry));
+        let foreign = self
+            .foreign
+            .iter()
+            .map(|(name, entry)| (name.clone(), *entry));
+        known.chain(foreign).collect()
     }
 
     /// The ticket that last changed an object; 0 where the object is absent.
--- a/crates/damaskvane-config/src/ticket.rs
+++ b/crates/damaskvane-config/src/ticket.rs
@@ -183,6 +183,7 @@
             author: self.author.clone(),
             write_id: self.write_id.clone(),
             objects,
+            foreign: before.foreign.clone(),
         }
     }
 }
--- a/crates/damaskvane-standins/src/config_run.rs
+++ b/crates/damaskvane-standins/src/config_run.rs
@@ -13,7 +13,9 @@
 //! assert!(report.instances > 0);
 //! ```
 
+mod calls;
 mod draft;
+mod exchange;
 mod fleet;
 mod operators;
 mod report;
--- /dev/null
+++ b/crates/damaskvane-standins/src/config_run/calls.rs
@@ -0,0 +1,141 @@
+//! Operators' turns and their calls on the store.
+
+use damaskvane_config::manifest::Head;
+use damaskvane_config::relay::Event;
+use damaskvane_config::submit::{Answer, Call, Outcome};
+use damaskvane_config::ticket::Ticket;
+use rand::RngExt;
+
+use crate::config_run::operators::Move;
+use crate::config_run::world::{Delivery, World};
+use crate::platform::WriteOutcome;
+
+impl World {
+    pub(super) fn operator_turn(&mut self, operator: usize) -> Result<(), String> {
+        let head = self.truth.newest();
+        if self.healed && self.operators[operator].is_idle() {
+            return Ok(());
+        }
+        match self.operators[operator].next(&mut self.rng, &head) {
+            Move::Call(call) => {
+                let delay_ms = self.rng.random_range(2..40);
+                self.later(delay_ms, Delivery::OperatorCall(operator, call));
+            }
+            Move::Wait(ms) => self.later(ms, Delivery::OperatorTurn(operator)),
+            Move::Ended(write_id, outcome) => {
+                self.count(&outcome);
+                self.truth.note_told(&write_id, outcome)?;
+                self.later(0, Delivery::OperatorTurn(operator));
+            }
+        }
+        Ok(())
+    }
+
+    pub(super) fn count(&mut self, outcome: &Outcome) {
+        let count = match outcome {
+            Outcome::Accepted { .. } => &mut self.report.told_accepted,
+            Outcome::Overlapping(_) => &mut self.report.refused_overlapping,
+            Outcome::Invalid(_) => &mut self.report.refused_invalid,
+            Outcome::NotAccepted(_) => &mut self.report.not_accepted,
+            Outcome::Unknown(_) => &mut self.report.unknown,
+        };
+        *count += 1;
+    }
+
+    pub(super) fn store_call(&mut self, call: &Call) -> Result<Answer, String> {
+        if self.is_store_down() {
+            return Ok(Answer::Failed("outage".to_owned()));
+        }
+        if matches!(call, Call::ReadHead | Call::ReadChunk(_)) {
+            return Ok(self.store_read(call));
+        }
+        if self.chance(self.settings.lost_before_permille) {
+            return Ok(Answer::Unknown("lost before".to_owned()));
+        }
+        if self.chance(self.settings.late_write_permille) {
+            let delay_ms = self.rng.random_range(100..5_000);
+            self.later(delay_ms, Delivery::LateWrite(call.clone()));
+            return Ok(Answer::Unknown("late".to_owned()));
+        }
+        let answer = self.apply(call)?;
+        if self.chance(self.settings.lost_after_permille) {
+            self.report.lost_after += 1;
+            return Ok(Answer::Unknown("lost after".to_owned()));
+        }
+        Ok(answer)
+    }
+
+    pub(super) fn store_read(&mut self, call: &Call) -> Answer {
+        let stale = self.chance(self.settings.stale_permille);
+        let (kind, name) = call.key();
+        match self.store.read(kind, &name, stale) {
+            Some(object) => Answer::Found {
+                version: object.version,
+                bytes: object.value.unwrap_or_default(),
+            },
+            None => Answer::Absent,
+        }
+    }
+
+    pub(super) fn apply(&mut self, call: &Call) -> Result<Answer, String> {
+        let (kind, name) = call.key();
+        let write = |if_version, bytes: &[u8], write_id: &str| {
+            self.store
+                .write(kind, &name, if_version, Some(bytes), write_id, "")
+        };
+        let outcome = match call {
+            Call::WriteChunk(chunk) | Call::FileTicket(_, chunk) => write(0, chunk.bytes(), ""),
+            Call::WriteHead {
+                if_version,
+                bytes,
+                write_id,
+            } => write(*if_version, bytes, write_id),
+            Call::ReadHead | Call::ReadChunk(_) => return Ok(Answer::Absent),
+        };
+        match (outcome, call) {
+            (WriteOutcome::Conflict(_), _) => Ok(Answer::Conflict),
+            (WriteOutcome::Applied(_), Call::WriteHead { bytes, .. }) => {
+                let ticket = self.ticket_of(bytes)?;
+                self.truth.note_head(bytes, &ticket)?;
+                self.fire_watches();
+                Ok(Answer::Applied)
+            }
+            (WriteOutcome::Applied(_), _) => Ok(Answer::Applied),
+        }
+    }
+
+    /// The ticket that a head accepts; it must be in the store before the head.
+    pub(super) fn ticket_of(&self, head: &[u8]) -> Result<Ticket, String> {
+        let head = Head::decode(head).map_err(|error| error.to_string())?;
+        let name = head.ticket_hash.map(|hash| hash.to_string());
+        let stored = self
+            .store
+            .read("chunk", &name.unwrap_or_default(), false)
+            .and_then(|object| object.value)
+            .ok_or("a head names a ticket that is not stored")?;
+        Ticket::decode(&stored).map_err(|error| error.to_string())
+    }
+
+    pub(super) fn fire_watches(&mut self) {
+        let watching: Vec<_> = self
+            .fleet
+            .instances
+            .values()
+            .filter(|instance| instance.relay.is_watching())
+            .filter(|instance| {
+                !self
+                    .fleet
+                    .is_cut(&instance.member.availability_zone, self.now)
+            })
+            .map(|instance| instance.member.instance.clone())
+            .collect();
+        for id in watching {
+            if !self.chance(self.settings.watch_skip_permille) {
+                self.deliver_soon(&id, Event::WatchFired);
+            }
+            if self.chance(self.settings.watch_skip_permille) {
+                self.deliver_soon(&id, Event::WatchFired);
+            }
+        }
+    }
+}
--- a/crates/damaskvane-standins/src/config_run/truth.rs
+++ b/crates/damaskvane-standins/src/config_run/truth.rs
@@ -5,6 +5,7 @@
 use damaskvane_config::adopt::InForce;
 use damaskvane_config::manifest::Head;
 use damaskvane_config::submit::Outcome;
+use damaskvane_config::ticket::{Overlap, Ticket};
 use damaskvane_core::hash::ContentHash;
 use damaskvane_core::ids;
 
@@ -24,11 +25,12 @@
         self.heads.last().cloned().unwrap_or_default()
     }
 
-    /// Notes a head that the store took; it must follow the one before.
-    pub(super) fn note_head(&mut self, bytes: &[u8]) -> Result<(), String> {
+    /// Notes a head that the store took; it must follow the one before and change no object that
+    /// its ticket was not written against.
+    pub(super) fn note_head(&mut self, bytes: &[u8], ticket: &Ticket) -> Result<(), String> {
         let head = Head::decode(bytes).map_err(|error| error.to_string())?;
         let before = self.newest();
-        if head.ticket != before.ticket.next() {
+        if head.ticket != before.ticket.next() || ticket.previous != before.ticket_hash {
             return Err(format!("ticket {} follows {}", head.ticket, before.ticket));
         }
         if self
@@ -38,12 +40,33 @@
         {
             return Err(format!("write {} is accepted twice", head.write_id));
         }
+        if ticket.head_after(&before) != head {
+            return Err(format!(
+                "ticket {} changed what it doesn't name",
+                head.ticket
+            ));
+        }
+        for (object, base) in &ticket.base {
+            if before.base_of(object) != *base {
+                return Err(format!("ticket {} undid a change of {object}", head.ticket));
+            }
+        }
         self.heads.push(head);
         Ok(())
     }
 
-    pub(super) fn note_told(&mut self, write_id: &str, outcome: Outcome) {
+    /// Notes what an operator was told; a refusal must name objects that did change.
+    pub(super) fn note_told(&mut self, write_id: &str, outcome: Outcome) -> Result<(), String> {
+        if let Outcome::Overlapping(overlaps) = &outcome {
+            let newest = self.newest();
+            let unchanged = |overlap: &&Overlap| newest.base_of(&overlap.object) == overlap.base;
+            if let Some(overlap) = overlaps.iter().find(unchanged) {
+                let text = format!("{write_id} was refused but {} is unchanged", overlap.object);
+                return Err(text);
+            }
+        }
         self.told.insert(write_id.to_owned(), outcome);
+        Ok(())
     }
 
     /// What operators were told must be so, whatever landed late.
