--- a/crates/damaskvane-bench/src/cluster/process.rs
+++ b/crates/damaskvane-bench/src/cluster/process.rs
@@ -40,8 +40,8 @@
 }
 
 impl Process {
-    /// Starts a program whose first line on standard output is JSON once it is ready. What it prints
-    /// goes to `{name}.log` in `directory`.
+    /// Starts a program whose first line on standard output is JSON once it is ready. Its log
+    /// goes to `{name}.log` in `directory`, its standard output to `{name}.out`.
     pub fn start(
         name: &str,
         command: &mut Command,
@@ -52,13 +52,12 @@
             program: name.to_owned(),
             cause: cause.to_string(),
         };
-        let path = directory.join(format!("{name}.log"));
-        let log = fs::OpenOptions::new()
-            .create(true)
-            .append(true)
-            .open(path)
-            .map_err(failed)?;
-        let errors = log.try_clone().map_err(failed)?;
+        let open = |suffix: &str| {
+            let path = directory.join(format!("{name}.{suffix}"));
+            fs::OpenOptions::new().create(true).append(true).open(path)
+        };
+        let log = open("out").map_err(failed)?;
+        let errors = open("log").map_err(failed)?;
         let mut child = command
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
--- a/crates/damaskvane-bench/src/demo/promises.rs
+++ b/crates/damaskvane-bench/src/demo/promises.rs
@@ -179,8 +179,12 @@
         .count();
     let aborted = on_server.filter(|one| one.aborted).count();
     let held = accepted > 0 && before > 0 && after_ms <= DRAIN_BOUND_MS && aborted == 0;
+    let last = match last {
+        Some(_) => format!("last start {after_ms} ms after the ticket"),
+        None => "no start after the ticket".to_owned(),
+    };
     let figure = format!(
-        "last start on {} {after_ms} ms after the ticket, bound {DRAIN_BOUND_MS} ms; {before} starts before it, {aborted} aborted",
+        "{}: {last}, bound {DRAIN_BOUND_MS} ms; {before} starts before it, {aborted} aborted",
         plan.drained.server
     );
     Promise::new(held, "a leaving backend server gets no new work", figure)
--- a/crates/damaskvane-bench/src/demo/script.rs
+++ b/crates/damaskvane-bench/src/demo/script.rs
@@ -45,6 +45,7 @@
     let load = Load::start(&cluster, rate, seed);
     let acted = act(&mut cluster, &plan, &mut record);
     record.given = load.finish()?;
+    load::write_answers(&cluster.directory().join("answers.jsonl"), &record.given)?;
     record.shares = probe.finish()?;
     let observed = observer.finish()?;
     acted?;
--- a/crates/damaskvane-bench/src/load.rs
+++ b/crates/damaskvane-bench/src/load.rs
@@ -10,11 +10,13 @@
 //! assert_eq!(settings.requests(), 200);
 //! ```
 
+mod answers;
 pub mod command;
 mod generator;
 mod report;
 mod settings;
 
+pub use answers::write_answers;
 pub use generator::{Generator, run, run_until};
 pub use report::Report;
 pub use settings::LoadSettings;
--- a/crates/damaskvane-bench/src/load/command.rs
+++ b/crates/damaskvane-bench/src/load/command.rs
@@ -1,14 +1,12 @@
 //! The `load` sub-command.
 
-use std::fs;
-use std::io::Write;
+use std::path::Path;
 use std::process;
 
 use damaskvane_standins::backend;
 use damaskvane_telemetry::command_line;
 
 use crate::arguments;
-use crate::client;
 use crate::error::BenchError;
 use crate::load::{self, LoadSettings, Report};
 
@@ -65,7 +63,7 @@
     let run = format!("load-{}", backend::now_unix_ms());
     let given = load::run(&settings, &run)?;
     if let Some(file) = answers {
-        write_answers(&file, &given)?;
+        load::write_answers(Path::new(&file), &given)?;
     }
     let report = Report::of(&given);
     if shared.json {
@@ -96,12 +94,3 @@
     }
     Ok(true)
 }
-
-fn write_answers(file: &str, given: &[client::Given]) -> Result<(), BenchError> {
-    let mut output = fs::File::create(file).map_err(|cause| BenchError::file(file, &cause))?;
-    for one in given {
-        let line = serde_json::json!(one);
-        writeln!(output, "{line}").map_err(|cause| BenchError::file(file, &cause))?;
-    }
-    Ok(())
-}
