Bench: capacity sub-command with slopes, residuals and the page's table

Parts: fleets in steady state, tickets of several sizes, the block table, look-ups and requests at one daemon, and events (zone lost, store back, instances restarted in turn). Each quantity names what it grows with, its target size and its budget; the table is rewritten between two markers of the page.

--- /dev/null
+++ b/crates/damaskvane-bench/src/capacity/command.rs
@@ -0,0 +1,261 @@
+//! The `capacity` sub-command.
+
+use std::fs;
+use std::process;
+use std::time::Duration;
+
+use damaskvane_telemetry::command_line;
+
+use crate::arguments;
+use crate::capacity::steady::SteadyFigures;
+use crate::capacity::{self, EventFigures, Rates, Slope};
+use crate::error::BenchError;
+
+const USAGE: &str = "\
+damaskvane-bench capacity: the slopes behind docs/CAPACITY.md, with the real programs
+
+  --parts A,...      steady, changes, blocks, load, events [all of them]
+  --daemons N,...    sizes of the fleet [6,12,40,120]
+  --seconds N        how long each size is measured [10]
+  --objects N,...    objects in a ticket [1,10,100,1000]
+  --blocks N,...     client blocks [10000,100000,1000000,3600000]
+  --lookups N,...    look-ups a second at one daemon [1,500,1000,2000]
+  --requests N,...   requests a second at one daemon [1,50,100,200]
+  --fleet N          size of the fleet for events [40]
+  --outage-s N       how long the store is cut [10]
+  --page FILE        writes the measured table between the page's markers
+  --seed N, --json, --help, --version
+
+At most 300 processes; a fleet of 120 daemons takes two minutes.";
+
+const FLAGS: [&str; 10] = [
+    "--parts",
+    "--daemons",
+    "--seconds",
+    "--objects",
+    "--blocks",
+    "--lookups",
+    "--requests",
+    "--fleet",
+    "--outage-s",
+    "--page",
+];
+/// The most daemons of one fleet, so that all processes stay under 300.
+const MOST_DAEMONS: usize = 280;
+const PARTS: [&str; 5] = ["steady", "changes", "blocks", "load", "events"];
+
+#[derive(Debug)]
+struct Settings {
+    parts: Vec<String>,
+    daemons: Vec<usize>,
+    seconds: u64,
+    objects: Vec<usize>,
+    blocks: Vec<u32>,
+    lookups: Vec<u64>,
+    requests: Vec<u64>,
+    fleet: usize,
+    outage_s: u64,
+    page: Option<String>,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            parts: PARTS.map(str::to_owned).to_vec(),
+            daemons: vec![6, 12, 40, 120],
+            seconds: 10,
+            objects: vec![1, 10, 100, 1_000],
+            blocks: vec![10_000, 100_000, 1_000_000, 3_600_000],
+            lookups: vec![1, 500, 1_000, 2_000],
+            requests: vec![1, 50, 100, 200],
+            fleet: 40,
+            outage_s: 10,
+            page: None,
+        }
+    }
+}
+
+/// What was measured.
+#[derive(Debug, Default)]
+struct Measured {
+    slopes: Vec<Slope>,
+    steady: SteadyFigures,
+    events: Option<EventFigures>,
+}
+
+/// Measures the parts and prints each slope.
+pub fn run(parser: &mut lexopt::Parser) -> Result<process::ExitCode, BenchError> {
+    let mut settings = Settings::default();
+    let shared = arguments::parse(parser, &FLAGS, |flag, parser| {
+        set(&mut settings, flag, parser)
+    })?;
+    if let Some(code) = shared.answer(USAGE) {
+        return Ok(code);
+    }
+    check(&settings)?;
+    let measured = measure(&settings)?;
+    if shared.json {
+        print_json(&measured);
+    } else {
+        print!("{}", text(&measured));
+    }
+    if let Some(page) = &settings.page {
+        write_page(page, &measured)?;
+    }
+    let over = measured
+        .slopes
+        .iter()
+        .any(|slope| slope.within_budget() == Some(false));
+    Ok(process::ExitCode::from(u8::from(over)))
+}
+
+fn set(
+    settings: &mut Settings,
+    flag: &str,
+    parser: &mut lexopt::Parser,
+) -> Result<bool, command_line::UsageError> {
+    match flag {
+        "parts" => settings.parts = arguments::values(parser)?,
+        "daemons" => settings.daemons = arguments::values(parser)?,
+        "seconds" => settings.seconds = arguments::value(parser)?,
+        "objects" => settings.objects = arguments::values(parser)?,
+        "blocks" => settings.blocks = arguments::values(parser)?,
+        "lookups" => settings.lookups = arguments::values(parser)?,
+        "requests" => settings.requests = arguments::values(parser)?,
+        "fleet" => settings.fleet = arguments::value(parser)?,
+        "outage-s" => settings.outage_s = arguments::value(parser)?,
+        "page" => settings.page = Some(arguments::value(parser)?),
+        _ => return Ok(false),
+    }
+    Ok(true)
+}
+
+fn check(settings: &Settings) -> Result<(), command_line::UsageError> {
+    let malformed = |text: String| Err(command_line::UsageError::Malformed(text));
+    if let Some(part) = settings
+        .parts
+        .iter()
+        .find(|part| !PARTS.contains(&part.as_str()))
+    {
+        return malformed(format!("{part:?} is no part; write {}", PARTS.join(", ")));
+    }
+    let largest = settings.daemons.iter().chain([&settings.fleet]).max();
+    if largest.is_some_and(|largest| *largest > MOST_DAEMONS) {
+        return malformed(format!(
+            "at most {MOST_DAEMONS} daemons, to stay under 300 processes"
+        ));
+    }
+    Ok(())
+}
+
+fn measure(settings: &Settings) -> Result<Measured, BenchError> {
+    let wanted = |part: &str| settings.parts.iter().any(|wanted| wanted == part);
+    let mut measured = Measured::default();
+    if wanted("blocks") {
+        measured
+            .slopes
+            .extend(capacity::measure_blocks(&settings.blocks)?);
+    }
+    if wanted("load") {
+        let slopes =
+            capacity::measure_load(&settings.lookups, &settings.requests, settings.seconds)?;
+        measured.slopes.extend(slopes);
+    }
+    if wanted("changes") {
+        measured
+            .slopes
+            .extend(capacity::measure_changes(&settings.objects)?);
+    }
+    if wanted("events") {
+        let outage = Duration::from_secs(settings.outage_s);
+        measured.events = Some(capacity::measure_events(settings.fleet, outage)?);
+    }
+    if wanted("steady") {
+        measured.steady = capacity::measure_steady(&settings.daemons, settings.seconds)?;
+        measured.slopes.extend(measured.steady.slopes());
+    }
+    Ok(measured)
+}
+
+fn print_json(measured: &Measured) {
+    for slope in &measured.slopes {
+        println!("{}", slope.to_json());
+    }
+    println!(
+        "{}",
+        serde_json::json!({ "steady": measured.steady, "events": measured.events })
+    );
+}
+
+/// The measured part of the page.
+fn text(measured: &Measured) -> String {
+    let mut text = capacity::table(&measured.slopes);
+    if !measured.steady.sizes.is_empty() {
+        text.push_str(
+            "\nControl bytes a second of one instance by message kind, sent / received:\n\n",
+        );
+        text.push_str("| daemons | kinds |\n|---|---|\n");
+    }
+    for (size, rates) in &measured.steady.sizes {
+        let kinds: Vec<String> = rates
+            .kinds
+            .iter()
+            .map(|(kind, (sent, received))| format!("{kind} {sent:.0} / {received:.0}"))
+            .collect();
+        text.push_str(&format!("| {size} | {} |\n", kinds.join(", ")));
+    }
+    if let Some(events) = &measured.events {
+        text.push_str(&events_table(events));
+    }
+    text
+}
+
+fn events_table(events: &EventFigures) -> String {
+    let row = |title: String, rates: &Rates, peak: Option<f64>| {
+        format!(
+            "| {title} | {} | {} | {:.0} | {:.1} | {:.1} | {} |\n",
+            optional(rates.control_relay),
+            optional(rates.control_other),
+            rates.control_max,
+            rates.store_reads,
+            rates.store_writes,
+            optional(peak),
+        )
+    };
+    let mut text = format!("\nEvents on a fleet of {} daemons:\n\n", events.daemons);
+    text.push_str("| event | relay B/s | other B/s | busiest B/s | store reads/s | store writes/s | most store calls in a second |\n|---|---|---|---|---|---|---|\n");
+    text.push_str(&row("steady state".to_owned(), &events.steady, None));
+    let title = format!("zone of {} lost, 10 s after", events.lost);
+    text.push_str(&row(
+        title,
+        &events.after_loss,
+        Some(events.loss_peak_calls),
+    ));
+    let title = format!("store back after {:.0} s, 10 s after", events.outage_s);
+    text.push_str(&row(
+        title,
+        &events.after_return,
+        Some(events.return_peak_calls),
+    ));
+    let title = format!(
+        "{} restarted in turn, {:.0} ms each",
+        events.rolled, events.restart_ms
+    );
+    text.push_str(&row(
+        title,
+        &events.rolling,
+        Some(events.rolling_peak_calls),
+    ));
+    text
+}
+
+fn optional(value: Option<f64>) -> String {
+    value.map_or("none".to_owned(), |value| format!("{value:.0}"))
+}
+
+fn write_page(file: &str, measured: &Measured) -> Result<(), BenchError> {
+    let page = fs::read_to_string(file).map_err(|cause| BenchError::file(file, &cause))?;
+    let page = capacity::rewrite(&page, &text(measured));
+    let page = page.ok_or_else(|| BenchError::file(file, &"the page lacks its two markers"))?;
+    fs::write(file, page).map_err(|cause| BenchError::file(file, &cause))
+}
--- a/crates/damaskvane-bench/src/commands.rs
+++ b/crates/damaskvane-bench/src/commands.rs
@@ -9,7 +9,7 @@
 use std::process;
 
 use crate::error::BenchError;
-use crate::{checker, cluster, config, demo, load, speed, steering};
+use crate::{capacity, checker, cluster, config, demo, load, speed, steering};
 
 /// One sub-command.
 #[derive(Debug, Clone, Copy)]
@@ -59,6 +59,11 @@
         summary: "from acceptance to in force everywhere",
         run: config::run,
     },
+    Command {
+        name: "capacity",
+        summary: "the slopes behind docs/CAPACITY.md",
+        run: capacity::command::run,
+    },
 ];
 
 /// The sub-command of that name.
--- a/crates/damaskvane-bench/src/lib.rs
+++ b/crates/damaskvane-bench/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`steering`]: the decision code against baselines, in virtual time.
 //! - [`config`]: the same by the number of daemons.
 //! - [`speed`]: what an entry instance adds to a request, and its look-ups.
+//! - [`capacity`]: the slopes behind docs/CAPACITY.md.
 //! - [`histogram`], [`fit`]: quantiles and lines through measured points.
 //!
 //! ```
@@ -21,6 +22,7 @@
 //! ```
 
 pub mod arguments;
+pub mod capacity;
 pub mod checker;
 pub mod client;
 pub mod cluster;
--- a/crates/damaskvane-bench/src/speed.rs
+++ b/crates/damaskvane-bench/src/speed.rs
@@ -12,6 +12,6 @@
 mod report;
 mod requests;
 
-pub use lookups::{LookupFigures, measure_lookups};
+pub use lookups::{LookupFigures, LookupLoad, measure_lookups};
 pub use report::{Bounds, SpeedReport};
-pub use requests::{RequestFigures, measure_requests};
+pub use requests::{RequestFigures, Targets, measure_requests};
--- a/crates/damaskvane-bench/src/speed/command.rs
+++ b/crates/damaskvane-bench/src/speed/command.rs
@@ -6,9 +6,7 @@
 use crate::arguments;
 use crate::cluster::{Cluster, Deployment};
 use crate::error::BenchError;
-use crate::speed::lookups::LookupLoad;
-use crate::speed::requests::Targets;
-use crate::speed::{self, Bounds, SpeedReport};
+use crate::speed::{self, Bounds, LookupLoad, SpeedReport, Targets};
 
 const USAGE: &str = "\
 damaskvane-bench speed: a request through an entry instance and straight to the stand-in, and look-ups
