Look-ups follow digests of all zones and shifts by ticket

Ruled out: a plan made by one instance for all, which would be an instance set aside for control. Conclusion: instances report to their zone's aggregator, digests travel between zones, every instance plans for itself.

--- a/crates/damaskvane-engine/src/engine.rs
+++ b/crates/damaskvane-engine/src/engine.rs
@@ -19,6 +19,7 @@
 mod expiry;
 mod forwarding;
 mod leaving;
+mod load;
 mod pending;
 mod pump;
 mod servers;
@@ -31,6 +32,7 @@
 use damaskvane_core::{ids, time};
 use damaskvane_dispatch::{home, retry};
 use damaskvane_slots::exchange;
+pub use load::{EngineLoad, EngineServiceLoad};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 pub use settings::EngineSettings;
@@ -58,6 +60,7 @@
     handed_to: Option<home::Home>,
     rng: Pcg64Mcg,
     next_id: u64,
+    load: EngineLoad,
     actions: Vec<Action>,
 }
 
@@ -81,6 +84,7 @@
             departure: leaving::Departure::default(),
             handed_to: None,
             next_id: 1,
+            load: EngineLoad::default(),
             actions: Vec::new(),
         }
     }
--- a/crates/damaskvane-engine/src/engine/answers.rs
+++ b/crates/damaskvane-engine/src/engine/answers.rs
@@ -84,6 +84,9 @@
         let Some(pending) = self.requests.remove(&id) else {
             return;
         };
+        if reason == refusal::RefusalReason::QueueTimeout {
+            self.count_refused(&pending.request.service);
+        }
         match pending.stage {
             Stage::Queued(received) => self.finish(now, pending.origin, received.refuse(reason)),
             Stage::Requeued(admitted) | Stage::Backoff { admitted, .. } => {
--- a/crates/damaskvane-engine/src/engine/ended.rs
+++ b/crates/damaskvane-engine/src/engine/ended.rs
@@ -22,6 +22,13 @@
         let took = now.since(flight.sent.sent_at());
         self.servers
             .ended(now, &flight.service, flight.taken, took, &end);
+        if !matches!(end, ExchangeEnd::Answered(_) | ExchangeEnd::Refused) {
+            self.load
+                .services
+                .entry(flight.service.clone())
+                .or_default()
+                .errors += 1;
+        }
         let progress = match end {
             // The exchange compared the answer's request id with the request's own; a mismatch comes
             // here as Crossed, a wrong length as Cut.
--- a/crates/damaskvane-engine/src/engine/servers.rs
+++ b/crates/damaskvane-engine/src/engine/servers.rs
@@ -293,6 +293,26 @@
         }
     }
 
+    /// Slots that this instance grants and that take work, by service.
+    pub(super) fn serving(&self, now: time::TimeMs) -> BTreeMap<ids::ServiceId, units::Slots> {
+        let mut serving = BTreeMap::new();
+        for status in self.slots.status(now) {
+            let is_serving = status.phase == exchange::OwnerPhase::Serving;
+            let Some(entry) = self.directory.backend_servers.get(status.server) else {
+                continue;
+            };
+            let takes_work = !entry.draining && self.admits(now, &entry.service, status.server);
+            let slots = if is_serving && takes_work {
+                entry.slots
+            } else {
+                units::Slots::ZERO
+            };
+            let sum: &mut units::Slots = serving.entry(entry.service.clone()).or_default();
+            *sum = *sum + slots;
+        }
+        serving
+    }
+
     pub(super) fn address(&self, server: &ids::BackendServerId) -> Option<std::net::SocketAddr> {
         let entry = self.directory.backend_servers.get(server)?;
         Some(entry.address)
--- a/crates/damaskvane-engine/src/engine/submit.rs
+++ b/crates/damaskvane-engine/src/engine/submit.rs
@@ -63,6 +63,7 @@
         received: exchange::Received,
     ) {
         if let Some((reason, retry_after)) = self.refuses(&request.service, now) {
+            self.count_refused(&request.service);
             let answered = received.refuse_until(reason, retry_after);
             self.finish(now, Some(origin), answered);
             return;
@@ -75,6 +76,11 @@
         self.queue.push(id);
     }
 
+    pub(super) fn count_refused(&mut self, service: &ids::ServiceId) {
+        let load = self.load.services.entry(service.clone()).or_default();
+        load.refused += 1;
+    }
+
     /// Why a new request of a service would not even be queued.
     fn refuses(
         &self,
--- a/crates/damaskvane-entry/src/client_api/listener.rs
+++ b/crates/damaskvane-entry/src/client_api/listener.rs
@@ -153,6 +153,7 @@
         Ok(body) => request.body = body,
         Err(error) => return refuse(api, error.reason(), &error.to_string()),
     }
+    count_arrival(&api.serving, &request);
     let request_id = request.request_id.clone();
     let outcome = run(api, request).await;
     reply::from_outcome(
@@ -162,6 +163,20 @@
     )
 }
 
+/// Counts first tries only: what comes again is the same demand.
+fn count_arrival(serving: &serving::Serving, request: &message::ServiceRequest) {
+    let is_first = request
+        .idempotency
+        .as_ref()
+        .is_none_or(|idempotency| idempotency.try_number <= 1);
+    let source = serving
+        .state()
+        .source_zone(&request.service, request.client.as_ref());
+    if let (true, Some(source)) = (is_first, source) {
+        serving.meter.arrived(&request.service, &source);
+    }
+}
+
 /// Gives the request to the engine and waits. hyper drops this future when the client closes its
 /// connection; the guard then tells the engine, which stops what still runs.
 async fn run(
--- a/crates/damaskvane-entry/src/client_api/lookup.rs
+++ b/crates/damaskvane-entry/src/client_api/lookup.rs
@@ -12,7 +12,7 @@
 //! assert_eq!(answer.status(), 503);
 //! ```
 
-use damaskvane_core::{hash, ids, time};
+use damaskvane_core::{ids, time};
 use damaskvane_dispatch::refusal;
 use damaskvane_steering::picker;
 use serde::Serialize;
@@ -82,12 +82,12 @@
     query: &str,
     now: time::TimeMs,
 ) -> Result<LookupAnswer<'a>, Refusal> {
-    let config = state.config.as_ref().ok_or_else(|| {
-        Refusal::new(
+    if state.config.is_none() {
+        return Err(Refusal::new(
             refusal::RefusalReason::NoConfiguration,
             "no configuration is in force yet",
-        )
-    })?;
+        ));
+    }
     let service: ids::ServiceId = parameter(query, "service")?;
     let client: ids::ClientBlock = parameter(query, "client")?;
     let Some((service, settings)) = state.services.get_key_value(&service) else {
@@ -96,17 +96,15 @@
             format!("no service {service} is declared"),
         ));
     };
-    let near = config
-        .blocks_of(&client)
-        .map(|(_, blocks)| &blocks.near)
-        .or(state.own_zone.as_ref())
+    let source = state
+        .source_zone(service, Some(&client))
         .ok_or_else(|| Refusal::new(refusal::RefusalReason::NoConfiguration, "no zone is known"))?;
     let picked = picker::pick(
         &state.plan,
         service,
         &picker::Client {
-            zone: near.clone(),
-            hash: hash_of(client.as_str()),
+            zone: source,
+            hash: serving::client_hash(client.as_str()),
         },
         now,
     );
@@ -149,7 +147,7 @@
     let mut chosen = Vec::new();
     for points in zones.iter().filter_map(|zone| state.entries.get(zone)) {
         let mut ranked: Vec<_> = points.iter().collect();
-        ranked.sort_by_key(|point| hash_of(&format!("{client}/{}", point.instance)));
+        ranked.sort_by_key(|point| serving::client_hash(&format!("{client}/{}", point.instance)));
         chosen.extend(ranked);
     }
     chosen
@@ -162,11 +160,3 @@
         })
         .collect()
 }
-
-fn hash_of(text: &str) -> u64 {
-    let hash = hash::ContentHash::of(text.as_bytes());
-    let bytes: [u8; 8] = hash.as_bytes()[..8]
-        .try_into()
-        .expect("a hash has more than 8 bytes");
-    u64::from_le_bytes(bytes)
-}
--- a/crates/damaskvane-entry/src/control.rs
+++ b/crates/damaskvane-entry/src/control.rs
@@ -16,6 +16,7 @@
 mod fleet;
 mod input;
 mod publishing;
+mod shifts;
 mod steering;
 
 use core::time::Duration;
@@ -195,6 +196,8 @@
             wire::WireMessage::Heartbeat(heartbeat) => {
                 self.heartbeat(from, received.incarnation, heartbeat);
             }
+            wire::WireMessage::Load(load) => self.take_load(from, load),
+            wire::WireMessage::Digests(bundle) => self.take_digests(&from, bundle),
             wire::WireMessage::Configuration(message) => self.configuration(from, message),
             wire::WireMessage::Engine(message) => {
                 let from = home::Home::new(from, received.incarnation);
@@ -205,7 +208,9 @@
 
     fn maintain(&mut self) {
         self.peers.maintain();
+        self.measure();
         self.publish_status();
+        self.publish_steering();
     }
 
     /// A planned stop: look-up answers of all instances leave this one out from now on.
--- a/crates/damaskvane-entry/src/control/steering.rs
+++ b/crates/damaskvane-entry/src/control/steering.rs
@@ -1,39 +1,203 @@
-//! Makes the plan that look-ups follow.
+//! Makes the plan that look-ups follow, out of the digests of all zones.
 //!
 //! ```text
-//! configuration + digests of all zones + the plan before -> weights between zones
+//! own load -> aggregator of the zone -> digest -> all zones -> view -> plan
 //! ```
 
+use std::collections::BTreeMap;
+
 use damaskvane_config::{declaration, state};
+use damaskvane_core::{ids, time};
+use damaskvane_membership::digest as digests;
 use damaskvane_steering::{digest, plan, planner, policy};
+use serde_json::json;
 
 use crate::control::Control;
+use crate::control::shifts;
+use crate::load;
 use crate::translate;
+use crate::wire;
 
 /// What steering remembers between two plans.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Steering {
-    pub(super) view: digest::View,
-    pub(super) plan: Option<plan::Plan>,
+    view: digest::View,
+    plan: Option<plan::Plan>,
+    exchange: digests::DigestExchange<load::ZoneReport>,
+    zone: load::ZoneLoad,
+    measured_at: time::TimeMs,
+    pub(super) shifts: shifts::Shifts,
+}
+
+impl Default for Steering {
+    fn default() -> Self {
+        Self {
+            view: digest::View::default(),
+            plan: None,
+            exchange: digests::DigestExchange::new(digests::DigestSettings::default()),
+            zone: load::ZoneLoad::default(),
+            measured_at: time::TimeMs::ZERO,
+            shifts: shifts::Shifts::default(),
+        }
+    }
 }
 
 impl Control {
+    /// Plans anew from what is known now.
     pub(super) fn steer(&mut self) {
         let Some(in_force) = self.relay.adopter().in_force().cloned() else {
             return;
         };
+        let now = self.now();
         let config = in_force.state();
+        let moved = self.moved_elsewhere(now);
+        self.steering.shifts.follow(&config, &moved, now);
+        self.steering.shifts.advance(&self.steering.view, now);
         let topology = translate::topology(&config);
         let planner = planner::Planner::new(settings(&config));
         let plan = planner.plan(
             &topology,
             &self.steering.view,
             self.steering.plan.as_ref(),
-            self.now(),
+            now,
         );
         self.steering.plan = Some(plan.clone());
         self.publish_serving(config, plan);
     }
+
+    /// Measures the own load, tells the aggregator, and sends the zone's digest if this is the one.
+    pub(super) fn measure(&mut self) {
+        let now = self.now();
+        let period = now.since(self.steering.measured_at);
+        self.steering.measured_at = now;
+        let load = load::InstanceLoad::measure(&self.serving.meter, period);
+        let topology = self.digest_topology();
+        match topology.aggregator() {
+            Some(aggregator) if *aggregator != self.record.instance => {
+                let message = wire::WireMessage::Load(load);
+                self.peers.send(&aggregator.clone(), &message);
+            }
+            _ => self
+                .steering
+                .zone
+                .take(now, self.record.instance.clone(), load),
+        }
+        if self.steering.exchange.is_due(now, &topology) {
+            let report = self.zone_report(now);
+            let sends = self.steering.exchange.publish(now, &topology, report);
+            self.send_digests(sends);
+        }
+        self.adopt_digests();
+    }
+
+    fn zone_report(&self, now: time::TimeMs) -> load::ZoneReport {
+        let config = self
+            .relay
+            .adopter()
+            .in_force()
+            .map(|in_force| in_force.state());
+        let typical = |service: &ids::ServiceId| {
+            config
+                .as_ref()
+                .and_then(|config| config.services().get(service))
+                .map_or(time::SpanMs::new(1), |service| service.typical_request_ms)
+        };
+        let mut report = self.steering.zone.report(now, typical);
+        report.moved_permille = self.steering.shifts.moved();
+        report
+    }
+
+    pub(super) fn take_load(&mut self, from: ids::InstanceId, load: load::InstanceLoad) {
+        let now = self.now();
+        self.steering.zone.take(now, from, load);
+    }
+
+    pub(super) fn take_digests(
+        &mut self,
+        from: &ids::InstanceId,
+        bundle: digests::DigestBundle<load::ZoneReport>,
+    ) {
+        let now = self.now();
+        let topology = self.digest_topology();
+        let sends = self.steering.exchange.receive(now, &topology, from, bundle);
+        self.send_digests(sends);
+        self.adopt_digests();
+    }
+
+    fn send_digests(&self, sends: Vec<digests::DigestSend<load::ZoneReport>>) {
+        for send in sends {
+            self.peers
+                .send(&send.to, &wire::WireMessage::Digests(send.bundle));
+        }
+    }
+
+    fn adopt_digests(&mut self) {
+        let now = self.now();
+        for held in self.steering.exchange.digests(now) {
+            let taken_at = time::TimeMs::new(now.get().saturating_sub(held.age.get()));
+            let digest = held.body.to_digest(held.zone, held.sequence, taken_at);
+            self.steering.view.adopt(digest);
+        }
+    }
+
+    /// How far each shift is in the zones that told so, for an instance that has just started.
+    fn moved_elsewhere(&self, now: time::TimeMs) -> BTreeMap<String, u32> {
+        let mut moved = BTreeMap::new();
+        for held in self.steering.exchange.digests(now) {
+            for (shift, permille) in &held.body.moved_permille {
+                let most: &mut u32 = moved.entry(shift.clone()).or_default();
+                *most = (*most).max(*permille);
+            }
+        }
+        moved
+    }
+
+    fn digest_topology(&self) -> digests::Topology {
+        let mut zones: BTreeMap<ids::AvailabilityZoneId, digests::ZoneContacts> = BTreeMap::new();
+        let mut add =
+            |zone: &ids::AvailabilityZoneId, region: &ids::RegionId, instance: &ids::InstanceId| {
+                zones
+                    .entry(zone.clone())
+                    .or_insert_with(|| digests::ZoneContacts {
+                        region: region.clone(),
+                        ranked: Vec::new(),
+                    })
+                    .ranked
+                    .push(instance.clone());
+            };
+        for instance in self.membership.instances() {
+            if instance.state.takes_new_work() {
+                let record = instance.record;
+                add(&record.zone, &record.region, &record.instance);
+            }
+        }
+        add(
+            &self.record.availability_zone,
+            &self.record.region,
+            &self.record.instance,
+        );
+        for contacts in zones.values_mut() {
+            contacts.ranked.sort();
+        }
+        digests::Topology {
+            own: self.record.instance.clone(),
+            own_zone: self.record.availability_zone.clone(),
+            zones,
+        }
+    }
+
+    pub(super) fn publish_steering(&self) {
+        let now = self.now();
+        let ages: BTreeMap<_, _> = self
+            .steering
+            .exchange
+            .digests(now)
+            .map(|held| (held.zone.to_string(), held.age.get()))
+            .collect();
+        self.status.publish("digest_age_ms", json!(ages));
+        self.status
+            .publish("shifts", json!(self.steering.shifts.described()));
+    }
 }
 
 /// One planner serves all services: it weighs headroom if any service asks for it, and counts answers
--- a/crates/damaskvane-entry/src/engine_thread.rs
+++ b/crates/damaskvane-entry/src/engine_thread.rs
@@ -10,6 +10,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use damaskvane_core::time;
 use damaskvane_dispatch::home;
 use damaskvane_engine::{engine, event};
 use slog::{error, warn};
@@ -22,6 +23,8 @@
 /// How often the engine is told that time has passed.
 pub const TICK: Duration = Duration::from_millis(10);
 
+const LOAD_PERIOD: time::SpanMs = time::SpanMs::new(1_000);
+
 /// What the engine's thread works with.
 pub struct EngineThread {
     engine: engine::Engine,
@@ -58,6 +61,7 @@
     /// Runs until it is told to stop.
     pub fn run(mut self) {
         let mut next_tick = self.serving.clock.now();
+        let mut next_load = next_tick;
         loop {
             let event = match self.inbox.recv_timeout(TICK) {
                 Ok(inbox::Input::Stop) | Err(flume::RecvTimeoutError::Disconnected) => return,
@@ -68,8 +72,12 @@
                 self.handle(event);
             }
             let now = self.serving.clock.now();
+            if now >= next_load {
+                next_load = now + LOAD_PERIOD;
+                self.serving.meter.set_engine(self.engine.take_load(now));
+            }
             if now >= next_tick {
-                next_tick = now + damaskvane_core::time::SpanMs::new(TICK.as_millis() as u64);
+                next_tick = now + time::SpanMs::new(TICK.as_millis() as u64);
                 self.handle(event::Event::Tick);
             }
         }
--- a/crates/damaskvane-entry/src/lib.rs
+++ b/crates/damaskvane-entry/src/lib.rs
@@ -9,6 +9,7 @@
 //! [`translate`] turns it into what look-ups ([`serving`]) and the engine need.
 //!
 //! - [`settings`], [`clock`]: what the process is told, and its time.
+//! - [`load`]: what the instance measures of its traffic, for digests.
 //! - [`peers`], [`wire`]: other entry instances and what is said to them.
 //! - [`operator_api`]: the state of the instance for operators.
 //! - [`process`]: puts all of it together.
@@ -20,6 +21,7 @@
 pub mod exchange;
 pub mod exchange_pool;
 pub mod inbox;
+pub mod load;
 pub mod operator_api;
 pub mod peers;
 pub mod process;
--- a/crates/damaskvane-entry/src/serving.rs
+++ b/crates/damaskvane-entry/src/serving.rs
@@ -11,24 +11,29 @@
 //! assert_eq!(serving.config_version().get(), 0);
 //! ```
 
+mod active_shift;
 mod state;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
+pub use active_shift::ActiveShift;
 use arc_swap::ArcSwap;
 use damaskvane_core::ids;
 use damaskvane_engine::event;
 use damaskvane_telemetry::counters;
-pub use state::{EntryPoint, LookupService, ServingState};
+pub use state::{EntryPoint, LookupService, ServingState, client_hash};
 
 use crate::clock;
+use crate::load;
 
 /// What the threads of an entry instance share.
 #[derive(Debug)]
 pub struct Serving {
     /// Counts of everything that happens.
     pub counters: counters::Counters,
+    /// What this instance measures of its traffic.
+    pub meter: load::Meter,
     /// The process's clock.
     pub clock: clock::MonotonicClock,
     state: ArcSwap<ServingState>,
@@ -43,6 +48,7 @@
     pub fn new(counters: counters::Counters, id_prefix: impl Into<String>) -> Self {
         Self {
             counters,
+            meter: load::Meter::default(),
             clock: clock::MonotonicClock::start(),
             state: ArcSwap::default(),
             next_request: AtomicU64::new(1),
--- a/crates/damaskvane-entry/src/serving/state.rs
+++ b/crates/damaskvane-entry/src/serving/state.rs
@@ -11,9 +11,11 @@
 use std::sync::Arc;
 
 use damaskvane_config::state;
-use damaskvane_core::{ids, time};
+use damaskvane_core::{hash, ids, time};
 use damaskvane_steering::plan;
 
+use crate::serving::active_shift;
+
 /// An entry instance that clients can be told to use.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EntryPoint {
@@ -45,6 +47,8 @@
     pub services: BTreeMap<ids::ServiceId, LookupService>,
     /// Where traffic goes.
     pub plan: plan::Plan,
+    /// Moves of traffic that tickets order.
+    pub shifts: Vec<active_shift::ActiveShift>,
     /// Live entry instances that are not leaving, by zone.
     pub entries: BTreeMap<ids::AvailabilityZoneId, Vec<EntryPoint>>,
 }
@@ -57,7 +61,37 @@
             own_zone: None,
             services: BTreeMap::new(),
             plan: plan::Plan::empty(time::TimeMs::ZERO),
+            shifts: Vec::new(),
             entries: BTreeMap::new(),
         }
     }
 }
+
+impl ServingState {
+    /// The zone that a client is steered from: the nearest one, unless a shift has moved it.
+    #[must_use]
+    pub fn source_zone(
+        &self,
+        service: &ids::ServiceId,
+        client: Option<&ids::ClientBlock>,
+    ) -> Option<ids::AvailabilityZoneId> {
+        let near = client
+            .and_then(|client| self.config.as_ref()?.blocks_of(client))
+            .map(|(_, blocks)| &blocks.near)
+            .or(self.own_zone.as_ref())?;
+        let client_hash = client.map_or(0, |client| client_hash(client.as_str()));
+        let shift = self
+            .shifts
+            .iter()
+            .find(|shift| shift.applies(service, near, client_hash));
+        Some(shift.map_or(near, |shift| &shift.to).clone())
+    }
+}
+
+/// A number that stands for a client block, equal on every instance.
+#[must_use]
+pub fn client_hash(block: &str) -> u64 {
+    hash::ContentHash::of(block.as_bytes()).as_bytes()[..8]
+        .iter()
+        .fold(0_u64, |sum, byte| (sum << 8) | u64::from(*byte))
+}
--- a/crates/damaskvane-entry/src/wire/message.rs
+++ b/crates/damaskvane-entry/src/wire/message.rs
@@ -9,10 +9,11 @@
 //! ```
 
 use damaskvane_engine::peer;
-use damaskvane_membership::heartbeat;
+use damaskvane_membership::{digest, heartbeat};
 use damaskvane_peer::transport;
 use serde::{Deserialize, Serialize};
 
+use crate::load;
 use crate::wire::configuration;
 
 /// A message between entry instances. Names are short because heartbeats are sent all the time.
@@ -24,6 +25,12 @@
     /// About the configuration.
     #[serde(rename = "c")]
     Configuration(configuration::ConfigurationMessage),
+    /// What an instance measured, for the aggregator of its zone.
+    #[serde(rename = "l")]
+    Load(load::InstanceLoad),
+    /// Reports of zones.
+    #[serde(rename = "d")]
+    Digests(digest::DigestBundle<load::ZoneReport>),
     /// From engine to engine.
     #[serde(rename = "e")]
     Engine(Box<peer::PeerMessage>),
@@ -33,6 +40,8 @@
     fn kind(&self) -> &'static str {
         match self {
             Self::Heartbeat(_) => "heartbeat",
+            Self::Load(_) => "load",
+            Self::Digests(_) => "digests",
             Self::Configuration(message) => message.kind(),
             Self::Engine(message) => message.kind(),
         }
