--- a/crates/damaskvane-bench/src/capacity/load.rs
+++ b/crates/damaskvane-bench/src/capacity/load.rs
@@ -24,6 +24,7 @@
     let mut cluster = Cluster::start(deployment, "")?;
     cluster.submit_whole("capacity")?;
     cluster.wait_in_force(1, FIRST_LIMIT)?;
+    cluster.wait_serving(FIRST_LIMIT)?;
     let mut of_lookups = Vec::new();
     for rate in lookups {
         let cpu = cpu_during(&cluster, || ask(&cluster, *rate, seconds))?;
--- a/crates/damaskvane-bench/src/capacity/steady.rs
+++ b/crates/damaskvane-bench/src/capacity/steady.rs
@@ -40,6 +40,7 @@
     let mut cluster = Cluster::start(Deployment::grid(regions, zones, entries), "")?;
     cluster.submit_whole("capacity")?;
     cluster.wait_in_force(1, FIRST_LIMIT)?;
+    cluster.wait_serving(FIRST_LIMIT)?;
     Ok(cluster)
 }
 
--- a/crates/damaskvane-bench/src/cluster/command.rs
+++ b/crates/damaskvane-bench/src/cluster/command.rs
@@ -42,6 +42,7 @@
     let mut cluster = Cluster::start(deployment, "")?;
     cluster.submit_whole("first configuration")?;
     cluster.wait_in_force(1, IN_FORCE_LIMIT)?;
+    cluster.wait_serving(IN_FORCE_LIMIT)?;
     let line = serde_json::json!({
         "directory": cluster.directory(),
         "entries": cluster.client_addresses(),
--- a/crates/damaskvane-bench/src/cluster/entry.rs
+++ b/crates/damaskvane-bench/src/cluster/entry.rs
@@ -17,6 +17,8 @@
 
 /// The longest wait for an instance to serve.
 const START_LIMIT: Duration = Duration::from_secs(20);
+/// The time for a request that only asks whether the instance serves, in milliseconds.
+const READY_DEADLINE_MS: u64 = 500;
 /// The longest wait for a status.
 const STATUS_LIMIT: Duration = Duration::from_secs(2);
 
@@ -139,6 +141,19 @@
         self.process = None;
     }
 
+    /// Whether it answers a short request with a backend server's answer.
+    #[must_use]
+    pub fn serves(&self, service: &str) -> bool {
+        let url = format!("http://{}/v1/services/{service}/work?ms=1", self.client);
+        let answer = attohttpc::get(url)
+            .header("damaskvane-request-id", "bench-ready")
+            .header("damaskvane-client", "bench-ready")
+            .header("damaskvane-deadline-ms", READY_DEADLINE_MS)
+            .timeout(STATUS_LIMIT)
+            .send();
+        answer.is_ok_and(|answer| answer.is_success())
+    }
+
     /// Its own state.
     pub fn status(&self) -> Result<EntryStatus, BenchError> {
         fetch_status(&self.operator)
--- a/crates/damaskvane-bench/src/cluster/running.rs
+++ b/crates/damaskvane-bench/src/cluster/running.rs
@@ -241,6 +241,29 @@
         Ok(start.elapsed())
     }
 
+    /// Waits until every running instance serves every service; the time it took.
+    ///
+    /// A new owner of slots waits until whatever an earlier one granted must have lapsed, so a fresh
+    /// fleet serves some seconds after its first configuration. Without this wait, every experiment would
+    /// measure that once more.
+    pub fn wait_serving(&self, limit: Duration) -> Result<Duration, BenchError> {
+        let start = Instant::now();
+        for entry in self.entries.iter().filter(|entry| entry.process_id().is_some()) {
+            for service in &self.deployment.services {
+                while !entry.serves(&service.name) {
+                    if start.elapsed() > limit {
+                        return Err(BenchError::NotReady {
+                            what: format!("{} on {}", service.name, entry.instance()),
+                            limit_ms: u64::try_from(limit.as_millis()).unwrap_or(u64::MAX),
+                        });
+                    }
+                    thread::sleep(READY_POLL);
+                }
+            }
+        }
+        Ok(start.elapsed())
+    }
+
     /// The highest configuration that an instance has in force.
     #[must_use]
     pub fn config_version(&self) -> u64 {
--- a/crates/damaskvane-bench/src/demo/command.rs
+++ b/crates/damaskvane-bench/src/demo/command.rs
@@ -86,12 +86,13 @@
     let figures = Figures::of(deployment, &record);
     let report = load::Report::of(&record.given);
     let mut text = format!(
-        "{}: {} entry instances, {} slots, {} processes, {} MB resident\n",
+        "{}: {} entry instances, {} slots, {} processes, {} MB resident, all served {} ms after the first configuration\n",
         deployment.name,
         deployment.instances().count(),
         deployment.slots(),
         record.processes,
         figures.resident_mb,
+        record.first_served_ms,
     );
     for promise in &promises {
         text.push_str(&format!("  {promise}\n"));
--- a/crates/damaskvane-bench/src/demo/record.rs
+++ b/crates/damaskvane-bench/src/demo/record.rs
@@ -44,6 +44,8 @@
 /// What a run left to be judged.
 #[derive(Debug, Clone, Default)]
 pub struct Record {
+    /// From the first configuration in force until every instance served, in milliseconds.
+    pub first_served_ms: u64,
     /// What each request was answered.
     pub given: Vec<Given>,
     /// What ran.
--- a/crates/damaskvane-bench/src/demo/script.rs
+++ b/crates/damaskvane-bench/src/demo/script.rs
@@ -40,6 +40,7 @@
     let mut record = Record::default();
     cluster.submit_whole("first configuration")?;
     cluster.wait_in_force(1, FIRST_LIMIT)?;
+    record.first_served_ms = to_ms(cluster.wait_serving(FIRST_LIMIT)?);
     let observer = Observer::start(&cluster);
     let probe = ShareProbe::start(asked(&cluster, &plan)?, &plan);
     let load = Load::start(&cluster, rate, seed);
--- a/crates/damaskvane-bench/src/speed/command.rs
+++ b/crates/damaskvane-bench/src/speed/command.rs
@@ -80,6 +80,7 @@
     let mut cluster = Cluster::start(deployment, "")?;
     cluster.submit_whole("speed")?;
     cluster.wait_in_force(1, IN_FORCE_LIMIT)?;
+    cluster.wait_serving(IN_FORCE_LIMIT)?;
     let entry = cluster.client_addresses()[0];
     let backend = cluster
         .backend_addresses()
