--- a/crates/damaskvane-entry/src/client_api/lookup.rs
+++ b/crates/damaskvane-entry/src/client_api/lookup.rs
@@ -59,7 +59,7 @@
 #[must_use]
 pub fn answer(serving: &serving::Serving, query: &str) -> reply::HttpAnswer {
     let state = serving.state();
-    match find(&state, query, serving.clock.now()) {
+    match find(serving, &state, query) {
         Ok(answer) => {
             serving.counters.increment(LOOKUPS, "answered");
             reply::json(&answer)
@@ -78,9 +78,9 @@
 }
 
 fn find<'a>(
+    serving: &serving::Serving,
     state: &'a serving::ServingState,
     query: &str,
-    now: time::TimeMs,
 ) -> Result<LookupAnswer<'a>, Refusal> {
     if state.config.is_none() {
         return Err(Refusal::new(
@@ -103,11 +103,12 @@
         &state.plan,
         service,
         &picker::Client {
-            zone: source,
+            zone: source.clone(),
             hash: serving::client_hash(client.as_str()),
         },
-        now,
+        serving.clock.now(),
     );
+    serving.meter.looked_up(service, &source, picked.is_ok());
     let zones = picked.map_err(|refused| Refusal {
         reason: refusal::RefusalReason::Overloaded,
         retry_after: Some(refused.retry_after),
--- a/crates/damaskvane-entry/src/load.rs
+++ b/crates/damaskvane-entry/src/load.rs
@@ -18,5 +18,5 @@
 mod zone_load;
 
 pub use instance_load::{InstanceLoad, ServiceLoad};
-pub use meter::Meter;
+pub use meter::{LookUpCount, Meter};
 pub use zone_load::{ZoneLoad, ZoneReport, ZoneServiceReport};
--- a/crates/damaskvane-entry/src/load/instance_load.rs
+++ b/crates/damaskvane-entry/src/load/instance_load.rs
@@ -11,7 +11,7 @@
 use damaskvane_core::{ids, time};
 use serde::{Deserialize, Serialize};
 
-use crate::load::meter::Meter;
+use crate::load::meter::{self, Meter};
 
 /// One service on one instance. Names are short because it is sent every second.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,6 +31,9 @@
     /// Arrivals in the period by the zone of the clients.
     #[serde(rename = "d", default)]
     pub arrivals: BTreeMap<ids::AvailabilityZoneId, u64>,
+    /// Look-ups in the period by the zone of the clients, where some were refused.
+    #[serde(rename = "l", default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub look_ups: BTreeMap<ids::AvailabilityZoneId, meter::LookUpCount>,
 }
 
 /// One instance's load over one period.
@@ -58,7 +61,7 @@
                     running: load.running.get(),
                     refused: load.refused,
                     errors: load.errors,
-                    arrivals: BTreeMap::new(),
+                    ..ServiceLoad::default()
                 };
                 (service, load)
             })
@@ -67,6 +70,10 @@
             let load = services.entry(service).or_default();
             load.arrivals.insert(source, count);
         }
+        for ((service, source), count) in meter.take_look_ups() {
+            let load = services.entry(service).or_default();
+            load.look_ups.insert(source, count);
+        }
         Self {
             period_ms: period,
             services,
--- a/crates/damaskvane-entry/src/load/zone_load.rs
+++ b/crates/damaskvane-entry/src/load/zone_load.rs
@@ -34,6 +34,9 @@
     /// Arrivals by the zone of the clients.
     #[serde(rename = "d", default)]
     pub demand: BTreeMap<ids::AvailabilityZoneId, rate::Rate>,
+    /// Look-ups by the zone of the clients, where some were refused: answered, refused.
+    #[serde(rename = "l", default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub look_ups: BTreeMap<ids::AvailabilityZoneId, (rate::Rate, rate::Rate)>,
     /// Requests refused for want of capacity.
     #[serde(rename = "x", default)]
     pub refused: rate::Rate,
@@ -95,6 +98,11 @@
                     let demand = sum.demand.entry(zone.clone()).or_default();
                     *demand += per_second(*count);
                 }
+                for (zone, count) in &of.look_ups {
+                    let look_ups = sum.look_ups.entry(zone.clone()).or_default();
+                    look_ups.0 += per_second(count.answered);
+                    look_ups.1 += per_second(count.refused);
+                }
             }
         }
         report
@@ -127,6 +135,17 @@
             capacity: self.capacity,
             running: self.running,
             demand: self.demand.clone(),
+            look_ups: self
+                .look_ups
+                .iter()
+                .map(|(zone, (answered, refused))| {
+                    let look_ups = digest::LookUps {
+                        answered: *answered,
+                        refused: *refused,
+                    };
+                    (zone.clone(), look_ups)
+                })
+                .collect(),
             refused: self.refused,
             errors: self.errors,
             overload,
