Boot without the store from seeds; equally free backend servers take turns

Cause: an instance that started during an outage knew no other and waited for the store. Ruled out: addresses in the configuration, which it has not got yet either.

--- a/crates/damaskvane-bench/src/cluster/entry.rs
+++ b/crates/damaskvane-bench/src/cluster/entry.rs
@@ -43,6 +43,7 @@
     client: String,
     operator: String,
     peer: String,
+    seeds: String,
 }
 
 impl Entry {
@@ -55,9 +56,21 @@
             client: any(),
             operator: any(),
             peer: any(),
+            seeds: String::new(),
         }
     }
 
+    /// Names the instances that it asks while the platform is down, from its next start on.
+    pub(crate) fn set_seeds(&mut self, seeds: &str) {
+        self.seeds = seeds.to_owned();
+    }
+
+    /// Where its peers reach it.
+    #[must_use]
+    pub fn peer_address(&self) -> &str {
+        &self.peer
+    }
+
     /// Starts it, at its former addresses if it has run before.
     pub fn start(&mut self, programs: &Programs) -> Result<(), BenchError> {
         let settings = self.directory.join(format!("{}.toml", self.plan.instance));
@@ -81,13 +94,14 @@
     fn settings(&self) -> String {
         let plan = &self.plan;
         format!(
-            "instance = \"{}\"\navailability_zone = \"{}\"\nregion = \"{}\"\nclient_address = \"{}\"\noperator_address = \"{}\"\npeer_address = \"{}\"\nplatform_address = \"{}\"\ntoken_file = \"{}\"\n{}",
+            "instance = \"{}\"\navailability_zone = \"{}\"\nregion = \"{}\"\nclient_address = \"{}\"\noperator_address = \"{}\"\npeer_address = \"{}\"\nseed_peers = \"{}\"\nplatform_address = \"{}\"\ntoken_file = \"{}\"\n{}",
             plan.instance,
             plan.zone,
             plan.region,
             self.client,
             self.operator,
             self.peer,
+            self.seeds,
             plan.platform,
             plan.token_file.display(),
             plan.extra,
--- a/crates/damaskvane-bench/src/cluster/running.rs
+++ b/crates/damaskvane-bench/src/cluster/running.rs
@@ -9,6 +9,7 @@
 //! ```
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::env;
 use std::fs;
 use std::net;
@@ -91,6 +92,7 @@
             })
             .collect();
         start_entries(&mut entries, &programs)?;
+        name_seeds(&mut entries);
         Ok(Self {
             deployment,
             entries,
@@ -344,3 +346,16 @@
     }
     Ok(())
 }
+
+/// Every instance asks the first of each zone; a dead one among them does no harm.
+fn name_seeds(entries: &mut [Entry]) {
+    let mut zones = BTreeSet::new();
+    let seeds: Vec<String> = entries
+        .iter()
+        .filter(|entry| zones.insert(entry.zone().to_owned()))
+        .map(|entry| format!("{}@{}", entry.instance(), entry.peer_address()))
+        .collect();
+    for entry in entries {
+        entry.set_seeds(&seeds.join(","));
+    }
+}
--- a/crates/damaskvane-engine/src/engine/servers.rs
+++ b/crates/damaskvane-engine/src/engine/servers.rs
@@ -4,6 +4,7 @@
 //! candidate = declared, not draining, healthy, with a connection left and a leased slot free
 //! ```
 
+use core::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -28,6 +29,8 @@
     slots: exchange::SlotExchange,
     pools: BTreeMap<ids::ServiceId, health::Pool>,
     connections: BTreeMap<ids::BackendServerId, connections::ConnectionBudget>,
+    uses: u64,
+    last_uses: BTreeMap<ids::BackendServerId, u64>,
     directory: Arc<directory::Directory>,
     actions: Vec<exchange::Action>,
 }
@@ -42,6 +45,8 @@
             ),
             pools: BTreeMap::new(),
             connections: BTreeMap::new(),
+            uses: 0,
+            last_uses: BTreeMap::new(),
             directory: Arc::default(),
             actions: Vec::new(),
         }
@@ -168,7 +173,7 @@
             .filter(|(id, server)| self.has_room(now, id, server))
             .map(|(id, _)| (self.slots.free(now, id), id))
             .filter(|(free, _)| *free > units::Slots::ZERO)
-            .max_by_key(|(free, _)| *free)
+            .max_by_key(|(free, id)| (*free, Reverse(self.last_use(id))))
             .map(|(_, id)| id.clone())?;
         let least = self.least_time(service).min(wanted);
         let ready = self.slots.begin(now, &server, wanted, least).ok()?;
@@ -215,7 +220,15 @@
             .map_or(time::SpanMs::ZERO, |service| service.typical_request)
     }
 
+    /// Among servers that are equally free the one that was left alone for longest is next: all caches
+    /// stay warm, and a fault of one is seen.
+    fn last_use(&self, server: &ids::BackendServerId) -> u64 {
+        self.last_uses.get(server).copied().unwrap_or(0)
+    }
+
     fn opened(&mut self, service: &ids::ServiceId, server: &ids::BackendServerId) {
+        self.uses += 1;
+        self.last_uses.insert(server.clone(), self.uses);
         if let Some(budget) = self.connections.get_mut(server) {
             let _ = budget.open();
         }
--- a/crates/damaskvane-entry/src/control.rs
+++ b/crates/damaskvane-entry/src/control.rs
@@ -70,6 +70,8 @@
     pub record: api::InstanceRecord,
     /// The settings.
     pub settings: settings::EntrySettings,
+    /// Instances to ask while the platform is down.
+    pub seeds: peers::Seeds,
     /// What look-ups are answered from.
     pub serving: Arc<serving::Serving>,
     /// The engine's inbox.
@@ -128,7 +130,7 @@
             relay: relay::Relay::new(me, relay::RelaySettings::default(), seed),
             watch: configuration::Watch::default(),
             membership: view::Membership::new(own, memberships, now),
-            list: fleet::ListReads::new(seed),
+            list: fleet::ListReads::new(seed, parts.seeds),
             steering: steering::Steering::default(),
         }
     }
@@ -143,6 +145,7 @@
             maintenance: service.subscribe(MAINTENANCE_PERIOD),
         };
         self.announce();
+        self.ask_seeds();
         self.tell_relay(relay::Event::Tick);
         loop {
             match inbox.recv_timeout(POLL) {
@@ -196,6 +199,7 @@
             wire::WireMessage::Heartbeat(heartbeat) => {
                 self.heartbeat(from, received.incarnation, heartbeat);
             }
+            wire::WireMessage::Fleet(message) => self.fleet(message),
             wire::WireMessage::Load(load) => self.take_load(from, load),
             wire::WireMessage::Digests(bundle) => self.take_digests(&from, bundle),
             wire::WireMessage::Configuration(message) => self.configuration(from, message),
--- a/crates/damaskvane-entry/src/control/fleet.rs
+++ b/crates/damaskvane-entry/src/control/fleet.rs
@@ -11,6 +11,7 @@
 use damaskvane_config::relay;
 use damaskvane_core::{ids, time};
 use damaskvane_membership::{heartbeat, record, view};
+use damaskvane_peer::address;
 use damaskvane_platform::api;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -27,6 +28,7 @@
 const FLEET_LIST_READS_PER_SECOND: u64 = 60;
 const SHORTEST_LIST_PERIOD_MS: u64 = 1_000;
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+const SEED_PERIOD: time::SpanMs = time::SpanMs::new(500);
 const ANNOUNCE_PAUSE: time::SpanMs = time::SpanMs::new(1_000);
 
 /// When the list is read next.
@@ -37,16 +39,20 @@
     next_at: time::TimeMs,
     announce_at: Option<time::TimeMs>,
     known: usize,
+    seeds: peers::Seeds,
+    seeds_asked_at: time::TimeMs,
 }
 
 impl ListReads {
-    pub(super) fn new(seed: u64) -> Self {
+    pub(super) fn new(seed: u64, seeds: peers::Seeds) -> Self {
         Self {
             rng: Pcg64Mcg::seed_from_u64(seed),
             is_out: false,
             next_at: time::TimeMs::ZERO,
             announce_at: None,
             known: 0,
+            seeds,
+            seeds_asked_at: time::TimeMs::ZERO,
         }
     }
 
@@ -123,7 +129,7 @@
         let mut book = peers::AddressBook::default();
         let mut members = Vec::new();
         for instance in self.membership.instances() {
-            let address = damaskvane_peer::address::PeerAddress::new(instance.record.peer_address);
+            let address = address::PeerAddress::new(instance.record.peer_address);
             book.insert(instance.record.instance.clone(), address);
             if instance.state.takes_new_work() {
                 members.push(relay::Member {
@@ -193,6 +199,9 @@
         if self.list.announce_at.is_some_and(|at| at <= now) {
             self.announce();
         }
+        if now.since(self.list.seeds_asked_at) >= SEED_PERIOD {
+            self.ask_seeds();
+        }
         if self.list.is_out || self.list.next_at > now {
             return;
         }
@@ -214,6 +223,58 @@
         });
     }
 
+    /// Asks the seeds for the list while the platform has not given one.
+    ///
+    /// An instance that is replaced during an outage would know nobody: it could take neither the
+    /// configuration nor heartbeats, and its clients would be refused until the platform is back.
+    pub(super) fn ask_seeds(&mut self) {
+        self.list.seeds_asked_at = self.now();
+        if self.membership.list_age().is_some() {
+            return;
+        }
+        let book = self.list.seeds.book();
+        let seeds: Vec<ids::InstanceId> = book.instances().collect();
+        self.peers.set_book(book);
+        let reply_to = *self.peers.local_address();
+        for seed in seeds {
+            let ask = wire::FleetMessage::AskList { reply_to };
+            self.peers.send(&seed, &wire::WireMessage::Fleet(ask));
+        }
+    }
+
+    pub(super) fn fleet(&mut self, message: wire::FleetMessage) {
+        match message {
+            wire::FleetMessage::AskList { reply_to } => self.answer_list(&reply_to),
+            wire::FleetMessage::List { records, age_ms } => {
+                if self.membership.list_age().is_none() {
+                    self.tell_membership(view::Event::List {
+                        records,
+                        age: age_ms,
+                        source: view::ListSource::Peer,
+                    });
+                }
+            }
+        }
+    }
+
+    fn answer_list(&self, reply_to: &address::PeerAddress) {
+        let Some(age_ms) = self.membership.list_age() else {
+            return;
+        };
+        let mut records: Vec<record::InstanceRecord> = self
+            .membership
+            .instances()
+            .map(|instance| record::InstanceRecord {
+                incarnation: instance.incarnation,
+                ..instance.record.clone()
+            })
+            .collect();
+        records.push(listed(self.record.clone()));
+        let list = wire::FleetMessage::List { records, age_ms };
+        self.peers
+            .send_to(reply_to, &wire::WireMessage::Fleet(list));
+    }
+
     pub(super) fn list_failed(&mut self) {
         let now = self.now();
         self.list.is_out = false;
--- a/crates/damaskvane-entry/src/peers.rs
+++ b/crates/damaskvane-entry/src/peers.rs
@@ -9,6 +9,7 @@
 //! ```
 
 mod address_book;
+mod seed;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -16,6 +17,7 @@
 use damaskvane_core::ids;
 use damaskvane_engine::peer;
 use damaskvane_peer::{address, counters, transport};
+pub use seed::{ParseSeedError, Seeds};
 
 use crate::wire;
 
@@ -57,6 +59,11 @@
         address.is_some_and(|address| self.transport.send(&address, message).is_ok())
     }
 
+    /// Sends a message to an address that is not in the book yet.
+    pub fn send_to(&self, to: &address::PeerAddress, message: &wire::WireMessage) -> bool {
+        self.transport.send(to, message).is_ok()
+    }
+
     /// Sends a message of the engine.
     pub fn send_engine(&self, to: &ids::InstanceId, message: peer::PeerMessage) -> bool {
         self.send(to, &wire::WireMessage::Engine(Box::new(message)))
--- a/crates/damaskvane-entry/src/process.rs
+++ b/crates/damaskvane-entry/src/process.rs
@@ -100,6 +100,7 @@
         control::ControlParts {
             record: record.clone(),
             settings: settings.clone(),
+            seeds: peers::Seeds::parse(&settings.seed_peers).map_err(StartError::Seeds)?,
             serving: Arc::clone(&serving),
             engine: engine.clone(),
             peers: Arc::clone(&peers),
--- a/crates/damaskvane-entry/src/process/error.rs
+++ b/crates/damaskvane-entry/src/process/error.rs
@@ -9,6 +9,8 @@
 
 use std::io;
 
+use crate::peers;
+
 /// Why an entry instance does not start.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub enum StartError {
@@ -28,6 +30,8 @@
         /// What is wrong with it.
         error: String,
     },
+    /// seed_peers: {0}
+    Seeds(peers::ParseSeedError),
     /// the system refuses a thread or a socket ({0}); raise the limits of this process
     Thread(io::Error),
 }
--- a/crates/damaskvane-entry/src/settings.rs
+++ b/crates/damaskvane-entry/src/settings.rs
@@ -29,6 +29,8 @@
     pub operator_address: String,
     /// Where other entry instances reach it.
     pub peer_address: String,
+    /// Instances to ask while the platform is down, as `instance@address`.
+    pub seed_peers: String,
     /// The platform's object API.
     pub platform_address: String,
     /// A file that holds the credential for the object API; empty for none.
@@ -66,6 +68,7 @@
             client_address: ANY_PORT.to_owned(),
             operator_address: ANY_PORT.to_owned(),
             peer_address: ANY_PORT.to_owned(),
+            seed_peers: String::new(),
             platform_address: String::new(),
             token_file: String::new(),
             statsd_address: String::new(),
@@ -91,6 +94,11 @@
         settings::Key::text("client_address", ANY_PORT, "where clients reach it"),
         settings::Key::text("operator_address", ANY_PORT, "where operators reach it"),
         settings::Key::text("peer_address", ANY_PORT, "where other instances reach it"),
+        settings::Key::text(
+            "seed_peers",
+            "",
+            "instances to ask while the platform is down: instance@address, ...",
+        ),
         settings::Key::required("platform_address", "address of the object API"),
         settings::Key::text(
             "token_file",
--- a/crates/damaskvane-entry/src/wire.rs
+++ b/crates/damaskvane-entry/src/wire.rs
@@ -9,7 +9,9 @@
 //! ```
 
 mod configuration;
+mod fleet;
 mod message;
 
 pub use configuration::{ConfigurationMessage, MOST_CHUNK_BYTES};
+pub use fleet::FleetMessage;
 pub use message::WireMessage;
--- a/crates/damaskvane-entry/src/wire/message.rs
+++ b/crates/damaskvane-entry/src/wire/message.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::load;
-use crate::wire::configuration;
+use crate::wire::{configuration, fleet};
 
 /// A message between entry instances. Names are short because heartbeats are sent all the time.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -22,6 +22,9 @@
     /// A sign of life.
     #[serde(rename = "h")]
     Heartbeat(heartbeat::Heartbeat),
+    /// About the list of instances.
+    #[serde(rename = "f")]
+    Fleet(fleet::FleetMessage),
     /// About the configuration.
     #[serde(rename = "c")]
     Configuration(configuration::ConfigurationMessage),
@@ -40,6 +43,7 @@
     fn kind(&self) -> &'static str {
         match self {
             Self::Heartbeat(_) => "heartbeat",
+            Self::Fleet(message) => message.kind(),
             Self::Load(_) => "load",
             Self::Digests(_) => "digests",
             Self::Configuration(message) => message.kind(),
