--- a/crates/damaskvane-bench/src/cluster/deployment.rs
+++ b/crates/damaskvane-bench/src/cluster/deployment.rs
@@ -43,7 +43,7 @@
 }
 
 /// A backend server and its zone.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Placement {
     /// Its name.
     pub server: String,
--- a/crates/damaskvane-bench/src/cluster/running.rs
+++ b/crates/damaskvane-bench/src/cluster/running.rs
@@ -248,7 +248,11 @@
     /// measure that once more.
     pub fn wait_serving(&self, limit: Duration) -> Result<Duration, BenchError> {
         let start = Instant::now();
-        for entry in self.entries.iter().filter(|entry| entry.process_id().is_some()) {
+        for entry in self
+            .entries
+            .iter()
+            .filter(|entry| entry.process_id().is_some())
+        {
             for service in &self.deployment.services {
                 while !entry.serves(&service.name) {
                     if start.elapsed() > limit {
--- a/crates/damaskvane-bench/src/demo/plan.rs
+++ b/crates/damaskvane-bench/src/demo/plan.rs
@@ -7,6 +7,8 @@
 //! assert_ne!(plan.stopped, plan.killed);
 //! ```
 
+use std::collections::BTreeMap;
+
 use damaskvane_standins::backend;
 
 use crate::cluster::{Deployment, Placement, Service};
@@ -37,8 +39,6 @@
     pub window_ms: u64,
     /// The time over which the share moves, in milliseconds.
     pub ramp_ms: u64,
-    /// The backend server that drains.
-    pub drained: Placement,
     /// The instance that is restarted as planned.
     pub stopped: String,
     /// The instance that is killed.
@@ -56,7 +56,6 @@
         let last = zones.len() - 1;
         let from = &zones[0];
         let to = &zones[zones.len() / 3];
-        let drained = deployment.placements(&service).swap_remove(0);
         let name = |zone: usize| zones[zone].instances().last().unwrap_or_default();
         Self {
             service,
@@ -66,13 +65,30 @@
             cap_permille: CAP_PERMILLE,
             window_ms: WINDOW_MS,
             ramp_ms: RAMP_MS,
-            drained,
             stopped: name(0),
             killed: name(zones.len() / 3),
             asked: name(last),
         }
     }
 
+    /// The backend server to drain: of those in the zone that gives traffic away, the one that ran most,
+    /// since a drain of an idle one would show nothing.
+    #[must_use]
+    pub fn busiest(
+        &self,
+        deployment: &Deployment,
+        stats: &BTreeMap<String, backend::ServerStats>,
+    ) -> Placement {
+        let executed = |placement: &Placement| {
+            stats
+                .get(&placement.server)
+                .map_or(0, |stats| stats.executed)
+        };
+        let placements = deployment.placements(&self.service).into_iter();
+        let in_zone = placements.filter(|placement| placement.zone == self.from);
+        in_zone.max_by_key(executed).unwrap_or_default()
+    }
+
     /// The declaration of the shift.
     #[must_use]
     pub fn shift(&self) -> String {
--- a/crates/damaskvane-bench/src/demo/promises.rs
+++ b/crates/damaskvane-bench/src/demo/promises.rs
@@ -40,7 +40,7 @@
         whole_answers(&verdict),
         not_run_is_true(&verdict),
         at_most_once(&verdict),
-        drained_server_rests(plan, record),
+        drained_server_rests(record),
         planned_stop_is_graceful(plan, record),
         tickets_hold(record),
     ]
@@ -159,13 +159,13 @@
     )
 }
 
-fn drained_server_rests(plan: &Plan, record: &Record) -> Promise {
+fn drained_server_rests(record: &Record) -> Promise {
     let accepted = accepted_at(record, "drain");
     let undrained = accepted_at(record, "undrain");
     let on_server = record
         .executions
         .iter()
-        .filter(|one| one.server == plan.drained.server);
+        .filter(|one| one.server == record.drained.server);
     let during = |started: u64| started >= accepted && started < undrained;
     let last = on_server
         .clone()
@@ -185,7 +185,7 @@
     };
     let figure = format!(
         "{}: {last}, bound {DRAIN_BOUND_MS} ms; {before} starts before it, {aborted} aborted",
-        plan.drained.server
+        record.drained.server
     );
     Promise::new(held, "a leaving backend server gets no new work", figure)
 }
--- a/crates/damaskvane-bench/src/demo/record.rs
+++ b/crates/damaskvane-bench/src/demo/record.rs
@@ -11,6 +11,7 @@
 use damaskvane_standins::backend;
 
 use crate::client::Given;
+use crate::cluster::Placement;
 use crate::demo::{ShareSample, VersionSample};
 
 /// One ticket of the run.
@@ -52,6 +53,8 @@
     pub executions: Vec<backend::Execution>,
     /// The servers' counters at the end.
     pub stats: BTreeMap<String, backend::ServerStats>,
+    /// The backend server that was drained.
+    pub drained: Placement,
     /// The tickets in order.
     pub tickets: Vec<TicketRecord>,
     /// The share of the shifted zone's look-ups that the other zone got.
--- a/crates/damaskvane-bench/src/demo/script.rs
+++ b/crates/damaskvane-bench/src/demo/script.rs
@@ -150,8 +150,12 @@
     record: &mut Record,
     draining: bool,
 ) -> Result<(), BenchError> {
+    if draining {
+        let stats = cluster.backends().stats()?;
+        record.drained = plan.busiest(&cluster.deployment, &stats);
+    }
     let declarations = cluster.declarations();
-    let text = declarations.backend_server(&plan.service, &plan.drained, draining);
+    let text = declarations.backend_server(&plan.service, &record.drained, draining);
     let reason = if draining { "drain" } else { "undrain" };
     record.tickets.push(submit(cluster, &text, reason)?);
     Ok(())
--- a/crates/damaskvane-bench/tests/deployments.rs
+++ b/crates/damaskvane-bench/tests/deployments.rs
@@ -40,9 +40,10 @@
         let addresses = addresses(&deployment);
         let declarations = cluster::Declarations::new(&deployment, &addresses);
         let plan = demo::Plan::new(&deployment);
+        let placements = deployment.placements(&plan.service);
         let texts = [
             declarations.whole(),
-            declarations.backend_server(&plan.service, &plan.drained, true),
+            declarations.backend_server(&plan.service, &placements[0], true),
             plan.shift(),
         ];
         for text in texts {
--- a/crates/damaskvane-bench/tests/promises.rs
+++ b/crates/damaskvane-bench/tests/promises.rs
@@ -13,6 +13,13 @@
     demo::Plan::new(&cluster::Deployment::prairie())
 }
 
+fn drained() -> cluster::Placement {
+    cluster::Placement {
+        server: "rider-desk-sask-a-1".into(),
+        zone: "sask-a".into(),
+    }
+}
+
 fn ticket(reason: &'static str, accepted_unix_ms: u64) -> demo::TicketRecord {
     demo::TicketRecord {
         reason,
@@ -24,7 +31,7 @@
 
 fn execution(request_id: &str, started_unix_ms: u64) -> backend::Execution {
     backend::Execution {
-        server: plan().drained.server,
+        server: drained().server,
         request_id: request_id.into(),
         idempotency_key: format!("key-{request_id}"),
         method: "POST".into(),
@@ -42,7 +49,7 @@
         outcome,
         reason: reason.into(),
         status: 200,
-        server: plan().drained.server,
+        server: drained().server,
         tries: vec![Try {
             request_id: request_id.into(),
             instance: plan().stopped,
@@ -79,7 +86,8 @@
     demo::Record {
         given: vec![given("r-1", Outcome::Completed, "", 5_040)],
         executions: vec![execution("r-1", 5_000)],
-        stats: [(plan().drained.server, backend::ServerStats::default())].into(),
+        stats: [(drained().server, backend::ServerStats::default())].into(),
+        drained: drained(),
         tickets: vec![
             ticket("shift", SHIFT_AT),
             ticket("drain", DRAIN_AT),
