A leaving instance still borrows slots, and serves until look-ups have forgotten it

Cause 1: an instance that was leaving asked for no slots, so what clients still sent it waited until its time-out (tries ended at 1001 ms). Cause 2: it stopped one TTL after the signal, while other instances' look-ups named it for up to 2 s more.

--- a/crates/damaskvane-engine/src/directory.rs
+++ b/crates/damaskvane-engine/src/directory.rs
@@ -16,7 +16,7 @@
 use std::collections::BTreeMap;
 
 pub use backend_server::BackendServer;
-use damaskvane_core::ids;
+use damaskvane_core::{ids, time};
 pub use peer_instance::{PeerInstance, Reachability};
 pub use service::Service;
 
@@ -27,6 +27,8 @@
     pub version: ids::ConfigVersion,
     /// The availability zone of this instance.
     pub own_zone: Option<ids::AvailabilityZoneId>,
+    /// The longest time for which clients keep a look-up answer.
+    pub answer_ttl: time::SpanMs,
     /// Every declared service.
     pub services: BTreeMap<ids::ServiceId, Service>,
     /// The backend servers of the own availability zone.
--- a/crates/damaskvane-engine/src/engine/leaving.rs
+++ b/crates/damaskvane-engine/src/engine/leaving.rs
@@ -54,7 +54,9 @@
 
     pub(super) fn leave(&mut self, now: time::TimeMs) {
         if matches!(self.departure, Departure::Serving) {
-            let until = now + self.settings.answer_ttl;
+            // Until the last instance has heard of it, look-ups still name this one; what they answer
+            // is kept for one TTL. A client that came later would find another incarnation or nothing.
+            let until = now + self.settings.leaving_spreads + self.directory.answer_ttl;
             self.departure = Departure::Draining { until };
         }
     }
--- a/crates/damaskvane-engine/src/engine/settings.rs
+++ b/crates/damaskvane-engine/src/engine/settings.rs
@@ -19,8 +19,8 @@
     pub retries: retry::RetrySettings,
     /// How often a request is passed on from instance to instance at most.
     pub most_hops: u32,
-    /// For how long look-up answers that name this instance are served after it began to leave.
-    pub answer_ttl: time::SpanMs,
+    /// How long it takes until look-ups of all instances leave out one that begins to leave.
+    pub leaving_spreads: time::SpanMs,
     /// After how long a part of a handover is sent again.
     pub handover_resend: time::SpanMs,
     /// How long a successor gets to take a handover.
@@ -33,7 +33,7 @@
             keys: home::HomeSettings::default(),
             retries: retry::RetrySettings::default(),
             most_hops: 3,
-            answer_ttl: time::SpanMs::new(2_000),
+            leaving_spreads: time::SpanMs::new(2_000),
             handover_resend: time::SpanMs::new(200),
             handover_timeout: time::SpanMs::new(5_000),
         }
--- a/crates/damaskvane-entry/src/translate/directory.rs
+++ b/crates/damaskvane-entry/src/translate/directory.rs
@@ -32,6 +32,12 @@
     directory::Directory {
         version: config.version(),
         own_zone: Some(zone.clone()),
+        answer_ttl: config
+            .services()
+            .values()
+            .map(|service| service.lookup_ttl_ms)
+            .max()
+            .unwrap_or_default(),
         services: config
             .services()
             .iter()
--- a/crates/damaskvane-slots/src/exchange/borrowing.rs
+++ b/crates/damaskvane-slots/src/exchange/borrowing.rs
@@ -11,15 +11,16 @@
 impl SlotExchange {
     pub(super) fn demand(&mut self, name: &ids::BackendServerId, waiting: units::Slots) {
         let (now, answer) = (self.now, self.settings.answer_ms);
-        let is_leaving = self.is_leaving();
         let Some(server) = self.servers.get_mut(name) else {
             return;
         };
         let Some(owner) = server.owner.clone() else {
             return;
         };
+        // An instance that is leaving owns nothing any more but still borrows: clients come to it until
+        // their look-up answers have run out, and would wait for nothing here.
         let slots = server.pool.wanted(now, waiting, answer);
-        if slots == units::Slots::ZERO || is_leaving {
+        if slots == units::Slots::ZERO {
             return;
         }
         let number = server.pool.ask(now, slots);
