Exhaustive search of the key table, and quarantine

Cause: the table's rules have to hold in every order of events, not in those that came to mind. Now the bar lasts for the window and ends in a tombstone, and news of an outcome carries the highest try. Quarantine refuses after two incidents on different servers; completed runs clear neighbours.

--- a/crates/damaskvane-dispatch/src/home.rs
+++ b/crates/damaskvane-dispatch/src/home.rs
@@ -5,6 +5,9 @@
 //! restart, and a restarted home has another incarnation: it answers *outcome unknown* for the keys of
 //! its predecessor, never a second run. A planned stop surrenders the table to one successor first.
 //!
+//! *Not run* gives a key back: a later try may run it. With numbered tries the answer holds for the past
+//! too, since a try that was delayed behind it in the network is not run any more.
+//!
 //! A finished outcome is kept for a window. After it a key leaves eight bytes, a tombstone, and is
 //! answered with *outcome unknown*: were it forgotten, a late try would look like a new key and run
 //! a second time. Tombstones last as long as the incarnation; an instance whose tombstones fill up
@@ -62,4 +65,5 @@
 pub use permit::{DispatchPermit, WaiterId};
 pub use scope::Scope;
 pub use settings::HomeSettings;
+pub use superseded::Barred;
 pub use table::HomeTable;
--- a/crates/damaskvane-dispatch/src/home/handover.rs
+++ b/crates/damaskvane-dispatch/src/home/handover.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fingerprint;
-use crate::home::{name, scope};
+use crate::home::{name, scope, superseded};
 use crate::outcome;
 
 /// One message of a handover. All parts together are the whole table; each may arrive twice.
@@ -32,7 +32,7 @@
     /// The keys with an outcome or still running.
     pub records: Vec<HandedRecord<A>>,
     /// Keys whose tries up to a number must not run.
-    pub superseded: Vec<(scope::Scope, u32)>,
+    pub superseded: Vec<(scope::Scope, superseded::Barred)>,
 }
 
 /// One key of a handover.
--- a/crates/damaskvane-dispatch/src/home/parts.rs
+++ b/crates/damaskvane-dispatch/src/home/parts.rs
@@ -1,6 +1,6 @@
 //! Cutting a table into messages.
 
-use crate::home::{handover, name, scope};
+use crate::home::{handover, name, scope, superseded};
 
 /// All that a successor has to know.
 #[derive(Debug)]
@@ -9,7 +9,7 @@
     pub(super) successor: name::Home,
     pub(super) homes: Vec<(name::Home, Vec<u64>)>,
     pub(super) records: Vec<handover::HandedRecord<A>>,
-    pub(super) superseded: Vec<(scope::Scope, u32)>,
+    pub(super) superseded: Vec<(scope::Scope, superseded::Barred)>,
 }
 
 impl<A> WholeTable<A> {
--- a/crates/damaskvane-dispatch/src/home/records.rs
+++ b/crates/damaskvane-dispatch/src/home/records.rs
@@ -94,6 +94,12 @@
         true
     }
 
+    pub(super) fn raise_highest_try(&mut self, scope: &scope::Scope, try_number: u32) {
+        if let Some(record) = self.entries.get_mut(scope) {
+            record.highest_try = record.highest_try.max(try_number);
+        }
+    }
+
     pub(super) fn leave(&mut self, scope: &scope::Scope, waiter: permit::WaiterId) {
         if let Some(record) = self.entries.get_mut(scope)
             && let record::State::Running { waiters, .. } = &mut record.state
--- a/crates/damaskvane-dispatch/src/home/routes.rs
+++ b/crates/damaskvane-dispatch/src/home/routes.rs
@@ -86,12 +86,20 @@
             .or_insert((successor, until));
     }
 
-    pub(super) fn expire(&mut self, now: time::TimeMs) {
-        let is_over = |adopted: &adopted::Adopted| adopted.is_over(now);
+    /// Ends every adoption: its keys that are not kept are *unknown* from here on.
+    pub(super) fn close_adopted(&mut self) {
+        self.close_where(|_| true);
+    }
+
+    fn close_where(&mut self, is_over: impl Fn(&adopted::Adopted) -> bool) {
         let over = self.adopted.values().filter(|adopted| is_over(adopted));
         self.closed
             .extend(over.map(|adopted| adopted.home().clone()));
         self.adopted.retain(|_, adopted| !is_over(adopted));
+    }
+
+    pub(super) fn expire(&mut self, now: time::TimeMs) {
+        self.close_where(|adopted| adopted.is_over(now));
         self.successors.retain(|_, (_, until)| now < *until);
     }
 }
--- a/crates/damaskvane-dispatch/src/home/settings.rs
+++ b/crates/damaskvane-dispatch/src/home/settings.rs
@@ -12,8 +12,9 @@
 
 /// How long outcomes are kept and how much memory that may take.
 ///
-/// With the defaults a table takes at most 16 MiB for entries and 16 bytes for each of 400,000
-/// tombstones; while an adopted table is held as well, twice that.
+/// With the defaults a table takes at most 16 MiB for entries, about 6 MiB for 20,000 keys that were
+/// answered with *not run*, and about 16 bytes for each of 400,000 tombstones; while an adopted table
+/// is held as well, twice that.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct HomeSettings {
@@ -31,9 +32,8 @@
     pub max_waiters: usize,
     /// How long after its deadline a running key's outcome is still awaited.
     pub answer_grace_ms: u64,
-    /// How long *not run* bars older tries of a key.
-    pub superseded_ms: u64,
-    /// How many keys are barred that way.
+    /// How many keys that were answered with *not run* may be tried again; beyond it, the one that was
+    /// answered first is *unknown* before its window is over.
     pub max_superseded: usize,
     /// How many records one message of a handover carries.
     pub handover_records: usize,
@@ -49,8 +49,7 @@
             max_tombstones: 400_000,
             max_waiters: 16,
             answer_grace_ms: 30_000,
-            superseded_ms: 60_000,
-            max_superseded: 10_000,
+            max_superseded: 20_000,
             handover_records: 500,
         }
     }
--- a/crates/damaskvane-dispatch/src/home/table.rs
+++ b/crates/damaskvane-dispatch/src/home/table.rs
@@ -35,6 +35,8 @@
     pub(super) superseded: superseded::Superseded,
     pub(super) routes: routes::Routes,
     pub(super) surrender: Option<surrender::Surrender<A>>,
+    /// Set for the rest of the incarnation once it has taken as many keys as it may.
+    is_worn_out: bool,
     next_serial: u64,
     next_waiter: u64,
     broken_invariants: u64,
@@ -54,6 +56,7 @@
             superseded: superseded::Superseded::default(),
             routes: routes::Routes::default(),
             surrender: None,
+            is_worn_out: false,
             next_serial: record::PREDECESSORS_SERIAL + 1,
             next_waiter: 0,
             broken_invariants: 0,
@@ -99,7 +102,7 @@
                 self.bury(&scope, record.incarnation);
             }
         }
-        self.superseded.expire(self.now);
+        self.bury_superseded();
         self.routes.expire(self.now);
         finished
     }
@@ -119,6 +122,10 @@
         }
         self.me.incarnation = incarnation;
         self.tombstones.clear();
+        if self.is_worn_out {
+            self.routes.close_adopted();
+            self.is_worn_out = false;
+        }
     }
 
     /// Whether a new incarnation is due: new keys are refused once the tombstones are full.
@@ -223,8 +230,17 @@
         if self.superseded.covers(&scope, attempt.try_number) {
             return begin::Begin::Answer(not_run(refusal::RefusalReason::TrySuperseded));
         }
+        self.is_worn_out |= self.taken_keys() >= self.settings.max_tombstones;
+        if self.is_worn_out {
+            // No bar is needed: earlier tries are refused too, until the incarnation ends.
+            return begin::Begin::Answer(not_run(refusal::RefusalReason::KeyTableFull));
+        }
         if self.is_full() {
-            self.bar(&scope, attempt.try_number);
+            let bar = superseded::Barred {
+                through: attempt.try_number,
+                incarnation,
+            };
+            self.bar(&scope, bar);
             return begin::Begin::Answer(not_run(refusal::RefusalReason::KeyTableFull));
         }
         self.dispatch(scope, incarnation, attempt)
@@ -298,7 +314,11 @@
         }
         let kept = self.outcome_to_keep(&outcome);
         if let outcome::Outcome::NotRun(_) = outcome {
-            self.bar(scope, record.highest_try);
+            let bar = superseded::Barred {
+                through: record.highest_try,
+                incarnation: record.incarnation,
+            };
+            self.bar(scope, bar);
         } else {
             let state = record::State::Done {
                 outcome: kept,
@@ -348,10 +368,21 @@
         }
     }
 
-    pub(super) fn bar(&mut self, scope: &scope::Scope, through: u32) {
-        let until = self.now + time::SpanMs::new(self.settings.superseded_ms);
+    pub(super) fn bar(&mut self, scope: &scope::Scope, bar: superseded::Barred) {
+        let until = self.now + self.settings.window();
+        self.superseded.bar(scope, bar, until);
+        self.bury_superseded();
+    }
+
+    /// Keys that were answered with *not run* and not tried again since: a try that comes now may be
+    /// an old one, so that running it could make that answer untrue.
+    fn bury_superseded(&mut self) {
         let max_superseded = self.settings.max_superseded;
-        self.superseded.bar(scope, through, until, max_superseded);
+        while let Some((scope, bar)) = self.superseded.pop_due(self.now, max_superseded) {
+            if self.records.get(&scope).is_none() {
+                self.bury(&scope, bar.incarnation);
+            }
+        }
     }
 
     fn amend(
@@ -377,13 +408,12 @@
 
     /// Every kept key becomes a tombstone one day, so both count against that bound now.
     pub(super) fn taken_keys(&self) -> usize {
-        self.tombstones.len() + self.records.len()
+        self.tombstones.len() + self.records.len() + self.superseded.len()
     }
 
     fn is_full(&self) -> bool {
         self.records.len() >= self.settings.max_entries
             || self.records.bytes_with_one_more() > self.settings.max_bytes
-            || self.taken_keys() >= self.settings.max_tombstones
     }
 }
 
--- a/crates/damaskvane-dispatch/src/home/tombstones.rs
+++ b/crates/damaskvane-dispatch/src/home/tombstones.rs
@@ -5,7 +5,7 @@
 /// Digests of the keys that an incarnation has taken and no longer keeps.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Tombstones {
-    digests: collections::HashSet<u64>,
+    digests: collections::BTreeSet<u64>,
 }
 
 impl Tombstones {
@@ -26,12 +26,10 @@
     }
 
     pub(super) fn clear(&mut self) {
-        self.digests = collections::HashSet::new();
+        self.digests = collections::BTreeSet::new();
     }
 
-    pub(super) fn sorted(&self) -> Vec<u64> {
-        let mut digests: Vec<_> = self.digests.iter().copied().collect();
-        digests.sort_unstable();
-        digests
+    pub(super) fn to_vec(&self) -> Vec<u64> {
+        self.digests.iter().copied().collect()
     }
 }
--- a/crates/damaskvane-dispatch/src/home/transfer.rs
+++ b/crates/damaskvane-dispatch/src/home/transfer.rs
@@ -119,6 +119,10 @@
         if record.serial != record::PREDECESSORS_SERIAL {
             return None;
         }
+        // Tries that joined at the predecessor after the handover hear its outcome as well; if it is
+        // *not run*, they are barred with the others.
+        self.records
+            .raise_highest_try(&amendment.scope, amendment.highest_try);
         Some(self.resolve(&amendment.scope, record::PREDECESSORS_SERIAL, outcome))
     }
 
@@ -148,8 +152,8 @@
         for record in part.records {
             self.insert_handed(record);
         }
-        for (scope, through) in part.superseded {
-            self.bar(&scope, through);
+        for (scope, barred) in part.superseded {
+            self.bar(&scope, barred);
         }
     }
 
@@ -183,10 +187,10 @@
     }
 
     fn parts_for(&self, successor: &name::Home) -> Vec<handover::Handover<A>> {
-        let mut homes = vec![(self.me.clone(), self.tombstones.sorted())];
+        let mut homes = vec![(self.me.clone(), self.tombstones.to_vec())];
         // A table that is not whole can't be passed on as one.
         for adopted in self.routes.all_adopted().filter(|home| home.is_whole()) {
-            homes.push((adopted.home().clone(), adopted.tombstones().sorted()));
+            homes.push((adopted.home().clone(), adopted.tombstones().to_vec()));
         }
         let records = self
             .records
--- a/crates/damaskvane-dispatch/src/lib.rs
+++ b/crates/damaskvane-dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`deadline`]: deadlines, which travel as the time left.
 //! - [`fingerprint`]: what makes two requests the same request.
 //! - [`outcome`]: the three final answers, and the proof that *not run* needs.
+//! - [`quarantine`]: requests that crash what runs them.
 //! - [`refusal`]: every reason for which a request is answered without a backend server's answer.
 //! - [`retry`]: why, whether and when a try on one backend server is followed by another.
 //!
@@ -18,5 +19,6 @@
 pub mod fingerprint;
 pub mod home;
 pub mod outcome;
+pub mod quarantine;
 pub mod refusal;
 pub mod retry;
--- /dev/null
+++ b/crates/damaskvane-dispatch/tests/quarantine.rs
@@ -0,0 +1,94 @@
+//! Requests that crash what runs them, and those that were beside them.
+
+mod support;
+
+use damaskvane_core::time;
+use damaskvane_dispatch::quarantine;
+
+use support::keys::{at, fingerprint_of, home_of};
+
+fn list() -> quarantine::Quarantine {
+    quarantine::Quarantine::new(quarantine::QuarantineSettings::default())
+}
+
+fn incident(serial: u64, reporter: &str, server: &str, bodies: &[&str]) -> quarantine::Incident {
+    quarantine::Incident {
+        id: quarantine::IncidentId {
+            reporter: home_of(reporter),
+            serial,
+        },
+        server: server.parse().expect("a server"),
+        suspects: bodies.iter().map(|body| fingerprint_of(body)).collect(),
+        age: time::SpanMs::ZERO,
+    }
+}
+
+fn is_refused(list: &mut quarantine::Quarantine, now_ms: u64, body: &str) -> bool {
+    let verdict = list.judge(at(now_ms), fingerprint_of(body));
+    list.release(fingerprint_of(body));
+    matches!(verdict, quarantine::Verdict::Refuse { .. })
+}
+
+/// One request crashes each backend server that runs it, and its caller sends it again to another zone
+/// of the region. After the second crash every instance that heard of both refuses it.
+#[test]
+fn a_request_is_refused_after_two_incidents_in_the_region() {
+    let mut list = list();
+    list.note_incident(at(0), &incident(1, "a/1", "desk-1", &["bad"]));
+    assert!(!is_refused(&mut list, 1, "bad"));
+    list.note_incident(at(2), &incident(1, "b/1", "desk-2", &["bad"]));
+    assert!(is_refused(&mut list, 3, "bad"));
+    assert!(!is_refused(&mut list, 600_002, "bad"));
+}
+
+/// Notices of one crash arrive twice, or from each instance that had a connection to the dead server.
+/// Counted apart, one crash would refuse every request that was on the server.
+#[test]
+fn one_crash_counts_once() {
+    let mut list = list();
+    for serial in [1, 1, 2] {
+        list.note_incident(at(0), &incident(serial, "a/1", "desk-1", &["bad"]));
+    }
+    list.note_incident(at(1), &incident(1, "b/1", "desk-1", &["bad"]));
+    assert!(!is_refused(&mut list, 2, "bad"));
+}
+
+/// Ordinary requests share the server with the guilty one. They run alone next time, complete, and are
+/// never refused; the guilty one is.
+#[test]
+fn neighbours_are_not_blamed() {
+    let mut list = list();
+    let shared = incident(1, "a/1", "desk-1", &["bad", "good"]);
+    list.note_incident(at(0), &shared);
+    let good = fingerprint_of("good");
+    let bad = fingerprint_of("bad");
+    assert_eq!(list.judge(at(1), good), quarantine::Verdict::RunAlone);
+    assert_eq!(list.judge(at(1), bad), quarantine::Verdict::Wait);
+    assert!(list.note_completed(at(2), good));
+    assert_eq!(list.judge(at(3), bad), quarantine::Verdict::RunAlone);
+    assert_eq!(list.judge(at(3), good), quarantine::Verdict::Run);
+    list.note_incident(at(4), &incident(2, "a/1", "desk-2", &["bad"]));
+    assert!(is_refused(&mut list, 5, "bad"));
+    // The first notice comes again by way of a peer, older than the completed run.
+    let late = quarantine::Incident {
+        age: time::SpanMs::new(6),
+        ..shared
+    };
+    list.note_incident(at(6), &late);
+    assert_eq!(list.judge(at(7), good), quarantine::Verdict::Run);
+}
+
+/// Operators mend the backend server and clear the request.
+#[test]
+fn operators_list_and_clear() {
+    let mut list = list();
+    for (serial, server) in [(1, "desk-1"), (2, "desk-2")] {
+        list.note_incident(at(0), &incident(serial, "a/1", server, &["bad"]));
+    }
+    let listed = list.list(at(0));
+    assert_eq!(listed.len(), 1);
+    assert!(listed[0].is_refused);
+    assert!(list.clear(at(1), listed[0].fingerprint));
+    assert!(!is_refused(&mut list, 2, "bad"));
+    assert!(list.list(at(2)).is_empty());
+}
--- a/crates/damaskvane-dispatch/tests/support/mod.rs
+++ b/crates/damaskvane-dispatch/tests/support/mod.rs
@@ -7,3 +7,4 @@
 )]
 
 pub mod keys;
+pub mod small_world;
