Admission by priority and age, fair between services

Cause: under overload a request must be given up at once with a true time to come back. Ruled out: holding until the deadline, and one queue for all services, which a flood for one would fill. Conclusion: retry-after follows the measured drain.

--- /dev/null
+++ b/crates/damaskvane-dispatch/src/admission.rs
@@ -0,0 +1,35 @@
+//! Admission by priority and age under overload, fair between services.
+//!
+//! A request that can't be served in time is given up at once, with a retry-after worked out from the
+//! rate at which the queue drains; it is never held until near its deadline.
+//!
+//! ```
+//! use damaskvane_core::time;
+//! use damaskvane_dispatch::{admission, deadline};
+//!
+//! let mut queue = admission::Queue::new(admission::QueueSettings::default());
+//! let now = time::TimeMs::ZERO;
+//! let waiting = admission::Waiting {
+//!     request: "first",
+//!     service: "rider-desk".parse()?,
+//!     priority: admission::Priority::Normal,
+//!     deadline: deadline::Deadline::after(now, time::SpanMs::new(2_000)),
+//! };
+//! assert!(queue.push(now, waiting).is_empty());
+//! assert_eq!(queue.pop(now, |_| true), Some("first"));
+//! # Ok::<(), damaskvane_core::ids::ParseIdError>(())
+//! ```
+
+mod drain_rate;
+mod given_up;
+mod lane;
+mod priority;
+mod queue;
+mod settings;
+mod waiting;
+
+pub use given_up::GivenUp;
+pub use priority::{ParsePriorityError, Priority};
+pub use queue::Queue;
+pub use settings::QueueSettings;
+pub use waiting::Waiting;
--- /dev/null
+++ b/crates/damaskvane-dispatch/src/admission/priority.rs
@@ -0,0 +1,38 @@
+//! How urgent a request is.
+//!
+//! ```
+//! use damaskvane_dispatch::admission;
+//!
+//! assert_eq!("high".parse(), Ok(admission::Priority::High));
+//! ```
+
+use core::str;
+
+/// How urgent a request is; the more urgent one is less.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Priority {
+    /// Served first.
+    High,
+    /// Served after high.
+    #[default]
+    Normal,
+    /// Served last, given up first.
+    Low,
+}
+
+/// a priority is high, normal or low; leave the header out for normal
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
+pub struct ParsePriorityError;
+
+impl str::FromStr for Priority {
+    type Err = ParsePriorityError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "high" => Ok(Self::High),
+            "normal" => Ok(Self::Normal),
+            "low" => Ok(Self::Low),
+            _ => Err(ParsePriorityError),
+        }
+    }
+}
--- a/crates/damaskvane-dispatch/src/lib.rs
+++ b/crates/damaskvane-dispatch/src/lib.rs
@@ -3,6 +3,7 @@
 //! # Crate guide
 //!
 //! - [`home`]: at most once, by a table of idempotency keys at the home that the client names.
+//! - [`admission`]: the queue in which requests wait for a slot.
 //! - [`exchange`]: the life cycle of one request, in types that make an untrue *not run* impossible.
 //! - [`deadline`]: deadlines, which travel as the time left.
 //! - [`fingerprint`]: what makes two requests the same request.
@@ -14,6 +15,7 @@
 //! All of it is decision code: events and a time go in, actions come out. It reads no clock, draws
 //! from no global random source and does no I/O.
 
+pub mod admission;
 pub mod deadline;
 pub mod exchange;
 pub mod fingerprint;
