Requests that crash backend servers are quarantined in the whole region

Cause: a crashing request was retried on one server after another, and its client sends it again. Everything in flight on a server whose connection dies is suspect at once; suspects run alone and elsewhere; the second death refuses the request; a completed run or an operator (POST on the operators' address) clears it. Ruled out: gathering the deaths of neighbours first, since a neighbour could then be retried beside the guilty one. Not measured in processes yet. Conclusion: decisions are wired.

--- a/crates/damaskvane-engine/src/directory.rs
+++ b/crates/damaskvane-engine/src/directory.rs
@@ -27,6 +27,8 @@
     pub version: ids::ConfigVersion,
     /// The availability zone of this instance.
     pub own_zone: Option<ids::AvailabilityZoneId>,
+    /// The region of this instance.
+    pub own_region: Option<ids::RegionId>,
     /// The longest time for which clients keep a look-up answer.
     pub answer_ttl: time::SpanMs,
     /// Every declared service.
--- a/crates/damaskvane-engine/src/directory/peer_instance.rs
+++ b/crates/damaskvane-engine/src/directory/peer_instance.rs
@@ -35,6 +35,8 @@
     pub incarnation: ids::Incarnation,
     /// Where it stands.
     pub availability_zone: ids::AvailabilityZoneId,
+    /// The region of that zone.
+    pub region: ids::RegionId,
     /// Whether it can be talked to.
     pub reachability: Reachability,
 }
--- a/crates/damaskvane-engine/src/engine.rs
+++ b/crates/damaskvane-engine/src/engine.rs
@@ -15,6 +15,7 @@
 //! ```
 
 mod answers;
+mod crashes;
 mod ended;
 mod expiry;
 mod forwarding;
@@ -55,6 +56,7 @@
     queue: Vec<pending::LocalId>,
     flights: BTreeMap<ExchangeNumber, pending::Flight>,
     servers: servers::Servers,
+    crashes: crashes::Crashes,
     retries: BTreeMap<ids::ServiceId, retry::RetryPolicy>,
     departure: leaving::Departure,
     handed_to: Option<home::Home>,
@@ -73,19 +75,21 @@
             rng: Pcg64Mcg::seed_from_u64(me.incarnation.get()),
             servers: servers::Servers::new(&me),
             me,
-            settings,
+
             directory: Arc::default(),
             requests: BTreeMap::new(),
             clients: BTreeMap::new(),
             waiters: BTreeMap::new(),
             queue: Vec::new(),
             flights: BTreeMap::new(),
+            crashes: crashes::Crashes::new(settings.quarantine.clone()),
             retries: BTreeMap::new(),
             departure: leaving::Departure::default(),
             handed_to: None,
             next_id: 1,
             load: EngineLoad::default(),
             actions: Vec::new(),
+            settings,
         }
     }
 
@@ -122,6 +126,7 @@
                 self.give_up_unreachable(now);
             }
             Event::Roster(roster) => self.servers.roster(now, *roster),
+            Event::ClearQuarantine(fingerprint) => self.clear_by_operator(now, fingerprint),
             Event::Leave => self.leave(now),
             Event::Tick => {
                 self.expire(now);
@@ -139,6 +144,8 @@
             peer::PeerMessage::Handover(part) => self.take_over(now, from, *part),
             peer::PeerMessage::HandoverTaken(taken) => self.handover_taken(from, taken),
             peer::PeerMessage::Amendment(record) => self.amended(now, *record),
+            peer::PeerMessage::Incident(incident) => self.incident_told(now, &incident),
+            peer::PeerMessage::Cleared(fingerprint) => self.cleared_told(now, fingerprint),
             peer::PeerMessage::Slots(message) => self.servers.message(now, from, *message),
             peer::PeerMessage::Departed(departed) => {
                 self.keys
--- a/crates/damaskvane-engine/src/engine/answers.rs
+++ b/crates/damaskvane-engine/src/engine/answers.rs
@@ -79,6 +79,17 @@
         now: time::TimeMs,
         id: LocalId,
         reason: refusal::RefusalReason,
+    ) {
+        self.give_up_until(now, id, reason, reason.default_retry_after());
+    }
+
+    /// The same, naming when to come back.
+    pub(super) fn give_up_until(
+        &mut self,
+        now: time::TimeMs,
+        id: LocalId,
+        reason: refusal::RefusalReason,
+        retry_after: time::SpanMs,
     ) {
         self.queue.retain(|queued| *queued != id);
         let Some(pending) = self.requests.remove(&id) else {
@@ -88,9 +99,13 @@
             self.count_refused(&pending.request.service);
         }
         match pending.stage {
-            Stage::Queued(received) => self.finish(now, pending.origin, received.refuse(reason)),
+            Stage::Queued(received) => {
+                let answered = received.refuse_until(reason, retry_after);
+                self.finish(now, pending.origin, answered);
+            }
             Stage::Requeued(admitted) | Stage::Backoff { admitted, .. } => {
-                self.finish(now, pending.origin, admitted.refuse(reason));
+                let answered = admitted.refuse_until(reason, retry_after);
+                self.finish(now, pending.origin, answered);
             }
             Stage::Forwarded { forwarded, .. } => {
                 self.finish(now, pending.origin, forwarded.lost());
--- a/crates/damaskvane-engine/src/engine/ended.rs
+++ b/crates/damaskvane-engine/src/engine/ended.rs
@@ -19,6 +19,7 @@
         let Some(flight) = self.flights.remove(&exchange) else {
             return;
         };
+        self.note_end(now, &flight, &end);
         let took = now.since(flight.sent.sent_at());
         self.servers
             .ended(now, &flight.service, flight.taken, took, &end);
--- a/crates/damaskvane-engine/src/engine/pending.rs
+++ b/crates/damaskvane-engine/src/engine/pending.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 use damaskvane_core::{ids, time};
-use damaskvane_dispatch::{deadline, exchange, home};
+use damaskvane_dispatch::{deadline, exchange, fingerprint, home};
 
 use crate::engine::servers::Taken;
 use crate::event::{ExchangeNumber, RequestNumber};
@@ -63,6 +63,8 @@
     /// Who waits; none once the client went away or was answered.
     pub(super) origin: Option<Origin>,
     pub(super) request: Arc<message::ServiceRequest>,
+    /// What the request is recognised by on other servers and instances.
+    pub(super) fingerprint: fingerprint::Fingerprint,
     pub(super) deadline: deadline::Deadline,
     pub(super) stage: Stage,
 }
@@ -73,6 +75,7 @@
     pub(super) id: LocalId,
     pub(super) service: ids::ServiceId,
     pub(super) request_id: ids::RequestId,
+    pub(super) fingerprint: fingerprint::Fingerprint,
     pub(super) sent: exchange::Sent,
     pub(super) taken: Taken,
 }
--- a/crates/damaskvane-engine/src/engine/pump.rs
+++ b/crates/damaskvane-engine/src/engine/pump.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 
 use damaskvane_core::{ids, time};
+use damaskvane_dispatch::{quarantine, refusal};
 
 use crate::engine::Engine;
 use crate::engine::pending::{Flight, LocalId, Stage};
@@ -51,14 +52,23 @@
                 self.queue.push(id);
                 continue;
             }
-            let wanted = pending.deadline.time_left(now);
-            let tried: &[ids::BackendServerId] = match &pending.stage {
-                Stage::Requeued(admitted) => admitted.tried(),
-                _ => &[],
-            };
-            match self.servers.take(now, &service, tried, wanted) {
+            let fingerprint = pending.fingerprint;
+            let verdict = self.crashes.list.judge(now, fingerprint);
+            if let quarantine::Verdict::Refuse { retry_after } = verdict {
+                let reason = refusal::RefusalReason::Quarantined;
+                self.give_up_until(now, id, reason, retry_after);
+                continue;
+            }
+            if verdict == quarantine::Verdict::Wait {
+                self.queue.push(id);
+                continue;
+            }
+            let tried = self.excluded(id);
+            let wanted = self.time_left(now, id);
+            match self.servers.take(now, &service, &tried, wanted) {
                 Some(taken) => self.launch(now, id, taken),
                 None => {
+                    self.crashes.list.release(fingerprint);
                     // A retry has fewer servers to choose from: it says nothing about the others.
                     if tried.is_empty() {
                         full.push(service);
@@ -69,6 +79,32 @@
         }
     }
 
+    /// Backend servers that the request must not go to: those it has tried, and those that died
+    /// while they ran it or a request like it.
+    fn excluded(&self, id: LocalId) -> Vec<ids::BackendServerId> {
+        let Some(pending) = self.requests.get(&id) else {
+            return Vec::new();
+        };
+        let mut excluded: Vec<ids::BackendServerId> = self
+            .crashes
+            .list
+            .avoided(pending.fingerprint)
+            .cloned()
+            .collect();
+        if let Stage::Requeued(admitted) = &pending.stage {
+            excluded.extend_from_slice(admitted.tried());
+        }
+        excluded
+    }
+
+    fn time_left(&self, now: time::TimeMs, id: LocalId) -> time::SpanMs {
+        self.requests
+            .get(&id)
+            .map_or(time::SpanMs::ZERO, |pending| {
+                pending.deadline.time_left(now)
+            })
+    }
+
     fn launch(&mut self, now: time::TimeMs, id: LocalId, taken: Taken) {
         let exchange = ExchangeNumber::new(self.next_id());
         let server = taken.server().clone();
@@ -89,6 +125,7 @@
             }
         };
         let request = pending.request.clone();
+        let fingerprint = pending.fingerprint;
         let deadline = taken.deadline_ms();
         self.flights.insert(
             exchange,
@@ -96,6 +133,7 @@
                 id,
                 service: request.service.clone(),
                 request_id: request.request_id.clone(),
+                fingerprint,
                 sent: admitted.send(now, server.clone()),
                 taken,
             },
--- a/crates/damaskvane-engine/src/engine/settings.rs
+++ b/crates/damaskvane-engine/src/engine/settings.rs
@@ -8,7 +8,7 @@
 //! ```
 
 use damaskvane_core::time;
-use damaskvane_dispatch::{home, retry};
+use damaskvane_dispatch::{home, quarantine, retry};
 
 /// Settings of the engine.
 #[derive(Debug, Clone)]
@@ -17,6 +17,8 @@
     pub keys: home::HomeSettings,
     /// Retries; the share comes from each service's declaration.
     pub retries: retry::RetrySettings,
+    /// Requests that crash backend servers.
+    pub quarantine: quarantine::QuarantineSettings,
     /// How often a request is passed on from instance to instance at most.
     pub most_hops: u32,
     /// How long it takes until look-ups of all instances leave out one that begins to leave.
@@ -32,6 +34,7 @@
         Self {
             keys: home::HomeSettings::default(),
             retries: retry::RetrySettings::default(),
+            quarantine: quarantine::QuarantineSettings::default(),
             most_hops: 3,
             leaving_spreads: time::SpanMs::new(2_000),
             handover_resend: time::SpanMs::new(200),
--- a/crates/damaskvane-engine/src/engine/submit.rs
+++ b/crates/damaskvane-engine/src/engine/submit.rs
@@ -144,6 +144,7 @@
             id,
             Pending {
                 origin: Some(origin),
+                fingerprint: request.fingerprint(),
                 request,
                 deadline,
                 stage,
--- a/crates/damaskvane-engine/src/event/input.rs
+++ b/crates/damaskvane-engine/src/event/input.rs
@@ -9,7 +9,7 @@
 
 use std::sync::Arc;
 
-use damaskvane_dispatch::home;
+use damaskvane_dispatch::{fingerprint, home};
 use damaskvane_membership::view;
 
 use crate::event::{exchange_end, number};
@@ -48,6 +48,8 @@
     Directory(Arc<directory::Directory>),
     /// The instances of the own zone, as owners of slots.
     Roster(Box<view::Roster>),
+    /// An operator lets a quarantined request go.
+    ClearQuarantine(fingerprint::Fingerprint),
     /// A planned stop has begun.
     Leave,
     /// Time passed.
--- a/crates/damaskvane-engine/src/peer/peer_message.rs
+++ b/crates/damaskvane-engine/src/peer/peer_message.rs
@@ -9,7 +9,7 @@
 
 use std::sync::Arc;
 
-use damaskvane_dispatch::home;
+use damaskvane_dispatch::{fingerprint, home, quarantine};
 use damaskvane_slots::message as slot_message;
 use serde::{Deserialize, Serialize};
 
@@ -29,6 +29,10 @@
     HandoverTaken(departure::HandoverTaken),
     /// An outcome that a leaving instance learned after its handover.
     Amendment(Box<home::HandedRecord<Arc<message::BackendAnswer>>>),
+    /// A backend server died while it ran these requests.
+    Incident(Box<quarantine::Incident>),
+    /// A request is suspect no more.
+    Cleared(fingerprint::Fingerprint),
     /// About slots of backend servers.
     Slots(Box<slot_message::Addressed>),
     /// Who answers for a home that has left.
@@ -45,6 +49,8 @@
             Self::Handover(_) => "handover",
             Self::HandoverTaken(_) => "handover_taken",
             Self::Amendment(_) => "amendment",
+            Self::Incident(_) => "incident",
+            Self::Cleared(_) => "cleared",
             Self::Slots(addressed) => addressed.message.kind(),
             Self::Departed(_) => "departed",
         }
--- a/crates/damaskvane-entry/src/control/publishing.rs
+++ b/crates/damaskvane-entry/src/control/publishing.rs
@@ -91,6 +91,7 @@
                 let peer = directory::PeerInstance {
                     incarnation: instance.incarnation,
                     availability_zone: instance.record.zone.clone(),
+                    region: instance.record.region.clone(),
                     reachability: reachability(instance.state),
                 };
                 (instance.record.instance.clone(), peer)
--- a/crates/damaskvane-entry/src/engine_thread.rs
+++ b/crates/damaskvane-entry/src/engine_thread.rs
@@ -13,10 +13,12 @@
 use damaskvane_core::time;
 use damaskvane_dispatch::home;
 use damaskvane_engine::{engine, event};
+use serde_json::json;
 use slog::{error, warn};
 
 use crate::exchange_pool;
 use crate::inbox;
+use crate::operator_api::status;
 use crate::peers;
 use crate::serving;
 
@@ -32,6 +34,7 @@
     inbox: flume::Receiver<inbox::Input>,
     exchanges: exchange_pool::ExchangePool,
     peers: Arc<peers::Peers>,
+    status: status::Source,
     replies: HashMap<event::RequestNumber, inbox::Reply>,
     logger: slog::Logger,
 }
@@ -45,6 +48,7 @@
         inbox: flume::Receiver<inbox::Input>,
         exchanges: exchange_pool::ExchangePool,
         peers: Arc<peers::Peers>,
+        status: status::Source,
         logger: slog::Logger,
     ) -> Self {
         Self {
@@ -53,6 +57,7 @@
             inbox,
             exchanges,
             peers,
+            status,
             replies: HashMap::new(),
             logger,
         }
@@ -75,6 +80,7 @@
             if now >= next_load {
                 next_load = now + LOAD_PERIOD;
                 self.serving.meter.set_engine(self.engine.take_load(now));
+                self.publish(now);
             }
             if now >= next_tick {
                 next_tick = now + time::SpanMs::new(TICK.as_millis() as u64);
@@ -83,6 +89,31 @@
         }
     }
 
+    fn publish(&self, now: time::TimeMs) {
+        let quarantined: Vec<_> = self
+            .engine
+            .quarantined(now)
+            .into_iter()
+            .map(|listed| {
+                json!({
+                    "fingerprint": listed.fingerprint,
+                    "incidents": listed.incidents,
+                    "refused": listed.is_refused,
+                    "time_left_ms": listed.time_left,
+                })
+            })
+            .collect();
+        self.status.publish("quarantine", json!(quarantined));
+        self.status.publish(
+            "requests",
+            json!({
+                "running": self.engine.running(),
+                "waiting": self.engine.waiting(),
+                "keys": self.engine.keys(),
+            }),
+        );
+    }
+
     fn event(&mut self, input: inbox::Input) -> event::Event {
         match input {
             inbox::Input::Submit {
@@ -102,6 +133,9 @@
             }
             inbox::Input::Peer { from, message } => event::Event::Peer { from, message },
             inbox::Input::Directory(directory) => event::Event::Directory(directory),
+            inbox::Input::ClearQuarantine(fingerprint) => {
+                event::Event::ClearQuarantine(fingerprint)
+            }
             inbox::Input::Roster(roster) => event::Event::Roster(roster),
             inbox::Input::Leave => event::Event::Leave,
             inbox::Input::Stop => event::Event::Tick,
--- a/crates/damaskvane-entry/src/inbox/input.rs
+++ b/crates/damaskvane-entry/src/inbox/input.rs
@@ -9,7 +9,7 @@
 
 use std::sync::Arc;
 
-use damaskvane_dispatch::{home, outcome};
+use damaskvane_dispatch::{fingerprint, home, outcome};
 use damaskvane_engine::{directory, event, message, peer};
 use damaskvane_membership::view;
 
@@ -51,6 +51,8 @@
     Directory(Arc<directory::Directory>),
     /// The instances of the own zone, as owners of slots.
     Roster(Box<view::Roster>),
+    /// An operator lets a quarantined request go.
+    ClearQuarantine(fingerprint::Fingerprint),
     /// A planned stop has begun.
     Leave,
     /// The engine's thread ends.
--- a/crates/damaskvane-entry/src/process.rs
+++ b/crates/damaskvane-entry/src/process.rs
@@ -65,10 +65,12 @@
         leaving: Arc::default(),
         published: status::Published::default(),
     };
+    let (engine, engine_inbox) = flume::unbounded();
     let operators = operator_api::start(
         &settings.operator_address,
         Arc::clone(&serving),
         status.clone(),
+        engine.clone(),
     )
     .map_err(|error| StartError::Listen {
         key: "operator_address",
@@ -85,11 +87,10 @@
         operator_address: operators,
         leaving: false,
     };
-    let (engine, engine_inbox) = flume::unbounded();
     let (control, control_inbox) = flume::unbounded();
     start_engine(
         settings,
-        me,
+        &status,
         &serving,
         &engine,
         engine_inbox,
@@ -185,7 +186,7 @@
 
 fn start_engine(
     settings: &settings::EntrySettings,
-    me: home::Home,
+    status: &status::Source,
     serving: &Arc<serving::Serving>,
     ended: &flume::Sender<inbox::Input>,
     inbox: flume::Receiver<inbox::Input>,
@@ -203,11 +204,12 @@
         ended.clone(),
     );
     let engine = engine_thread::EngineThread::new(
-        me,
+        status.me.clone(),
         Arc::clone(serving),
         inbox,
         pool,
         Arc::clone(peers),
+        status.clone(),
         logger.clone(),
     );
     spawn("engine", move || engine.run())
--- a/crates/damaskvane-entry/src/translate/directory.rs
+++ b/crates/damaskvane-entry/src/translate/directory.rs
@@ -32,6 +32,10 @@
     directory::Directory {
         version: config.version(),
         own_zone: Some(zone.clone()),
+        own_region: config
+            .availability_zones()
+            .get(zone)
+            .map(|zone| zone.region.clone()),
         answer_ttl: config
             .services()
             .values()
