Bench: capacity fits several variables at once

The shapes now hold one with a zone of the target's size and one with as many zones, and the model tells both slopes. Points that don't settle a variable give no model.

--- a/crates/damaskvane-bench/src/capacity.rs
+++ b/crates/damaskvane-bench/src/capacity.rs
@@ -1,14 +1,14 @@
 //! The slopes behind docs/CAPACITY.md, measured with the real programs.
 //!
 //! Each part starts clusters of several sizes, or one cluster under several loads, reads what the
-//! programs count of themselves, and fits a line through the points. The page's table is written from
+//! programs count of themselves, and fits a linear model through the points. The page's table is written from
 //! these lines, so that it can be made again.
 //!
 //! ```
 //! use damaskvane_bench::capacity;
 //!
 //! let quantity = capacity::QUANTITIES[0];
-//! let slope = capacity::Slope::new(quantity, vec![(6.0, 1.0), (12.0, 2.0)]);
+//! let slope = capacity::Slope::new(quantity, vec![(vec![6.0, 1.0], 1.0), (vec![6.0, 2.0], 2.0)]);
 //! assert_eq!(slope.points.len(), 2);
 //! ```
 
@@ -31,10 +31,14 @@
 pub use quantity::{QUANTITIES, Quantity, Size};
 pub use slope::Slope;
 pub use snapshot::{Rates, Snapshot};
-pub use steady::measure_steady;
+pub use steady::{Shape, SteadyFigures, measure_steady};
 
 /// Daemons at the size that the design is decided by.
 pub const TARGET_DAEMONS: f64 = 420.0;
+/// Availability zones at that size.
+pub const TARGET_ZONES: f64 = 23.0;
+/// Daemons in one zone at that size, rounded up.
+pub const TARGET_IN_ZONE: f64 = 19.0;
 /// Client blocks at that size.
 pub const TARGET_BLOCKS: f64 = 3_600_000.0;
 /// Look-ups a second of one daemon at that size: 200,000 over all daemons.
--- a/crates/damaskvane-bench/src/capacity/changes.rs
+++ b/crates/damaskvane-bench/src/capacity/changes.rs
@@ -3,13 +3,17 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::capacity::{Slope, Snapshot, slope, steady};
+use crate::capacity::{Shape, Slope, Snapshot, slope, steady};
 use crate::cluster::Cluster;
 use crate::error::BenchError;
 use crate::in_force;
 
-/// The fleet's size.
-const DAEMONS: usize = 12;
+/// The fleet: 12 daemons.
+const FLEET: Shape = Shape {
+    regions: 3,
+    zones: 2,
+    entries: 2,
+};
 /// How long a fleet settles before and after a ticket.
 const SETTLE: Duration = Duration::from_secs(2);
 /// The longest wait until a ticket is in force.
@@ -17,7 +21,7 @@
 
 /// Submits tickets of so many objects each.
 pub fn measure_changes(sizes: &[usize]) -> Result<Vec<Slope>, BenchError> {
-    let mut cluster = steady::start(DAEMONS)?;
+    let mut cluster = steady::start(FLEET)?;
     thread::sleep(SETTLE);
     let (mut bytes, mut reads, mut times) = (Vec::new(), Vec::new(), Vec::new());
     for (round, size) in sizes.iter().enumerate() {
--- a/crates/damaskvane-bench/src/capacity/command.rs
+++ b/crates/damaskvane-bench/src/capacity/command.rs
@@ -7,21 +7,21 @@
 use damaskvane_telemetry::command_line;
 
 use crate::arguments;
-use crate::capacity::steady::SteadyFigures;
-use crate::capacity::{self, EventFigures, Rates, Slope};
+use crate::capacity::{self, EventFigures, Rates, Shape, Slope, SteadyFigures};
 use crate::error::BenchError;
 
 const USAGE: &str = "\
 damaskvane-bench capacity: the slopes behind docs/CAPACITY.md, with the real programs
 
   --parts A,...      steady, changes, blocks, load, events [all of them]
-  --daemons N,...    sizes of the fleet [6,12,40,120]
+  --shapes RxZxE,... fleets: regions, zones in each, instances in each zone
+                     [3x2x1,3x2x2,5x2x4,1x1x19,8x3x2,5x3x8]
   --seconds N        how long each size is measured [10]
   --objects N,...    objects in a ticket [1,10,100,1000]
   --blocks N,...     client blocks [10000,100000,1000000,3600000]
   --lookups N,...    look-ups a second at one daemon [1,500,1000,2000]
   --requests N,...   requests a second at one daemon [1,50,100,200]
-  --fleet N          size of the fleet for events [40]
+  --fleet RxZxE      the fleet for events [5x2x4]
   --outage-s N       how long the store is cut [10]
   --page FILE        writes the measured table between the page's markers
   --seed N, --json, --help, --version
@@ -30,7 +30,7 @@
 
 const FLAGS: [&str; 10] = [
     "--parts",
-    "--daemons",
+    "--shapes",
     "--seconds",
     "--objects",
     "--blocks",
@@ -42,18 +42,36 @@
 ];
 /// The most daemons of one fleet, so that all processes stay under 300.
 const MOST_DAEMONS: usize = 280;
+/// The fleets measured by default: 6, 12, 40, 19, 48 and 120 daemons. The fourth has a zone of the target's
+/// size, the fifth as many zones as the target.
+const SHAPES: [Shape; 6] = [
+    shape(3, 2, 1),
+    shape(3, 2, 2),
+    shape(5, 2, 4),
+    shape(1, 1, 19),
+    shape(8, 3, 2),
+    shape(5, 3, 8),
+];
 const PARTS: [&str; 5] = ["steady", "changes", "blocks", "load", "events"];
 
+const fn shape(regions: usize, zones: usize, entries: usize) -> Shape {
+    Shape {
+        regions,
+        zones,
+        entries,
+    }
+}
+
 #[derive(Debug)]
 struct Settings {
     parts: Vec<String>,
-    daemons: Vec<usize>,
+    shapes: Vec<Shape>,
     seconds: u64,
     objects: Vec<usize>,
     blocks: Vec<u32>,
     lookups: Vec<u64>,
     requests: Vec<u64>,
-    fleet: usize,
+    fleet: Shape,
     outage_s: u64,
     page: Option<String>,
 }
@@ -62,13 +80,13 @@
     fn default() -> Self {
         Self {
             parts: PARTS.map(str::to_owned).to_vec(),
-            daemons: vec![6, 12, 40, 120],
+            shapes: SHAPES.to_vec(),
             seconds: 10,
             objects: vec![1, 10, 100, 1_000],
             blocks: vec![10_000, 100_000, 1_000_000, 3_600_000],
             lookups: vec![1, 500, 1_000, 2_000],
             requests: vec![1, 50, 100, 200],
-            fleet: 40,
+            fleet: SHAPES[2],
             outage_s: 10,
             page: None,
         }
@@ -116,7 +134,7 @@
 ) -> Result<bool, command_line::UsageError> {
     match flag {
         "parts" => settings.parts = arguments::values(parser)?,
-        "daemons" => settings.daemons = arguments::values(parser)?,
+        "shapes" => settings.shapes = arguments::values(parser)?,
         "seconds" => settings.seconds = arguments::value(parser)?,
         "objects" => settings.objects = arguments::values(parser)?,
         "blocks" => settings.blocks = arguments::values(parser)?,
@@ -139,8 +157,9 @@
     {
         return malformed(format!("{part:?} is no part; write {}", PARTS.join(", ")));
     }
-    let largest = settings.daemons.iter().chain([&settings.fleet]).max();
-    if largest.is_some_and(|largest| *largest > MOST_DAEMONS) {
+    let shapes = settings.shapes.iter().chain([&settings.fleet]);
+    let largest = shapes.map(|shape| shape.daemons()).max();
+    if largest.is_some_and(|largest| largest > MOST_DAEMONS) {
         return malformed(format!(
             "at most {MOST_DAEMONS} daemons, to stay under 300 processes"
         ));
@@ -171,7 +190,7 @@
         measured.events = Some(capacity::measure_events(settings.fleet, outage)?);
     }
     if wanted("steady") {
-        measured.steady = capacity::measure_steady(&settings.daemons, settings.seconds)?;
+        measured.steady = capacity::measure_steady(&settings.shapes, settings.seconds)?;
         measured.slopes.extend(measured.steady.slopes());
     }
     Ok(measured)
@@ -190,19 +209,26 @@
 /// The measured part of the page.
 fn text(measured: &Measured) -> String {
     let mut text = capacity::table(&measured.slopes);
-    if !measured.steady.sizes.is_empty() {
+    if !measured.steady.shapes.is_empty() {
         text.push_str(
             "\nControl bytes a second of one instance by message kind, sent / received:\n\n",
         );
-        text.push_str("| daemons | kinds |\n|---|---|\n");
+        text.push_str("| regions x zones x instances | daemons | kinds |\n|---|---|---|\n");
     }
-    for (size, rates) in &measured.steady.sizes {
+    for (shape, rates) in &measured.steady.shapes {
         let kinds: Vec<String> = rates
             .kinds
             .iter()
             .map(|(kind, (sent, received))| format!("{kind} {sent:.0} / {received:.0}"))
             .collect();
-        text.push_str(&format!("| {size} | {} |\n", kinds.join(", ")));
+        text.push_str(&format!(
+            "| {}x{}x{} | {} | {} |\n",
+            shape.regions,
+            shape.zones,
+            shape.entries,
+            shape.daemons(),
+            kinds.join(", ")
+        ));
     }
     if let Some(events) = &measured.events {
         text.push_str(&events_table(events));
--- a/crates/damaskvane-bench/src/capacity/events.rs
+++ b/crates/damaskvane-bench/src/capacity/events.rs
@@ -15,7 +15,7 @@
 use damaskvane_standins::platform;
 use serde::Serialize;
 
-use crate::capacity::{Rates, Snapshot, steady};
+use crate::capacity::{Rates, Shape, Snapshot, steady};
 use crate::cluster::{Cluster, PlatformAdmin};
 use crate::error::BenchError;
 
@@ -61,9 +61,9 @@
     pub restart_ms: f64,
 }
 
-/// Does these things to a fleet of that size; the store is cut for `outage`.
-pub fn measure_events(size: usize, outage: Duration) -> Result<EventFigures, BenchError> {
-    let mut cluster = steady::start(size)?;
+/// Does these things to a fleet of that shape; the store is cut for `outage`.
+pub fn measure_events(shape: Shape, outage: Duration) -> Result<EventFigures, BenchError> {
+    let mut cluster = steady::start(shape)?;
     thread::sleep(SETTLE);
     let mut figures = EventFigures {
         daemons: cluster.entries.len(),
--- a/crates/damaskvane-bench/src/capacity/page.rs
+++ b/crates/damaskvane-bench/src/capacity/page.rs
@@ -8,7 +8,7 @@
 //! assert!(page.contains("new") && !page.contains("old"));
 //! ```
 
-use crate::capacity::{QUANTITIES, Slope};
+use crate::capacity::{QUANTITIES, Quantity, Slope};
 
 /// The line before the measured part.
 pub const PAGE_BEGIN: &str = "<!-- measured by `damaskvane-bench capacity --page`: begin -->";
@@ -22,40 +22,51 @@
 pub fn table(slopes: &[Slope]) -> String {
     let mut text = format!("{TABLE_HEAD}\n|---|---|---|---|---|---|---|---|---|\n");
     for quantity in QUANTITIES {
-        let found = slopes
+        let slope = slopes
             .iter()
             .find(|slope| slope.quantity.key == quantity.key);
-        let title = format!("{} ({})", quantity.title, quantity.unit);
-        match found.and_then(|slope| Some((slope, slope.line?))) {
-            Some((slope, line)) => {
-                let points: Vec<String> = slope
-                    .points
-                    .iter()
-                    .map(|(x, y)| format!("{x}: {}", short(*y)))
-                    .collect();
-                text.push_str(&format!(
-                    "| {title} | {} | {} | {} | {} | {:.0}% | {} at {} | {} | {} |\n",
-                    quantity.size.name,
-                    points.join(", "),
-                    short(line.slope),
-                    short(line.intercept),
-                    line.residual * 100.0,
-                    short(line.at(quantity.size.target)),
-                    short(quantity.size.target),
-                    quantity.budget.map_or("none".to_owned(), short),
-                    verdict(slope),
-                ));
-            }
-            None => text.push_str(&format!(
-                "| {title} | {} | not measured | | | | | {} | not measured |\n",
-                quantity.size.name,
-                quantity.budget.map_or("none".to_owned(), short),
-            )),
-        }
+        text.push_str(&row(*quantity, slope));
     }
     text
 }
 
+fn row(quantity: Quantity, slope: Option<&Slope>) -> String {
+    let head = format!(
+        "| {} ({}) | {} |",
+        quantity.title,
+        quantity.unit,
+        quantity.size.names.join(", ")
+    );
+    let budget = quantity.budget.map_or("none".to_owned(), short);
+    let Some(slope) = slope else {
+        return format!("{head} not measured | | | | | {budget} | not measured |\n");
+    };
+    let points: Vec<String> = slope
+        .points
+        .iter()
+        .map(|(sizes, value)| format!("{}: {}", joined(sizes), short(*value)))
+        .collect();
+    let points = points.join(", ");
+    let Some(model) = &slope.model else {
+        return format!("{head} {points} | too few sizes | | | | {budget} | not known |\n");
+    };
+    format!(
+        "{head} {points} | {} | {} | {:.0}% | {} at {} | {budget} | {} |\n",
+        joined(&model.slopes),
+        short(model.intercept),
+        model.residual * 100.0,
+        short(model.at(quantity.size.targets)),
+        joined(quantity.size.targets),
+        verdict(slope),
+    )
+}
+
+/// Values of several variables.
+fn joined(values: &[f64]) -> String {
+    let texts: Vec<String> = values.iter().copied().map(short).collect();
+    texts.join(" / ")
+}
+
 fn verdict(slope: &Slope) -> &'static str {
     match slope.within_budget() {
         Some(true) => "within",
@@ -67,7 +78,7 @@
 /// Three significant digits.
 fn short(value: f64) -> String {
     let magnitude = value.abs();
-    if magnitude >= 100.0 || value == 0.0 {
+    if magnitude >= 100.0 || value.fract() == 0.0 {
         format!("{value:.0}")
     } else if magnitude >= 10.0 {
         format!("{value:.1}")
--- a/crates/damaskvane-bench/src/capacity/quantity.rs
+++ b/crates/damaskvane-bench/src/capacity/quantity.rs
@@ -1,4 +1,4 @@
-//! What is measured, against which size, with which budget.
+//! What is measured, what it grows with, and its budget.
 //!
 //! ```
 //! use damaskvane_bench::capacity;
@@ -8,37 +8,41 @@
 
 use crate::capacity::{
     BUDGET_BYTES, BUDGET_CPU_MS, BUDGET_MEMORY_MB, BUDGET_READS, BUDGET_WRITES, TARGET_BLOCKS,
-    TARGET_DAEMONS, TARGET_LOOKUPS,
+    TARGET_DAEMONS, TARGET_IN_ZONE, TARGET_LOOKUPS, TARGET_ZONES,
 };
 
 /// What a quantity grows with.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Size {
-    /// Its name.
-    pub name: &'static str,
-    /// How large it is at the size that the design is decided by.
-    pub target: f64,
+    /// The names of its variables.
+    pub names: &'static [&'static str],
+    /// How large they are at the size that the design is decided by.
+    pub targets: &'static [f64],
 }
 
 const DAEMONS: Size = Size {
-    name: "daemons",
-    target: TARGET_DAEMONS,
+    names: &["daemons"],
+    targets: &[TARGET_DAEMONS],
+};
+const SHAPE: Size = Size {
+    names: &["zones", "daemons in the zone"],
+    targets: &[TARGET_ZONES, TARGET_IN_ZONE],
 };
 const OBJECTS: Size = Size {
-    name: "objects in a ticket",
-    target: 1_000.0,
+    names: &["objects in a ticket"],
+    targets: &[1_000.0],
 };
 const BLOCKS: Size = Size {
-    name: "client blocks",
-    target: TARGET_BLOCKS,
+    names: &["client blocks"],
+    targets: &[TARGET_BLOCKS],
 };
 const LOOKUPS: Size = Size {
-    name: "look-ups/s at one daemon",
-    target: TARGET_LOOKUPS,
+    names: &["look-ups/s at one daemon"],
+    targets: &[TARGET_LOOKUPS],
 };
 const REQUESTS: Size = Size {
-    name: "requests/s at one daemon",
-    target: 200.0,
+    names: &["requests/s at one daemon"],
+    targets: &[200.0],
 };
 
 /// One measured quantity.
@@ -75,12 +79,12 @@
 /// Every quantity, in the order of the page.
 #[rustfmt::skip]
 pub const QUANTITIES: &[Quantity] = &[
-    quantity("control-relay", "control traffic of a relay, both ways", "B/s", DAEMONS, Some(BUDGET_BYTES)),
-    quantity("control-other", "control traffic of an instance that is no relay, both ways", "B/s", DAEMONS, Some(BUDGET_BYTES)),
-    quantity("control-max", "control traffic of the busiest instance, both ways", "B/s", DAEMONS, Some(BUDGET_BYTES)),
-    quantity("cpu-relay", "processor time of a relay without traffic", "ms/s", DAEMONS, Some(BUDGET_CPU_MS)),
-    quantity("cpu-other", "processor time of an instance that is no relay, without traffic", "ms/s", DAEMONS, Some(BUDGET_CPU_MS)),
-    quantity("memory", "resident memory of an instance, largest", "MB", DAEMONS, Some(BUDGET_MEMORY_MB)),
+    quantity("control-relay", "control traffic of a relay, both ways", "B/s", SHAPE, Some(BUDGET_BYTES)),
+    quantity("control-other", "control traffic of an instance that is no relay, both ways", "B/s", SHAPE, Some(BUDGET_BYTES)),
+    quantity("control-max", "control traffic of the busiest instance, both ways", "B/s", SHAPE, Some(BUDGET_BYTES)),
+    quantity("cpu-relay", "processor time of a relay without traffic", "ms/s", SHAPE, Some(BUDGET_CPU_MS)),
+    quantity("cpu-other", "processor time of an instance that is no relay, without traffic", "ms/s", SHAPE, Some(BUDGET_CPU_MS)),
+    quantity("memory", "resident memory of an instance, largest", "MB", SHAPE, Some(BUDGET_MEMORY_MB)),
     quantity("store-reads", "reads and watches at the store, whole fleet", "calls/s", DAEMONS, Some(BUDGET_READS)),
     quantity("store-writes", "writes at the store, whole fleet", "calls/s", DAEMONS, Some(BUDGET_WRITES)),
     quantity("ticket-bytes", "control traffic of the busiest instance for one ticket, both ways", "B", OBJECTS, None),
--- a/crates/damaskvane-bench/tests/figures.rs
+++ b/crates/damaskvane-bench/tests/figures.rs
@@ -3,13 +3,44 @@
 use damaskvane_bench::{arguments, commands, fit, load};
 
 #[test]
-fn a_line_is_fitted_with_its_largest_residual() {
-    let points = [(6.0, 12.0), (12.0, 24.0), (40.0, 84.0)];
-    let line = fit::Line::through(&points).expect("three sizes");
-    assert!((line.slope - 2.13).abs() < 0.02, "{line:?}");
-    assert!(line.residual > 0.0 && line.residual < 0.02, "{line:?}");
-    assert!(fit::Line::through(&[(6.0, 12.0), (6.0, 13.0)]).is_none());
-    assert!(fit::Line::through(&[]).is_none());
+fn a_model_is_fitted_with_its_largest_residual() {
+    let points = [(vec![6.0], 12.0), (vec![12.0], 24.0), (vec![40.0], 84.0)];
+    let model = fit::Model::through(&points).expect("three sizes");
+    assert!((model.slopes[0] - 2.13).abs() < 0.02, "{model:?}");
+    assert!(model.residual > 0.0 && model.residual < 0.02, "{model:?}");
+}
+
+#[test]
+fn a_model_of_two_variables_is_found_exactly() {
+    let value = |zones: f64, mates: f64| 100.0 + 7.0 * zones + 40.0 * mates;
+    let sizes = [(6.0, 1.0), (6.0, 2.0), (24.0, 2.0), (1.0, 19.0)];
+    let points: Vec<fit::Point> = sizes
+        .iter()
+        .map(|(zones, mates)| (vec![*zones, *mates], value(*zones, *mates)))
+        .collect();
+    let model = fit::Model::through(&points).expect("four shapes");
+    assert!(
+        (model.at(&[23.0, 19.0]) - value(23.0, 19.0)).abs() < 1e-6,
+        "{model:?}"
+    );
+    assert!(model.residual < 1e-9, "{model:?}");
+}
+
+#[test]
+fn points_that_settle_nothing_give_no_model() {
+    let cases: [&[fit::Point]; 3] = [
+        &[],
+        &[(vec![6.0], 12.0), (vec![6.0], 13.0)],
+        // Zones and daemons in a zone grew together, so that neither's share is known.
+        &[
+            (vec![1.0, 2.0], 1.0),
+            (vec![2.0, 4.0], 2.0),
+            (vec![3.0, 6.0], 3.0),
+        ],
+    ];
+    for points in cases {
+        assert_eq!(fit::Model::through(points), None, "{points:?}");
+    }
 }
 
 #[test]
