Clients number their tries; the stand-in reuses its threads

docs/API.md asks for damaskvane-try since a delayed try must not run after a later one was refused; the client left it out, so that its own tries could overtake each other. The stand-in started a thread for each connection; an entry instance that opens one for each request paid for it in every latency. Its ten tests hold as before.

--- a/crates/damaskvane-bench/src/client/request.rs
+++ b/crates/damaskvane-bench/src/client/request.rs
@@ -29,6 +29,16 @@
     connections: Arc<http::Connections>,
 }
 
+/// One try as it is sent.
+#[derive(Debug)]
+struct OwnTry<'a> {
+    request_id: &'a str,
+    /// From 1; a delayed try that arrives after a later one was refused is not run.
+    number: u32,
+    home: &'a str,
+    limit: Duration,
+}
+
 /// What the tries of one request have in common.
 #[derive(Debug)]
 struct Progress<'a> {
@@ -138,7 +148,13 @@
         let left = progress.deadline.saturating_duration_since(Instant::now());
         let limit = left.min(Duration::from_millis(self.settings.try_limit_ms));
         let home = progress.home.clone().unwrap_or_else(|| entry.home());
-        let Some(request) = self.request(progress.order, &request_id, &home, entry, limit) else {
+        let own = OwnTry {
+            request_id: &request_id,
+            number: number + 1,
+            home: &home,
+            limit,
+        };
+        let Some(request) = self.request(progress.order, &own, entry) else {
             progress.note(request_id, &entry.instance, Outcome::NotRun, "bad-request");
             return;
         };
@@ -171,26 +187,20 @@
         }
     }
 
-    fn request(
-        &self,
-        order: &Order,
-        request_id: &str,
-        home: &str,
-        entry: &Entry,
-        limit: Duration,
-    ) -> Option<http::Request> {
+    fn request(&self, order: &Order, own: &OwnTry<'_>, entry: &Entry) -> Option<http::Request> {
         let method = if order.is_repeatable() { "GET" } else { "POST" };
         let mut builder = hyper::Request::builder()
             .method(method)
             .uri(format!("/v1/services/{}{}", order.service, order.path))
             .header("host", entry.address.to_string())
-            .header("damaskvane-request-id", request_id)
+            .header("damaskvane-request-id", own.request_id)
             .header("damaskvane-client", &self.settings.client)
-            .header("damaskvane-deadline-ms", limit.as_millis().to_string());
+            .header("damaskvane-deadline-ms", own.limit.as_millis().to_string());
         if let Some(key) = &order.key {
             builder = builder
                 .header("damaskvane-idempotency-key", key)
-                .header("damaskvane-home", home);
+                .header("damaskvane-home", own.home)
+                .header("damaskvane-try", own.number.to_string());
         }
         if !order.priority.is_empty() {
             builder = builder.header("damaskvane-priority", &order.priority);
--- a/crates/damaskvane-standins/src/backend/server.rs
+++ b/crates/damaskvane-standins/src/backend/server.rs
@@ -21,6 +21,8 @@
 
 /// How long a crashed server refuses connections.
 const CRASH_DOWN: Duration = Duration::from_secs(2);
+/// How long a thread without a connection waits for another.
+const IDLE_LIMIT: Duration = Duration::from_secs(5);
 /// How often a server that is down looks whether it may come back.
 const DOWN_POLL: Duration = Duration::from_millis(50);
 
@@ -46,6 +48,9 @@
     seed: u64,
     log: Arc<ExecutionLog>,
     state: Mutex<State>,
+    /// Takes a connection only while a thread waits for one.
+    idle: flume::Sender<(u64, net::TcpStream)>,
+    waiting: flume::Receiver<(u64, net::TcpStream)>,
 }
 
 #[derive(Debug, Default)]
@@ -81,6 +86,7 @@
             slots: spec.slots,
             ..ServerStats::default()
         };
+        let (idle, waiting) = flume::bounded(0);
         let server = Self {
             shared: Arc::new(Shared {
                 spec,
@@ -91,6 +97,8 @@
                     stats,
                     ..State::default()
                 }),
+                idle,
+                waiting,
             }),
         };
         let acceptor = server.clone();
@@ -181,12 +189,25 @@
             let Some(number) = self.open(&stream) else {
                 continue;
             };
-            let server = self.clone();
-            thread::spawn(move || {
+            self.hand_over(number, stream);
+        }
+    }
+
+    /// Gives a connection to an idle thread, or to a new one. Starting a thread for each connection would
+    /// cost a caller that opens one for each request more than the connection itself.
+    fn hand_over(&self, number: u64, stream: net::TcpStream) {
+        let Err(refused) = self.shared.idle.try_send((number, stream)) else {
+            return;
+        };
+        let server = self.clone();
+        let mut connection = Some(refused.into_inner());
+        thread::spawn(move || {
+            while let Some((number, stream)) = connection.take() {
                 connection::serve(&server, number, stream);
                 server.close(number);
-            });
-        }
+                connection = server.shared.waiting.recv_timeout(IDLE_LIMIT).ok();
+            }
+        });
     }
 
     fn listen_again(&self) -> net::TcpListener {
