--- a/crates/damaskvane-entry/src/control.rs
+++ b/crates/damaskvane-entry/src/control.rs
@@ -185,9 +185,11 @@
             ControlInput::Probed {
                 instance,
                 incarnation,
-            } => self.tell_membership(view::Event::Refused {
+                outcome,
+            } => self.tell_membership(view::Event::Probed {
                 instance,
                 incarnation,
+                outcome,
             }),
             ControlInput::Leave => self.leave(),
         }
--- a/crates/damaskvane-entry/src/control/fleet.rs
+++ b/crates/damaskvane-entry/src/control/fleet.rs
@@ -5,6 +5,7 @@
 //! ```
 
 use core::time::Duration;
+use std::io;
 use std::net;
 use std::thread;
 
@@ -182,15 +183,18 @@
         let _ = thread::Builder::new()
             .name("probe".to_owned())
             .spawn(move || {
-                let Err(error) = net::TcpStream::connect_timeout(&address, PROBE_TIMEOUT) else {
-                    return;
+                let outcome = match net::TcpStream::connect_timeout(&address, PROBE_TIMEOUT) {
+                    Ok(_) => view::ProbeOutcome::Answered,
+                    Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                        view::ProbeOutcome::Refused
+                    }
+                    Err(_) => view::ProbeOutcome::Silent,
                 };
-                if error.kind() == std::io::ErrorKind::ConnectionRefused {
-                    let _ = inbox.send(ControlInput::Probed {
-                        instance,
-                        incarnation,
-                    });
-                }
+                let _ = inbox.send(ControlInput::Probed {
+                    instance,
+                    incarnation,
+                    outcome,
+                });
             });
     }
 
--- a/crates/damaskvane-entry/src/control/input.rs
+++ b/crates/damaskvane-entry/src/control/input.rs
@@ -7,6 +7,7 @@
 //! ```
 
 use damaskvane_core::ids;
+use damaskvane_membership::view;
 use damaskvane_peer::transport;
 
 use crate::store;
@@ -19,12 +20,14 @@
     Store(store::StoreReport),
     /// Another instance sent a message.
     Peer(Box<transport::Received<wire::WireMessage>>),
-    /// Nothing listens at the address of an instance that was silent.
+    /// A probe of an instance that was silent ended.
     Probed {
         /// The instance.
         instance: ids::InstanceId,
         /// The start that was asked about.
         incarnation: ids::Incarnation,
+        /// What was found at its address.
+        outcome: view::ProbeOutcome,
     },
     /// A planned stop has begun.
     Leave,
--- a/crates/damaskvane-entry/src/operator_api.rs
+++ b/crates/damaskvane-entry/src/operator_api.rs
@@ -38,8 +38,10 @@
     source: status::Source,
     engine: flume::Sender<inbox::Input>,
 ) -> Result<net::SocketAddr, Box<dyn error::Error + Send + Sync>> {
-    let server = rouille::Server::new(address, move |request| answer(request, &serving, &source))?
-        .pool_size(THREADS);
+    let server = rouille::Server::new(address, move |request| {
+        answer(request, &serving, &source, &engine)
+    })?
+    .pool_size(THREADS);
     let listening = server.server_addr();
     thread::Builder::new()
         .name("operators".to_owned())
--- a/crates/damaskvane-entry/src/store/job.rs
+++ b/crates/damaskvane-entry/src/store/job.rs
@@ -33,7 +33,7 @@
     },
     /// Write this instance's own record.
     Announce(api::InstanceRecord),
-    /// Mark another instance's record as leaving, if it still has this incarnation.
+    /// Delete another instance's record, if it still has this incarnation.
     Fence {
         /// The instance.
         instance: ids::InstanceId,
@@ -71,7 +71,7 @@
     }
 }
 
-/// What became of the mark on another instance.
+/// What became of the deletion of another instance's record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FenceOutcome {
     /// The platform took it.
@@ -109,7 +109,7 @@
     },
     /// The own record stands in the platform.
     Announced,
-    /// The call to mark an instance ended.
+    /// The call to fence an instance ended.
     Fenced {
         /// The instance.
         instance: ids::InstanceId,
--- a/crates/damaskvane-entry/src/store/worker.rs
+++ b/crates/damaskvane-entry/src/store/worker.rs
@@ -169,27 +169,27 @@
         }
     }
 
-    /// The conditional update makes the mark hit the start in question or nothing: a restarted
-    /// instance has written another version.
+    /// The condition makes the deletion hit the start in question or nothing: a restarted instance has
+    /// written another version.
     fn fence(&self, instance: &ids::InstanceId, incarnation: ids::Incarnation) -> FenceOutcome {
         self.serving.counters.increment(CALLS, "fence");
         let key = instance_key(instance);
         let object = match self.api.get(&key) {
             Ok(Some(object)) => object,
-            Ok(None) => return FenceOutcome::NotTaken,
+            Ok(None) => return FenceOutcome::Taken,
             Err(_) => return FenceOutcome::Unknown,
         };
-        let Ok(mut record) = serde_json::from_slice::<api::InstanceRecord>(&object.value) else {
-            return FenceOutcome::NotTaken;
-        };
-        if record.incarnation != incarnation {
+        let record = serde_json::from_slice::<api::InstanceRecord>(&object.value);
+        if record.is_ok_and(|record| record.incarnation != incarnation) {
             return FenceOutcome::NotTaken;
         }
-        record.leaving = true;
-        match self.put_record(&key, object.version, &record) {
-            write::Outcome::Applied(_) => FenceOutcome::Taken,
-            write::Outcome::Overtaken { .. } | write::Outcome::Refused(_) => FenceOutcome::NotTaken,
-            write::Outcome::Lost => FenceOutcome::Unknown,
+        let id = api::WriteId::new(&format!("fence-{instance}-{incarnation}"));
+        match self.api.delete_if(&key, object.version, &id) {
+            api::WriteResult::Applied { .. } => FenceOutcome::Taken,
+            api::WriteResult::Conflict { .. } | api::WriteResult::NotApplied(_) => {
+                FenceOutcome::NotTaken
+            }
+            api::WriteResult::Unknown(_) => FenceOutcome::Unknown,
         }
     }
 
