Drain of backend servers, silent connections and planned stops

Cause: a leaving server gets no new work, a silent connection blames no healthy server, and a planned stop cuts nothing. Ruled out: flags beside one state, with which a drained server could still be given a share; judging a server by a kept connection. Conclusion: each phase is a type, and what is not allowed in it does not exist on it.

--- /dev/null
+++ b/crates/damaskvane-dispatch/src/connection.rs
@@ -0,0 +1,22 @@
+//! Which failures of a connection count against the backend server behind it.
+//!
+//! A connection can go silent for good because something between the two ends has lost track of it,
+//! while new ones work. Judged by it, a healthy server would be taken out, and one would see its share
+//! move to the others for no reason. A failure on a kept connection therefore asks for a fresh one
+//! first; only failures of fresh connections count, and one success clears them.
+//!
+//! ```
+//! use damaskvane_dispatch::connection;
+//!
+//! let mut health = connection::ServerHealth::default();
+//! let silent = connection::Failure::Silent { on_fresh: false };
+//! assert_eq!(health.note_failure(silent), connection::Action::TryFresh);
+//! let silent = connection::Failure::Silent { on_fresh: true };
+//! assert_eq!(health.note_failure(silent), connection::Action::CountAgainst);
+//! ```
+
+mod failure;
+mod health;
+
+pub use failure::{Action, Failure};
+pub use health::ServerHealth;
--- /dev/null
+++ b/crates/damaskvane-dispatch/src/connection/failure.rs
@@ -0,0 +1,64 @@
+//! How a connection fails, and what follows.
+//!
+//! ```
+//! use damaskvane_dispatch::connection;
+//!
+//! let refused = connection::Failure::Refused;
+//! assert_eq!(refused.action(), connection::Action::CountAgainst);
+//! ```
+
+/// How a connection failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// It could not be opened.
+    Refused,
+    /// No byte within the time for one try.
+    Silent {
+        /// Whether it was opened for this exchange.
+        on_fresh: bool,
+    },
+    /// Closed by the other end before the answer was whole.
+    Closed {
+        /// Whether it was opened for this exchange.
+        on_fresh: bool,
+    },
+    /// The answer named another request.
+    Crossed,
+    /// The client went away or its deadline passed first; this instance abandoned the exchange.
+    Abandoned,
+    /// The backend server refused before running: it sheds load and is healthy.
+    Shed,
+}
+
+/// What follows from a failure. Except after [`Failure::Shed`], the connection is never used again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[must_use]
+pub enum Action {
+    /// Nothing is known about the server; open a fresh connection before judging.
+    TryFresh,
+    /// The failure counts against the server.
+    CountAgainst,
+    /// It says nothing about the server.
+    Ignore,
+}
+
+impl Failure {
+    /// What follows from the failure.
+    pub const fn action(self) -> Action {
+        match self {
+            Self::Silent { on_fresh: false } | Self::Closed { on_fresh: false } | Self::Crossed => {
+                Action::TryFresh
+            }
+            Self::Refused | Self::Silent { on_fresh: true } | Self::Closed { on_fresh: true } => {
+                Action::CountAgainst
+            }
+            Self::Abandoned | Self::Shed => Action::Ignore,
+        }
+    }
+
+    /// Whether the connection may carry another exchange.
+    #[must_use]
+    pub const fn leaves_reusable(self) -> bool {
+        matches!(self, Self::Shed)
+    }
+}
--- a/crates/damaskvane-dispatch/src/lib.rs
+++ b/crates/damaskvane-dispatch/src/lib.rs
@@ -4,6 +4,9 @@
 //!
 //! - [`home`]: at most once, by a table of idempotency keys at the home that the client names.
 //! - [`admission`]: the queue in which requests wait for a slot.
+//! - [`connection`]: which failures of a connection count against a backend server.
+//! - [`drain`]: the life cycle of a backend server, from its cold start to its drain.
+//! - [`shutdown`]: the planned stop of an entry instance.
 //! - [`exchange`]: the life cycle of one request, in types that make an untrue *not run* impossible.
 //! - [`deadline`]: deadlines, which travel as the time left.
 //! - [`fingerprint`]: what makes two requests the same request.
@@ -17,7 +20,9 @@
 //! from no global random source and does no I/O.
 
 pub mod admission;
+pub mod connection;
 pub mod deadline;
+pub mod drain;
 pub mod exchange;
 pub mod fingerprint;
 pub mod home;
@@ -26,3 +31,4 @@
 pub mod quarantine;
 pub mod refusal;
 pub mod retry;
+pub mod shutdown;
