Bench: control traffic of slots under requests is a quantity of its own

Slots are lent over messages, so that control traffic grows with client traffic; the steady state without clients doesn't show it. Two daemons of one zone are loaded alike, since one alone lends nobody anything.

--- a/crates/damaskvane-bench/src/capacity/command.rs
+++ b/crates/damaskvane-bench/src/capacity/command.rs
@@ -20,7 +20,7 @@
   --objects N,...    objects in a ticket [1,10,100,1000]
   --blocks N,...     client blocks [10000,100000,1000000,3600000]
   --lookups N,...    look-ups a second at one daemon [1,500,1000,2000]
-  --requests N,...   requests a second at one daemon [1,50,100,200]
+  --requests N,...   requests a second at each of two daemons [1,50,100,200]
   --fleet RxZxE      the fleet for events [5x2x4]
   --outage-s N       how long the store is cut [10]
   --page FILE        writes the measured table between the page's markers
--- a/crates/damaskvane-bench/src/capacity/load.rs
+++ b/crates/damaskvane-bench/src/capacity/load.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::capacity::{Slope, Snapshot, slope};
+use crate::capacity::{Rates, Slope, Snapshot, slope};
 use crate::cluster::{Cluster, Deployment};
 use crate::error::BenchError;
 use crate::load::{self, LoadSettings};
@@ -12,45 +12,71 @@
 const FIRST_LIMIT: Duration = Duration::from_secs(20);
 /// Connections that ask for look-ups.
 const CONNECTIONS: u64 = 8;
+/// Backend servers of the zone.
+const SERVERS: usize = 8;
 
-/// Measures one daemon under these rates for `seconds` each.
+/// Measures a daemon under these rates for `seconds` each.
 pub fn measure_load(
     lookups: &[u64],
     requests: &[u64],
     seconds: u64,
 ) -> Result<Vec<Slope>, BenchError> {
-    let mut deployment = Deployment::grid(1, 1, 1);
-    deployment.services[0].servers = 8;
-    let mut cluster = Cluster::start(deployment, "")?;
-    cluster.submit_whole("capacity")?;
-    cluster.wait_in_force(1, FIRST_LIMIT)?;
-    cluster.wait_serving(FIRST_LIMIT)?;
-    let mut of_lookups = Vec::new();
-    for rate in lookups {
-        let cpu = cpu_during(&cluster, || ask(&cluster, *rate, seconds))?;
-        of_lookups.push((*rate as f64, cpu));
+    let mut slopes = Vec::from_iter(measure_lookups(lookups, seconds)?);
+    slopes.extend(measure_requests(requests, seconds)?);
+    Ok(slopes)
+}
+
+/// Look-ups at a daemon that is alone.
+fn measure_lookups(rates: &[u64], seconds: u64) -> Result<Option<Slope>, BenchError> {
+    let cluster = start(1)?;
+    let mut cpu = Vec::new();
+    for rate in rates {
+        let during = rates_during(&cluster, || ask(&cluster, *rate, seconds))?;
+        cpu.push((
+            *rate as f64,
+            during.cpu_relay.or(during.cpu_other).unwrap_or(0.0),
+        ));
     }
-    let mut of_requests = Vec::new();
-    for rate in requests {
-        let cpu = cpu_during(&cluster, || send(&cluster, *rate, seconds))?;
-        of_requests.push((*rate as f64, cpu));
+    Ok(slope::named("lookup-cpu", cpu))
+}
+
+/// Requests at each of two daemons of a zone, which lend each other slots.
+fn measure_requests(rates: &[u64], seconds: u64) -> Result<Vec<Slope>, BenchError> {
+    let cluster = start(2)?;
+    let (mut cpu, mut control) = (Vec::new(), Vec::new());
+    for rate in rates {
+        let during = rates_during(&cluster, || send(&cluster, 2 * rate, seconds))?;
+        cpu.push((
+            *rate as f64,
+            during.cpu_relay.or(during.cpu_other).unwrap_or(0.0),
+        ));
+        control.push((*rate as f64, during.control_max));
     }
     let slopes = [
-        slope::named("lookup-cpu", of_lookups),
-        slope::named("request-cpu", of_requests),
+        slope::named("request-cpu", cpu),
+        slope::named("request-control", control),
     ];
     Ok(slopes.into_iter().flatten().collect())
 }
 
-/// Processor milliseconds a second of the one daemon while something runs.
-fn cpu_during(
+fn start(daemons: usize) -> Result<Cluster, BenchError> {
+    let mut deployment = Deployment::grid(1, 1, daemons);
+    deployment.services[0].servers = SERVERS;
+    let mut cluster = Cluster::start(deployment, "")?;
+    cluster.submit_whole("capacity")?;
+    cluster.wait_in_force(1, FIRST_LIMIT)?;
+    cluster.wait_serving(FIRST_LIMIT)?;
+    Ok(cluster)
+}
+
+/// The rates while something runs.
+fn rates_during(
     cluster: &Cluster,
     run: impl FnOnce() -> Result<(), BenchError>,
-) -> Result<f64, BenchError> {
+) -> Result<Rates, BenchError> {
     let before = Snapshot::take(cluster)?;
     run()?;
-    let rates = Snapshot::take(cluster)?.rates_since(&before);
-    Ok(rates.cpu_relay.or(rates.cpu_other).unwrap_or(0.0))
+    Ok(Snapshot::take(cluster)?.rates_since(&before))
 }
 
 fn ask(cluster: &Cluster, rate: u64, seconds: u64) -> Result<(), BenchError> {
--- a/crates/damaskvane-bench/src/capacity/quantity.rs
+++ b/crates/damaskvane-bench/src/capacity/quantity.rs
@@ -93,6 +93,7 @@
     quantity("block-memory", "memory of the client-block table", "MB", BLOCKS, Some(BUDGET_MEMORY_MB)),
     quantity("lookup-cpu", "processor time of look-ups", "ms/s", LOOKUPS, None),
     quantity("request-cpu", "processor time of requests", "ms/s", REQUESTS, None),
+    quantity("request-control", "control traffic under requests, busiest of two in a zone, both ways", "B/s", REQUESTS, Some(BUDGET_BYTES)),
 ];
 
 impl Quantity {
