Admission queue, drain states and stop phases of the request decisions drive the engine

Cause: the engine had a queue and a departure of its own beside those of the dispatch crate; one rule stood twice. Conclusion: fairness between services, early refusal with a retry-after from the drain rate, and operators see stop and drain progress.

--- a/crates/damaskvane-dispatch/src/admission/priority.rs
+++ b/crates/damaskvane-dispatch/src/admission/priority.rs
@@ -8,8 +8,11 @@
 
 use core::str;
 
+use serde::{Deserialize, Serialize};
+
 /// How urgent a request is; the more urgent one is less.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
 pub enum Priority {
     /// Served first.
     High,
--- a/crates/damaskvane-dispatch/src/admission/queue.rs
+++ b/crates/damaskvane-dispatch/src/admission/queue.rs
@@ -105,6 +105,16 @@
         given_up
     }
 
+    /// Takes out the requests that need no answer from here any more.
+    pub fn withdraw(&mut self, is_over: impl Fn(&R) -> bool) {
+        for lane in self.lanes.values_mut() {
+            lane.take_where(|entry| is_over(&entry.waiting.request));
+            if lane.len() == 0 {
+                lane.rate.note_empty();
+            }
+        }
+    }
+
     /// How many requests wait.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/damaskvane-engine/src/engine.rs
+++ b/crates/damaskvane-engine/src/engine.rs
@@ -31,11 +31,12 @@
 use std::sync::Arc;
 
 use damaskvane_core::{ids, time};
-use damaskvane_dispatch::{home, retry};
+use damaskvane_dispatch::{admission, home, retry};
 use damaskvane_slots::exchange;
 pub use load::{EngineLoad, EngineServiceLoad};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+pub use servers::DrainStatus;
 pub use settings::EngineSettings;
 
 use crate::event::{Action, Event, ExchangeNumber, RequestNumber};
@@ -53,7 +54,9 @@
     requests: BTreeMap<pending::LocalId, pending::Pending>,
     clients: BTreeMap<RequestNumber, pending::LocalId>,
     waiters: BTreeMap<home::WaiterId, pending::LocalId>,
-    queue: Vec<pending::LocalId>,
+    queue: admission::Queue<pending::LocalId>,
+    /// Requests that have left the queue and wait for a certain slot: further tries, and suspects.
+    held: Vec<pending::LocalId>,
     flights: BTreeMap<ExchangeNumber, pending::Flight>,
     servers: servers::Servers,
     crashes: crashes::Crashes,
@@ -80,7 +83,8 @@
             requests: BTreeMap::new(),
             clients: BTreeMap::new(),
             waiters: BTreeMap::new(),
-            queue: Vec::new(),
+            queue: admission::Queue::new(settings.queue.clone()),
+            held: Vec::new(),
             flights: BTreeMap::new(),
             crashes: crashes::Crashes::new(settings.quarantine.clone()),
             retries: BTreeMap::new(),
@@ -102,7 +106,12 @@
     /// How many requests wait for a slot.
     #[must_use]
     pub fn waiting(&self) -> usize {
-        self.queue.len()
+        self.queue.len() + self.held.len()
+    }
+
+    /// Backend servers that drain or have drained, for operators.
+    pub fn draining(&self) -> impl Iterator<Item = DrainStatus> + '_ {
+        self.servers.draining()
     }
 
     /// How many idempotency keys are kept.
--- a/crates/damaskvane-engine/src/engine/answers.rs
+++ b/crates/damaskvane-engine/src/engine/answers.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use damaskvane_core::time;
-use damaskvane_dispatch::{exchange, home, outcome, refusal};
+use damaskvane_dispatch::{admission, exchange, home, outcome, refusal};
 
 use crate::engine::Engine;
 use crate::engine::pending::{LocalId, Origin, Stage};
@@ -73,6 +73,17 @@
         }
     }
 
+    /// Gives up what the admission queue can't serve in time.
+    pub(super) fn give_up_all(
+        &mut self,
+        now: time::TimeMs,
+        given_up: impl IntoIterator<Item = admission::GivenUp<LocalId>>,
+    ) {
+        for given_up in given_up {
+            self.give_up_until(now, given_up.request, given_up.reason, given_up.retry_after);
+        }
+    }
+
     /// Gives up a request that no backend server has; its answer goes out at once.
     pub(super) fn give_up(
         &mut self,
@@ -91,11 +102,12 @@
         reason: refusal::RefusalReason,
         retry_after: time::SpanMs,
     ) {
-        self.queue.retain(|queued| *queued != id);
+        self.queue.withdraw(|queued| *queued == id);
+        self.held.retain(|held| *held != id);
         let Some(pending) = self.requests.remove(&id) else {
             return;
         };
-        if reason == refusal::RefusalReason::QueueTimeout {
+        if is_for_want_of_capacity(reason) {
             self.count_refused(&pending.request.service);
         }
         match pending.stage {
@@ -120,3 +132,12 @@
         }
     }
 }
+
+const fn is_for_want_of_capacity(reason: refusal::RefusalReason) -> bool {
+    matches!(
+        reason,
+        refusal::RefusalReason::QueueTimeout
+            | refusal::RefusalReason::QueueFull
+            | refusal::RefusalReason::Overloaded
+    )
+}
--- a/crates/damaskvane-engine/src/engine/expiry.rs
+++ b/crates/damaskvane-engine/src/engine/expiry.rs
@@ -17,6 +17,8 @@
         for finish in self.keys.expire(now) {
             self.answer_waiters(finish);
         }
+        let given_up = self.queue.expire(now);
+        self.give_up_all(now, given_up);
         self.end_backoffs(now);
         let past: Vec<LocalId> = self
             .requests
@@ -42,7 +44,7 @@
                 core::mem::replace(&mut pending.stage, placeholder)
             {
                 pending.stage = Stage::Requeued(admitted);
-                self.queue.insert(0, *id);
+                self.held.push(*id);
             }
         }
     }
--- a/crates/damaskvane-engine/src/engine/leaving.rs
+++ b/crates/damaskvane-engine/src/engine/leaving.rs
@@ -1,109 +1,140 @@
 //! A planned stop: out of look-up answers, one look-up TTL of service, then the keys go to a successor.
 //!
 //! ```text
-//! Serving -> Draining (still serves) -> HandingOver -> Done (what runs may end) -> drained
+//! Serving -> Leaving (still serves) -> HandingOver -> Stopped
 //! ```
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use damaskvane_core::time;
-use damaskvane_dispatch::home;
+use damaskvane_dispatch::{home, shutdown};
 
 use crate::engine::Engine;
 use crate::event::Action;
 use crate::{directory, message, peer};
 
 /// How far a planned stop has come.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) enum Departure {
-    #[default]
-    Serving,
-    Draining {
-        until: time::TimeMs,
-    },
-    HandingOver {
-        successor: home::Home,
-        missing: BTreeSet<u32>,
-        resend_at: time::TimeMs,
-        until: time::TimeMs,
-    },
-    Done,
+    Serving(shutdown::Serving),
+    Leaving(shutdown::Leaving),
+    HandingOver(Handover),
+    Stopped(shutdown::Stopped),
+}
+
+/// A table of keys on its way to the successor.
+#[derive(Debug)]
+pub(super) struct Handover {
+    phase: shutdown::HandingOver,
+    /// Parts that the successor has not acknowledged.
+    missing: BTreeSet<u32>,
+    resend_at: time::TimeMs,
+    is_announced: bool,
+}
+
+impl Default for Departure {
+    fn default() -> Self {
+        Self::Serving(shutdown::Serving)
+    }
 }
 
 impl Departure {
     /// Clients may use a cached look-up answer for one TTL; after that nobody was told to come.
-    pub(super) fn takes_no_requests(&self, now: time::TimeMs) -> bool {
-        match self {
-            Self::Serving => false,
-            Self::Draining { until } => *until <= now,
-            Self::HandingOver { .. } | Self::Done => true,
-        }
+    pub(super) const fn takes_no_requests(&self) -> bool {
+        matches!(self, Self::HandingOver(_) | Self::Stopped(_))
     }
 }
 
 impl Engine {
-    /// Whether a planned stop has finished all work.
+    /// Whether a planned stop has finished all work, or its time is over.
     #[must_use]
     pub fn is_drained(&self, now: time::TimeMs) -> bool {
-        matches!(self.departure, Departure::Done)
-            && self.servers.is_drained(now)
-            && self.requests.is_empty()
-            && self.flights.is_empty()
+        match &self.departure {
+            Departure::Stopped(stopped) => {
+                stopped.is_cut_short
+                    || (self.requests.is_empty()
+                        && self.flights.is_empty()
+                        && self.servers.is_drained(now))
+            }
+            _ => false,
+        }
+    }
+
+    /// How far a planned stop is, for operators.
+    #[must_use]
+    pub fn departure(&self, now: time::TimeMs) -> Option<shutdown::Progress> {
+        let running = self.flights.len();
+        match &self.departure {
+            Departure::Serving(_) | Departure::Stopped(_) => None,
+            Departure::Leaving(phase) => Some(phase.progress(now, running)),
+            Departure::HandingOver(handover) => Some(handover.phase.progress(now, running)),
+        }
     }
 
     pub(super) fn leave(&mut self, now: time::TimeMs) {
-        if matches!(self.departure, Departure::Serving) {
+        if let Departure::Serving(serving) = &self.departure {
             // Until the last instance has heard of it, look-ups still name this one; what they answer
             // is kept for one TTL. A client that came later would find another incarnation or nothing.
-            let until = now + self.settings.leaving_spreads + self.directory.answer_ttl;
-            self.departure = Departure::Draining { until };
+            let settings = shutdown::ShutdownSettings {
+                lookup_ttl_ms: self.directory.answer_ttl.get(),
+                ..self.settings.shutdown
+            };
+            self.departure = Departure::Leaving(serving.leave(now, settings));
         }
     }
 
     pub(super) fn advance_departure(&mut self, now: time::TimeMs) {
-        match &mut self.departure {
-            Departure::Serving | Departure::Done => {}
-            Departure::Draining { until } => {
-                if *until <= now {
-                    self.begin_handover(now);
-                }
-            }
-            Departure::HandingOver {
-                missing,
-                resend_at,
-                until,
-                ..
-            } => {
-                if missing.is_empty() || *until <= now {
-                    self.end_handover();
-                } else if *resend_at <= now {
-                    *resend_at = now + self.settings.handover_resend;
-                    self.send_parts(now);
+        let running = self.flights.len();
+        let departure = core::mem::take(&mut self.departure);
+        self.departure = match departure {
+            Departure::Leaving(phase) => match phase.lapse(now, running) {
+                Ok(phase) => self.begin_handover(now, phase),
+                Err(phase) => Departure::Leaving(phase),
+            },
+            Departure::HandingOver(handover) => self.go_on_handing_over(now, handover),
+            other => other,
+        };
+        self.send_amendments();
+    }
+
+    fn begin_handover(&mut self, now: time::TimeMs, phase: shutdown::HandingOver) -> Departure {
+        let mut missing = BTreeSet::new();
+        match self.successor() {
+            None => self.keys.close(),
+            Some(successor) => {
+                if let Ok(parts) = self.keys.hand_over(now, &successor) {
+                    missing = parts.iter().map(|part| part.part).collect();
+                    self.handed_to = Some(successor);
                 }
             }
         }
-        self.send_amendments();
+        self.send_parts(now, &missing);
+        Departure::HandingOver(Handover {
+            phase,
+            missing,
+            resend_at: now + self.settings.handover_resend,
+            is_announced: false,
+        })
     }
 
-    fn begin_handover(&mut self, now: time::TimeMs) {
-        let Some(successor) = self.successor() else {
-            self.keys.close();
-            self.departure = Departure::Done;
-            return;
-        };
-        let parts = match self.keys.hand_over(now, &successor) {
-            Ok(parts) => parts.len(),
-            Err(_) => return,
-        };
-        self.handed_to = Some(successor.clone());
-        self.departure = Departure::HandingOver {
-            successor,
-            missing: (0..u32::try_from(parts).unwrap_or(u32::MAX)).collect(),
-            resend_at: now + self.settings.handover_resend,
-            until: now + self.settings.handover_timeout,
-        };
-        self.send_parts(now);
+    fn go_on_handing_over(&mut self, now: time::TimeMs, mut handover: Handover) -> Departure {
+        if handover.missing.is_empty() && !handover.is_announced {
+            handover.is_announced = true;
+            self.announce_successor();
+        }
+        if !handover.missing.is_empty() && handover.resend_at <= now {
+            handover.resend_at = now + self.settings.handover_resend;
+            self.send_parts(now, &handover.missing);
+        }
+        let is_acknowledged = handover.missing.is_empty();
+        match handover
+            .phase
+            .stop(now, self.flights.len(), is_acknowledged)
+        {
+            Ok(stopped) => Departure::Stopped(stopped),
+            Err(phase) => Departure::HandingOver(Handover { phase, ..handover }),
+        }
     }
 
     /// A live instance, of the own zone if there is one.
@@ -120,14 +151,11 @@
             .map(|(id, peer)| home::Home::new(id.clone(), peer.incarnation))
     }
 
-    fn send_parts(&mut self, now: time::TimeMs) {
-        let Departure::HandingOver {
-            successor, missing, ..
-        } = &self.departure
-        else {
+    fn send_parts(&mut self, now: time::TimeMs, missing: &BTreeSet<u32>) {
+        let Some(successor) = self.handed_to.clone() else {
             return;
         };
-        let Ok(parts) = self.keys.hand_over(now, successor) else {
+        let Ok(parts) = self.keys.hand_over(now, &successor) else {
             return;
         };
         for part in parts.iter().filter(|part| missing.contains(&part.part)) {
@@ -139,10 +167,8 @@
     }
 
     /// Tells everybody who answers for this home now; whoever misses it answers *unknown*.
-    fn end_handover(&mut self) {
-        let Departure::HandingOver { successor, .. } =
-            core::mem::replace(&mut self.departure, Departure::Done)
-        else {
+    fn announce_successor(&mut self) {
+        let Some(successor) = self.handed_to.clone() else {
             return;
         };
         for (instance, peer) in &self.directory.instances {
@@ -191,12 +217,10 @@
     }
 
     pub(super) fn handover_taken(&mut self, from: &home::Home, taken: peer::HandoverTaken) {
-        if let Departure::HandingOver {
-            successor, missing, ..
-        } = &mut self.departure
-            && successor == from
+        if let Departure::HandingOver(handover) = &mut self.departure
+            && self.handed_to.as_ref() == Some(from)
         {
-            missing.remove(&taken.part);
+            handover.missing.remove(&taken.part);
         }
     }
 
--- a/crates/damaskvane-engine/src/engine/pending.rs
+++ b/crates/damaskvane-engine/src/engine/pending.rs
@@ -57,6 +57,13 @@
     },
 }
 
+impl Stage {
+    /// Whether it waits for a slot.
+    pub(super) const fn is_waiting(&self) -> bool {
+        matches!(self, Self::Queued(_) | Self::Requeued(_))
+    }
+}
+
 /// A request on its way.
 #[derive(Debug)]
 pub(super) struct Pending {
--- a/crates/damaskvane-engine/src/engine/pump.rs
+++ b/crates/damaskvane-engine/src/engine/pump.rs
@@ -33,48 +33,56 @@
 
     fn waiting_by_service(&self) -> BTreeMap<ids::ServiceId, usize> {
         let mut waiting = BTreeMap::new();
-        for id in &self.queue {
-            if let Some(pending) = self.requests.get(id) {
+        for pending in self.requests.values() {
+            if pending.stage.is_waiting() {
                 *waiting.entry(pending.request.service.clone()).or_default() += 1;
             }
         }
         waiting
     }
 
+    /// What waits for a certain slot goes first, then the queue while a service has a free slot.
     fn launch_all(&mut self, now: time::TimeMs) {
-        let mut full: Vec<ids::ServiceId> = Vec::new();
-        for id in core::mem::take(&mut self.queue) {
-            let Some(pending) = self.requests.get(&id) else {
-                continue;
+        for id in core::mem::take(&mut self.held) {
+            self.try_launch(now, id);
+        }
+        loop {
+            let servers = &self.servers;
+            let next = self
+                .queue
+                .pop(now, |service| servers.has_free_slot(now, service));
+            let Some(id) = next else {
+                return;
             };
-            let service = pending.request.service.clone();
-            if full.contains(&service) {
-                self.queue.push(id);
-                continue;
-            }
-            let fingerprint = pending.fingerprint;
-            let verdict = self.crashes.list.judge(now, fingerprint);
-            if let quarantine::Verdict::Refuse { retry_after } = verdict {
+            self.try_launch(now, id);
+        }
+    }
+
+    fn try_launch(&mut self, now: time::TimeMs, id: LocalId) {
+        let Some(pending) = self.requests.get(&id) else {
+            return;
+        };
+        let service = pending.request.service.clone();
+        let fingerprint = pending.fingerprint;
+        match self.crashes.list.judge(now, fingerprint) {
+            quarantine::Verdict::Refuse { retry_after } => {
                 let reason = refusal::RefusalReason::Quarantined;
                 self.give_up_until(now, id, reason, retry_after);
-                continue;
+                return;
             }
-            if verdict == quarantine::Verdict::Wait {
-                self.queue.push(id);
-                continue;
+            quarantine::Verdict::Wait => {
+                self.held.push(id);
+                return;
             }
-            let tried = self.excluded(id);
-            let wanted = self.time_left(now, id);
-            match self.servers.take(now, &service, &tried, wanted) {
-                Some(taken) => self.launch(now, id, taken),
-                None => {
-                    self.crashes.list.release(fingerprint);
-                    // A retry has fewer servers to choose from: it says nothing about the others.
-                    if tried.is_empty() {
-                        full.push(service);
-                    }
-                    self.queue.push(id);
-                }
+            quarantine::Verdict::Run | quarantine::Verdict::RunAlone => {}
+        }
+        let excluded = self.excluded(id);
+        let wanted = self.time_left(now, id);
+        match self.servers.take(now, &service, &excluded, wanted) {
+            Some(taken) => self.launch(now, id, taken),
+            None => {
+                self.crashes.list.release(fingerprint);
+                self.held.push(id);
             }
         }
     }
--- a/crates/damaskvane-engine/src/engine/servers.rs
+++ b/crates/damaskvane-engine/src/engine/servers.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 use damaskvane_core::{ids, time, units};
-use damaskvane_dispatch::home;
+use damaskvane_dispatch::{connection, drain, home};
 use damaskvane_membership::view;
 use damaskvane_slots::{connections, exchange, message, permit, settings};
 use damaskvane_steering::health;
@@ -23,12 +23,27 @@
 /// A slot that was taken for one request.
 pub(super) type Taken = permit::Permit<permit::Sending>;
 
+/// A backend server that drains or has drained.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DrainStatus {
+    /// The backend server.
+    pub backend_server: ids::BackendServerId,
+    /// `draining` or `drained`.
+    pub phase: &'static str,
+    /// Since when.
+    pub since: time::TimeMs,
+    /// What this instance still runs on it.
+    pub running: u32,
+}
+
 /// Backend servers of the own zone.
 #[derive(Debug)]
 pub(super) struct Servers {
     slots: exchange::SlotExchange,
     pools: BTreeMap<ids::ServiceId, health::Pool>,
+    lives: BTreeMap<ids::BackendServerId, drain::Lifecycle>,
     connections: BTreeMap<ids::BackendServerId, connections::ConnectionBudget>,
+    warm_up: drain::WarmUpSettings,
     uses: u64,
     last_uses: BTreeMap<ids::BackendServerId, u64>,
     directory: Arc<directory::Directory>,
@@ -44,7 +59,9 @@
                 settings::SlotSettings::default(),
             ),
             pools: BTreeMap::new(),
+            lives: BTreeMap::new(),
             connections: BTreeMap::new(),
+            warm_up: drain::WarmUpSettings::default(),
             uses: 0,
             last_uses: BTreeMap::new(),
             directory: Arc::default(),
@@ -84,6 +101,15 @@
             } else {
                 pool.join(id.clone(), now);
             }
+            let life = self
+                .lives
+                .entry(id.clone())
+                .or_insert_with(|| drain::Lifecycle::active(now));
+            if entry.draining {
+                life.drain(now);
+            } else {
+                life.resume(now);
+            }
             self.connections.entry(id.clone()).or_insert_with(|| {
                 connections::ConnectionBudget::new(entry.connections, MOST_INSTANCES_OF_A_ZONE)
             });
@@ -112,6 +138,13 @@
 
     pub(super) fn tick(&mut self, now: time::TimeMs) {
         self.tell(now, exchange::Event::Tick);
+        for (server, life) in &mut self.lives {
+            let running = self
+                .connections
+                .get(server)
+                .map_or(0, connections::ConnectionBudget::in_use);
+            life.advance(now, running as usize, &self.warm_up);
+        }
     }
 
     /// Whether a planned stop has handed over what this instance owned.
@@ -160,6 +193,13 @@
             .sum()
     }
 
+    /// Whether a request of a service could be sent now.
+    pub(super) fn has_free_slot(&self, now: time::TimeMs, service: &ids::ServiceId) -> bool {
+        self.candidates(now, service, &[])
+            .filter(|(id, server)| self.has_room(now, id, server))
+            .any(|(id, _)| self.slots.free(now, id) > units::Slots::ZERO)
+    }
+
     /// Takes a slot of the backend server with the most free ones.
     pub(super) fn take(
         &mut self,
@@ -306,6 +346,26 @@
         }
     }
 
+    /// Backend servers that drain or have drained, and since when.
+    pub(super) fn draining(&self) -> impl Iterator<Item = DrainStatus> + '_ {
+        self.lives.iter().filter_map(|(server, life)| {
+            let (phase, since) = match life {
+                drain::Lifecycle::Draining(draining) => ("draining", draining.since()),
+                drain::Lifecycle::Drained(drained) => ("drained", drained.since()),
+                drain::Lifecycle::Cold(_) | drain::Lifecycle::Active(_) => return None,
+            };
+            Some(DrainStatus {
+                backend_server: server.clone(),
+                phase,
+                since,
+                running: self
+                    .connections
+                    .get(server)
+                    .map_or(0, connections::ConnectionBudget::in_use),
+            })
+        })
+    }
+
     /// Slots that this instance grants and that take work, by service.
     pub(super) fn serving(&self, now: time::TimeMs) -> BTreeMap<ids::ServiceId, units::Slots> {
         let mut serving = BTreeMap::new();
@@ -332,13 +392,28 @@
     }
 }
 
+/// What the end of an exchange says of the slot, and of the server. Each exchange has a connection of its
+/// own, so that a silent or broken one is not the fault of an earlier exchange.
 const fn judge(end: &ExchangeEnd, took: time::SpanMs) -> (exchange::Finish, health::Outcome) {
-    match end {
-        ExchangeEnd::Answered(_) => (exchange::Finish::Ended, health::Outcome::Answered { took }),
-        ExchangeEnd::Refused => (exchange::Finish::Ended, health::Outcome::Refused),
-        ExchangeEnd::NotSent => (exchange::Finish::Ended, health::Outcome::Failed),
-        ExchangeEnd::Lost | ExchangeEnd::Silent | ExchangeEnd::Cut | ExchangeEnd::Crossed => {
-            (exchange::Finish::MayStillRun, health::Outcome::Failed)
+    let failure = match end {
+        ExchangeEnd::Answered(_) => {
+            return (exchange::Finish::Ended, health::Outcome::Answered { took });
+        }
+        ExchangeEnd::Refused => connection::Failure::Shed,
+        ExchangeEnd::NotSent => connection::Failure::Refused,
+        ExchangeEnd::Lost | ExchangeEnd::Cut => connection::Failure::Closed { on_fresh: true },
+        ExchangeEnd::Silent => connection::Failure::Silent { on_fresh: true },
+        ExchangeEnd::Crossed => connection::Failure::Crossed,
+    };
+    let finish = if end.proves_not_run() {
+        exchange::Finish::Ended
+    } else {
+        exchange::Finish::MayStillRun
+    };
+    match failure.action() {
+        connection::Action::Ignore => (finish, health::Outcome::Refused),
+        connection::Action::CountAgainst | connection::Action::TryFresh => {
+            (finish, health::Outcome::Failed)
         }
     }
 }
--- a/crates/damaskvane-engine/src/engine/settings.rs
+++ b/crates/damaskvane-engine/src/engine/settings.rs
@@ -8,7 +8,7 @@
 //! ```
 
 use damaskvane_core::time;
-use damaskvane_dispatch::{home, quarantine, retry};
+use damaskvane_dispatch::{admission, home, quarantine, retry, shutdown};
 
 /// Settings of the engine.
 #[derive(Debug, Clone)]
@@ -17,16 +17,16 @@
     pub keys: home::HomeSettings,
     /// Retries; the share comes from each service's declaration.
     pub retries: retry::RetrySettings,
+    /// Requests that wait for a slot.
+    pub queue: admission::QueueSettings,
     /// Requests that crash backend servers.
     pub quarantine: quarantine::QuarantineSettings,
     /// How often a request is passed on from instance to instance at most.
     pub most_hops: u32,
-    /// How long it takes until look-ups of all instances leave out one that begins to leave.
-    pub leaving_spreads: time::SpanMs,
+    /// A planned stop; the look-up TTL comes from the declared services.
+    pub shutdown: shutdown::ShutdownSettings,
     /// After how long a part of a handover is sent again.
     pub handover_resend: time::SpanMs,
-    /// How long a successor gets to take a handover.
-    pub handover_timeout: time::SpanMs,
 }
 
 impl Default for EngineSettings {
@@ -34,11 +34,11 @@
         Self {
             keys: home::HomeSettings::default(),
             retries: retry::RetrySettings::default(),
+            queue: admission::QueueSettings::default(),
             quarantine: quarantine::QuarantineSettings::default(),
             most_hops: 3,
-            leaving_spreads: time::SpanMs::new(2_000),
+            shutdown: shutdown::ShutdownSettings::default(),
             handover_resend: time::SpanMs::new(200),
-            handover_timeout: time::SpanMs::new(5_000),
         }
     }
 }
--- a/crates/damaskvane-engine/src/engine/submit.rs
+++ b/crates/damaskvane-engine/src/engine/submit.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use damaskvane_core::{ids, time};
-use damaskvane_dispatch::{deadline, exchange, home, refusal};
+use damaskvane_dispatch::{admission, deadline, exchange, home, refusal};
 
 use crate::engine::Engine;
 use crate::engine::pending::{LocalId, Origin, Pending, Stage};
@@ -72,8 +72,19 @@
             policy.note_first_try();
         }
         let deadline = received.deadline();
+        let service = request.service.clone();
+        let priority = request.priority;
         let id = self.insert(origin, request, deadline, Stage::Queued(received));
-        self.queue.push(id);
+        let given_up = self.queue.push(
+            now,
+            admission::Waiting {
+                request: id,
+                service,
+                priority,
+                deadline,
+            },
+        );
+        self.give_up_all(now, given_up);
     }
 
     pub(super) fn count_refused(&mut self, service: &ids::ServiceId) {
@@ -94,7 +105,7 @@
         let Some(settings) = self.directory.services.get(service) else {
             return refused(refusal::RefusalReason::ServiceUnknown);
         };
-        if self.departure.takes_no_requests(now) {
+        if self.departure.takes_no_requests() {
             return refused(refusal::RefusalReason::InstanceLeaving);
         }
         if self.servers.count(now, service, &[]) == 0 {
@@ -109,10 +120,9 @@
     }
 
     fn waiting_for(&self, service: &ids::ServiceId) -> usize {
-        self.queue
-            .iter()
-            .filter_map(|id| self.requests.get(id))
-            .filter(|pending| pending.request.service == *service)
+        self.requests
+            .values()
+            .filter(|pending| pending.request.service == *service && pending.stage.is_waiting())
             .count()
     }
 
--- a/crates/damaskvane-engine/src/message.rs
+++ b/crates/damaskvane-engine/src/message.rs
@@ -3,15 +3,14 @@
 //! ```
 //! use damaskvane_engine::message;
 //!
-//! assert_eq!("high".parse(), Ok(message::Priority::High));
+//! let header = message::Header::new("accept", "text/plain");
+//! assert_eq!(header.value(), "text/plain");
 //! ```
 
 mod answer;
 mod header;
-mod priority;
 mod request;
 
 pub use answer::BackendAnswer;
 pub use header::Header;
-pub use priority::{ParsePriorityError, Priority};
 pub use request::{Idempotency, ServiceRequest};
--- a/crates/damaskvane-engine/src/message/request.rs
+++ b/crates/damaskvane-engine/src/message/request.rs
@@ -9,10 +9,10 @@
 //! ```
 
 use damaskvane_core::{ids, time};
-use damaskvane_dispatch::{fingerprint, home};
+use damaskvane_dispatch::{admission, fingerprint, home};
 use serde::{Deserialize, Serialize};
 
-use crate::message::{header, priority};
+use crate::message::header;
 
 const DEFAULT_TIME_LEFT: time::SpanMs = time::SpanMs::new(10_000);
 
@@ -48,7 +48,7 @@
     /// Key and home; present on every non-repeatable request.
     pub idempotency: Option<Idempotency>,
     /// How urgent it is.
-    pub priority: priority::Priority,
+    pub priority: admission::Priority,
     /// The time left when the request was received.
     pub time_left: time::SpanMs,
 }
@@ -70,7 +70,7 @@
             body: Vec::new(),
             client: None,
             idempotency: None,
-            priority: priority::Priority::default(),
+            priority: admission::Priority::default(),
             time_left: DEFAULT_TIME_LEFT,
         }
     }
--- a/crates/damaskvane-entry/src/engine_thread.rs
+++ b/crates/damaskvane-entry/src/engine_thread.rs
@@ -112,6 +112,21 @@
                 "keys": self.engine.keys(),
             }),
         );
+        let draining: Vec<_> = self
+            .engine
+            .draining()
+            .map(|server| {
+                json!({
+                    "backend_server": server.backend_server,
+                    "phase": server.phase,
+                    "for_ms": now.since(server.since),
+                    "running": server.running,
+                })
+            })
+            .collect();
+        self.status.publish("draining", json!(draining));
+        self.status
+            .publish("stop", json!(self.engine.departure(now)));
     }
 
     fn event(&mut self, input: inbox::Input) -> event::Event {
