--- /dev/null
+++ b/crates/damaskvane-bench/src/commands.rs
@@ -0,0 +1,85 @@
+//! The table of sub-commands.
+//!
+//! ```
+//! use damaskvane_bench::commands;
+//!
+//! assert!(commands::usage().contains("load"));
+//! ```
+
+use std::process;
+
+use crate::error::BenchError;
+use crate::{capacity, checker, cluster, config, demo, load, speed, steering};
+
+/// One sub-command.
+#[derive(Debug, Clone, Copy)]
+pub struct Command {
+    /// The word on the command line.
+    pub name: &'static str,
+    /// What it is for, in one line.
+    pub summary: &'static str,
+    /// Runs it with the rest of the command line.
+    pub run: fn(&mut lexopt::Parser) -> Result<process::ExitCode, BenchError>,
+}
+
+/// Every sub-command.
+pub const ALL: &[Command] = &[
+    Command {
+        name: "load",
+        summary: "open-loop load through entry instances",
+        run: load::command::run,
+    },
+    Command {
+        name: "checker",
+        summary: "compares what ran with the answers given",
+        run: checker::command::run,
+    },
+    Command {
+        name: "cluster",
+        summary: "a deployment to try things on by hand",
+        run: cluster::command::run,
+    },
+    Command {
+        name: "steering",
+        summary: "the decision code against baselines, in virtual time",
+        run: steering::command::run,
+    },
+    Command {
+        name: "demo",
+        summary: "both deployments under traffic and faults",
+        run: demo::command::run,
+    },
+    Command {
+        name: "speed",
+        summary: "what an entry instance adds to a request, and its look-ups",
+        run: speed::command::run,
+    },
+    Command {
+        name: "config",
+        summary: "from acceptance to in force everywhere",
+        run: config::run,
+    },
+    Command {
+        name: "capacity",
+        summary: "the slopes behind docs/CAPACITY.md",
+        run: capacity::command::run,
+    },
+];
+
+/// The sub-command of that name.
+#[must_use]
+pub fn find(name: &str) -> Option<Command> {
+    ALL.iter().copied().find(|command| command.name == name)
+}
+
+/// What `--help` prints.
+#[must_use]
+pub fn usage() -> String {
+    let mut text = "damaskvane-bench: experiments and load\n\n".to_owned();
+    for command in ALL {
+        text.push_str(&format!("  {:<10} {}\n", command.name, command.summary));
+    }
+    text.push_str("\nEach takes --seed N, --json, --help and --version. Exit codes: 0 done and held, 1 failed or");
+    text.push_str("\na promise broken, 2 wrong command line.");
+    text
+}
--- /dev/null
+++ b/crates/damaskvane-engine/src/engine/pump.rs
@@ -0,0 +1,124 @@
+//! Takes requests off the queue while backend servers have free slots.
+//!
+//! ```text
+//! queue -> a backend server not tried yet, with a free leased slot -> exchange
+//! what still waits -> slots are asked for: own backend servers first, then other owners
+//! ```
+
+use std::collections::BTreeMap;
+
+use damaskvane_core::{ids, time};
+
+use crate::engine::Engine;
+use crate::engine::pending::{Flight, LocalId, Stage};
+use crate::engine::servers::Taken;
+use crate::event::{Action, Exchange, ExchangeNumber};
+
+impl Engine {
+    pub(super) fn pump(&mut self, now: time::TimeMs) {
+        self.launch_all(now);
+        let waiting = self.waiting_by_service();
+        if !waiting.is_empty() {
+            for (service, count) in waiting {
+                self.servers.demand_own(now, &service, count);
+            }
+            self.launch_all(now);
+            for (service, count) in self.waiting_by_service() {
+                self.servers.demand_others(now, &service, count);
+            }
+        }
+        self.carry_slot_actions();
+    }
+
+    fn waiting_by_service(&self) -> BTreeMap<ids::ServiceId, usize> {
+        let mut waiting = BTreeMap::new();
+        for id in &self.queue {
+            if let Some(pending) = self.requests.get(id) {
+                *waiting.entry(pending.request.service.clone()).or_default() += 1;
+            }
+        }
+        waiting
+    }
+
+    fn launch_all(&mut self, now: time::TimeMs) {
+        let mut full: Vec<ids::ServiceId> = Vec::new();
+        for id in core::mem::take(&mut self.queue) {
+            let Some(pending) = self.requests.get(&id) else {
+                continue;
+            };
+            let service = pending.request.service.clone();
+            if full.contains(&service) {
+                self.queue.push(id);
+                continue;
+            }
+            let wanted = pending.deadline.time_left(now);
+            let tried: &[ids::BackendServerId] = match &pending.stage {
+                Stage::Requeued(admitted) => admitted.tried(),
+                _ => &[],
+            };
+            match self.servers.take(now, &service, tried, wanted) {
+                Some(taken) => self.launch(now, id, taken),
+                None => {
+                    // A retry has fewer servers to choose from: it says nothing about the others.
+                    if tried.is_empty() {
+                        full.push(service);
+                    }
+                    self.queue.push(id);
+                }
+            }
+        }
+    }
+
+    fn launch(&mut self, now: time::TimeMs, id: LocalId, taken: Taken) {
+        let exchange = ExchangeNumber::new(self.next_id());
+        let server = taken.server().clone();
+        let (Some(address), Some(pending)) =
+            (self.servers.address(&server), self.requests.get_mut(&id))
+        else {
+            self.broken("a slot was taken for a request or server that is not known");
+            return;
+        };
+        let stage = core::mem::replace(&mut pending.stage, Stage::Flying(exchange));
+        let admitted = match stage {
+            Stage::Queued(received) => received.admit(),
+            Stage::Requeued(admitted) => admitted,
+            other => {
+                pending.stage = other;
+                self.broken("a request that is not queued was launched");
+                return;
+            }
+        };
+        let request = pending.request.clone();
+        let deadline = taken.deadline_ms();
+        self.flights.insert(
+            exchange,
+            Flight {
+                id,
+                service: request.service.clone(),
+                request_id: request.request_id.clone(),
+                sent: admitted.send(now, server.clone()),
+                taken,
+            },
+        );
+        self.actions.push(Action::Start(Exchange {
+            number: exchange,
+            backend_server: server,
+            address,
+            request,
+            deadline,
+            begin_before: now + deadline,
+        }));
+    }
+
+    pub(super) fn cancel(&mut self, exchange: ExchangeNumber) {
+        let Some(flight) = self.flights.get(&exchange) else {
+            return;
+        };
+        if let Some(address) = self.servers.address(flight.taken.server()) {
+            self.actions.push(Action::Cancel {
+                address,
+                request_id: flight.request_id.clone(),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-engine/src/peer/peer_message.rs
@@ -0,0 +1,52 @@
+//! Every message between engines.
+//!
+//! ```
+//! use damaskvane_engine::peer;
+//!
+//! let answer = peer::PeerMessage::ForwardAnswer(peer::ForwardAnswer::lost(1));
+//! assert_eq!(answer.kind(), "forward_answer");
+//! ```
+
+use std::sync::Arc;
+
+use damaskvane_dispatch::home;
+use damaskvane_slots::message as slot_message;
+use serde::{Deserialize, Serialize};
+
+use crate::message;
+use crate::peer::{departure, forward};
+
+/// A message from one engine to another; it may be lost, doubled or late.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// A request for its home.
+    Forward(forward::Forward),
+    /// The home's answer.
+    ForwardAnswer(forward::ForwardAnswer),
+    /// A part of a leaving instance's table of keys.
+    Handover(Box<home::Handover<Arc<message::BackendAnswer>>>),
+    /// The successor holds a part.
+    HandoverTaken(departure::HandoverTaken),
+    /// An outcome that a leaving instance learned after its handover.
+    Amendment(Box<home::HandedRecord<Arc<message::BackendAnswer>>>),
+    /// About slots of backend servers.
+    Slots(Box<slot_message::Addressed>),
+    /// Who answers for a home that has left.
+    Departed(departure::Departed),
+}
+
+impl PeerMessage {
+    /// The word under which it is counted.
+    #[must_use]
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Forward(_) => "forward",
+            Self::ForwardAnswer(_) => "forward_answer",
+            Self::Handover(_) => "handover",
+            Self::HandoverTaken(_) => "handover_taken",
+            Self::Amendment(_) => "amendment",
+            Self::Slots(addressed) => addressed.message.kind(),
+            Self::Departed(_) => "departed",
+        }
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-entry/src/wire.rs
@@ -0,0 +1,15 @@
+//! Everything that entry instances say to each other.
+//!
+//! ```
+//! use damaskvane_entry::wire;
+//! use damaskvane_peer::transport::MessageKind;
+//!
+//! let ask = wire::WireMessage::Configuration(wire::ConfigurationMessage::AskHead);
+//! assert_eq!(ask.kind(), "ask_head");
+//! ```
+
+mod configuration;
+mod message;
+
+pub use configuration::{ConfigurationMessage, MOST_CHUNK_BYTES};
+pub use message::WireMessage;
