Chunks that come in parts are asked for on from the same peer

A peer sends no more than fits a message; the rest counted as a failure and the peer was left alone for up to 200 ms each time, so a configuration of many megabytes would hardly come whole from peers. An answer that brings nothing new still counts as a failure, so that a peer without the chunks can't hold up the fetch.

--- a/crates/damaskvane-config/src/relay/machine.rs
+++ b/crates/damaskvane-config/src/relay/machine.rs
@@ -48,6 +48,7 @@
     is_watching: bool,
     store_read_due: time::TimeMs,
     rereads_left: u32,
+    wanted_chunks: usize,
     zone_heard_at: time::TimeMs,
 }
 
@@ -68,6 +69,7 @@
             is_watching: false,
             store_read_due: time::TimeMs::ZERO,
             rereads_left: 0,
+            wanted_chunks: 0,
             zone_heard_at: time::TimeMs::ZERO,
         }
     }
@@ -203,7 +205,9 @@
         self.fetch.end(from);
         let chunks = chunks.iter().map(AsRef::as_ref);
         let verdict = self.adopter.offer_chunks(chunks);
-        if let Verdict::Wanting(_) = verdict {
+        if let Verdict::Wanting(missing) = &verdict
+            && missing.len() >= self.wanted_chunks
+        {
             // Absent or corrupted there: another source may have them.
             self.fail(now, from);
             return;
@@ -222,6 +226,7 @@
             Verdict::Ignored(_) => {}
             Verdict::Refused(_) => self.fail(now, from),
             Verdict::Wanting(hashes) => {
+                self.wanted_chunks = hashes.len();
                 self.fetch.start(from.clone(), self.deadline(now, from));
                 let from = from.clone();
                 actions.push(Action::FetchChunks { from, hashes });
--- a/crates/damaskvane-config/tests/relay.rs
+++ b/crates/damaskvane-config/tests/relay.rs
@@ -226,6 +226,37 @@
     assert_eq!(relay.adopter().version().get(), 1);
 }
 
+/// All chunks together are larger than one message, so a peer sends some of them. If that counted as a
+/// failure, a large configuration would never come whole from any peer.
+#[test]
+fn chunks_that_come_in_parts_are_asked_for_on_from_the_same_peer() {
+    let mut store = Store::default();
+    store.accept(ZONES);
+    let mut relay = relay();
+    relay.handle(at(1), heard("sask-a-2", 1));
+    relay.handle(at(2), head(&store, peer("sask-a-2")));
+    let all = store.chunks();
+    let mut asked_on = 0;
+    for (index, chunk) in all.iter().enumerate() {
+        let chunks = vec![chunk.clone()];
+        let from = peer("sask-a-2");
+        let actions = relay.handle(at(3), Event::Chunks { from, chunks });
+        let left = all.len() - index - 1;
+        let is_on = |action: &Action| matches!(action, Action::FetchChunks { from, hashes } if *from == peer("sask-a-2") && hashes.len() == left);
+        asked_on += usize::from(actions.iter().any(is_on));
+    }
+    assert_eq!(asked_on, all.len() - 1);
+    assert_eq!(relay.adopter().version().get(), 1);
+    let chunks = vec![all[0].clone(), all[0].clone()];
+    let from = peer("sask-a-2");
+    let actions = relay.handle(at(4), Event::Chunks { from, chunks });
+    assert!(
+        !actions
+            .iter()
+            .any(|action| matches!(action, Action::FetchChunks { .. }))
+    );
+}
+
 /// An instance was paused and comes back with an old head.
 #[test]
 fn an_instance_that_shows_an_old_version_is_told() {
