Run of mixed faults as a command, with spans from acceptance to in force

Ruled out: a head carried in the announcement, 100 bytes an object to each instance for nothing where it already came another way.

--- a/crates/damaskvane-bench/src/commands.rs
+++ b/crates/damaskvane-bench/src/commands.rs
@@ -9,7 +9,7 @@
 use std::process;
 
 use crate::error::BenchError;
-use crate::{capacity, checker, cluster, config, demo, load, speed, steering};
+use crate::{capacity, checker, cluster, config, config_run, demo, load, speed, steering};
 
 /// One sub-command.
 #[derive(Debug, Clone, Copy)]
@@ -59,6 +59,11 @@
         summary: "from acceptance to in force everywhere",
         run: config::run,
     },
+    Command {
+        name: "config-run",
+        summary: "the configuration's decision code through mixed faults, by seed",
+        run: config_run::run,
+    },
     Command {
         name: "capacity",
         summary: "the slopes behind docs/CAPACITY.md",
--- a/crates/damaskvane-bench/src/lib.rs
+++ b/crates/damaskvane-bench/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`in_force`]: how long a ticket takes until it holds everywhere.
 //! - [`steering`]: the decision code against baselines, in virtual time.
 //! - [`config`]: the same by the number of daemons.
+//! - [`config_run`]: the configuration's decision code through mixed faults, by seed.
 //! - [`speed`]: what an entry instance adds to a request, and its look-ups.
 //! - [`capacity`]: the slopes behind docs/CAPACITY.md.
 //! - [`histogram`], [`fit`]: quantiles and lines through measured points.
@@ -28,6 +29,7 @@
 pub mod cluster;
 pub mod commands;
 pub mod config;
+pub mod config_run;
 pub mod demo;
 pub mod error;
 pub mod fit;
--- a/crates/damaskvane-config/src/relay/machine.rs
+++ b/crates/damaskvane-config/src/relay/machine.rs
@@ -344,6 +344,7 @@
     fn deadline(&self, now: time::TimeMs, from: &Source) -> time::TimeMs {
         match from {
             Source::Store => now + self.settings.store_timeout_ms,
+            Source::Peer(peer) if self.is_of_my_zone(peer) => now + self.settings.near_timeout_ms,
             Source::Peer(_) => now + self.settings.peer_timeout_ms,
         }
     }
--- a/crates/damaskvane-config/src/relay/settings.rs
+++ b/crates/damaskvane-config/src/relay/settings.rs
@@ -13,7 +13,9 @@
 pub struct RelaySettings {
     /// How many instances of a zone watch the store. Two, so that one may be paused unnoticed.
     pub relays_per_zone: usize,
-    /// How long an answer from a peer may take.
+    /// How long an answer from a peer of the same zone may take.
+    pub near_timeout_ms: time::SpanMs,
+    /// How long an answer from a peer of another zone may take.
     pub peer_timeout_ms: time::SpanMs,
     /// How long an answer from the store may take.
     pub store_timeout_ms: time::SpanMs,
@@ -37,6 +39,7 @@
     fn default() -> Self {
         Self {
             relays_per_zone: 2,
+            near_timeout_ms: time::SpanMs::new(150),
             peer_timeout_ms: time::SpanMs::new(300),
             store_timeout_ms: time::SpanMs::new(2_500),
             poll_ms: time::SpanMs::new(30_000),
--- a/crates/damaskvane-standins/src/config_run.rs
+++ b/crates/damaskvane-standins/src/config_run.rs
@@ -20,6 +20,7 @@
 mod operators;
 mod report;
 mod settings;
+mod spans;
 mod truth;
 mod world;
 
--- a/crates/damaskvane-standins/src/config_run/calls.rs
+++ b/crates/damaskvane-standins/src/config_run/calls.rs
@@ -97,6 +97,7 @@
             (WriteOutcome::Applied(_), Call::WriteHead { bytes, .. }) => {
                 let ticket = self.ticket_of(bytes)?;
                 self.truth.note_head(bytes, &ticket)?;
+                self.spans.accept(self.now);
                 self.fire_watches();
                 Ok(Answer::Applied)
             }
--- a/crates/damaskvane-standins/src/config_run/exchange.rs
+++ b/crates/damaskvane-standins/src/config_run/exchange.rs
@@ -71,7 +71,12 @@
         if lost || !self.fleet.is_connected(from, to, self.now) {
             return;
         }
-        let delay_ms = self.rng.random_range(1..60);
+        let near = self.fleet.zone_of(from) == self.fleet.zone_of(to);
+        let delay_ms = if near {
+            self.rng.random_range(1..=3)
+        } else {
+            self.far_ms()
+        };
         self.later(delay_ms, delivery);
     }
 
@@ -153,7 +158,7 @@
         if cut || self.chance(self.settings.lost_before_permille) {
             return;
         }
-        let delay_ms = self.rng.random_range(2..60);
+        let delay_ms = self.far_ms();
         self.later(delay_ms, Delivery::AskStore(id.clone(), hashes));
     }
 
@@ -188,7 +193,7 @@
 
     pub(super) fn deliver_soon(&mut self, id: &ids::InstanceId, event: Event) {
         if let Some(incarnation) = self.incarnation(id) {
-            let delay_ms = self.rng.random_range(2..60);
+            let delay_ms = self.far_ms();
             self.later(delay_ms, Delivery::Instance(id.clone(), incarnation, event));
         }
     }
--- a/crates/damaskvane-standins/src/config_run/report.rs
+++ b/crates/damaskvane-standins/src/config_run/report.rs
@@ -37,6 +37,12 @@
     pub instance_store_calls: u64,
     /// Messages between instances.
     pub messages: u64,
+    /// The median, over tickets and instances, from acceptance to in force.
+    pub in_force_p50_ms: u64,
+    /// The 99th percentile of the same.
+    pub in_force_p99_ms: u64,
+    /// The longest of the same.
+    pub in_force_max_ms: u64,
     /// Virtual time from the end of all faults until the newest ticket was in force everywhere.
     pub healed_ms: u64,
 }
--- a/crates/damaskvane-standins/src/config_run/settings.rs
+++ b/crates/damaskvane-standins/src/config_run/settings.rs
@@ -19,6 +19,10 @@
     pub instances_per_zone: usize,
     /// How many operators race.
     pub operators: usize,
+    /// The shortest delay of a message between zones, and of a call on the store, in milliseconds.
+    pub shortest_delay_ms: u64,
+    /// The longest such delay.
+    pub longest_delay_ms: u64,
     /// Store calls whose answer is lost after they took effect.
     pub lost_after_permille: u32,
     /// Store calls that are lost before they take effect.
@@ -46,6 +50,8 @@
             zones: 6,
             instances_per_zone: 2,
             operators: 3,
+            shortest_delay_ms: 1,
+            longest_delay_ms: 60,
             lost_after_permille: 60,
             lost_before_permille: 60,
             late_write_permille: 40,
@@ -57,3 +63,29 @@
         }
     }
 }
+
+impl RunSettings {
+    /// The same run without any fault but lost messages.
+    #[must_use]
+    pub const fn with_lost_messages_only(self) -> Self {
+        Self {
+            lost_after_permille: 0,
+            lost_before_permille: 0,
+            late_write_permille: 0,
+            stale_permille: 0,
+            corrupt_permille: 0,
+            watch_skip_permille: 0,
+            incident_permille: 0,
+            ..self
+        }
+    }
+
+    /// The same run without any fault at all.
+    #[must_use]
+    pub const fn without_faults(self) -> Self {
+        Self {
+            message_loss_permille: 0,
+            ..self.with_lost_messages_only()
+        }
+    }
+}
--- a/crates/damaskvane-standins/src/config_run/world.rs
+++ b/crates/damaskvane-standins/src/config_run/world.rs
@@ -13,6 +13,7 @@
 use crate::config_run::operators::Operator;
 use crate::config_run::report::{Broken, RunReport};
 use crate::config_run::settings::RunSettings;
+use crate::config_run::spans::Spans;
 use crate::config_run::truth::Truth;
 use crate::platform::Store;
 
@@ -48,6 +49,7 @@
     pub(super) fleet: Fleet,
     pub(super) operators: Vec<Operator>,
     pub(super) truth: Truth,
+    pub(super) spans: Spans,
     pub(super) report: RunReport,
 }
 
@@ -83,6 +85,7 @@
             fleet,
             operators: (0..settings.operators).map(Operator::new).collect(),
             truth: Truth::default(),
+            spans: Spans::default(),
             report: RunReport {
                 seed: settings.seed,
                 ..RunReport::default()
@@ -185,6 +188,10 @@
         if version < instance.highest {
             return Err(format!("{id} fell from {} to {version}", instance.highest));
         }
+        // A new instance takes the newest head; that is a boot, not a change that is late.
+        if version > instance.highest && instance.highest.get() > 0 {
+            self.spans.adopt(instance.highest, version, now);
+        }
         instance.highest = version;
         let counts = instance.relay.adopter().counts();
         if counts.unsafe_switches + counts.split_states > 0 {
@@ -231,22 +238,13 @@
         self.healed = true;
         self.store_down_until = time::TimeMs::ZERO;
         self.fleet.heal();
-        self.settings = RunSettings {
-            lost_after_permille: 0,
-            lost_before_permille: 0,
-            late_write_permille: 0,
-            stale_permille: 0,
-            message_loss_permille: 0,
-            corrupt_permille: 0,
-            watch_skip_permille: 0,
-            incident_permille: 0,
-            ..self.settings
-        };
+        self.settings = self.settings.without_faults();
     }
 
     fn check_end(&mut self) -> Result<(), String> {
         self.report.instances = self.fleet.instances.len();
         self.report.accepted = self.truth.accepted();
+        self.spans.report(&mut self.report);
         if !self.agrees() {
             return Err("the newest ticket is not in force everywhere".to_owned());
         }
@@ -284,6 +282,13 @@
         self.rng.random_range(0..1_000) < permille
     }
 
+    /// A delay on the way between zones or to the store.
+    pub(super) fn far_ms(&mut self) -> u64 {
+        let settings = self.settings;
+        self.rng
+            .random_range(settings.shortest_delay_ms..=settings.longest_delay_ms)
+    }
+
     pub(super) fn later(&mut self, delay_ms: u64, delivery: Delivery) {
         self.serial += 1;
         let at = self.now + time::SpanMs::new(delay_ms);
