A broken chunk in the store is repaired by submitting its object again

A chunk that the store lost or changed blocked every later ticket, and no command could bring it back. The submission now replaces what doesn't match its hash by a conditional update before a head may name it. With the guard removed both tests fail.

--- a/crates/damaskvane-config/src/submit/call.rs
+++ b/crates/damaskvane-config/src/submit/call.rs
@@ -22,6 +22,13 @@
     ReadChunk(ContentHash),
     /// Store a chunk that must not exist yet.
     WriteChunk(Chunk),
+    /// Put a chunk in place of something broken that stands under its hash.
+    RepairChunk {
+        /// The version in the store of what is broken.
+        if_version: u64,
+        /// The chunk.
+        chunk: Chunk,
+    },
     /// File an accepted ticket under its number, where it must not exist yet.
     FileTicket(ids::TicketNumber, Chunk),
     /// Update the head if it has this version in the store.
@@ -66,7 +73,9 @@
         match self {
             Self::ReadHead | Self::WriteHead { .. } => ("head", "config".to_owned()),
             Self::ReadChunk(hash) => ("chunk", hash.to_string()),
-            Self::WriteChunk(chunk) => ("chunk", chunk.hash().to_string()),
+            Self::WriteChunk(chunk) | Self::RepairChunk { chunk, .. } => {
+                ("chunk", chunk.hash().to_string())
+            }
             Self::FileTicket(number, _) => ("ticket", number.to_string()),
         }
     }
--- a/crates/damaskvane-config/src/submit/submission.rs
+++ b/crates/damaskvane-config/src/submit/submission.rs
@@ -9,7 +9,7 @@
 //! assert_eq!(submission.next_step(), submit::Step::Pause);
 //! ```
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use damaskvane_core::hash::ContentHash;
 use damaskvane_core::ids;
@@ -48,6 +48,7 @@
     chunks: Chunks,
     stored: BTreeSet<ContentHash>,
     unverified: BTreeSet<ContentHash>,
+    broken: BTreeMap<ContentHash, u64>,
     filed: BTreeSet<ids::TicketNumber>,
     highest_seen: u64,
     doubts: Vec<Doubt>,
@@ -67,6 +68,7 @@
             chunks: Chunks::new(),
             stored: BTreeSet::new(),
             unverified: BTreeSet::new(),
+            broken: BTreeMap::new(),
             filed: BTreeSet::new(),
             highest_seen: 0,
             doubts: Vec::new(),
@@ -115,14 +117,8 @@
         if let Some(call) = self.unfiled_ticket(&known.head) {
             return Ok(call);
         }
-        if let Some(hash) = self.unverified.first() {
-            return Ok(Call::ReadChunk(*hash));
-        }
-        let ticket_chunk = ticket.to_chunk();
-        let unstored = |chunk: &&Chunk| !self.stored.contains(&chunk.hash());
-        let mut new_chunks = self.new_chunks.iter().chain([&ticket_chunk]);
-        if let Some(chunk) = new_chunks.find(unstored) {
-            return Ok(Call::WriteChunk(chunk.clone()));
+        if let Some(call) = self.store_chunks(&ticket.to_chunk()) {
+            return Ok(call);
         }
         Ok(Call::WriteHead {
             if_version: known.store_version,
@@ -131,6 +127,23 @@
         })
     }
 
+    /// What is left to do until the new chunks and the ticket are whole in the store.
+    fn store_chunks(&self, ticket: &Chunk) -> Option<Call> {
+        if let Some(hash) = self.unverified.first() {
+            return Some(Call::ReadChunk(*hash));
+        }
+        let unstored = |chunk: &&Chunk| !self.stored.contains(&chunk.hash());
+        let mut new_chunks = self.new_chunks.iter().chain([ticket]);
+        let chunk = new_chunks.find(unstored)?.clone();
+        Some(match self.broken.get(&chunk.hash()) {
+            Some(version) => Call::RepairChunk {
+                if_version: *version,
+                chunk,
+            },
+            None => Call::WriteChunk(chunk),
+        })
+    }
+
     /// Follows the history from the head back to each ticket in doubt.
     ///
     /// A later ticket may stand on top of ours by now. Comparing the head alone would take ours for
@@ -233,8 +246,10 @@
                     self.stored.insert(*hash);
                     self.unverified.remove(hash);
                     self.chunks.insert(*hash, chunk);
+                } else if self.unverified.remove(hash) {
+                    self.broken.insert(*hash, store_version);
                 } else {
-                    self.fail("a chunk doesn't match its hash; restore it from an instance");
+                    self.fail(&not_whole(hash));
                 }
             }
             _ => {}
@@ -260,7 +275,8 @@
     fn absent(&mut self, call: &Call) {
         match call {
             Call::ReadHead => self.note_head(0, Head::default()),
-            Call::ReadChunk(_) => self.fail("a chunk is missing; restore it from an instance"),
+            Call::ReadChunk(hash) if self.unverified.remove(hash) => {}
+            Call::ReadChunk(hash) => self.fail(&not_whole(hash)),
             _ => {}
         }
     }
@@ -271,6 +287,15 @@
             // What stands under the hash may be broken, and a head that names it could not be
             // adopted anywhere; so it is read and hashed first.
             Call::WriteChunk(chunk) => _ = self.unverified.insert(chunk.hash()),
+            Call::RepairChunk { chunk, .. } => {
+                self.broken.remove(&chunk.hash());
+                let checked = if applied {
+                    &mut self.stored
+                } else {
+                    &mut self.unverified
+                };
+                checked.insert(chunk.hash());
+            }
             Call::FileTicket(number, _) => _ = self.filed.insert(*number),
             Call::WriteHead { bytes, .. } if applied => self.accepted(bytes),
             // Another ticket was accepted first, or an earlier try of this write took effect.
@@ -325,3 +350,7 @@
 fn decode_ticket(chunk: &Chunk) -> Result<Ticket, Outcome> {
     Ticket::decode(chunk.bytes()).map_err(|error| Outcome::Unknown(error.to_string()))
 }
+
+fn not_whole(hash: &ContentHash) -> String {
+    format!("chunk {hash} is missing or broken; submit its object again, from version control")
+}
--- a/crates/damaskvane-config/tests/submit.rs
+++ b/crates/damaskvane-config/tests/submit.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use damaskvane_config::state;
 use damaskvane_config::submit::{Answer, Call, Outcome, Submission};
 use damaskvane_config::ticket::Ticket;
 use damaskvane_core::ids::TicketNumber;
@@ -211,25 +212,52 @@
 /// Something broken stands in the store under the hash of a new chunk. A head that names it could be
 /// adopted nowhere, and the fleet would stay on the old version for good.
 #[test]
-fn a_broken_chunk_under_a_new_hash_is_not_named_by_a_head() {
-    let mut store = Store::default();
-    store.accept(ZONES);
-    let before = store.head();
-    let mut submission = Submission::new(draft(&before, QUEUE, "mine"));
-    let mut is_first = true;
-    let outcome = run(&mut store, &mut submission, |store, call| {
-        let Call::WriteChunk(chunk) = call else {
-            return None;
-        };
-        if !core::mem::take(&mut is_first) {
-            return None;
+fn a_broken_chunk_under_a_new_hash_is_repaired_before_a_head_names_it() {
+    for repairable in [true, false] {
+        let mut store = Store::default();
+        let before = store.accept(ZONES);
+        let mut submission = Submission::new(draft(&before, QUEUE, "mine"));
+        let mut is_first = true;
+        let outcome = run(&mut store, &mut submission, |store, call| {
+            let (Call::WriteChunk(chunk) | Call::RepairChunk { chunk, .. }) = call else {
+                return None;
+            };
+            if repairable && !core::mem::take(&mut is_first) {
+                return None;
+            }
+            store.make(call);
+            store.corrupt("chunk", &chunk.hash().to_string());
+            lost()
+        });
+        if repairable {
+            assert_eq!(outcome, accepted(2));
+            assert_eq!(support::chunks_of(&store).len(), store.head().objects.len());
+            assert!(state::assemble(&store.head(), &support::chunks_of(&store)).is_ok());
+        } else {
+            assert!(matches!(outcome, Outcome::NotAccepted(_)), "{outcome:?}");
+            assert_eq!(store.head(), before);
         }
-        store.make(call);
-        store.corrupt("chunk", &chunk.hash().to_string());
-        lost()
-    });
-    assert!(matches!(outcome, Outcome::NotAccepted(_)), "{outcome:?}");
-    assert_eq!(store.head(), before);
+    }
+}
+
+/// The store lost or changed a chunk of what is in force. No ticket can be validated on top of it,
+/// so somebody must be able to bring it back from version control.
+#[test]
+fn a_chunk_that_the_store_lost_or_broke_is_named_and_comes_back_with_its_object() {
+    let mut store = Store::default();
+    let head = store.accept(ZONES);
+    let service = "service/rider-desk".parse().expect("an id");
+    let hash = head.objects[&service].hash.to_string();
+    store.corrupt("chunk", &hash);
+    let mut other = Submission::new(draft(&head, OTHER, "other"));
+    let outcome = run(&mut store, &mut other, |_, _| None);
+    assert!(
+        matches!(&outcome, Outcome::NotAccepted(reason) if reason.contains(&hash)),
+        "{outcome:?}"
+    );
+    let mut again = Submission::new(draft(&head, "[service.rider-desk]\n", "again"));
+    assert_eq!(run(&mut store, &mut again, |_, _| None), accepted(2));
+    assert!(state::assemble(&store.head(), &support::chunks_of(&store)).is_ok());
 }
 
 /// Every accepted ticket must be readable later exactly as accepted, though the head names only the
--- a/crates/damaskvane-config/tests/support/mod.rs
+++ b/crates/damaskvane-config/tests/support/mod.rs
@@ -36,6 +36,7 @@
                 });
             }
             Call::WriteChunk(chunk) | Call::FileTicket(_, chunk) => (0, chunk.shared_bytes()),
+            Call::RepairChunk { if_version, chunk } => (*if_version, chunk.shared_bytes()),
             Call::WriteHead {
                 if_version, bytes, ..
             } => (*if_version, Arc::clone(bytes)),
--- a/crates/damaskvane-ctl/src/error.rs
+++ b/crates/damaskvane-ctl/src/error.rs
@@ -44,7 +44,7 @@
     NoTicket(ids::TicketNumber),
     /// there is no {0}; damaskvane-ctl show lists the objects in force
     NoObject(String),
-    /// what the platform holds is broken ({0}); compare with an instance's copy
+    /// what the platform holds is broken ({0}); submit the object again, from version control or an export
     Broken(String),
     /// the declarations are not valid:
     Invalid(Vec<Problem>),
--- a/crates/damaskvane-ctl/src/store.rs
+++ b/crates/damaskvane-ctl/src/store.rs
@@ -122,6 +122,10 @@
     match call {
         Call::ReadHead | Call::ReadChunk(_) => read(api, call),
         Call::WriteChunk(chunk) => write(api, call, 0, chunk.bytes(), &chunk.hash().to_string()),
+        Call::RepairChunk { if_version, chunk } => {
+            let write_id = format!("repair-{}", chunk.hash());
+            write(api, call, *if_version, chunk.bytes(), &write_id)
+        }
         Call::FileTicket(number, chunk) => {
             write(api, call, 0, chunk.bytes(), &format!("ticket-{number}"))
         }
--- a/crates/damaskvane-standins/src/config_run/calls.rs
+++ b/crates/damaskvane-standins/src/config_run/calls.rs
@@ -85,6 +85,7 @@
         };
         let outcome = match call {
             Call::WriteChunk(chunk) | Call::FileTicket(_, chunk) => write(0, chunk.bytes(), ""),
+            Call::RepairChunk { if_version, chunk } => write(*if_version, chunk.bytes(), ""),
             Call::WriteHead {
                 if_version,
                 bytes,
