Client blocks in two sets are found without comparing each with each

Each pair of sets was compared name by name: 72 sets of 50,000 names would be some 6,400,000,000,000 comparisons at every adoption. Names are now compared by sorted hashes, ranges by prefix; a name that lies in another set's range is found too, for any padding.

--- a/crates/damaskvane-config/src/state/validate.rs
+++ b/crates/damaskvane-config/src/state/validate.rs
@@ -1,5 +1,6 @@
 //! Checks over a whole state, before submission and again before adoption.
 
+mod blocks;
 mod capacity;
 mod ranges;
 mod references;
@@ -14,6 +15,7 @@
     // Sums over objects that don't exist would only repeat what was found already.
     if problems.is_empty() {
         problems.extend(capacity::check(state));
+        problems.extend(blocks::check(state));
     }
     problems
 }
--- a/crates/damaskvane-config/src/state/validate/capacity.rs
+++ b/crates/damaskvane-config/src/state/validate/capacity.rs
@@ -5,7 +5,7 @@
 use damaskvane_core::{ids, units};
 
 use crate::declaration::{Service, Shift};
-use crate::object::{ObjectId, ObjectKind, ObjectName};
+use crate::object::{ObjectId, ObjectKind};
 use crate::problem::Problem;
 use crate::state::config_state::ConfigState;
 
@@ -19,7 +19,6 @@
     problems.extend(shifted_shares(state));
     problems.extend(shifts_without_target(state));
     problems.extend(links_overfilled(state));
-    problems.extend(blocks_twice(state));
     problems
 }
 
@@ -180,44 +179,6 @@
     (own * WHOLE_PERMILLE).checked_div(total).unwrap_or(0)
 }
 
-/// A block in two sets would be steered by whichever is read first.
-fn blocks_twice(state: &ConfigState) -> Vec<Problem> {
-    let mut problems = Vec::new();
-    let mut earlier: Vec<(&ObjectName, &crate::declaration::ClientBlocks)> = Vec::new();
-    for (name, blocks) in state.client_blocks() {
-        for (other, set) in &earlier {
-            if let Some(block) = shared_block(blocks, set) {
-                let message = format!("client block {block} is in {other} too");
-                let problem = Problem::new(message, "keep it in one of the two").key("names");
-                problems.extend(about(ObjectKind::ClientBlocks, name.as_str(), problem));
-            }
-        }
-        earlier.push((name, blocks));
-    }
-    problems
-}
-
-fn shared_block(
-    left: &crate::declaration::ClientBlocks,
-    right: &crate::declaration::ClientBlocks,
-) -> Option<String> {
-    let named = left.names.iter().find(|block| right.contains(block));
-    let other_way = right.names.iter().find(|block| left.contains(block));
-    if let Some(block) = named.or(other_way) {
-        return Some(block.to_string());
-    }
-    for mine in &left.ranges {
-        for theirs in &right.ranges {
-            let first = mine.first.max(theirs.first);
-            let same_form = mine.prefix == theirs.prefix && mine.digits == theirs.digits;
-            if same_form && first <= mine.last.min(theirs.last) {
-                return Some(format!("{}{first}", mine.prefix));
-            }
-        }
-    }
-    None
-}
-
 fn about(kind: ObjectKind, name: &str, problem: Problem) -> Option<Problem> {
     let object = ObjectId::new(kind, name.parse().ok()?);
     Some(problem.of(&object))
--- a/crates/damaskvane-config/tests/document.rs
+++ b/crates/damaskvane-config/tests/document.rs
@@ -124,6 +124,58 @@
     assert!(problems(&text.replace("= 40\n", "= 80\n")).is_empty());
 }
 
+#[test]
+fn a_client_block_in_two_sets_is_found_however_it_is_declared() {
+    let set =
+        |name: &str, blocks: &str| format!("[client_blocks.{name}]\nnear = \"mb-a\"\n{blocks}\n");
+    let range = |first: u32, last: u32| {
+        format!("ranges = [{{ prefix = \"b-\", first = {first}, last = {last}, digits = 3 }}]")
+    };
+    let cases = [
+        (range(0, 9), range(10, 19), None),
+        (range(0, 9), range(9, 19), Some("b-009 is in x too")),
+        (
+            range(0, 99),
+            "names = [\"b-042\"]".into(),
+            Some("b-042 is in x too"),
+        ),
+        (
+            range(0, 99),
+            "names = [\"b-42\", \"b-0042\", \"c-042\"]".into(),
+            None,
+        ),
+        (
+            "names = [\"p\", \"q\"]".into(),
+            "names = [\"r\", \"q\"]".into(),
+            Some("q is in x too"),
+        ),
+    ];
+    for (left, right, expected) in cases {
+        let found = problems(&format!("{ZONES}{}{}", set("x", &left), set("y", &right)));
+        match expected {
+            None => assert!(found.is_empty(), "{left} {right}: {found:?}"),
+            Some(text) => assert!(found[0].contains(text), "{left} {right}: {found:?}"),
+        }
+    }
+}
+
+/// Millions of blocks compared each with each would hold up every adoption for hours.
+#[test]
+fn many_blocks_are_checked_without_comparing_each_with_each() {
+    let sets: String = (0..4)
+        .map(|set| {
+            let names: Vec<String> = (0..20_000)
+                .map(|number| format!("\"s{set}-{number}\""))
+                .collect();
+            format!(
+                "[client_blocks.s{set}]\nnear = \"mb-a\"\nnames = [{}]\n",
+                names.join(",")
+            )
+        })
+        .collect();
+    assert!(problems(&format!("{ZONES}{sets}")).is_empty());
+}
+
 #[test]
 fn all_errors_of_a_file_are_found_at_once() {
     let text = "[service.x]\nqueue_limt = 4\nrequest_timeout_ms = \"fast\"\nlookup_ttl_ms = []\n\
