--- a/crates/damaskvane-bench/src/demo/script.rs
+++ b/crates/damaskvane-bench/src/demo/script.rs
@@ -40,6 +40,7 @@
     let mut record = Record::default();
     cluster.submit_whole("first configuration")?;
     cluster.wait_in_force(1, FIRST_LIMIT)?;
+    record.first_served_ms = to_ms(cluster.wait_serving(FIRST_LIMIT)?);
     let observer = Observer::start(&cluster);
     let probe = ShareProbe::start(asked(&cluster, &plan)?, &plan);
     let load = Load::start(&cluster, rate, seed);
@@ -149,8 +150,12 @@
     record: &mut Record,
     draining: bool,
 ) -> Result<(), BenchError> {
+    if draining {
+        let stats = cluster.backends().stats()?;
+        record.drained = plan.busiest(&cluster.deployment, &stats);
+    }
     let declarations = cluster.declarations();
-    let text = declarations.backend_server(&plan.service, &plan.drained, draining);
+    let text = declarations.backend_server(&plan.service, &record.drained, draining);
     let reason = if draining { "drain" } else { "undrain" };
     record.tickets.push(submit(cluster, &text, reason)?);
     Ok(())
