--- a/crates/damaskvane-config/src/declaration.rs
+++ b/crates/damaskvane-config/src/declaration.rs
@@ -12,6 +12,7 @@
 
 mod any;
 mod backend_server;
+mod block_names;
 mod client_blocks;
 mod link;
 mod service;
@@ -20,6 +21,7 @@
 
 pub use any::Declaration;
 pub use backend_server::BackendServer;
+pub use block_names::BlockNames;
 pub use client_blocks::{BlockRange, ClientBlocks};
 pub use link::Link;
 pub use service::{Policy, Service};
--- a/crates/damaskvane-config/src/declaration/client_blocks.rs
+++ b/crates/damaskvane-config/src/declaration/client_blocks.rs
@@ -13,6 +13,8 @@
 use damaskvane_core::{ids, time};
 use serde::{Deserialize, Serialize};
 
+use crate::declaration::block_names::BlockNames;
+
 /// Client blocks whose names differ by a number only, from `first` to `last` inclusive.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BlockRange {
@@ -55,7 +57,7 @@
     pub near: ids::AvailabilityZoneId,
     /// Blocks by name.
     #[serde(default)]
-    pub names: Vec<ids::ClientBlock>,
+    pub names: BlockNames,
     /// Blocks by number.
     #[serde(default)]
     pub ranges: Vec<BlockRange>,
@@ -71,7 +73,7 @@
     /// Whether a client block belongs to the set.
     #[must_use]
     pub fn contains(&self, block: &ids::ClientBlock) -> bool {
-        self.names.contains(block)
+        self.names.contains(block.as_str())
             || self
                 .ranges
                 .iter()
--- a/crates/damaskvane-config/src/state/validate/blocks.rs
+++ b/crates/damaskvane-config/src/state/validate/blocks.rs
@@ -7,8 +7,6 @@
 use std::collections::HashMap;
 use std::hash::DefaultHasher;
 
-use damaskvane_core::ids;
-
 use crate::declaration::{BlockRange, ClientBlocks};
 use crate::object::{ObjectId, ObjectKind, ObjectName};
 use crate::problem::Problem;
@@ -24,8 +22,8 @@
     problems.extend(overlapping_ranges(&ranges));
     for (name, set) in sets {
         let doubled = set.names.iter().find_map(|block| {
-            let other = holder(&ranges, block.as_str()).filter(|other| *other != name)?;
-            Some(problem(name, other, block.as_str()))
+            let other = holder(&ranges, block).filter(|other| *other != name)?;
+            Some(problem(name, other, block))
         });
         problems.extend(doubled);
     }
@@ -63,7 +61,7 @@
     let named = |(left, right): (usize, usize)| {
         let ((left_name, left), (right_name, right)) = (sets[left], sets[right]);
         let shared = left.names.iter().find(|block| right.names.contains(block));
-        Some(problem(right_name, left_name, shared?.as_str()))
+        Some(problem(right_name, left_name, shared?))
     };
     found.into_iter().filter_map(named).collect()
 }
@@ -97,9 +95,9 @@
     })
 }
 
-fn hash(block: &ids::ClientBlock) -> u64 {
+fn hash(block: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
-    block.as_str().hash(&mut hasher);
+    block.hash(&mut hasher);
     hasher.finish()
 }
 
