Adoption reads only the objects that changed and shares the rest

Each adoption read every chunk again: 1.7 s for 3,600,000 named client blocks (trial, release), on the thread that steers, for a change of one service. Objects whose hash is as before are taken over and client blocks are compared with each other only when a set changed. A test compares each state with one read afresh and fails with the hash not compared.

--- a/crates/damaskvane-config/src/adopt/adopter.rs
+++ b/crates/damaskvane-config/src/adopt/adopter.rs
@@ -18,7 +18,7 @@
 use crate::adopt::verdict::{IgnoreReason, Verdict};
 use crate::chunk::{Chunk, MAX_CHUNK_BYTES};
 use crate::manifest::Head;
-use crate::state::{Chunks, assemble};
+use crate::state::{Before, Chunks, assemble_after};
 
 /// How many heads may wait for chunks at a time; the lowest versions give way.
 const MAX_WAITING: usize = 3;
@@ -192,7 +192,11 @@
             return Verdict::Wanting(missing);
         }
         // The old state serves until the new one is whole and valid.
-        match assemble(&waiting.head, &waiting.chunks) {
+        let before = self.in_force.as_ref().map(|in_force| Before {
+            head: &in_force.head,
+            state: &in_force.state,
+        });
+        match assemble_after(before, &waiting.head, &waiting.chunks) {
             Ok(state) => {
                 let next = InForce {
                     head: waiting.head.clone(),
--- a/crates/damaskvane-config/src/declaration/block_names.rs
+++ b/crates/damaskvane-config/src/declaration/block_names.rs
@@ -9,6 +9,7 @@
 //! ```
 
 use core::fmt;
+use std::sync::Arc;
 
 use damaskvane_core::ids;
 use serde::de::{self, SeqAccess, Visitor};
@@ -16,24 +17,34 @@
 
 /// Names in one text, sorted and each once.
 ///
-/// A list of texts would take about 40 bytes a name besides the name; this takes 4.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+/// A list of texts would take about 40 bytes a name besides the name; this takes 4. Copies share both
+/// parts, so that two versions of the configuration hold them once.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BlockNames {
-    text: Box<str>,
+    text: Arc<str>,
     /// Where each name ends in the text.
-    ends: Box<[u32]>,
+    ends: Arc<[u32]>,
+}
+
+impl Default for BlockNames {
+    fn default() -> Self {
+        Self {
+            text: "".into(),
+            ends: [].into(),
+        }
+    }
 }
 
 impl BlockNames {
     /// How many names there are.
     #[must_use]
-    pub const fn len(&self) -> usize {
+    pub fn len(&self) -> usize {
         self.ends.len()
     }
 
     /// Whether there is none.
     #[must_use]
-    pub const fn is_empty(&self) -> bool {
+    pub fn is_empty(&self) -> bool {
         self.ends.is_empty()
     }
 
--- a/crates/damaskvane-config/src/state.rs
+++ b/crates/damaskvane-config/src/state.rs
@@ -11,5 +11,5 @@
 mod config_state;
 mod validate;
 
-pub use assemble::{Chunks, assemble};
+pub use assemble::{Before, Chunks, assemble, assemble_after};
 pub use config_state::ConfigState;
--- a/crates/damaskvane-config/src/state/config_state.rs
+++ b/crates/damaskvane-config/src/state/config_state.rs
@@ -64,6 +64,26 @@
         }
     }
 
+    /// The state of one object; client blocks are shared, not copied.
+    #[must_use]
+    pub fn declaration(&self, id: &ObjectId) -> Option<Declaration> {
+        let name = id.name();
+        Some(match id.kind() {
+            ObjectKind::Region => Declaration::Region(get(&self.regions, name)?),
+            ObjectKind::AvailabilityZone => {
+                Declaration::AvailabilityZone(get(&self.availability_zones, name)?)
+            }
+            ObjectKind::Service => Declaration::Service(get(&self.services, name)?),
+            ObjectKind::BackendServer => {
+                Declaration::BackendServer(get(&self.backend_servers, name)?)
+            }
+            ObjectKind::Link => Declaration::Link(get(&self.links, name)?),
+            ObjectKind::ClientBlocks => Declaration::ClientBlocks(get(&self.client_blocks, name)?),
+            ObjectKind::Site => Declaration::Site(get(&self.sites, name)?),
+            ObjectKind::Shift => Declaration::Shift(get(&self.shifts, name)?),
+        })
+    }
+
     /// The version this is the state of.
     #[must_use]
     pub const fn version(&self) -> ids::ConfigVersion {
@@ -180,6 +200,13 @@
     }
 }
 
+fn get<K: Ord + core::str::FromStr, V: Clone>(
+    map: &BTreeMap<K, V>,
+    name: &ObjectName,
+) -> Option<V> {
+    map.get(&name.as_str().parse().ok()?).cloned()
+}
+
 fn to_texts<K: ToString>(keys: impl Iterator<Item = K>) -> Vec<String> {
     keys.map(|key| key.to_string()).collect()
 }
--- a/crates/damaskvane-config/src/submit/submission.rs
+++ b/crates/damaskvane-config/src/submit/submission.rs
@@ -49,6 +49,7 @@
     stored: BTreeSet<ContentHash>,
     unverified: BTreeSet<ContentHash>,
     broken: BTreeMap<ContentHash, u64>,
+    validated: Option<ContentHash>,
     filed: BTreeSet<ids::TicketNumber>,
     highest_seen: u64,
     doubts: Vec<Doubt>,
@@ -69,6 +70,7 @@
             stored: BTreeSet::new(),
             unverified: BTreeSet::new(),
             broken: BTreeMap::new(),
+            validated: None,
             filed: BTreeSet::new(),
             highest_seen: 0,
             doubts: Vec::new(),
@@ -95,8 +97,8 @@
         }
     }
 
-    fn plan(&self) -> Result<Call, Outcome> {
-        let Some(known) = &self.known else {
+    fn plan(&mut self) -> Result<Call, Outcome> {
+        let Some(known) = self.known.clone() else {
             return Ok(Call::ReadHead);
         };
         // The order matters: a ticket that was accepted while its answer was lost would overlap
@@ -182,7 +184,11 @@
             .find(|hash| !self.chunks.contains_key(hash))
     }
 
-    fn validate(&self, ticket: &Ticket, head: &Head) -> Result<(), Outcome> {
+    /// Validates the state that the ticket would bring about, once for each head it is put on.
+    fn validate(&mut self, ticket: &Ticket, head: &Head) -> Result<(), Outcome> {
+        if self.validated == head.ticket_hash {
+            return Ok(());
+        }
         let mut chunks = self.chunks.clone();
         chunks.extend(
             self.new_chunks
@@ -201,6 +207,7 @@
             largest.unwrap_or(0),
         ];
         if sizes.iter().all(|size| *size <= MAX_CHUNK_BYTES) {
+            self.validated = head.ticket_hash;
             return Ok(());
         }
         let message = "the ticket, the head or an object is over one megabyte";
--- a/crates/damaskvane-config/tests/adopt.rs
+++ b/crates/damaskvane-config/tests/adopt.rs
@@ -4,6 +4,7 @@
 
 use damaskvane_config::adopt::{Adopter, IgnoreReason, Verdict};
 use damaskvane_config::manifest::{self, Head};
+use damaskvane_config::state;
 use damaskvane_core::hash;
 use proptest::prelude::{any, prop, proptest};
 use support::{Store, ZONES};
@@ -139,6 +140,42 @@
     assert_eq!(Head::decode(&in_force.head_bytes()), Ok(head));
 }
 
+/// Objects that a ticket does not change are taken over from the state in force. If one were taken over
+/// that did change, this instance would serve something else than all others.
+#[test]
+fn a_state_after_many_changes_is_the_one_read_afresh() {
+    let mut store = Store::default();
+    let mut adopter = Adopter::default();
+    let texts = [
+        ZONES,
+        QUEUE,
+        "[client_blocks.a]\nnear = \"mb-a\"\nnames = [\"y\", \"x\"]\n",
+        "[service.rider-desk]\nqueue_limit = 9\n[region.ab]\n",
+        "delete = [\"region/ab\"]\n[client_blocks.a]\nnear = \"mb-a\"\nnames = [\"z\"]\n",
+        "[client_blocks.b]\nnear = \"mb-a\"\nnames = [\"x\"]\n",
+    ];
+    for text in texts {
+        store.accept(text);
+        adopt(&mut adopter, &store);
+        let afresh = state::assemble(&store.head(), &support::chunks_of(&store));
+        let in_force = adopter.in_force().expect("in force").state();
+        assert_eq!(afresh.as_ref(), Ok(in_force.as_ref()));
+    }
+    let mut head = store.head();
+    let chunk = b"{\"name\":\"c\",\"kind\":\"client_blocks\",\"near\":\"mb-a\",\"names\":[\"x\"]}";
+    let (hash, ticket) = (hash::ContentHash::of(chunk), head.ticket.next());
+    let entry = manifest::ObjectEntry { hash, ticket };
+    let id = "client_blocks/c".parse().expect("an id");
+    head.objects.insert(id, entry);
+    (head.version, head.ticket) = (head.version.next(), ticket);
+    adopter.offer_head(&head.encode());
+    let verdict = adopter.offer_chunks([chunk.as_slice()]);
+    assert!(
+        matches!(verdict, Verdict::Refused(_)),
+        "x is in two sets: {verdict:?}"
+    );
+}
+
 /// Two instances at one version hold different states. Callers would get answers that depend on
 /// whom they ask, so it must be seen and counted.
 #[test]
