--- a/crates/damaskvane-engine/src/engine/settings.rs
+++ b/crates/damaskvane-engine/src/engine/settings.rs
@@ -8,7 +8,7 @@
 //! ```
 
 use damaskvane_core::time;
-use damaskvane_dispatch::{home, retry};
+use damaskvane_dispatch::{home, quarantine, retry};
 
 /// Settings of the engine.
 #[derive(Debug, Clone)]
@@ -17,10 +17,12 @@
     pub keys: home::HomeSettings,
     /// Retries; the share comes from each service's declaration.
     pub retries: retry::RetrySettings,
+    /// Requests that crash backend servers.
+    pub quarantine: quarantine::QuarantineSettings,
     /// How often a request is passed on from instance to instance at most.
     pub most_hops: u32,
-    /// For how long look-up answers that name this instance are served after it began to leave.
-    pub answer_ttl: time::SpanMs,
+    /// How long it takes until look-ups of all instances leave out one that begins to leave.
+    pub leaving_spreads: time::SpanMs,
     /// After how long a part of a handover is sent again.
     pub handover_resend: time::SpanMs,
     /// How long a successor gets to take a handover.
@@ -32,8 +34,9 @@
         Self {
             keys: home::HomeSettings::default(),
             retries: retry::RetrySettings::default(),
+            quarantine: quarantine::QuarantineSettings::default(),
             most_hops: 3,
-            answer_ttl: time::SpanMs::new(2_000),
+            leaving_spreads: time::SpanMs::new(2_000),
             handover_resend: time::SpanMs::new(200),
             handover_timeout: time::SpanMs::new(5_000),
         }
