Refused heads, stray chunks and broken invariants of adoption are counted and logged

The adopter counted them, but no counter showed them: a split state or a refused switch would have passed unseen.

--- a/crates/damaskvane-config/src/adopt.rs
+++ b/crates/damaskvane-config/src/adopt.rs
@@ -9,9 +9,11 @@
 //! ```
 
 mod adopter;
+mod counts;
 mod in_force;
 mod verdict;
 
-pub use adopter::{AdoptCounts, Adopter};
+pub use adopter::Adopter;
+pub use counts::AdoptCounts;
 pub use in_force::InForce;
 pub use verdict::{IgnoreReason, Verdict};
--- a/crates/damaskvane-config/src/adopt/adopter.rs
+++ b/crates/damaskvane-config/src/adopt/adopter.rs
@@ -14,6 +14,7 @@
 use damaskvane_core::hash::ContentHash;
 use damaskvane_core::ids;
 
+use crate::adopt::counts::AdoptCounts;
 use crate::adopt::in_force::InForce;
 use crate::adopt::verdict::{IgnoreReason, Verdict};
 use crate::chunk::{Chunk, MAX_CHUNK_BYTES};
@@ -34,23 +35,6 @@
     chunks: Chunks,
 }
 
-/// Counts of what the adopter met.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct AdoptCounts {
-    /// Heads that came into force.
-    pub adopted: u64,
-    /// Heads that were whole but not valid.
-    pub refused: u64,
-    /// Bytes that were no head.
-    pub malformed: u64,
-    /// Chunks that no waiting head names; a corrupted chunk is one of these.
-    pub stray_chunks: u64,
-    /// Switches that would have made the version fall; always 0 unless the program is wrong.
-    pub unsafe_switches: u64,
-    /// Peers with the same version and another state; always 0 unless a store or program is wrong.
-    pub split_states: u64,
-}
-
 /// Takes heads into force, from whatever source, never backwards.
 #[derive(Debug, Clone, Default)]
 pub struct Adopter {
--- a/crates/damaskvane-entry/src/control/configuration.rs
+++ b/crates/damaskvane-entry/src/control/configuration.rs
@@ -30,7 +30,14 @@
 impl Control {
     pub(super) fn tell_relay(&mut self, event: relay::Event) {
         let now = self.now();
-        for action in self.relay.handle(now, event) {
+        let before = self.relay.adopter().counts();
+        let actions = self.relay.handle(now, event);
+        let counts = self.relay.adopter().counts();
+        for (word, risen) in counts.risen_since(before) {
+            warn!(self.logger, "configuration not taken"; "reason" => word);
+            self.serving.counters.add("config", word, risen);
+        }
+        for action in actions {
             self.relay_action(action);
         }
     }
