Quarantine counts a second crash of the same server

Cause: a service with one backend server in reach would have been crashed for ever, since incidents were told apart by server alone. Reports of one server within 3 s are one death, later ones count. Ruled out: counting each report, which blames every neighbour of one crash. Failing first: told apart by server alone, the new test fails; counted apart, the old one does. Conclusion: an incident is a death, not a server.

--- a/crates/damaskvane-dispatch/src/quarantine.rs
+++ b/crates/damaskvane-dispatch/src/quarantine.rs
@@ -2,7 +2,7 @@
 //!
 //! When a backend server's connection dies, every request in flight on it is a suspect, and just one of
 //! them may be guilty. An incident is one such death. A request is quarantined once it was in two
-//! incidents on different backend servers with no completed run after the first; suspects run one
+//! incidents, on whichever backend servers, with no completed run after the first; suspects run one
 //! at a time ([`Verdict::RunAlone`]), so that the second incident blames no neighbour. A completed run
 //! clears a suspect. Notices of incidents go to every instance of the region, and merging them is
 //! idempotent, since each incident has its own name.
--- a/crates/damaskvane-dispatch/src/quarantine/list.rs
+++ b/crates/damaskvane-dispatch/src/quarantine/list.rs
@@ -157,7 +157,7 @@
             self.forget_first_to_expire();
         }
         let suspect = self.suspects.entry(fingerprint).or_default();
-        if !suspect.add(incident) {
+        if !suspect.add(now, incident) {
             return;
         }
         let is_refused = suspect.len() >= self.settings.incidents;
--- a/crates/damaskvane-dispatch/src/quarantine/settings.rs
+++ b/crates/damaskvane-dispatch/src/quarantine/settings.rs
@@ -12,7 +12,7 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct QuarantineSettings {
-    /// Incidents on different backend servers after which a request is refused.
+    /// Incidents after which a request is refused.
     pub incidents: usize,
     /// How long a suspicion lasts.
     pub suspicion_ms: u64,
--- a/crates/damaskvane-dispatch/tests/admission.rs
+++ b/crates/damaskvane-dispatch/tests/admission.rs
@@ -121,6 +121,10 @@
         assert!(queue.pop(now, |_| true).is_some());
         assert!(queue.pop(now, |_| true).is_some());
     }
+    for (request, now_ms) in [(0, 8_000), (1, 8_300)] {
+        let slow = waiting(request, "desk", admission::Priority::Normal, 60_000);
+        assert!(queue.push(at(now_ms), slow).is_empty());
+    }
 }
 
 /// One service is flooded. The requests of the other must not wait behind the flood.
--- a/crates/damaskvane-dispatch/tests/quarantine.rs
+++ b/crates/damaskvane-dispatch/tests/quarantine.rs
@@ -51,6 +51,21 @@
     }
     list.note_incident(at(1), &incident(1, "b/1", "desk-1", &["bad"]));
     assert!(!is_refused(&mut list, 2, "bad"));
+    let long_after = quarantine::Incident {
+        age: time::SpanMs::new(9_000),
+        ..incident(1, "a/1", "desk-1", &["bad"])
+    };
+    list.note_incident(at(20_000), &long_after);
+    assert!(!is_refused(&mut list, 20_001, "bad"));
+}
+
+/// The service has one backend server, and the request crashes it each time it is back.
+#[test]
+fn the_same_server_crashed_twice_counts_twice() {
+    let mut list = list();
+    list.note_incident(at(0), &incident(1, "a/1", "desk-1", &["bad"]));
+    list.note_incident(at(5_000), &incident(2, "a/1", "desk-1", &["bad"]));
+    assert!(is_refused(&mut list, 5_001, "bad"));
 }
 
 /// Ordinary requests share the server with the guilty one. They run alone next time, complete, and are
