--- /dev/null
+++ b/crates/damaskvane-entry/src/serving/state.rs
@@ -0,0 +1,97 @@
+//! One snapshot of what look-ups need.
+//!
+//! ```
+//! use damaskvane_entry::serving;
+//!
+//! let state = serving::ServingState::default();
+//! assert!(state.entries.is_empty());
+//! ```
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use damaskvane_config::state;
+use damaskvane_core::{hash, ids, time};
+use damaskvane_steering::plan;
+
+use crate::serving::active_shift;
+
+/// An entry instance that clients can be told to use.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntryPoint {
+    /// The instance.
+    pub instance: ids::InstanceId,
+    /// Which start of it.
+    pub incarnation: ids::Incarnation,
+    /// Where clients reach it.
+    pub client_address: String,
+}
+
+/// What a look-up needs of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LookupService {
+    /// How long a client may keep the answer.
+    pub ttl: time::SpanMs,
+}
+
+/// One snapshot of what look-ups need.
+#[derive(Debug)]
+pub struct ServingState {
+    /// The configuration version it rests on.
+    pub version: ids::ConfigVersion,
+    /// The configuration itself; none before the first.
+    pub config: Option<Arc<state::ConfigState>>,
+    /// The zone of this instance, for clients whose block is not declared.
+    pub own_zone: Option<ids::AvailabilityZoneId>,
+    /// Services by name.
+    pub services: BTreeMap<ids::ServiceId, LookupService>,
+    /// Where traffic goes.
+    pub plan: plan::Plan,
+    /// Moves of traffic that tickets order.
+    pub shifts: Vec<active_shift::ActiveShift>,
+    /// Live entry instances that are not leaving, by zone.
+    pub entries: BTreeMap<ids::AvailabilityZoneId, Vec<EntryPoint>>,
+}
+
+impl Default for ServingState {
+    fn default() -> Self {
+        Self {
+            version: ids::ConfigVersion::default(),
+            config: None,
+            own_zone: None,
+            services: BTreeMap::new(),
+            plan: plan::Plan::empty(time::TimeMs::ZERO),
+            shifts: Vec::new(),
+            entries: BTreeMap::new(),
+        }
+    }
+}
+
+impl ServingState {
+    /// The zone that a client is steered from: the nearest one, unless a shift has moved it.
+    #[must_use]
+    pub fn source_zone(
+        &self,
+        service: &ids::ServiceId,
+        client: Option<&ids::ClientBlock>,
+    ) -> Option<ids::AvailabilityZoneId> {
+        let near = client
+            .and_then(|client| self.config.as_ref()?.blocks_of(client))
+            .map(|(_, blocks)| &blocks.near)
+            .or(self.own_zone.as_ref())?;
+        let client_hash = client.map_or(0, |client| client_hash(client.as_str()));
+        let shift = self
+            .shifts
+            .iter()
+            .find(|shift| shift.applies(service, near, client_hash));
+        Some(shift.map_or(near, |shift| &shift.to).clone())
+    }
+}
+
+/// A number that stands for a client block, equal on every instance.
+#[must_use]
+pub fn client_hash(block: &str) -> u64 {
+    hash::ContentHash::of(block.as_bytes()).as_bytes()[..8]
+        .iter()
+        .fold(0_u64, |sum, byte| (sum << 8) | u64::from(*byte))
+}
--- /dev/null
+++ b/crates/damaskvane-entry/src/store/worker.rs
@@ -0,0 +1,224 @@
+//! The threads that make the calls.
+//!
+//! ```
+//! use damaskvane_entry::store;
+//!
+//! fn takes_store(store: &store::Store) {
+//!     store.submit(store::StoreJob::ReadHead);
+//! }
+//! ```
+
+use std::io;
+use std::sync::Arc;
+use std::thread;
+
+use damaskvane_core::{hash, ids};
+use damaskvane_platform::{api, api::ObjectApi, backoff, http, write};
+
+use crate::serving;
+use crate::store::job::{Call, FenceOutcome, StoreJob, StoreReport};
+
+const HEAD_KIND: &str = "head";
+const HEAD_NAME: &str = "config";
+const CHUNK_KIND: &str = "chunk";
+const INSTANCE_KIND: &str = "instance";
+const WRITE_TRIES: u32 = 3;
+const CALLS: &str = "store";
+
+/// Makes calls on the platform: watches on one thread, everything else on another.
+#[derive(Debug)]
+pub struct Store {
+    watches: flume::Sender<StoreJob>,
+    calls: flume::Sender<StoreJob>,
+}
+
+struct Worker {
+    api: Arc<http::HttpObjectApi>,
+    serving: Arc<serving::Serving>,
+    reports: Box<dyn Fn(StoreReport) + Send>,
+}
+
+impl Store {
+    /// Starts the threads; every job leads to one call of `report`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no thread can be started.
+    pub fn start(
+        api: &Arc<http::HttpObjectApi>,
+        serving: &Arc<serving::Serving>,
+        report: impl Fn(StoreReport) + Clone + Send + 'static,
+    ) -> io::Result<Self> {
+        let (watches, watch_jobs) = flume::unbounded();
+        let (calls, call_jobs) = flume::unbounded();
+        for (name, jobs) in [("store-watch", watch_jobs), ("store-call", call_jobs)] {
+            let worker = Worker {
+                api: Arc::clone(api),
+                serving: Arc::clone(serving),
+                reports: Box::new(report.clone()),
+            };
+            thread::Builder::new()
+                .name(name.to_owned())
+                .spawn(move || worker.run(&jobs))?;
+        }
+        Ok(Self { watches, calls })
+    }
+
+    /// Queues a call.
+    pub fn submit(&self, job: StoreJob) {
+        let queue = match job {
+            StoreJob::WatchHead { .. } => &self.watches,
+            _ => &self.calls,
+        };
+        let _ = queue.send(job);
+    }
+}
+
+impl Worker {
+    fn run(&self, jobs: &flume::Receiver<StoreJob>) {
+        while let Ok(job) = jobs.recv() {
+            let report = self.call(job);
+            if let StoreReport::Unavailable { call } = report {
+                let word = format!("{}_failed", call.as_str());
+                self.serving.counters.increment(CALLS, &word);
+            }
+            (self.reports)(report);
+        }
+    }
+
+    fn count(&self, call: Call) {
+        self.serving.counters.increment(CALLS, call.as_str());
+    }
+
+    fn call(&self, job: StoreJob) -> StoreReport {
+        match job {
+            StoreJob::WatchHead { after, wait } => {
+                self.count(Call::Watch);
+                match self.api.watch(HEAD_KIND, after, wait) {
+                    Ok(listing) => StoreReport::Watched {
+                        revision: listing.revision,
+                    },
+                    Err(_) => StoreReport::Unavailable { call: Call::Watch },
+                }
+            }
+            StoreJob::ReadHead => self.read_head(),
+            StoreJob::ReadChunks(hashes) => self.read_chunks(&hashes),
+            StoreJob::ListInstances { asked_at } => {
+                self.count(Call::Instances);
+                match self.api.instances() {
+                    Ok(records) => StoreReport::Instances {
+                        records,
+                        asked_before: asked_at,
+                    },
+                    Err(_) => StoreReport::Unavailable {
+                        call: Call::Instances,
+                    },
+                }
+            }
+            StoreJob::Announce(record) => self.announce(&record),
+            StoreJob::Fence {
+                instance,
+                incarnation,
+            } => {
+                let outcome = self.fence(&instance, incarnation);
+                StoreReport::Fenced {
+                    instance,
+                    incarnation,
+                    outcome,
+                }
+            }
+        }
+    }
+
+    fn read_head(&self) -> StoreReport {
+        self.count(Call::Head);
+        match self.api.get(&api::ObjectKey::new(HEAD_KIND, HEAD_NAME)) {
+            Ok(Some(object)) => StoreReport::Head {
+                bytes: object.value.into(),
+            },
+            Ok(None) | Err(_) => StoreReport::Unavailable { call: Call::Head },
+        }
+    }
+
+    fn read_chunks(&self, hashes: &[hash::ContentHash]) -> StoreReport {
+        let mut chunks = Vec::new();
+        for hash in hashes {
+            self.count(Call::Chunk);
+            let key = api::ObjectKey::new(CHUNK_KIND, hash.to_string());
+            let Ok(Some(object)) = self.api.get(&key) else {
+                return StoreReport::Unavailable { call: Call::Chunk };
+            };
+            chunks.push(object.value.into());
+        }
+        StoreReport::Chunks { chunks }
+    }
+
+    fn announce(&self, record: &api::InstanceRecord) -> StoreReport {
+        self.count(Call::Announce);
+        let failed = StoreReport::Unavailable {
+            call: Call::Announce,
+        };
+        let key = instance_key(&record.instance);
+        let version = match self.api.get(&key) {
+            Ok(object) => object.map_or(api::ObjectVersion::ABSENT, |object| object.version),
+            Err(_) => return failed,
+        };
+        match self.put_record(&key, version, record) {
+            write::Outcome::Applied(_) => StoreReport::Announced,
+            _ => failed,
+        }
+    }
+
+    /// The condition makes the deletion hit the start in question or nothing: a restarted instance has
+    /// written another version.
+    fn fence(&self, instance: &ids::InstanceId, incarnation: ids::Incarnation) -> FenceOutcome {
+        self.serving.counters.increment(CALLS, "fence");
+        let key = instance_key(instance);
+        let object = match self.api.get(&key) {
+            Ok(Some(object)) => object,
+            Ok(None) => return FenceOutcome::Taken,
+            Err(_) => return FenceOutcome::Unknown,
+        };
+        let record = serde_json::from_slice::<api::InstanceRecord>(&object.value);
+        if record.is_ok_and(|record| record.incarnation != incarnation) {
+            return FenceOutcome::NotTaken;
+        }
+        let id = api::WriteId::new(&format!("fence-{instance}-{incarnation}"));
+        match self.api.delete_if(&key, object.version, &id) {
+            api::WriteResult::Applied { .. } => FenceOutcome::Taken,
+            api::WriteResult::Conflict { .. } | api::WriteResult::NotApplied(_) => {
+                FenceOutcome::NotTaken
+            }
+            api::WriteResult::Unknown(_) => FenceOutcome::Unknown,
+        }
+    }
+
+    fn put_record(
+        &self,
+        key: &api::ObjectKey,
+        version: api::ObjectVersion,
+        record: &api::InstanceRecord,
+    ) -> write::Outcome {
+        let Ok(value) = serde_json::to_vec(record) else {
+            return write::Outcome::Lost;
+        };
+        let id = format!(
+            "{}-{}-{}-{version}",
+            record.instance, record.incarnation, record.leaving
+        );
+        let settings = backoff::BackoffSettings::default();
+        write::put(
+            &*self.api,
+            key,
+            version,
+            &value,
+            &api::WriteId::new(&id),
+            &mut backoff::Backoff::new(settings, record.incarnation.get()),
+            WRITE_TRIES,
+        )
+    }
+}
+
+fn instance_key(instance: &ids::InstanceId) -> api::ObjectKey {
+    api::ObjectKey::new(INSTANCE_KIND, instance.as_str())
+}
--- /dev/null
+++ b/crates/damaskvane-standins/src/config_run/world.rs
@@ -0,0 +1,292 @@
+//! The loop of a run: a queue of deliveries in virtual time.
+
+use std::collections::BTreeMap;
+
+use damaskvane_config::relay::Event;
+use damaskvane_config::submit::{Answer, Call};
+use damaskvane_core::hash::ContentHash;
+use damaskvane_core::{ids, time};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::config_run::fleet::Fleet;
+use crate::config_run::operators::Operator;
+use crate::config_run::report::{Broken, RunReport};
+use crate::config_run::settings::RunSettings;
+use crate::config_run::truth::Truth;
+use crate::platform::Store;
+
+const TICK_MS: u64 = 50;
+const HEARTBEAT_MS: u64 = 500;
+const SECOND_MS: u64 = 1_000;
+
+/// How long the fleet has to agree once all faults are healed: two polls of the store.
+const HEAL_MS: u64 = 60_000;
+
+/// What happens at one point in time.
+#[derive(Debug)]
+pub(super) enum Delivery {
+    Instance(ids::InstanceId, u64, Event),
+    AskHead(ids::InstanceId, ids::InstanceId),
+    AskChunks(ids::InstanceId, ids::InstanceId, Vec<ContentHash>),
+    AskStore(ids::InstanceId, Option<Vec<ContentHash>>),
+    OperatorTurn(usize),
+    OperatorCall(usize, Call),
+    OperatorAnswer(usize, Call, Answer),
+    LateWrite(Call),
+}
+
+pub(super) struct World {
+    pub(super) settings: RunSettings,
+    pub(super) rng: Pcg64Mcg,
+    pub(super) now: time::TimeMs,
+    pub(super) queue: BTreeMap<(time::TimeMs, u64), Delivery>,
+    pub(super) serial: u64,
+    pub(super) store: Store,
+    pub(super) store_down_until: time::TimeMs,
+    pub(super) healed: bool,
+    pub(super) fleet: Fleet,
+    pub(super) operators: Vec<Operator>,
+    pub(super) truth: Truth,
+    pub(super) report: RunReport,
+}
+
+/// Runs operators and instances through faults, then heals and waits for agreement.
+///
+/// # Errors
+///
+/// What didn't hold, with the seed that shows it again.
+pub fn run(settings: RunSettings) -> Result<RunReport, Broken> {
+    let mut world = World::new(settings);
+    match world.run() {
+        Ok(()) => Ok(world.report),
+        Err(what) => Err(Broken {
+            seed: settings.seed,
+            at_ms: world.now.get(),
+            what,
+        }),
+    }
+}
+
+impl World {
+    fn new(settings: RunSettings) -> Self {
+        let fleet = Fleet::new(settings.zones, settings.instances_per_zone, settings.seed);
+        Self {
+            settings,
+            rng: Pcg64Mcg::seed_from_u64(settings.seed),
+            now: time::TimeMs::ZERO,
+            queue: BTreeMap::new(),
+            serial: 0,
+            store: Store::default(),
+            store_down_until: time::TimeMs::ZERO,
+            healed: false,
+            fleet,
+            operators: (0..settings.operators).map(Operator::new).collect(),
+            truth: Truth::default(),
+            report: RunReport {
+                seed: settings.seed,
+                ..RunReport::default()
+            },
+        }
+    }
+
+    fn run(&mut self) -> Result<(), String> {
+        self.change_views();
+        for operator in 0..self.operators.len() {
+            self.later(0, Delivery::OperatorTurn(operator));
+        }
+        self.run_until(self.settings.seconds * SECOND_MS)?;
+        self.heal();
+        let healed_at = self.now;
+        self.run_until(healed_at.get() + HEAL_MS)?;
+        self.check_end()
+    }
+
+    fn run_until(&mut self, end_ms: u64) -> Result<(), String> {
+        while self.now.get() < end_ms {
+            self.tick()?;
+            let next = self.now + time::SpanMs::new(TICK_MS);
+            while let Some(entry) = self.queue.first_entry() {
+                if entry.key().0 >= next {
+                    break;
+                }
+                self.now = self.now.max(entry.key().0);
+                let delivery = entry.remove();
+                self.deliver(delivery)?;
+            }
+            self.now = next;
+        }
+        Ok(())
+    }
+
+    fn tick(&mut self) -> Result<(), String> {
+        let ids: Vec<_> = self.fleet.instances.keys().cloned().collect();
+        let heartbeat = self.now.get().is_multiple_of(HEARTBEAT_MS);
+        for id in &ids {
+            self.handle(id, Event::Tick)?;
+            if heartbeat {
+                self.send_heartbeats(id);
+            }
+        }
+        if self.now.get().is_multiple_of(SECOND_MS) && !self.healed {
+            self.incidents();
+        }
+        if self.healed && self.report.healed_ms == 0 && self.agrees() {
+            self.report.healed_ms = self.now.get() - self.settings.seconds * SECOND_MS;
+        }
+        Ok(())
+    }
+
+    fn deliver(&mut self, delivery: Delivery) -> Result<(), String> {
+        match delivery {
+            Delivery::Instance(id, incarnation, event) => {
+                let current = self.fleet.instances.get(&id);
+                if current.is_some_and(|instance| instance.incarnation == incarnation) {
+                    self.handle(&id, event)?;
+                }
+            }
+            Delivery::AskHead(from, to) => self.answer_head(&from, &to),
+            Delivery::AskChunks(from, to, hashes) => self.answer_chunks(&from, &to, &hashes),
+            Delivery::AskStore(id, hashes) => self.answer_from_store(&id, hashes),
+            Delivery::OperatorTurn(operator) => self.operator_turn(operator)?,
+            Delivery::OperatorCall(operator, call) => {
+                let answer = self.store_call(&call)?;
+                let delay_ms = self.rng.random_range(2..40);
+                self.later(delay_ms, Delivery::OperatorAnswer(operator, call, answer));
+            }
+            Delivery::OperatorAnswer(operator, call, answer) => {
+                self.operators[operator].answer(&call, answer);
+                self.operator_turn(operator)?;
+            }
+            Delivery::LateWrite(call) => {
+                self.report.late_writes += 1;
+                self.apply(&call)?;
+            }
+        }
+        Ok(())
+    }
+
+    pub(super) fn handle(&mut self, id: &ids::InstanceId, event: Event) -> Result<(), String> {
+        let now = self.now;
+        let Some(instance) = self.fleet.instances.get_mut(id) else {
+            return Ok(());
+        };
+        if now < instance.paused_until {
+            // What arrives during a pause is read when the process runs again.
+            let wait_ms = instance.paused_until.since(now).get();
+            let incarnation = instance.incarnation;
+            if event != Event::Tick {
+                self.later(wait_ms, Delivery::Instance(id.clone(), incarnation, event));
+            }
+            return Ok(());
+        }
+        let actions = instance.relay.handle(now, event);
+        let version = instance.relay.adopter().version();
+        if version < instance.highest {
+            return Err(format!("{id} fell from {} to {version}", instance.highest));
+        }
+        instance.highest = version;
+        let counts = instance.relay.adopter().counts();
+        if counts.unsafe_switches + counts.split_states > 0 {
+            return Err(format!("{id} counts {counts:?}"));
+        }
+        if let Some(in_force) = instance.relay.adopter().in_force() {
+            self.truth.check_in_force(in_force)?;
+        }
+        for action in actions {
+            self.act(id, action);
+        }
+        Ok(())
+    }
+
+    fn incidents(&mut self) {
+        let ids: Vec<_> = self.fleet.instances.keys().cloned().collect();
+        let id = ids[self.rng.random_range(0..ids.len())].clone();
+        let until = self.now + time::SpanMs::new(self.rng.random_range(500..20_000));
+        if self.chance(self.settings.incident_permille) {
+            self.store_down_until = until;
+        }
+        if self.chance(self.settings.incident_permille)
+            && let Some(zone) = self.fleet.zone_of(&id).cloned()
+        {
+            self.fleet.cut(&zone, until);
+        }
+        if self.chance(self.settings.incident_permille)
+            && let Some(instance) = self.fleet.instances.get_mut(&id)
+        {
+            instance.paused_until = until;
+        }
+        if self.chance(self.settings.incident_permille)
+            && let Some(instance) = self.fleet.instances.get(&id)
+        {
+            let member = instance.member.clone();
+            self.fleet.boot(member);
+            self.report.replaced += 1;
+            self.change_views();
+        }
+    }
+
+    /// Ends every fault; what is under way goes on to its end.
+    fn heal(&mut self) {
+        self.healed = true;
+        self.store_down_until = time::TimeMs::ZERO;
+        self.fleet.heal();
+        self.settings = RunSettings {
+            lost_after_permille: 0,
+            lost_before_permille: 0,
+            late_write_permille: 0,
+            stale_permille: 0,
+            message_loss_permille: 0,
+            corrupt_permille: 0,
+            watch_skip_permille: 0,
+            incident_permille: 0,
+            ..self.settings
+        };
+    }
+
+    fn check_end(&mut self) -> Result<(), String> {
+        self.report.instances = self.fleet.instances.len();
+        self.report.accepted = self.truth.accepted();
+        if !self.agrees() {
+            return Err("the newest ticket is not in force everywhere".to_owned());
+        }
+        self.truth.check_told()?;
+        let filed = |number: ids::TicketNumber| {
+            let object = self.store.read("ticket", &number.to_string(), false)?;
+            Some(ContentHash::of(&object.value?))
+        };
+        self.truth.check_filed(filed)
+    }
+
+    fn agrees(&self) -> bool {
+        let newest = self.truth.newest().version;
+        let mut instances = self.fleet.instances.values();
+        instances.all(|instance| instance.relay.adopter().version() == newest)
+    }
+
+    fn change_views(&mut self) {
+        let ids: Vec<_> = self.fleet.instances.keys().cloned().collect();
+        for id in ids {
+            let event = Event::Membership(self.fleet.view_of(&id));
+            self.deliver_soon(&id, event);
+        }
+    }
+
+    pub(super) fn incarnation(&self, id: &ids::InstanceId) -> Option<u64> {
+        Some(self.fleet.instances.get(id)?.incarnation)
+    }
+
+    pub(super) fn is_store_down(&self) -> bool {
+        self.now < self.store_down_until
+    }
+
+    pub(super) fn chance(&mut self, permille: u32) -> bool {
+        self.rng.random_range(0..1_000) < permille
+    }
+
+    pub(super) fn later(&mut self, delay_ms: u64, delivery: Delivery) {
+        self.serial += 1;
+        let at = self.now + time::SpanMs::new(delay_ms);
+        self.queue.insert((at, self.serial), delivery);
+    }
+}
