--- a/crates/damaskvane-dispatch/src/home.rs
+++ b/crates/damaskvane-dispatch/src/home.rs
@@ -40,6 +40,7 @@
 mod attempt;
 mod begin;
 mod error;
+mod expiry;
 mod handover;
 mod name;
 mod parts;
