Clients are let in once older look-up answers have lapsed

Cause: after a kill and restart, clients reached the new incarnation with the old home from their caches and got outcome unknown. Ruled out: answering 'not run' to a first try, since with hedged tries a later one may have run at the old incarnation. While nobody listens a connection is refused, which proves that nothing was sent.

--- a/crates/damaskvane-entry/src/process.rs
+++ b/crates/damaskvane-entry/src/process.rs
@@ -11,6 +11,7 @@
 mod ready;
 mod stop;
 
+use core::time::Duration;
 use std::fs;
 use std::net;
 use std::sync::Arc;
@@ -23,7 +24,7 @@
 pub use error::StartError;
 use slog::{info, o};
 
-use crate::client_api::listener;
+use crate::client_api::{binding, listener};
 use crate::clock;
 use crate::control;
 use crate::engine_thread;
@@ -53,8 +54,8 @@
         counters(settings)?,
         format!("{}-{}", me.instance, me.incarnation),
     ));
-    let clients = listen("client_address", &settings.client_address)?;
-    let client_address = local_address(&clients)?;
+    let clients = bind(&settings.client_address)?;
+    let client_address = clients.local_address().map_err(StartError::Thread)?;
     let (transport, received) = listen_for_peers(settings, &me)?;
     let peers = Arc::new(peers::Peers::new(transport));
     let status = status::Source {
@@ -144,18 +145,14 @@
     counters::Counters::to_statsd(address).map_err(|error| wrong(error.to_string()))
 }
 
-fn listen(key: &'static str, address: &str) -> Result<net::TcpListener, StartError> {
-    net::TcpListener::bind(address).map_err(|error| StartError::Listen {
-        key,
+fn bind(address: &str) -> Result<binding::BoundAddress, StartError> {
+    binding::BoundAddress::bind(address).map_err(|error| StartError::Listen {
+        key: "client_address",
         address: address.to_owned(),
         error: error.to_string(),
     })
 }
 
-fn local_address(listener: &net::TcpListener) -> Result<net::SocketAddr, StartError> {
-    listener.local_addr().map_err(StartError::Thread)
-}
-
 fn listen_for_peers(
     settings: &settings::EntrySettings,
     me: &home::Home,
@@ -261,7 +258,7 @@
 }
 
 fn start_clients(
-    clients: net::TcpListener,
+    clients: binding::BoundAddress,
     settings: &settings::EntrySettings,
     serving: &Arc<serving::Serving>,
     inbox: &flume::Sender<inbox::Input>,
@@ -277,8 +274,12 @@
         .enable_all()
         .build()
         .map_err(StartError::Thread)?;
+    let settle = Duration::from_millis(settings.settle_ms);
     spawn("client-listener", move || {
-        let _ = runtime.block_on(listener::serve(clients, api));
+        thread::sleep(settle);
+        if let Ok(listener) = clients.listen() {
+            let _ = runtime.block_on(listener::serve(listener, api));
+        }
     })
 }
 
--- a/crates/damaskvane-entry/src/settings.rs
+++ b/crates/damaskvane-entry/src/settings.rs
@@ -55,6 +55,8 @@
     pub exchange_limit: usize,
     /// Period of heartbeats to other entry instances.
     pub heartbeat_ms: u64,
+    /// Time from the start until clients are let in, so that older look-up answers lapse.
+    pub settle_ms: u64,
     /// Longest time for a planned stop.
     pub stop_timeout_ms: u64,
 }
@@ -81,6 +83,7 @@
             body_limit_bytes: 1_048_576,
             exchange_limit: 256,
             heartbeat_ms: 500,
+            settle_ms: 3_000,
             stop_timeout_ms: 30_000,
         }
     }
@@ -167,6 +170,13 @@
             10_000,
             "period of heartbeats to other instances",
         ),
+        settings::Key::number(
+            "settle_ms",
+            "3000",
+            0,
+            60_000,
+            "time until clients are let in, so that older look-up answers lapse",
+        ),
         settings::Key::number(
             "stop_timeout_ms",
             "30000",
