Instances that start can be told who holds departed homes' keys

Cause: in a planned restart in turn, a client of the departed incarnation may reach the restarted process, which was not there when its successor was announced, and answered unknown. Ruled out: longer announcements, which still miss a late start. Failing first: with the successor's own adoption left out of the list, the new test fails. Conclusion: whoever knows, tells.

--- a/crates/damaskvane-dispatch/src/home/routes.rs
+++ b/crates/damaskvane-dispatch/src/home/routes.rs
@@ -105,6 +105,12 @@
         self.adopted.retain(|_, adopted| !is_over(adopted));
     }
 
+    pub(super) fn successors(&self) -> impl Iterator<Item = (&name::Home, &name::Home)> {
+        self.successors
+            .iter()
+            .map(|(departed, (successor, _))| (departed, successor))
+    }
+
     pub(super) fn expire(&mut self, now: time::TimeMs) {
         self.close_where(|adopted| adopted.is_over(now));
         self.successors.retain(|_, (_, until)| now < *until);
--- a/crates/damaskvane-dispatch/src/home/table.rs
+++ b/crates/damaskvane-dispatch/src/home/table.rs
@@ -146,6 +146,14 @@
         self.routes.learn(departed, successor, until);
     }
 
+    /// The departed homes whose successor is known, this instance's own adoptions included.
+    ///
+    /// Tell them to every instance that starts: the restarted process of a departed home has heard no
+    /// announcement, and would answer *unknown* to clients of its predecessor that come to it.
+    pub fn successors(&self) -> impl Iterator<Item = (&name::Home, &name::Home)> {
+        self.routes.successors()
+    }
+
     /// The home that look-ups name for this instance.
     #[must_use]
     pub const fn home(&self) -> &name::Home {
--- a/crates/damaskvane-dispatch/tests/handover.rs
+++ b/crates/damaskvane-dispatch/tests/handover.rs
@@ -177,6 +177,22 @@
     assert!(matches!(forwarded, home::Begin::Forward(home) if home == home_of("c/1")));
 }
 
+/// The departed instance is back under its old address, and a client of its predecessor comes to it. It
+/// was not there when the successor was announced, and learns it from any instance that was.
+#[test]
+fn a_restarted_instance_learns_who_holds_its_predecessors_keys() {
+    let (mut old, mut new) = (table("a/1"), table("b/1"));
+    let _ = hand_over(&mut old, &mut new, 0);
+    let mut restarted = table("a/2");
+    let lost = restarted.begin(at(1), &attempt("k", "a/1", 2));
+    assert_eq!(reason(&lost), Some(refusal::RefusalReason::HomeRestarted));
+    for (departed, successor) in new.successors() {
+        restarted.learn_successor(at(2), departed.clone(), successor.clone());
+    }
+    let forwarded = restarted.begin(at(3), &attempt("k", "a/1", 2));
+    assert!(matches!(forwarded, home::Begin::Forward(home) if home == home_of("b/1")));
+}
+
 /// A key is older than the window when its home leaves. The successor has to know that it was taken.
 #[test]
 fn expired_keys_stay_unknown_at_the_successor() {
