Operators are served by the bounded listener that clients have; lines and counts arrive

Cause: rouille served the operators' address without bounds. Ruled out: time-outs on the listening socket, which a slow drip outlives and which rouille's server can't be given. A single count waited in cadence's buffer for good: flushed once a second now (damaskvane-telemetry/tests/counters.rs failed first). Conclusion: both HTTP addresses share one listener with one set of bounds.

--- a/crates/damaskvane-entry/src/client_api/intake.rs
+++ b/crates/damaskvane-entry/src/client_api/intake.rs
@@ -89,7 +89,7 @@
     path: &str,
     new_request_id: impl FnOnce() -> ids::RequestId,
 ) -> Result<message::ServiceRequest, IntakeError> {
-    let request_id = parsed(parts, header::REQUEST_ID)?.unwrap_or_else(new_request_id);
+    let request_id = request_id(parts)?.unwrap_or_else(new_request_id);
     let mut request = message::ServiceRequest::get(service, path, request_id);
     request.method = parts.method.as_str().to_owned();
     request.client = parsed(parts, header::CLIENT)?;
@@ -108,6 +108,15 @@
     Ok(request)
 }
 
+/// Reads the client's name for its try.
+///
+/// # Errors
+///
+/// Fails if the name is malformed.
+pub fn request_id(parts: &request::Parts) -> Result<Option<ids::RequestId>, IntakeError> {
+    parsed(parts, header::REQUEST_ID)
+}
+
 /// Reads a whole body within its bounds.
 ///
 /// # Errors
--- a/crates/damaskvane-entry/src/client_api/listener.rs
+++ b/crates/damaskvane-entry/src/client_api/listener.rs
@@ -1,17 +1,15 @@
-//! Accepts clients' connections within bounds and hands their requests on.
+//! Hands the requests of clients on: look-ups are answered here, the rest goes to the engine.
 //!
-//! rouille reads a head without a bound in time or size: 500 half-sent requests held 500 threads, and
-//! one header line of 64 MB was taken into memory. hyper bounds both, which is why clients are
-//! served by it and operators, who are few and known, by rouille. A connection above the limit is closed at once, so that
-//! a flood costs a socket for a moment and never a thread.
+//! ```no_run
+//! use std::sync::Arc;
 //!
-//! ```
 //! use damaskvane_entry::client_api::listener;
 //!
-//! assert_eq!(listener::MOST_HEADERS, 64);
+//! async fn serve(socket: std::net::TcpListener, api: Arc<listener::ClientApi>) {
+//!     let _ = listener::serve(socket, api).await;
+//! }
 //! ```
 
-use core::convert::Infallible;
 use core::time::Duration;
 use std::net;
 use std::sync::Arc;
@@ -19,20 +17,18 @@
 use damaskvane_core::ids;
 use damaskvane_dispatch::{outcome, refusal};
 use damaskvane_engine::message;
+use damaskvane_telemetry::logging;
+use hyper::Request;
 use hyper::body::Incoming;
-use hyper::service::service_fn;
-use hyper::{Request, server::conn::http1};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::sync::Semaphore;
+use hyper::http::request;
+use slog::debug;
 
 use crate::client_api::{intake, lookup, reply, route};
+use crate::http_listener;
 use crate::inbox;
 use crate::serving;
 use crate::settings;
 
-/// Most headers of a request.
-pub const MOST_HEADERS: usize = 64;
-
 const REFUSED: &str = "refused";
 const CONNECTIONS: &str = "connections";
 
@@ -45,6 +41,8 @@
     pub inbox: flume::Sender<inbox::Input>,
     /// The bounds.
     pub settings: settings::EntrySettings,
+    /// Where each request's end is noted.
+    pub logger: slog::Logger,
 }
 
 /// Accepts connections until the process ends.
@@ -53,56 +51,21 @@
 ///
 /// Fails if the listening socket can't be used.
 pub async fn serve(listener: net::TcpListener, api: Arc<ClientApi>) -> std::io::Result<()> {
-    listener.set_nonblocking(true)?;
-    let listener = tokio::net::TcpListener::from_std(listener)?;
-    let places = Arc::new(Semaphore::new(api.settings.connection_limit));
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-            continue;
-        };
-        let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
-            api.serving.counters.increment(CONNECTIONS, "over_limit");
-            continue;
-        };
-        let _ = stream.set_nodelay(true);
-        bound_silence(&stream, api.settings.write_timeout_ms);
+    let bounds = http_listener::ListenerBounds {
+        connection_limit: api.settings.connection_limit,
+        head_timeout: Duration::from_millis(api.settings.head_timeout_ms),
+        head_limit_bytes: api.settings.head_limit_bytes,
+        write_timeout: Duration::from_millis(api.settings.write_timeout_ms),
+    };
+    let counts = http_listener::ConnectionCounts {
+        serving: Arc::clone(&api.serving),
+        family: CONNECTIONS,
+    };
+    http_listener::serve(listener, bounds, counts, move |request| {
         let api = Arc::clone(&api);
-        tokio::spawn(async move {
-            serve_connection(stream, api).await;
-            drop(place);
-        });
-    }
-}
-
-/// A client that vanishes without a word, or takes no bytes, would hold its connection for good.
-/// The kernel closes it once sent bytes or probes stay unanswered for the time-out.
-fn bound_silence(stream: &tokio::net::TcpStream, timeout_ms: u64) {
-    let socket = socket2::SockRef::from(stream);
-    let timeout = Duration::from_millis(timeout_ms);
-    let _ = socket.set_tcp_user_timeout(Some(timeout));
-    let probes = socket2::TcpKeepalive::new()
-        .with_time(timeout)
-        .with_interval(timeout / 3);
-    let _ = socket.set_tcp_keepalive(&probes);
-}
-
-async fn serve_connection(stream: tokio::net::TcpStream, api: Arc<ClientApi>) {
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(api.settings.head_timeout_ms))
-        .max_buf_size(api.settings.head_limit_bytes)
-        .max_headers(MOST_HEADERS)
-        .serve_connection(
-            TokioIo::new(stream),
-            service_fn(|request| {
-                let api = Arc::clone(&api);
-                async move { Ok::<_, Infallible>(answer(&api, request).await) }
-            }),
-        );
-    if connection.await.is_err() {
-        api.serving.counters.increment(CONNECTIONS, "broken");
-    }
+        async move { answer(&api, request).await }
+    })
+    .await
 }
 
 async fn answer(api: &ClientApi, request: Request<Incoming>) -> reply::HttpAnswer {
@@ -130,9 +93,23 @@
 
 fn refuse(api: &ClientApi, reason: refusal::RefusalReason, detail: &str) -> reply::HttpAnswer {
     api.serving.counters.increment(REFUSED, reason.as_str());
+    debug!(api.logger, "request refused"; logging::field::REASON => reason.as_str());
     reply::refused(reason, detail)
 }
 
+/// A refusal that names the request it answers: clients take an answer without their name as another's.
+fn refuse_named(
+    api: &ClientApi,
+    parts: &request::Parts,
+    error: &intake::IntakeError,
+) -> reply::HttpAnswer {
+    let mut answer = refuse(api, error.reason(), &error.to_string());
+    if let Ok(Some(request_id)) = intake::request_id(parts) {
+        reply::name_request(&mut answer, request_id.as_str());
+    }
+    answer
+}
+
 async fn submit(
     api: &ClientApi,
     request: Request<Incoming>,
@@ -143,7 +120,7 @@
     let head = intake::read_head(&parts, service, path, || api.serving.new_request_id());
     let mut request = match head {
         Ok(request) => request,
-        Err(error) => return refuse(api, error.reason(), &error.to_string()),
+        Err(error) => return refuse_named(api, &parts, &error),
     };
     let bounds = intake::BodyBounds {
         limit_bytes: api.settings.body_limit_bytes,
@@ -151,11 +128,19 @@
     };
     match intake::read_body(body, bounds).await {
         Ok(body) => request.body = body,
-        Err(error) => return refuse(api, error.reason(), &error.to_string()),
+        Err(error) => return refuse_named(api, &parts, &error),
     }
     count_arrival(&api.serving, &request);
     let request_id = request.request_id.clone();
+    let service = request.service.clone();
     let outcome = run(api, request).await;
+    debug!(
+        api.logger, "request finished";
+        logging::field::REQUEST_ID => request_id.as_str(),
+        logging::field::SERVICE => service.as_str(),
+        logging::field::OUTCOME => outcome.word(),
+        logging::field::REASON => outcome.reason().map(refusal::RefusalReason::as_str),
+    );
     reply::from_outcome(
         outcome,
         request_id.as_str(),
--- a/crates/damaskvane-entry/src/client_api/reply.rs
+++ b/crates/damaskvane-entry/src/client_api/reply.rs
@@ -74,10 +74,24 @@
     answer
 }
 
+/// Names the request that an answer is for.
+pub fn name_request(answer: &mut HttpAnswer, request_id: &str) {
+    set(answer, header::REQUEST_ID, request_id);
+}
+
 /// A JSON answer.
 #[must_use]
 pub fn json(body: &impl Serialize) -> HttpAnswer {
-    let body = serde_json::to_vec(body).unwrap_or_default();
+    json_bytes(serde_json::to_vec(body).unwrap_or_default())
+}
+
+/// A JSON answer for people to read, with line breaks.
+#[must_use]
+pub fn json_pretty(body: &impl Serialize) -> HttpAnswer {
+    json_bytes(serde_json::to_vec_pretty(body).unwrap_or_default())
+}
+
+fn json_bytes(body: Vec<u8>) -> HttpAnswer {
     let mut answer = Response::new(Full::new(Bytes::from(body)));
     set(&mut answer, "content-type", "application/json");
     answer
--- a/crates/damaskvane-entry/src/exchange.rs
+++ b/crates/damaskvane-entry/src/exchange.rs
@@ -81,6 +81,20 @@
     }
 }
 
+/// The word for how an exchange ended.
+#[must_use]
+pub const fn word(end: &ExchangeEnd) -> &'static str {
+    match end {
+        ExchangeEnd::Answered(_) => "answered",
+        ExchangeEnd::Refused => "refused",
+        ExchangeEnd::NotSent => "not_sent",
+        ExchangeEnd::Lost => "lost",
+        ExchangeEnd::Silent => "silent",
+        ExchangeEnd::Cut => "cut",
+        ExchangeEnd::Crossed => "crossed",
+    }
+}
+
 /// Asks a backend server to stop a request; the answer does not matter.
 pub fn cancel(address: &str, request_id: &ids::RequestId) {
     let url = format!("http://{address}/cancel/{request_id}");
--- a/crates/damaskvane-entry/src/exchange_pool.rs
+++ b/crates/damaskvane-entry/src/exchange_pool.rs
@@ -7,7 +7,9 @@
 //!
 //! let (ended, _) = flume::unbounded();
 //! let clock = clock::MonotonicClock::start();
-//! let pool = exchange_pool::ExchangePool::new(8, exchange::ExchangeLimits::default(), clock, ended);
+//! let limits = exchange::ExchangeLimits::default();
+//! let logger = damaskvane_telemetry::logging::silent();
+//! let pool = exchange_pool::ExchangePool::new(8, limits, clock, ended, logger);
 //! assert_eq!(pool.threads(), 0);
 //! ```
 
@@ -18,6 +20,8 @@
 
 use damaskvane_core::ids;
 use damaskvane_engine::event;
+use damaskvane_telemetry::logging;
+use slog::{debug, warn};
 
 use crate::clock;
 use crate::exchange;
@@ -43,6 +47,7 @@
     limits: exchange::ExchangeLimits,
     clock: clock::MonotonicClock,
     ended: flume::Sender<inbox::Input>,
+    logger: slog::Logger,
 }
 
 impl ExchangePool {
@@ -53,6 +58,7 @@
         limits: exchange::ExchangeLimits,
         clock: clock::MonotonicClock,
         ended: flume::Sender<inbox::Input>,
+        logger: slog::Logger,
     ) -> Self {
         let (jobs, waiting) = flume::unbounded();
         Self {
@@ -64,6 +70,7 @@
             limits,
             clock,
             ended,
+            logger,
         }
     }
 
@@ -99,10 +106,11 @@
         let idle = Arc::clone(&self.idle);
         let limits = self.limits;
         let clock = self.clock;
+        let logger = self.logger.clone();
         let spawned = thread::Builder::new()
             .name("exchange".to_owned())
             .stack_size(STACK_BYTES)
-            .spawn(move || work(&waiting, &ended, &idle, limits, clock));
+            .spawn(move || work(&waiting, &ended, &idle, limits, clock, &logger));
         if spawned.is_ok() {
             self.threads += 1;
         }
@@ -115,6 +123,7 @@
     idle: &AtomicUsize,
     limits: exchange::ExchangeLimits,
     clock: clock::MonotonicClock,
+    logger: &slog::Logger,
 ) {
     loop {
         idle.fetch_add(1, Ordering::AcqRel);
@@ -123,6 +132,7 @@
         match job {
             Ok(Job::Exchange(exchange)) => {
                 let end = exchange::run(&exchange, clock, limits);
+                note_end(logger, &exchange, &end);
                 let _ = ended.send(inbox::Input::ExchangeEnded {
                     exchange: exchange.number,
                     end,
@@ -136,3 +146,19 @@
         }
     }
 }
+
+/// One line per exchange; what only a fault of a backend server or of the network brings about is a warning.
+fn note_end(logger: &slog::Logger, exchange: &event::Exchange, end: &event::ExchangeEnd) {
+    let fields = slog::o!(
+        logging::field::REQUEST_ID => exchange.request.request_id.to_string(),
+        logging::field::SERVICE => exchange.request.service.to_string(),
+        logging::field::BACKEND_SERVER => exchange.backend_server.to_string(),
+        logging::field::OUTCOME => exchange::word(end),
+    );
+    match end {
+        event::ExchangeEnd::Cut | event::ExchangeEnd::Crossed => {
+            warn!(logger, "an answer was not the whole answer to its request"; fields);
+        }
+        _ => debug!(logger, "exchange ended"; fields),
+    }
+}
--- a/crates/damaskvane-entry/src/lib.rs
+++ b/crates/damaskvane-entry/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`settings`], [`clock`]: what the process is told, and its time.
 //! - [`load`]: what the instance measures of its traffic, for digests.
 //! - [`peers`], [`wire`]: other entry instances and what is said to them.
+//! - [`http_listener`]: bounds on whoever connects.
 //! - [`operator_api`]: the state of the instance for operators.
 //! - [`process`]: puts all of it together.
 
@@ -20,6 +21,7 @@
 pub mod engine_thread;
 pub mod exchange;
 pub mod exchange_pool;
+pub mod http_listener;
 pub mod inbox;
 pub mod load;
 pub mod operator_api;
--- a/crates/damaskvane-entry/src/process.rs
+++ b/crates/damaskvane-entry/src/process.rs
@@ -68,7 +68,7 @@
     };
     let (engine, engine_inbox) = flume::unbounded();
     let operators = operator_api::start(
-        &settings.operator_address,
+        settings,
         Arc::clone(&serving),
         status.clone(),
         engine.clone(),
@@ -115,7 +115,7 @@
         control_inbox,
     )?;
     forward_peer_messages(received, control.clone())?;
-    start_clients(clients, settings, &serving, &engine)?;
+    start_clients(clients, settings, &serving, &engine, &logger)?;
     ready::announce(&record);
     info!(logger, "serving"; "client_address" => client_address.to_string());
     stop::wait_and_stop(
@@ -199,6 +199,7 @@
         limits,
         serving.clock,
         ended.clone(),
+        logger.clone(),
     );
     let engine = engine_thread::EngineThread::new(
         status.me.clone(),
@@ -262,11 +263,13 @@
     settings: &settings::EntrySettings,
     serving: &Arc<serving::Serving>,
     inbox: &flume::Sender<inbox::Input>,
+    logger: &slog::Logger,
 ) -> Result<(), StartError> {
     let api = Arc::new(listener::ClientApi {
         serving: Arc::clone(serving),
         inbox: inbox.clone(),
         settings: settings.clone(),
+        logger: logger.clone(),
     });
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
--- a/crates/damaskvane-telemetry/src/counters.rs
+++ b/crates/damaskvane-telemetry/src/counters.rs
@@ -11,14 +11,20 @@
 //! assert_eq!(counters.get("refused", "queue_full"), 2);
 //! ```
 
+use core::time::Duration;
 use std::collections::BTreeMap;
 use std::io;
 use std::net;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::thread;
 
 use cadence::prelude::{Counted, Gauged, Timed};
 
 const PREFIX: &str = "damaskvane";
+/// How long a count may wait for others to share its datagram.
+const FLUSH_PERIOD: Duration = Duration::from_secs(1);
+/// Counts that wait to be sent; more are dropped on their way, not in memory.
+const QUEUE_LIMIT: usize = 8_192;
 
 type Counts = BTreeMap<(&'static str, String), u64>;
 
@@ -26,7 +32,7 @@
 #[derive(Debug)]
 pub struct Counters {
     counts: Mutex<Counts>,
-    statsd: cadence::StatsdClient,
+    statsd: Arc<cadence::StatsdClient>,
 }
 
 impl Counters {
@@ -40,13 +46,16 @@
     ///
     /// # Errors
     ///
-    /// Fails if no UDP socket can be opened.
+    /// Fails if no UDP socket can be opened, or no thread started.
     pub fn to_statsd(address: net::SocketAddr) -> io::Result<Self> {
         let socket = net::UdpSocket::bind((net::Ipv4Addr::UNSPECIFIED, 0))?;
         socket.set_nonblocking(true)?;
         let udp = cadence::BufferedUdpMetricSink::from(address, socket)
             .map_err(|error| io::Error::other(error.to_string()))?;
-        Ok(Self::with_sink(cadence::QueuingMetricSink::from(udp)))
+        let queue = cadence::QueuingMetricSink::with_capacity(udp, QUEUE_LIMIT);
+        let counters = Self::with_sink(queue);
+        flush_regularly(Arc::downgrade(&counters.statsd))?;
+        Ok(counters)
     }
 
     fn with_sink(
@@ -54,7 +63,7 @@
     ) -> Self {
         Self {
             counts: Mutex::new(Counts::new()),
-            statsd: cadence::StatsdClient::from_sink(PREFIX, sink),
+            statsd: Arc::new(cadence::StatsdClient::from_sink(PREFIX, sink)),
         }
     }
 
@@ -109,3 +118,21 @@
             .collect()
     }
 }
+
+/// The sink sends a datagram once it is full. On a quiet instance the one refusal that an operator waits for
+/// would stay in it for hours.
+fn flush_regularly(statsd: Weak<cadence::StatsdClient>) -> io::Result<()> {
+    let flush = move || {
+        loop {
+            thread::sleep(FLUSH_PERIOD);
+            let Some(statsd) = statsd.upgrade() else {
+                return;
+            };
+            let _ = statsd.flush();
+        }
+    };
+    thread::Builder::new()
+        .name("statsd".to_owned())
+        .spawn(flush)
+        .map(|_| ())
+}
--- a/crates/damaskvane-telemetry/src/logging.rs
+++ b/crates/damaskvane-telemetry/src/logging.rs
@@ -33,6 +33,8 @@
     pub const TICKET: &str = "ticket";
     /// The reason of a refusal, a retry or a change.
     pub const REASON: &str = "reason";
+    /// How a request or an exchange ended.
+    pub const OUTCOME: &str = "outcome";
     /// The configuration version in force.
     pub const CONFIG_VERSION: &str = "config_version";
     /// The peer a line is about.
@@ -90,9 +92,11 @@
     let json = slog_json::Json::new(io::stderr())
         .add_default_keys()
         .build();
-    let filtered = slog::LevelFilter::new(Mutex::new(json).fuse(), level.to_slog());
-    let background = slog_async::Async::new(filtered.fuse()).build();
-    slog::Logger::root(background.fuse(), slog::o!("program" => program))
+    let background = slog_async::Async::new(Mutex::new(json).fuse()).build();
+    // Behind the queue, lines below the level would cost their way through it, and could push lines that
+    // count out of it.
+    let filtered = slog::LevelFilter::new(background, level.to_slog());
+    slog::Logger::root(filtered.fuse(), slog::o!("program" => program))
 }
 
 /// A logger that drops everything, for tests and commands that print their result.
