--- a/crates/damaskvane-entry/src/settings.rs
+++ b/crates/damaskvane-entry/src/settings.rs
@@ -7,6 +7,8 @@
 //! assert_eq!(defaults.body_limit_bytes, 1_048_576);
 //! ```
 
+mod check;
+
 use damaskvane_core::ids;
 use damaskvane_telemetry::{logging, settings};
 use serde::Deserialize;
@@ -33,7 +35,7 @@
     pub seed_peers: String,
     /// The platform's object API.
     pub platform_address: String,
-    /// A file that holds the credential for the object API; empty for none.
+    /// A file that holds the credential for the object API.
     pub token_file: String,
     /// A statsd server for metrics; empty for none.
     pub statsd_address: String,
@@ -103,11 +105,7 @@
             "instances to ask while the platform is down: instance@address, ...",
         ),
         settings::Key::required("platform_address", "address of the object API"),
-        settings::Key::text(
-            "token_file",
-            "",
-            "file with the credential for the object API",
-        ),
+        settings::Key::required("token_file", "file with the credential for the object API"),
         settings::Key::text(
             "statsd_address",
             "",
@@ -185,4 +183,8 @@
             "longest time for a planned stop",
         ),
     ];
+
+    fn check(&self) -> Result<(), settings::WrongValue> {
+        check::all(self)
+    }
 }
--- a/crates/damaskvane-entry/tests/program.rs
+++ b/crates/damaskvane-entry/tests/program.rs
@@ -54,7 +54,12 @@
 /// key, its value and what to write instead; what `--check` passes may not fail over its settings later.
 #[test]
 fn wrong_settings_exit_with_2_naming_file_key_value_and_remedy() {
-    let cases: [(&str, &[&str]); 11] = [
+    let cases: [(&str, &[&str]); 13] = [
+        (
+            "platform_address = \"nowhere\"",
+            &["platform_address", "nowhere", "host and port"],
+        ),
+        ("token_file = \"\"", &["token_file", "credential"]),
         (
             "head_timout_ms = 5",
             &["head_timout_ms", "did you mean \"head_timeout_ms\""],
--- a/crates/damaskvane-telemetry/src/settings.rs
+++ b/crates/damaskvane-telemetry/src/settings.rs
@@ -21,6 +21,7 @@
 
 mod error;
 mod key;
+mod wrong_value;
 
 use std::fs;
 use std::path;
@@ -28,6 +29,7 @@
 pub use error::SettingsError;
 pub use key::{Key, Range};
 use serde::de;
+pub use wrong_value::WrongValue;
 
 use crate::nearest;
 
@@ -35,6 +37,15 @@
 pub trait Settings: de::DeserializeOwned {
     /// Every key that a file may hold.
     const KEYS: &'static [Key];
+
+    /// Checks what neither type nor range can, such as the form of an address.
+    ///
+    /// # Errors
+    ///
+    /// Names the key, its value and what to write instead.
+    fn check(&self) -> Result<(), WrongValue> {
+        Ok(())
+    }
 }
 
 /// Reads and checks a settings file.
@@ -76,12 +87,16 @@
             meaning: key.meaning,
         });
     }
-    toml::Value::Table(table)
-        .try_into()
-        .map_err(|error: toml::de::Error| SettingsError::Malformed {
-            file: file.to_owned(),
-            error: error.to_string().trim().to_owned(),
-        })
+    // Read from the text once more: errors of the table would lack the line, and with it the value.
+    let settings: S = toml::from_str(text).map_err(|error| SettingsError::Malformed {
+        file: file.to_owned(),
+        error: error.to_string().trim().to_owned(),
+    })?;
+    settings.check().map_err(|wrong| SettingsError::Wrong {
+        file: file.to_owned(),
+        wrong,
+    })?;
+    Ok(settings)
 }
 
 fn check_key(
--- a/crates/damaskvane-telemetry/src/settings/error.rs
+++ b/crates/damaskvane-telemetry/src/settings/error.rs
@@ -8,6 +8,7 @@
 //! ```
 
 use crate::settings::key::Range;
+use crate::settings::wrong_value::WrongValue;
 
 /// Why a program does not start with these settings.
 #[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
@@ -55,4 +56,11 @@
         /// What is accepted.
         range: Range,
     },
+    /// {file}: {wrong}
+    Wrong {
+        /// The settings file.
+        file: String,
+        /// What is wrong.
+        wrong: WrongValue,
+    },
 }
