--- a/crates/damaskvane-ctl/src/args.rs
+++ b/crates/damaskvane-ctl/src/args.rs
@@ -160,8 +160,10 @@
                     Some(args) => args.operands.push(word),
                 }
             }
-            lexopt::Arg::Long("help") => return Ok(Request::Print(HELP.to_owned())),
-            lexopt::Arg::Long("version") => {
+            lexopt::Arg::Long("help") | lexopt::Arg::Short('h') => {
+                return Ok(Request::Print(HELP.to_owned()));
+            }
+            lexopt::Arg::Long("version") | lexopt::Arg::Short('V') => {
                 let version = env!("CARGO_PKG_VERSION");
                 return Ok(Request::Print(format!("damaskvane-ctl {version}\n")));
             }
--- a/crates/damaskvane-ctl/tests/command_line.rs
+++ b/crates/damaskvane-ctl/tests/command_line.rs
@@ -37,7 +37,12 @@
 
 #[test]
 fn help_and_version_exit_with_0() {
-    for (option, expected) in [("--help", "Exit codes"), ("--version", "damaskvane-ctl ")] {
+    for (option, expected) in [
+        ("--help", "Exit codes"),
+        ("-h", "Exit codes"),
+        ("--version", "damaskvane-ctl "),
+        ("-V", "damaskvane-ctl "),
+    ] {
         let output = run(&[option]);
         assert_eq!(output.status.code(), Some(0));
         assert!(String::from_utf8_lossy(&output.stdout).contains(expected));
--- a/crates/damaskvane-entry/src/settings/check.rs
+++ b/crates/damaskvane-entry/src/settings/check.rs
@@ -27,7 +27,7 @@
     }
     host("platform_address", &settings.platform_address)?;
     peers::Seeds::parse(&settings.seed_peers)
-        .map_err(|error| WrongValue::new("seed_peers", &settings.seed_peers, error, SEEDS))?;
+        .map_err(|error| WrongValue::new("seed_peers", &settings.seed_peers, &error, SEEDS))?;
     token(&settings.token_file)
 }
 
@@ -35,20 +35,20 @@
     let parsed: Result<net::SocketAddr, _> = value.parse();
     parsed
         .map(|_| ())
-        .map_err(|error| WrongValue::new(key, value, error, ADDRESS))
+        .map_err(|error| WrongValue::new(key, value, &error, ADDRESS))
 }
 
 fn host(key: &'static str, value: &str) -> Result<(), WrongValue> {
     let port = value.rsplit_once(':').map(|(_, port)| port.parse::<u16>());
     match port {
         Some(Ok(_)) => Ok(()),
-        _ => Err(WrongValue::new(key, value, "no port", HOST)),
+        _ => Err(WrongValue::new(key, value, &"no port", HOST)),
     }
 }
 
 fn token(path: &str) -> Result<(), WrongValue> {
     let wrong =
-        |error: &dyn ToString| WrongValue::new("token_file", path, error.to_string(), TOKEN);
+        |error: &dyn ToString| WrongValue::new("token_file", path, &error.to_string(), TOKEN);
     let text = fs::read_to_string(path).map_err(|error| wrong(&error))?;
     let parsed: Result<credential::Token, _> = text.trim().parse();
     parsed.map(|_| ()).map_err(|error| wrong(&error))
--- a/crates/damaskvane-standins/src/backend/admin.rs
+++ b/crates/damaskvane-standins/src/backend/admin.rs
@@ -44,7 +44,8 @@
         address: &str,
         servers: Vec<Server>,
     ) -> Result<Self, Box<dyn error::Error + Send + Sync>> {
-        let listener = rouille::Server::new(address, move |request| route(request, &servers))?;
+        let listener = rouille::Server::new(address, move |request| route(request, &servers))
+            .map_err(|error| format!("{address} can't be used ({error}); choose a free address"))?;
         let address = listener.server_addr();
         thread::spawn(move || listener.run());
         Ok(Self { address })
--- a/crates/damaskvane-standins/src/bin/damaskvane-standin-platform.rs
+++ b/crates/damaskvane-standins/src/bin/damaskvane-standin-platform.rs
@@ -1,5 +1,6 @@
 //! The platform's stand-in as a program.
 
+use core::fmt::Display;
 use std::error::Error;
 use std::ffi::OsString;
 use std::fs;
@@ -10,6 +11,7 @@
 use std::time::Duration;
 
 use damaskvane_standins::platform;
+use damaskvane_telemetry::command_line;
 use lexopt::ValueExt;
 use serde_json::json;
 use signal_hook::consts;
@@ -30,8 +32,15 @@
 Prints one line of JSON with both addresses. Ends on SIGTERM and SIGINT with 0, on wrong usage with 2.
 ";
 
-/// The exit code of wrong usage.
-const USAGE_EXIT: u8 = 2;
+const PROGRAM: &str = "damaskvane-standin-platform";
+const FLAGS: [&str; 6] = [
+    "--tokens",
+    "--listen",
+    "--admin",
+    "--instances-lag-ms",
+    "--help",
+    "--version",
+];
 
 struct Settings {
     tokens: PathBuf,
@@ -45,7 +54,7 @@
     Print(String),
 }
 
-fn parse(args: impl IntoIterator<Item = OsString>) -> Result<Command, lexopt::Error> {
+fn parse(args: impl IntoIterator<Item = OsString>) -> Result<Command, command_line::UsageError> {
     let mut tokens = None;
     let mut listen = "127.0.0.1:0".to_owned();
     let mut admin = listen.clone();
@@ -57,17 +66,17 @@
             lexopt::Arg::Long("listen") => listen = parser.value()?.string()?,
             lexopt::Arg::Long("admin") => admin = parser.value()?.string()?,
             lexopt::Arg::Long("instances-lag-ms") => lag_ms = parser.value()?.parse()?,
-            lexopt::Arg::Long("help") => return Ok(Command::Print(HELP.to_owned())),
-            lexopt::Arg::Long("version") => {
+            lexopt::Arg::Long("help") | lexopt::Arg::Short('h') => {
+                return Ok(Command::Print(HELP.to_owned()));
+            }
+            lexopt::Arg::Long("version") | lexopt::Arg::Short('V') => {
                 let version = env!("CARGO_PKG_VERSION");
-                return Ok(Command::Print(format!(
-                    "damaskvane-standin-platform {version}\n"
-                )));
+                return Ok(Command::Print(format!("{PROGRAM} {version}\n")));
             }
-            _ => return Err(arg.unexpected()),
+            other => return Err(command_line::unexpected(other, &FLAGS)),
         }
     }
-    let tokens = tokens.ok_or("--tokens is missing; give the file of tokens")?;
+    let tokens = tokens.ok_or(command_line::UsageError::Missing { flag: "--tokens" })?;
     Ok(Command::Run(Settings {
         tokens,
         listen,
@@ -77,11 +86,20 @@
 }
 
 fn run(settings: &Settings) -> Result<(), Box<dyn Error + Send + Sync>> {
-    let tokens = fs::read_to_string(&settings.tokens)?.parse()?;
+    let tokens = fs::read_to_string(&settings.tokens)
+        .map_err(|error| {
+            format!(
+                "--tokens {} can't be read: {error}",
+                settings.tokens.display()
+            )
+        })?
+        .parse()?;
     let api = Arc::new(platform::Api::new(tokens, settings.instances_lag));
     let admin = platform::Admin::new(Arc::clone(&api));
-    let objects = rouille::Server::new(&settings.listen, move |request| api.handle(request))?;
-    let switches = rouille::Server::new(&settings.admin, move |request| admin.handle(request))?;
+    let objects = rouille::Server::new(&settings.listen, move |request| api.handle(request))
+        .map_err(|error| cannot_listen("--listen", &settings.listen, &error))?;
+    let switches = rouille::Server::new(&settings.admin, move |request| admin.handle(request))
+        .map_err(|error| cannot_listen("--admin", &settings.admin, &error))?;
     let mut signals = Signals::new([consts::SIGTERM, consts::SIGINT])?;
     let addresses = json!({
         "listening": objects.server_addr().to_string(),
@@ -94,6 +112,10 @@
     Ok(())
 }
 
+fn cannot_listen(flag: &str, address: &str, error: &impl Display) -> String {
+    format!("{flag} {address} can't be used ({error}); choose a free address of this machine")
+}
+
 fn main() -> ExitCode {
     match parse(std::env::args_os().skip(1)) {
         Ok(Command::Print(text)) => {
@@ -103,13 +125,10 @@
         Ok(Command::Run(settings)) => match run(&settings) {
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => {
-                eprintln!("damaskvane-standin-platform: {error}");
+                eprintln!("{PROGRAM}: {error}");
                 ExitCode::FAILURE
             }
         },
-        Err(error) => {
-            eprintln!("damaskvane-standin-platform: {error}; --help lists the options");
-            ExitCode::from(USAGE_EXIT)
-        }
+        Err(error) => command_line::report_usage(PROGRAM, &error),
     }
 }
--- a/crates/damaskvane-telemetry/src/settings/wrong_value.rs
+++ b/crates/damaskvane-telemetry/src/settings/wrong_value.rs
@@ -3,7 +3,7 @@
 //! ```
 //! use damaskvane_telemetry::settings;
 //!
-//! let wrong = settings::WrongValue::new("peer_address", "here", "no port", "write it as 127.0.0.1:7001");
+//! let wrong = settings::WrongValue::new("peer_address", "here", &"no port", "write it as 127.0.0.1:7001");
 //! assert!(wrong.to_string().starts_with("peer_address = \"here\""));
 //! ```
 
@@ -22,7 +22,7 @@
     pub fn new(
         key: &'static str,
         value: impl Into<String>,
-        cause: impl ToString,
+        cause: &impl ToString,
         remedy: &'static str,
     ) -> Self {
         Self {
