--- /dev/null
+++ b/crates/damaskvane-engine/src/engine/leaving.rs
@@ -0,0 +1,236 @@
+//! A planned stop: out of look-up answers, one look-up TTL of service, then the keys go to a successor.
+//!
+//! ```text
+//! Serving -> Leaving (still serves) -> HandingOver -> Stopped
+//! ```
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use damaskvane_core::time;
+use damaskvane_dispatch::{home, shutdown};
+
+use crate::engine::Engine;
+use crate::event::Action;
+use crate::{directory, message, peer};
+
+/// How far a planned stop has come.
+#[derive(Debug)]
+pub(super) enum Departure {
+    Serving(shutdown::Serving),
+    Leaving(shutdown::Leaving),
+    HandingOver(Handover),
+    Stopped(shutdown::Stopped),
+}
+
+/// A table of keys on its way to the successor.
+#[derive(Debug)]
+pub(super) struct Handover {
+    phase: shutdown::HandingOver,
+    /// Parts that the successor has not acknowledged.
+    missing: BTreeSet<u32>,
+    resend_at: time::TimeMs,
+    is_announced: bool,
+}
+
+impl Default for Departure {
+    fn default() -> Self {
+        Self::Serving(shutdown::Serving)
+    }
+}
+
+impl Departure {
+    /// Clients may use a cached look-up answer for one TTL; after that nobody was told to come.
+    pub(super) const fn takes_no_requests(&self) -> bool {
+        matches!(self, Self::HandingOver(_) | Self::Stopped(_))
+    }
+}
+
+impl Engine {
+    /// Whether a planned stop has finished all work, or its time is over.
+    #[must_use]
+    pub fn is_drained(&self, now: time::TimeMs) -> bool {
+        match &self.departure {
+            Departure::Stopped(stopped) => {
+                stopped.is_cut_short
+                    || (self.requests.is_empty()
+                        && self.flights.is_empty()
+                        && self.servers.is_drained(now))
+            }
+            _ => false,
+        }
+    }
+
+    /// How far a planned stop is, for operators.
+    #[must_use]
+    pub fn departure(&self, now: time::TimeMs) -> Option<shutdown::Progress> {
+        let running = self.flights.len();
+        match &self.departure {
+            Departure::Serving(_) | Departure::Stopped(_) => None,
+            Departure::Leaving(phase) => Some(phase.progress(now, running)),
+            Departure::HandingOver(handover) => Some(handover.phase.progress(now, running)),
+        }
+    }
+
+    pub(super) fn leave(&mut self, now: time::TimeMs) {
+        if let Departure::Serving(serving) = &self.departure {
+            // Until the last instance has heard of it, look-ups still name this one; what they answer
+            // is kept for one TTL. A client that came later would find another incarnation or nothing.
+            let settings = shutdown::ShutdownSettings {
+                lookup_ttl_ms: self.directory.answer_ttl.get(),
+                ..self.settings.shutdown
+            };
+            self.departure = Departure::Leaving(serving.leave(now, settings));
+        }
+    }
+
+    pub(super) fn advance_departure(&mut self, now: time::TimeMs) {
+        let running = self.flights.len();
+        let departure = core::mem::take(&mut self.departure);
+        self.departure = match departure {
+            Departure::Leaving(phase) => match phase.lapse(now, running) {
+                Ok(phase) => self.begin_handover(now, phase),
+                Err(phase) => Departure::Leaving(phase),
+            },
+            Departure::HandingOver(handover) => self.go_on_handing_over(now, handover),
+            other => other,
+        };
+        self.send_amendments();
+    }
+
+    fn begin_handover(&mut self, now: time::TimeMs, phase: shutdown::HandingOver) -> Departure {
+        let mut missing = BTreeSet::new();
+        match self.successor() {
+            None => self.keys.close(),
+            Some(successor) => {
+                if let Ok(parts) = self.keys.hand_over(now, &successor) {
+                    missing = parts.iter().map(|part| part.part).collect();
+                    self.handed_to = Some(successor);
+                }
+            }
+        }
+        self.send_parts(now, &missing);
+        Departure::HandingOver(Handover {
+            phase,
+            missing,
+            resend_at: now + self.settings.handover_resend,
+            is_announced: false,
+        })
+    }
+
+    fn go_on_handing_over(&mut self, now: time::TimeMs, mut handover: Handover) -> Departure {
+        if handover.missing.is_empty() && !handover.is_announced {
+            handover.is_announced = true;
+            self.announce_successor();
+        }
+        if !handover.missing.is_empty() && handover.resend_at <= now {
+            handover.resend_at = now + self.settings.handover_resend;
+            self.send_parts(now, &handover.missing);
+        }
+        let is_acknowledged = handover.missing.is_empty();
+        match handover
+            .phase
+            .stop(now, self.flights.len(), is_acknowledged)
+        {
+            Ok(stopped) => Departure::Stopped(stopped),
+            Err(phase) => Departure::HandingOver(Handover { phase, ..handover }),
+        }
+    }
+
+    /// A live instance, of the own zone if there is one.
+    fn successor(&self) -> Option<home::Home> {
+        let live = || {
+            self.directory
+                .instances
+                .iter()
+                .filter(|(_, peer)| peer.reachability == directory::Reachability::Live)
+        };
+        live()
+            .find(|(_, peer)| Some(&peer.availability_zone) == self.directory.own_zone.as_ref())
+            .or_else(|| live().next())
+            .map(|(id, peer)| home::Home::new(id.clone(), peer.incarnation))
+    }
+
+    fn send_parts(&mut self, now: time::TimeMs, missing: &BTreeSet<u32>) {
+        let Some(successor) = self.handed_to.clone() else {
+            return;
+        };
+        let Ok(parts) = self.keys.hand_over(now, &successor) else {
+            return;
+        };
+        for part in parts.iter().filter(|part| missing.contains(&part.part)) {
+            self.actions.push(Action::Send {
+                to: successor.instance.clone(),
+                message: Box::new(peer::PeerMessage::Handover(Box::new(part.clone()))),
+            });
+        }
+    }
+
+    /// Tells everybody who answers for this home now; whoever misses it answers *unknown*.
+    fn announce_successor(&mut self) {
+        let Some(successor) = self.handed_to.clone() else {
+            return;
+        };
+        for (instance, peer) in &self.directory.instances {
+            if peer.reachability.takes_messages() {
+                let departed = peer::Departed {
+                    departed: self.me.clone(),
+                    successor: successor.clone(),
+                };
+                self.actions.push(Action::Send {
+                    to: instance.clone(),
+                    message: Box::new(peer::PeerMessage::Departed(departed)),
+                });
+            }
+        }
+    }
+
+    fn send_amendments(&mut self) {
+        let Some(successor) = self.handed_to.clone() else {
+            return;
+        };
+        for record in self.keys.take_amendments() {
+            self.actions.push(Action::Send {
+                to: successor.instance.clone(),
+                message: Box::new(peer::PeerMessage::Amendment(Box::new(record))),
+            });
+        }
+    }
+
+    pub(super) fn take_over(
+        &mut self,
+        now: time::TimeMs,
+        from: &home::Home,
+        part: home::Handover<Arc<message::BackendAnswer>>,
+    ) {
+        let number = part.part;
+        if part.from != *from {
+            return;
+        }
+        if self.keys.accept_handover(now, part).is_ok() {
+            let taken = peer::HandoverTaken { part: number };
+            self.actions.push(Action::Send {
+                to: from.instance.clone(),
+                message: Box::new(peer::PeerMessage::HandoverTaken(taken)),
+            });
+        }
+    }
+
+    pub(super) fn handover_taken(&mut self, from: &home::Home, taken: peer::HandoverTaken) {
+        if let Departure::HandingOver(handover) = &mut self.departure
+            && self.handed_to.as_ref() == Some(from)
+        {
+            handover.missing.remove(&taken.part);
+        }
+    }
+
+    pub(super) fn amended(
+        &mut self,
+        now: time::TimeMs,
+        record: home::HandedRecord<Arc<message::BackendAnswer>>,
+    ) {
+        if let Some(finish) = self.keys.accept_amendment(now, record) {
+            self.answer_waiters(finish);
+        }
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-engine/src/engine/pump.rs
@@ -0,0 +1,170 @@
+//! Takes requests off the queue while backend servers have free slots.
+//!
+//! ```text
+//! queue -> a backend server not tried yet, with a free leased slot -> exchange
+//! what still waits -> slots are asked for: own backend servers first, then other owners
+//! ```
+
+use std::collections::BTreeMap;
+
+use damaskvane_core::{ids, time};
+use damaskvane_dispatch::{quarantine, refusal};
+
+use crate::engine::Engine;
+use crate::engine::pending::{Flight, LocalId, Stage};
+use crate::engine::servers::Taken;
+use crate::event::{Action, Exchange, ExchangeNumber};
+
+impl Engine {
+    pub(super) fn pump(&mut self, now: time::TimeMs) {
+        self.launch_all(now);
+        let waiting = self.waiting_by_service();
+        if !waiting.is_empty() {
+            for (service, count) in waiting {
+                self.servers.demand_own(now, &service, count);
+            }
+            self.launch_all(now);
+            for (service, count) in self.waiting_by_service() {
+                self.servers.demand_others(now, &service, count);
+            }
+        }
+        self.carry_slot_actions();
+    }
+
+    fn waiting_by_service(&self) -> BTreeMap<ids::ServiceId, usize> {
+        let mut waiting = BTreeMap::new();
+        for pending in self.requests.values() {
+            if pending.stage.is_waiting() {
+                *waiting.entry(pending.request.service.clone()).or_default() += 1;
+            }
+        }
+        waiting
+    }
+
+    /// What waits for a certain slot goes first, then the queue while a service has a free slot.
+    fn launch_all(&mut self, now: time::TimeMs) {
+        for id in core::mem::take(&mut self.held) {
+            self.try_launch(now, id);
+        }
+        loop {
+            let servers = &self.servers;
+            let next = self
+                .queue
+                .pop(now, |service| servers.has_free_slot(now, service));
+            let Some(id) = next else {
+                return;
+            };
+            self.try_launch(now, id);
+        }
+    }
+
+    fn try_launch(&mut self, now: time::TimeMs, id: LocalId) {
+        let Some(pending) = self.requests.get(&id) else {
+            return;
+        };
+        let service = pending.request.service.clone();
+        let fingerprint = pending.fingerprint;
+        match self.crashes.list.judge(now, fingerprint) {
+            quarantine::Verdict::Refuse { retry_after } => {
+                let reason = refusal::RefusalReason::Quarantined;
+                self.give_up_until(now, id, reason, retry_after);
+                return;
+            }
+            quarantine::Verdict::Wait => {
+                self.held.push(id);
+                return;
+            }
+            quarantine::Verdict::Run | quarantine::Verdict::RunAlone => {}
+        }
+        let excluded = self.excluded(id);
+        let wanted = self.time_left(now, id);
+        match self.servers.take(now, &service, &excluded, wanted) {
+            Some(taken) => self.launch(now, id, taken),
+            None => {
+                self.crashes.list.release(fingerprint);
+                self.held.push(id);
+            }
+        }
+    }
+
+    /// Backend servers that the request must not go to: those it has tried, and those that died
+    /// while they ran it or a request like it.
+    fn excluded(&self, id: LocalId) -> Vec<ids::BackendServerId> {
+        let Some(pending) = self.requests.get(&id) else {
+            return Vec::new();
+        };
+        let mut excluded: Vec<ids::BackendServerId> = self
+            .crashes
+            .list
+            .avoided(pending.fingerprint)
+            .cloned()
+            .collect();
+        if let Stage::Requeued(admitted) = &pending.stage {
+            excluded.extend_from_slice(admitted.tried());
+        }
+        excluded
+    }
+
+    fn time_left(&self, now: time::TimeMs, id: LocalId) -> time::SpanMs {
+        self.requests
+            .get(&id)
+            .map_or(time::SpanMs::ZERO, |pending| {
+                pending.deadline.time_left(now)
+            })
+    }
+
+    fn launch(&mut self, now: time::TimeMs, id: LocalId, taken: Taken) {
+        let exchange = ExchangeNumber::new(self.next_id());
+        let server = taken.server().clone();
+        let (Some(address), Some(pending)) =
+            (self.servers.address(&server), self.requests.get_mut(&id))
+        else {
+            self.broken("a slot was taken for a request or server that is not known");
+            return;
+        };
+        let stage = core::mem::replace(&mut pending.stage, Stage::Flying(exchange));
+        let admitted = match stage {
+            Stage::Queued(received) => received.admit(),
+            Stage::Requeued(admitted) => admitted,
+            other => {
+                pending.stage = other;
+                self.broken("a request that is not queued was launched");
+                return;
+            }
+        };
+        let request = pending.request.clone();
+        let fingerprint = pending.fingerprint;
+        let deadline = taken.deadline_ms();
+        self.flights.insert(
+            exchange,
+            Flight {
+                id,
+                service: request.service.clone(),
+                request_id: request.request_id.clone(),
+                fingerprint,
+                sent: admitted.send(now, server.clone()),
+                taken,
+            },
+        );
+        self.actions.push(Action::Start(Exchange {
+            number: exchange,
+            backend_server: server,
+            address,
+            request,
+            deadline,
+            begin_before: now + deadline,
+        }));
+    }
+
+    pub(super) fn cancel(&mut self, exchange: ExchangeNumber) {
+        let Some(flight) = self.flights.get(&exchange) else {
+            return;
+        };
+        if let Some(address) = self.servers.address(flight.taken.server()) {
+            self.actions.push(Action::Cancel {
+                address,
+                request_id: flight.request_id.clone(),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-engine/src/engine/servers.rs
@@ -0,0 +1,419 @@
+//! Backend servers as this instance may use them: slots on lease, connections in share, health.
+//!
+//! ```text
+//! candidate = declared, not draining, healthy, with a connection left and a leased slot free
+//! ```
+
+use core::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use damaskvane_core::{ids, time, units};
+use damaskvane_dispatch::{connection, drain, home};
+use damaskvane_membership::view;
+use damaskvane_slots::{connections, exchange, message, permit, settings};
+use damaskvane_steering::health;
+
+use crate::directory;
+use crate::event::ExchangeEnd;
+
+/// Connections are shared out for so many instances of a zone, whoever of them lives.
+const MOST_INSTANCES_OF_A_ZONE: u32 = 32;
+
+/// A slot that was taken for one request.
+pub(super) type Taken = permit::Permit<permit::Sending>;
+
+/// A backend server that drains or has drained.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DrainStatus {
+    /// The backend server.
+    pub backend_server: ids::BackendServerId,
+    /// `draining` or `drained`.
+    pub phase: &'static str,
+    /// Since when.
+    pub since: time::TimeMs,
+    /// What this instance still runs on it.
+    pub running: u32,
+}
+
+/// Backend servers of the own zone.
+#[derive(Debug)]
+pub(super) struct Servers {
+    slots: exchange::SlotExchange,
+    pools: BTreeMap<ids::ServiceId, health::Pool>,
+    lives: BTreeMap<ids::BackendServerId, drain::Lifecycle>,
+    connections: BTreeMap<ids::BackendServerId, connections::ConnectionBudget>,
+    warm_up: drain::WarmUpSettings,
+    uses: u64,
+    last_uses: BTreeMap<ids::BackendServerId, u64>,
+    directory: Arc<directory::Directory>,
+    actions: Vec<exchange::Action>,
+}
+
+impl Servers {
+    pub(super) fn new(me: &home::Home) -> Self {
+        Self {
+            slots: exchange::SlotExchange::new(
+                me.instance.clone(),
+                me.incarnation,
+                settings::SlotSettings::default(),
+            ),
+            pools: BTreeMap::new(),
+            lives: BTreeMap::new(),
+            connections: BTreeMap::new(),
+            warm_up: drain::WarmUpSettings::default(),
+            uses: 0,
+            last_uses: BTreeMap::new(),
+            directory: Arc::default(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// What the slots want done since the last call.
+    pub(super) fn take_actions(&mut self) -> Vec<exchange::Action> {
+        core::mem::take(&mut self.actions)
+    }
+
+    fn tell(&mut self, now: time::TimeMs, event: exchange::Event) {
+        let actions = self.slots.handle(now, event);
+        self.actions.extend(actions);
+    }
+
+    pub(super) fn learn(&mut self, now: time::TimeMs, directory: &Arc<directory::Directory>) {
+        let is_first = self.directory.version == ids::ConfigVersion::default();
+        self.directory = Arc::clone(directory);
+        let limits = directory
+            .backend_servers
+            .iter()
+            .map(|(server, entry)| exchange::ServerSlots {
+                server: server.clone(),
+                slots: entry.slots,
+            })
+            .collect();
+        self.tell(now, exchange::Event::Servers(limits));
+        for (id, entry) in &directory.backend_servers {
+            let pool = self
+                .pools
+                .entry(entry.service.clone())
+                .or_insert_with(|| health::Pool::new(health::Settings::default()));
+            if is_first {
+                pool.join_warm(id.clone(), now);
+            } else {
+                pool.join(id.clone(), now);
+            }
+            let life = self
+                .lives
+                .entry(id.clone())
+                .or_insert_with(|| drain::Lifecycle::active(now));
+            if entry.draining {
+                life.drain(now);
+            } else {
+                life.resume(now);
+            }
+            self.connections.entry(id.clone()).or_insert_with(|| {
+                connections::ConnectionBudget::new(entry.connections, MOST_INSTANCES_OF_A_ZONE)
+            });
+        }
+    }
+
+    pub(super) fn roster(&mut self, now: time::TimeMs, roster: view::Roster) {
+        self.tell(now, exchange::Event::Roster(roster));
+    }
+
+    pub(super) fn message(
+        &mut self,
+        now: time::TimeMs,
+        from: &home::Home,
+        message: message::Addressed,
+    ) {
+        self.tell(
+            now,
+            exchange::Event::Message {
+                from: from.instance.clone(),
+                incarnation: from.incarnation,
+                message,
+            },
+        );
+    }
+
+    pub(super) fn tick(&mut self, now: time::TimeMs) {
+        self.tell(now, exchange::Event::Tick);
+        for (server, life) in &mut self.lives {
+            let running = self
+                .connections
+                .get(server)
+                .map_or(0, connections::ConnectionBudget::in_use);
+            life.advance(now, running as usize, &self.warm_up);
+        }
+    }
+
+    /// Whether a planned stop has handed over what this instance owned.
+    pub(super) fn is_drained(&self, now: time::TimeMs) -> bool {
+        self.slots.is_drained(now)
+    }
+
+    fn candidates<'a>(
+        &'a self,
+        now: time::TimeMs,
+        service: &'a ids::ServiceId,
+        tried: &'a [ids::BackendServerId],
+    ) -> impl Iterator<Item = (&'a ids::BackendServerId, &'a directory::BackendServer)> {
+        self.directory
+            .backend_servers
+            .iter()
+            .filter(move |(_, server)| server.service == *service && !server.draining)
+            .filter(|(id, _)| !tried.contains(id))
+            .filter(move |(id, _)| self.admits(now, service, id))
+    }
+
+    fn admits(
+        &self,
+        now: time::TimeMs,
+        service: &ids::ServiceId,
+        server: &ids::BackendServerId,
+    ) -> bool {
+        let pool = self.pools.get(service);
+        pool.is_some_and(|pool| pool.admission(server, now).takes_work())
+    }
+
+    /// How many backend servers could take a request now or soon.
+    pub(super) fn count(
+        &self,
+        now: time::TimeMs,
+        service: &ids::ServiceId,
+        tried: &[ids::BackendServerId],
+    ) -> usize {
+        self.candidates(now, service, tried).count()
+    }
+
+    /// Slots of a service that take work now.
+    pub(super) fn capacity(&self, now: time::TimeMs, service: &ids::ServiceId) -> units::Slots {
+        self.candidates(now, service, &[])
+            .map(|(_, server)| server.slots)
+            .sum()
+    }
+
+    /// Whether a request of a service could be sent now.
+    pub(super) fn has_free_slot(&self, now: time::TimeMs, service: &ids::ServiceId) -> bool {
+        self.candidates(now, service, &[])
+            .filter(|(id, server)| self.has_room(now, id, server))
+            .any(|(id, _)| self.slots.free(now, id) > units::Slots::ZERO)
+    }
+
+    /// Takes a slot of the backend server with the most free ones.
+    pub(super) fn take(
+        &mut self,
+        now: time::TimeMs,
+        service: &ids::ServiceId,
+        tried: &[ids::BackendServerId],
+        wanted: time::SpanMs,
+    ) -> Option<Taken> {
+        let server = self
+            .candidates(now, service, tried)
+            .filter(|(id, server)| self.has_room(now, id, server))
+            .map(|(id, _)| (self.slots.free(now, id), id))
+            .filter(|(free, _)| *free > units::Slots::ZERO)
+            .max_by_key(|(free, id)| (*free, Reverse(self.last_use(id))))
+            .map(|(_, id)| id.clone())?;
+        let least = self.least_time(service).min(wanted);
+        let ready = self.slots.begin(now, &server, wanted, least).ok()?;
+        match ready.send(now) {
+            Ok(taken) => {
+                self.opened(service, &server);
+                Some(taken)
+            }
+            Err(permit::Lapsed(returned)) => {
+                self.slots.count_lapsed();
+                let actions = self.slots.finish(now, &returned, exchange::Finish::Ended);
+                self.actions.extend(actions);
+                None
+            }
+        }
+    }
+
+    /// A cold or ailing server gets a part of its slots only; the connections have their own limit.
+    fn has_room(
+        &self,
+        now: time::TimeMs,
+        id: &ids::BackendServerId,
+        server: &directory::BackendServer,
+    ) -> bool {
+        let in_use = self
+            .connections
+            .get(id)
+            .map_or(0, connections::ConnectionBudget::in_use);
+        let share = self
+            .connections
+            .get(id)
+            .map_or(0, connections::ConnectionBudget::share);
+        let admitted = self
+            .pools
+            .get(&server.service)
+            .map_or(0, |pool| pool.admission(id, now).slots(server.slots.get()));
+        in_use < share.min(admitted)
+    }
+
+    fn least_time(&self, service: &ids::ServiceId) -> time::SpanMs {
+        self.directory
+            .services
+            .get(service)
+            .map_or(time::SpanMs::ZERO, |service| service.typical_request)
+    }
+
+    /// Among servers that are equally free the one that was left alone for longest is next: all caches
+    /// stay warm, and a fault of one is seen.
+    fn last_use(&self, server: &ids::BackendServerId) -> u64 {
+        self.last_uses.get(server).copied().unwrap_or(0)
+    }
+
+    fn opened(&mut self, service: &ids::ServiceId, server: &ids::BackendServerId) {
+        self.uses += 1;
+        self.last_uses.insert(server.clone(), self.uses);
+        if let Some(budget) = self.connections.get_mut(server) {
+            let _ = budget.open();
+        }
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.started(server);
+        }
+    }
+
+    /// An exchange ended: its slot is free, or counts as taken until the backend server has stopped.
+    ///
+    /// After a lost or silent connection the request may still run until the deadline it was sent. One
+    /// would see the backend server run more than its slots if the slot were used again before.
+    pub(super) fn ended(
+        &mut self,
+        now: time::TimeMs,
+        service: &ids::ServiceId,
+        taken: Taken,
+        took: time::SpanMs,
+        end: &ExchangeEnd,
+    ) {
+        let server = taken.server().clone();
+        let (finish, outcome) = judge(end, took);
+        if let Some(budget) = self.connections.get_mut(&server) {
+            budget.close();
+        }
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.ended(&server, outcome, now);
+        }
+        let actions = self.slots.finish(now, &taken.into_returned(), finish);
+        self.actions.extend(actions);
+    }
+
+    /// Asks for slots while requests wait: of the own backend servers first, which takes no message,
+    /// then of the others in equal parts.
+    pub(super) fn demand_own(
+        &mut self,
+        now: time::TimeMs,
+        service: &ids::ServiceId,
+        waiting: usize,
+    ) {
+        let own = self.assigned(now, service, true);
+        self.demand(now, &own, waiting);
+    }
+
+    pub(super) fn demand_others(
+        &mut self,
+        now: time::TimeMs,
+        service: &ids::ServiceId,
+        waiting: usize,
+    ) {
+        let others = self.assigned(now, service, false);
+        let each = waiting.div_ceil(others.len().max(1));
+        self.demand(now, &others, each);
+    }
+
+    fn assigned(
+        &self,
+        now: time::TimeMs,
+        service: &ids::ServiceId,
+        to_me: bool,
+    ) -> Vec<ids::BackendServerId> {
+        self.candidates(now, service, &[])
+            .filter(|(id, server)| self.has_room(now, id, server))
+            .map(|(id, _)| id)
+            .filter(|id| self.slots.is_assigned(id) == to_me)
+            .cloned()
+            .collect()
+    }
+
+    fn demand(&mut self, now: time::TimeMs, servers: &[ids::BackendServerId], waiting: usize) {
+        let waiting = units::Slots::new(u32::try_from(waiting).unwrap_or(u32::MAX));
+        for server in servers {
+            let server = server.clone();
+            self.tell(now, exchange::Event::Demand { server, waiting });
+        }
+    }
+
+    /// Backend servers that drain or have drained, and since when.
+    pub(super) fn draining(&self) -> impl Iterator<Item = DrainStatus> + '_ {
+        self.lives.iter().filter_map(|(server, life)| {
+            let (phase, since) = match life {
+                drain::Lifecycle::Draining(draining) => ("draining", draining.since()),
+                drain::Lifecycle::Drained(drained) => ("drained", drained.since()),
+                drain::Lifecycle::Cold(_) | drain::Lifecycle::Active(_) => return None,
+            };
+            Some(DrainStatus {
+                backend_server: server.clone(),
+                phase,
+                since,
+                running: self
+                    .connections
+                    .get(server)
+                    .map_or(0, connections::ConnectionBudget::in_use),
+            })
+        })
+    }
+
+    /// Slots that this instance grants and that take work, by service.
+    pub(super) fn serving(&self, now: time::TimeMs) -> BTreeMap<ids::ServiceId, units::Slots> {
+        let mut serving = BTreeMap::new();
+        for status in self.slots.status(now) {
+            let is_serving = status.phase == exchange::OwnerPhase::Serving;
+            let Some(entry) = self.directory.backend_servers.get(status.server) else {
+                continue;
+            };
+            let takes_work = !entry.draining && self.admits(now, &entry.service, status.server);
+            let slots = if is_serving && takes_work {
+                entry.slots
+            } else {
+                units::Slots::ZERO
+            };
+            let sum: &mut units::Slots = serving.entry(entry.service.clone()).or_default();
+            *sum = *sum + slots;
+        }
+        serving
+    }
+
+    pub(super) fn address(&self, server: &ids::BackendServerId) -> Option<std::net::SocketAddr> {
+        let entry = self.directory.backend_servers.get(server)?;
+        Some(entry.address)
+    }
+}
+
+/// What the end of an exchange says of the slot, and of the server. Each exchange has a connection of its
+/// own, so that a silent or broken one is not the fault of an earlier exchange.
+const fn judge(end: &ExchangeEnd, took: time::SpanMs) -> (exchange::Finish, health::Outcome) {
+    let failure = match end {
+        ExchangeEnd::Answered(_) => {
+            return (exchange::Finish::Ended, health::Outcome::Answered { took });
+        }
+        ExchangeEnd::Refused => connection::Failure::Shed,
+        ExchangeEnd::NotSent => connection::Failure::Refused,
+        ExchangeEnd::Lost | ExchangeEnd::Cut => connection::Failure::Closed { on_fresh: true },
+        ExchangeEnd::Silent => connection::Failure::Silent { on_fresh: true },
+        ExchangeEnd::Crossed => connection::Failure::Crossed,
+    };
+    let finish = if end.proves_not_run() {
+        exchange::Finish::Ended
+    } else {
+        exchange::Finish::MayStillRun
+    };
+    match failure.action() {
+        connection::Action::Ignore => (finish, health::Outcome::Refused),
+        connection::Action::CountAgainst | connection::Action::TryFresh => {
+            (finish, health::Outcome::Failed)
+        }
+    }
+}
--- a/crates/damaskvane-engine/src/event/input.rs
+++ b/crates/damaskvane-engine/src/event/input.rs
@@ -9,6 +9,9 @@
 
 use std::sync::Arc;
 
+use damaskvane_dispatch::{fingerprint, home};
+use damaskvane_membership::view;
+
 use crate::event::{exchange_end, number};
 use crate::{directory, message, peer};
 
@@ -37,12 +40,16 @@
     /// Another entry instance sent a message.
     Peer {
         /// Who sent it.
-        from: message::Home,
+        from: home::Home,
         /// What it says.
         message: Box<peer::PeerMessage>,
     },
     /// Configuration or membership changed.
     Directory(Arc<directory::Directory>),
+    /// The instances of the own zone, as owners of slots.
+    Roster(Box<view::Roster>),
+    /// An operator lets a quarantined request go.
+    ClearQuarantine(fingerprint::Fingerprint),
     /// A planned stop has begun.
     Leave,
     /// Time passed.
--- a/crates/damaskvane-entry/src/client_api/listener.rs
+++ b/crates/damaskvane-entry/src/client_api/listener.rs
@@ -112,12 +112,14 @@
         .map_or_else(String::new, |target| target.as_str().to_owned());
     match route::Route::parse(&target) {
         route::Route::Lookup => lookup::answer(&api.serving, request.uri().query().unwrap_or("")),
-        route::Route::Service { service, path } => {
-            match service.parse() {
-                Ok(service) => submit(api, request, service, path).await,
-                Err(error) => refuse(api, refusal::RefusalReason::ServiceUnknown, &error.to_string()),
-            }
-        }
+        route::Route::Service { service, path } => match service.parse() {
+            Ok(service) => submit(api, request, service, path).await,
+            Err(error) => refuse(
+                api,
+                refusal::RefusalReason::ServiceUnknown,
+                &error.to_string(),
+            ),
+        },
         route::Route::Unknown => refuse(
             api,
             refusal::RefusalReason::MalformedRequest,
@@ -151,6 +153,7 @@
         Ok(body) => request.body = body,
         Err(error) => return refuse(api, error.reason(), &error.to_string()),
     }
+    count_arrival(&api.serving, &request);
     let request_id = request.request_id.clone();
     let outcome = run(api, request).await;
     reply::from_outcome(
@@ -160,12 +163,26 @@
     )
 }
 
+/// Counts first tries only: what comes again is the same demand.
+fn count_arrival(serving: &serving::Serving, request: &message::ServiceRequest) {
+    let is_first = request
+        .idempotency
+        .as_ref()
+        .is_none_or(|idempotency| idempotency.try_number <= 1);
+    let source = serving
+        .state()
+        .source_zone(&request.service, request.client.as_ref());
+    if let (true, Some(source)) = (is_first, source) {
+        serving.meter.arrived(&request.service, &source);
+    }
+}
+
 /// Gives the request to the engine and waits. hyper drops this future when the client closes its
 /// connection; the guard then tells the engine, which stops what still runs.
 async fn run(
     api: &ClientApi,
     request: message::ServiceRequest,
-) -> outcome::Outcome<message::BackendAnswer> {
+) -> outcome::Outcome<Arc<message::BackendAnswer>> {
     let lost = outcome::Outcome::unknown(refusal::RefusalReason::InternalInvariant);
     let number = api.serving.next_request_number();
     let (sender, receiver) = flume::bounded(1);
@@ -182,4 +199,3 @@
     guard.disarm();
     outcome.unwrap_or(lost)
 }
-
--- a/crates/damaskvane-entry/src/engine_thread.rs
+++ b/crates/damaskvane-entry/src/engine_thread.rs
@@ -10,17 +10,23 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use damaskvane_engine::{engine, event, message};
+use damaskvane_core::time;
+use damaskvane_dispatch::home;
+use damaskvane_engine::{engine, event};
+use serde_json::json;
 use slog::{error, warn};
 
 use crate::exchange_pool;
 use crate::inbox;
+use crate::operator_api::status;
 use crate::peers;
 use crate::serving;
 
 /// How often the engine is told that time has passed.
 pub const TICK: Duration = Duration::from_millis(10);
 
+const LOAD_PERIOD: time::SpanMs = time::SpanMs::new(1_000);
+
 /// What the engine's thread works with.
 pub struct EngineThread {
     engine: engine::Engine,
@@ -28,6 +34,7 @@
     inbox: flume::Receiver<inbox::Input>,
     exchanges: exchange_pool::ExchangePool,
     peers: Arc<peers::Peers>,
+    status: status::Source,
     replies: HashMap<event::RequestNumber, inbox::Reply>,
     logger: slog::Logger,
 }
@@ -36,19 +43,21 @@
     /// A thread's worth of state, not yet running.
     #[must_use]
     pub fn new(
-        me: message::Home,
+        me: home::Home,
         serving: Arc<serving::Serving>,
         inbox: flume::Receiver<inbox::Input>,
         exchanges: exchange_pool::ExchangePool,
         peers: Arc<peers::Peers>,
+        status: status::Source,
         logger: slog::Logger,
     ) -> Self {
         Self {
-            engine: engine::Engine::new(me),
+            engine: engine::Engine::new(me, engine::EngineSettings::default()),
             serving,
             inbox,
             exchanges,
             peers,
+            status,
             replies: HashMap::new(),
             logger,
         }
@@ -57,6 +66,7 @@
     /// Runs until it is told to stop.
     pub fn run(mut self) {
         let mut next_tick = self.serving.clock.now();
+        let mut next_load = next_tick;
         loop {
             let event = match self.inbox.recv_timeout(TICK) {
                 Ok(inbox::Input::Stop) | Err(flume::RecvTimeoutError::Disconnected) => return,
@@ -67,13 +77,58 @@
                 self.handle(event);
             }
             let now = self.serving.clock.now();
+            if now >= next_load {
+                next_load = now + LOAD_PERIOD;
+                self.serving.meter.set_engine(self.engine.take_load(now));
+                self.publish(now);
+            }
             if now >= next_tick {
-                next_tick = now + damaskvane_core::time::SpanMs::new(TICK.as_millis() as u64);
+                next_tick = now + time::SpanMs::new(TICK.as_millis() as u64);
                 self.handle(event::Event::Tick);
             }
         }
     }
 
+    fn publish(&self, now: time::TimeMs) {
+        let quarantined: Vec<_> = self
+            .engine
+            .quarantined(now)
+            .into_iter()
+            .map(|listed| {
+                json!({
+                    "fingerprint": listed.fingerprint,
+                    "incidents": listed.incidents,
+                    "refused": listed.is_refused,
+                    "time_left_ms": listed.time_left,
+                })
+            })
+            .collect();
+        self.status.publish("quarantine", json!(quarantined));
+        self.status.publish(
+            "requests",
+            json!({
+                "running": self.engine.running(),
+                "waiting": self.engine.waiting(),
+                "keys": self.engine.keys(),
+            }),
+        );
+        let draining: Vec<_> = self
+            .engine
+            .draining()
+            .map(|server| {
+                json!({
+                    "backend_server": server.backend_server,
+                    "phase": server.phase,
+                    "for_ms": now.since(server.since),
+                    "running": server.running,
+                })
+            })
+            .collect();
+        self.status.publish("draining", json!(draining));
+        self.status
+            .publish("stop", json!(self.engine.departure(now)));
+    }
+
     fn event(&mut self, input: inbox::Input) -> event::Event {
         match input {
             inbox::Input::Submit {
@@ -93,6 +148,10 @@
             }
             inbox::Input::Peer { from, message } => event::Event::Peer { from, message },
             inbox::Input::Directory(directory) => event::Event::Directory(directory),
+            inbox::Input::ClearQuarantine(fingerprint) => {
+                event::Event::ClearQuarantine(fingerprint)
+            }
+            inbox::Input::Roster(roster) => event::Event::Roster(roster),
             inbox::Input::Leave => event::Event::Leave,
             inbox::Input::Stop => event::Event::Tick,
         }
@@ -103,6 +162,9 @@
         for action in self.engine.handle(now, event) {
             self.carry_out(action);
         }
+        if self.engine.is_drained(now) {
+            self.serving.set_drained();
+        }
     }
 
     fn carry_out(&mut self, action: event::Action) {
@@ -130,7 +192,9 @@
             }
             event::Action::Count { family, word } => self.serving.counters.increment(family, word),
             event::Action::Broken { invariant } => {
-                self.serving.counters.increment("invariant_broken", invariant);
+                self.serving
+                    .counters
+                    .increment("invariant_broken", invariant);
                 error!(self.logger, "an invariant was broken and the action refused"; "reason" => invariant);
             }
         }
--- a/crates/damaskvane-entry/src/inbox/input.rs
+++ b/crates/damaskvane-entry/src/inbox/input.rs
@@ -9,11 +9,12 @@
 
 use std::sync::Arc;
 
-use damaskvane_dispatch::outcome;
+use damaskvane_dispatch::{fingerprint, home, outcome};
 use damaskvane_engine::{directory, event, message, peer};
+use damaskvane_membership::view;
 
 /// Where a client's handler waits for its answer.
-pub type Reply = flume::Sender<outcome::Outcome<message::BackendAnswer>>;
+pub type Reply = flume::Sender<outcome::Outcome<Arc<message::BackendAnswer>>>;
 
 /// One message to the engine's thread.
 #[derive(Debug)]
@@ -42,12 +43,16 @@
     /// Another entry instance's engine sent a message.
     Peer {
         /// Who sent it.
-        from: message::Home,
+        from: home::Home,
         /// What it says.
         message: Box<peer::PeerMessage>,
     },
     /// Configuration or membership changed.
     Directory(Arc<directory::Directory>),
+    /// The instances of the own zone, as owners of slots.
+    Roster(Box<view::Roster>),
+    /// An operator lets a quarantined request go.
+    ClearQuarantine(fingerprint::Fingerprint),
     /// A planned stop has begun.
     Leave,
     /// The engine's thread ends.
--- a/crates/damaskvane-entry/src/serving.rs
+++ b/crates/damaskvane-entry/src/serving.rs
@@ -11,29 +11,35 @@
 //! assert_eq!(serving.config_version().get(), 0);
 //! ```
 
+mod active_shift;
 mod state;
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
+pub use active_shift::ActiveShift;
 use arc_swap::ArcSwap;
 use damaskvane_core::ids;
 use damaskvane_engine::event;
 use damaskvane_telemetry::counters;
-pub use state::{EntryPoint, LookupService, ServingState};
+pub use state::{EntryPoint, LookupService, ServingState, client_hash};
 
 use crate::clock;
+use crate::load;
 
 /// What the threads of an entry instance share.
 #[derive(Debug)]
 pub struct Serving {
     /// Counts of everything that happens.
     pub counters: counters::Counters,
+    /// What this instance measures of its traffic.
+    pub meter: load::Meter,
     /// The process's clock.
     pub clock: clock::MonotonicClock,
     state: ArcSwap<ServingState>,
     next_request: AtomicU64,
     id_prefix: String,
+    drained: AtomicBool,
 }
 
 impl Serving {
@@ -42,10 +48,12 @@
     pub fn new(counters: counters::Counters, id_prefix: impl Into<String>) -> Self {
         Self {
             counters,
+            meter: load::Meter::default(),
             clock: clock::MonotonicClock::start(),
             state: ArcSwap::default(),
             next_request: AtomicU64::new(1),
             id_prefix: id_prefix.into(),
+            drained: AtomicBool::new(false),
         }
     }
 
@@ -66,6 +74,17 @@
         self.state.load().version
     }
 
+    /// Whether a planned stop has finished all work.
+    #[must_use]
+    pub fn is_drained(&self) -> bool {
+        self.drained.load(Ordering::Acquire)
+    }
+
+    /// Says that a planned stop has finished all work.
+    pub fn set_drained(&self) {
+        self.drained.store(true, Ordering::Release);
+    }
+
     /// A number for a request that has just arrived.
     #[must_use]
     pub fn next_request_number(&self) -> event::RequestNumber {
