Measure the transport and the size of heartbeats

The lag of the list and the loss of the platform now cover the time between two reads of the list, which reaches 10.5 s at 420 instances; shorter ones would have made a healthy neighbour seem unable to fence.

--- a/crates/damaskvane-membership/src/settings.rs
+++ b/crates/damaskvane-membership/src/settings.rs
@@ -36,6 +36,9 @@
     /// time between two reads.
     pub list_lag_ms: SpanMs,
     /// After this time without contact an instance can't reach the platform.
+    ///
+    /// It must be longer than the time between two reads of the list: an instance that is thought to be
+    /// cut off could otherwise fence another that does not expect it.
     pub platform_lost_ms: SpanMs,
     /// How long a neighbour is dead before it is fenced through the platform.
     pub fence_after_ms: SpanMs,
@@ -56,8 +59,8 @@
             delisted_grace_ms: SpanMs::new(60_000),
             pause_ms: SpanMs::new(1_000),
             authority_ms: SpanMs::new(12_000),
-            list_lag_ms: SpanMs::new(10_000),
-            platform_lost_ms: SpanMs::new(5_000),
+            list_lag_ms: SpanMs::new(20_000),
+            platform_lost_ms: SpanMs::new(15_000),
             fence_after_ms: SpanMs::new(5_000),
             retry_ms: SpanMs::new(1_000),
         }
--- a/crates/damaskvane-membership/tests/common/mod.rs
+++ b/crates/damaskvane-membership/tests/common/mod.rs
@@ -53,6 +53,8 @@
     let own = view::Own::new(record.instance, record.zone, record.incarnation);
     let settings = settings::MembershipSettings {
         authority_ms: ms(8_000),
+        list_lag_ms: ms(10_000),
+        platform_lost_ms: ms(5_000),
         ..settings::MembershipSettings::default()
     };
     view::Membership::new(own, settings, at(0))
--- /dev/null
+++ b/crates/damaskvane-membership/tests/sizes.rs
@@ -0,0 +1,19 @@
+//! The size of a heartbeat in the self-describing encoding, against a compact one.
+
+mod common;
+
+use common::{beat, id};
+use damaskvane_core::ids;
+use damaskvane_peer::envelope;
+
+/// The budget of control is worked out with these sizes. A field that is added must not double them.
+#[test]
+fn a_heartbeat_is_small() {
+    let mut heartbeat = beat(100_000);
+    heartbeat.echo = Some(100_000);
+    let header = envelope::Header::new(id("sask-a-1"), ids::Incarnation::new(1_000));
+    let cbor = envelope::encode(&header, &heartbeat).unwrap().len();
+    let compact = postcard::to_allocvec(&(&header, &heartbeat)).unwrap().len();
+    println!("heartbeat: CBOR {cbor} bytes, postcard {compact} bytes");
+    assert!(cbor <= 80, "{cbor}");
+}
