--- a/crates/damaskvane-bench/src/capacity/quantity.rs
+++ b/crates/damaskvane-bench/src/capacity/quantity.rs
@@ -24,6 +24,12 @@
     names: &["daemons"],
     targets: &[TARGET_DAEMONS],
 };
+/// The fleet's reads of the list of instances stop growing at this many daemons; see docs/CAPACITY.md.
+pub(crate) const LIST_READERS: f64 = 60.0;
+const CALLERS: Size = Size {
+    names: &["daemons, at most 60", "relays"],
+    targets: &[LIST_READERS, 2.0 * TARGET_ZONES],
+};
 const SHAPE: Size = Size {
     names: &["zones", "daemons in the zone"],
     targets: &[TARGET_ZONES, TARGET_IN_ZONE],
@@ -85,7 +91,7 @@
     quantity("cpu-relay", "processor time of a relay without traffic", "ms/s", SHAPE, Some(BUDGET_CPU_MS)),
     quantity("cpu-other", "processor time of an instance that is no relay, without traffic", "ms/s", SHAPE, Some(BUDGET_CPU_MS)),
     quantity("memory", "resident memory of an instance, largest", "MB", SHAPE, Some(BUDGET_MEMORY_MB)),
-    quantity("store-reads", "reads and watches at the store, whole fleet", "calls/s", DAEMONS, Some(BUDGET_READS)),
+    quantity("store-reads", "reads and watches at the store, whole fleet", "calls/s", CALLERS, Some(BUDGET_READS)),
     quantity("store-writes", "writes at the store, whole fleet", "calls/s", DAEMONS, Some(BUDGET_WRITES)),
     quantity("ticket-bytes", "control traffic of the busiest instance for one ticket, both ways", "B", OBJECTS, None),
     quantity("ticket-reads", "reads at the store for one ticket, 12 daemons", "calls", OBJECTS, Some(BUDGET_READS)),
--- a/crates/damaskvane-bench/src/capacity/steady.rs
+++ b/crates/damaskvane-bench/src/capacity/steady.rs
@@ -4,6 +4,7 @@
 use std::thread;
 use std::time::Duration;
 
+use crate::capacity::quantity::LIST_READERS;
 use crate::capacity::{Quantity, Rates, Slope, Snapshot};
 use crate::cluster::{Cluster, Deployment};
 use crate::error::BenchError;
@@ -110,8 +111,14 @@
 
 /// The variables that a quantity is fitted over.
 fn variables(quantity: Quantity, shape: Shape) -> Vec<f64> {
-    match quantity.size.names.len() {
-        1 => vec![shape.daemons() as f64],
-        _ => vec![(shape.regions * shape.zones) as f64, shape.entries as f64],
+    let zones = (shape.regions * shape.zones) as f64;
+    let daemons = shape.daemons() as f64;
+    match quantity.key {
+        "store-reads" => vec![
+            daemons.min(LIST_READERS),
+            zones * shape.entries.min(2) as f64,
+        ],
+        "store-writes" => vec![daemons],
+        _ => vec![zones, shape.entries as f64],
     }
 }
--- a/crates/damaskvane-bench/src/speed/command.rs
+++ b/crates/damaskvane-bench/src/speed/command.rs
@@ -67,6 +67,12 @@
     if !report.release {
         println!("debug build: these figures say little");
     }
+    let (straight, fresh) = (&report.requests.straight, &report.requests.straight_fresh);
+    println!(
+        "       a connection for each request alone adds {:.3} ms p50, {:.3} ms p99",
+        fresh.p50_ms - straight.p50_ms,
+        fresh.p99_ms - straight.p99_ms
+    );
     for (figure, met) in met {
         println!("{} {figure}", if *met { "met   " } else { "MISSED" });
     }
--- a/crates/damaskvane-bench/src/speed/requests.rs
+++ b/crates/damaskvane-bench/src/speed/requests.rs
@@ -1,6 +1,6 @@
 //! Requests straight to a backend server and through an entry instance, in turn.
 //!
-//! Both kinds alternate within one run, so that whatever else the machine does hits both alike.
+//! The ways alternate within one run, so that whatever else the machine does hits all alike.
 //!
 //! ```
 //! use damaskvane_bench::speed;
@@ -22,17 +22,29 @@
 /// The longest wait for one answer.
 const LIMIT: Duration = Duration::from_secs(2);
 
-/// Latencies both ways.
+/// Latencies by way.
 #[derive(Debug, Clone, Default, PartialEq, Serialize)]
 pub struct RequestFigures {
     /// Straight to a backend server.
     pub straight: histogram::Summary,
+    /// Straight to a backend server, with a connection of its own for each request.
+    pub straight_fresh: histogram::Summary,
     /// Through the entry instance.
     pub through: histogram::Summary,
     /// Requests without status 200.
     pub failed: usize,
 }
 
+/// Which way a request goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Way {
+    Straight,
+    StraightFresh,
+    Through,
+}
+
+const WAYS: [Way; 3] = [Way::Straight, Way::StraightFresh, Way::Through];
+
 /// Where to send what.
 #[derive(Debug, Clone)]
 pub struct Targets {
@@ -46,7 +58,7 @@
     pub path: String,
 }
 
-/// Sends `rate` requests a second of each kind for `seconds`.
+/// Sends `rate` requests a second each way for `seconds`.
 pub fn measure_requests(
     targets: &Targets,
     rate: u64,
@@ -61,27 +73,31 @@
 }
 
 async fn drive(targets: &Targets, rate: u64, seconds: u64) -> RequestFigures {
-    let connections = Arc::new(http::Connections::default());
+    let kept = Arc::new(http::Connections::default());
     let (sender, receiver) = flume::unbounded();
     let start = Instant::now();
-    for number in 0..rate * seconds * 2 {
-        let through = number % 2 == 1;
-        let due = start + Duration::from_secs_f64(number as f64 / (2 * rate) as f64);
+    let ways = WAYS.len() as u64;
+    for number in 0..rate * seconds * ways {
+        let way = WAYS[usize::try_from(number % ways).unwrap_or_default()];
+        let due = start + Duration::from_secs_f64(number as f64 / (ways * rate) as f64);
         tokio::time::sleep_until(due.into()).await;
-        let Some(request) = request(targets, number, through) else {
+        let Some(request) = request(targets, number, way) else {
             continue;
         };
-        let address = if through {
-            targets.entry
-        } else {
-            targets.backend
+        let connections = match way {
+            Way::StraightFresh => Arc::default(),
+            Way::Straight | Way::Through => Arc::clone(&kept),
+        };
+        let address = match way {
+            Way::Through => targets.entry,
+            Way::Straight | Way::StraightFresh => targets.backend,
         };
-        let (connections, sender) = (Arc::clone(&connections), sender.clone());
+        let sender = sender.clone();
         tokio::spawn(async move {
             let sent = Instant::now();
             let answer = connections.exchange(address, request, LIMIT).await;
             let whole = answer.is_ok_and(|answer| answer.status() == 200);
-            let _ = sender.send((through, whole, sent.elapsed().as_micros()));
+            let _ = sender.send((way, whole, sent.elapsed().as_micros()));
         });
     }
     drop(sender);
@@ -89,21 +105,22 @@
     while let Ok(answer) = receiver.recv_async().await {
         answers.push(answer);
     }
-    let summary = |wanted: bool| {
+    let summary = |wanted: Way| {
         let whole = answers
             .iter()
-            .filter(|(through, whole, _)| *through == wanted && *whole);
+            .filter(|(way, whole, _)| *way == wanted && *whole);
         histogram::Summary::of(whole.map(|(_, _, us)| u64::try_from(*us).unwrap_or(u64::MAX)))
     };
     RequestFigures {
-        straight: summary(false),
-        through: summary(true),
+        straight: summary(Way::Straight),
+        straight_fresh: summary(Way::StraightFresh),
+        through: summary(Way::Through),
         failed: answers.iter().filter(|(_, whole, _)| !whole).count(),
     }
 }
 
-fn request(targets: &Targets, number: u64, through: bool) -> Option<http::Request> {
-    let (address, path) = if through {
+fn request(targets: &Targets, number: u64, way: Way) -> Option<http::Request> {
+    let (address, path) = if way == Way::Through {
         let path = format!("/v1/services/{}{}", targets.service, targets.path);
         (targets.entry, path)
     } else {
