--- a/crates/damaskvane-standins/src/config_run/calls.rs
+++ b/crates/damaskvane-standins/src/config_run/calls.rs
@@ -85,6 +85,7 @@
         };
         let outcome = match call {
             Call::WriteChunk(chunk) | Call::FileTicket(_, chunk) => write(0, chunk.bytes(), ""),
+            Call::RepairChunk { if_version, chunk } => write(*if_version, chunk.bytes(), ""),
             Call::WriteHead {
                 if_version,
                 bytes,
@@ -97,6 +98,7 @@
             (WriteOutcome::Applied(_), Call::WriteHead { bytes, .. }) => {
                 let ticket = self.ticket_of(bytes)?;
                 self.truth.note_head(bytes, &ticket)?;
+                self.spans.accept(self.now);
                 self.fire_watches();
                 Ok(Answer::Applied)
             }
