One list of engine events; backend servers of the engine in smaller files

Ruled out: a macro. Conclusion: an event is named once; judgement, drain status and views have files of their own.

--- a/crates/damaskvane-engine/src/engine/servers.rs
+++ b/crates/damaskvane-engine/src/engine/servers.rs
@@ -4,15 +4,20 @@
 //! candidate = declared, not draining, healthy, with a connection left and a leased slot free
 //! ```
 
+mod drain_status;
+mod judgement;
+mod views;
+
 use core::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use damaskvane_core::{ids, time, units};
-use damaskvane_dispatch::{connection, drain, home};
+use damaskvane_dispatch::{drain, home};
 use damaskvane_membership::view;
 use damaskvane_slots::{connections, exchange, message, permit, settings};
 use damaskvane_steering::health;
+pub use drain_status::DrainStatus;
 
 use crate::directory;
 use crate::event::ExchangeEnd;
@@ -23,19 +28,6 @@
 /// A slot that was taken for one request.
 pub(super) type Taken = permit::Permit<permit::Sending>;
 
-/// A backend server that drains or has drained.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct DrainStatus {
-    /// The backend server.
-    pub backend_server: ids::BackendServerId,
-    /// `draining` or `drained`.
-    pub phase: &'static str,
-    /// Since when.
-    pub since: time::TimeMs,
-    /// What this instance still runs on it.
-    pub running: u32,
-}
-
 /// Backend servers of the own zone.
 #[derive(Debug)]
 pub(super) struct Servers {
@@ -306,7 +298,7 @@
         end: &ExchangeEnd,
     ) {
         let server = taken.server().clone();
-        let (finish, outcome) = judge(end, took);
+        let (finish, outcome) = judgement::judge(end, took);
         if let Some(budget) = self.connections.get_mut(&server) {
             budget.close();
         }
@@ -362,74 +354,8 @@
         }
     }
 
-    /// Backend servers that drain or have drained, and since when.
-    pub(super) fn draining(&self) -> impl Iterator<Item = DrainStatus> + '_ {
-        self.lives.iter().filter_map(|(server, life)| {
-            let (phase, since) = match life {
-                drain::Lifecycle::Draining(draining) => ("draining", draining.since()),
-                drain::Lifecycle::Drained(drained) => ("drained", drained.since()),
-                drain::Lifecycle::Cold(_) | drain::Lifecycle::Active(_) => return None,
-            };
-            Some(DrainStatus {
-                backend_server: server.clone(),
-                phase,
-                since,
-                running: self
-                    .connections
-                    .get(server)
-                    .map_or(0, connections::ConnectionBudget::in_use),
-            })
-        })
-    }
-
-    /// Slots that this instance grants and that take work, by service.
-    pub(super) fn serving(&self, now: time::TimeMs) -> BTreeMap<ids::ServiceId, units::Slots> {
-        let mut serving = BTreeMap::new();
-        for status in self.slots.status(now) {
-            let is_serving = status.phase == exchange::OwnerPhase::Serving;
-            let Some(entry) = self.directory.backend_servers.get(status.server) else {
-                continue;
-            };
-            let takes_work = !entry.draining && self.admits(now, &entry.service, status.server);
-            let slots = if is_serving && takes_work {
-                entry.slots
-            } else {
-                units::Slots::ZERO
-            };
-            let sum: &mut units::Slots = serving.entry(entry.service.clone()).or_default();
-            *sum = *sum + slots;
-        }
-        serving
-    }
-
     pub(super) fn address(&self, server: &ids::BackendServerId) -> Option<std::net::SocketAddr> {
         let entry = self.directory.backend_servers.get(server)?;
         Some(entry.address)
     }
 }
-
-/// What the end of an exchange says of the slot, and of the server. Each exchange has a connection of its
-/// own, so that a silent or broken one is not the fault of an earlier exchange.
-const fn judge(end: &ExchangeEnd, took: time::SpanMs) -> (exchange::Finish, health::Outcome) {
-    let failure = match end {
-        ExchangeEnd::Answered(_) => {
-            return (exchange::Finish::Ended, health::Outcome::Answered { took });
-        }
-        ExchangeEnd::Refused => connection::Failure::Shed,
-        ExchangeEnd::NotSent => connection::Failure::Refused,
-        ExchangeEnd::Lost | ExchangeEnd::Cut => connection::Failure::Closed { on_fresh: true },
-        ExchangeEnd::Silent => connection::Failure::Silent { on_fresh: true },
-        ExchangeEnd::Crossed => connection::Failure::Crossed,
-    };
-    let finish = if end.proves_not_run() {
-        exchange::Finish::Ended
-    } else {
-        exchange::Finish::MayStillRun
-    };
-    match failure.action() {
-        connection::Action::Ignore => (finish, health::Outcome::Refused),
-        connection::Action::CountAgainst | connection::Action::TryFresh => {
-            (finish, health::Outcome::Failed)
-        }
-    }
-}
--- /dev/null
+++ b/crates/damaskvane-engine/src/engine/servers/judgement.rs
@@ -0,0 +1,42 @@
+//! What the end of an exchange says of its slot and of its backend server.
+//!
+//! ```text
+//! answered, refused, not sent -> the slot is free
+//! lost, silent, cut, crossed  -> the slot counts as taken until the backend server must have stopped
+//! ```
+
+use damaskvane_core::time;
+use damaskvane_dispatch::connection;
+use damaskvane_slots::exchange;
+use damaskvane_steering::health;
+
+use crate::event::ExchangeEnd;
+
+/// What the end of an exchange says of the slot, and of the server. Each exchange has a connection of its
+/// own, so that a silent or broken one is not the fault of an earlier exchange.
+pub(super) const fn judge(
+    end: &ExchangeEnd,
+    took: time::SpanMs,
+) -> (exchange::Finish, health::Outcome) {
+    let failure = match end {
+        ExchangeEnd::Answered(_) => {
+            return (exchange::Finish::Ended, health::Outcome::Answered { took });
+        }
+        ExchangeEnd::Refused => connection::Failure::Shed,
+        ExchangeEnd::NotSent => connection::Failure::Refused,
+        ExchangeEnd::Lost | ExchangeEnd::Cut => connection::Failure::Closed { on_fresh: true },
+        ExchangeEnd::Silent => connection::Failure::Silent { on_fresh: true },
+        ExchangeEnd::Crossed => connection::Failure::Crossed,
+    };
+    let finish = if end.proves_not_run() {
+        exchange::Finish::Ended
+    } else {
+        exchange::Finish::MayStillRun
+    };
+    match failure.action() {
+        connection::Action::Ignore => (finish, health::Outcome::Refused),
+        connection::Action::CountAgainst | connection::Action::TryFresh => {
+            (finish, health::Outcome::Failed)
+        }
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-engine/src/engine/servers/views.rs
@@ -0,0 +1,59 @@
+//! How the backend servers stand, for digests and operators.
+//!
+//! ```text
+//! slots granted here -> capacity in the zone's digest; drains -> status
+//! ```
+
+use std::collections::BTreeMap;
+
+use damaskvane_core::{ids, time, units};
+use damaskvane_dispatch::drain;
+use damaskvane_slots::{connections, exchange};
+
+use crate::engine::servers::Servers;
+use crate::engine::servers::drain_status::DrainStatus;
+
+impl Servers {
+    /// Backend servers that drain or have drained, and since when.
+    pub(in crate::engine) fn draining(&self) -> impl Iterator<Item = DrainStatus> + '_ {
+        self.lives.iter().filter_map(|(server, life)| {
+            let (phase, since) = match life {
+                drain::Lifecycle::Draining(draining) => ("draining", draining.since()),
+                drain::Lifecycle::Drained(drained) => ("drained", drained.since()),
+                drain::Lifecycle::Cold(_) | drain::Lifecycle::Active(_) => return None,
+            };
+            Some(DrainStatus {
+                backend_server: server.clone(),
+                phase,
+                since,
+                running: self
+                    .connections
+                    .get(server)
+                    .map_or(0, connections::ConnectionBudget::in_use),
+            })
+        })
+    }
+
+    /// Slots that this instance grants and that take work, by service.
+    pub(in crate::engine) fn serving(
+        &self,
+        now: time::TimeMs,
+    ) -> BTreeMap<ids::ServiceId, units::Slots> {
+        let mut serving = BTreeMap::new();
+        for status in self.slots.status(now) {
+            let is_serving = status.phase == exchange::OwnerPhase::Serving;
+            let Some(entry) = self.directory.backend_servers.get(status.server) else {
+                continue;
+            };
+            let takes_work = !entry.draining && self.admits(now, &entry.service, status.server);
+            let slots = if is_serving && takes_work {
+                entry.slots
+            } else {
+                units::Slots::ZERO
+            };
+            let sum: &mut units::Slots = serving.entry(entry.service.clone()).or_default();
+            *sum = *sum + slots;
+        }
+        serving
+    }
+}
--- a/crates/damaskvane-entry/src/control.rs
+++ b/crates/damaskvane-entry/src/control.rs
@@ -26,6 +26,7 @@
 use damaskvane_config::relay;
 use damaskvane_core::{time, timer};
 use damaskvane_dispatch::home;
+use damaskvane_engine::event;
 use damaskvane_membership::{settings as membership_settings, view};
 use damaskvane_peer::transport;
 use damaskvane_platform::api;
@@ -212,7 +213,9 @@
             wire::WireMessage::Configuration(message) => self.configuration(from, message),
             wire::WireMessage::Engine(message) => {
                 let from = home::Home::new(from, received.incarnation);
-                let _ = self.engine.send(inbox::Input::Peer { from, message });
+                let _ = self
+                    .engine
+                    .send(inbox::Input::Event(event::Event::Peer { from, message }));
             }
         }
     }
@@ -235,6 +238,6 @@
         self.announce();
         self.tell_membership(view::Event::Leave);
         self.publish();
-        let _ = self.engine.send(inbox::Input::Leave);
+        let _ = self.engine.send(inbox::Input::Event(event::Event::Leave));
     }
 }
--- a/crates/damaskvane-entry/src/control/fleet.rs
+++ b/crates/damaskvane-entry/src/control/fleet.rs
@@ -11,6 +11,7 @@
 
 use damaskvane_config::relay;
 use damaskvane_core::{ids, time};
+use damaskvane_engine::event;
 use damaskvane_membership::{heartbeat, record, view};
 use damaskvane_peer::address;
 use damaskvane_platform::api;
@@ -85,7 +86,9 @@
             changed |= self.membership_action(action);
         }
         let roster = Box::new(self.membership.roster());
-        let _ = self.engine.send(inbox::Input::Roster(roster));
+        let _ = self
+            .engine
+            .send(inbox::Input::Event(event::Event::Roster(roster)));
         if changed {
             self.fleet_changed();
         }
--- a/crates/damaskvane-entry/src/control/publishing.rs
+++ b/crates/damaskvane-entry/src/control/publishing.rs
@@ -9,7 +9,7 @@
 
 use damaskvane_config::state;
 use damaskvane_core::ids;
-use damaskvane_engine::directory;
+use damaskvane_engine::{directory, event};
 use damaskvane_membership::{ownership, state as membership_state, view};
 use damaskvane_steering::plan;
 use serde_json::json;
@@ -35,7 +35,9 @@
         );
         let _ = self
             .engine
-            .send(inbox::Input::Directory(Arc::new(directory)));
+            .send(inbox::Input::Event(event::Event::Directory(Arc::new(
+                directory,
+            ))));
         self.steer();
     }
 
--- a/crates/damaskvane-entry/src/engine_thread.rs
+++ b/crates/damaskvane-entry/src/engine_thread.rs
@@ -139,27 +139,12 @@
                 self.replies.insert(number, reply);
                 event::Event::Submit { number, request }
             }
-            inbox::Input::ClientGone { number } => {
-                self.replies.remove(&number);
-                event::Event::ClientGone { number }
-            }
-            inbox::Input::ExchangeEnded { exchange, end } => {
-                event::Event::ExchangeEnded { exchange, end }
-            }
-            inbox::Input::Peer { from, message } => event::Event::Peer { from, message },
-            inbox::Input::Directory(directory) => event::Event::Directory(directory),
-            inbox::Input::HealthReported {
-                backend_server,
-                healthy,
-            } => event::Event::HealthReported {
-                backend_server,
-                healthy,
-            },
-            inbox::Input::ClearQuarantine(fingerprint) => {
-                event::Event::ClearQuarantine(fingerprint)
+            inbox::Input::Event(event) => {
+                if let event::Event::ClientGone { number } = &event {
+                    self.replies.remove(number);
+                }
+                event
             }
-            inbox::Input::Roster(roster) => event::Event::Roster(roster),
-            inbox::Input::Leave => event::Event::Leave,
             inbox::Input::Stop => event::Event::Tick,
         }
     }
--- a/crates/damaskvane-entry/src/exchange_pool.rs
+++ b/crates/damaskvane-entry/src/exchange_pool.rs
@@ -123,10 +123,10 @@
         match job {
             Ok(Job::Exchange(exchange)) => {
                 let end = exchange::run(&exchange, clock, limits);
-                let _ = ended.send(inbox::Input::ExchangeEnded {
+                let _ = ended.send(inbox::Input::Event(event::Event::ExchangeEnded {
                     exchange: exchange.number,
                     end,
-                });
+                }));
             }
             Ok(Job::Cancel {
                 address,
--- a/crates/damaskvane-entry/src/health_reports.rs
+++ b/crates/damaskvane-entry/src/health_reports.rs
@@ -17,6 +17,7 @@
 use std::time::Instant;
 
 use damaskvane_core::ids;
+use damaskvane_engine::event;
 use serde::Deserialize;
 
 use crate::inbox;
@@ -67,10 +68,10 @@
         }
         next_round = Instant::now() + PERIOD;
         for server in &asked {
-            let report = inbox::Input::HealthReported {
+            let report = inbox::Input::Event(event::Event::HealthReported {
                 backend_server: server.backend_server.clone(),
                 healthy: ask(server.address),
-            };
+            });
             if reports.send(report).is_err() {
                 return;
             }
--- a/crates/damaskvane-entry/src/inbox.rs
+++ b/crates/damaskvane-entry/src/inbox.rs
@@ -1,11 +1,12 @@
 //! What the engine's thread receives.
 //!
 //! ```
+//! use damaskvane_engine::event;
 //! use damaskvane_entry::inbox;
 //!
 //! let (sender, receiver) = flume::unbounded();
 //! drop(inbox::ClientGuard::new(sender, inbox::RequestNumber::new(7)));
-//! assert!(matches!(receiver.recv(), Ok(inbox::Input::ClientGone { .. })));
+//! assert!(matches!(receiver.recv(), Ok(inbox::Input::Event(event::Event::ClientGone { .. }))));
 //! ```
 
 mod client_guard;
--- a/crates/damaskvane-entry/src/inbox/client_guard.rs
+++ b/crates/damaskvane-entry/src/inbox/client_guard.rs
@@ -38,9 +38,9 @@
 impl Drop for ClientGuard {
     fn drop(&mut self) {
         if let Some(inbox) = self.inbox.take() {
-            let _ = inbox.send(input::Input::ClientGone {
+            let _ = inbox.send(input::Input::Event(event::Event::ClientGone {
                 number: self.number,
-            });
+            }));
         }
     }
 }
--- a/crates/damaskvane-entry/src/inbox/input.rs
+++ b/crates/damaskvane-entry/src/inbox/input.rs
@@ -1,18 +1,17 @@
 //! One message to the engine's thread.
 //!
 //! ```
+//! use damaskvane_engine::event;
 //! use damaskvane_entry::inbox;
 //!
-//! let input = inbox::Input::Stop;
-//! assert!(format!("{input:?}").contains("Stop"));
+//! let input = inbox::Input::from(event::Event::Leave);
+//! assert!(format!("{input:?}").contains("Leave"));
 //! ```
 
 use std::sync::Arc;
 
-use damaskvane_core::ids;
-use damaskvane_dispatch::{fingerprint, home, outcome};
-use damaskvane_engine::{directory, event, message, peer};
-use damaskvane_membership::view;
+use damaskvane_dispatch::outcome;
+use damaskvane_engine::{event, message};
 
 /// Where a client's handler waits for its answer.
 pub type Reply = flume::Sender<outcome::Outcome<Arc<message::BackendAnswer>>>;
@@ -20,7 +19,7 @@
 /// One message to the engine's thread.
 #[derive(Debug)]
 pub enum Input {
-    /// A client's request.
+    /// A client's request, with where its answer goes.
     Submit {
         /// Its number.
         number: event::RequestNumber,
@@ -29,40 +28,14 @@
         /// Where its answer goes.
         reply: Reply,
     },
-    /// A client closed its connection before its answer.
-    ClientGone {
-        /// The request it waited for.
-        number: event::RequestNumber,
-    },
-    /// An exchange ended.
-    ExchangeEnded {
-        /// Which one.
-        exchange: event::ExchangeNumber,
-        /// How.
-        end: event::ExchangeEnd,
-    },
-    /// Another entry instance's engine sent a message.
-    Peer {
-        /// Who sent it.
-        from: home::Home,
-        /// What it says.
-        message: Box<peer::PeerMessage>,
-    },
-    /// Configuration or membership changed.
-    Directory(Arc<directory::Directory>),
-    /// The instances of the own zone, as owners of slots.
-    Roster(Box<view::Roster>),
-    /// A backend server reported its health.
-    HealthReported {
-        /// The backend server.
-        backend_server: ids::BackendServerId,
-        /// What it says.
-        healthy: bool,
-    },
-    /// An operator lets a quarantined request go.
-    ClearQuarantine(fingerprint::Fingerprint),
-    /// A planned stop has begun.
-    Leave,
+    /// Whatever else the engine is told.
+    Event(event::Event),
     /// The engine's thread ends.
     Stop,
 }
+
+impl From<event::Event> for Input {
+    fn from(event: event::Event) -> Self {
+        Self::Event(event)
+    }
+}
--- a/crates/damaskvane-entry/src/operator_api.rs
+++ b/crates/damaskvane-entry/src/operator_api.rs
@@ -15,6 +15,7 @@
 use std::thread;
 
 use damaskvane_dispatch::fingerprint;
+use damaskvane_engine::event;
 
 use crate::inbox;
 use crate::serving;
@@ -74,7 +75,9 @@
 fn clear(text: &str, engine: &flume::Sender<inbox::Input>) -> rouille::Response {
     match text.parse::<fingerprint::Fingerprint>() {
         Ok(fingerprint) => {
-            let _ = engine.send(inbox::Input::ClearQuarantine(fingerprint));
+            let _ = engine.send(inbox::Input::Event(event::Event::ClearQuarantine(
+                fingerprint,
+            )));
             rouille::Response::text("cleared\n")
         }
         Err(error) => rouille::Response::text(format!("{error}\n")).with_status_code(400),
