--- a/crates/damaskvane-bench/src/commands.rs
+++ b/crates/damaskvane-bench/src/commands.rs
@@ -9,7 +9,7 @@
 use std::process;
 
 use crate::error::BenchError;
-use crate::{capacity, checker, cluster, config, config_run, demo, load, speed, steering};
+use crate::{capacity, checker, cluster, config, config_run, demo, load, slots, speed, steering};
 
 /// One sub-command.
 #[derive(Debug, Clone, Copy)]
@@ -64,6 +64,11 @@
         summary: "the configuration's decision code through mixed faults, by seed",
         run: config_run::run,
     },
+    Command {
+        name: "slots",
+        summary: "ways of sharing slots within a zone, in virtual time",
+        run: slots::run,
+    },
     Command {
         name: "capacity",
         summary: "the slopes behind docs/CAPACITY.md",
--- a/crates/damaskvane-bench/src/lib.rs
+++ b/crates/damaskvane-bench/src/lib.rs
@@ -37,5 +37,6 @@
 pub mod http;
 pub mod in_force;
 pub mod load;
+pub mod slots;
 pub mod speed;
 pub mod steering;
