Recall only what others need, and idle slots at once

An owner asked every holder for all above an equal part, and idle slots stayed lent for 500 ms. Now those above their part give up what those below wait for, and all give up what is idle.

--- a/crates/damaskvane-slots/src/exchange/lending.rs
+++ b/crates/damaskvane-slots/src/exchange/lending.rs
@@ -4,7 +4,6 @@
 
 use crate::exchange::aggregate::SlotExchange;
 use crate::exchange::server::{Ownership, Queued, Sender, Server};
-use crate::ledger::{Serving, SlotLedger};
 use crate::message::{GrantKey, GrantNumber, RefusalReason, SlotMessage};
 
 /// A grant that was just lent.
@@ -160,12 +159,12 @@
         }
     }
 
-    /// Asks holders for what is above their fair share while others wait.
+    /// Asks holders for what is idle, or above their part, while others wait.
     ///
     /// A holder with steady load would otherwise keep its slots for ever, and requests at another
     /// instance would be refused beside a backend server with work for one instance only.
     fn recall_if_contended(&mut self, name: &ids::BackendServerId) {
-        let (now, every) = (self.now, self.settings.answer_ms);
+        let (now, every) = (self.now, self.settings.recall_every_ms);
         let Some(server) = self.servers.get_mut(name) else {
             return;
         };
@@ -176,11 +175,9 @@
             return;
         }
         server.recalled_at = Some(now);
-        let Some((holders, keep)) = fair_share(server) else {
-            return;
-        };
+        let recalls = recalls(server);
         self.counters.queued += 1;
-        for to in holders {
+        for (to, keep) in recalls {
             self.counters.recalled += 1;
             let server = name.clone();
             self.send(&to, SlotMessage::Recall { server, keep });
@@ -257,19 +254,31 @@
     }
 }
 
-/// Who holds slots, and how many each may keep if all who hold or wait share alike.
-fn fair_share(server: &Server) -> Option<(Vec<ids::InstanceId>, units::Slots)> {
+/// Who holds slots, and how many each may keep.
+///
+/// One that holds more than an equal part gives up what those below theirs wait for, and no more.
+fn recalls(server: &Server) -> Vec<(ids::InstanceId, units::Slots)> {
     let Ownership::Serving(ledger) = &server.ownership else {
-        return None;
+        return Vec::new();
     };
-    let holders = holders(ledger);
+    let held = ledger.held();
     let waiting = server.queue.iter().map(|queued| &queued.key.holder);
-    let new = waiting.filter(|holder| !holders.contains(holder)).count();
-    let sharers = u32::try_from(holders.len() + new).unwrap_or(u32::MAX);
-    let keep = ledger.slots().get().checked_div(sharers)?;
-    Some((holders, units::Slots::new(keep)))
-}
-
-fn holders(ledger: &SlotLedger<Serving>) -> Vec<ids::InstanceId> {
-    ledger.holders().into_iter().collect()
+    let new = waiting.filter(|holder| !held.contains_key(*holder)).count();
+    let sharers = u32::try_from(held.len() + new).unwrap_or(u32::MAX);
+    let part = ledger.slots().get().checked_div(sharers);
+    let part = units::Slots::new(part.unwrap_or_default());
+    let below = server.queue.iter().map(|queued| {
+        let has = held.get(&queued.key.holder).copied().unwrap_or_default();
+        // Where there are fewer slots than sharers, each must have one in turn.
+        let least = units::Slots::new(part.get().max(1));
+        least.saturating_sub(has).min(queued.slots)
+    });
+    let mut needed: units::Slots = below.sum();
+    let mut recalls = Vec::new();
+    for (holder, has) in held {
+        let gives = has.saturating_sub(part).min(needed);
+        needed = needed.saturating_sub(gives);
+        recalls.push((holder, has.saturating_sub(gives)));
+    }
+    recalls
 }
--- a/crates/damaskvane-slots/src/holder/pool.rs
+++ b/crates/damaskvane-slots/src/holder/pool.rs
@@ -49,6 +49,8 @@
     last_number: GrantNumber,
     cap: Option<Cap>,
     ask_after: time::TimeMs,
+    /// Whether all that is idle goes back with the next returns.
+    returns_idle: bool,
 }
 
 impl LeasePool {
@@ -145,10 +147,11 @@
         }
     }
 
-    /// Others wait: keeps at most so many slots for a while.
+    /// Others wait: gives back what is idle now, and keeps at most so many slots for a while.
     pub fn recall(&mut self, now: time::TimeMs, keep: units::Slots, settings: &SlotSettings) {
         let until = now + settings.recall_ms;
         self.cap = Some(Cap { keep, until });
+        self.returns_idle = true;
     }
 
     /// Takes a slot of the grant that lasts longest; nothing if none lasts `at_least`.
@@ -227,10 +230,11 @@
         let mut excess = keep.map_or(units::Slots::ZERO, |keep| {
             self.held(now).saturating_sub(keep)
         });
+        let returns_idle = core::mem::take(&mut self.returns_idle) || is_leaving;
         let mut wishes = Vec::new();
         for grant in &mut self.grants {
             let before = grant.slots();
-            if is_leaving || grant.is_idle(now, settings.idle_return_ms) {
+            if returns_idle || grant.is_idle(now, settings.idle_return_ms) {
                 grant.shrink(now, before);
             } else {
                 grant.shrink(now, excess);
--- a/crates/damaskvane-slots/src/ledger/slot_ledger.rs
+++ b/crates/damaskvane-slots/src/ledger/slot_ledger.rs
@@ -1,6 +1,6 @@
 //! The ledger and its two phases.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use damaskvane_core::{ids, time, units};
 
@@ -157,10 +157,15 @@
         }
     }
 
-    /// Who has borrowed.
+    /// How much each has borrowed.
     #[must_use]
-    pub fn holders(&self) -> BTreeSet<ids::InstanceId> {
-        self.grants.keys().map(|key| key.holder.clone()).collect()
+    pub fn held(&self) -> BTreeMap<ids::InstanceId, units::Slots> {
+        let mut held = BTreeMap::<ids::InstanceId, units::Slots>::new();
+        for grant in self.grants.values() {
+            let slots = held.entry(grant.key.holder.clone()).or_default();
+            *slots = *slots + grant.slots;
+        }
+        held
     }
 
     /// The grants as they are handed to the next owner.
--- a/crates/damaskvane-slots/src/message.rs
+++ b/crates/damaskvane-slots/src/message.rs
@@ -179,7 +179,7 @@
         /// How many slots remain lent.
         remaining: units::Slots,
     },
-    /// Others wait: make do with so many slots for a while.
+    /// Others wait: give back what is idle, and make do with so many slots for a while.
     Recall {
         /// The backend server.
         server: ids::BackendServerId,
--- a/crates/damaskvane-slots/src/settings.rs
+++ b/crates/damaskvane-slots/src/settings.rs
@@ -25,6 +25,8 @@
     pub answer_ms: SpanMs,
     /// How long an owner asks others to make do with a smaller share.
     pub recall_ms: SpanMs,
+    /// The time between two such calls while others wait.
+    pub recall_every_ms: SpanMs,
     /// After this time those who have not answered a claim are asked again.
     pub claim_retry_ms: SpanMs,
 }
@@ -37,6 +39,7 @@
             idle_return_ms: SpanMs::new(500),
             answer_ms: SpanMs::new(300),
             recall_ms: SpanMs::new(1_000),
+            recall_every_ms: SpanMs::new(20),
             claim_retry_ms: SpanMs::new(300),
         }
     }
