Runs end with the store still down, and can have it down for long

Catching up from peers was covered only beside a working store. Runs now heal the network first and check that all instances agree without the store; a long outage with replacements is a test.

--- a/crates/damaskvane-standins/src/config_run/fleet.rs
+++ b/crates/damaskvane-standins/src/config_run/fleet.rs
@@ -100,6 +100,16 @@
         }
     }
 
+    /// The versions in force, lowest first.
+    pub(super) fn versions(&self) -> Vec<ids::ConfigVersion> {
+        let instances = self.instances.values();
+        let mut versions: Vec<_> = instances
+            .map(|instance| instance.relay.adopter().version())
+            .collect();
+        versions.sort_unstable();
+        versions
+    }
+
     /// Ends all cuts and pauses.
     pub(super) fn heal(&mut self) {
         self.cut_until.clear();
--- a/crates/damaskvane-standins/src/config_run/settings.rs
+++ b/crates/damaskvane-standins/src/config_run/settings.rs
@@ -23,6 +23,8 @@
     pub shortest_delay_ms: u64,
     /// The longest such delay.
     pub longest_delay_ms: u64,
+    /// When the store goes down for the rest of the faulty part, in seconds; never if not given.
+    pub store_down_from_s: Option<u64>,
     /// Store calls whose answer is lost after they took effect.
     pub lost_after_permille: u32,
     /// Store calls that are lost before they take effect.
@@ -52,6 +54,7 @@
             operators: 3,
             shortest_delay_ms: 1,
             longest_delay_ms: 60,
+            store_down_from_s: None,
             lost_after_permille: 60,
             lost_before_permille: 60,
             late_write_permille: 40,
