Planner: trend, confirmed changes and a margin by the root of the capacity

Cause of the overload seconds left: one second's count deviates by its root, and estimates lag behind demand that swings by 10% in two minutes.

--- a/crates/damaskvane-bench/src/steering/decider.rs
+++ b/crates/damaskvane-bench/src/steering/decider.rs
@@ -129,7 +129,8 @@
             |zone: &usize| self.view.reach(&deployment.zones[*zone]) == staleness::Reach::Connected;
         let zones: Vec<_> = deployment
             .nearest(asker.source)
-            .into_iter()
+            .iter()
+            .copied()
             .filter(live)
             .collect();
         let zone = match self.strategy {
--- a/crates/damaskvane-bench/src/steering/deployment.rs
+++ b/crates/damaskvane-bench/src/steering/deployment.rs
@@ -71,6 +71,7 @@
     pub(super) zones: Vec<ids::AvailabilityZoneId>,
     pub(super) regions: Vec<usize>,
     pub(super) services: Vec<ServiceSizes>,
+    nearest: Vec<Vec<usize>>,
 }
 
 impl Deployment {
@@ -148,21 +149,24 @@
     }
 
     /// Zones by their distance from a source, the source first.
-    pub(super) fn nearest(&self, source: usize) -> Vec<usize> {
-        let mut zones: Vec<_> = (0..self.zones.len()).collect();
-        zones.sort_by_key(|zone| {
-            let latency_ms = self
-                .topology
-                .latency_ms(&self.zones[source], &self.zones[*zone]);
-            (
-                latency_ms,
-                (*zone + self.zones.len() - source) % self.zones.len(),
-            )
-        });
-        zones
+    pub(super) fn nearest(&self, source: usize) -> &[usize] {
+        &self.nearest[source]
     }
 }
 
+fn by_distance(
+    topology: &input::Topology,
+    zones: &[ids::AvailabilityZoneId],
+    source: usize,
+) -> Vec<usize> {
+    let mut nearest: Vec<_> = (0..zones.len()).collect();
+    nearest.sort_by_key(|zone| {
+        let latency_ms = topology.latency_ms(&zones[source], &zones[*zone]);
+        (latency_ms, (*zone + zones.len() - source) % zones.len())
+    });
+    nearest
+}
+
 fn build(
     regions: [&str; 3],
     sizes: &[Sizes],
@@ -203,7 +207,11 @@
         };
         topology.services.insert(service.id.clone(), declared);
     }
+    let sources = 0..zones.len();
     Deployment {
+        nearest: sources
+            .map(|source| by_distance(&topology, &zones, source))
+            .collect(),
         topology,
         regions: (0..zones.len()).map(|zone| zone / LETTERS.len()).collect(),
         zones,
--- a/crates/damaskvane-bench/src/steering/measure.rs
+++ b/crates/damaskvane-bench/src/steering/measure.rs
@@ -22,6 +22,8 @@
     pub headroom_percent: f64,
     /// Requests refused or failed, in hundredths of all.
     pub refused_percent: f64,
+    /// Those of them that a full zone refused after they had been sent there.
+    pub shed_percent: f64,
     /// What of the demand the live capacity could not carry whatever was decided, in hundredths.
     pub unavoidable_percent: f64,
     /// Seconds, counted for each zone and service, in which more was steered to it than it carries.
@@ -36,6 +38,7 @@
     pub(super) latencies_us: Vec<u32>,
     pub(super) requests: u64,
     pub(super) refused: u64,
+    pub(super) shed: u64,
     pub(super) overload_s: u64,
     pub(super) lowest_free: Option<f64>,
     pub(super) offered_rps: f64,
@@ -62,6 +65,7 @@
             p99_ms: quantile_ms(990),
             headroom_percent: self.lowest_free.unwrap_or(1.0) * 100.0,
             refused_percent: percent(self.refused as f64, self.requests as f64),
+            shed_percent: percent(self.shed as f64, self.requests as f64),
             unavoidable_percent: percent(self.excess_rps, self.offered_rps),
             overload_s: self.overload_s,
             broken_invariants: self.broken_invariants,
--- a/crates/damaskvane-bench/src/steering/report.rs
+++ b/crates/damaskvane-bench/src/steering/report.rs
@@ -68,6 +68,8 @@
     pub headroom_percent: Interval,
     /// Requests refused or failed.
     pub refused_percent: Interval,
+    /// Those of them that a full zone refused.
+    pub shed_percent: Interval,
     /// What could not be carried whatever was decided.
     pub unavoidable_percent: Interval,
     /// Seconds in which a zone was sent more than it carries.
@@ -94,6 +96,7 @@
             p99_ms: interval(|run| run.p99_ms),
             headroom_percent: interval(|run| run.headroom_percent),
             refused_percent: interval(|run| run.refused_percent),
+            shed_percent: interval(|run| run.shed_percent),
             unavoidable_percent: interval(|run| run.unavoidable_percent),
             overload_s: interval(|run| run.overload_s as f64),
             worst_overload_s: runs
@@ -109,7 +112,7 @@
     #[must_use]
     pub fn head() -> String {
         format!(
-            "{:<10} {:<11} {:>4} {:<11} {:>12} {:>13} {:>12} {:>11} {:>11} {:>12}",
+            "{:<10} {:<11} {:>4} {:<11} {:>12} {:>13} {:>12} {:>11} {:>9} {:>11} {:>12}",
             "deployment",
             "fault",
             "load",
@@ -118,6 +121,7 @@
             "p99 ms",
             "headroom %",
             "refused %",
+            "shed %",
             "unavoid. %",
             "overload s"
         )
@@ -128,7 +132,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{:<10} {:<11} {:>4} {:<11} {:>12} {:>13} {:>12} {:>11} {:>11} {:>12}",
+            "{:<10} {:<11} {:>4} {:<11} {:>12} {:>13} {:>12} {:>11} {:>9} {:>11} {:>12}",
             self.deployment,
             self.fault,
             self.load_percent,
@@ -137,6 +141,7 @@
             self.p99_ms,
             self.headroom_percent,
             self.refused_percent,
+            self.shed_percent,
             self.unavoidable_percent,
             self.overload_s,
         )
--- a/crates/damaskvane-bench/src/steering/world.rs
+++ b/crates/damaskvane-bench/src/steering/world.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::mem;
 
 use damaskvane_core::time;
 use rand::{RngExt, SeedableRng};
@@ -54,6 +55,7 @@
     arrivals: BinaryHeap<Reverse<Arrival>>,
     wire: Wire,
     meter: Meter,
+    steered_before: Vec<Vec<f64>>,
     now_us: u64,
     is_measured: bool,
 }
@@ -108,6 +110,7 @@
                 .map(|sizes| vec![vec![unknown; sizes.clients_per_zone as usize]; zones])
                 .collect(),
             arrivals: BinaryHeap::new(),
+            steered_before: vec![vec![0.0; zones]; deployment.services.len()],
             wire: Wire::default(),
             meter: Meter::default(),
             now_us: 0,
@@ -266,20 +269,10 @@
         if cached.until_us > self.now_us && !afresh {
             return cached.answer;
         }
-        let nearest = self.deployment.nearest(source);
-        let asked = nearest
-            .into_iter()
-            .find(|zone| !self.is_dead(*zone) && !self.is_apart(source, *zone));
-        let Some(asked) = asked else {
+        let Some(asked) = self.asked(source) else {
             return Answer::Refused;
         };
-        let hash = ((service * 64 + source) as u64) << 32 | client as u64;
-        let hash = hash.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 16;
-        let asker = Asker {
-            service,
-            source,
-            hash,
-        };
+        let asker = asker(service, source, client);
         let now = (self.now(), self.case.fault);
         let answer = self.deciders[asked].answer(&self.deployment, asker, now, &mut self.rng);
         let counts = &mut self.counts[service][asked];
@@ -293,6 +286,13 @@
         answer
     }
 
+    /// The zone whose instances clients of a source ask: the nearest that answers.
+    fn asked(&self, source: usize) -> Option<usize> {
+        let nearest = self.deployment.nearest(source);
+        let answers = |zone: &usize| !self.is_dead(*zone) && !self.is_apart(source, *zone);
+        nearest.iter().copied().find(answers)
+    }
+
     fn arrive(&mut self, arrival: Arrival) {
         let Arrival {
             service,
@@ -320,6 +320,7 @@
         };
         let Some(starts_us) = starts_us else {
             self.counts[service][zone].refused += 1;
+            self.meter.shed += u64::from(self.is_measured);
             self.refuse();
             return;
         };
@@ -337,11 +338,18 @@
     }
 
     /// The rate steered to each zone: the demand of every source times the part of its clients whose
-    /// answer names the zone. It is free of the chance that single requests bring.
+    /// next request goes there, as a mean over the two seconds that an answer lives. It is free of
+    /// the chance that single requests bring.
     fn measure_steered(&mut self, second: u64) {
         for service in 0..self.deployment.services.len() {
             let rates = self.traffic[service].rates_rps(&self.deployment, second as f64);
-            let steered = self.steered_rps(service, &rates);
+            let now = self.steered_rps(service, &rates);
+            let before = mem::replace(&mut self.steered_before[service], now.clone());
+            let means = now
+                .iter()
+                .zip(&before)
+                .map(|(now, before)| (now + before) / 2.0);
+            let steered: Vec<_> = means.collect();
             let mut used = [0.0; 3];
             let mut carried = [0.0; 3];
             let live: Vec<_> = self.zones().filter(|zone| !self.is_dead(*zone)).collect();
@@ -371,17 +379,27 @@
         }
     }
 
-    fn steered_rps(&self, service: usize, rates: &[f64]) -> Vec<f64> {
+    /// A client's next request goes where its cached answer says, or, with none, where a look-up
+    /// would send it now.
+    fn steered_rps(&mut self, service: usize, rates: &[f64]) -> Vec<f64> {
         let mut steered = vec![0.0; self.deployment.zones.len()];
+        let mut rng = self.rng.clone();
+        let now = (self.now(), self.case.fault);
         for (source, rate) in rates.iter().enumerate() {
-            let clients = &self.clients[service][source];
-            let known: Vec<_> = clients
-                .iter()
-                .filter(|client| client.until_us > 0)
-                .collect();
-            for client in &known {
-                if let Answer::Zone(zone) = client.answer {
-                    steered[zone] += rate / known.len() as f64;
+            let clients = self.clients[service][source].len();
+            let Some(asked) = self.asked(source) else {
+                continue;
+            };
+            for client in 0..clients {
+                let cached = self.clients[service][source][client];
+                let answer = if cached.until_us > self.now_us {
+                    cached.answer
+                } else {
+                    let asker = asker(service, source, client);
+                    self.deciders[asked].answer(&self.deployment, asker, now, &mut rng)
+                };
+                if let Answer::Zone(zone) = answer {
+                    steered[zone] += rate / clients as f64;
                 }
             }
         }
@@ -407,3 +425,12 @@
         }
     }
 }
+
+fn asker(service: usize, source: usize, client: usize) -> Asker {
+    let hash = ((service * 64 + source) as u64) << 32 | client as u64;
+    Asker {
+        service,
+        source,
+        hash: hash.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 16,
+    }
+}
--- a/crates/damaskvane-steering/src/plan.rs
+++ b/crates/damaskvane-steering/src/plan.rs
@@ -16,6 +16,7 @@
 use damaskvane_core::{ids, time};
 
 pub use service::ServicePlan;
+pub(crate) use service::{Estimate, Reported};
 pub use source::{Share, SourcePlan};
 
 /// The whole, in millionths.
--- a/crates/damaskvane-steering/src/plan/service.rs
+++ b/crates/damaskvane-steering/src/plan/service.rs
@@ -12,9 +12,32 @@
 
 use crate::plan::WHOLE_PPM;
 use crate::plan::source::SourcePlan;
+use crate::rate;
 
 type Shares = BTreeMap<(ids::AvailabilityZoneId, ids::AvailabilityZoneId), u32>;
 
+/// The last two capacities that a zone reported.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Reported {
+    /// The sequence of the later report.
+    pub(crate) sequence: u64,
+    /// The capacity in it.
+    pub(crate) last: rate::Rate,
+    /// The capacity in the report before it.
+    pub(crate) before: rate::Rate,
+}
+
+/// An estimate of demand with its trend.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Estimate {
+    /// The demand now, in thousandths of a request a second.
+    pub(crate) level_milli: i64,
+    /// By how much it rises in a step.
+    pub(crate) trend_milli: i64,
+    /// How far the last count was from what was expected.
+    pub(crate) change_milli: i64,
+}
+
 /// The plan of one service.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ServicePlan {
@@ -24,6 +47,10 @@
     pub trusted_permille: BTreeMap<ids::AvailabilityZoneId, u32>,
     /// The sequence of the report that last changed the trust in a zone.
     pub judged_sequence: BTreeMap<ids::AvailabilityZoneId, u64>,
+    /// The last two capacities that each zone reported, the later one first, with its sequence.
+    pub(crate) reported: BTreeMap<ids::AvailabilityZoneId, Reported>,
+    /// The estimate of each source's demand, for the next plan.
+    pub(crate) estimates: BTreeMap<ids::AvailabilityZoneId, Estimate>,
     /// Shares that clients may still hold in their caches, with the time of the last answer.
     pub(crate) answered: Vec<(time::TimeMs, Shares)>,
 }
--- a/crates/damaskvane-steering/src/planner.rs
+++ b/crates/damaskvane-steering/src/planner.rs
@@ -85,7 +85,8 @@
     broken_invariants: &mut u32,
 ) -> plan::ServicePlan {
     let trust = capacity::Trust::judge(inputs);
-    let demand = demand::estimate(inputs);
+    let estimates = demand::estimate(inputs);
+    let demand = estimates.iter().copied().map(demand::ahead).collect();
     let capacity = capacity::Capacity::of(inputs, &trust);
     let cached = flows::Flows::cached(inputs, &demand);
     let mut planned = fill::fill(inputs, links, &capacity, &demand, &cached);
@@ -94,6 +95,8 @@
         sources: planned.into_sources(inputs, &demand),
         trusted_permille: trust.trusted_permille,
         judged_sequence: trust.judged_sequence,
+        estimates: inputs.by_zone(estimates),
+        reported: capacity::reported(inputs),
         ..plan::ServicePlan::default()
     };
     plan.remember(inputs.previous, inputs.now, inputs.settings.answer_ttl);
--- a/crates/damaskvane-steering/src/planner/capacity.rs
+++ b/crates/damaskvane-steering/src/planner/capacity.rs
@@ -5,19 +5,22 @@
 use damaskvane_core::ids;
 
 use crate::planner::inputs::Inputs;
-use crate::{digest, rate, staleness};
+use crate::{digest, plan, rate, staleness};
 
 /// A report of less than this part of the declared capacity needs evidence, in thousandths.
 const BELIEVED_PERMILLE: u32 = 250;
 
-/// Overload cuts the trusted part of a zone to this part of itself, in thousandths.
+/// Overload without refusals cuts the trusted part of a zone to this part of itself, in thousandths.
+const MILDEST_CUT_PERMILLE: u32 = 950;
+
+/// Refusals cut it to the part that was carried, but to no less than this at once, in thousandths.
 const TRUST_CUT_PERMILLE: u32 = 850;
 
 /// Trust never falls below this, in thousandths, so that recovery can show.
 const LEAST_TRUST_PERMILLE: u32 = 250;
 
 /// Trust regained with each report that shows no overload, in thousandths.
-const TRUST_GAIN_PERMILLE: u32 = 20;
+const TRUST_GAIN_PERMILLE: u32 = 30;
 
 /// The trusted part of each zone's capacity after what its reports showed.
 pub(super) struct Trust {
@@ -79,12 +82,14 @@
 }
 
 fn adjust(trusted_permille: u32, report: &digest::ServiceDigest) -> u32 {
-    if report.shows_overload() {
-        let cut = trusted_permille * TRUST_CUT_PERMILLE / 1_000;
-        cut.max(LEAST_TRUST_PERMILLE)
-    } else {
-        (trusted_permille + TRUST_GAIN_PERMILLE).min(1_000)
+    if !report.shows_overload() {
+        return (trusted_permille + TRUST_GAIN_PERMILLE).min(1_000);
     }
+    let refused_ppm = report.refused.share_of(report.arrivals());
+    let carried_permille = 1_000 - refused_ppm / 1_000;
+    let cut_permille = carried_permille.clamp(TRUST_CUT_PERMILLE, MILDEST_CUT_PERMILLE);
+    let cut = trusted_permille * cut_permille / 1_000;
+    cut.max(LEAST_TRUST_PERMILLE)
 }
 
 impl Capacity {
@@ -115,7 +120,7 @@
         }
     };
     let trusted_permille = trust.trusted_permille.get(zone).copied().unwrap_or(1_000);
-    let usable = capacity.permille(inputs.settings.usable_permille);
+    let usable = inputs.settings.usable(capacity);
     Limit {
         decision,
         capacity,
@@ -126,7 +131,8 @@
 /// The reported capacity, at most the declared one, and hardly less without evidence.
 ///
 /// A false report of no capacity would empty a healthy zone on to its neighbours, and such reports
-/// from all zones would refuse everyone. One would notice refusals without a single failure.
+/// from all zones would refuse everyone. One would notice refusals without a single failure. Without
+/// evidence a fall therefore counts only when two reports in a row show it, and then down to a part.
 fn believed(
     inputs: &Inputs<'_>,
     zone: &ids::AvailabilityZoneId,
@@ -135,10 +141,41 @@
     let Some(report) = inputs.report(zone) else {
         return declared;
     };
-    let reported = report.capacity.min(declared);
     if report.shows_overload() {
-        reported
-    } else {
-        reported.max(declared.permille(BELIEVED_PERMILLE))
+        return report.capacity.min(declared);
     }
+    let reported = last_two(inputs, zone);
+    let larger = reported.map_or(report.capacity, |two| two.last.max(two.before));
+    larger
+        .min(declared)
+        .max(declared.permille(BELIEVED_PERMILLE))
+}
+
+/// The last two capacities that a zone reported, the one at hand included.
+fn last_two(inputs: &Inputs<'_>, zone: &ids::AvailabilityZoneId) -> Option<plan::Reported> {
+    let sequence = inputs.view.digest(zone)?.sequence;
+    let last = inputs.report(zone)?.capacity;
+    let held = inputs
+        .previous
+        .and_then(|plan| plan.reported.get(zone).copied());
+    match held {
+        Some(held) if held.sequence == sequence => Some(held),
+        Some(held) => Some(plan::Reported {
+            sequence,
+            last,
+            before: held.last,
+        }),
+        None => Some(plan::Reported {
+            sequence,
+            last,
+            before: last,
+        }),
+    }
+}
+
+/// What the next plan needs to know of the capacities that the zones reported.
+pub(super) fn reported(inputs: &Inputs<'_>) -> BTreeMap<ids::AvailabilityZoneId, plan::Reported> {
+    let zones = inputs.geometry.zones.iter();
+    let reported = zones.filter_map(|zone| Some(((*zone).clone(), last_two(inputs, zone)?)));
+    reported.collect()
 }
--- a/crates/damaskvane-steering/src/planner/demand.rs
+++ b/crates/damaskvane-steering/src/planner/demand.rs
@@ -2,6 +2,7 @@
 
 use damaskvane_core::ids;
 
+use crate::plan::Estimate;
 use crate::planner::inputs::Inputs;
 use crate::{rate, staleness};
 
@@ -9,16 +10,25 @@
 pub(super) type Demand = Vec<rate::Rate>;
 
 /// A change below this part of the estimate may be chance, in thousandths.
-const CHANCE_PERMILLE: u32 = 250;
+const CHANCE_PERMILLE: i64 = 150;
+
+/// How many standard deviations of counted arrivals may be chance.
+const CHANCE_DEVIATIONS: u64 = 3;
 
 /// How much of a change that may be chance the estimate takes over in one step, in thousandths.
-const SMALL_GAIN_PERMILLE: u32 = 300;
+const SMALL_GAIN_PERMILLE: i64 = 200;
+
+/// How much of it the trend takes over.
+const TREND_GAIN_PERMILLE: i64 = 10;
 
 /// How much of a larger change it takes over.
-const LARGE_GAIN_PERMILLE: u32 = 500;
+const LARGE_GAIN_PERMILLE: i64 = 500;
+
+/// The demand is estimated for so many steps ahead: what reports and caches take to follow.
+const AHEAD_STEPS: i64 = 4;
 
 /// How much an estimate may fall in one step while some zone is not heard, in thousandths.
-const UNHEARD_DECAY_PERMILLE: u32 = 10;
+const UNHEARD_DECAY_PERMILLE: i64 = 10;
 
 /// A source is planned for at least this demand, so that its first clients find weights.
 const LEAST: rate::Rate = rate::Rate::per_second(1);
@@ -26,13 +36,11 @@
 /// Demand of one source above this multiple of all declared capacity is taken for a false report.
 const ABSURD_MULTIPLE: u64 = 4;
 
-pub(super) fn estimate(inputs: &Inputs<'_>) -> Demand {
+pub(super) fn estimate(inputs: &Inputs<'_>) -> Vec<Estimate> {
     let zones = &inputs.geometry.zones;
     let all_heard = !zones.iter().any(|zone| may_carry_unseen(inputs, zone));
-    zones
-        .iter()
-        .map(|zone| of_source(inputs, zone, all_heard))
-        .collect()
+    let estimates = zones.iter().map(|zone| of_source(inputs, zone, all_heard));
+    estimates.collect()
 }
 
 /// Whether a zone may carry demand that no fresh report shows.
@@ -48,29 +56,71 @@
     }
 }
 
-fn of_source(inputs: &Inputs<'_>, zone: &ids::AvailabilityZoneId, all_heard: bool) -> rate::Rate {
-    let previous = inputs.previous.and_then(|plan| plan.sources.get(zone));
-    let measured = measured(inputs, zone);
-    let Some(before) = previous.map(|source| source.demand) else {
-        return measured.max(LEAST);
-    };
-    let change = measured.max(before).saturating_sub(measured.min(before));
-    let gain_permille = if change <= before.permille(CHANCE_PERMILLE) {
-        SMALL_GAIN_PERMILLE
-    } else {
-        LARGE_GAIN_PERMILLE
+fn of_source(inputs: &Inputs<'_>, zone: &ids::AvailabilityZoneId, all_heard: bool) -> Estimate {
+    let measured = to_signed(measured(inputs, zone));
+    let before = inputs
+        .previous
+        .and_then(|plan| plan.estimates.get(zone).copied());
+    let Some(before) = before else {
+        return Estimate {
+            level_milli: measured,
+            trend_milli: 0,
+            change_milli: 0,
+        };
     };
-    let step = change.permille(gain_permille);
-    let next = if measured >= before {
-        before + step
-    } else if all_heard {
-        before.saturating_sub(step)
-    } else {
+    let expected = before.level_milli + before.trend_milli;
+    let change_milli = measured - expected;
+    if change_milli < 0 && !all_heard {
         // What a silent zone carried is missing from the sum. Were the estimate to follow it down,
         // the clients of a lost region would count as gone just when they need a place.
-        before.saturating_sub(step.min(before.permille(UNHEARD_DECAY_PERMILLE)))
-    };
-    next.max(LEAST)
+        let decay = before.level_milli * UNHEARD_DECAY_PERMILLE / 1_000;
+        return Estimate {
+            level_milli: before.level_milli + change_milli.max(-decay),
+            trend_milli: 0,
+            change_milli,
+        };
+    }
+    let chance = chance_milli(expected);
+    if change_milli.abs() > chance {
+        let step = confirmed(change_milli, before.change_milli, chance);
+        return Estimate {
+            level_milli: expected + step * LARGE_GAIN_PERMILLE / 1_000,
+            trend_milli: 0,
+            change_milli,
+        };
+    }
+    Estimate {
+        level_milli: expected + change_milli * SMALL_GAIN_PERMILLE / 1_000,
+        trend_milli: before.trend_milli + change_milli * TREND_GAIN_PERMILLE / 1_000,
+        change_milli,
+    }
+}
+
+/// The part of a large change that the step before showed as well, or what may be chance.
+///
+/// A single absurd report, or one under another zone's name, would otherwise multiply or halve the
+/// demand for seconds, and clients would be refused with capacity free.
+fn confirmed(change_milli: i64, before_milli: i64, chance_milli: i64) -> i64 {
+    let same_way = change_milli.signum() == before_milli.signum();
+    let shown = if same_way { before_milli.abs() } else { 0 };
+    change_milli.signum() * change_milli.abs().min(shown.max(chance_milli))
+}
+
+/// How far one second's count may be from its mean: counts deviate by the root of their mean.
+fn chance_milli(expected_milli: i64) -> i64 {
+    let mean = expected_milli.max(0).unsigned_abs() / 1_000;
+    let deviation = to_signed(rate::Rate::per_second(mean.isqrt() * CHANCE_DEVIATIONS));
+    deviation.max(expected_milli * CHANCE_PERMILLE / 1_000)
+}
+
+fn to_signed(rate: rate::Rate) -> i64 {
+    i64::try_from(rate.milli()).unwrap_or(i64::MAX)
+}
+
+/// The demand to plan for: the level, a few steps ahead along the trend.
+pub(super) fn ahead(estimate: Estimate) -> rate::Rate {
+    let ahead = estimate.level_milli + estimate.trend_milli * AHEAD_STEPS;
+    rate::Rate::from_milli(ahead.max(0).unsigned_abs()).max(LEAST)
 }
 
 fn measured(inputs: &Inputs<'_>, zone: &ids::AvailabilityZoneId) -> rate::Rate {
--- a/crates/damaskvane-steering/src/planner/inputs.rs
+++ b/crates/damaskvane-steering/src/planner/inputs.rs
@@ -1,5 +1,7 @@
 //! What planning one service reads, with zones as indices.
 
+use std::collections::BTreeMap;
+
 use damaskvane_core::{ids, time};
 
 use crate::planner::matrix::Matrix;
@@ -59,6 +61,12 @@
         self.geometry.zones.len()
     }
 
+    /// Names values that stand in order of the zones.
+    pub(super) fn by_zone<T>(&self, values: Vec<T>) -> BTreeMap<ids::AvailabilityZoneId, T> {
+        let zones = self.geometry.zones.iter();
+        zones.map(|zone| (*zone).clone()).zip(values).collect()
+    }
+
     pub(super) fn decision(&self, zone: &ids::AvailabilityZoneId) -> staleness::Decision {
         let age = self.view.age(zone, self.settings.limits, self.now);
         staleness::decide(age, self.view.reach(zone))
--- a/crates/damaskvane-steering/tests/planner.rs
+++ b/crates/damaskvane-steering/tests/planner.rs
@@ -94,7 +94,7 @@
                 recent.pop_front();
             }
             for (to, before) in topology.zones.keys().zip(before) {
-                let usable = rps(200).permille(settings.usable_permille);
+                let usable = settings.usable(rps(200));
                 assert!(
                     planned_to(&plan, to) <= usable,
                     "seed {seed} step {step} {to}"
@@ -383,3 +383,10 @@
         .demand;
     assert!(demand >= rps(85), "{demand}");
 }
+
+#[test]
+fn small_zones_keep_a_larger_part_free() {
+    let settings = planner::Settings::default();
+    let free = |capacity| capacity - settings.usable(rps(capacity)).milli().div_ceil(1_000);
+    assert_eq!([free(25), free(100), free(10_000)], [2, 6, 240]);
+}
