--- a/crates/damaskvane-bench/src/cluster/entry.rs
+++ b/crates/damaskvane-bench/src/cluster/entry.rs
@@ -17,6 +17,8 @@
 
 /// The longest wait for an instance to serve.
 const START_LIMIT: Duration = Duration::from_secs(20);
+/// The time for a request that only asks whether the instance serves, in milliseconds.
+const READY_DEADLINE_MS: u64 = 500;
 /// The longest wait for a status.
 const STATUS_LIMIT: Duration = Duration::from_secs(2);
 
@@ -41,6 +43,7 @@
     client: String,
     operator: String,
     peer: String,
+    seeds: String,
 }
 
 impl Entry {
@@ -53,9 +56,21 @@
             client: any(),
             operator: any(),
             peer: any(),
+            seeds: String::new(),
         }
     }
 
+    /// Names the instances that it asks while the platform is down, from its next start on.
+    pub(crate) fn set_seeds(&mut self, seeds: &str) {
+        self.seeds = seeds.to_owned();
+    }
+
+    /// Where its peers reach it.
+    #[must_use]
+    pub fn peer_address(&self) -> &str {
+        &self.peer
+    }
+
     /// Starts it, at its former addresses if it has run before.
     pub fn start(&mut self, programs: &Programs) -> Result<(), BenchError> {
         let settings = self.directory.join(format!("{}.toml", self.plan.instance));
@@ -79,13 +94,14 @@
     fn settings(&self) -> String {
         let plan = &self.plan;
         format!(
-            "instance = \"{}\"\navailability_zone = \"{}\"\nregion = \"{}\"\nclient_address = \"{}\"\noperator_address = \"{}\"\npeer_address = \"{}\"\nplatform_address = \"{}\"\ntoken_file = \"{}\"\n{}",
+            "instance = \"{}\"\navailability_zone = \"{}\"\nregion = \"{}\"\nclient_address = \"{}\"\noperator_address = \"{}\"\npeer_address = \"{}\"\nseed_peers = \"{}\"\nplatform_address = \"{}\"\ntoken_file = \"{}\"\n{}",
             plan.instance,
             plan.zone,
             plan.region,
             self.client,
             self.operator,
             self.peer,
+            self.seeds,
             plan.platform,
             plan.token_file.display(),
             plan.extra,
@@ -139,6 +155,19 @@
         self.process = None;
     }
 
+    /// Whether it answers a short request with a backend server's answer.
+    #[must_use]
+    pub fn serves(&self, service: &str) -> bool {
+        let url = format!("http://{}/v1/services/{service}/work?ms=1", self.client);
+        let answer = attohttpc::get(url)
+            .header("damaskvane-request-id", "bench-ready")
+            .header("damaskvane-client", "bench-ready")
+            .header("damaskvane-deadline-ms", READY_DEADLINE_MS)
+            .timeout(STATUS_LIMIT)
+            .send();
+        answer.is_ok_and(|answer| answer.is_success())
+    }
+
     /// Its own state.
     pub fn status(&self) -> Result<EntryStatus, BenchError> {
         fetch_status(&self.operator)
--- a/crates/damaskvane-bench/src/commands.rs
+++ b/crates/damaskvane-bench/src/commands.rs
@@ -9,7 +9,7 @@
 use std::process;
 
 use crate::error::BenchError;
-use crate::{checker, cluster, demo, load, steering};
+use crate::{capacity, checker, cluster, config, config_run, demo, load, speed, steering};
 
 /// One sub-command.
 #[derive(Debug, Clone, Copy)]
@@ -49,6 +49,26 @@
         summary: "both deployments under traffic and faults",
         run: demo::command::run,
     },
+    Command {
+        name: "speed",
+        summary: "what an entry instance adds to a request, and its look-ups",
+        run: speed::command::run,
+    },
+    Command {
+        name: "config",
+        summary: "from acceptance to in force everywhere",
+        run: config::run,
+    },
+    Command {
+        name: "config-run",
+        summary: "the configuration's decision code through mixed faults, by seed",
+        run: config_run::run,
+    },
+    Command {
+        name: "capacity",
+        summary: "the slopes behind docs/CAPACITY.md",
+        run: capacity::command::run,
+    },
 ];
 
 /// The sub-command of that name.
--- a/crates/damaskvane-bench/src/demo/record.rs
+++ b/crates/damaskvane-bench/src/demo/record.rs
@@ -11,6 +11,7 @@
 use damaskvane_standins::backend;
 
 use crate::client::Given;
+use crate::cluster::Placement;
 use crate::demo::{ShareSample, VersionSample};
 
 /// One ticket of the run.
@@ -44,12 +45,16 @@
 /// What a run left to be judged.
 #[derive(Debug, Clone, Default)]
 pub struct Record {
+    /// From the first configuration in force until every instance served, in milliseconds.
+    pub first_served_ms: u64,
     /// What each request was answered.
     pub given: Vec<Given>,
     /// What ran.
     pub executions: Vec<backend::Execution>,
     /// The servers' counters at the end.
     pub stats: BTreeMap<String, backend::ServerStats>,
+    /// The backend server that was drained.
+    pub drained: Placement,
     /// The tickets in order.
     pub tickets: Vec<TicketRecord>,
     /// The share of the shifted zone's look-ups that the other zone got.
--- a/crates/damaskvane-dispatch/src/home/routes.rs
+++ b/crates/damaskvane-dispatch/src/home/routes.rs
@@ -60,14 +60,21 @@
     pub(super) fn resolve(&self, home: &name::Home) -> name::Home {
         let mut current = home;
         for _ in 0..MAX_HOPS {
-            match self.successors.get(current) {
-                Some((successor, _)) => current = successor,
+            match self.successor_of(current) {
+                Some(successor) => current = successor,
                 None => break,
             }
         }
         current.clone()
     }
 
+    /// Who took over from a home, or from a later incarnation: that one may be the same process, which
+    /// keeps the keys of its older incarnations.
+    fn successor_of(&self, home: &name::Home) -> Option<&name::Home> {
+        let (departed, (successor, _)) = self.successors.range(home.clone()..).next()?;
+        (departed.instance == home.instance).then_some(successor)
+    }
+
     /// Notes a successor; the first one named stays, since a second can't hold the table.
     pub(super) fn learn(
         &mut self,
@@ -86,12 +93,26 @@
             .or_insert((successor, until));
     }
 
-    pub(super) fn expire(&mut self, now: time::TimeMs) {
-        let is_over = |adopted: &adopted::Adopted| adopted.is_over(now);
+    /// Ends every adoption: its keys that are not kept are *unknown* from here on.
+    pub(super) fn close_adopted(&mut self) {
+        self.close_where(|_| true);
+    }
+
+    fn close_where(&mut self, is_over: impl Fn(&adopted::Adopted) -> bool) {
         let over = self.adopted.values().filter(|adopted| is_over(adopted));
         self.closed
             .extend(over.map(|adopted| adopted.home().clone()));
         self.adopted.retain(|_, adopted| !is_over(adopted));
+    }
+
+    pub(super) fn successors(&self) -> impl Iterator<Item = (&name::Home, &name::Home)> {
+        self.successors
+            .iter()
+            .map(|(departed, (successor, _))| (departed, successor))
+    }
+
+    pub(super) fn expire(&mut self, now: time::TimeMs) {
+        self.close_where(|adopted| adopted.is_over(now));
         self.successors.retain(|_, (_, until)| now < *until);
     }
 }
--- a/crates/damaskvane-dispatch/src/home/table.rs
+++ b/crates/damaskvane-dispatch/src/home/table.rs
@@ -35,6 +35,8 @@
     pub(super) superseded: superseded::Superseded,
     pub(super) routes: routes::Routes,
     pub(super) surrender: Option<surrender::Surrender<A>>,
+    /// Set for the rest of the incarnation once it has taken as many keys as it may.
+    is_worn_out: bool,
     next_serial: u64,
     next_waiter: u64,
     broken_invariants: u64,
@@ -54,6 +56,7 @@
             superseded: superseded::Superseded::default(),
             routes: routes::Routes::default(),
             surrender: None,
+            is_worn_out: false,
             next_serial: record::PREDECESSORS_SERIAL + 1,
             next_waiter: 0,
             broken_invariants: 0,
@@ -99,7 +102,7 @@
                 self.bury(&scope, record.incarnation);
             }
         }
-        self.superseded.expire(self.now);
+        self.bury_superseded();
         self.routes.expire(self.now);
         finished
     }
@@ -119,6 +122,10 @@
         }
         self.me.incarnation = incarnation;
         self.tombstones.clear();
+        if self.is_worn_out {
+            self.routes.close_adopted();
+            self.is_worn_out = false;
+        }
     }
 
     /// Whether a new incarnation is due: new keys are refused once the tombstones are full.
@@ -139,6 +146,14 @@
         self.routes.learn(departed, successor, until);
     }
 
+    /// The departed homes whose successor is known, this instance's own adoptions included.
+    ///
+    /// Tell them to every instance that starts: the restarted process of a departed home has heard no
+    /// announcement, and would answer *unknown* to clients of its predecessor that come to it.
+    pub fn successors(&self) -> impl Iterator<Item = (&name::Home, &name::Home)> {
+        self.routes.successors()
+    }
+
     /// The home that look-ups name for this instance.
     #[must_use]
     pub const fn home(&self) -> &name::Home {
@@ -187,6 +202,8 @@
     ) -> Option<begin::Begin<A>> {
         let record = self.records.get(scope)?;
         if record.fingerprint != attempt.fingerprint {
+            // If the body that has the key is not run in the end, this try stays barred all the same.
+            self.records.raise_highest_try(scope, attempt.try_number);
             let reason = refusal::RefusalReason::KeyReusedWithOtherBody;
             return Some(begin::Begin::Answer(not_run(reason)));
         }
@@ -223,8 +240,17 @@
         if self.superseded.covers(&scope, attempt.try_number) {
             return begin::Begin::Answer(not_run(refusal::RefusalReason::TrySuperseded));
         }
+        self.is_worn_out |= self.taken_keys() >= self.settings.max_tombstones;
+        if self.is_worn_out {
+            // No bar is needed: earlier tries are refused too, until the incarnation ends.
+            return begin::Begin::Answer(not_run(refusal::RefusalReason::KeyTableFull));
+        }
         if self.is_full() {
-            self.bar(&scope, attempt.try_number);
+            let bar = superseded::Barred {
+                through: attempt.try_number,
+                incarnation,
+            };
+            self.bar(&scope, bar);
             return begin::Begin::Answer(not_run(refusal::RefusalReason::KeyTableFull));
         }
         self.dispatch(scope, incarnation, attempt)
@@ -298,7 +324,11 @@
         }
         let kept = self.outcome_to_keep(&outcome);
         if let outcome::Outcome::NotRun(_) = outcome {
-            self.bar(scope, record.highest_try);
+            let bar = superseded::Barred {
+                through: record.highest_try,
+                incarnation: record.incarnation,
+            };
+            self.bar(scope, bar);
         } else {
             let state = record::State::Done {
                 outcome: kept,
@@ -321,39 +351,6 @@
         }
     }
 
-    fn give_up(&mut self, scope: scope::Scope, record: record::Record<A>) -> begin::Finish<A> {
-        let outcome = outcome::Outcome::unknown(refusal::RefusalReason::OutcomeLost);
-        let mut waiters = Vec::new();
-        if let record::State::Running {
-            waiters: joined, ..
-        } = record.state
-        {
-            waiters = joined;
-        }
-        let state = record::State::Done {
-            outcome: outcome.clone(),
-            until: self.now + self.settings.window(),
-        };
-        self.records
-            .insert(scope, record::Record { state, ..record });
-        begin::Finish { outcome, waiters }
-    }
-
-    fn bury(&mut self, scope: &scope::Scope, incarnation: ids::Incarnation) {
-        let home = name::Home::new(scope.instance.clone(), incarnation);
-        if home == self.me {
-            self.tombstones.insert(scope.digest());
-        } else if let Some(adopted) = self.routes.adopted_mut(&home) {
-            adopted.add_tombstone(scope);
-        }
-    }
-
-    pub(super) fn bar(&mut self, scope: &scope::Scope, through: u32) {
-        let until = self.now + time::SpanMs::new(self.settings.superseded_ms);
-        let max_superseded = self.settings.max_superseded;
-        self.superseded.bar(scope, through, until, max_superseded);
-    }
-
     fn amend(
         &mut self,
         scope: &scope::Scope,
@@ -377,13 +374,12 @@
 
     /// Every kept key becomes a tombstone one day, so both count against that bound now.
     pub(super) fn taken_keys(&self) -> usize {
-        self.tombstones.len() + self.records.len()
+        self.tombstones.len() + self.records.len() + self.superseded.len()
     }
 
     fn is_full(&self) -> bool {
         self.records.len() >= self.settings.max_entries
             || self.records.bytes_with_one_more() > self.settings.max_bytes
-            || self.taken_keys() >= self.settings.max_tombstones
     }
 }
 
--- a/crates/damaskvane-engine/src/directory.rs
+++ b/crates/damaskvane-engine/src/directory.rs
@@ -16,7 +16,7 @@
 use std::collections::BTreeMap;
 
 pub use backend_server::BackendServer;
-use damaskvane_core::ids;
+use damaskvane_core::{ids, time};
 pub use peer_instance::{PeerInstance, Reachability};
 pub use service::Service;
 
@@ -25,6 +25,12 @@
 pub struct Directory {
     /// The configuration version that it rests on.
     pub version: ids::ConfigVersion,
+    /// The availability zone of this instance.
+    pub own_zone: Option<ids::AvailabilityZoneId>,
+    /// The region of this instance.
+    pub own_region: Option<ids::RegionId>,
+    /// The longest time for which clients keep a look-up answer.
+    pub answer_ttl: time::SpanMs,
     /// Every declared service.
     pub services: BTreeMap<ids::ServiceId, Service>,
     /// The backend servers of the own availability zone.
--- a/crates/damaskvane-engine/src/engine.rs
+++ b/crates/damaskvane-engine/src/engine.rs
@@ -15,23 +15,28 @@
 //! ```
 
 mod answers;
+mod crashes;
 mod ended;
 mod expiry;
 mod forwarding;
 mod leaving;
+mod load;
 mod pending;
 mod pump;
+mod servers;
 mod settings;
-mod slots;
 mod submit;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use damaskvane_core::{ids, time};
-use damaskvane_dispatch::{home, retry};
+use damaskvane_dispatch::{admission, home, retry};
+use damaskvane_slots::exchange;
+pub use load::{EngineLoad, EngineServiceLoad};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+pub use servers::DrainStatus;
 pub use settings::EngineSettings;
 
 use crate::event::{Action, Event, ExchangeNumber, RequestNumber};
@@ -49,14 +54,18 @@
     requests: BTreeMap<pending::LocalId, pending::Pending>,
     clients: BTreeMap<RequestNumber, pending::LocalId>,
     waiters: BTreeMap<home::WaiterId, pending::LocalId>,
-    queue: Vec<pending::LocalId>,
+    queue: admission::Queue<pending::LocalId>,
+    /// Requests that have left the queue and wait for a certain slot: further tries, and suspects.
+    held: Vec<pending::LocalId>,
     flights: BTreeMap<ExchangeNumber, pending::Flight>,
-    slots: slots::SlotKeeper,
+    servers: servers::Servers,
+    crashes: crashes::Crashes,
     retries: BTreeMap<ids::ServiceId, retry::RetryPolicy>,
     departure: leaving::Departure,
     handed_to: Option<home::Home>,
     rng: Pcg64Mcg,
     next_id: u64,
+    load: EngineLoad,
     actions: Vec<Action>,
 }
 
@@ -67,20 +76,24 @@
         Self {
             keys: home::HomeTable::new(me.clone(), settings.keys.clone()),
             rng: Pcg64Mcg::seed_from_u64(me.incarnation.get()),
+            servers: servers::Servers::new(&me),
             me,
-            settings,
+
             directory: Arc::default(),
             requests: BTreeMap::new(),
             clients: BTreeMap::new(),
             waiters: BTreeMap::new(),
-            queue: Vec::new(),
+            queue: admission::Queue::new(settings.queue.clone()),
+            held: Vec::new(),
             flights: BTreeMap::new(),
-            slots: slots::SlotKeeper::default(),
+            crashes: crashes::Crashes::new(settings.quarantine.clone()),
             retries: BTreeMap::new(),
             departure: leaving::Departure::default(),
             handed_to: None,
             next_id: 1,
+            load: EngineLoad::default(),
             actions: Vec::new(),
+            settings,
         }
     }
 
@@ -93,7 +106,12 @@
     /// How many requests wait for a slot.
     #[must_use]
     pub fn waiting(&self) -> usize {
-        self.queue.len()
+        self.queue.len() + self.held.len()
+    }
+
+    /// Backend servers that drain or have drained, for operators.
+    pub fn draining(&self) -> impl Iterator<Item = DrainStatus> + '_ {
+        self.servers.draining()
     }
 
     /// How many idempotency keys are kept.
@@ -113,9 +131,15 @@
             Event::ExchangeEnded { exchange, end } => self.ended(now, exchange, end),
             Event::Peer { from, message } => self.peer(now, &from, *message),
             Event::Directory(directory) => {
-                self.learn(directory);
+                self.learn(now, directory);
                 self.give_up_unreachable(now);
             }
+            Event::Roster(roster) => self.servers.roster(now, *roster),
+            Event::HealthReported {
+                backend_server,
+                healthy,
+            } => self.servers.reported(now, &backend_server, healthy),
+            Event::ClearQuarantine(fingerprint) => self.clear_by_operator(now, fingerprint),
             Event::Leave => self.leave(now),
             Event::Tick => {
                 self.expire(now);
@@ -133,6 +157,9 @@
             peer::PeerMessage::Handover(part) => self.take_over(now, from, *part),
             peer::PeerMessage::HandoverTaken(taken) => self.handover_taken(from, taken),
             peer::PeerMessage::Amendment(record) => self.amended(now, *record),
+            peer::PeerMessage::Incident(incident) => self.incident_told(now, &incident),
+            peer::PeerMessage::Cleared(fingerprint) => self.cleared_told(now, fingerprint),
+            peer::PeerMessage::Slots(message) => self.servers.message(now, from, *message),
             peer::PeerMessage::Departed(departed) => {
                 self.keys
                     .learn_successor(now, departed.departed, departed.successor);
@@ -140,7 +167,8 @@
         }
     }
 
-    fn learn(&mut self, directory: Arc<directory::Directory>) {
+    fn learn(&mut self, now: time::TimeMs, directory: Arc<directory::Directory>) {
+        self.servers.learn(now, &directory);
         self.directory = directory;
         for (id, service) in &self.directory.services {
             self.retries.entry(id.clone()).or_insert_with(|| {
@@ -152,6 +180,21 @@
         }
     }
 
+    fn carry_slot_actions(&mut self) {
+        for action in self.servers.take_actions() {
+            match action {
+                exchange::Action::Send { to, message } => self.actions.push(Action::Send {
+                    to,
+                    message: Box::new(peer::PeerMessage::Slots(Box::new(message))),
+                }),
+                exchange::Action::Available { .. } => {}
+                exchange::Action::Broken { invariant } => {
+                    self.actions.push(Action::Broken { invariant });
+                }
+            }
+        }
+    }
+
     fn next_id(&mut self) -> u64 {
         let id = self.next_id;
         self.next_id += 1;
--- a/crates/damaskvane-engine/src/engine/answers.rs
+++ b/crates/damaskvane-engine/src/engine/answers.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use damaskvane_core::time;
-use damaskvane_dispatch::{exchange, home, outcome, refusal};
+use damaskvane_dispatch::{admission, exchange, home, outcome, refusal};
 
 use crate::engine::Engine;
 use crate::engine::pending::{LocalId, Origin, Stage};
@@ -73,6 +73,17 @@
         }
     }
 
+    /// Gives up what the admission queue can't serve in time.
+    pub(super) fn give_up_all(
+        &mut self,
+        now: time::TimeMs,
+        given_up: impl IntoIterator<Item = admission::GivenUp<LocalId>>,
+    ) {
+        for given_up in given_up {
+            self.give_up_until(now, given_up.request, given_up.reason, given_up.retry_after);
+        }
+    }
+
     /// Gives up a request that no backend server has; its answer goes out at once.
     pub(super) fn give_up(
         &mut self,
@@ -80,14 +91,33 @@
         id: LocalId,
         reason: refusal::RefusalReason,
     ) {
-        self.queue.retain(|queued| *queued != id);
+        self.give_up_until(now, id, reason, reason.default_retry_after());
+    }
+
+    /// The same, naming when to come back.
+    pub(super) fn give_up_until(
+        &mut self,
+        now: time::TimeMs,
+        id: LocalId,
+        reason: refusal::RefusalReason,
+        retry_after: time::SpanMs,
+    ) {
+        self.queue.withdraw(|queued| *queued == id);
+        self.held.retain(|held| *held != id);
         let Some(pending) = self.requests.remove(&id) else {
             return;
         };
+        if is_for_want_of_capacity(reason) {
+            self.count_refused(&pending.request.service);
+        }
         match pending.stage {
-            Stage::Queued(received) => self.finish(now, pending.origin, received.refuse(reason)),
+            Stage::Queued(received) => {
+                let answered = received.refuse_until(reason, retry_after);
+                self.finish(now, pending.origin, answered);
+            }
             Stage::Requeued(admitted) | Stage::Backoff { admitted, .. } => {
-                self.finish(now, pending.origin, admitted.refuse(reason));
+                let answered = admitted.refuse_until(reason, retry_after);
+                self.finish(now, pending.origin, answered);
             }
             Stage::Forwarded { forwarded, .. } => {
                 self.finish(now, pending.origin, forwarded.lost());
@@ -102,3 +132,12 @@
         }
     }
 }
+
+const fn is_for_want_of_capacity(reason: refusal::RefusalReason) -> bool {
+    matches!(
+        reason,
+        refusal::RefusalReason::QueueTimeout
+            | refusal::RefusalReason::QueueFull
+            | refusal::RefusalReason::Overloaded
+    )
+}
--- a/crates/damaskvane-engine/src/engine/pending.rs
+++ b/crates/damaskvane-engine/src/engine/pending.rs
@@ -9,8 +9,9 @@
 use std::sync::Arc;
 
 use damaskvane_core::{ids, time};
-use damaskvane_dispatch::{deadline, exchange, home};
+use damaskvane_dispatch::{deadline, exchange, fingerprint, home};
 
+use crate::engine::servers::Taken;
 use crate::event::{ExchangeNumber, RequestNumber};
 use crate::message;
 
@@ -56,12 +57,21 @@
     },
 }
 
+impl Stage {
+    /// Whether it waits for a slot.
+    pub(super) const fn is_waiting(&self) -> bool {
+        matches!(self, Self::Queued(_) | Self::Requeued(_))
+    }
+}
+
 /// A request on its way.
 #[derive(Debug)]
 pub(super) struct Pending {
     /// Who waits; none once the client went away or was answered.
     pub(super) origin: Option<Origin>,
     pub(super) request: Arc<message::ServiceRequest>,
+    /// What the request is recognised by on other servers and instances.
+    pub(super) fingerprint: fingerprint::Fingerprint,
     pub(super) deadline: deadline::Deadline,
     pub(super) stage: Stage,
 }
@@ -70,6 +80,9 @@
 #[derive(Debug)]
 pub(super) struct Flight {
     pub(super) id: LocalId,
+    pub(super) service: ids::ServiceId,
+    pub(super) request_id: ids::RequestId,
+    pub(super) fingerprint: fingerprint::Fingerprint,
     pub(super) sent: exchange::Sent,
-    pub(super) backend_server: ids::BackendServerId,
+    pub(super) taken: Taken,
 }
--- a/crates/damaskvane-engine/src/engine/submit.rs
+++ b/crates/damaskvane-engine/src/engine/submit.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use damaskvane_core::{ids, time};
-use damaskvane_dispatch::{deadline, exchange, home, refusal};
+use damaskvane_dispatch::{admission, deadline, exchange, home, refusal};
 
 use crate::engine::Engine;
 use crate::engine::pending::{LocalId, Origin, Pending, Stage};
@@ -63,6 +63,7 @@
         received: exchange::Received,
     ) {
         if let Some((reason, retry_after)) = self.refuses(&request.service, now) {
+            self.count_refused(&request.service);
             let answered = received.refuse_until(reason, retry_after);
             self.finish(now, Some(origin), answered);
             return;
@@ -71,8 +72,24 @@
             policy.note_first_try();
         }
         let deadline = received.deadline();
+        let service = request.service.clone();
+        let priority = request.priority;
         let id = self.insert(origin, request, deadline, Stage::Queued(received));
-        self.queue.push(id);
+        let given_up = self.queue.push(
+            now,
+            admission::Waiting {
+                request: id,
+                service,
+                priority,
+                deadline,
+            },
+        );
+        self.give_up_all(now, given_up);
+    }
+
+    pub(super) fn count_refused(&mut self, service: &ids::ServiceId) {
+        let load = self.load.services.entry(service.clone()).or_default();
+        load.refused += 1;
     }
 
     /// Why a new request of a service would not even be queued.
@@ -88,49 +105,36 @@
         let Some(settings) = self.directory.services.get(service) else {
             return refused(refusal::RefusalReason::ServiceUnknown);
         };
-        if self.departure.takes_no_requests(now) {
+        if self.departure.takes_no_requests() {
             return refused(refusal::RefusalReason::InstanceLeaving);
         }
-        if !self.has_backend_server(service) {
+        if self.servers.count(now, service, &[]) == 0 {
             return refused(refusal::RefusalReason::NoBackendServer);
         }
         let waiting = self.waiting_for(service);
         if waiting >= settings.queue_limit as usize {
-            let retry_after = self.time_to_drain(service, settings, waiting);
+            let retry_after = self.time_to_drain(now, service, settings, waiting);
             return Some((refusal::RefusalReason::QueueFull, retry_after));
         }
         None
     }
 
-    fn has_backend_server(&self, service: &ids::ServiceId) -> bool {
-        self.directory
-            .backend_servers
-            .values()
-            .any(|server| server.service == *service && !server.draining)
-    }
-
     fn waiting_for(&self, service: &ids::ServiceId) -> usize {
-        self.queue
-            .iter()
-            .filter_map(|id| self.requests.get(id))
-            .filter(|pending| pending.request.service == *service)
+        self.requests
+            .values()
+            .filter(|pending| pending.request.service == *service && pending.stage.is_waiting())
             .count()
     }
 
     /// When the requests that wait now will have been served at the service's usual pace.
     fn time_to_drain(
         &self,
+        now: time::TimeMs,
         service: &ids::ServiceId,
         settings: &directory::Service,
         waiting: usize,
     ) -> time::SpanMs {
-        let slots: u64 = self
-            .directory
-            .backend_servers
-            .values()
-            .filter(|server| server.service == *service && !server.draining)
-            .map(|server| u64::from(server.slots.get()))
-            .sum();
+        let slots = u64::from(self.servers.capacity(now, service).get());
         let rounds = (waiting as u64).div_ceil(slots.max(1));
         time::SpanMs::new(rounds * settings.typical_request.get())
     }
@@ -150,6 +154,7 @@
             id,
             Pending {
                 origin: Some(origin),
+                fingerprint: request.fingerprint(),
                 request,
                 deadline,
                 stage,
--- a/crates/damaskvane-engine/src/event/input.rs
+++ b/crates/damaskvane-engine/src/event/input.rs
@@ -9,7 +9,9 @@
 
 use std::sync::Arc;
 
-use damaskvane_dispatch::home;
+use damaskvane_core::ids;
+use damaskvane_dispatch::{fingerprint, home};
+use damaskvane_membership::view;
 
 use crate::event::{exchange_end, number};
 use crate::{directory, message, peer};
@@ -45,6 +47,17 @@
     },
     /// Configuration or membership changed.
     Directory(Arc<directory::Directory>),
+    /// The instances of the own zone, as owners of slots.
+    Roster(Box<view::Roster>),
+    /// A backend server reported its health.
+    HealthReported {
+        /// The backend server.
+        backend_server: ids::BackendServerId,
+        /// What it says.
+        healthy: bool,
+    },
+    /// An operator lets a quarantined request go.
+    ClearQuarantine(fingerprint::Fingerprint),
     /// A planned stop has begun.
     Leave,
     /// Time passed.
--- a/crates/damaskvane-entry/src/inbox/input.rs
+++ b/crates/damaskvane-entry/src/inbox/input.rs
@@ -9,8 +9,10 @@
 
 use std::sync::Arc;
 
-use damaskvane_dispatch::{home, outcome};
+use damaskvane_core::ids;
+use damaskvane_dispatch::{fingerprint, home, outcome};
 use damaskvane_engine::{directory, event, message, peer};
+use damaskvane_membership::view;
 
 /// Where a client's handler waits for its answer.
 pub type Reply = flume::Sender<outcome::Outcome<Arc<message::BackendAnswer>>>;
@@ -48,6 +50,17 @@
     },
     /// Configuration or membership changed.
     Directory(Arc<directory::Directory>),
+    /// The instances of the own zone, as owners of slots.
+    Roster(Box<view::Roster>),
+    /// A backend server reported its health.
+    HealthReported {
+        /// The backend server.
+        backend_server: ids::BackendServerId,
+        /// What it says.
+        healthy: bool,
+    },
+    /// An operator lets a quarantined request go.
+    ClearQuarantine(fingerprint::Fingerprint),
     /// A planned stop has begun.
     Leave,
     /// The engine's thread ends.
--- a/crates/damaskvane-entry/src/process.rs
+++ b/crates/damaskvane-entry/src/process.rs
@@ -11,6 +11,7 @@
 mod ready;
 mod stop;
 
+use core::time::Duration;
 use std::fs;
 use std::net;
 use std::sync::Arc;
@@ -23,12 +24,13 @@
 pub use error::StartError;
 use slog::{info, o};
 
-use crate::client_api::listener;
+use crate::client_api::{binding, listener};
 use crate::clock;
 use crate::control;
 use crate::engine_thread;
 use crate::exchange;
 use crate::exchange_pool;
+use crate::health_reports;
 use crate::inbox;
 use crate::operator_api::{self, status};
 use crate::peers;
@@ -46,14 +48,15 @@
         logging::field::INSTANCE => settings.instance.to_string(),
         logging::field::AVAILABILITY_ZONE => settings.availability_zone.to_string(),
     ));
-    let signals = stop::Signals::register()?;
+    let (stop_sender, stop_requests) = flume::unbounded();
+    stop::register(stop_sender.clone())?;
     let me = home::Home::new(settings.instance.clone(), clock::incarnation());
     let serving = Arc::new(serving::Serving::new(
         counters(settings)?,
         format!("{}-{}", me.instance, me.incarnation),
     ));
-    let clients = listen("client_address", &settings.client_address)?;
-    let client_address = local_address(&clients)?;
+    let clients = bind(&settings.client_address)?;
+    let client_address = clients.local_address().map_err(StartError::Thread)?;
     let (transport, received) = listen_for_peers(settings, &me)?;
     let peers = Arc::new(peers::Peers::new(transport));
     let status = status::Source {
@@ -64,10 +67,12 @@
         leaving: Arc::default(),
         published: status::Published::default(),
     };
+    let (engine, engine_inbox) = flume::unbounded();
     let operators = operator_api::start(
         &settings.operator_address,
         Arc::clone(&serving),
         status.clone(),
+        engine.clone(),
     )
     .map_err(|error| StartError::Listen {
         key: "operator_address",
@@ -84,11 +89,10 @@
         operator_address: operators,
         leaving: false,
     };
-    let (engine, engine_inbox) = flume::unbounded();
     let (control, control_inbox) = flume::unbounded();
     start_engine(
         settings,
-        me,
+        &status,
         &serving,
         &engine,
         engine_inbox,
@@ -99,11 +103,15 @@
         control::ControlParts {
             record: record.clone(),
             settings: settings.clone(),
+            seeds: peers::Seeds::parse(&settings.seed_peers).map_err(StartError::Seeds)?,
             serving: Arc::clone(&serving),
             engine: engine.clone(),
             peers: Arc::clone(&peers),
             store: start_store(settings, &serving, &control)?,
             status,
+            health: health_reports::start(engine.clone()).map_err(StartError::Thread)?,
+            stop: stop_sender,
+            own_inbox: control.clone(),
             logger: logger.clone(),
         },
         control_inbox,
@@ -112,7 +120,14 @@
     start_clients(clients, settings, &serving, &engine)?;
     ready::announce(&record);
     info!(logger, "serving"; "client_address" => client_address.to_string());
-    stop::wait_and_stop(signals, &control, &engine, &serving, settings, &logger);
+    stop::wait_and_stop(
+        &stop_requests,
+        &control,
+        &engine,
+        &serving,
+        settings,
+        &logger,
+    );
     Ok(())
 }
 
@@ -132,18 +147,14 @@
     counters::Counters::to_statsd(address).map_err(|error| wrong(error.to_string()))
 }
 
-fn listen(key: &'static str, address: &str) -> Result<net::TcpListener, StartError> {
-    net::TcpListener::bind(address).map_err(|error| StartError::Listen {
-        key,
+fn bind(address: &str) -> Result<binding::BoundAddress, StartError> {
+    binding::BoundAddress::bind(address).map_err(|error| StartError::Listen {
+        key: "client_address",
         address: address.to_owned(),
         error: error.to_string(),
     })
 }
 
-fn local_address(listener: &net::TcpListener) -> Result<net::SocketAddr, StartError> {
-    listener.local_addr().map_err(StartError::Thread)
-}
-
 fn listen_for_peers(
     settings: &settings::EntrySettings,
     me: &home::Home,
@@ -174,7 +185,7 @@
 
 fn start_engine(
     settings: &settings::EntrySettings,
-    me: home::Home,
+    status: &status::Source,
     serving: &Arc<serving::Serving>,
     ended: &flume::Sender<inbox::Input>,
     inbox: flume::Receiver<inbox::Input>,
@@ -185,13 +196,19 @@
         answer_limit_bytes: settings.body_limit_bytes,
         ..exchange::ExchangeLimits::default()
     };
-    let pool = exchange_pool::ExchangePool::new(settings.exchange_limit, limits, ended.clone());
+    let pool = exchange_pool::ExchangePool::new(
+        settings.exchange_limit,
+        limits,
+        serving.clock,
+        ended.clone(),
+    );
     let engine = engine_thread::EngineThread::new(
-        me,
+        status.me.clone(),
         Arc::clone(serving),
         inbox,
         pool,
         Arc::clone(peers),
+        status.clone(),
         logger.clone(),
     );
     spawn("engine", move || engine.run())
@@ -243,7 +260,7 @@
 }
 
 fn start_clients(
-    clients: net::TcpListener,
+    clients: binding::BoundAddress,
     settings: &settings::EntrySettings,
     serving: &Arc<serving::Serving>,
     inbox: &flume::Sender<inbox::Input>,
@@ -259,8 +276,12 @@
         .enable_all()
         .build()
         .map_err(StartError::Thread)?;
+    let settle = Duration::from_millis(settings.settle_ms);
     spawn("client-listener", move || {
-        let _ = runtime.block_on(listener::serve(clients, api));
+        thread::sleep(settle);
+        if let Ok(listener) = clients.listen() {
+            let _ = runtime.block_on(listener::serve(listener, api));
+        }
     })
 }
 
--- a/crates/damaskvane-entry/src/settings.rs
+++ b/crates/damaskvane-entry/src/settings.rs
@@ -29,6 +29,8 @@
     pub operator_address: String,
     /// Where other entry instances reach it.
     pub peer_address: String,
+    /// Instances to ask while the platform is down, as `instance@address`.
+    pub seed_peers: String,
     /// The platform's object API.
     pub platform_address: String,
     /// A file that holds the credential for the object API; empty for none.
@@ -53,6 +55,8 @@
     pub exchange_limit: usize,
     /// Period of heartbeats to other entry instances.
     pub heartbeat_ms: u64,
+    /// Time from the start until clients are let in, so that older look-up answers lapse.
+    pub settle_ms: u64,
     /// Longest time for a planned stop.
     pub stop_timeout_ms: u64,
 }
@@ -66,6 +70,7 @@
             client_address: ANY_PORT.to_owned(),
             operator_address: ANY_PORT.to_owned(),
             peer_address: ANY_PORT.to_owned(),
+            seed_peers: String::new(),
             platform_address: String::new(),
             token_file: String::new(),
             statsd_address: String::new(),
@@ -78,6 +83,7 @@
             body_limit_bytes: 1_048_576,
             exchange_limit: 256,
             heartbeat_ms: 500,
+            settle_ms: 3_000,
             stop_timeout_ms: 30_000,
         }
     }
@@ -91,6 +97,11 @@
         settings::Key::text("client_address", ANY_PORT, "where clients reach it"),
         settings::Key::text("operator_address", ANY_PORT, "where operators reach it"),
         settings::Key::text("peer_address", ANY_PORT, "where other instances reach it"),
+        settings::Key::text(
+            "seed_peers",
+            "",
+            "instances to ask while the platform is down: instance@address, ...",
+        ),
         settings::Key::required("platform_address", "address of the object API"),
         settings::Key::text(
             "token_file",
@@ -159,6 +170,13 @@
             10_000,
             "period of heartbeats to other instances",
         ),
+        settings::Key::number(
+            "settle_ms",
+            "3000",
+            0,
+            60_000,
+            "time until clients are let in, so that older look-up answers lapse",
+        ),
         settings::Key::number(
             "stop_timeout_ms",
             "30000",
