Bench: what client blocks declared by name cost an instance

The block table of the steering crate is not what an instance looks up in yet; it searches its declarations. Compiles; no figures yet.

--- a/crates/damaskvane-bench/src/capacity.rs
+++ b/crates/damaskvane-bench/src/capacity.rs
@@ -15,6 +15,7 @@
 mod blocks;
 mod changes;
 pub mod command;
+mod declared;
 mod events;
 mod load;
 mod page;
@@ -25,6 +26,7 @@
 
 pub use blocks::measure_blocks;
 pub use changes::measure_changes;
+pub use declared::measure_declared;
 pub use events::{EventFigures, measure_events};
 pub use load::measure_load;
 pub use page::{PAGE_BEGIN, PAGE_END, TABLE_HEAD, rewrite, table};
--- a/crates/damaskvane-bench/src/capacity/command.rs
+++ b/crates/damaskvane-bench/src/capacity/command.rs
@@ -13,12 +13,13 @@
 const USAGE: &str = "\
 damaskvane-bench capacity: the slopes behind docs/CAPACITY.md, with the real programs
 
-  --parts A,...      steady, changes, blocks, load, events [all of them]
+  --parts A,...      steady, changes, blocks, declared, load, events [all]
   --shapes RxZxE,... fleets: regions, zones in each, instances in each zone
                      [3x2x1,3x2x2,5x2x4,1x1x19,8x3x2,5x3x8]
   --seconds N        how long each size is measured [10]
   --objects N,...    objects in a ticket [1,10,100,1000]
   --blocks N,...     client blocks [10000,100000,1000000,3600000]
+  --declared N,...   client blocks declared by name [10000,50000,100000,200000]
   --lookups N,...    look-ups a second at one daemon [1,500,1000,2000]
   --requests N,...   requests a second at each of two daemons [1,50,100,200]
   --fleet RxZxE      the fleet for events [5x2x4]
@@ -28,12 +29,13 @@
 
 At most 300 processes; a fleet of 120 daemons takes two minutes.";
 
-const FLAGS: [&str; 10] = [
+const FLAGS: [&str; 11] = [
     "--parts",
     "--shapes",
     "--seconds",
     "--objects",
     "--blocks",
+    "--declared",
     "--lookups",
     "--requests",
     "--fleet",
@@ -52,7 +54,7 @@
     shape(8, 3, 2),
     shape(5, 3, 8),
 ];
-const PARTS: [&str; 5] = ["steady", "changes", "blocks", "load", "events"];
+const PARTS: [&str; 6] = ["steady", "changes", "blocks", "declared", "load", "events"];
 
 const fn shape(regions: usize, zones: usize, entries: usize) -> Shape {
     Shape {
@@ -69,6 +71,7 @@
     seconds: u64,
     objects: Vec<usize>,
     blocks: Vec<u32>,
+    declared: Vec<u32>,
     lookups: Vec<u64>,
     requests: Vec<u64>,
     fleet: Shape,
@@ -84,6 +87,7 @@
             seconds: 10,
             objects: vec![1, 10, 100, 1_000],
             blocks: vec![10_000, 100_000, 1_000_000, 3_600_000],
+            declared: vec![10_000, 50_000, 100_000, 200_000],
             lookups: vec![1, 500, 1_000, 2_000],
             requests: vec![1, 50, 100, 200],
             fleet: SHAPES[2],
@@ -138,6 +142,7 @@
         "seconds" => settings.seconds = arguments::value(parser)?,
         "objects" => settings.objects = arguments::values(parser)?,
         "blocks" => settings.blocks = arguments::values(parser)?,
+        "declared" => settings.declared = arguments::values(parser)?,
         "lookups" => settings.lookups = arguments::values(parser)?,
         "requests" => settings.requests = arguments::values(parser)?,
         "fleet" => settings.fleet = arguments::value(parser)?,
@@ -175,6 +180,11 @@
             .slopes
             .extend(capacity::measure_blocks(&settings.blocks)?);
     }
+    if wanted("declared") {
+        measured
+            .slopes
+            .extend(capacity::measure_declared(&settings.declared)?);
+    }
     if wanted("load") {
         let slopes =
             capacity::measure_load(&settings.lookups, &settings.requests, settings.seconds)?;
--- a/crates/damaskvane-bench/src/capacity/quantity.rs
+++ b/crates/damaskvane-bench/src/capacity/quantity.rs
@@ -97,6 +97,8 @@
     quantity("ticket-reads", "reads at the store for one ticket, 12 daemons", "calls", OBJECTS, Some(BUDGET_READS)),
     quantity("ticket-time", "from acceptance to in force everywhere, 12 daemons", "ms", OBJECTS, Some(5_000.0)),
     quantity("block-memory", "memory of the client-block table", "MB", BLOCKS, Some(BUDGET_MEMORY_MB)),
+    quantity("declared-memory", "resident memory of an instance with client blocks declared by name", "MB", BLOCKS, Some(BUDGET_MEMORY_MB)),
+    quantity("declared-lookup", "processor time of a look-up of an undeclared block among blocks declared by name", "µs", BLOCKS, None),
     quantity("lookup-cpu", "processor time of look-ups", "ms/s", LOOKUPS, None),
     quantity("request-cpu", "processor time of requests", "ms/s", REQUESTS, None),
     quantity("request-control", "control traffic under requests, busiest of two in a zone, both ways", "B/s", REQUESTS, Some(BUDGET_BYTES)),
