--- a/crates/damaskvane-membership/src/settings.rs
+++ b/crates/damaskvane-membership/src/settings.rs
@@ -36,6 +36,9 @@
     /// time between two reads.
     pub list_lag_ms: SpanMs,
     /// After this time without contact an instance can't reach the platform.
+    ///
+    /// It must be longer than the time between two reads of the list: an instance that is thought to be
+    /// cut off could otherwise fence another that does not expect it.
     pub platform_lost_ms: SpanMs,
     /// How long a neighbour is dead before it is fenced through the platform.
     pub fence_after_ms: SpanMs,
@@ -46,18 +49,18 @@
 impl Default for MembershipSettings {
     fn default() -> Self {
         Self {
-            heartbeats_per_second: 8,
+            heartbeats_per_second: 5,
             min_period_ms: SpanMs::new(250),
-            max_period_ms: SpanMs::new(2_500),
+            max_period_ms: SpanMs::new(4_000),
             mesh_limit: 20,
             min_suspect_ms: SpanMs::new(1_000),
             min_dead_ms: SpanMs::new(3_000),
             unheard_trust_ms: SpanMs::new(5_000),
             delisted_grace_ms: SpanMs::new(60_000),
             pause_ms: SpanMs::new(1_000),
-            authority_ms: SpanMs::new(8_000),
-            list_lag_ms: SpanMs::new(10_000),
-            platform_lost_ms: SpanMs::new(5_000),
+            authority_ms: SpanMs::new(12_000),
+            list_lag_ms: SpanMs::new(20_000),
+            platform_lost_ms: SpanMs::new(15_000),
             fence_after_ms: SpanMs::new(5_000),
             retry_ms: SpanMs::new(1_000),
         }
