Bench: a bench that is told to stop ends its programs, and pages from saved runs

A capacity run that was ended by SIGTERM left 12 entry instances running, which would have used the machine unseen under every later figure.

--- a/crates/damaskvane-bench/src/capacity.rs
+++ b/crates/damaskvane-bench/src/capacity.rs
@@ -18,6 +18,7 @@
 mod declared;
 mod events;
 mod load;
+mod measured;
 mod page;
 mod quantity;
 mod slope;
--- a/crates/damaskvane-bench/src/capacity/command.rs
+++ b/crates/damaskvane-bench/src/capacity/command.rs
@@ -7,7 +7,9 @@
 use damaskvane_telemetry::command_line;
 
 use crate::arguments;
-use crate::capacity::{self, EventFigures, Rates, Shape, Slope, SteadyFigures};
+use crate::capacity::measured::Measured;
+use crate::capacity::{self, Shape};
+use crate::cluster::children;
 use crate::error::BenchError;
 
 const USAGE: &str = "\
@@ -24,12 +26,13 @@
   --requests N,...   requests a second at each of two daemons [1,50,100,200]
   --fleet RxZxE      the fleet for events [5x2x4]
   --outage-s N       how long the store is cut [10]
+  --from FILE,...    takes what earlier runs printed with --json in place of measuring
   --page FILE        writes the measured table between the page's markers
   --seed N, --json, --help, --version
 
 At most 300 processes; a fleet of 120 daemons takes two minutes.";
 
-const FLAGS: [&str; 11] = [
+const FLAGS: [&str; 12] = [
     "--parts",
     "--shapes",
     "--seconds",
@@ -40,6 +43,7 @@
     "--requests",
     "--fleet",
     "--outage-s",
+    "--from",
     "--page",
 ];
 /// The most daemons of one fleet, so that all processes stay under 300.
@@ -76,6 +80,7 @@
     requests: Vec<u64>,
     fleet: Shape,
     outage_s: u64,
+    from: Vec<String>,
     page: Option<String>,
 }
 
@@ -92,19 +97,12 @@
             requests: vec![1, 50, 100, 200],
             fleet: SHAPES[2],
             outage_s: 10,
+            from: Vec::new(),
             page: None,
         }
     }
 }
 
-/// What was measured.
-#[derive(Debug, Default)]
-struct Measured {
-    slopes: Vec<Slope>,
-    steady: SteadyFigures,
-    events: Option<EventFigures>,
-}
-
 /// Measures the parts and prints each slope.
 pub fn run(parser: &mut lexopt::Parser) -> Result<process::ExitCode, BenchError> {
     let mut settings = Settings::default();
@@ -114,12 +112,17 @@
     if let Some(code) = shared.answer(USAGE) {
         return Ok(code);
     }
+    children::end_with_this_process().map_err(|cause| BenchError::file("signals", &cause))?;
     check(&settings)?;
-    let measured = measure(&settings)?;
+    let measured = if settings.from.is_empty() {
+        measure(&settings)?
+    } else {
+        Measured::read(&settings.from)?
+    };
     if shared.json {
-        print_json(&measured);
+        measured.print_json();
     } else {
-        print!("{}", text(&measured));
+        print!("{}", measured.text());
     }
     if let Some(page) = &settings.page {
         write_page(page, &measured)?;
@@ -147,6 +150,7 @@
         "requests" => settings.requests = arguments::values(parser)?,
         "fleet" => settings.fleet = arguments::value(parser)?,
         "outage-s" => settings.outage_s = arguments::value(parser)?,
+        "from" => settings.from = arguments::values(parser)?,
         "page" => settings.page = Some(arguments::value(parser)?),
         _ => return Ok(false),
     }
@@ -197,7 +201,7 @@
     }
     if wanted("events") {
         let outage = Duration::from_secs(settings.outage_s);
-        measured.events = Some(capacity::measure_events(settings.fleet, outage)?);
+        measured.events = Some(Box::new(capacity::measure_events(settings.fleet, outage)?));
     }
     if wanted("steady") {
         measured.steady = capacity::measure_steady(&settings.shapes, settings.seconds)?;
@@ -206,92 +210,9 @@
     Ok(measured)
 }
 
-fn print_json(measured: &Measured) {
-    for slope in &measured.slopes {
-        println!("{}", slope.to_json());
-    }
-    println!(
-        "{}",
-        serde_json::json!({ "steady": measured.steady, "events": measured.events })
-    );
-}
-
-/// The measured part of the page.
-fn text(measured: &Measured) -> String {
-    let mut text = capacity::table(&measured.slopes);
-    if !measured.steady.shapes.is_empty() {
-        text.push_str(
-            "\nControl bytes a second of one instance by message kind, sent / received:\n\n",
-        );
-        text.push_str("| regions x zones x instances | daemons | kinds |\n|---|---|---|\n");
-    }
-    for (shape, rates) in &measured.steady.shapes {
-        let kinds: Vec<String> = rates
-            .kinds
-            .iter()
-            .map(|(kind, (sent, received))| format!("{kind} {sent:.0} / {received:.0}"))
-            .collect();
-        text.push_str(&format!(
-            "| {}x{}x{} | {} | {} |\n",
-            shape.regions,
-            shape.zones,
-            shape.entries,
-            shape.daemons(),
-            kinds.join(", ")
-        ));
-    }
-    if let Some(events) = &measured.events {
-        text.push_str(&events_table(events));
-    }
-    text
-}
-
-fn events_table(events: &EventFigures) -> String {
-    let row = |title: String, rates: &Rates, peak: Option<f64>| {
-        format!(
-            "| {title} | {} | {} | {:.0} | {:.1} | {:.1} | {} |\n",
-            optional(rates.control_relay),
-            optional(rates.control_other),
-            rates.control_max,
-            rates.store_reads,
-            rates.store_writes,
-            optional(peak),
-        )
-    };
-    let mut text = format!("\nEvents on a fleet of {} daemons:\n\n", events.daemons);
-    text.push_str("| event | relay B/s | other B/s | busiest B/s | store reads/s | store writes/s | most store calls in a second |\n|---|---|---|---|---|---|---|\n");
-    text.push_str(&row("steady state".to_owned(), &events.steady, None));
-    let title = format!("zone of {} lost, 10 s after", events.lost);
-    text.push_str(&row(
-        title,
-        &events.after_loss,
-        Some(events.loss_peak_calls),
-    ));
-    let title = format!("store back after {:.0} s, 10 s after", events.outage_s);
-    text.push_str(&row(
-        title,
-        &events.after_return,
-        Some(events.return_peak_calls),
-    ));
-    let title = format!(
-        "{} restarted in turn, {:.0} ms each",
-        events.rolled, events.restart_ms
-    );
-    text.push_str(&row(
-        title,
-        &events.rolling,
-        Some(events.rolling_peak_calls),
-    ));
-    text
-}
-
-fn optional(value: Option<f64>) -> String {
-    value.map_or("none".to_owned(), |value| format!("{value:.0}"))
-}
-
 fn write_page(file: &str, measured: &Measured) -> Result<(), BenchError> {
     let page = fs::read_to_string(file).map_err(|cause| BenchError::file(file, &cause))?;
-    let page = capacity::rewrite(&page, &text(measured));
+    let page = capacity::rewrite(&page, &measured.text());
     let page = page.ok_or_else(|| BenchError::file(file, &"the page lacks its two markers"))?;
     fs::write(file, page).map_err(|cause| BenchError::file(file, &cause))
 }
--- a/crates/damaskvane-bench/src/capacity/events.rs
+++ b/crates/damaskvane-bench/src/capacity/events.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use damaskvane_standins::platform;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::capacity::{Rates, Shape, Snapshot, steady};
 use crate::cluster::{Cluster, PlatformAdmin};
@@ -33,7 +33,7 @@
 const ROLLED: usize = 6;
 
 /// What each event cost.
-#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct EventFigures {
     /// The fleet's size.
     pub daemons: usize,
--- a/crates/damaskvane-bench/src/capacity/snapshot.rs
+++ b/crates/damaskvane-bench/src/capacity/snapshot.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use crate::cluster::{self, Cluster, EntryStatus, Traffic};
@@ -28,7 +28,7 @@
 }
 
 /// Rates a second between two readings, by role.
-#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Rates {
     /// Control bytes of a relay, both ways, on average.
     pub control_relay: Option<f64>,
--- a/crates/damaskvane-bench/src/capacity/steady.rs
+++ b/crates/damaskvane-bench/src/capacity/steady.rs
@@ -4,6 +4,8 @@
 use std::thread;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::capacity::quantity::LIST_READERS;
 use crate::capacity::{Quantity, Rates, Slope, Snapshot};
 use crate::cluster::{Cluster, Deployment};
@@ -15,7 +17,7 @@
 const SETTLE: Duration = Duration::from_secs(8);
 
 /// Regions, zones in each region and entry instances in each zone.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Shape {
     /// Regions.
     pub regions: usize,
@@ -53,7 +55,7 @@
 }
 
 /// The rates of each shape.
-#[derive(Debug, Clone, Default, PartialEq, serde::Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct SteadyFigures {
     /// Shapes and their rates.
     pub shapes: Vec<(Shape, Rates)>,
--- a/crates/damaskvane-bench/src/cluster.rs
+++ b/crates/damaskvane-bench/src/cluster.rs
@@ -11,6 +11,7 @@
 //! ```
 
 mod admin;
+pub mod children;
 pub mod command;
 mod declarations;
 mod deployment;
--- a/crates/damaskvane-bench/src/cluster/process.rs
+++ b/crates/damaskvane-bench/src/cluster/process.rs
@@ -13,6 +13,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::cluster::children;
 use crate::error::BenchError;
 
 /// How often an ending process is looked at.
@@ -64,6 +65,7 @@
             .stderr(errors)
             .spawn()
             .map_err(failed)?;
+        children::add(child.id());
         let (sender, receiver) = flume::bounded(1);
         if let Some(output) = child.stdout.take() {
             thread::spawn(move || forward(output, log, &sender));
@@ -144,6 +146,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        children::remove(self.child.id());
     }
 }
 
--- a/crates/damaskvane-bench/src/config.rs
+++ b/crates/damaskvane-bench/src/config.rs
@@ -13,7 +13,7 @@
 use serde::Serialize;
 
 use crate::arguments;
-use crate::cluster::{Cluster, Deployment};
+use crate::cluster::{Cluster, Deployment, children};
 use crate::error::BenchError;
 use crate::histogram;
 use crate::in_force;
@@ -84,6 +84,7 @@
     if let Some(code) = shared.answer(USAGE) {
         return Ok(code);
     }
+    children::end_with_this_process().map_err(|cause| BenchError::file("signals", &cause))?;
     let mut missing = 0;
     for size in sizes {
         let figures = measure(size, tickets)?;
--- a/crates/damaskvane-bench/src/demo/command.rs
+++ b/crates/damaskvane-bench/src/demo/command.rs
@@ -4,8 +4,8 @@
 use std::thread;
 
 use crate::arguments;
-use crate::cluster::Deployment;
 use crate::cluster::command::deployment;
+use crate::cluster::{Deployment, children};
 use crate::demo::{self, Figures, Plan, Promise};
 use crate::error::BenchError;
 use crate::load;
@@ -45,6 +45,7 @@
     if let Some(code) = shared.answer(USAGE) {
         return Ok(code);
     }
+    children::end_with_this_process().map_err(|cause| BenchError::file("signals", &cause))?;
     let deployments = match name.as_str() {
         "both" => vec![Deployment::prairie(), Deployment::valokirja()],
         name => vec![deployment(name)?],
--- a/crates/damaskvane-bench/src/speed/command.rs
+++ b/crates/damaskvane-bench/src/speed/command.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::arguments;
-use crate::cluster::{Cluster, Deployment};
+use crate::cluster::{Cluster, Deployment, children};
 use crate::error::BenchError;
 use crate::speed::{self, Bounds, LookupLoad, SpeedReport, Targets};
 
@@ -52,6 +52,7 @@
     if let Some(code) = shared.answer(USAGE) {
         return Ok(code);
     }
+    children::end_with_this_process().map_err(|cause| BenchError::file("signals", &cause))?;
     let report = measure(&settings)?;
     let met = report.met(&Bounds::default());
     if shared.json {
