Scenario language and runner over the real engine and membership

A small language (winnow) with typed statements, and a runner in virtual time with one engine and one membership per entry instance and fakes at the interfaces.

--- a/crates/damaskvane-engine/src/engine.rs
+++ b/crates/damaskvane-engine/src/engine.rs
@@ -114,6 +114,12 @@
         self.servers.draining()
     }
 
+    /// The home that look-ups name for this instance; its incarnation can be later than the process's.
+    #[must_use]
+    pub const fn home(&self) -> &home::Home {
+        self.keys.home()
+    }
+
     /// How many idempotency keys are kept.
     #[must_use]
     pub fn keys(&self) -> usize {
--- /dev/null
+++ b/crates/damaskvane-scenario/src/random.rs
@@ -0,0 +1,1 @@
+//! Seeded random traffic and faults.
--- /dev/null
+++ b/crates/damaskvane-scenario/src/script/line.rs
@@ -0,0 +1,210 @@
+//! Takes the tokens of one line one by one; every mistake names its column and the remedy.
+//!
+//! ```text
+//! word -> word -> options, in any order -> nothing left
+//! ```
+
+use core::str;
+
+use damaskvane_core::time;
+
+use crate::script::error::ScriptError;
+use crate::script::expectation::{Comparison, Operator};
+use crate::script::token::{self, Kind, Token};
+
+/// The tokens of a line that are not taken yet.
+#[derive(Debug)]
+pub(super) struct TokenLine<'a> {
+    file: &'a str,
+    number: usize,
+    text: &'a str,
+    tokens: Vec<Token<'a>>,
+    next: usize,
+    last_offset: usize,
+}
+
+impl<'a> TokenLine<'a> {
+    pub(super) fn new(
+        file: &'a str,
+        number: usize,
+        text: &'a str,
+    ) -> Result<Self, ScriptError> {
+        let mut line = Self {
+            file,
+            number,
+            text,
+            tokens: Vec::new(),
+            next: 0,
+            last_offset: 0,
+        };
+        line.tokens = token::tokens(text).map_err(|offset| {
+            line.error_at(
+                offset,
+                "this character belongs to no statement",
+                "write names of a-z, 0-9, '-', '_' and '.', options as name=value, comments after '#'",
+            )
+        })?;
+        Ok(line)
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.tokens.is_empty()
+    }
+
+    fn error_at(&self, offset: usize, problem: &str, remedy: &str) -> ScriptError {
+        let before = self.text.get(..offset).unwrap_or(self.text);
+        ScriptError {
+            file: self.file.to_owned(),
+            line: self.number,
+            column: before.chars().count() + 1,
+            problem: problem.to_owned(),
+            remedy: remedy.to_owned(),
+        }
+    }
+
+    /// A mistake in the token taken last.
+    pub(super) fn error(&self, problem: &str, remedy: &str) -> ScriptError {
+        self.error_at(self.last_offset, problem, remedy)
+    }
+
+    fn take(&mut self, remedy: &str) -> Result<Kind<'a>, ScriptError> {
+        let Some(token) = self.tokens.get(self.next).copied() else {
+            let end = self.text.trim_end().len();
+            return Err(self.error_at(end, "the line ends too early", remedy));
+        };
+        self.next += 1;
+        self.last_offset = token.offset;
+        Ok(token.kind)
+    }
+
+    /// The next word.
+    pub(super) fn word(&mut self, remedy: &str) -> Result<&'a str, ScriptError> {
+        match self.take(remedy)? {
+            Kind::Word(word) => Ok(word),
+            Kind::Option(..) | Kind::Comparison(_) => Err(self.error("a word is missing", remedy)),
+        }
+    }
+
+    /// The next word, as a name or a number.
+    pub(super) fn value<T: str::FromStr>(&mut self, remedy: &str) -> Result<T, ScriptError> {
+        let word = self.word(remedy)?;
+        self.parsed(word, remedy)
+    }
+
+    pub(super) fn span(&mut self, remedy: &str) -> Result<time::SpanMs, ScriptError> {
+        let word = self.word(remedy)?;
+        self.parsed_span(word, remedy)
+    }
+
+    fn parsed<T: str::FromStr>(&self, text: &str, remedy: &str) -> Result<T, ScriptError> {
+        text.parse()
+            .map_err(|_| self.error(&format!("'{text}' does not fit here"), remedy))
+    }
+
+    fn parsed_span(&self, text: &str, remedy: &str) -> Result<time::SpanMs, ScriptError> {
+        parse_span(text).ok_or_else(|| {
+            let problem = format!("'{text}' is no span of time");
+            self.error(&problem, &format!("write 200ms, 2s or 1m; {remedy}"))
+        })
+    }
+
+    /// A word that may be missing.
+    pub(super) fn optional_word(&mut self) -> Option<&'a str> {
+        let token = self.tokens.get(self.next)?;
+        let Kind::Word(word) = token.kind else {
+            return None;
+        };
+        self.last_offset = token.offset;
+        self.next += 1;
+        Some(word)
+    }
+
+    /// `<= 2` and the like; spans count in milliseconds.
+    pub(super) fn comparison(&mut self, remedy: &str) -> Result<Comparison, ScriptError> {
+        let operator = match self.take(remedy)? {
+            Kind::Comparison("=") => Operator::Equal,
+            Kind::Comparison("<=") => Operator::AtMost,
+            Kind::Comparison(_) => Operator::AtLeast,
+            Kind::Word(_) | Kind::Option(..) => {
+                return Err(self.error("a comparison is missing", remedy));
+            }
+        };
+        let word = self.word(remedy)?;
+        let number = word.parse().ok();
+        let value = match number.or_else(|| parse_span(word).map(time::SpanMs::get)) {
+            Some(value) => value,
+            None => return Err(self.error(&format!("'{word}' is no number"), remedy)),
+        };
+        Ok(Comparison { operator, value })
+    }
+
+    /// Takes an option by its name, wherever it stands in the rest of the line.
+    fn option_text(&mut self, wanted: &str) -> Option<&'a str> {
+        let rest = self.tokens.iter().enumerate().skip(self.next);
+        let found = rest.into_iter().find_map(|(index, token)| match token.kind {
+            Kind::Option(name, value) if name == wanted => Some((index, value)),
+            _ => None,
+        });
+        let (index, value) = found?;
+        self.last_offset = self.tokens.remove(index).offset;
+        Some(value)
+    }
+
+    pub(super) fn option<T: str::FromStr>(
+        &mut self,
+        name: &str,
+        remedy: &str,
+    ) -> Result<Option<T>, ScriptError> {
+        match self.option_text(name) {
+            None => Ok(None),
+            Some(text) => self.parsed(text, remedy).map(Some),
+        }
+    }
+
+    pub(super) fn needed<T: str::FromStr>(
+        &mut self,
+        name: &str,
+        remedy: &str,
+    ) -> Result<T, ScriptError> {
+        self.option(name, remedy)?.ok_or_else(|| {
+            let end = self.text.trim_end().len();
+            self.error_at(end, &format!("the option {name}= is missing"), remedy)
+        })
+    }
+
+    pub(super) fn span_option(
+        &mut self,
+        name: &str,
+        remedy: &str,
+    ) -> Result<Option<time::SpanMs>, ScriptError> {
+        match self.option_text(name) {
+            None => Ok(None),
+            Some(text) => self.parsed_span(text, remedy).map(Some),
+        }
+    }
+
+    /// Whether nothing is left over.
+    pub(super) fn end(&mut self, remedy: &str) -> Result<(), ScriptError> {
+        let Some(token) = self.tokens.get(self.next) else {
+            return Ok(());
+        };
+        let problem = match token.kind {
+            Kind::Option(name, _) => format!("the option {name}= is not known here"),
+            Kind::Word(word) => format!("'{word}' is too much"),
+            Kind::Comparison(operator) => format!("'{operator}' is too much"),
+        };
+        Err(self.error_at(token.offset, &problem, remedy))
+    }
+}
+
+fn parse_span(text: &str) -> Option<time::SpanMs> {
+    let digits = text.trim_end_matches(|character: char| character.is_ascii_alphabetic());
+    let number: u64 = digits.parse().ok()?;
+    let unit_ms = match text.get(digits.len()..)? {
+        "ms" => 1,
+        "s" => 1_000,
+        "m" => 60_000,
+        _ => return None,
+    };
+    Some(time::SpanMs::new(number.checked_mul(unit_ms)?))
+}
--- /dev/null
+++ b/crates/damaskvane-scenario/src/world/entry.rs
@@ -0,0 +1,210 @@
+//! An entry instance: the real engine and the real membership.
+//!
+//! ```text
+//! event -> engine or membership -> actions -> messages, exchanges, answers
+//! ```
+
+use std::collections::BTreeMap;
+
+use damaskvane_core::{ids, time};
+use damaskvane_dispatch::{home, quarantine};
+use damaskvane_engine::{engine, event, peer};
+use damaskvane_membership::{heartbeat, record, settings as membership_settings, view};
+
+use crate::world::World;
+use crate::world::delivery::{Delivery, Input};
+
+/// How often the engine is told that time has passed.
+pub(super) const ENGINE_TICK: time::SpanMs = time::SpanMs::new(10);
+pub(super) const MEMBERSHIP_TICK: time::SpanMs = time::SpanMs::new(100);
+pub(super) const LIST_PERIOD: time::SpanMs = time::SpanMs::new(1_000);
+/// From the start of a process until it holds the configuration.
+const CONFIGURED_AFTER: time::SpanMs = time::SpanMs::new(50);
+
+/// Whether an instance's process runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Life {
+    Running,
+    Paused,
+    Ended,
+}
+
+/// One entry instance, in its latest start.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(super) record: record::InstanceRecord,
+    pub(super) engine: engine::Engine,
+    pub(super) membership: view::Membership,
+    pub(crate) life: Life,
+    /// What arrived while the process was paused.
+    pub(super) held: Vec<Delivery>,
+    /// The configuration it has.
+    pub(super) config: super::control::Config,
+    pub(super) clients: BTreeMap<event::RequestNumber, ids::RequestId>,
+    pub(super) next_number: u64,
+    /// Whether a planned stop came to its end.
+    pub(crate) has_stopped: bool,
+}
+
+impl Entry {
+    pub(super) const fn incarnation(&self) -> ids::Incarnation {
+        self.record.incarnation
+    }
+
+    pub(super) fn home(&self) -> home::Home {
+        home::Home::new(self.record.instance.clone(), self.record.incarnation)
+    }
+
+    /// What look-ups name: the home of new keys.
+    pub(super) fn lookup_home(&self) -> home::Home {
+        self.engine.home().clone()
+    }
+
+    /// Whether clients are told to come here.
+    pub(crate) const fn is_offered(&self) -> bool {
+        matches!(self.life, Life::Running) && !self.record.leaving
+    }
+
+    pub(crate) fn quarantined(&self, now: time::TimeMs) -> Vec<quarantine::Listed> {
+        self.engine.quarantined(now)
+    }
+}
+
+impl World {
+    /// Starts a process of an instance; a later one replaces an earlier one.
+    pub(super) fn start(&mut self, record: record::InstanceRecord) {
+        let instance = record.instance.clone();
+        let own = view::Own::new(instance.clone(), record.zone.clone(), record.incarnation);
+        let me = home::Home::new(instance.clone(), record.incarnation);
+        let mut settings = engine::EngineSettings::default();
+        if let Some(max_keys) = self.settings.max_keys {
+            settings.keys.max_tombstones = max_keys;
+        }
+        let membership_settings = membership_settings::MembershipSettings::default();
+        self.platform.announce(record.clone());
+        self.entries.insert(
+            instance.clone(),
+            Entry {
+                record,
+                engine: engine::Engine::new(me, settings),
+                membership: view::Membership::new(own, membership_settings, self.now),
+                life: Life::Running,
+                held: Vec::new(),
+                config: super::control::Config::default(),
+                clients: BTreeMap::new(),
+                next_number: 0,
+                has_stopped: false,
+            },
+        );
+        self.send_to_entry(&instance, time::SpanMs::ZERO, Input::EngineTick);
+        self.send_to_entry(&instance, time::SpanMs::ZERO, Input::MembershipTick);
+        self.send_to_entry(&instance, time::SpanMs::ZERO, Input::ReadList);
+        self.send_to_entry(&instance, CONFIGURED_AFTER, Input::Configure);
+    }
+
+    pub(super) fn tell_engine(&mut self, instance: &ids::InstanceId, event: event::Event) {
+        let now = self.now;
+        let Some(entry) = self.entries.get_mut(instance) else {
+            return;
+        };
+        let me = entry.home();
+        for action in entry.engine.handle(now, event) {
+            self.carry_out(&me, action);
+        }
+    }
+
+    fn carry_out(&mut self, me: &home::Home, action: event::Action) {
+        match action {
+            event::Action::Answer { number, outcome } => self.answered(me, number, outcome),
+            event::Action::Start(exchange) => self.start_exchange(me, exchange),
+            event::Action::Cancel {
+                address,
+                request_id,
+            } => self.ask_to_cancel(address, request_id),
+            event::Action::Send { to, message } => self.send_message(me, &to, &message),
+            event::Action::Broken { invariant } => {
+                self.broken.push(format!("{me}: {invariant}"));
+            }
+            event::Action::CountRefusal(_)
+            | event::Action::CountRetry(_)
+            | event::Action::Count { .. } => {}
+        }
+    }
+
+    fn send_message(&mut self, from: &home::Home, to: &ids::InstanceId, message: &peer::PeerMessage) {
+        for delay in self.ways(&from.instance, to) {
+            let event = event::Event::Peer {
+                from: from.clone(),
+                message: Box::new(message.clone()),
+            };
+            let delivery = Delivery::ToEntry {
+                to: to.clone(),
+                incarnation: None,
+                input: Input::Engine(Box::new(event)),
+            };
+            self.schedule(delay, delivery);
+        }
+    }
+
+    pub(super) fn tell_membership(&mut self, instance: &ids::InstanceId, event: view::Event) {
+        let now = self.now;
+        let Some(entry) = self.entries.get_mut(instance) else {
+            return;
+        };
+        let me = entry.home();
+        let mut has_changed = false;
+        let actions = entry.membership.handle(now, event);
+        let roster = entry.membership.roster();
+        for action in actions {
+            has_changed |= self.carry_out_membership(&me, action);
+        }
+        self.tell_engine(instance, event::Event::Roster(Box::new(roster)));
+        if has_changed {
+            self.publish_directory(instance);
+        }
+    }
+
+    /// Carries an action out; true if it changes who takes work.
+    fn carry_out_membership(&mut self, me: &home::Home, action: view::Action) -> bool {
+        match action {
+            view::Action::Send { to, heartbeat, .. } => self.send_heartbeat(me, &to, &heartbeat),
+            view::Action::Probe {
+                instance,
+                incarnation,
+                ..
+            } => self.probe(me, instance, incarnation),
+            view::Action::Fence {
+                instance,
+                incarnation,
+            } => self.fence(me, instance, incarnation),
+            view::Action::Allow(_) | view::Action::Changed { .. } => return true,
+            view::Action::OwnFenced => {
+                self.kill(&me.instance);
+                self.restart_later(&me.instance);
+            }
+            view::Action::Reconnect { .. } | view::Action::Woke { .. } => {}
+        }
+        false
+    }
+
+    fn send_heartbeat(
+        &mut self,
+        from: &home::Home,
+        to: &ids::InstanceId,
+        heartbeat: &heartbeat::Heartbeat,
+    ) {
+        for delay in self.ways(&from.instance, to) {
+            let event = view::Event::Heartbeat {
+                from: from.instance.clone(),
+                incarnation: from.incarnation,
+                heartbeat: heartbeat.clone(),
+            };
+            let delivery = Delivery::ToEntry {
+                to: to.clone(),
+                incarnation: None,
+                input: Input::Membership(Box::new(event)),
+            };
+            self.schedule(delay, delivery);
+        }
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-scenario/src/world/platform.rs
@@ -0,0 +1,104 @@
+//! The fake platform's list of instances, and probes of their addresses.
+//!
+//! ```text
+//! list read -> records; fence -> record deleted if it still has the incarnation
+//! ```
+
+use std::collections::BTreeMap;
+
+use damaskvane_core::{ids, time};
+use damaskvane_dispatch::home;
+use damaskvane_membership::{record, view};
+
+use crate::world::World;
+use crate::world::delivery::Input;
+use crate::world::entry::Life;
+
+/// The name under which the platform is cut off.
+const PLATFORM: &str = "platform";
+
+/// The list of instances.
+#[derive(Debug, Default)]
+pub(super) struct Platform {
+    records: BTreeMap<ids::InstanceId, record::InstanceRecord>,
+}
+
+impl Platform {
+    pub(super) fn announce(&mut self, record: record::InstanceRecord) {
+        self.records.insert(record.instance.clone(), record);
+    }
+
+    pub(super) fn withdraw(&mut self, instance: &ids::InstanceId) {
+        self.records.remove(instance);
+    }
+}
+
+impl World {
+    fn reaches_platform(&self, instance: &ids::InstanceId) -> bool {
+        PLATFORM
+            .parse()
+            .is_ok_and(|platform| !self.network.is_cut(instance, &platform))
+    }
+
+    pub(super) fn read_list(&mut self, to: &ids::InstanceId) {
+        if !self.reaches_platform(to) {
+            return;
+        }
+        let way = self.way();
+        let event = view::Event::List {
+            records: self.platform.records.values().cloned().collect(),
+            age: way,
+            source: view::ListSource::Platform,
+        };
+        self.send_to_entry(to, way, Input::Membership(Box::new(event)));
+    }
+
+    /// A refused connection proves that the process is gone; a cut or a pause proves nothing.
+    pub(super) fn probe(
+        &mut self,
+        from: &home::Home,
+        instance: ids::InstanceId,
+        incarnation: ids::Incarnation,
+    ) {
+        let life = self.entries.get(&instance).map(|entry| entry.life);
+        let outcome = match life {
+            _ if self.network.is_cut(&from.instance, &instance) => view::ProbeOutcome::Silent,
+            None | Some(Life::Ended) => view::ProbeOutcome::Refused,
+            Some(Life::Running | Life::Paused) => view::ProbeOutcome::Answered,
+        };
+        let event = view::Event::Probed {
+            instance,
+            incarnation,
+            outcome,
+        };
+        let way = self.way();
+        self.send_to_start(from, way, Input::Membership(Box::new(event)));
+    }
+
+    pub(super) fn fence(
+        &mut self,
+        from: &home::Home,
+        instance: ids::InstanceId,
+        incarnation: ids::Incarnation,
+    ) {
+        let listed = self.platform.records.get(&instance);
+        let is_current = listed.is_some_and(|record| record.incarnation == incarnation);
+        let event = if self.reaches_platform(&from.instance) && is_current {
+            self.platform.withdraw(&instance);
+            view::Event::Fenced {
+                instance,
+                incarnation,
+            }
+        } else {
+            view::Event::FenceFailed { instance }
+        };
+        let way = self.way();
+        self.send_to_start(from, way, Input::Membership(Box::new(event)));
+    }
+
+    /// How long a new process takes to be there.
+    pub(super) fn restart_later(&mut self, instance: &ids::InstanceId) {
+        let restart = super::delivery::Delivery::Restart(instance.clone());
+        self.schedule(time::SpanMs::new(500), restart);
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-scenario/src/world/truth.rs
@@ -0,0 +1,94 @@
+//! Compares what ran with what clients were told.
+//!
+//! ```text
+//! execution log + answers -> promises that were broken, in plain words
+//! ```
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use damaskvane_core::{ids, time};
+use damaskvane_dispatch::outcome;
+use damaskvane_engine::message;
+
+use crate::world::{ClientState, World};
+
+impl World {
+    /// Every promise that was broken so far, in plain words.
+    #[must_use]
+    pub fn violations(&self) -> Vec<String> {
+        let mut found = self.broken.clone();
+        self.find_second_runs(&mut found);
+        self.find_false_answers(&mut found);
+        self.find_server_faults(&mut found);
+        found
+    }
+
+    /// How often a key was run.
+    #[must_use]
+    pub fn runs(&self, key: &ids::IdempotencyKey) -> u64 {
+        let all = self.servers.values().flat_map(|server| &server.log);
+        all.filter(|run| run.key.as_ref() == Some(key)).count() as u64
+    }
+
+    fn find_second_runs(&self, found: &mut Vec<String>) {
+        let mut runs: BTreeMap<&ids::IdempotencyKey, Vec<String>> = BTreeMap::new();
+        for server in self.servers.values() {
+            for run in &server.log {
+                if let Some(key) = &run.key {
+                    let text = format!("{} on {} at {}", run.request_id, server.id, run.at.get());
+                    runs.entry(key).or_default().push(text);
+                }
+            }
+        }
+        let twice = runs.iter().filter(|(_, runs)| runs.len() > 1);
+        found.extend(twice.map(|(key, runs)| format!("key {key} ran twice: {runs:?}")));
+    }
+
+    fn find_false_answers(&self, found: &mut Vec<String>) {
+        let mut ran: BTreeMap<&ids::IdempotencyKey, u32> = BTreeMap::new();
+        let mut ran_ids: BTreeMap<&ids::RequestId, time::TimeMs> = BTreeMap::new();
+        for run in self.servers.values().flat_map(|server| &server.log) {
+            ran_ids.insert(&run.request_id, run.at);
+            if let Some(key) = &run.key {
+                ran.insert(key, run.try_number);
+            }
+        }
+        for (label, sent) in &self.requests {
+            let ClientState::Answered { outcome, .. } = &sent.state else {
+                continue;
+            };
+            if let outcome::Outcome::Completed(answer) = outcome
+                && answer.body != super::answers::body(&sent.request).into_bytes()
+            {
+                found.push(format!("{label} got an answer that is not its own"));
+            }
+            let Some(idempotency) = &sent.request.idempotency else {
+                continue;
+            };
+            let ran_try = ran.get(&idempotency.key);
+            let is_numbered = idempotency.try_number > 0;
+            let has_run = ran_try.is_some_and(|ran| is_numbered && *ran <= idempotency.try_number)
+                || ran_ids.contains_key(label);
+            if is_not_run(outcome) && has_run {
+                found.push(format!("{label} was told not-run, but its key ran"));
+            }
+        }
+    }
+
+    fn find_server_faults(&self, found: &mut Vec<String>) {
+        for (id, server) in &self.servers {
+            let slots = server.slots.get() as usize;
+            if server.peak > slots {
+                found.push(format!("{id} ran {} on {slots} slots", server.peak));
+            }
+            if server.late_work > 0 {
+                found.push(format!("{id} got {} requests while leaving", server.late_work));
+            }
+        }
+    }
+}
+
+const fn is_not_run(outcome: &outcome::Outcome<Arc<message::BackendAnswer>>) -> bool {
+    matches!(outcome, outcome::Outcome::NotRun(_))
+}
