--- a/crates/damaskvane-bench/src/commands.rs
+++ b/crates/damaskvane-bench/src/commands.rs
@@ -9,7 +9,9 @@
 use std::process;
 
 use crate::error::BenchError;
-use crate::{capacity, checker, cluster, config, config_run, demo, load, speed, steering};
+use crate::{
+    capacity, checker, cluster, config, config_run, demo, load, requests, speed, steering,
+};
 
 /// One sub-command.
 #[derive(Debug, Clone, Copy)]
@@ -64,6 +66,11 @@
         summary: "the configuration's decision code through mixed faults, by seed",
         run: config_run::run,
     },
+    Command {
+        name: "requests",
+        summary: "the request engine through mixed faults, by seed",
+        run: requests::run,
+    },
     Command {
         name: "capacity",
         summary: "the slopes behind docs/CAPACITY.md",
--- a/crates/damaskvane-bench/src/lib.rs
+++ b/crates/damaskvane-bench/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`steering`]: the decision code against baselines, in virtual time.
 //! - [`config`]: the same by the number of daemons.
 //! - [`config_run`]: the configuration's decision code through mixed faults, by seed.
+//! - [`requests`]: the request engine through mixed faults, by seed.
 //! - [`speed`]: what an entry instance adds to a request, and its look-ups.
 //! - [`capacity`]: the slopes behind docs/CAPACITY.md.
 //! - [`histogram`], [`fit`]: quantiles and lines through measured points.
@@ -37,5 +38,6 @@
 pub mod http;
 pub mod in_force;
 pub mod load;
+pub mod requests;
 pub mod speed;
 pub mod steering;
--- a/crates/damaskvane-dispatch/src/home.rs
+++ b/crates/damaskvane-dispatch/src/home.rs
@@ -11,8 +11,8 @@
 //! A finished outcome is kept for a window. After it a key leaves eight bytes, a tombstone, and is
 //! answered with *outcome unknown*: were it forgotten, a late try would look like a new key and run
 //! a second time. Tombstones last as long as the incarnation; an instance whose tombstones fill up
-//! takes a new incarnation ([`HomeTable::renew`]), and keys of an older one need no tombstone, since
-//! an older incarnation takes no new keys.
+//! takes a new incarnation ([`HomeTable::renew`]). The one before takes new keys for a short while more
+//! and keeps its tombstones for it; older ones need none, since they take no new keys.
 //!
 //! ```
 //! use damaskvane_core::time;
@@ -48,6 +48,7 @@
 mod place;
 mod record;
 mod records;
+mod renewal;
 mod routes;
 mod scope;
 mod settings;
--- a/crates/damaskvane-dispatch/src/home/expiry.rs
+++ b/crates/damaskvane-dispatch/src/home/expiry.rs
@@ -34,6 +34,10 @@
         let home = name::Home::new(scope.instance.clone(), incarnation);
         if home == self.me {
             self.tombstones.insert(scope.digest());
+        } else if let Some(previous) = self.previous.as_mut().filter(|previous| {
+            home.instance == self.me.instance && previous.incarnation == home.incarnation
+        }) {
+            previous.tombstones.insert(scope.digest());
         } else if let Some(adopted) = self.routes.adopted_mut(&home) {
             adopted.add_tombstone(scope);
         }
--- a/crates/damaskvane-dispatch/src/home/place.rs
+++ b/crates/damaskvane-dispatch/src/home/place.rs
@@ -40,7 +40,8 @@
 
     fn own_place(&self, home: &name::Home, scope: &scope::Scope) -> Place {
         let is_current = home.incarnation == self.me.incarnation;
-        if is_current && !self.tombstones.contains(scope.digest()) {
+        let is_taken = is_current && !self.tombstones.contains(scope.digest());
+        if is_taken || self.previous_takes(home.incarnation, scope) {
             Place::Here(home.incarnation)
         } else {
             Place::Lost(refusal::RefusalReason::KeyExpired)
--- a/crates/damaskvane-dispatch/src/home/table.rs
+++ b/crates/damaskvane-dispatch/src/home/table.rs
@@ -14,15 +14,12 @@
 
 use crate::home::answer_size::AnswerSize;
 use crate::home::{
-    attempt, begin, handover, name, permit, place, record, records, routes, scope, settings,
-    superseded, surrender, tombstones,
+    attempt, begin, handover, name, permit, place, record, records, renewal, routes, scope,
+    settings, superseded, surrender, tombstones,
 };
 use crate::outcome;
 use crate::refusal;
 
-/// Thousandths of `max_tombstones` at which a new incarnation is due.
-const RENEWAL_PERMILLE: usize = 750;
-
 /// Decides on every try of the keys whose home is here, and knows where the others belong.
 #[derive(Debug)]
 pub struct HomeTable<A> {
@@ -36,7 +33,8 @@
     pub(super) routes: routes::Routes,
     pub(super) surrender: Option<surrender::Surrender<A>>,
     /// Set for the rest of the incarnation once it has taken as many keys as it may.
-    is_worn_out: bool,
+    pub(super) is_worn_out: bool,
+    pub(super) previous: Option<renewal::Previous>,
     next_serial: u64,
     next_waiter: u64,
     broken_invariants: u64,
@@ -57,6 +55,7 @@
             routes: routes::Routes::default(),
             surrender: None,
             is_worn_out: false,
+            previous: None,
             next_serial: record::PREDECESSORS_SERIAL + 1,
             next_waiter: 0,
             broken_invariants: 0,
@@ -104,6 +103,7 @@
         }
         self.bury_superseded();
         self.routes.expire(self.now);
+        self.end_grace();
         finished
     }
 
@@ -112,28 +112,6 @@
         self.records.leave(scope, waiter);
     }
 
-    /// Takes a new incarnation without a restart, so that tombstones can be dropped.
-    ///
-    /// Kept outcomes stay; keys of the older incarnation that are not kept are *unknown*. An
-    /// incarnation that is not higher, or a surrendered table, changes nothing.
-    pub fn renew(&mut self, incarnation: ids::Incarnation) {
-        if incarnation <= self.me.incarnation || self.surrender.is_some() {
-            return;
-        }
-        self.me.incarnation = incarnation;
-        self.tombstones.clear();
-        if self.is_worn_out {
-            self.routes.close_adopted();
-            self.is_worn_out = false;
-        }
-    }
-
-    /// Whether a new incarnation is due: new keys are refused once the tombstones are full.
-    #[must_use]
-    pub fn wants_renewal(&self) -> bool {
-        self.taken_keys() * 1000 >= self.settings.max_tombstones * RENEWAL_PERMILLE
-    }
-
     /// Notes who answers for a departed home, as its successor or a peer tells.
     pub fn learn_successor(
         &mut self,
--- a/crates/damaskvane-dispatch/src/home/tombstones.rs
+++ b/crates/damaskvane-dispatch/src/home/tombstones.rs
@@ -25,10 +25,6 @@
         self.digests.len()
     }
 
-    pub(super) fn clear(&mut self) {
-        self.digests = collections::BTreeSet::new();
-    }
-
     pub(super) fn to_vec(&self) -> Vec<u64> {
         self.digests.iter().copied().collect()
     }
--- a/crates/damaskvane-engine/src/engine.rs
+++ b/crates/damaskvane-engine/src/engine.rs
@@ -23,6 +23,7 @@
 mod load;
 mod pending;
 mod pump;
+mod renewal;
 mod servers;
 mod settings;
 mod submit;
@@ -145,6 +146,7 @@
             Event::Leave => self.leave(now),
             Event::Tick => {
                 self.expire(now);
+                self.renew_keys();
                 self.advance_departure(now);
             }
         }
@@ -162,6 +164,7 @@
             peer::PeerMessage::Incident(incident) => self.incident_told(now, &incident),
             peer::PeerMessage::Cleared(fingerprint) => self.cleared_told(now, fingerprint),
             peer::PeerMessage::Slots(message) => self.servers.message(now, from, *message),
+            peer::PeerMessage::Renewed(home) => self.renewal_told(from, home),
             peer::PeerMessage::Departed(departed) => {
                 self.keys
                     .learn_successor(now, departed.departed, departed.successor);
@@ -171,7 +174,8 @@
 
     fn learn(&mut self, now: time::TimeMs, directory: Arc<directory::Directory>) {
         self.servers.learn(now, &directory);
-        self.directory = directory;
+        let before = core::mem::replace(&mut self.directory, directory);
+        self.brief_newcomers(&before);
         for (id, service) in &self.directory.services {
             self.retries.entry(id.clone()).or_insert_with(|| {
                 retry::RetryPolicy::new(retry::RetrySettings {
--- a/crates/damaskvane-engine/src/engine/leaving.rs
+++ b/crates/damaskvane-engine/src/engine/leaving.rs
@@ -174,7 +174,7 @@
         for (instance, peer) in &self.directory.instances {
             if peer.reachability.takes_messages() {
                 let departed = peer::Departed {
-                    departed: self.me.clone(),
+                    departed: self.keys.home().clone(),
                     successor: successor.clone(),
                 };
                 self.actions.push(Action::Send {
@@ -204,7 +204,10 @@
         part: home::Handover<Arc<message::BackendAnswer>>,
     ) {
         let number = part.part;
-        if part.from != *from {
+        // The home of the keys can be later than the process that sends them: it was renewed since.
+        let is_senders =
+            part.from.instance == from.instance && part.from.incarnation >= from.incarnation;
+        if !is_senders {
             return;
         }
         if self.keys.accept_handover(now, part).is_ok() {
--- a/crates/damaskvane-engine/src/engine/pump.rs
+++ b/crates/damaskvane-engine/src/engine/pump.rs
@@ -76,7 +76,7 @@
             }
             quarantine::Verdict::Run | quarantine::Verdict::RunAlone => {}
         }
-        let excluded = self.excluded(id);
+        let excluded = self.excluded(now, id);
         let wanted = self.time_left(now, id);
         match self.servers.take(now, &service, &excluded, wanted) {
             Some(taken) => self.launch(now, id, taken),
@@ -87,22 +87,27 @@
         }
     }
 
-    /// Backend servers that the request must not go to: those it has tried, and those that died
-    /// while they ran it or a request like it.
-    fn excluded(&self, id: LocalId) -> Vec<ids::BackendServerId> {
+    /// Backend servers that the request must not go to: those it has tried and, while there are others,
+    /// those that died while they ran it or a request like it.
+    ///
+    /// With no other server in reach the innocent neighbours of a crash would wait until the suspicion
+    /// expires, minutes later; so the server they died on is taken again, and a second death decides.
+    fn excluded(&self, now: time::TimeMs, id: LocalId) -> Vec<ids::BackendServerId> {
         let Some(pending) = self.requests.get(&id) else {
             return Vec::new();
         };
-        let mut excluded: Vec<ids::BackendServerId> = self
-            .crashes
-            .list
-            .avoided(pending.fingerprint)
-            .cloned()
-            .collect();
+        let mut tried = Vec::new();
         if let Stage::Requeued(admitted) = &pending.stage {
-            excluded.extend_from_slice(admitted.tried());
+            tried.extend_from_slice(admitted.tried());
+        }
+        let avoided = self.crashes.list.avoided(pending.fingerprint).cloned();
+        let excluded: Vec<ids::BackendServerId> = tried.iter().cloned().chain(avoided).collect();
+        let service = &pending.request.service;
+        if self.servers.count(now, service, &excluded) == 0 {
+            tried
+        } else {
+            excluded
         }
-        excluded
     }
 
     fn time_left(&self, now: time::TimeMs, id: LocalId) -> time::SpanMs {
--- a/crates/damaskvane-engine/src/event/action.rs
+++ b/crates/damaskvane-engine/src/event/action.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 
 use damaskvane_core::{ids, time};
-use damaskvane_dispatch::{outcome, refusal, retry};
+use damaskvane_dispatch::{home, outcome, refusal, retry};
 
 use crate::event::number;
 use crate::{message, peer};
@@ -60,6 +60,12 @@
         /// The message.
         message: Box<peer::PeerMessage>,
     },
+    /// From now on name this home in look-up answers for its instance, this one or another: new keys of
+    /// an older incarnation of the same process are *unknown* after 30 s.
+    HomeRenewed {
+        /// The instance with its new incarnation; heartbeats and leases go on under the old one.
+        home: home::Home,
+    },
     /// Count a refusal.
     CountRefusal(refusal::RefusalReason),
     /// Count a retry.
--- a/crates/damaskvane-engine/src/peer/peer_message.rs
+++ b/crates/damaskvane-engine/src/peer/peer_message.rs
@@ -37,6 +37,8 @@
     Slots(Box<slot_message::Addressed>),
     /// Who answers for a home that has left.
     Departed(departure::Departed),
+    /// The sender takes new keys under this home from now on.
+    Renewed(home::Home),
 }
 
 impl PeerMessage {
@@ -53,6 +55,7 @@
             Self::Cleared(_) => "cleared",
             Self::Slots(addressed) => addressed.message.kind(),
             Self::Departed(_) => "departed",
+            Self::Renewed(_) => "renewed",
         }
     }
 }
--- a/crates/damaskvane-entry/src/engine_thread.rs
+++ b/crates/damaskvane-entry/src/engine_thread.rs
@@ -184,6 +184,9 @@
                     warn!(self.logger, "message to a peer was not sent"; "peer" => %to);
                 }
             }
+            event::Action::HomeRenewed { home } => {
+                warn!(self.logger, "an instance takes keys under a new incarnation"; "peer" => %home);
+            }
             event::Action::CountRefusal(reason) => {
                 self.serving.counters.increment("refused", reason.as_str());
             }
--- a/crates/damaskvane-scenario/src/play/check.rs
+++ b/crates/damaskvane-scenario/src/play/check.rs
@@ -21,7 +21,9 @@
             count,
         } => answers(world, label, *expected, *count),
         Expectation::Runs { key, count } => number(world.runs(key), *count),
-        Expectation::Peak { server, count } => number(server_of(world, server)?.peak as u64, *count),
+        Expectation::Peak { server, count } => {
+            number(server_of(world, server)?.peak as u64, *count)
+        }
         Expectation::Started { server, count } => {
             number(server_of(world, server)?.log.len() as u64, *count)
         }
@@ -45,10 +47,7 @@
     }
 }
 
-fn server_of<'a>(
-    world: &'a World,
-    server: &ids::BackendServerId,
-) -> Result<&'a Server, String> {
+fn server_of<'a>(world: &'a World, server: &ids::BackendServerId) -> Result<&'a Server, String> {
     world
         .servers
         .get(server)
@@ -85,7 +84,9 @@
         .filter(|(label, _)| label.as_str().starts_with(&prefix))
         .map(|(_, sent)| &sent.state)
         .collect();
-    let fitting = series.iter().filter(|state| is_as_expected(state, expected));
+    let fitting = series
+        .iter()
+        .filter(|state| is_as_expected(state, expected));
     number(fitting.count() as u64, count).map_err(|found| {
         let all: Vec<String> = series.iter().map(|state| described(state)).collect();
         format!("{found} of {}", all.join(", "))
@@ -151,7 +152,9 @@
 fn no_new_work(world: &World, server: &ids::BackendServerId) -> Checked {
     match server_of(world, server)?.late_work {
         0 => Ok(()),
-        late => Err(format!("found {late} requests started later than 2 s after the order")),
+        late => Err(format!(
+            "found {late} requests started later than 2 s after the order"
+        )),
     }
 }
 
--- a/crates/damaskvane-scenario/src/script/line.rs
+++ b/crates/damaskvane-scenario/src/script/line.rs
@@ -24,11 +24,7 @@
 }
 
 impl<'a> TokenLine<'a> {
-    pub(super) fn new(
-        file: &'a str,
-        number: usize,
-        text: &'a str,
-    ) -> Result<Self, ScriptError> {
+    pub(super) fn new(file: &'a str, number: usize, text: &'a str) -> Result<Self, ScriptError> {
         let mut line = Self {
             file,
             number,
@@ -141,10 +137,12 @@
     /// Takes an option by its name, wherever it stands in the rest of the line.
     fn option_text(&mut self, wanted: &str) -> Option<&'a str> {
         let rest = self.tokens.iter().enumerate().skip(self.next);
-        let found = rest.into_iter().find_map(|(index, token)| match token.kind {
-            Kind::Option(name, value) if name == wanted => Some((index, value)),
-            _ => None,
-        });
+        let found = rest
+            .into_iter()
+            .find_map(|(index, token)| match token.kind {
+                Kind::Option(name, value) if name == wanted => Some((index, value)),
+                _ => None,
+            });
         let (index, value) = found?;
         self.last_offset = self.tokens.remove(index).offset;
         Some(value)
--- a/crates/damaskvane-scenario/src/script/reader.rs
+++ b/crates/damaskvane-scenario/src/script/reader.rs
@@ -32,6 +32,7 @@
 const COUNT: &str = "write a comparison and a number, for instance <= 2";
 
 const DEFAULT_DEADLINE: time::SpanMs = time::SpanMs::new(2_000);
+const DEFAULT_WINDOW: time::SpanMs = time::SpanMs::new(600_000);
 const DEFAULT_PATH: &str = "/";
 
 /// The statement of a line, or nothing where it is empty or a comment.
@@ -88,7 +89,7 @@
 fn set_up(line: &mut TokenLine<'_>, word: &str) -> Read<SetUp> {
     match word {
         "seed" => Ok(SetUp::Seed(line.value("write: seed 7")?)),
-        "keys" => Ok(SetUp::Keys(line.value("write: keys 100")?)),
+        "keys" => keys(line),
         "zone" => Ok(SetUp::Zone(line.value("write: zone sask-a")?)),
         "network" => network(line),
         "service" => service(line),
@@ -106,6 +107,16 @@
     })
 }
 
+fn keys(line: &mut TokenLine<'_>) -> Read<SetUp> {
+    let remedy = "write: keys most=100 window=10m";
+    Ok(SetUp::Keys {
+        most: line.needed("most", remedy)?,
+        window: line
+            .span_option("window", remedy)?
+            .unwrap_or(DEFAULT_WINDOW),
+    })
+}
+
 fn service(line: &mut TokenLine<'_>) -> Read<SetUp> {
     Ok(SetUp::Service {
         service: line.value(SERVICE)?,
--- a/crates/damaskvane-scenario/src/script/set_up.rs
+++ b/crates/damaskvane-scenario/src/script/set_up.rs
@@ -24,8 +24,13 @@
         /// How many of a thousand are lost.
         loss_permille: u32,
     },
-    /// How many keys one incarnation of an entry instance takes.
-    Keys(usize),
+    /// The table of idempotency keys of each entry instance.
+    Keys {
+        /// How many one incarnation takes.
+        most: usize,
+        /// How long outcomes are kept.
+        window: time::SpanMs,
+    },
     /// An availability zone; the part before the last `-` is its region.
     Zone(ids::AvailabilityZoneId),
     /// A service.
--- a/crates/damaskvane-scenario/src/world.rs
+++ b/crates/damaskvane-scenario/src/world.rs
@@ -23,6 +23,7 @@
 mod platform;
 mod server;
 mod settings;
+mod tally;
 mod truth;
 
 use std::collections::BTreeMap;
@@ -33,9 +34,10 @@
 use rand_pcg::Pcg64Mcg;
 
 pub use clients::{ClientRequest, ClientState};
-pub(crate) use server::Server;
 pub use server::Execution;
+pub(crate) use server::Server;
 pub use settings::WorldSettings;
+pub use tally::Tally;
 
 use delivery::Delivery;
 
@@ -51,10 +53,12 @@
     config: control::Config,
     platform: platform::Platform,
     pub(crate) entries: BTreeMap<ids::InstanceId, entry::Entry>,
-    pub(crate) servers: BTreeMap<ids::BackendServerId, server::Server>,
+    pub(crate) servers: BTreeMap<ids::BackendServerId, Server>,
     pub(crate) requests: BTreeMap<ids::RequestId, ClientRequest>,
     homes: BTreeMap<ids::IdempotencyKey, home::Home>,
     broken: Vec<String>,
+    /// Counts of requests that were dropped since.
+    forgotten: Tally,
 }
 
 impl Default for World {
@@ -81,6 +85,7 @@
             requests: BTreeMap::new(),
             homes: BTreeMap::new(),
             broken: Vec::new(),
+            forgotten: Tally::default(),
         }
     }
 
--- a/crates/damaskvane-scenario/src/world/clients.rs
+++ b/crates/damaskvane-scenario/src/world/clients.rs
@@ -82,7 +82,11 @@
         self.schedule(time::SpanMs::ZERO, arrives);
     }
 
-    fn build(&mut self, asked: &script::Request, label: &ids::RequestId) -> message::ServiceRequest {
+    fn build(
+        &mut self,
+        asked: &script::Request,
+        label: &ids::RequestId,
+    ) -> message::ServiceRequest {
         let method = if asked.is_repeatable { "GET" } else { "POST" };
         let idempotency = match (&asked.key, &asked.home) {
             (Some(key), Some(home)) => Some(message::Idempotency {
@@ -98,11 +102,7 @@
             idempotency,
             priority: asked.priority,
             time_left: asked.deadline,
-            ..message::ServiceRequest::get(
-                asked.service.clone(),
-                asked.path.clone(),
-                label.clone(),
-            )
+            ..message::ServiceRequest::get(asked.service.clone(), asked.path.clone(), label.clone())
         }
     }
 
@@ -120,8 +120,7 @@
     }
 
     pub(super) fn submit(&mut self, to: &ids::InstanceId, label: &ids::RequestId) {
-        let (Some(sent), Some(entry)) =
-            (self.requests.get_mut(label), self.entries.get_mut(to))
+        let (Some(sent), Some(entry)) = (self.requests.get_mut(label), self.entries.get_mut(to))
         else {
             return;
         };
--- a/crates/damaskvane-scenario/src/world/control.rs
+++ b/crates/damaskvane-scenario/src/world/control.rs
@@ -44,7 +44,10 @@
                 self.settings.jitter = jitter;
                 self.settings.loss_permille = loss_permille;
             }
-            SetUp::Keys(max_keys) => self.settings.max_keys = Some(max_keys),
+            SetUp::Keys { most, window } => {
+                self.settings.max_keys = Some(most);
+                self.settings.key_window = Some(window);
+            }
             SetUp::Zone(_) => {}
             SetUp::Service {
                 service,
@@ -90,12 +93,10 @@
         let declared = directory::BackendServer {
             slots,
             connections: CONNECTIONS,
-            ..directory::BackendServer::new(service.clone(), address)
+            ..directory::BackendServer::new(service, address)
         };
-        self.config
-            .servers
-            .insert(id.clone(), (zone.clone(), declared));
-        let server = server::Server::new(id.clone(), zone, service, address, slots, run_time);
+        self.config.servers.insert(id.clone(), (zone, declared));
+        let server = server::Server::new(id.clone(), address, slots, run_time);
         self.servers.insert(id, server);
     }
 
--- a/crates/damaskvane-scenario/src/world/delivery.rs
+++ b/crates/damaskvane-scenario/src/world/delivery.rs
@@ -74,12 +74,7 @@
     }
 
     /// What reaches a paused instance waits in its sockets and happens when it goes on.
-    fn reach(
-        &mut self,
-        to: ids::InstanceId,
-        incarnation: Option<ids::Incarnation>,
-        input: Input,
-    ) {
+    fn reach(&mut self, to: ids::InstanceId, incarnation: Option<ids::Incarnation>, input: Input) {
         let Some(entry) = self.entries.get_mut(&to) else {
             return;
         };
@@ -133,7 +128,12 @@
     }
 
     /// Something for the present start of an instance.
-    pub(super) fn send_to_entry(&mut self, to: &ids::InstanceId, after: time::SpanMs, input: Input) {
+    pub(super) fn send_to_entry(
+        &mut self,
+        to: &ids::InstanceId,
+        after: time::SpanMs,
+        input: Input,
+    ) {
         let incarnation = self.entries.get(to).map(super::entry::Entry::incarnation);
         let delivery = Delivery::ToEntry {
             to: to.clone(),
--- a/crates/damaskvane-scenario/src/world/entry.rs
+++ b/crates/damaskvane-scenario/src/world/entry.rs
@@ -80,6 +80,9 @@
         if let Some(max_keys) = self.settings.max_keys {
             settings.keys.max_tombstones = max_keys;
         }
+        if let Some(window) = self.settings.key_window {
+            settings.keys.window_ms = window.get();
+        }
         let membership_settings = membership_settings::MembershipSettings::default();
         self.platform.announce(record.clone());
         self.entries.insert(
@@ -125,13 +128,19 @@
             event::Action::Broken { invariant } => {
                 self.broken.push(format!("{me}: {invariant}"));
             }
-            event::Action::CountRefusal(_)
+            event::Action::HomeRenewed { .. }
+            | event::Action::CountRefusal(_)
             | event::Action::CountRetry(_)
             | event::Action::Count { .. } => {}
         }
     }
 
-    fn send_message(&mut self, from: &home::Home, to: &ids::InstanceId, message: &peer::PeerMessage) {
+    fn send_message(
+        &mut self,
+        from: &home::Home,
+        to: &ids::InstanceId,
+        message: &peer::PeerMessage,
+    ) {
         for delay in self.ways(&from.instance, to) {
             let event = event::Event::Peer {
                 from: from.clone(),
--- a/crates/damaskvane-scenario/src/world/network.rs
+++ b/crates/damaskvane-scenario/src/world/network.rs
@@ -43,7 +43,11 @@
 
 impl World {
     /// The delays of the copies of one message that arrive.
-    pub(super) fn ways(&mut self, from: &ids::InstanceId, to: &ids::InstanceId) -> Vec<time::SpanMs> {
+    pub(super) fn ways(
+        &mut self,
+        from: &ids::InstanceId,
+        to: &ids::InstanceId,
+    ) -> Vec<time::SpanMs> {
         if self.network.is_cut(from, to) || self.is_hit(self.settings.loss_permille) {
             return Vec::new();
         }
--- a/crates/damaskvane-scenario/src/world/server.rs
+++ b/crates/damaskvane-scenario/src/world/server.rs
@@ -8,7 +8,7 @@
 use std::net;
 
 use damaskvane_core::{ids, time, units};
-use damaskvane_dispatch::home;
+use damaskvane_dispatch::{fingerprint, home};
 use damaskvane_engine::{event, message};
 
 use crate::script::ServerMode;
@@ -35,6 +35,8 @@
     pub key: Option<ids::IdempotencyKey>,
     /// Which try of the client it was; 0 where tries are not numbered.
     pub try_number: u32,
+    /// What the key is bound to: another body is another request.
+    pub fingerprint: fingerprint::Fingerprint,
     /// When it began.
     pub at: time::TimeMs,
 }
@@ -51,8 +53,6 @@
 #[derive(Debug)]
 pub(crate) struct Server {
     pub(super) id: ids::BackendServerId,
-    pub(super) zone: ids::AvailabilityZoneId,
-    pub(super) service: ids::ServiceId,
     pub(super) address: net::SocketAddr,
     pub(super) slots: units::Slots,
     pub(super) mode: ServerMode,
@@ -70,16 +70,12 @@
 impl Server {
     pub(super) const fn new(
         id: ids::BackendServerId,
-        zone: ids::AvailabilityZoneId,
-        service: ids::ServiceId,
         address: net::SocketAddr,
         slots: units::Slots,
         run_time: time::SpanMs,
     ) -> Self {
         Self {
             id,
-            zone,
-            service,
             address,
             slots,
             mode: ServerMode::Healthy,
@@ -113,6 +109,7 @@
             request_id: request.request_id.clone(),
             key: key.map(|key| key.key.clone()),
             try_number: key.map_or(0, |key| key.try_number),
+            fingerprint: request.fingerprint(),
             at: now,
         });
         let is_late = |since: time::TimeMs| now.since(since) > DRAIN_NOTICE;
--- a/crates/damaskvane-scenario/src/world/settings.rs
+++ b/crates/damaskvane-scenario/src/world/settings.rs
@@ -26,6 +26,8 @@
     pub run_spread_permille: u32,
     /// How many keys one incarnation of an entry instance takes.
     pub max_keys: Option<usize>,
+    /// How long the outcome of a key is kept.
+    pub key_window: Option<time::SpanMs>,
 }
 
 impl Default for WorldSettings {
@@ -38,6 +40,7 @@
             doubled_permille: 0,
             run_spread_permille: 0,
             max_keys: None,
+            key_window: None,
         }
     }
 }
--- a/crates/damaskvane-scenario/src/world/truth.rs
+++ b/crates/damaskvane-scenario/src/world/truth.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use damaskvane_core::{ids, time};
-use damaskvane_dispatch::outcome;
+use damaskvane_dispatch::{fingerprint::Fingerprint, outcome};
 use damaskvane_engine::message;
 
 use crate::world::{ClientState, World};
@@ -46,12 +46,12 @@
     }
 
     fn find_false_answers(&self, found: &mut Vec<String>) {
-        let mut ran: BTreeMap<&ids::IdempotencyKey, u32> = BTreeMap::new();
+        let mut ran: BTreeMap<(&ids::IdempotencyKey, Fingerprint), u32> = BTreeMap::new();
         let mut ran_ids: BTreeMap<&ids::RequestId, time::TimeMs> = BTreeMap::new();
         for run in self.servers.values().flat_map(|server| &server.log) {
             ran_ids.insert(&run.request_id, run.at);
             if let Some(key) = &run.key {
-                ran.insert(key, run.try_number);
+                ran.insert((key, run.fingerprint), run.try_number);
             }
         }
         for (label, sent) in &self.requests {
@@ -66,7 +66,7 @@
             let Some(idempotency) = &sent.request.idempotency else {
                 continue;
             };
-            let ran_try = ran.get(&idempotency.key);
+            let ran_try = ran.get(&(&idempotency.key, sent.request.fingerprint()));
             let is_numbered = idempotency.try_number > 0;
             let has_run = ran_try.is_some_and(|ran| is_numbered && *ran <= idempotency.try_number)
                 || ran_ids.contains_key(label);
@@ -83,7 +83,10 @@
                 found.push(format!("{id} ran {} on {slots} slots", server.peak));
             }
             if server.late_work > 0 {
-                found.push(format!("{id} got {} requests while leaving", server.late_work));
+                found.push(format!(
+                    "{id} got {} requests while leaving",
+                    server.late_work
+                ));
             }
         }
     }
--- a/crates/damaskvane-scenario/tests/scenarios.rs
+++ b/crates/damaskvane-scenario/tests/scenarios.rs
@@ -8,7 +8,10 @@
 fn plays(path: &path::Path, text: String) -> datatest_stable::Result<()> {
     let file = path.file_name().map(|name| name.to_string_lossy());
     let file = file.unwrap_or_default();
-    assert!(text.starts_with('#'), "{file}: open with a comment on how the failure comes about");
+    assert!(
+        text.starts_with('#'),
+        "{file}: open with a comment on how the failure comes about"
+    );
     let script = script::Script::read(&file, &text)?;
     play::play(&script)?;
     Ok(())
