Shifts go through the planner, which places what a ticket moves within capacity and links

Cause: look-ups moved clients by themselves beside a planner that can do it with capacity and link budgets in view; one rule stood twice. Conclusion: one place decides where traffic goes.

--- a/crates/damaskvane-entry/src/client_api/listener.rs
+++ b/crates/damaskvane-entry/src/client_api/listener.rs
@@ -169,11 +169,10 @@
         .idempotency
         .as_ref()
         .is_none_or(|idempotency| idempotency.try_number <= 1);
-    let source = serving
-        .state()
-        .source_zone(&request.service, request.client.as_ref());
+    let state = serving.state();
+    let source = state.source_zone(request.client.as_ref());
     if let (true, Some(source)) = (is_first, source) {
-        serving.meter.arrived(&request.service, &source);
+        serving.meter.arrived(&request.service, source);
     }
 }
 
--- a/crates/damaskvane-entry/src/client_api/lookup.rs
+++ b/crates/damaskvane-entry/src/client_api/lookup.rs
@@ -97,7 +97,7 @@
         ));
     };
     let source = state
-        .source_zone(service, Some(&client))
+        .source_zone(Some(&client))
         .ok_or_else(|| Refusal::new(refusal::RefusalReason::NoConfiguration, "no zone is known"))?;
     let picked = picker::pick(
         &state.plan,
@@ -108,7 +108,7 @@
         },
         serving.clock.now(),
     );
-    serving.meter.looked_up(service, &source, picked.is_ok());
+    serving.meter.looked_up(service, source, picked.is_ok());
     let zones = picked.map_err(|refused| Refusal {
         reason: refusal::RefusalReason::Overloaded,
         retry_after: Some(refused.retry_after),
--- a/crates/damaskvane-entry/src/control/publishing.rs
+++ b/crates/damaskvane-entry/src/control/publishing.rs
@@ -61,7 +61,6 @@
             own_zone: Some(self.record.availability_zone.clone()),
             services,
             plan,
-            shifts: self.steering.shifts.active(),
             entries: self.entry_points(),
             config: Some(config),
         });
--- a/crates/damaskvane-entry/src/control/shifts.rs
+++ b/crates/damaskvane-entry/src/control/shifts.rs
@@ -8,11 +8,9 @@
 
 use damaskvane_config::{declaration, state};
 use damaskvane_core::time;
-use damaskvane_steering::{digest, shift};
+use damaskvane_steering::{digest, input, shift};
 use serde_json::json;
 
-use crate::serving;
-
 /// A ramp is walked in about so many steps.
 const STEPS: u64 = 8;
 const SHORTEST_STEP: time::SpanMs = time::SpanMs::new(200);
@@ -79,14 +77,13 @@
             .collect()
     }
 
-    /// The shifts as look-ups apply them.
-    pub(super) fn active(&self) -> Vec<serving::ActiveShift> {
+    /// The shifts as the planner applies them.
+    pub(super) fn movements(&self) -> Vec<input::Movement> {
         self.progresses()
-            .map(|(name, declared, progress)| serving::ActiveShift {
-                name: name.clone(),
+            .map(|(_, declared, progress)| input::Movement {
                 service: declared.service.clone(),
-                from: declared.from.clone(),
-                to: declared.to.clone(),
+                source: declared.from.clone(),
+                destination: declared.to.clone(),
                 moved_permille: progress.moved_permille,
             })
             .collect()
--- a/crates/damaskvane-entry/src/control/steering.rs
+++ b/crates/damaskvane-entry/src/control/steering.rs
@@ -10,7 +10,7 @@
 use damaskvane_config::{declaration, state};
 use damaskvane_core::{ids, time};
 use damaskvane_membership::digest as digests;
-use damaskvane_steering::{digest, plan, planner, policy};
+use damaskvane_steering::{digest, input, plan, planner, policy};
 use serde_json::json;
 
 use crate::control::Control;
@@ -63,7 +63,10 @@
         let moved = self.moved_elsewhere(now);
         self.steering.shifts.follow(&config, &moved, now);
         self.steering.shifts.advance(&self.steering.view, now);
-        let topology = translate::topology(&config);
+        let topology = input::Topology {
+            movements: self.steering.shifts.movements(),
+            ..translate::topology(&config)
+        };
         let planner = planner::Planner::new(settings(&config));
         let plan = planner.plan(
             &topology,
--- a/crates/damaskvane-entry/src/serving.rs
+++ b/crates/damaskvane-entry/src/serving.rs
@@ -11,14 +11,12 @@
 //! assert_eq!(serving.config_version().get(), 0);
 //! ```
 
-mod active_shift;
 mod client_zones;
 mod state;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
-pub use active_shift::ActiveShift;
 use arc_swap::ArcSwap;
 pub use client_zones::ClientZones;
 use damaskvane_core::ids;
--- a/crates/damaskvane-entry/src/serving/state.rs
+++ b/crates/damaskvane-entry/src/serving/state.rs
@@ -14,7 +14,7 @@
 use damaskvane_core::{hash, ids, time};
 use damaskvane_steering::plan;
 
-use crate::serving::{active_shift, client_zones};
+use crate::serving::client_zones;
 
 /// An entry instance that clients can be told to use.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -49,8 +49,6 @@
     pub services: BTreeMap<ids::ServiceId, LookupService>,
     /// Where traffic goes.
     pub plan: plan::Plan,
-    /// Moves of traffic that tickets order.
-    pub shifts: Vec<active_shift::ActiveShift>,
     /// Live entry instances that are not leaving, by zone.
     pub entries: BTreeMap<ids::AvailabilityZoneId, Vec<EntryPoint>>,
 }
@@ -64,29 +62,21 @@
             own_zone: None,
             services: BTreeMap::new(),
             plan: plan::Plan::empty(time::TimeMs::ZERO),
-            shifts: Vec::new(),
             entries: BTreeMap::new(),
         }
     }
 }
 
 impl ServingState {
-    /// The zone that a client is steered from: the nearest one, unless a shift has moved it.
+    /// The zone that a client is steered from: the one nearest to its block, or this instance's own.
     #[must_use]
     pub fn source_zone(
         &self,
-        service: &ids::ServiceId,
         client: Option<&ids::ClientBlock>,
-    ) -> Option<ids::AvailabilityZoneId> {
-        let near = client
+    ) -> Option<&ids::AvailabilityZoneId> {
+        client
             .and_then(|client| self.clients.near(client))
-            .or(self.own_zone.as_ref())?;
-        let client_hash = client.map_or(0, |client| client_hash(client.as_str()));
-        let shift = self
-            .shifts
-            .iter()
-            .find(|shift| shift.applies(service, near, client_hash));
-        Some(shift.map_or(near, |shift| &shift.to).clone())
+            .or(self.own_zone.as_ref())
     }
 }
 
