Ask again for a fence whose outcome is unknown

A lost answer left the dead instance marked as being fenced for good, so what it owned stayed out of use. That is safe, as a fence is conditional on the incarnation and counts from its last answer.

--- a/crates/damaskvane-membership/src/view/member.rs
+++ b/crates/damaskvane-membership/src/view/member.rs
@@ -35,8 +35,8 @@
     /// Whether the last probe of its address made a connection.
     pub(super) answers_probes: bool,
     pub(super) gone: Option<Gone>,
-    /// The start that is being fenced.
-    pub(super) fencing: Option<ids::Incarnation>,
+    /// When it was last asked to be fenced, while the outcome is not known.
+    pub(super) fencing: Option<time::TimeMs>,
     pub(super) retried_at: time::TimeMs,
     pub(super) last_state: InstanceState,
 }
@@ -172,8 +172,11 @@
     /// One that has heard this instance loses its authority without further echoes. One that never has
     /// may not know that there is anybody who could fence it: alone in its zone and cut off from the
     /// platform, it would go on. If its address answers, it is there.
-    pub(super) const fn may_be_fenced(&self) -> bool {
-        self.fencing.is_none() && (self.supported_from.is_some() || !self.answers_probes)
+    pub(super) fn may_be_fenced(&self, now: time::TimeMs, settings: &MembershipSettings) -> bool {
+        let is_asked = self
+            .fencing
+            .is_some_and(|asked_at| now.since(asked_at) < settings.fence_after_ms);
+        !is_asked && (self.supported_from.is_some() || !self.answers_probes)
     }
 
     /// Whether the instance could mark others as fenced when it was last heard.
--- a/crates/damaskvane-membership/src/view/silence.rs
+++ b/crates/damaskvane-membership/src/view/silence.rs
@@ -59,8 +59,8 @@
         let is_dead = member.state(now, settings) == InstanceState::Dead;
         let fence_after = settings.min_dead_ms.get() + settings.fence_after_ms.get();
         let is_due = member.silence(now).get() >= fence_after;
-        if can_fence && is_dead && is_due && member.may_be_fenced() {
-            member.fencing = Some(member.incarnation);
+        if can_fence && is_dead && is_due && member.may_be_fenced(now, settings) {
+            member.fencing = Some(now);
             actions.push(Action::Fence {
                 instance: instance.clone(),
                 incarnation: member.incarnation,
--- a/crates/damaskvane-membership/tests/authority.rs
+++ b/crates/damaskvane-membership/tests/authority.rs
@@ -180,6 +180,37 @@
     assert_eq!(zone.state("z-a-1", "z-a-2"), Some(InstanceState::Dead));
 }
 
+/// The answer to a fence is lost, and nobody learns whether it was taken. It must be asked for again, or
+/// what the dead instance owned would be out of use for ever.
+#[test]
+fn a_fence_without_an_answer_is_asked_for_again() {
+    let mut a = common::member("z-a-1", 1);
+    let records = [common::record("z-a-1", 1), common::record("z-a-2", 1)];
+    let mut fences = 0;
+    for now_ms in (0..60_000).step_by(100) {
+        if now_ms % 1_000 == 0 {
+            a.handle(common::at(now_ms), common::list(&records));
+        }
+        for action in a.handle(common::at(now_ms), view::Event::Tick) {
+            if let view::Action::Probe {
+                instance,
+                incarnation,
+                ..
+            } = &action
+            {
+                let silent = view::Event::Probed {
+                    instance: instance.clone(),
+                    incarnation: *incarnation,
+                    outcome: view::ProbeOutcome::Silent,
+                };
+                a.handle(common::at(now_ms), silent);
+            }
+            fences += u32::from(matches!(action, view::Action::Fence { .. }));
+        }
+    }
+    assert!((3..30).contains(&fences), "{fences}");
+}
+
 /// Cuts in one or both directions, pauses, deaths and an unreachable platform come and go at random.
 /// At no time may one instance be free to take over from another that would still act.
 #[test]
