No authority beside one that was fenced, nor a short wait after a start

Consents now tell of it, and one that has just started waits longer if somebody who could have told is gone.

--- a/crates/damaskvane-membership/src/view/authority.rs
+++ b/crates/damaskvane-membership/src/view/authority.rs
@@ -11,6 +11,7 @@
 
 use damaskvane_core::time::{SpanMs, TimeMs};
 
+use crate::state::GoneProof;
 use crate::view::member::Member;
 use crate::view::membership::Membership;
 
@@ -56,7 +57,7 @@
     }
 
     fn authority_by_neighbours(&self) -> Option<TimeMs> {
-        if self.doubts_until.is_some() {
+        if self.doubts_until.is_some() || self.has_fenced_lately() {
             return None;
         }
         self.neighbours()
@@ -65,6 +66,22 @@
             .unwrap_or(Some(FOREVER))
     }
 
+    /// Whether one of the zone was fenced and not yet forgotten.
+    ///
+    /// It may be alive, start anew and fence this instance in turn, without being heard.
+    fn has_fenced_lately(&self) -> bool {
+        let zone = &self.own.zone;
+        let mut gone = self
+            .members
+            .values()
+            .filter(|member| member.record.zone == *zone);
+        gone.any(|member| {
+            member
+                .gone
+                .is_some_and(|gone| gone.proof != GoneProof::Refused)
+        })
+    }
+
     /// Until when a neighbour surely does not fence this instance.
     fn supported_until(&self, member: &Member) -> Option<TimeMs> {
         let sent_at = member.supported_from?;
--- a/crates/damaskvane-membership/tests/authority.rs
+++ b/crates/damaskvane-membership/tests/authority.rs
@@ -180,6 +180,21 @@
     assert_eq!(zone.state("z-a-1", "z-a-2"), Some(InstanceState::Dead));
 }
 
+/// One instance fences another, which starts anew, is cut off from the first, and fences it in turn. The
+/// first has lost the platform meanwhile, and would go on if it thought itself alone in its zone.
+#[test]
+fn who_has_fenced_may_be_fenced_by_a_start_it_never_heard() {
+    let mut zone = Zone::new(&["z-a-1", "z-a-2"]);
+    zone.cut("z-a-1", "z-a-2");
+    zone.cut("z-a-2", "z-a-1");
+    zone.run(9_000);
+    assert_eq!(zone.state("z-a-1", "z-a-2"), Some(InstanceState::Gone));
+    zone.run(12_000);
+    zone.without_platform.insert(id("z-a-1"));
+    zone.run(9_000);
+    assert!(!zone.has_authority(&id("z-a-1")));
+}
+
 /// The answer to a fence is lost, and nobody learns whether it was taken. It must be asked for again, or
 /// what the dead instance owned would be out of use for ever.
 #[test]
--- a/crates/damaskvane-slots/src/claim.rs
+++ b/crates/damaskvane-slots/src/claim.rs
@@ -28,6 +28,7 @@
     asked_at: time::TimeMs,
     consents: BTreeSet<ids::InstanceId>,
     reports: BTreeMap<GrantKey, Grant>,
+    not_before: time::TimeMs,
 }
 
 impl Claim {
@@ -39,6 +40,7 @@
             asked_at: now,
             consents: BTreeSet::new(),
             reports: BTreeMap::new(),
+            not_before: time::TimeMs::ZERO,
         }
     }
 
@@ -63,6 +65,17 @@
         self.consents.contains(instance)
     }
 
+    /// Notes until when one that others fenced may still act.
+    pub fn delay(&mut self, not_before: time::TimeMs) {
+        self.not_before = self.not_before.max(not_before);
+    }
+
+    /// Until when one that others fenced may still act.
+    #[must_use]
+    pub const fn not_before(&self) -> time::TimeMs {
+        self.not_before
+    }
+
     /// Notes a consent and what its giver has borrowed.
     ///
     /// The giver's leases end by its own clock; the owner counts them for a margin longer.
--- a/crates/damaskvane-slots/src/exchange/aggregate.rs
+++ b/crates/damaskvane-slots/src/exchange/aggregate.rs
@@ -40,6 +40,8 @@
     pub(super) counters: SlotCounters,
     pub(super) now: time::TimeMs,
     pub(super) last_claim: u64,
+    /// When the first event came.
+    pub(super) started_at: Option<time::TimeMs>,
     pub(super) actions: Vec<Action>,
     /// Messages to this instance itself.
     local: VecDeque<SlotMessage>,
@@ -81,6 +83,7 @@
             },
             now: time::TimeMs::ZERO,
             last_claim: 0,
+            started_at: None,
             actions: Vec::new(),
             local: VecDeque::new(),
         }
@@ -89,6 +92,7 @@
     /// Takes an event at a time and returns what is to be done.
     pub fn handle(&mut self, now: time::TimeMs, event: Event) -> Vec<Action> {
         self.now = self.now.max(now);
+        self.started_at.get_or_insert(now);
         match event {
             Event::Servers(servers) => self.set_servers(servers),
             Event::Roster(roster) => self.set_roster(roster),
--- a/crates/damaskvane-slots/src/exchange/claiming.rs
+++ b/crates/damaskvane-slots/src/exchange/claiming.rs
@@ -99,18 +99,27 @@
         if !is_agreed {
             return;
         }
-        let gone_from = self
-            .roster
-            .members
-            .iter()
-            .filter_map(|member| member.gone.map(|gone| gone.from))
-            .max();
-        let last_use = gone_from.max(Some(self.now)).unwrap_or(self.now);
-        let until = last_use + self.settings.lapse_ms();
+        let until = self.last_use(name) + self.settings.lapse_ms();
         self.counters.waited_out += 1;
         self.complete(name, Vec::new(), until);
     }
 
+    /// When the last of those that are gone has surely stopped lending and using.
+    ///
+    /// One that has just started does not know whom others fenced before that. Those who consent tell; if
+    /// one is gone that could have told, only time does.
+    fn last_use(&self, name: &ids::BackendServerId) -> time::TimeMs {
+        let told = self.claim(name).map(Claim::not_before);
+        let gone = self.roster.members.iter().filter_map(|member| member.gone);
+        let gone_from = gone.map(|gone| gone.from).max();
+        let unknown = self
+            .started_at
+            .filter(|_| gone_from.is_some())
+            .map(|started_at| started_at + self.settings.unknown_ms);
+        let last = gone_from.max(told).max(unknown);
+        last.unwrap_or(self.now).max(self.now)
+    }
+
     /// Begins as owner, with what was handed over and what was reported.
     fn complete(&mut self, name: &ids::BackendServerId, handed: Vec<Grant>, until: time::TimeMs) {
         let (now, own) = (self.now, self.own.clone());
@@ -144,7 +153,11 @@
                 claim,
                 leases,
                 ledger,
-            } => self.take_consent(from, &server, claim, leases, ledger),
+                wait_ms,
+            } => {
+                self.delay_claim(&server, claim, wait_ms);
+                self.take_consent(from, &server, claim, leases, ledger);
+            }
             SlotMessage::Decline { .. } => self.counters.declined += 1,
             _ => {}
         }
@@ -184,14 +197,31 @@
         };
         server.queue.clear();
         server.pool.forget_asks();
+        let leases = server.pool.report(now);
+        let gone = self.roster.members.iter().filter_map(|member| member.gone);
+        let wait_ms = gone.map(|gone| gone.from.since(now)).max();
         Some(SlotMessage::Consent {
             server: name.clone(),
             claim,
-            leases: server.pool.report(now),
+            leases,
             ledger,
+            wait_ms: wait_ms.unwrap_or_default(),
         })
     }
 
+    fn delay_claim(&mut self, name: &ids::BackendServerId, number: u64, wait: time::SpanMs) {
+        let not_before = self.now + wait;
+        let ownership = self
+            .servers
+            .get_mut(name)
+            .map(|server| &mut server.ownership);
+        if let Some(Ownership::Claiming(claim)) = ownership
+            && claim.number() == number
+        {
+            claim.delay(not_before);
+        }
+    }
+
     fn take_consent(
         &mut self,
         from: &Sender,
--- a/crates/damaskvane-slots/src/message.rs
+++ b/crates/damaskvane-slots/src/message.rs
@@ -203,6 +203,9 @@
         leases: Vec<HeldLease>,
         /// The ledger, if the sender was the owner.
         ledger: Option<HandedLedger>,
+        /// How long one that the sender knows to be fenced may still act.
+        #[serde(default)]
+        wait_ms: time::SpanMs,
     },
     /// By my view another is to own it.
     Decline {
--- a/crates/damaskvane-slots/tests/random.rs
+++ b/crates/damaskvane-slots/tests/random.rs
@@ -33,6 +33,9 @@
     }
 }
 
+/// Seeds that found two owners once.
+const FAILED_ONCE: [u64; 3] = [86, 116, 291];
+
 /// How many seeds are run; `DAMASKVANE_SEEDS=1000` makes a long run of it.
 fn seeds() -> u64 {
     let seeds = std::env::var("DAMASKVANE_SEEDS").ok();
@@ -45,7 +48,7 @@
 #[test]
 fn a_backend_server_never_runs_more_than_its_slots() {
     let mut started = 0;
-    for seed in 0..seeds() {
+    for seed in (0..seeds()).chain(FAILED_ONCE) {
         let mut world = World::new(seed, &NAMES[..3], &[6, 3, 1]);
         world.is_greedy = seed % 2 == 1;
         world.demand_percent = 20 + 40 * (seed % 3) as u32;
