--- a/crates/damaskvane-slots/src/exchange/lending.rs
+++ b/crates/damaskvane-slots/src/exchange/lending.rs
@@ -195,6 +195,7 @@
         let has_authority = self.has_authority();
         let key = key_of(from, number);
         let until = now + lease_ms;
+        let lapsed_at = now + self.settings.lapse_ms();
         let ownership = self
             .servers
             .get_mut(name)
@@ -202,6 +203,10 @@
         let renewed = match ownership {
             _ if !has_authority => Err(RefusalReason::NoAuthority),
             Some(Ownership::Serving(ledger)) => Ok(ledger.renew(now, &key, until)),
+            // One that was fenced may lend again what it counts as lapsed, for as long as it may act.
+            Some(Ownership::Waiting(ledger)) if ledger.until() > lapsed_at => {
+                Err(RefusalReason::Waiting)
+            }
             // Known grants are counted already, so they may go on while unknown ones lapse.
             Some(Ownership::Waiting(ledger)) => Ok(ledger.renew(now, &key, until)),
             Some(Ownership::Claiming(_)) => Err(RefusalReason::Waiting),
