--- a/crates/damaskvane-bench/src/commands.rs
+++ b/crates/damaskvane-bench/src/commands.rs
@@ -9,7 +9,9 @@
 use std::process;
 
 use crate::error::BenchError;
-use crate::{capacity, checker, cluster, config, config_run, demo, load, slots, speed, steering};
+use crate::{
+    capacity, checker, cluster, config, config_run, demo, load, requests, slots, speed, steering,
+};
 
 /// One sub-command.
 #[derive(Debug, Clone, Copy)]
@@ -69,6 +71,11 @@
         summary: "ways of sharing slots within a zone, in virtual time",
         run: slots::run,
     },
+    Command {
+        name: "requests",
+        summary: "the request engine through mixed faults, by seed",
+        run: requests::run,
+    },
     Command {
         name: "capacity",
         summary: "the slopes behind docs/CAPACITY.md",
