A head that stays stale after a conflict ends the submission

A head at the version that conflicted now counts as stale, with a pause, and ends as not accepted. Overlaps whose ticket isn't found are listed too, without an author.

--- a/crates/damaskvane-config/src/submit/submission.rs
+++ b/crates/damaskvane-config/src/submit/submission.rs
@@ -305,8 +305,12 @@
             }
             Call::FileTicket(number, _) => _ = self.filed.insert(*number),
             Call::WriteHead { bytes, .. } if applied => self.accepted(bytes),
-            // Another ticket was accepted first, or an earlier try of this write took effect.
-            Call::WriteHead { .. } => self.known = None,
+            // Another ticket was accepted first, or an earlier try of this write took effect. A head
+            // that is read at the same version from now on is a stale one.
+            Call::WriteHead { if_version, .. } => {
+                self.highest_seen = if_version + 1;
+                self.known = None;
+            }
             Call::ReadHead | Call::ReadChunk(_) => {}
         }
     }
--- a/crates/damaskvane-config/tests/submit.rs
+++ b/crates/damaskvane-config/tests/submit.rs
@@ -209,6 +209,24 @@
     assert_eq!(outcome, accepted(3));
 }
 
+/// Reads are answered for good from before another ticket, and the head's update is refused each time.
+/// A submission that took each such read for news would call the store without pause and end never.
+#[test]
+fn a_head_that_stays_stale_after_a_conflict_ends_as_not_accepted() {
+    let mut store = Store::default();
+    let base = store.accept(ZONES);
+    let mut old = store.clone();
+    store.accept(OTHER);
+    let mut submission = Submission::new(draft(&base, QUEUE, "mine"));
+    let mut head_writes = 0;
+    let outcome = run(&mut store, &mut submission, |_, call| {
+        head_writes += u32::from(matches!(call, Call::WriteHead { .. }));
+        (*call == Call::ReadHead).then(|| old.make(call))
+    });
+    assert!(matches!(outcome, Outcome::NotAccepted(_)), "{outcome:?}");
+    assert_eq!(head_writes, 1);
+}
+
 /// Something broken stands in the store under the hash of a new chunk. A head that names it could be
 /// adopted nowhere, and the fleet would stay on the old version for good.
 #[test]
--- a/crates/damaskvane-ctl/src/command/submit.rs
+++ b/crates/damaskvane-ctl/src/command/submit.rs
@@ -190,14 +190,15 @@
     let changed = |overlap: &Overlap| {
         let touches =
             |accepted: &&history::Accepted| accepted.ticket.changes.contains_key(&overlap.object);
-        later.iter().find(touches).map(|accepted| ChangedObject {
+        let ticket = later.iter().find(touches).map(|accepted| &accepted.ticket);
+        ChangedObject {
             object: overlap.object.clone(),
-            ticket: accepted.ticket.number,
-            author: accepted.ticket.author.clone(),
-            reason: accepted.ticket.reason.clone(),
-        })
+            ticket: ticket.map_or(overlap.changed_by, |ticket| ticket.number),
+            author: ticket.map_or_else(String::new, |ticket| ticket.author.clone()),
+            reason: ticket.map_or_else(String::new, |ticket| ticket.reason.clone()),
+        }
     };
-    Ok(overlaps.iter().filter_map(changed).collect())
+    Ok(overlaps.iter().map(changed).collect())
 }
 
 /// Adds the document's places to the problems of a refused submission.
--- a/crates/damaskvane-ctl/tests/tickets.rs
+++ b/crates/damaskvane-ctl/tests/tickets.rs
@@ -23,12 +23,12 @@
     )
 }
 
-struct Desk {
+struct Fixture {
     running: Running,
     nonce: std::cell::Cell<u128>,
 }
 
-impl Desk {
+impl Fixture {
     fn new() -> Self {
         Self {
             running: Running::start("secret-anna anna\nsecret-ben ben\n").expect("a free port"),
@@ -73,10 +73,10 @@
 
 #[test]
 fn a_ticket_is_kept_as_accepted_with_its_author_reason_time_and_base() {
-    let desk = Desk::new();
+    let fixture = Fixture::new();
     let text = format!("{ZONES}{}", server(1, 6));
     assert_eq!(
-        desk.submit("anna", &text, None)
+        fixture.submit("anna", &text, None)
             .expect("accepted")
             .ticket
             .get(),
@@ -84,13 +84,13 @@
     );
     let changed = server(1, 4);
     assert_eq!(
-        desk.submit("ben", &changed, Some(1))
+        fixture.submit("ben", &changed, Some(1))
             .expect("accepted")
             .ticket
             .get(),
         2
     );
-    let api = desk.api("anna");
+    let api = fixture.api("anna");
     for (number, author, written) in [(1, "anna", &text), (2, "ben", &changed)] {
         let shown = command::show(&api, TicketNumber::new(number)).expect("shown");
         assert_eq!(shown.ticket.author, author);
@@ -108,19 +108,19 @@
 /// Ben's files were written before Anna's ticket. Submitting them would put back what she changed.
 #[test]
 fn a_conflict_names_the_object_who_changed_it_and_by_which_ticket() {
-    let desk = Desk::new();
-    desk.submit("ben", &format!("{ZONES}{}", server(1, 6)), None)
+    let fixture = Fixture::new();
+    fixture.submit("ben", &format!("{ZONES}{}", server(1, 6)), None)
         .expect("accepted");
-    desk.submit("anna", &server(1, 4), None).expect("accepted");
-    desk.submit("anna", &server(2, 4), None).expect("accepted");
-    let refused = desk
+    fixture.submit("anna", &server(1, 4), None).expect("accepted");
+    fixture.submit("anna", &server(2, 4), None).expect("accepted");
+    let refused = fixture
         .submit("ben", &server(1, 8), Some(1))
         .expect_err("changed since");
     assert_eq!(refused.exit_code(), 4);
     let expected =
         "backend_server/rider-desk-sask-a-1 was changed by anna in ticket 2 (anna's reason)";
     assert_eq!(refused.details(), [expected]);
-    let other = desk
+    let other = fixture
         .submit("ben", &server(3, 4), Some(1))
         .expect("disjoint");
     assert_eq!(other.ticket.get(), 4);
@@ -129,12 +129,12 @@
 /// Anna deleted what Ben still has in his files. Submitting them would bring it back to life.
 #[test]
 fn a_deletion_since_the_base_is_a_conflict_too() {
-    let desk = Desk::new();
+    let fixture = Fixture::new();
     let text = format!("{ZONES}{}{}", server(1, 6), server(2, 6));
-    desk.submit("ben", &text, None).expect("accepted");
+    fixture.submit("ben", &text, None).expect("accepted");
     let gone = "delete = [\"backend_server/rider-desk-sask-a-2\"]\n";
-    desk.submit("anna", gone, None).expect("accepted");
-    let refused = desk
+    fixture.submit("anna", gone, None).expect("accepted");
+    let refused = fixture
         .submit("ben", &server(2, 6), Some(1))
         .expect_err("deleted since");
     assert!(
@@ -147,8 +147,8 @@
 /// history must hold the ticket once.
 #[test]
 fn a_lost_answer_is_told_as_accepted_once() {
-    let desk = Desk::new();
-    desk.submit("anna", ZONES, None).expect("accepted");
+    let fixture = Fixture::new();
+    fixture.submit("anna", ZONES, None).expect("accepted");
     for (number, faults) in [
         (
             2,
@@ -169,13 +169,13 @@
             drop_kind: "head".into(),
             ..faults
         };
-        desk.running.api().switches().set(faults);
-        let report = desk
+        fixture.running.api().switches().set(faults);
+        let report = fixture
             .submit("anna", &server(1, number), None)
             .expect("accepted");
         assert_eq!(report.ticket.get(), u64::from(number));
     }
-    let history = command::history(&desk.api("anna"), 20).expect("read");
+    let history = command::history(&fixture.api("anna"), 20).expect("read");
     assert_eq!(history.tickets.len(), 3);
 }
 
@@ -183,9 +183,9 @@
 /// with a number of its own and without a gap.
 #[test]
 fn racing_tickets_on_disjoint_objects_all_land_without_a_gap() {
-    let desk = Desk::new();
-    desk.submit("anna", ZONES, None).expect("accepted");
-    let api = desk.api("anna");
+    let fixture = Fixture::new();
+    fixture.submit("anna", ZONES, None).expect("accepted");
+    let api = fixture.api("anna");
     let accepted = std::thread::scope(|scope| {
         let submit = |number: u16| {
             let document = Document::parse("t", &server(number, 6)).expect("well formed");
@@ -222,18 +222,18 @@
 
 #[test]
 fn drain_and_undrain_are_tickets_and_explain_names_them() {
-    let desk = Desk::new();
-    desk.submit(
+    let fixture = Fixture::new();
+    fixture.submit(
         "anna",
         &format!("{ZONES}{}{}", server(1, 6), server(2, 6)),
         None,
     )
     .expect("accepted");
-    let api = desk.api("ben");
+    let api = fixture.api("ben");
     let id = "rider-desk-sask-a-2".parse().expect("an id");
     let drain = |draining| {
         let accepted = store::read_accepted(&api).expect("read");
-        desk.put(
+        fixture.put(
             "ben",
             command::set_draining(&accepted, &id, draining).expect("there"),
         )
@@ -255,24 +255,24 @@
 
 #[test]
 fn a_refused_ticket_leaves_no_trace_and_the_next_number_is_its_own() {
-    let desk = Desk::new();
-    desk.submit("anna", &format!("{ZONES}{}", server(1, 6)), None)
+    let fixture = Fixture::new();
+    fixture.submit("anna", &format!("{ZONES}{}", server(1, 6)), None)
         .expect("accepted");
     let invalid = "[site.x]\navailability_zone = \"nowhere\"\n";
     assert_eq!(
-        desk.submit("anna", invalid, None)
+        fixture.submit("anna", invalid, None)
             .expect_err("invalid")
             .exit_code(),
         3
     );
     let nameless = command::submit(
-        &desk.api("anna"),
+        &fixture.api("anna"),
         Submit::default(),
         &mut Backoff::new(BackoffSettings::default(), 7),
     );
     assert_eq!(nameless.expect_err("no reason").exit_code(), 2);
     assert_eq!(
-        desk.submit("ben", &server(2, 6), None)
+        fixture.submit("ben", &server(2, 6), None)
             .expect("accepted")
             .ticket
             .get(),
@@ -282,14 +282,14 @@
 
 #[test]
 fn the_export_holds_every_ticket_and_refuses_to_hide_a_changed_one() {
-    let desk = Desk::new();
-    desk.submit("anna", ZONES, None).expect("accepted");
-    desk.submit("ben", &server(1, 6), None).expect("accepted");
+    let fixture = Fixture::new();
+    fixture.submit("anna", ZONES, None).expect("accepted");
+    fixture.submit("ben", &server(1, 6), None).expect("accepted");
     let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("export");
     if directory.exists() {
         std::fs::remove_dir_all(&directory).expect("cleared");
     }
-    let api = desk.api("anna");
+    let api = fixture.api("anna");
     assert_eq!(
         command::export(&api, &directory).expect("written").written,
         2
@@ -309,10 +309,10 @@
 
 #[test]
 fn diff_shows_keys_and_the_version_compared_with() {
-    let desk = Desk::new();
-    desk.submit("anna", &format!("{ZONES}{}", server(1, 6)), None)
+    let fixture = Fixture::new();
+    fixture.submit("anna", &format!("{ZONES}{}", server(1, 6)), None)
         .expect("accepted");
-    let accepted = store::read_accepted(&desk.api("anna")).expect("read");
+    let accepted = store::read_accepted(&fixture.api("anna")).expect("read");
     let text = format!("{}{}", server(1, 4), server(2, 4));
     let document = Document::parse("t", &text).expect("well formed");
     let report = command::diff(&document, &accepted).expect("compared");
@@ -332,15 +332,15 @@
 #[test]
 fn status_names_silent_instances_and_versions_by_zone() {
     use damaskvane_platform::api::{ObjectApi, ObjectKey, ObjectVersion, WriteId};
-    let desk = Desk::new();
-    desk.submit("anna", ZONES, None).expect("accepted");
+    let fixture = Fixture::new();
+    fixture.submit("anna", ZONES, None).expect("accepted");
     let answer = |_: &rouille::Request| {
         rouille::Response::from_data("application/json", r#"{"config_version":1}"#)
     };
     let server = rouille::Server::new("127.0.0.1:0", answer).expect("a free port");
     let address = server.server_addr();
     let (handle, stop) = server.stoppable();
-    let api = desk.api("anna");
+    let api = fixture.api("anna");
     let announce = |instance: &str, operator_address: &str| {
         let value = format!(
             r#"{{"instance":"{instance}","availability_zone":"sask-a","region":"sask","incarnation":1,
--- a/crates/damaskvane-standins/src/config_run/operators.rs
+++ b/crates/damaskvane-standins/src/config_run/operators.rs
@@ -51,7 +51,7 @@
             self.serial += 1;
             let draft = draft::draft(rng, head, self.index, self.serial);
             self.submission = Some((draft.write_id.clone(), Submission::new(draft)));
-            // The draft lies on the operator's desk while others submit theirs.
+            // The draft waits while others submit theirs.
             return Move::Wait(rng.random_range(0..400));
         };
         match submission.next_step() {
