--- a/crates/damaskvane-bench/src/capacity.rs
+++ b/crates/damaskvane-bench/src/capacity.rs
@@ -15,8 +15,10 @@
 mod blocks;
 mod changes;
 pub mod command;
+mod declared;
 mod events;
 mod load;
+mod measured;
 mod page;
 mod quantity;
 mod slope;
@@ -25,6 +27,7 @@
 
 pub use blocks::measure_blocks;
 pub use changes::measure_changes;
+pub use declared::measure_declared;
 pub use events::{EventFigures, measure_events};
 pub use load::measure_load;
 pub use page::{PAGE_BEGIN, PAGE_END, TABLE_HEAD, rewrite, table};
