--- a/crates/damaskvane-ctl/tests/tickets.rs
+++ b/crates/damaskvane-ctl/tests/tickets.rs
@@ -76,7 +76,8 @@
     let fixture = Fixture::new();
     let text = format!("{ZONES}{}", server(1, 6));
     assert_eq!(
-        fixture.submit("anna", &text, None)
+        fixture
+            .submit("anna", &text, None)
             .expect("accepted")
             .ticket
             .get(),
@@ -84,7 +85,8 @@
     );
     let changed = server(1, 4);
     assert_eq!(
-        fixture.submit("ben", &changed, Some(1))
+        fixture
+            .submit("ben", &changed, Some(1))
             .expect("accepted")
             .ticket
             .get(),
@@ -109,10 +111,15 @@
 #[test]
 fn a_conflict_names_the_object_who_changed_it_and_by_which_ticket() {
     let fixture = Fixture::new();
-    fixture.submit("ben", &format!("{ZONES}{}", server(1, 6)), None)
+    fixture
+        .submit("ben", &format!("{ZONES}{}", server(1, 6)), None)
+        .expect("accepted");
+    fixture
+        .submit("anna", &server(1, 4), None)
+        .expect("accepted");
+    fixture
+        .submit("anna", &server(2, 4), None)
         .expect("accepted");
-    fixture.submit("anna", &server(1, 4), None).expect("accepted");
-    fixture.submit("anna", &server(2, 4), None).expect("accepted");
     let refused = fixture
         .submit("ben", &server(1, 8), Some(1))
         .expect_err("changed since");
@@ -223,12 +230,13 @@
 #[test]
 fn drain_and_undrain_are_tickets_and_explain_names_them() {
     let fixture = Fixture::new();
-    fixture.submit(
-        "anna",
-        &format!("{ZONES}{}{}", server(1, 6), server(2, 6)),
-        None,
-    )
-    .expect("accepted");
+    fixture
+        .submit(
+            "anna",
+            &format!("{ZONES}{}{}", server(1, 6), server(2, 6)),
+            None,
+        )
+        .expect("accepted");
     let api = fixture.api("ben");
     let id = "rider-desk-sask-a-2".parse().expect("an id");
     let drain = |draining| {
@@ -256,11 +264,13 @@
 #[test]
 fn a_refused_ticket_leaves_no_trace_and_the_next_number_is_its_own() {
     let fixture = Fixture::new();
-    fixture.submit("anna", &format!("{ZONES}{}", server(1, 6)), None)
+    fixture
+        .submit("anna", &format!("{ZONES}{}", server(1, 6)), None)
         .expect("accepted");
     let invalid = "[site.x]\navailability_zone = \"nowhere\"\n";
     assert_eq!(
-        fixture.submit("anna", invalid, None)
+        fixture
+            .submit("anna", invalid, None)
             .expect_err("invalid")
             .exit_code(),
         3
@@ -272,7 +282,8 @@
     );
     assert_eq!(nameless.expect_err("no reason").exit_code(), 2);
     assert_eq!(
-        fixture.submit("ben", &server(2, 6), None)
+        fixture
+            .submit("ben", &server(2, 6), None)
             .expect("accepted")
             .ticket
             .get(),
@@ -284,7 +295,9 @@
 fn the_export_holds_every_ticket_and_refuses_to_hide_a_changed_one() {
     let fixture = Fixture::new();
     fixture.submit("anna", ZONES, None).expect("accepted");
-    fixture.submit("ben", &server(1, 6), None).expect("accepted");
+    fixture
+        .submit("ben", &server(1, 6), None)
+        .expect("accepted");
     let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("export");
     if directory.exists() {
         std::fs::remove_dir_all(&directory).expect("cleared");
@@ -310,7 +323,8 @@
 #[test]
 fn diff_shows_keys_and_the_version_compared_with() {
     let fixture = Fixture::new();
-    fixture.submit("anna", &format!("{ZONES}{}", server(1, 6)), None)
+    fixture
+        .submit("anna", &format!("{ZONES}{}", server(1, 6)), None)
         .expect("accepted");
     let accepted = store::read_accepted(&fixture.api("anna")).expect("read");
     let text = format!("{}{}", server(1, 4), server(2, 4));
