--- a/crates/damaskvane-bench/src/commands.rs
+++ b/crates/damaskvane-bench/src/commands.rs
@@ -9,7 +9,7 @@
 use std::process;
 
 use crate::error::BenchError;
-use crate::{capacity, checker, cluster, config, config_run, demo, load, speed, steering};
+use crate::{blocks, capacity, checker, cluster, config, config_run, demo, load, speed, steering};
 
 /// One sub-command.
 #[derive(Debug, Clone, Copy)]
@@ -39,6 +39,11 @@
         summary: "a deployment to try things on by hand",
         run: cluster::command::run,
     },
+    Command {
+        name: "blocks",
+        summary: "the client-block table against a binary search and a hash map",
+        run: blocks::command::run,
+    },
     Command {
         name: "steering",
         summary: "the decision code against baselines, in virtual time",
--- a/crates/damaskvane-bench/src/lib.rs
+++ b/crates/damaskvane-bench/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`cluster`]: the real programs on free loopback ports.
 //! - [`demo`]: both deployments under traffic and faults, one line for each promise.
 //! - [`in_force`]: how long a ticket takes until it holds everywhere.
+//! - [`blocks`]: the client-block table against a binary search and a hash map.
 //! - [`steering`]: the decision code against baselines, in virtual time.
 //! - [`config`]: the same by the number of daemons.
 //! - [`config_run`]: the configuration's decision code through mixed faults, by seed.
@@ -23,6 +24,7 @@
 //! ```
 
 pub mod arguments;
+pub mod blocks;
 pub mod capacity;
 pub mod checker;
 pub mod client;
--- a/crates/damaskvane-steering/src/blocks/chunk.rs
+++ b/crates/damaskvane-steering/src/blocks/chunk.rs
@@ -9,6 +9,9 @@
 
 const CLASSES_PER_WORD: usize = 4;
 
+/// How far the search looks from its guess at first.
+const FIRST_WIDTH: usize = 8;
+
 #[derive(Debug, Clone)]
 pub(super) struct Chunk(Arc<[u32]>);
 
@@ -26,7 +29,7 @@
 
     pub(super) fn class(&self, tail: u32) -> Option<Class> {
         let (tails, words) = self.0.split_at(self.len());
-        let position = tails.partition_point(|held| *held < tail);
+        let position = position_of(tails, tail);
         if *tails.get(position)? != tail {
             return None;
         }
@@ -54,6 +57,28 @@
     }
 }
 
+/// The number of tails below this one.
+///
+/// Tails are spread about evenly over a chunk, so the search starts where an even spread would put
+/// this one and widens from there: it touches one or two cache lines, where halving touches one for
+/// each of its first steps.
+fn position_of(tails: &[u32], tail: u32) -> usize {
+    let guess = ((u64::from(tail) * tails.len() as u64) >> u32::BITS) as usize;
+    let mut width = FIRST_WIDTH;
+    let (mut low, mut high) = (guess, guess);
+    while low > 0 && tails[low - 1] >= tail {
+        high = low;
+        low = low.saturating_sub(width);
+        width *= 2;
+    }
+    while high < tails.len() && tails[high] < tail {
+        low = high;
+        high = (high + width).min(tails.len());
+        width *= 2;
+    }
+    low + tails[low..high].partition_point(|held| *held < tail)
+}
+
 fn pack(blocks: &[(u32, Class)]) -> u32 {
     let mut bytes = [0; CLASSES_PER_WORD];
     for (byte, (_, class)) in bytes.iter_mut().zip(blocks) {
--- a/crates/damaskvane-steering/src/planner/demand.rs
+++ b/crates/damaskvane-steering/src/planner/demand.rs
@@ -82,7 +82,8 @@
     }
     let chance = chance_milli(expected);
     if change_milli.abs() > chance {
-        let step = confirmed(change_milli, before.change_milli, chance);
+        let shown = confirmed(change_milli, before.change_milli, chance);
+        let step = shown.min(most_rise_milli(inputs, zone, expected));
         return Estimate {
             level_milli: expected + step * LARGE_GAIN_PERMILLE / 1_000,
             trend_milli: 0,
@@ -106,6 +107,17 @@
     change_milli.signum() * change_milli.abs().min(shown.max(chance_milli))
 }
 
+/// The most that an estimate may be shown to rise in one step: half of itself, or a tenth of what its
+/// own zone carries where it is small.
+fn most_rise_milli(
+    inputs: &Inputs<'_>,
+    zone: &ids::AvailabilityZoneId,
+    expected_milli: i64,
+) -> i64 {
+    let tenth = to_signed(inputs.service.capacity(zone)) / 10;
+    (expected_milli / 2).max(tenth) * 1_000 / LARGE_GAIN_PERMILLE
+}
+
 /// How far one second's count may be from its mean: counts deviate by the root of their mean.
 fn chance_milli(expected_milli: i64) -> i64 {
     let mean = expected_milli.max(0).unsigned_abs() / 1_000;
