--- a/crates/damaskvane-steering/tests/credit.rs
+++ b/crates/damaskvane-steering/tests/credit.rs
@@ -186,3 +186,20 @@
     granter.forget_lapsed(at(8_000));
     assert_eq!(granter.reserved(), rps(9));
 }
+
+/// A smaller renewal is granted while the larger grant before it may still be used, since the renewal
+/// can be lost on its way. Forgetting the larger one gives its rate away twice.
+#[test]
+fn a_smaller_renewal_keeps_the_larger_grant_reserved_until_it_lapses() {
+    let mut granter = credit::Granter::new(settings());
+    let account = credit::Account {
+        capacity: rps(200),
+        local: rps(50),
+    };
+    let ask = |rate| credit::Ask { number: 1, rate };
+    granter.grant(&zone("mb-a"), ask(rps(60)), account, at(0));
+    granter.grant(&zone("mb-a"), ask(rps(5)), account, at(1_000));
+    assert_eq!(granter.reserved(), rps(60 + 3 + 3));
+    granter.forget_lapsed(at(7_000));
+    assert_eq!(granter.reserved(), rps(5 + 3 + 3));
+}
--- a/crates/damaskvane-steering/tests/planner.rs
+++ b/crates/damaskvane-steering/tests/planner.rs
@@ -390,3 +390,27 @@
     let free = |capacity| capacity - settings.usable(rps(capacity)).milli().div_ceil(1_000);
     assert_eq!([free(25), free(100), free(10_000)], [2, 6, 240]);
 }
+
+/// One report in a run shows fifty times the demand. Believed at once, it refuses everyone's clients
+/// for seconds while capacity is free.
+#[test]
+fn a_single_absurd_report_refuses_nobody() {
+    let planner = planner::Planner::new(planner::Settings::default());
+    let mut view = digest::View::default();
+    let mut plan = None;
+    for step in 1..40 {
+        all_report(&mut view, step, step * STEP_MS, 100);
+        if step == 20 {
+            view.adopt(common::report(&zone("ab-a"), 10_000, step * STEP_MS, 5_000));
+        }
+        if step == 21 {
+            view.forget(&zone("ab-a"));
+            view.adopt(common::report(&zone("ab-a"), step, step * STEP_MS, 100));
+        }
+        let next = planner.plan(&topology(), &view, plan.as_ref(), at(step * STEP_MS));
+        let sources = next.services[&service_id()].sources.values();
+        let most = sources.map(plan::SourcePlan::refused_ppm).max().unwrap();
+        assert!(most < 1_000, "step {step}: {most}");
+        plan = Some(next);
+    }
+}
--- a/crates/damaskvane-steering/tests/staleness.rs
+++ b/crates/damaskvane-steering/tests/staleness.rs
@@ -136,3 +136,15 @@
     assert!(planned_to(&plan, &zone("ab-a")) <= rps(194));
     assert_eq!(own.retry_after, time::SpanMs::new(2_000));
 }
+
+/// A reporter is stuck and sends the same report again and again. Were each arrival news, the zone
+/// would be steered by numbers that are minutes old.
+#[test]
+fn a_repeated_report_grows_old() {
+    let mut view = digest::View::default();
+    let limits = staleness::Limits::default();
+    assert!(view.adopt(common::report(&zone("ab-a"), 7, 0, 100)));
+    let repeated = common::report(&zone("ab-a"), 7, 16_000, 100);
+    assert!(!view.adopt(repeated));
+    assert_eq!(view.age(&zone("ab-a"), limits, at(16_000)), Age::Gone);
+}
