--- a/crates/damaskvane-scenario/src/random/chaos.rs
+++ b/crates/damaskvane-scenario/src/random/chaos.rs
@@ -77,7 +77,7 @@
         }
     }
 
-    fn note(&mut self, now: time::TimeMs, what: String) {
+    fn note(&mut self, now: time::TimeMs, what: &str) {
         if self.last.len() == REMEMBERED {
             self.last.pop_back();
         }
@@ -85,12 +85,12 @@
     }
 
     fn cause(&mut self, world: &mut World, fault: &Fault) {
-        self.note(world.now, format!("{fault:?}"));
+        self.note(world.now, &format!("{fault:?}"));
         world.fault(fault);
     }
 
     fn order(&mut self, world: &mut World, control: &Control) {
-        self.note(world.now, format!("{control:?}"));
+        self.note(world.now, &format!("{control:?}"));
         world.order(control);
     }
 
--- a/crates/damaskvane-scenario/src/world/control.rs
+++ b/crates/damaskvane-scenario/src/world/control.rs
@@ -185,7 +185,11 @@
             answer_ttl: LOOKUP_TTL,
             services: entry.config.services.clone(),
             backend_servers,
-            instances: entry.membership.instances().map(peer).collect(),
+            instances: entry
+                .membership
+                .instances()
+                .map(|view| peer(&view))
+                .collect(),
         };
         self.tell_engine(instance, event::Event::Directory(Arc::new(directory)));
     }
@@ -199,7 +203,7 @@
         .unwrap_or_else(|_| unreachable!("a part of a valid name is one"))
 }
 
-fn peer(view: view::InstanceView<'_>) -> (ids::InstanceId, directory::PeerInstance) {
+fn peer(view: &view::InstanceView<'_>) -> (ids::InstanceId, directory::PeerInstance) {
     let reachability = match view.state {
         state::InstanceState::Live | state::InstanceState::Suspect => directory::Reachability::Live,
         state::InstanceState::Leaving => directory::Reachability::Leaving,
