--- a/crates/damaskvane-scenario/src/random/chaos.rs
+++ b/crates/damaskvane-scenario/src/random/chaos.rs
@@ -155,6 +155,7 @@
         let modes = [
             ServerMode::Shed,
             ServerMode::Die,
+            ServerMode::HangUp,
             ServerMode::Swallow,
             ServerMode::Silent,
             ServerMode::Cut,
--- a/crates/damaskvane-scenario/src/script/fault.rs
+++ b/crates/damaskvane-scenario/src/script/fault.rs
@@ -17,6 +17,8 @@
     Shed,
     /// The next request is read, begun, and kills it.
     Die,
+    /// It reads a request, its connection breaks, and the request runs on.
+    HangUp,
     /// It runs requests and never answers.
     Swallow,
     /// Connections open, and nothing is read from them.
--- a/crates/damaskvane-scenario/src/script/reader.rs
+++ b/crates/damaskvane-scenario/src/script/reader.rs
@@ -25,7 +25,8 @@
      service=SERVICE key=KEY home=ENTRY; options are deadline=, path=, priority=, try=, body=, times=";
 const FAULT: &str = "write: fault server SERVER MODE, fault kill|restart ENTRY, fault pause ENTRY 300ms, \
      or fault cut|heal ENTRY ENTRY";
-const MODE: &str = "write one of ok, shed, die, swallow, silent, cut, cross, down, slow=500ms";
+const MODE: &str =
+    "write one of ok, shed, die, hang-up, swallow, silent, cut, cross, down, slow=500ms";
 const EXPECT: &str = "write: expect answer|answers|runs|peak|started|cancelled|waited|retry-after|\
      incarnation|no-new-work|stopped|quarantined, as docs/SCENARIOS.md says";
 const ANSWER: &str = "write completed, not-run [REASON], unknown [REASON] or none";
@@ -205,6 +206,7 @@
         "ok" => Ok(ServerMode::Healthy),
         "shed" => Ok(ServerMode::Shed),
         "die" => Ok(ServerMode::Die),
+        "hang-up" => Ok(ServerMode::HangUp),
         "swallow" => Ok(ServerMode::Swallow),
         "silent" => Ok(ServerMode::Silent),
         "cut" => Ok(ServerMode::Cut),
--- a/crates/damaskvane-scenario/src/world/server.rs
+++ b/crates/damaskvane-scenario/src/world/server.rs
@@ -136,6 +136,12 @@
         }
         server.note(now, &exchange.request);
         let (time, id) = (server.time(), server.id.clone());
+        if server.mode == ServerMode::HangUp {
+            self.exchange_ended(&from, exchange.number, event::ExchangeEnd::Lost);
+        }
+        let Some(server) = self.servers.get(&id) else {
+            return;
+        };
         let is_deadly =
             server.mode == ServerMode::Die || exchange.request.path.starts_with(CRASH_PATH);
         let time = self.spread(time);
@@ -180,7 +186,7 @@
 
     fn answer_run(&mut self, mode: ServerMode, run: &Run) {
         let end = match mode {
-            ServerMode::Swallow | ServerMode::Silent => return,
+            ServerMode::Swallow | ServerMode::Silent | ServerMode::HangUp => return,
             ServerMode::Cut => event::ExchangeEnd::Cut,
             ServerMode::Cross => event::ExchangeEnd::Crossed,
             _ => event::ExchangeEnd::Answered(message::BackendAnswer {
