--- a/crates/damaskvane-engine/src/engine.rs
+++ b/crates/damaskvane-engine/src/engine.rs
@@ -121,6 +121,12 @@
         self.keys.home()
     }
 
+    /// Whether a configuration is in force and requests could find a slot.
+    #[must_use]
+    pub fn is_ready(&self, now: time::TimeMs) -> bool {
+        self.directory.version > ids::ConfigVersion::default() && self.servers.can_serve(now)
+    }
+
     /// How many idempotency keys are kept.
     #[must_use]
     pub fn keys(&self) -> usize {
--- a/crates/damaskvane-entry/src/engine_thread.rs
+++ b/crates/damaskvane-entry/src/engine_thread.rs
@@ -154,6 +154,7 @@
         for action in self.engine.handle(now, event) {
             self.carry_out(action);
         }
+        self.serving.set_ready(self.engine.is_ready(now));
         if self.engine.is_drained(now) {
             self.serving.set_drained();
         }
--- a/crates/damaskvane-entry/src/lib.rs
+++ b/crates/damaskvane-entry/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`health_reports`]: what backend servers say of themselves.
 //! - [`load`]: what the instance measures of its traffic, for digests.
 //! - [`peers`], [`wire`]: other entry instances and what is said to them.
+//! - [`http_listener`]: bounds on whoever connects.
 //! - [`operator_api`]: the state of the instance for operators.
 //! - [`process`]: puts all of it together.
 
@@ -22,6 +23,7 @@
 pub mod exchange;
 pub mod exchange_pool;
 pub mod health_reports;
+pub mod http_listener;
 pub mod inbox;
 pub mod load;
 pub mod operator_api;
