--- a/crates/damaskvane-bench/src/capacity/steady.rs
+++ b/crates/damaskvane-bench/src/capacity/steady.rs
@@ -4,6 +4,9 @@
 use std::thread;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
+use crate::capacity::quantity::LIST_READERS;
 use crate::capacity::{Quantity, Rates, Slope, Snapshot};
 use crate::cluster::{Cluster, Deployment};
 use crate::error::BenchError;
@@ -14,7 +17,7 @@
 const SETTLE: Duration = Duration::from_secs(8);
 
 /// Regions, zones in each region and entry instances in each zone.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Shape {
     /// Regions.
     pub regions: usize,
@@ -52,7 +55,7 @@
 }
 
 /// The rates of each shape.
-#[derive(Debug, Clone, Default, PartialEq, serde::Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct SteadyFigures {
     /// Shapes and their rates.
     pub shapes: Vec<(Shape, Rates)>,
@@ -110,8 +113,14 @@
 
 /// The variables that a quantity is fitted over.
 fn variables(quantity: Quantity, shape: Shape) -> Vec<f64> {
-    match quantity.size.names.len() {
-        1 => vec![shape.daemons() as f64],
-        _ => vec![(shape.regions * shape.zones) as f64, shape.entries as f64],
+    let zones = (shape.regions * shape.zones) as f64;
+    let daemons = shape.daemons() as f64;
+    match quantity.key {
+        "store-reads" => vec![
+            daemons.min(LIST_READERS),
+            zones * shape.entries.min(2) as f64,
+        ],
+        "store-writes" => vec![daemons],
+        _ => vec![zones, shape.entries as f64],
     }
 }
--- a/crates/damaskvane-bench/src/commands.rs
+++ b/crates/damaskvane-bench/src/commands.rs
@@ -9,7 +9,10 @@
 use std::process;
 
 use crate::error::BenchError;
-use crate::{capacity, checker, cluster, config, config_run, demo, load, speed, steering};
+use crate::{
+    blocks, capacity, checker, cluster, config, config_run, demo, load, requests, slots, speed,
+    steering,
+};
 
 /// One sub-command.
 #[derive(Debug, Clone, Copy)]
@@ -39,6 +42,11 @@
         summary: "a deployment to try things on by hand",
         run: cluster::command::run,
     },
+    Command {
+        name: "blocks",
+        summary: "the client-block table against a binary search and a hash map",
+        run: blocks::command::run,
+    },
     Command {
         name: "steering",
         summary: "the decision code against baselines, in virtual time",
@@ -64,6 +72,16 @@
         summary: "the configuration's decision code through mixed faults, by seed",
         run: config_run::run,
     },
+    Command {
+        name: "slots",
+        summary: "ways of sharing slots within a zone, in virtual time",
+        run: slots::run,
+    },
+    Command {
+        name: "requests",
+        summary: "the request engine through mixed faults, by seed",
+        run: requests::run,
+    },
     Command {
         name: "capacity",
         summary: "the slopes behind docs/CAPACITY.md",
--- a/crates/damaskvane-bench/src/lib.rs
+++ b/crates/damaskvane-bench/src/lib.rs
@@ -9,9 +9,11 @@
 //! - [`cluster`]: the real programs on free loopback ports.
 //! - [`demo`]: both deployments under traffic and faults, one line for each promise.
 //! - [`in_force`]: how long a ticket takes until it holds everywhere.
+//! - [`blocks`]: the client-block table against a binary search and a hash map.
 //! - [`steering`]: the decision code against baselines, in virtual time.
 //! - [`config`]: the same by the number of daemons.
 //! - [`config_run`]: the configuration's decision code through mixed faults, by seed.
+//! - [`requests`]: the request engine through mixed faults, by seed.
 //! - [`speed`]: what an entry instance adds to a request, and its look-ups.
 //! - [`capacity`]: the slopes behind docs/CAPACITY.md.
 //! - [`histogram`], [`fit`]: quantiles and lines through measured points.
@@ -23,6 +25,7 @@
 //! ```
 
 pub mod arguments;
+pub mod blocks;
 pub mod capacity;
 pub mod checker;
 pub mod client;
@@ -37,5 +40,7 @@
 pub mod http;
 pub mod in_force;
 pub mod load;
+pub mod requests;
+pub mod slots;
 pub mod speed;
 pub mod steering;
--- a/crates/damaskvane-engine/src/engine.rs
+++ b/crates/damaskvane-engine/src/engine.rs
@@ -23,6 +23,7 @@
 mod load;
 mod pending;
 mod pump;
+mod renewal;
 mod servers;
 mod settings;
 mod submit;
@@ -114,6 +115,18 @@
         self.servers.draining()
     }
 
+    /// The home that look-ups name for this instance; its incarnation can be later than the process's.
+    #[must_use]
+    pub const fn home(&self) -> &home::Home {
+        self.keys.home()
+    }
+
+    /// Whether a configuration is in force and requests could find a slot.
+    #[must_use]
+    pub fn is_ready(&self, now: time::TimeMs) -> bool {
+        self.directory.version > ids::ConfigVersion::default() && self.servers.can_serve(now)
+    }
+
     /// How many idempotency keys are kept.
     #[must_use]
     pub fn keys(&self) -> usize {
@@ -135,10 +148,15 @@
                 self.give_up_unreachable(now);
             }
             Event::Roster(roster) => self.servers.roster(now, *roster),
+            Event::HealthReported {
+                backend_server,
+                healthy,
+            } => self.servers.reported(now, &backend_server, healthy),
             Event::ClearQuarantine(fingerprint) => self.clear_by_operator(now, fingerprint),
             Event::Leave => self.leave(now),
             Event::Tick => {
                 self.expire(now);
+                self.renew_keys();
                 self.advance_departure(now);
             }
         }
@@ -156,6 +174,7 @@
             peer::PeerMessage::Incident(incident) => self.incident_told(now, &incident),
             peer::PeerMessage::Cleared(fingerprint) => self.cleared_told(now, fingerprint),
             peer::PeerMessage::Slots(message) => self.servers.message(now, from, *message),
+            peer::PeerMessage::Renewed(home) => self.renewal_told(from, home),
             peer::PeerMessage::Departed(departed) => {
                 self.keys
                     .learn_successor(now, departed.departed, departed.successor);
@@ -165,7 +184,8 @@
 
     fn learn(&mut self, now: time::TimeMs, directory: Arc<directory::Directory>) {
         self.servers.learn(now, &directory);
-        self.directory = directory;
+        let before = core::mem::replace(&mut self.directory, directory);
+        self.brief_newcomers(&before);
         for (id, service) in &self.directory.services {
             self.retries.entry(id.clone()).or_insert_with(|| {
                 retry::RetryPolicy::new(retry::RetrySettings {
--- a/crates/damaskvane-entry/src/control.rs
+++ b/crates/damaskvane-entry/src/control.rs
@@ -26,12 +26,14 @@
 use damaskvane_config::relay;
 use damaskvane_core::{time, timer};
 use damaskvane_dispatch::home;
+use damaskvane_engine::event;
 use damaskvane_membership::{settings as membership_settings, view};
 use damaskvane_peer::transport;
 use damaskvane_platform::api;
 pub use input::ControlInput;
 use slog::info;
 
+use crate::health_reports;
 use crate::inbox;
 use crate::operator_api::status;
 use crate::peers;
@@ -54,6 +56,7 @@
     peers: Arc<peers::Peers>,
     store: store::Store,
     status: status::Source,
+    health: flume::Sender<Vec<health_reports::Asked>>,
     stop: flume::Sender<()>,
     own_inbox: flume::Sender<ControlInput>,
     logger: slog::Logger,
@@ -82,6 +85,8 @@
     pub store: store::Store,
     /// Where details for operators are published.
     pub status: status::Source,
+    /// Which backend servers are asked for their health.
+    pub health: flume::Sender<Vec<health_reports::Asked>>,
     /// Asks the process to stop as if an operator had.
     pub stop: flume::Sender<()>,
     /// The control thread's own inbox, for the ends of what it starts.
@@ -124,6 +129,7 @@
             peers: parts.peers,
             store: parts.store,
             status: parts.status,
+            health: parts.health,
             stop: parts.stop,
             own_inbox: parts.own_inbox,
             logger: parts.logger,
@@ -207,7 +213,9 @@
             wire::WireMessage::Configuration(message) => self.configuration(from, message),
             wire::WireMessage::Engine(message) => {
                 let from = home::Home::new(from, received.incarnation);
-                let _ = self.engine.send(inbox::Input::Peer { from, message });
+                let _ = self
+                    .engine
+                    .send(inbox::Input::Event(event::Event::Peer { from, message }));
             }
         }
     }
@@ -230,6 +238,6 @@
         self.announce();
         self.tell_membership(view::Event::Leave);
         self.publish();
-        let _ = self.engine.send(inbox::Input::Leave);
+        let _ = self.engine.send(inbox::Input::Event(event::Event::Leave));
     }
 }
--- a/crates/damaskvane-entry/src/exchange_pool.rs
+++ b/crates/damaskvane-entry/src/exchange_pool.rs
@@ -133,10 +133,10 @@
             Ok(Job::Exchange(exchange)) => {
                 let end = exchange::run(&exchange, clock, limits);
                 note_end(logger, &exchange, &end);
-                let _ = ended.send(inbox::Input::ExchangeEnded {
+                let _ = ended.send(inbox::Input::Event(event::Event::ExchangeEnded {
                     exchange: exchange.number,
                     end,
-                });
+                }));
             }
             Ok(Job::Cancel {
                 address,
--- a/crates/damaskvane-entry/src/lib.rs
+++ b/crates/damaskvane-entry/src/lib.rs
@@ -9,6 +9,7 @@
 //! [`translate`] turns it into what look-ups ([`serving`]) and the engine need.
 //!
 //! - [`settings`], [`clock`]: what the process is told, and its time.
+//! - [`health_reports`]: what backend servers say of themselves.
 //! - [`load`]: what the instance measures of its traffic, for digests.
 //! - [`peers`], [`wire`]: other entry instances and what is said to them.
 //! - [`http_listener`]: bounds on whoever connects.
@@ -21,6 +22,7 @@
 pub mod engine_thread;
 pub mod exchange;
 pub mod exchange_pool;
+pub mod health_reports;
 pub mod http_listener;
 pub mod inbox;
 pub mod load;
--- a/crates/damaskvane-entry/src/operator_api.rs
+++ b/crates/damaskvane-entry/src/operator_api.rs
@@ -17,6 +17,7 @@
 
 use bytes::Bytes;
 use damaskvane_dispatch::fingerprint;
+use damaskvane_engine::event;
 use http_body_util::Full;
 use hyper::{Method, Response, StatusCode};
 
@@ -109,7 +110,8 @@
 fn clear(fingerprint: &str, engine: &flume::Sender<inbox::Input>) -> reply::HttpAnswer {
     match fingerprint.parse::<fingerprint::Fingerprint>() {
         Ok(fingerprint) => {
-            let _ = engine.send(inbox::Input::ClearQuarantine(fingerprint));
+            let event = event::Event::ClearQuarantine(fingerprint);
+            let _ = engine.send(inbox::Input::Event(event));
             text(StatusCode::OK, "cleared\n")
         }
         Err(error) => text(StatusCode::BAD_REQUEST, format!("{error}\n")),
--- a/crates/damaskvane-entry/src/process.rs
+++ b/crates/damaskvane-entry/src/process.rs
@@ -9,6 +9,7 @@
 
 mod error;
 mod ready;
+mod settle;
 mod stop;
 
 use core::time::Duration;
@@ -30,6 +31,7 @@
 use crate::engine_thread;
 use crate::exchange;
 use crate::exchange_pool;
+use crate::health_reports;
 use crate::inbox;
 use crate::operator_api::{self, status};
 use crate::peers;
@@ -108,6 +110,7 @@
             peers: Arc::clone(&peers),
             store: start_store(settings, &serving, &control)?,
             status,
+            health: health_reports::start(engine.clone()).map_err(StartError::Thread)?,
             stop: stop_sender,
             own_inbox: control.clone(),
             logger: logger.clone(),
@@ -278,8 +281,9 @@
         .build()
         .map_err(StartError::Thread)?;
     let settle = Duration::from_millis(settings.settle_ms);
+    let serving = Arc::clone(serving);
     spawn("client-listener", move || {
-        thread::sleep(settle);
+        settle::wait(&serving, settle);
         if let Ok(listener) = clients.listen() {
             let _ = runtime.block_on(listener::serve(listener, api));
         }
--- a/crates/damaskvane-entry/src/serving.rs
+++ b/crates/damaskvane-entry/src/serving.rs
@@ -11,14 +11,14 @@
 //! assert_eq!(serving.config_version().get(), 0);
 //! ```
 
-mod active_shift;
+mod client_zones;
 mod state;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
-pub use active_shift::ActiveShift;
 use arc_swap::ArcSwap;
+pub use client_zones::ClientZones;
 use damaskvane_core::ids;
 use damaskvane_engine::event;
 use damaskvane_telemetry::counters;
@@ -39,6 +39,7 @@
     state: ArcSwap<ServingState>,
     next_request: AtomicU64,
     id_prefix: String,
+    ready: AtomicBool,
     drained: AtomicBool,
 }
 
@@ -53,6 +54,7 @@
             state: ArcSwap::default(),
             next_request: AtomicU64::new(1),
             id_prefix: id_prefix.into(),
+            ready: AtomicBool::new(false),
             drained: AtomicBool::new(false),
         }
     }
@@ -74,6 +76,17 @@
         self.state.load().version
     }
 
+    /// Whether clients can be let in: requests would find a slot.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Acquire)
+    }
+
+    /// Says whether requests would find a slot.
+    pub fn set_ready(&self, ready: bool) {
+        self.ready.store(ready, Ordering::Release);
+    }
+
     /// Whether a planned stop has finished all work.
     #[must_use]
     pub fn is_drained(&self) -> bool {
--- a/crates/damaskvane-entry/src/settings.rs
+++ b/crates/damaskvane-entry/src/settings.rs
@@ -173,7 +173,7 @@
             "3000",
             0,
             60_000,
-            "time until clients are let in, so that older look-up answers lapse",
+            "time until clients are let in, so that older look-up answers lapse; 0 also skips the wait for slots",
         ),
         settings::Key::number(
             "stop_timeout_ms",
--- a/crates/damaskvane-entry/src/settings/check.rs
+++ b/crates/damaskvane-entry/src/settings/check.rs
@@ -42,7 +42,7 @@
     let port = value.rsplit_once(':').map(|(_, port)| port.parse::<u16>());
     match port {
         Some(Ok(_)) => Ok(()),
-        _ => Err(WrongValue::new(key, value, &"no port", HOST)),
+        _ => Err(WrongValue::new(key, value, "no port", HOST)),
     }
 }
 
--- a/crates/damaskvane-entry/tests/connections.rs
+++ b/crates/damaskvane-entry/tests/connections.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use damaskvane_dispatch::outcome;
-use damaskvane_engine::message;
+use damaskvane_engine::{event, message};
 use damaskvane_entry::client_api::{binding, listener};
 use damaskvane_entry::settings::EntrySettings;
 use damaskvane_entry::{inbox, serving};
@@ -123,7 +123,9 @@
             .recv_timeout(common::WAIT)
             .expect("a message")
         {
-            inbox::Input::ClientGone { number } => assert_eq!(number, submitted),
+            inbox::Input::Event(event::Event::ClientGone { number }) => {
+                assert_eq!(number, submitted)
+            }
             other => panic!("{other:?}"),
         }
     }
--- a/crates/damaskvane-slots/src/message.rs
+++ b/crates/damaskvane-slots/src/message.rs
@@ -179,7 +179,7 @@
         /// How many slots remain lent.
         remaining: units::Slots,
     },
-    /// Others wait: make do with so many slots for a while.
+    /// Others wait: give back what is idle, and make do with so many slots for a while.
     Recall {
         /// The backend server.
         server: ids::BackendServerId,
@@ -203,6 +203,9 @@
         leases: Vec<HeldLease>,
         /// The ledger, if the sender was the owner.
         ledger: Option<HandedLedger>,
+        /// How long one that the sender knows to be fenced may still act.
+        #[serde(default)]
+        wait_ms: time::SpanMs,
     },
     /// By my view another is to own it.
     Decline {
