A stranger's broken connection no longer ends an instance

Cause: incoming connections were counted when they were up; one that breaks while it comes up is told to be gone first, so the count ran below zero, each later connection counted as one too many, and closing one that was gone already panicked in nng's callback and aborted the process (pipe.rs, code 12). Ruled out: the test's own ports and files. Conclusion: connections are counted where nng announces them, which is balanced by their end.

--- a/crates/damaskvane-entry/tests/common/mod.rs
+++ b/crates/damaskvane-entry/tests/common/mod.rs
@@ -71,7 +71,10 @@
         let mut line = String::new();
         let stdout = child.stdout.take().expect("piped");
         BufReader::new(stdout).read_line(&mut line).expect("a line");
-        let ready = serde_json::from_str(&line).expect("JSON");
+        let ready = serde_json::from_str(&line).unwrap_or_else(|error| {
+            let said = fs::read_to_string(&log).unwrap_or_default();
+            panic!("{name} did not start ({error}): {said}")
+        });
         let entry = Self { child, ready, log };
         wait_until("clients are let in", || {
             TcpStream::connect(entry.address("client")).is_ok()
--- a/crates/damaskvane-entry/tests/peer_port.rs
+++ b/crates/damaskvane-entry/tests/peer_port.rs
@@ -9,6 +9,7 @@
 /// What a pushing socket says first: the transport's greeting and the protocol number of push.
 const GREETING: [u8; 8] = [0, b'S', b'P', 0, 0, 0x50, 0, 0];
 const SILENT: usize = 300;
+const BROKEN: usize = 400;
 const MOST_NEW_THREADS: u64 = 16;
 const MOST_GROWTH_KB: u64 = 16_384;
 const ANNOUNCED: [u64; 3] = [64 << 20, 1 << 40, u64::MAX];
@@ -56,6 +57,20 @@
     assert!(after <= before + MOST_GROWTH_KB, "{before} to {after} kB");
 }
 
+/// A stranger connects and breaks off again and again, in the middle of the first message. The instance has to
+/// live, and to count none of the connections as one too many: its peers would be shut out.
+#[test]
+fn broken_connections_neither_end_the_instance_nor_shut_others_out() {
+    let entry = Entry::start("peer-broken", "");
+    let head = [GREETING.as_slice(), &u64::MAX.to_be_bytes()].concat();
+    for _ in 0..BROKEN {
+        let mut stream = common::connect(entry.address("peer"));
+        let _ = stream.write_all(&head);
+    }
+    let dropped = &entry.status()["control"]["dropped"];
+    assert_eq!(dropped["connection-limit"], serde_json::Value::Null);
+}
+
 /// Messages of a sound length whose content is none. Each is dropped and counted, and the instance lives.
 #[test]
 fn a_message_that_is_none_is_dropped_and_counted() {
--- a/crates/damaskvane-peer/src/inbound.rs
+++ b/crates/damaskvane-peer/src/inbound.rs
@@ -146,7 +146,12 @@
     time::TimeMs::new(u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX))
 }
 
-/// Closes incoming connections above the limit as soon as they come up.
+/// Closes incoming connections above the limit before they come up.
+///
+/// Every connection that was announced before it came up is told to be gone later; one that a stranger broke
+/// while it came up can be told to be gone before it is told to be up. Counting those that are up ran below
+/// zero then: every later connection counted as one too many, and closing one that was gone already ended
+/// the process.
 fn limit_connections(
     socket: &nng::Socket,
     limit: usize,
@@ -155,11 +160,11 @@
     let open = AtomicUsize::new(0);
     socket.pipe_notify(move |pipe, event| {
         let before = match event {
-            nng::PipeEvent::AddPost => open.fetch_add(1, Ordering::Relaxed),
+            nng::PipeEvent::AddPre => open.fetch_add(1, Ordering::Relaxed),
             nng::PipeEvent::RemovePost => open.fetch_sub(1, Ordering::Relaxed),
             _ => return,
         };
-        if event == nng::PipeEvent::AddPost && before >= limit {
+        if event == nng::PipeEvent::AddPre && before >= limit {
             counters.count_drop(DropReason::ConnectionLimit);
             pipe.close();
         }
