The limit of incoming connections between instances has a test

Cause: only outgoing connections were tested against their limit, while the counting of incoming ones had the fault mended before this. Ruled out: that the connection above the limit ends one that is in. Conclusion: the excess is closed and counted, and who is in stays heard.

--- a/crates/damaskvane-peer/tests/transport.rs
+++ b/crates/damaskvane-peer/tests/transport.rs
@@ -219,3 +219,26 @@
         Err(error::PeerError::ConnectionLimit { limit: 1 })
     ));
 }
+
+/// More instances connect than are let in. Those above the limit are closed and counted, and those that are
+/// in are heard.
+#[test]
+fn incoming_connections_are_limited() {
+    let (b, received) = listen::<Message>(settings::PeerSettings {
+        connection_limit: 1,
+        ..settings("b")
+    });
+    b.set_allowed([instance("a"), instance("c")]);
+    let (a, _) = listen::<Message>(settings("a"));
+    a.send(b.local_address(), &Message::Number { value: 1 })
+        .unwrap();
+    received.recv_timeout(WAIT).unwrap();
+    let (c, _) = listen::<Message>(settings("c"));
+    c.send(b.local_address(), &Message::Number { value: 2 })
+        .unwrap();
+    wait_until(|| b.counters().dropped.contains_key("connection-limit"));
+    a.send(b.local_address(), &Message::Number { value: 3 })
+        .unwrap();
+    let heard = received.recv_timeout(WAIT).unwrap();
+    assert_eq!(heard.message, Message::Number { value: 3 });
+}
