--- a/crates/damaskvane-slots/src/exchange/claiming.rs
+++ b/crates/damaskvane-slots/src/exchange/claiming.rs
@@ -43,6 +43,7 @@
                 server.ownership = Ownership::Claiming(claim);
                 if is_due {
                     self.ask_consent(name);
+                    self.complete_if_agreed(name);
                 }
             }
             Ownership::Waiting(ledger) => {
@@ -96,7 +97,8 @@
             self.others()
                 .all(|member| claim.has_consent(&member.instance))
         });
-        if !is_agreed {
+        // Without authority the roster may lack whom to ask, and another may have taken over by now.
+        if !is_agreed || !self.has_authority() {
             return;
         }
         let until = self.last_use(name) + self.settings.lapse_ms();
@@ -183,6 +185,7 @@
     /// it and waits for everything to lapse.
     fn consent(&mut self, name: &ids::BackendServerId, claim: u64) -> Option<SlotMessage> {
         let now = self.now;
+        let has_authority = self.has_authority();
         let server = self.servers.get_mut(name)?;
         let ledger = match core::mem::take(&mut server.ownership) {
             Ownership::None | Ownership::Claiming(_) => None,
@@ -195,6 +198,8 @@
                 wait_ms: time::SpanMs::ZERO,
             }),
         };
+        // Another may have lent since authority was lost; the ledger then is not all there is.
+        let ledger = ledger.filter(|_| has_authority);
         server.queue.clear();
         server.pool.forget_asks();
         let leases = server.pool.report(now);
--- a/crates/damaskvane-slots/tests/random.rs
+++ b/crates/damaskvane-slots/tests/random.rs
@@ -34,7 +34,7 @@
 }
 
 /// Seeds that found two owners once.
-const FAILED_ONCE: [u64; 4] = [86, 116, 291, 298];
+const FAILED_ONCE: [u64; 5] = [86, 116, 291, 298, 507];
 
 /// How many seeds are run; `DAMASKVANE_SEEDS=1000` makes a long run of it.
 fn seeds() -> u64 {
