--- a/crates/damaskvane-engine/src/engine/servers/views.rs
+++ b/crates/damaskvane-engine/src/engine/servers/views.rs
@@ -34,6 +34,20 @@
         })
     }
 
+    /// Whether requests could find a slot in this zone: another instance owns backend servers, or this
+    /// one has begun to lend. A zone without backend servers has nothing to wait for.
+    pub(in crate::engine) fn can_serve(&self, now: time::TimeMs) -> bool {
+        let mut is_empty = true;
+        for status in self.slots.status(now) {
+            is_empty = false;
+            let is_lent_elsewhere = !self.slots.is_assigned(status.server);
+            if is_lent_elsewhere || status.phase == exchange::OwnerPhase::Serving {
+                return true;
+            }
+        }
+        is_empty
+    }
+
     /// Slots that this instance grants and that take work, by service.
     pub(in crate::engine) fn serving(
         &self,
