--- a/crates/damaskvane-engine/src/engine.rs
+++ b/crates/damaskvane-engine/src/engine.rs
@@ -22,6 +22,7 @@
 mod leaving;
 mod load;
 mod pending;
+mod pulse;
 mod pump;
 mod renewal;
 mod servers;
@@ -64,6 +65,7 @@
     retries: BTreeMap<ids::ServiceId, retry::RetryPolicy>,
     departure: leaving::Departure,
     handed_to: Option<home::Home>,
+    pulse: pulse::Pulse,
     rng: Pcg64Mcg,
     next_id: u64,
     load: EngineLoad,
@@ -91,6 +93,7 @@
             retries: BTreeMap::new(),
             departure: leaving::Departure::default(),
             handed_to: None,
+            pulse: pulse::Pulse::default(),
             next_id: 1,
             load: EngineLoad::default(),
             actions: Vec::new(),
@@ -130,6 +133,7 @@
     /// Takes an event at a point in time and returns what is to be done, in order.
     #[must_use]
     pub fn handle(&mut self, now: time::TimeMs, event: Event) -> Vec<Action> {
+        self.pulse.beat(now);
         match event {
             Event::Submit { number, request } => {
                 self.submit(now, pending::Origin::Client(number), *request, 0);
--- a/crates/damaskvane-engine/src/engine/pump.rs
+++ b/crates/damaskvane-engine/src/engine/pump.rs
@@ -17,6 +17,10 @@
 
 impl Engine {
     pub(super) fn pump(&mut self, now: time::TimeMs) {
+        if self.pulse.holds(now) {
+            self.carry_slot_actions();
+            return;
+        }
         self.launch_all(now);
         let waiting = self.waiting_by_service();
         if !waiting.is_empty() {
--- a/crates/damaskvane-scenario/src/world/exchanges.rs
+++ b/crates/damaskvane-scenario/src/world/exchanges.rs
@@ -16,12 +16,14 @@
 /// How long an answer that left at its deadline may still be on its way.
 const LATE_ANSWER_MS: u64 = 150;
 
+/// From the decision until the exchange's thread sends.
+const HANDED_TO_THREAD: time::SpanMs = time::SpanMs::new(1);
+
 impl World {
     /// The decision and the sending are apart: a pause can fall in between.
     pub(super) fn start_exchange(&mut self, me: &home::Home, exchange: event::Exchange) {
-        let handed_to_thread = self.random_ms(0, 1);
         let input = Input::SendExchange(Box::new(exchange));
-        self.send_to_start(me, handed_to_thread, input);
+        self.send_to_start(me, HANDED_TO_THREAD, input);
     }
 
     pub(super) fn send_exchange(&mut self, from: &ids::InstanceId, exchange: event::Exchange) {
