The owner of before lends until a newcomer claims

Ruled out: load of the machine, the wait for lapsed leases. Operators see owner, phase and loans of each backend server in the status. Conclusion: asks change hands with the consent.

--- a/crates/damaskvane-engine/src/engine.rs
+++ b/crates/damaskvane-engine/src/engine.rs
@@ -130,6 +130,17 @@
         self.directory.version > ids::ConfigVersion::default() && self.servers.can_serve(now)
     }
 
+    /// How the slots of each backend server stand, for operators.
+    pub fn slots(&self, now: time::TimeMs) -> impl Iterator<Item = exchange::ServerStatus<'_>> {
+        self.servers.slots(now)
+    }
+
+    /// How often this instance as an owner lent nothing, by reason.
+    #[must_use]
+    pub fn slot_refusals(&self) -> BTreeMap<&'static str, u64> {
+        self.servers.slot_refusals()
+    }
+
     /// How many idempotency keys are kept.
     #[must_use]
     pub fn keys(&self) -> usize {
--- a/crates/damaskvane-engine/src/engine/servers/views.rs
+++ b/crates/damaskvane-engine/src/engine/servers/views.rs
@@ -34,6 +34,24 @@
         })
     }
 
+    /// How the slots of each backend server stand.
+    pub(in crate::engine) fn slots(
+        &self,
+        now: time::TimeMs,
+    ) -> impl Iterator<Item = exchange::ServerStatus<'_>> {
+        self.slots.status(now)
+    }
+
+    /// How often this instance as an owner lent nothing, by reason.
+    pub(in crate::engine) fn slot_refusals(&self) -> BTreeMap<&'static str, u64> {
+        self.slots
+            .counters()
+            .refused
+            .iter()
+            .map(|(reason, count)| (reason.as_str(), *count))
+            .collect()
+    }
+
     /// Whether requests could find a slot in this zone: another instance owns backend servers, or this
     /// one has begun to lend. A zone without backend servers has nothing to wait for.
     pub(in crate::engine) fn can_serve(&self, now: time::TimeMs) -> bool {
--- a/crates/damaskvane-entry/src/control/shifts.rs
+++ b/crates/damaskvane-entry/src/control/shifts.rs
@@ -15,8 +15,9 @@
 const STEPS: u64 = 8;
 const SHORTEST_STEP: time::SpanMs = time::SpanMs::new(200);
 const SHORTEST_CALM_MS: u64 = 5_000;
-/// A report older than this says nothing about the destination.
-const FRESH: time::SpanMs = time::SpanMs::new(7_000);
+/// A report older than this says nothing about the destination. Between regions reports travel every
+/// five seconds, and one may be lost.
+const FRESH: time::SpanMs = time::SpanMs::new(12_000);
 /// Failed exchanges above this share of arrivals turn a shift back, in thousandths.
 const ERRORS_PERMILLE: u64 = 50;
 
--- a/crates/damaskvane-entry/src/engine_thread.rs
+++ b/crates/damaskvane-entry/src/engine_thread.rs
@@ -125,6 +125,23 @@
             })
             .collect();
         self.status.publish("draining", json!(draining));
+        let slots: Vec<_> = self
+            .engine
+            .slots(now)
+            .map(|server| {
+                json!({
+                    "backend_server": server.server,
+                    "owner": server.owner,
+                    "phase": format!("{:?}", server.phase).to_lowercase(),
+                    "lent": server.lent,
+                    "held": server.held,
+                    "busy": server.busy,
+                })
+            })
+            .collect();
+        self.status.publish("slots", json!(slots));
+        self.status
+            .publish("slot_refusals", json!(self.engine.slot_refusals()));
         self.status
             .publish("stop", json!(self.engine.departure(now)));
     }
--- a/crates/damaskvane-slots/src/exchange/aggregate.rs
+++ b/crates/damaskvane-slots/src/exchange/aggregate.rs
@@ -223,13 +223,37 @@
         for name in names {
             let assigned = self.assigned(&name);
             let is_own = assigned.as_ref() == Some(&self.own.instance);
-            if let Some(server) = self.servers.get_mut(&name) {
+            let keeps_owner = self.keeps_owner(&name);
+            if let Some(server) = self.servers.get_mut(&name)
+                && !keeps_owner
+            {
                 server.set_owner(assigned);
             }
             self.follow_assignment(&name, is_own);
         }
     }
 
+    /// Whether asks still go to the owner of before: it lends until it has consented to another.
+    ///
+    /// The hash names a newcomer as soon as it is heard of, but it can claim only once it has seen itself
+    /// on the platform's list, which an outage can hold up. Were it asked before, nobody would lend, and
+    /// requests would be refused beside a backend server with free slots.
+    fn keeps_owner(&self, name: &ids::BackendServerId) -> bool {
+        let owner = self
+            .servers
+            .get(name)
+            .and_then(|server| server.owner.as_ref());
+        owner.is_some_and(|owner| self.candidates().any(|candidate| candidate == owner))
+    }
+
+    /// The owner of before lends no more: asks go to whom the hash names.
+    pub(super) fn leave_owner(&mut self, name: &ids::BackendServerId) {
+        let assigned = self.assigned(name);
+        if let Some(server) = self.servers.get_mut(name) {
+            server.set_owner(assigned);
+        }
+    }
+
     fn take_message(
         &mut self,
         from: ids::InstanceId,
--- a/crates/damaskvane-slots/src/exchange/borrowing.rs
+++ b/crates/damaskvane-slots/src/exchange/borrowing.rs
@@ -6,7 +6,7 @@
 use crate::exchange::event::Action;
 use crate::exchange::server::Sender;
 use crate::holder::Wish;
-use crate::message::{GrantNumber, SlotMessage};
+use crate::message::{GrantNumber, RefusalReason, SlotMessage};
 
 impl SlotExchange {
     pub(super) fn demand(&mut self, name: &ids::BackendServerId, waiting: units::Slots) {
@@ -53,9 +53,15 @@
             } => self.take_grant(&name, number, slots, lease_ms),
             SlotMessage::Refused {
                 number,
+                reason,
                 retry_after_ms,
                 ..
-            } => server.pool.refused(number, now + retry_after_ms),
+            } => {
+                server.pool.refused(number, now + retry_after_ms);
+                if reason == RefusalReason::NotOwner {
+                    self.leave_owner(&name);
+                }
+            }
             SlotMessage::Renewed {
                 number,
                 attempt,
--- a/crates/damaskvane-slots/src/exchange/claiming.rs
+++ b/crates/damaskvane-slots/src/exchange/claiming.rs
@@ -133,7 +133,7 @@
             return;
         };
         let leases = server.pool.report(now);
-        claim.consent(now, own.instance, own.incarnation, leases, margin);
+        claim.consent(now, own.instance.clone(), own.incarnation, leases, margin);
         let mut known = claim.into_reports();
         for grant in handed {
             known
@@ -141,6 +141,7 @@
                 .and_modify(|report| report.until = report.until.max(grant.until))
                 .or_insert(grant);
         }
+        server.set_owner(Some(own.instance));
         server.queue.clear();
         let ledger = SlotLedger::waiting(server.slots, known.into_values(), until);
         server.ownership = Ownership::Waiting(ledger);
@@ -168,7 +169,7 @@
     fn answer_claim(&mut self, from: &Sender, name: &ids::BackendServerId, claim: u64) {
         let is_agreed = self.assigned(name).as_ref() == Some(&from.instance);
         let answer = if is_agreed {
-            self.consent(name, claim)
+            self.consent(name, claim, &from.instance)
         } else {
             None
         };
@@ -183,7 +184,12 @@
     ///
     /// The ledger goes with the consent. Should it be lost, the new owner gets the next consent without
     /// it and waits for everything to lapse.
-    fn consent(&mut self, name: &ids::BackendServerId, claim: u64) -> Option<SlotMessage> {
+    fn consent(
+        &mut self,
+        name: &ids::BackendServerId,
+        claim: u64,
+        owner: &ids::InstanceId,
+    ) -> Option<SlotMessage> {
         let now = self.now;
         let has_authority = self.has_authority();
         let server = self.servers.get_mut(name)?;
@@ -201,6 +207,7 @@
         // Another may have lent since authority was lost; the ledger then is not all there is.
         let ledger = ledger.filter(|_| has_authority);
         server.queue.clear();
+        server.set_owner(Some(owner.clone()));
         server.pool.forget_asks();
         let leases = server.pool.report(now);
         let gone = self.roster.members.iter().filter_map(|member| member.gone);
--- a/crates/damaskvane-slots/tests/messages.rs
+++ b/crates/damaskvane-slots/tests/messages.rs
@@ -190,3 +190,26 @@
         assert!(open * instances <= limit, "{limit} over {instances}");
     }
 }
+
+/// A newcomer is to own a backend server by the hash, but the platform is down, so that it can't see
+/// itself on the list and claims nothing. The owner of before must go on lending meanwhile: otherwise
+/// requests are refused beside a backend server whose slots are all free.
+#[test]
+fn the_owner_of_before_lends_until_the_newcomer_claims() {
+    let (present, newcomer) = holder_and_owner();
+    let mut slots =
+        exchange::SlotExchange::new(present.clone(), ids::Incarnation::new(1), slot_settings());
+    let limit = exchange::ServerSlots {
+        server: server(0),
+        slots: units::Slots::new(3),
+    };
+    slots.handle(at(0), exchange::Event::Servers(vec![limit]));
+    let alone = roster(&[(present.as_str(), 1)]);
+    slots.handle(at(0), exchange::Event::Roster(alone));
+    let settled = at(60_000);
+    slots.handle(settled, exchange::Event::Tick);
+    let both = roster(&[(present.as_str(), 1), (newcomer.as_str(), 1)]);
+    slots.handle(settled, exchange::Event::Roster(both));
+    demand(&mut slots, settled);
+    assert_eq!(slots.free(settled, &server(0)), units::Slots::new(1));
+}
