--- a/crates/damaskvane-entry/src/process.rs
+++ b/crates/damaskvane-entry/src/process.rs
@@ -9,6 +9,7 @@
 
 mod error;
 mod ready;
+mod settle;
 mod stop;
 
 use core::time::Duration;
@@ -69,7 +70,7 @@
     };
     let (engine, engine_inbox) = flume::unbounded();
     let operators = operator_api::start(
-        &settings.operator_address,
+        settings,
         Arc::clone(&serving),
         status.clone(),
         engine.clone(),
@@ -117,7 +118,7 @@
         control_inbox,
     )?;
     forward_peer_messages(received, control.clone())?;
-    start_clients(clients, settings, &serving, &engine)?;
+    start_clients(clients, settings, &serving, &engine, &logger)?;
     ready::announce(&record);
     info!(logger, "serving"; "client_address" => client_address.to_string());
     stop::wait_and_stop(
@@ -201,6 +202,7 @@
         limits,
         serving.clock,
         ended.clone(),
+        logger.clone(),
     );
     let engine = engine_thread::EngineThread::new(
         status.me.clone(),
@@ -264,11 +266,13 @@
     settings: &settings::EntrySettings,
     serving: &Arc<serving::Serving>,
     inbox: &flume::Sender<inbox::Input>,
+    logger: &slog::Logger,
 ) -> Result<(), StartError> {
     let api = Arc::new(listener::ClientApi {
         serving: Arc::clone(serving),
         inbox: inbox.clone(),
         settings: settings.clone(),
+        logger: logger.clone(),
     });
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
@@ -277,8 +281,9 @@
         .build()
         .map_err(StartError::Thread)?;
     let settle = Duration::from_millis(settings.settle_ms);
+    let serving = Arc::clone(serving);
     spawn("client-listener", move || {
-        thread::sleep(settle);
+        settle::wait(&serving, settle);
         if let Ok(listener) = clients.listen() {
             let _ = runtime.block_on(listener::serve(listener, api));
         }
--- a/crates/damaskvane-slots/src/exchange/claiming.rs
+++ b/crates/damaskvane-slots/src/exchange/claiming.rs
@@ -43,6 +43,7 @@
                 server.ownership = Ownership::Claiming(claim);
                 if is_due {
                     self.ask_consent(name);
+                    self.complete_if_agreed(name);
                 }
             }
             Ownership::Waiting(ledger) => {
@@ -96,21 +97,31 @@
             self.others()
                 .all(|member| claim.has_consent(&member.instance))
         });
-        if !is_agreed {
+        // Without authority the roster may lack whom to ask, and another may have taken over by now.
+        if !is_agreed || !self.has_authority() {
             return;
         }
-        let gone_from = self
-            .roster
-            .members
-            .iter()
-            .filter_map(|member| member.gone.map(|gone| gone.from))
-            .max();
-        let last_use = gone_from.max(Some(self.now)).unwrap_or(self.now);
-        let until = last_use + self.settings.lapse_ms();
+        let until = self.last_use(name) + self.settings.lapse_ms();
         self.counters.waited_out += 1;
         self.complete(name, Vec::new(), until);
     }
 
+    /// When the last of those that are gone has surely stopped lending and using.
+    ///
+    /// One that has just started does not know whom others fenced before that. Those who consent tell; if
+    /// one is gone that could have told, only time does.
+    fn last_use(&self, name: &ids::BackendServerId) -> time::TimeMs {
+        let told = self.claim(name).map(Claim::not_before);
+        let gone = self.roster.members.iter().filter_map(|member| member.gone);
+        let gone_from = gone.map(|gone| gone.from).max();
+        let unknown = self
+            .started_at
+            .filter(|_| gone_from.is_some())
+            .map(|started_at| started_at + self.settings.unknown_ms);
+        let last = gone_from.max(told).max(unknown);
+        last.unwrap_or(self.now).max(self.now)
+    }
+
     /// Begins as owner, with what was handed over and what was reported.
     fn complete(&mut self, name: &ids::BackendServerId, handed: Vec<Grant>, until: time::TimeMs) {
         let (now, own) = (self.now, self.own.clone());
@@ -144,7 +155,11 @@
                 claim,
                 leases,
                 ledger,
-            } => self.take_consent(from, &server, claim, leases, ledger),
+                wait_ms,
+            } => {
+                self.delay_claim(&server, claim, wait_ms);
+                self.take_consent(from, &server, claim, leases, ledger);
+            }
             SlotMessage::Decline { .. } => self.counters.declined += 1,
             _ => {}
         }
@@ -170,6 +185,7 @@
     /// it and waits for everything to lapse.
     fn consent(&mut self, name: &ids::BackendServerId, claim: u64) -> Option<SlotMessage> {
         let now = self.now;
+        let has_authority = self.has_authority();
         let server = self.servers.get_mut(name)?;
         let ledger = match core::mem::take(&mut server.ownership) {
             Ownership::None | Ownership::Claiming(_) => None,
@@ -182,16 +198,35 @@
                 wait_ms: time::SpanMs::ZERO,
             }),
         };
+        // Another may have lent since authority was lost; the ledger then is not all there is.
+        let ledger = ledger.filter(|_| has_authority);
         server.queue.clear();
         server.pool.forget_asks();
+        let leases = server.pool.report(now);
+        let gone = self.roster.members.iter().filter_map(|member| member.gone);
+        let wait_ms = gone.map(|gone| gone.from.since(now)).max();
         Some(SlotMessage::Consent {
             server: name.clone(),
             claim,
-            leases: server.pool.report(now),
+            leases,
             ledger,
+            wait_ms: wait_ms.unwrap_or_default(),
         })
     }
 
+    fn delay_claim(&mut self, name: &ids::BackendServerId, number: u64, wait: time::SpanMs) {
+        let not_before = self.now + wait;
+        let ownership = self
+            .servers
+            .get_mut(name)
+            .map(|server| &mut server.ownership);
+        if let Some(Ownership::Claiming(claim)) = ownership
+            && claim.number() == number
+        {
+            claim.delay(not_before);
+        }
+    }
+
     fn take_consent(
         &mut self,
         from: &Sender,
