--- a/crates/damaskvane-dispatch/tests/home.rs
+++ b/crates/damaskvane-dispatch/tests/home.rs
@@ -196,3 +196,40 @@
     let late = table.begin(at(3), &attempt("k", "a/1", 2));
     assert_eq!(reason(&late), Some(refusal::RefusalReason::TrySuperseded));
 }
+
+/// An instance takes a new incarnation for its keys while clients hold look-up answers that name the one
+/// before. Their new bookings run all the same for a while; what ran before never runs again.
+#[test]
+fn an_incarnation_takes_new_keys_for_a_while_after_its_renewal() {
+    let mut table = table("a/1");
+    let permit = dispatch(&mut table, 0, &attempt("old", "a/1", 1));
+    let _ = table.finish(at(10), permit, outcome::Outcome::Completed(ANSWER));
+    assert!(table.expire(at(700_000)).is_empty());
+    table.renew(ids::Incarnation::new(2));
+    drop(dispatch(&mut table, 710_000, &attempt("new", "a/1", 1)));
+    let again = table.begin(at(710_001), &attempt("old", "a/1", 2));
+    assert_eq!(reason(&again), Some(refusal::RefusalReason::KeyExpired));
+    let _ = table.expire(at(731_000));
+    let late = table.begin(at(731_000), &attempt("late", "a/1", 1));
+    assert_eq!(reason(&late), Some(refusal::RefusalReason::KeyExpired));
+}
+
+/// A table is worn out and refuses a first try; then it is renewed, and that try comes late. Run now, it
+/// would make the refusal untrue.
+#[test]
+fn a_worn_out_incarnation_takes_nothing_after_its_renewal() {
+    let settings = home::HomeSettings {
+        max_tombstones: 1,
+        ..Default::default()
+    };
+    let mut table = Table::new(home_of("a/1"), settings);
+    let permit = dispatch(&mut table, 0, &attempt("k", "a/1", 1));
+    let _ = table.finish(at(10), permit, outcome::Outcome::Completed(ANSWER));
+    let refused = table.begin(at(20), &attempt("l", "a/1", 2));
+    assert_eq!(reason(&refused), Some(refusal::RefusalReason::KeyTableFull));
+    let _ = table.expire(at(700_000));
+    table.renew(ids::Incarnation::new(2));
+    let late = table.begin(at(700_001), &attempt("l", "a/1", 1));
+    assert_eq!(reason(&late), Some(refusal::RefusalReason::KeyExpired));
+    drop(dispatch(&mut table, 700_002, &attempt("m", "a/2", 1)));
+}
