A forwarded answer names the process that asked and the request, so that none is crossed after a restart

A restarted instance counts its requests from one again, and took the home's late answer to its earlier process for the request with that number. Ruled out: backend servers that cross answers, which the exchange sees.

--- a/crates/damaskvane-engine/src/engine/answers.rs
+++ b/crates/damaskvane-engine/src/engine/answers.rs
@@ -58,15 +58,19 @@
                 self.actions.push(Action::Answer { number, outcome });
             }
             Some(Origin::Peer {
-                instance,
+                asker,
                 correlation,
+                request_id,
             }) => {
+                let to = asker.instance.clone();
                 let answer = peer::ForwardAnswer {
+                    asker,
                     correlation,
+                    request_id,
                     outcome,
                 };
                 self.actions.push(Action::Send {
-                    to: instance,
+                    to,
                     message: Box::new(peer::PeerMessage::ForwardAnswer(answer)),
                 });
             }
--- a/crates/damaskvane-engine/src/engine/forwarding.rs
+++ b/crates/damaskvane-engine/src/engine/forwarding.rs
@@ -61,14 +61,18 @@
         forward: peer::Forward,
     ) {
         let origin = Origin::Peer {
-            instance: from.instance.clone(),
+            asker: from.clone(),
             correlation: forward.correlation,
+            request_id: forward.request.request_id.clone(),
         };
         self.submit(now, origin, forward.request, forward.hops);
     }
 
     /// An answer counts only from the instance that the request went to; one that comes from
     /// elsewhere, twice or after the deadline belongs to nothing and is dropped.
+    ///
+    /// So is one that an earlier process of this instance asked for: its number now belongs to another
+    /// request, whose client would read somebody else's confirmation.
     pub(super) fn forward_answered(
         &mut self,
         now: time::TimeMs,
@@ -79,14 +83,14 @@
         let is_expected = self.requests.get(&id).is_some_and(|pending| {
             matches!(&pending.stage, Stage::Forwarded { to, .. } if to.instance == from.instance)
         });
-        if !is_expected {
+        if !is_expected || answer.asker != self.me {
             return;
         }
         let Some(pending) = self.requests.remove(&id) else {
             return;
         };
         if let Stage::Forwarded { forwarded, .. } = pending.stage {
-            let answered = forwarded.answered(&pending.request.request_id, answer.outcome);
+            let answered = forwarded.answered(&answer.request_id, answer.outcome);
             self.finish(now, pending.origin, answered);
         }
     }
--- a/crates/damaskvane-engine/src/engine/pending.rs
+++ b/crates/damaskvane-engine/src/engine/pending.rs
@@ -26,8 +26,10 @@
     Client(RequestNumber),
     /// Another instance, which passed the request on.
     Peer {
-        instance: ids::InstanceId,
+        /// The process that did; a later start of it counts its correlations anew.
+        asker: home::Home,
         correlation: u64,
+        request_id: ids::RequestId,
     },
 }
 
--- a/crates/damaskvane-engine/src/peer/forward.rs
+++ b/crates/damaskvane-engine/src/peer/forward.rs
@@ -3,12 +3,15 @@
 //! ```
 //! use damaskvane_engine::peer;
 //!
-//! assert_eq!(peer::ForwardAnswer::lost(7).correlation, 7);
+//! let answer = peer::ForwardAnswer::lost("e-1/3".parse()?, 7, "r-1".parse()?);
+//! assert_eq!(answer.correlation, 7);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
 use std::sync::Arc;
 
-use damaskvane_dispatch::{outcome, refusal};
+use damaskvane_core::ids;
+use damaskvane_dispatch::{home, outcome, refusal};
 use serde::{Deserialize, Serialize};
 
 use crate::message;
@@ -27,8 +30,12 @@
 /// The home's final answer.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ForwardAnswer {
-    /// The number of the request it answers.
+    /// The process that passed the request on; a later start of it counts its requests anew.
+    pub asker: home::Home,
+    /// The asker's number for the request.
     pub correlation: u64,
+    /// The request it answers.
+    pub request_id: ids::RequestId,
     /// The answer.
     pub outcome: outcome::Outcome<Arc<message::BackendAnswer>>,
 }
@@ -36,9 +43,11 @@
 impl ForwardAnswer {
     /// The answer where the home has none.
     #[must_use]
-    pub const fn lost(correlation: u64) -> Self {
+    pub const fn lost(asker: home::Home, correlation: u64, request_id: ids::RequestId) -> Self {
         Self {
+            asker,
             correlation,
+            request_id,
             outcome: outcome::Outcome::unknown(refusal::RefusalReason::HomeUnreachable),
         }
     }
--- a/crates/damaskvane-engine/src/peer/peer_message.rs
+++ b/crates/damaskvane-engine/src/peer/peer_message.rs
@@ -3,8 +3,12 @@
 //! ```
 //! use damaskvane_engine::peer;
 //!
-//! let answer = peer::PeerMessage::ForwardAnswer(peer::ForwardAnswer::lost(1));
-//! assert_eq!(answer.kind(), "forward_answer");
+//! let message = peer::PeerMessage::Departed(peer::Departed {
+//!     departed: "e-1/3".parse()?,
+//!     successor: "e-2/4".parse()?,
+//! });
+//! assert_eq!(message.kind(), "departed");
+//! # Ok::<(), damaskvane_dispatch::home::ParseHomeError>(())
 //! ```
 
 use std::sync::Arc;
