Look-ups name the renewed home of an instance's keys

Cause: the engine renews its keys by itself; had look-ups gone on naming the old incarnation, new bookings would be unknown 30 s later. Ruled out: the record at the platform and heartbeats, where a higher incarnation means another process.

--- a/crates/damaskvane-entry/src/control/publishing.rs
+++ b/crates/damaskvane-entry/src/control/publishing.rs
@@ -75,7 +75,10 @@
                     .or_default()
                     .push(serving::EntryPoint {
                         instance: instance.record.instance.clone(),
-                        incarnation: instance.incarnation,
+                        incarnation: self
+                            .serving
+                            .homes
+                            .latest(&instance.record.instance, instance.incarnation),
                         client_address: instance.record.client_address.to_string(),
                     });
             }
@@ -86,7 +89,10 @@
                 .or_default()
                 .push(serving::EntryPoint {
                     instance: self.record.instance.clone(),
-                    incarnation: self.record.incarnation,
+                    incarnation: self
+                        .serving
+                        .homes
+                        .latest(&self.record.instance, self.record.incarnation),
                     client_address: self.record.client_address.to_string(),
                 });
         }
--- a/crates/damaskvane-entry/src/engine_thread.rs
+++ b/crates/damaskvane-entry/src/engine_thread.rs
@@ -179,6 +179,7 @@
             }
             event::Action::HomeRenewed { home } => {
                 warn!(self.logger, "an instance takes keys under a new incarnation"; "peer" => %home);
+                self.serving.homes.note(home);
             }
             event::Action::CountRefusal(reason) => {
                 self.serving.counters.increment("refused", reason.as_str());
--- a/crates/damaskvane-entry/src/serving.rs
+++ b/crates/damaskvane-entry/src/serving.rs
@@ -12,6 +12,7 @@
 //! ```
 
 mod client_zones;
+mod homes;
 mod state;
 
 use std::sync::Arc;
@@ -22,6 +23,7 @@
 use damaskvane_core::ids;
 use damaskvane_engine::event;
 use damaskvane_telemetry::counters;
+pub use homes::RenewedHomes;
 pub use state::{EntryPoint, LookupService, ServingState, client_hash};
 
 use crate::clock;
@@ -36,6 +38,8 @@
     pub meter: load::Meter,
     /// The process's clock.
     pub clock: clock::MonotonicClock,
+    /// Homes that are later than the processes that have them.
+    pub homes: RenewedHomes,
     state: ArcSwap<ServingState>,
     next_request: AtomicU64,
     id_prefix: String,
@@ -51,6 +55,7 @@
             counters,
             meter: load::Meter::default(),
             clock: clock::MonotonicClock::start(),
+            homes: RenewedHomes::default(),
             state: ArcSwap::default(),
             next_request: AtomicU64::new(1),
             id_prefix: id_prefix.into(),
