--- a/crates/damaskvane-engine/src/engine.rs
+++ b/crates/damaskvane-engine/src/engine.rs
@@ -107,6 +107,12 @@
         self.flights.len()
     }
 
+    /// Whether no request is under way in any form.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.requests.is_empty() && self.flights.is_empty()
+    }
+
     /// How many requests wait for a slot.
     #[must_use]
     pub fn waiting(&self) -> usize {
--- a/crates/damaskvane-entry/src/control.rs
+++ b/crates/damaskvane-entry/src/control.rs
@@ -19,7 +19,6 @@
 mod shifts;
 mod steering;
 
-use core::time::Duration;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -42,7 +41,6 @@
 use crate::store;
 use crate::wire;
 
-const POLL: Duration = Duration::from_millis(20);
 const RELAY_PERIOD: time::SpanMs = time::SpanMs::new(50);
 const MEMBERSHIP_PERIOD: time::SpanMs = time::SpanMs::new(100);
 const PLAN_PERIOD: time::SpanMs = time::SpanMs::new(500);
@@ -154,7 +152,8 @@
         self.ask_seeds();
         self.tell_relay(relay::Event::Tick);
         loop {
-            match inbox.recv_timeout(POLL) {
+            let due = service.next_due().unwrap_or_else(|| self.now());
+            match inbox.recv_timeout(due.since(self.now()).to_duration()) {
                 Ok(input) => self.handle(input),
                 Err(flume::RecvTimeoutError::Timeout) => {}
                 Err(flume::RecvTimeoutError::Disconnected) => return,
--- a/crates/damaskvane-entry/src/control/shifts.rs
+++ b/crates/damaskvane-entry/src/control/shifts.rs
@@ -8,16 +8,13 @@
 
 use damaskvane_config::{declaration, state};
 use damaskvane_core::time;
-use damaskvane_steering::{digest, input, shift};
+use damaskvane_steering::{digest, input, shift, staleness};
 use serde_json::json;
 
 /// A ramp is walked in about so many steps.
 const STEPS: u64 = 8;
 const SHORTEST_STEP: time::SpanMs = time::SpanMs::new(200);
 const SHORTEST_CALM_MS: u64 = 5_000;
-/// A report older than this says nothing about the destination. Between regions reports travel every
-/// five seconds, and one may be lost.
-const FRESH: time::SpanMs = time::SpanMs::new(12_000);
 /// Failed exchanges above this share of arrivals turn a shift back, in thousandths.
 const ERRORS_PERMILLE: u64 = 50;
 
@@ -64,9 +61,14 @@
     }
 
     /// Goes on with each shift by what its destination shows.
-    pub(super) fn advance(&mut self, view: &digest::View, now: time::TimeMs) {
+    pub(super) fn advance(
+        &mut self,
+        view: &digest::View,
+        limits: staleness::Limits,
+        now: time::TimeMs,
+    ) {
         for running in self.running.values_mut() {
-            let signal = signal(view, &running.declared, now);
+            let signal = signal(view, limits, &running.declared, now);
             running.stage = running.stage.take().map(|stage| stage.advance(now, signal));
         }
     }
@@ -126,11 +128,18 @@
     }
 }
 
-fn signal(view: &digest::View, declared: &declaration::Shift, now: time::TimeMs) -> shift::Signal {
+/// What the destination shows. The planner raises nothing on an old report; a shift that went on
+/// meanwhile would be placed all at once with the next fresh one, above its cap.
+fn signal(
+    view: &digest::View,
+    limits: staleness::Limits,
+    declared: &declaration::Shift,
+    now: time::TimeMs,
+) -> shift::Signal {
     let Some(zone) = view.digest(&declared.to) else {
         return shift::Signal::Unknown;
     };
-    if now.since(zone.taken_at) > FRESH {
+    if view.age(&declared.to, limits, now) != staleness::Age::Fresh {
         return shift::Signal::Unknown;
     }
     let Some(service) = zone.services.get(&declared.service) else {
--- a/crates/damaskvane-entry/src/control/steering.rs
+++ b/crates/damaskvane-entry/src/control/steering.rs
@@ -10,7 +10,7 @@
 use damaskvane_config::{declaration, state};
 use damaskvane_core::{ids, time};
 use damaskvane_membership::digest as digests;
-use damaskvane_steering::{digest, input, plan, planner, policy};
+use damaskvane_steering::{digest, input, plan, planner, policy, staleness};
 use serde_json::json;
 
 use crate::control::Control;
@@ -20,12 +20,19 @@
 use crate::translate;
 use crate::wire;
 
+const SHORTEST_WORLD_PERIOD: time::SpanMs = time::SpanMs::new(1_000);
+const LONGEST_WORLD_PERIOD: time::SpanMs = time::SpanMs::new(10_000);
+
+/// With so many zones the longest period keeps control within its budget.
+const ZONES_AT_LONGEST: u64 = 23;
+
 /// What steering remembers between two plans.
 #[derive(Debug)]
 pub(super) struct Steering {
     view: digest::View,
     plan: Option<plan::Plan>,
     exchange: digests::DigestExchange<load::ZoneReport>,
+    world_period: time::SpanMs,
     zone: load::ZoneLoad,
     measured_at: time::TimeMs,
     clients: Arc<serving::ClientZones>,
@@ -39,6 +46,7 @@
             view: digest::View::default(),
             plan: None,
             exchange: digests::DigestExchange::new(digests::DigestSettings::default()),
+            world_period: LONGEST_WORLD_PERIOD,
             zone: load::ZoneLoad::default(),
             measured_at: time::TimeMs::ZERO,
             clients: Arc::default(),
@@ -62,12 +70,19 @@
         }
         let moved = self.moved_elsewhere(now);
         self.steering.shifts.follow(&config, &moved, now);
-        self.steering.shifts.advance(&self.steering.view, now);
+        let limits = self.limits();
+        self.steering
+            .shifts
+            .advance(&self.steering.view, limits, now);
         let topology = input::Topology {
             movements: self.steering.shifts.movements(),
             ..translate::topology(&config)
         };
-        let planner = planner::Planner::new(settings(&config));
+        let limits = self.limits();
+        let planner = planner::Planner::new(planner::Settings {
+            limits,
+            ..settings(&config)
+        });
         let plan = planner.plan(
             &topology,
             &self.steering.view,
@@ -86,6 +101,10 @@
         self.steering.measured_at = now;
         let load = load::InstanceLoad::measure(&self.serving.meter, period);
         let topology = self.digest_topology();
+        self.steering.world_period = world_period(topology.zones.len());
+        self.steering
+            .exchange
+            .set_world_period(self.steering.world_period);
         match topology.aggregator() {
             Some(aggregator) if *aggregator != self.record.instance => {
                 let message = wire::WireMessage::Load(load);
@@ -104,6 +123,17 @@
         self.adopt_digests();
     }
 
+    /// A report counts as fresh for as long as the next one may take to arrive; beyond three periods it
+    /// means nothing.
+    fn limits(&self) -> staleness::Limits {
+        let period_ms = self.steering.world_period.get();
+        let defaults = staleness::Limits::default();
+        staleness::Limits {
+            fresh: time::SpanMs::new(period_ms + defaults.fresh.get()),
+            old: defaults.old.max(time::SpanMs::new(3 * period_ms)),
+        }
+    }
+
     fn zone_report(&self, now: time::TimeMs) -> load::ZoneReport {
         let config = self
             .relay
@@ -214,6 +244,15 @@
     }
 }
 
+/// The time between two reports to other regions. It grows with the zones, so that what each instance
+/// receives does not.
+fn world_period(zones: usize) -> time::SpanMs {
+    let period_ms = LONGEST_WORLD_PERIOD.get() * zones as u64 / ZONES_AT_LONGEST;
+    time::SpanMs::new(period_ms)
+        .max(SHORTEST_WORLD_PERIOD)
+        .min(LONGEST_WORLD_PERIOD)
+}
+
 /// One planner serves all services: it weighs headroom if any service asks for it, and counts answers
 /// in caches for the longest time that any service allows.
 fn settings(config: &state::ConfigState) -> planner::Settings {
--- a/crates/damaskvane-entry/src/engine_thread.rs
+++ b/crates/damaskvane-entry/src/engine_thread.rs
@@ -22,9 +22,12 @@
 use crate::peers;
 use crate::serving;
 
-/// How often the engine is told that time has passed.
+/// How often the engine is told that time has passed while requests are under way.
 pub const TICK: Duration = Duration::from_millis(10);
 
+/// The same while there are none: only leases and heartbeats of slots need it then.
+const IDLE_TICK: Duration = Duration::from_millis(50);
+
 const LOAD_PERIOD: time::SpanMs = time::SpanMs::new(1_000);
 
 /// What the engine's thread works with.
@@ -68,7 +71,8 @@
         let mut next_tick = self.serving.clock.now();
         let mut next_load = next_tick;
         loop {
-            let event = match self.inbox.recv_timeout(TICK) {
+            let tick = self.tick();
+            let event = match self.inbox.recv_timeout(tick) {
                 Ok(inbox::Input::Stop) | Err(flume::RecvTimeoutError::Disconnected) => return,
                 Ok(input) => Some(self.event(input)),
                 Err(flume::RecvTimeoutError::Timeout) => None,
@@ -83,12 +87,20 @@
                 self.publish(now);
             }
             if now >= next_tick {
-                next_tick = now + time::SpanMs::new(TICK.as_millis() as u64);
+                next_tick = now + time::SpanMs::new(tick.as_millis() as u64);
                 self.handle(event::Event::Tick);
             }
         }
     }
 
+    fn tick(&self) -> Duration {
+        if self.engine.is_idle() {
+            IDLE_TICK
+        } else {
+            TICK
+        }
+    }
+
     fn publish(&self, now: time::TimeMs) {
         let quarantined: Vec<_> = self
             .engine
--- a/crates/damaskvane-membership/src/digest/exchange.rs
+++ b/crates/damaskvane-membership/src/digest/exchange.rs
@@ -52,6 +52,11 @@
         self.book.views(now)
     }
 
+    /// Changes the time between two bundles to other regions, for a fleet that has grown or shrunk.
+    pub const fn set_world_period(&mut self, period: time::SpanMs) {
+        self.settings.world_period_ms = period;
+    }
+
     /// Whether a digest of the own zone is to be made now: this instance is the aggregator and the
     /// period is over.
     #[must_use]
