The end of a planned stop answers everybody

A leaving instance now tells other zones itself, closes the door before the engine stops, and waits for what was asked last. Ruled out: a longer notice, which only moves the race.

--- a/crates/damaskvane-entry/src/control.rs
+++ b/crates/damaskvane-entry/src/control.rs
@@ -236,6 +236,7 @@
         self.status.leaving.store(1, Ordering::Release);
         self.announce();
         self.tell_membership(view::Event::Leave);
+        self.say_farewell();
         self.publish();
         let _ = self.engine.send(inbox::Input::Event(event::Event::Leave));
     }
--- a/crates/damaskvane-entry/src/control/fleet.rs
+++ b/crates/damaskvane-entry/src/control/fleet.rs
@@ -32,6 +32,9 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// A greeting stands alone; the next heartbeat, if there is one, says when to expect more.
 const GREETING_PERIOD: time::SpanMs = time::SpanMs::new(2_500);
+/// Sequences of the only two heartbeats that other zones get.
+const GREETING: u64 = 0;
+const FAREWELL: u64 = 1;
 const SEED_PERIOD: time::SpanMs = time::SpanMs::new(500);
 const ANNOUNCE_PAUSE: time::SpanMs = time::SpanMs::new(1_000);
 
@@ -329,23 +332,31 @@
             return;
         }
         self.list.has_greeted = true;
-        let greeting = wire::WireMessage::Heartbeat(heartbeat::Heartbeat {
-            sequence: 0,
+        self.tell_other_zones(GREETING, false);
+    }
+
+    /// Tells every instance that this one leaves. The list would tell those of other zones seconds later,
+    /// and their look-ups would send clients here until after the stop.
+    pub(super) fn say_farewell(&self) {
+        self.tell_other_zones(FAREWELL, true);
+    }
+
+    fn tell_other_zones(&self, sequence: u64, leaving: bool) {
+        let message = wire::WireMessage::Heartbeat(heartbeat::Heartbeat {
+            sequence,
             echo: None,
             period_ms: GREETING_PERIOD,
             config_version: self.relay.adopter().version(),
-            leaving: false,
+            leaving,
             platform_age_ms: None,
             load: heartbeat::LoadSummary::default(),
         });
-        let others: Vec<ids::InstanceId> = self
+        let others = self
             .membership
             .instances()
-            .filter(|instance| instance.record.zone != self.record.availability_zone)
-            .map(|instance| instance.record.instance.clone())
-            .collect();
+            .filter(|instance| instance.record.zone != self.record.availability_zone);
         for other in others {
-            self.peers.send(&other, &greeting);
+            self.peers.send(&other.record.instance, &message);
         }
     }
 
--- a/crates/damaskvane-entry/src/engine_thread.rs
+++ b/crates/damaskvane-entry/src/engine_thread.rs
@@ -184,6 +184,7 @@
             self.carry_out(action);
         }
         self.serving.set_ready(self.engine.is_ready(now));
+        self.serving.set_busy(!self.engine.is_idle());
         if self.engine.is_drained(now) {
             self.serving.set_drained();
         }
--- a/crates/damaskvane-entry/src/process.rs
+++ b/crates/damaskvane-entry/src/process.rs
@@ -12,8 +12,10 @@
 mod settle;
 mod stop;
 
+use core::future;
 use core::time::Duration;
 use std::fs;
+use std::io;
 use std::net;
 use std::sync::Arc;
 use std::thread;
@@ -296,7 +298,7 @@
         settle::wait(&serving, settle);
         let served = clients
             .listen()
-            .and_then(|listener| runtime.block_on(listener::serve(listener, api)));
+            .and_then(|listener| runtime.block_on(serve_until_closed(listener, api, &serving)));
         if let Err(error) = served {
             // Two processes can bind one address while neither listens. The second would announce itself
             // and never hear a client; it stops instead.
@@ -306,6 +308,20 @@
     })
 }
 
+/// Serves until no more clients are to be let in, and then goes on for those that are connected: the
+/// process ends soon after. A client that came in at the very end would have its request cut.
+async fn serve_until_closed(
+    listener: net::TcpListener,
+    api: Arc<listener::ClientApi>,
+    serving: &serving::Serving,
+) -> io::Result<()> {
+    tokio::select! {
+        served = listener::serve(listener, api) => return served,
+        () = serving.clients_closed() => {}
+    }
+    future::pending().await
+}
+
 fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<(), StartError> {
     thread::Builder::new()
         .name(name.to_owned())
--- a/crates/damaskvane-entry/src/process/stop.rs
+++ b/crates/damaskvane-entry/src/process/stop.rs
@@ -20,6 +20,12 @@
 
 const POLL: Duration = Duration::from_millis(50);
 
+/// How long clients that are still connected are answered after the door is closed.
+const LAST_ANSWERS: Duration = Duration::from_millis(250);
+
+/// How long what they asked for may still run, here or at the successor.
+const LAST_WORK: Duration = Duration::from_secs(2);
+
 /// Turns SIGTERM and SIGINT into requests to stop.
 ///
 /// # Errors
@@ -59,6 +65,13 @@
         }
         thread::sleep(POLL);
     }
+    // The engine goes on for a moment: who came in last is answered, by this instance or the successor.
+    serving.close_clients();
+    thread::sleep(LAST_ANSWERS);
+    let closed = Instant::now();
+    while serving.is_busy() && closed.elapsed() < LAST_WORK {
+        thread::sleep(POLL);
+    }
     let _ = engine.send(inbox::Input::Stop);
     info!(logger, "stopped"; "drain_ms" => u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX));
     thread::sleep(POLL);
--- a/crates/damaskvane-entry/src/serving.rs
+++ b/crates/damaskvane-entry/src/serving.rs
@@ -25,6 +25,7 @@
 use damaskvane_telemetry::counters;
 pub use homes::RenewedHomes;
 pub use state::{EntryPoint, LookupService, ServingState, client_hash};
+use tokio::sync::Notify;
 
 use crate::clock;
 use crate::load;
@@ -44,7 +45,9 @@
     next_request: AtomicU64,
     id_prefix: String,
     ready: AtomicBool,
+    busy: AtomicBool,
     drained: AtomicBool,
+    clients_closed: Notify,
 }
 
 impl Serving {
@@ -60,7 +63,9 @@
             next_request: AtomicU64::new(1),
             id_prefix: id_prefix.into(),
             ready: AtomicBool::new(false),
+            busy: AtomicBool::new(false),
             drained: AtomicBool::new(false),
+            clients_closed: Notify::new(),
         }
     }
 
@@ -103,6 +108,27 @@
         self.drained.store(true, Ordering::Release);
     }
 
+    /// Whether any request is under way.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        self.busy.load(Ordering::Acquire)
+    }
+
+    /// Says whether any request is under way.
+    pub fn set_busy(&self, busy: bool) {
+        self.busy.store(busy, Ordering::Release);
+    }
+
+    /// Lets no more clients in; those that are connected get their answers.
+    pub fn close_clients(&self) {
+        self.clients_closed.notify_one();
+    }
+
+    /// Waits until no more clients are to be let in.
+    pub async fn clients_closed(&self) {
+        self.clients_closed.notified().await;
+    }
+
     /// A number for a request that has just arrived.
     #[must_use]
     pub fn next_request_number(&self) -> event::RequestNumber {
