--- a/crates/damaskvane-entry/src/client_api.rs
+++ b/crates/damaskvane-entry/src/client_api.rs
@@ -16,4 +16,5 @@
 pub mod listener;
 pub mod lookup;
 pub mod reply;
+pub mod reserved;
 pub mod route;
--- a/crates/damaskvane-entry/src/client_api/listener.rs
+++ b/crates/damaskvane-entry/src/client_api/listener.rs
@@ -23,7 +23,7 @@
 use hyper::http::request;
 use slog::debug;
 
-use crate::client_api::{intake, lookup, reply, route};
+use crate::client_api::{intake, lookup, reply, reserved, route};
 use crate::http_listener;
 use crate::inbox;
 use crate::serving;
@@ -75,6 +75,11 @@
         .map_or_else(String::new, |target| target.as_str().to_owned());
     match route::Route::parse(&target) {
         route::Route::Lookup => lookup::answer(&api.serving, request.uri().query().unwrap_or("")),
+        route::Route::Service { path, .. } if reserved::is_reserved(path) => refuse(
+            api,
+            refusal::RefusalReason::MalformedRequest,
+            "/cancel, /health and /load of a backend server are not for clients, nor paths with . or .. as a part",
+        ),
         route::Route::Service { service, path } => match service.parse() {
             Ok(service) => submit(api, request, service, path).await,
             Err(error) => refuse(
--- a/crates/damaskvane-entry/tests/client_requests.rs
+++ b/crates/damaskvane-entry/tests/client_requests.rs
@@ -208,3 +208,41 @@
     });
     assert_eq!(entry.status()["requests"]["keys"].as_u64().unwrap_or(0), 0);
 }
+
+/// Backend servers take `POST /cancel/{request_id}` from entry instances. A client that reached it through an
+/// entry instance, by whatever spelling, could stop the requests of others; they would see *outcome unknown*.
+#[test]
+fn no_client_reaches_what_backend_servers_offer_to_entry_instances() {
+    let entry = Entry::start("reserved-paths", BOUNDS);
+    let paths = [
+        "/cancel/r-9",
+        "/cancel",
+        "/health",
+        "/load?x=1",
+        "/work/../cancel/r-9",
+        "/work/%2e%2E/cancel/r-9",
+        "/./cancel/r-9",
+        "/c%61ncel/r-9",
+        "/%2fcancel/r-9",
+        "//cancel/r-9",
+        "/work\\..\\cancel/r-9",
+    ];
+    let key = "damaskvane-idempotency-key: k\r\ndamaskvane-home: a/1\r\n";
+    for path in paths {
+        let line = format!(
+            "POST /v1/services/rider-desk{path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n"
+        );
+        let answer = common::exchange(
+            entry.address("client"),
+            format!("{line}{key}\r\n").as_bytes(),
+        );
+        assert!(answer.starts_with("HTTP/1.1 400"), "{path}: {answer}");
+    }
+    for path in ["/cancellations/9", "/work/cancel/9", "/a..b/c", "/healthy"] {
+        let line = format!(
+            "GET /v1/services/rider-desk{path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"
+        );
+        let answer = common::exchange(entry.address("client"), line.as_bytes());
+        assert!(!answer.starts_with("HTTP/1.1 400"), "{path}: {answer}");
+    }
+}
