Entry instances on the users' machines: pure routing crate, event loop, adapter

Cause: the daemon spoke only its own interface, so it found no platform on the users' machines. Change: damaskvane-routing decides (routes, pool, placement, limits, peers), damaskvane-gateway carries requests on one thread, platform/ translates names.

--- /dev/null
+++ b/crates/damaskvane-gateway/src/clients.rs
@@ -0,0 +1,8 @@
+//! Clients' connections, and the way of a request through the instance.
+
+mod body;
+mod dispatch;
+mod listener;
+mod reply;
+
+pub use listener::{Service, listen};
--- /dev/null
+++ b/crates/damaskvane-gateway/src/peers.rs
@@ -0,0 +1,163 @@
+//! Heartbeats between instances, as datagrams.
+//!
+//! A heartbeat is worth nothing once the next one comes, so a lost one needs no second sending, and a
+//! peer that reads slowly can't hold a sender up. That is why datagrams carry them.
+
+use core::time::Duration;
+use std::io;
+use std::net;
+use std::rc::Rc;
+
+use damaskvane_core::ids;
+use damaskvane_routing::peers::{Heartbeat, Phase};
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+
+use crate::node::Node;
+use crate::stop::StopPhase;
+
+/// Tells this message from others on the port, and its form from later ones.
+const MAGIC: u32 = 0x6476_6231;
+/// The pause between two heartbeats until clients are taken: the others learn of the instance, and it
+/// of them, before the first client asks.
+const STARTING_PERIOD: Duration = Duration::from_millis(150);
+/// Largest heartbeat.
+const MOST_BYTES: usize = 512;
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Message {
+    magic: u32,
+    instance: ids::InstanceId,
+    incarnation: ids::Incarnation,
+    serial: u64,
+    zone: ids::AvailabilityZoneId,
+    client_address: net::SocketAddr,
+    peer_address: net::SocketAddr,
+    phase: u8,
+}
+
+impl Message {
+    fn of(heartbeat: Heartbeat) -> Self {
+        Self {
+            magic: MAGIC,
+            instance: heartbeat.instance,
+            incarnation: heartbeat.incarnation,
+            serial: heartbeat.serial,
+            zone: heartbeat.zone,
+            client_address: heartbeat.client_address,
+            peer_address: heartbeat.peer_address,
+            phase: match heartbeat.phase {
+                Phase::Starting => 0,
+                Phase::Ready => 1,
+                Phase::Leaving => 2,
+            },
+        }
+    }
+
+    fn into_heartbeat(self) -> Option<Heartbeat> {
+        let phase = match self.phase {
+            0 => Phase::Starting,
+            1 => Phase::Ready,
+            2 => Phase::Leaving,
+            _ => return None,
+        };
+        (self.magic == MAGIC).then_some(Heartbeat {
+            instance: self.instance,
+            incarnation: self.incarnation,
+            serial: self.serial,
+            zone: self.zone,
+            client_address: self.client_address,
+            peer_address: self.peer_address,
+            phase,
+        })
+    }
+}
+
+/// Sends and receives heartbeats until the process ends.
+///
+/// # Errors
+///
+/// Fails if the address can't be used.
+pub async fn run(node: Rc<Node>, incarnation: ids::Incarnation) -> io::Result<()> {
+    let socket = Rc::new(UdpSocket::bind(node.settings().peer_address).await?);
+    tokio::task::spawn_local(receive(Rc::clone(&node), Rc::clone(&socket)));
+    let period = Duration::from_millis(node.settings().peers().heartbeat_ms);
+    let mut phases = node.stop.subscribe();
+    let mut serial = 0;
+    let mut last_phase = None;
+    loop {
+        serial += 1;
+        let heartbeat = own(&node, incarnation, serial);
+        let phase = heartbeat.phase;
+        let (now, recipients) = {
+            let now = node.now();
+            let mut state = node.state.borrow_mut();
+            state.members.note(now, heartbeat.clone());
+            (now, state.members.recipients())
+        };
+        if last_phase != Some(phase) {
+            slog::info!(node.log.log, "own phase"; "phase" => ?phase, "at_ms" => now.get());
+            last_phase = Some(phase);
+        }
+        send(&node, &socket, heartbeat, &recipients).await;
+        tokio::select! {
+            () = tokio::time::sleep(if phase == Phase::Starting { STARTING_PERIOD } else { period }) => {}
+            // The others must hear of a stop at once: until then they send clients here.
+            _ = phases.wait_for(|stop| *stop != StopPhase::Serving && phase != Phase::Leaving) => {}
+        }
+    }
+}
+
+fn own(node: &Node, incarnation: ids::Incarnation, serial: u64) -> Heartbeat {
+    let settings = node.settings();
+    Heartbeat {
+        instance: settings.instance.clone(),
+        incarnation,
+        serial,
+        zone: settings.zone.clone(),
+        client_address: settings.client_address,
+        peer_address: settings.peer_address,
+        phase: node.phase(),
+    }
+}
+
+async fn send(
+    node: &Node,
+    socket: &UdpSocket,
+    heartbeat: Heartbeat,
+    recipients: &[net::SocketAddr],
+) {
+    let bytes = match postcard::to_allocvec(&Message::of(heartbeat)) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            slog::error!(node.log.log, "own heartbeat can't be encoded"; "error" => %error);
+            return;
+        }
+    };
+    for recipient in recipients {
+        // A recipient that can't be reached now is told by the next heartbeat.
+        let _ = socket.send_to(&bytes, recipient).await;
+    }
+}
+
+async fn receive(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    let mut buffer = [0; MOST_BYTES];
+    loop {
+        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+            // An earlier datagram found nobody; the socket goes on working.
+            continue;
+        };
+        let message: Result<Message, _> = postcard::from_bytes(&buffer[..length]);
+        let heartbeat = message.ok().and_then(Message::into_heartbeat);
+        if let Some(heartbeat) = heartbeat {
+            let instance = heartbeat.instance.clone();
+            let phase = heartbeat.phase;
+            let now = node.now();
+            let is_new = node.state.borrow_mut().members.note(now, heartbeat);
+            if is_new {
+                slog::info!(node.log.log, "instance started";
+                    "peer" => %instance, "phase" => ?phase);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-gateway/src/probes.rs
@@ -0,0 +1,84 @@
+//! Health probes of servers in doubt.
+
+use core::time::Duration;
+use std::rc::Rc;
+
+use damaskvane_routing::pool::{DueProbe, ProbeResult};
+
+use crate::http::{self, BodyReader};
+use crate::node::Node;
+
+/// The pause between two looks whether a probe is due.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
+/// How long a probe may take: a server that needs longer is too busy to be given back work.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Largest body of a probe's answer.
+const MOST_BODY_BYTES: usize = 16_384;
+
+/// Sends probes as they fall due, and lets go what has expired, until the process ends.
+pub async fn run(node: Rc<Node>) {
+    loop {
+        tokio::time::sleep(LOOK_PAUSE).await;
+        let now = node.now();
+        let gone = node.state.borrow_mut().pool.expire(now);
+        for change in gone {
+            slog::info!(node.log.log, "backend server"; "change" => ?change, "reason" => "lapsed");
+        }
+        node.idle.borrow_mut().expire(now);
+        let Some(configuration) = node.configuration() else {
+            continue;
+        };
+        let due = node.state.borrow_mut().pool.due_probes(now, |service| {
+            let service = configuration.service(service)?;
+            Some(service.health_path.clone())
+        });
+        for probe in due {
+            tokio::task::spawn_local(run_one(Rc::clone(&node), probe));
+        }
+    }
+}
+
+async fn run_one(node: Rc<Node>, probe: DueProbe) {
+    node.metrics.probes.inc();
+    node.idle.borrow_mut().drop_server(&probe.server);
+    let asked = tokio::time::timeout(PROBE_TIMEOUT, ask(&node, &probe)).await;
+    let result = asked.ok().flatten().unwrap_or(ProbeResult::NoAnswer);
+    let now = node.now();
+    node.state
+        .borrow_mut()
+        .pool
+        .note_probe(now, &probe.server, result);
+    slog::info!(node.log.log, "backend server probed";
+        "backend_server" => %probe.server, "result" => ?result);
+}
+
+async fn ask(node: &Rc<Node>, probe: &DueProbe) -> Option<ProbeResult> {
+    let opened = http::Connection::open(probe.address, PROBE_TIMEOUT, PROBE_TIMEOUT).await;
+    let mut connection = opened.ok()?;
+    let request = format!(
+        "GET {} HTTP/1.1\r\nhost: {}\r\n\r\n",
+        probe.health_path, probe.address
+    );
+    connection.write(request.as_bytes()).await.ok()?;
+    let head = connection.read_head().await.ok()?;
+    let mut body = BodyReader::new(head.body);
+    let read = connection.read_body(&mut body, MOST_BODY_BYTES).await;
+    let names = node.adapter.headers();
+    let text = |name| head.headers.get(name)?.to_str().ok();
+    let is_itself = text(&names.server_id).is_none_or(|id| id == probe.server.as_str());
+    if !is_itself {
+        return Some(ProbeResult::OtherServer);
+    }
+    if head.status != 200 {
+        return Some(ProbeResult::Unhealthy);
+    }
+    if read.is_ok() && head.keeps_open && connection.is_clean() {
+        let now = node.now();
+        let mut idle = node.idle.borrow_mut();
+        idle.keep(now, &probe.server, connection, head.idle_s);
+    }
+    let left = text(&names.warmup_left_ms).and_then(|text| text.trim().parse::<f64>().ok());
+    Some(ProbeResult::Healthy {
+        warmup_left_ms: left.map_or(0, |left| left.max(0.0) as u64),
+    })
+}
--- /dev/null
+++ b/crates/damaskvane-gateway/src/settings.rs
@@ -0,0 +1,181 @@
+//! The settings file: TOML, read at the start and again whenever it changes.
+//!
+//! Keys that are not known here are ignored, so that a newer template serves an older program.
+
+use std::collections::HashMap;
+use std::net;
+use std::path;
+
+use damaskvane_core::ids;
+use damaskvane_routing::{limit, peers, placement, pool};
+use serde::Deserialize;
+
+/// Settings of an entry instance.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct GatewaySettings {
+    /// The instance's name.
+    pub instance: ids::InstanceId,
+    /// Its availability zone.
+    pub zone: ids::AvailabilityZoneId,
+    /// Its region.
+    pub region: ids::RegionId,
+    /// The region of each availability zone.
+    pub regions: HashMap<ids::AvailabilityZoneId, ids::RegionId>,
+    /// Where clients connect.
+    pub client_address: net::SocketAddr,
+    /// Where the platform asks for readiness.
+    pub ready_address: net::SocketAddr,
+    /// Where clients look up.
+    pub lookup_address: Option<net::SocketAddr>,
+    /// Where other instances send heartbeats.
+    pub peer_address: net::SocketAddr,
+    /// Where metrics are read.
+    pub metrics_address: Option<net::SocketAddr>,
+    /// The platform's store.
+    pub store_address: net::SocketAddr,
+    /// How long a planned stop may take before the process is killed.
+    pub grace_s: f64,
+    /// The bound on retries: for each request.
+    pub retry_ratio: f64,
+    /// The bound on retries: on top, for all instances together.
+    pub retry_slack: f64,
+    /// The bound on retries: its window.
+    pub retry_window_s: f64,
+    /// The bound on cold servers: factor on what they declare.
+    pub cold_factor: f64,
+    /// The bound on cold servers: requests on top.
+    pub cold_slack: f64,
+    /// The longest time to live of a look-up's answer.
+    pub lookup_ttl_max_s: f64,
+    /// Most open descriptors of the process.
+    pub max_descriptors: usize,
+    /// Memory of the process, in megabytes.
+    pub memory_mb: u64,
+    /// How much is logged.
+    #[serde(default)]
+    pub log_level: damaskvane_telemetry::logging::Level,
+}
+
+/// What is wrong with a settings file.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub enum SettingsError {
+    /// the settings file {file} can't be read: {error}; give its path in the variable DAMASKVANE_CONFIG
+    Unreadable {
+        /// The file.
+        file: String,
+        /// What the system said.
+        error: String,
+    },
+    /// {file}: {error}; correct the value on that line
+    Malformed {
+        /// The file.
+        file: String,
+        /// Line, key and value.
+        error: String,
+    },
+    /// {file}: {key} = {value} is out of range; write {remedy}
+    OutOfRange {
+        /// The file.
+        file: String,
+        /// The key.
+        key: &'static str,
+        /// Its value.
+        value: String,
+        /// What may stand there.
+        remedy: &'static str,
+    },
+}
+
+const NUMBERS_REMEDY: &str = "a number of at least 0";
+
+impl GatewaySettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, the key, the value and what to do about it.
+    pub fn load(path: impl AsRef<path::Path>) -> Result<Self, SettingsError> {
+        let file = path.as_ref().display().to_string();
+        let text =
+            std::fs::read_to_string(path.as_ref()).map_err(|error| SettingsError::Unreadable {
+                file: file.clone(),
+                error: error.to_string(),
+            })?;
+        Self::parse(&file, &text)
+    }
+
+    /// Checks settings that are already in memory; `file` only appears in errors.
+    ///
+    /// # Errors
+    ///
+    /// As [`GatewaySettings::load`].
+    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
+        let settings: Self = toml::from_str(text).map_err(|error| SettingsError::Malformed {
+            file: file.to_owned(),
+            error: error.to_string().trim().to_owned(),
+        })?;
+        settings.check(file)?;
+        Ok(settings)
+    }
+
+    fn check(&self, file: &str) -> Result<(), SettingsError> {
+        let numbers = [
+            ("grace_s", self.grace_s),
+            ("retry_ratio", self.retry_ratio),
+            ("retry_slack", self.retry_slack),
+            ("retry_window_s", self.retry_window_s),
+            ("cold_factor", self.cold_factor),
+            ("cold_slack", self.cold_slack),
+            ("lookup_ttl_max_s", self.lookup_ttl_max_s),
+        ];
+        let wrong = numbers
+            .iter()
+            .find(|(_, value)| !value.is_finite() || *value < 0.0);
+        match wrong {
+            None => Ok(()),
+            Some((key, value)) => Err(SettingsError::OutOfRange {
+                file: file.to_owned(),
+                key,
+                value: value.to_string(),
+                remedy: NUMBERS_REMEDY,
+            }),
+        }
+    }
+
+    /// Settings of the pool.
+    #[must_use]
+    pub fn pool(&self) -> pool::PoolSettings {
+        pool::PoolSettings {
+            cold_rate: limit::ColdRateSettings {
+                factor: self.cold_factor,
+                slack: self.cold_slack,
+                ..limit::ColdRateSettings::default()
+            },
+            regions: self.regions.clone(),
+            ..pool::PoolSettings::default()
+        }
+    }
+
+    /// Settings of the retry budgets.
+    #[must_use]
+    pub fn retry_budget(&self) -> limit::RetryBudgetSettings {
+        limit::RetryBudgetSettings {
+            ratio: self.retry_ratio,
+            slack: self.retry_slack,
+            window_ms: (self.retry_window_s * 1_000.0) as u64,
+            ..limit::RetryBudgetSettings::default()
+        }
+    }
+
+    /// Settings of placement.
+    #[must_use]
+    pub fn placement(&self) -> placement::PlacementSettings {
+        placement::PlacementSettings::default()
+    }
+
+    /// Settings of heartbeats.
+    #[must_use]
+    pub fn peers(&self) -> peers::PeerSettings {
+        peers::PeerSettings::default()
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-gateway/src/store/follow.rs
@@ -0,0 +1,302 @@
+//! Follows one collection of the store: a list, then watches from its revision on.
+
+use core::time::Duration;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use damaskvane_core::ids;
+use damaskvane_core::time::TimeMs;
+use damaskvane_routing::configuration::Configuration;
+use damaskvane_routing::pool::{Change, ServerEntry};
+use rand::RngExt;
+
+use crate::adapter::{Changes, Collection, Event, Record, StoreRequest};
+use crate::node::Node;
+use crate::store::{CallError, StoreClient};
+
+/// How long the sentinel's watch waits: an outage is noticed at most this long, and the slack, after its
+/// start.
+const SENTINEL_WAIT_MS: u64 = 3_000;
+/// How long other watches wait; the longest that stores commonly allow is 30 s.
+const LONG_WAIT_MS: u64 = 25_000;
+/// How much later than announced a watch may return.
+const WAIT_SLACK: Duration = Duration::from_millis(1_200);
+/// How long a call that doesn't wait may take: a store that is 50 times slower than usual still answers
+/// a long list in this time.
+const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// The first pause after a failure.
+const FIRST_PAUSE_MS: u64 = 150;
+/// The longest pause after failures: a store that is back is noticed within it.
+const LONGEST_PAUSE_MS: u64 = 800;
+/// Changes that come within this time are fetched together: each return of a watch is a call that is
+/// paid for, and a replaced server makes several changes.
+const GATHER: Duration = Duration::from_millis(150);
+
+/// Follows a collection until the process ends.
+pub async fn follow(node: Rc<Node>, collection: Collection) {
+    Follower {
+        client: StoreClient::new(Rc::clone(&node), collection),
+        node,
+        collection,
+        failures: 0,
+        evacuated: BTreeSet::new(),
+    }
+    .run()
+    .await;
+}
+
+struct Follower {
+    node: Rc<Node>,
+    collection: Collection,
+    client: StoreClient,
+    failures: u32,
+    evacuated: BTreeSet<ids::AvailabilityZoneId>,
+}
+
+impl Follower {
+    async fn run(&mut self) {
+        loop {
+            match self.list().await {
+                Ok(revision) => self.watch(revision).await,
+                Err(error) => self.pause(&error).await,
+            }
+        }
+    }
+
+    /// The servers' collection changes most often, so its watch is the sentinel.
+    fn is_sentinel(&self) -> bool {
+        self.collection == Collection::Servers
+    }
+
+    async fn list(&mut self) -> Result<u64, CallError> {
+        let mut items = Vec::new();
+        let mut after: Option<String> = None;
+        let mut first_revision = None;
+        loop {
+            let adapter = &self.node.adapter;
+            let request = adapter.list(self.collection, after.as_deref(), false);
+            let started = self.node.now();
+            let body = self.client.call(&request, CALL_TIMEOUT).await?;
+            let took_ms = self.node.now().since(started).get();
+            self.node.metrics.store_s.observe(took_ms as f64 / 1_000.0);
+            let page = self.node.adapter.page(self.collection, &body);
+            let page = page.map_err(|error| self.unreadable(&error))?;
+            items.extend(page.items);
+            // Changes between two pages are in the history after the first one.
+            let revision = *first_revision.get_or_insert(page.revision);
+            match page.continue_after {
+                Some(name) => after = Some(name),
+                None => {
+                    self.answered();
+                    self.replace(items);
+                    return Ok(revision);
+                }
+            }
+        }
+    }
+
+    /// Watches until the history is gone.
+    async fn watch(&mut self, mut revision: u64) {
+        loop {
+            match self.next_changes(revision).await {
+                Ok(changes) => {
+                    self.answered();
+                    revision = changes.revision;
+                    let is_empty = changes.events.is_empty();
+                    for event in changes.events {
+                        self.apply(event);
+                    }
+                    if !is_empty {
+                        tokio::time::sleep(GATHER).await;
+                    }
+                }
+                Err(CallError::HistoryGone) => {
+                    slog::info!(self.node.log.log, "history of the store is gone";
+                        "collection" => self.collection.as_str(), "revision" => revision);
+                    return;
+                }
+                Err(error) => self.pause(&error).await,
+            }
+        }
+    }
+
+    async fn next_changes(&mut self, revision: u64) -> Result<Changes, CallError> {
+        let wait_ms = if self.is_sentinel() {
+            SENTINEL_WAIT_MS
+        } else {
+            LONG_WAIT_MS
+        };
+        let request: StoreRequest = self.node.adapter.watch(self.collection, revision, wait_ms);
+        let timeout = Duration::from_millis(wait_ms) + WAIT_SLACK;
+        let body = if self.is_sentinel() {
+            self.client.call(&request, timeout).await?
+        } else {
+            tokio::select! {
+                body = self.client.call(&request, timeout) => body?,
+                () = self.node.store.until_down() => return Err(CallError::Timeout),
+            }
+        };
+        let changes = self.node.adapter.changes(self.collection, &body);
+        changes.map_err(|error| self.unreadable(&error))
+    }
+
+    fn unreadable(&self, error: &crate::adapter::DecodeError) -> CallError {
+        slog::warn!(self.node.log.log, "answer of the store can't be read";
+            "collection" => self.collection.as_str(), "error" => %error);
+        CallError::Malformed
+    }
+
+    fn answered(&mut self) {
+        self.failures = 0;
+        if !self.is_sentinel() {
+            return;
+        }
+        let now = self.node.now();
+        if let Some(away) = self.node.store.answered(now) {
+            self.node.state.borrow_mut().pool.store_returned(now);
+            slog::info!(self.node.log.log, "store regained"; "away_ms" => away.get());
+        }
+    }
+
+    /// Waits before the next call. While the store is away only the sentinel asks, so that an outage
+    /// costs few calls and a store that comes back meets no herd.
+    async fn pause(&mut self, error: &CallError) {
+        self.failures += 1;
+        if self.is_sentinel() {
+            if self.node.store.failed() {
+                slog::warn!(self.node.log.log, "store lost"; "error" => %error);
+            }
+        } else {
+            self.node.store.until_up().await;
+        }
+        let longest_ms = (FIRST_PAUSE_MS << self.failures.min(4)).min(LONGEST_PAUSE_MS);
+        let pause_ms = rand::rng().random_range(longest_ms / 2..=longest_ms);
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+
+    fn replace(&mut self, items: Vec<Event>) {
+        let now = self.node.now();
+        match self.collection {
+            Collection::Servers => {
+                let entries = items.into_iter().filter_map(|item| self.server(item));
+                let entries: Vec<ServerEntry> = entries.collect();
+                let mut state = self.node.state.borrow_mut();
+                state.are_servers_listed = true;
+                let changes = state.pool.replace(now, entries);
+                drop(state);
+                self.note_changes(&changes);
+            }
+            Collection::Evacuations => {
+                self.evacuated.clear();
+                for item in items {
+                    self.note_evacuation(item);
+                }
+                self.publish_evacuations(now);
+            }
+            Collection::Configuration | Collection::Instances => {
+                for item in items {
+                    self.apply(item);
+                }
+            }
+        }
+    }
+
+    fn apply(&mut self, event: Event) {
+        let now = self.node.now();
+        match self.collection {
+            Collection::Configuration => match event.record {
+                Some(Record::Configuration(configuration)) => self.adopt(*configuration),
+                Some(Record::Unusable(why)) => self.note_unusable(&event.name, &why),
+                _ => {}
+            },
+            Collection::Servers => {
+                let name = event.name.clone();
+                let change = match self.server(event) {
+                    Some(entry) => self.node.state.borrow_mut().pool.apply(now, entry),
+                    None => name.parse().ok().and_then(|id| {
+                        let mut state = self.node.state.borrow_mut();
+                        state.pool.remove(now, &id)
+                    }),
+                };
+                self.note_changes(change.as_slice());
+            }
+            Collection::Evacuations => {
+                self.note_evacuation(event);
+                self.publish_evacuations(now);
+            }
+            Collection::Instances => {}
+        }
+    }
+
+    /// The entry that an event holds, if it is one that can be used.
+    fn server(&self, event: Event) -> Option<ServerEntry> {
+        match event.record? {
+            Record::Server(entry) => Some(entry),
+            Record::Unusable(why) => {
+                self.note_unusable(&event.name, &why);
+                None
+            }
+            _ => None,
+        }
+    }
+
+    fn note_unusable(&self, name: &str, why: &str) {
+        slog::warn!(self.node.log.log, "object of the store can't be used";
+            "collection" => self.collection.as_str(), "name" => name, "reason" => why);
+    }
+
+    fn note_changes(&self, changes: &[Change]) {
+        for change in changes {
+            if let Change::Gone(id) | Change::Restarted(id) = change {
+                self.node.idle.borrow_mut().drop_server(id);
+            }
+            slog::info!(self.node.log.log, "backend server"; "change" => ?change);
+        }
+    }
+
+    /// Puts a configuration in force, unless it is older than the one that is.
+    fn adopt(&self, configuration: Configuration) {
+        let mut state = self.node.state.borrow_mut();
+        let in_force = state
+            .configuration
+            .as_ref()
+            .map(|current| current.version());
+        if in_force.is_some_and(|version| configuration.version() <= version) {
+            return;
+        }
+        let warmups = configuration
+            .services()
+            .map(|service| (service.id.clone(), service.warmup_ms));
+        state.pool.set_warmups(warmups);
+        let version = configuration.version();
+        let routes = configuration.route_count();
+        state.configuration = Some(Rc::new(configuration));
+        drop(state);
+        let gauge = i64::try_from(version.get()).unwrap_or(i64::MAX);
+        self.node.metrics.configuration_version.set(gauge);
+        slog::info!(self.node.log.log, "configuration in force";
+            "config_version" => version.get(), "routes" => routes);
+    }
+
+    fn note_evacuation(&mut self, event: Event) {
+        match event.record {
+            Some(Record::Evacuation(zone)) => {
+                self.evacuated.insert(zone);
+            }
+            Some(Record::Unusable(why)) => self.note_unusable(&event.name, &why),
+            _ => {
+                if let Ok(zone) = event.name.parse() {
+                    self.evacuated.remove(&zone);
+                }
+            }
+        }
+    }
+
+    fn publish_evacuations(&self, now: TimeMs) {
+        let mut state = self.node.state.borrow_mut();
+        let taken_back = state.pool.set_evacuated(now, self.evacuated.clone());
+        drop(state);
+        slog::info!(self.node.log.log, "evacuations";
+            "zones" => ?self.evacuated, "taken_back" => ?taken_back);
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-routing/src/peers.rs
@@ -0,0 +1,14 @@
+//! Which entry instances are alive, and which a look-up names.
+//!
+//! ```
+//! use damaskvane_routing::peers;
+//!
+//! let settings = peers::PeerSettings::default();
+//! assert!(settings.silence_ms > settings.heartbeat_ms);
+//! ```
+
+mod heartbeat;
+mod members;
+
+pub use heartbeat::{Heartbeat, Phase};
+pub use members::{Members, PeerSettings};
--- /dev/null
+++ b/crates/damaskvane-routing/src/placement.rs
@@ -0,0 +1,28 @@
+//! Which backend server a request goes to, or why it is refused.
+//!
+//! Servers run a request several times faster if they have handled its object lately, so placement is by
+//! object first: every instance ranks the servers of an object by the same hash and uses the first few.
+//! Load spreads over these few only. Spreading it further when queues grow would make servers run objects
+//! that they don't remember, which takes longer and makes the queues grow more; instead, what exceeds the
+//! slots is refused at once.
+//!
+//! ```
+//! use damaskvane_routing::placement;
+//!
+//! let settings = placement::PlacementSettings::default();
+//! assert!(settings.load_limit(0) > settings.load_limit(1));
+//! ```
+
+mod choice;
+mod placer;
+mod rank;
+mod request;
+mod round_trips;
+mod settings;
+
+pub use choice::{Choice, Pick, Refusal, RefusalReason};
+pub use placer::Placer;
+pub use rank::object_hash;
+pub use request::PlacementRequest;
+pub use round_trips::RoundTrips;
+pub use settings::PlacementSettings;
--- /dev/null
+++ b/crates/damaskvane-routing/src/placement/choice.rs
@@ -0,0 +1,68 @@
+//! What placement decides.
+
+use std::net;
+
+use damaskvane_core::ids;
+
+/// Where a request goes.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Pick {
+    /// The server.
+    pub server: ids::BackendServerId,
+    /// Its address.
+    pub address: net::SocketAddr,
+    /// Its availability zone.
+    pub zone: ids::AvailabilityZoneId,
+    /// How long the request should take there, the way there and back included.
+    pub expected_ms: f64,
+    /// Whether the server is taken to remember the object.
+    pub is_warm: bool,
+    /// Its load for each slot, as estimated.
+    pub load: f64,
+    /// Its place in the object's order of servers; 0 is the first.
+    pub rank: usize,
+}
+
+/// Why a request is refused without being sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RefusalReason {
+    /// No server of the service may and can be used.
+    NoServer,
+    /// All servers of the object are at the limit for this priority.
+    Overloaded,
+    /// The cold servers that are left have their share for this second.
+    Cold,
+    /// It can't be answered in the time that is left.
+    TooLate,
+}
+
+impl RefusalReason {
+    /// The reason as a word for logs and counters.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NoServer => "no_server",
+            Self::Overloaded => "overloaded",
+            Self::Cold => "cold",
+            Self::TooLate => "too_late",
+        }
+    }
+}
+
+/// A refusal: the request has not run.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: RefusalReason,
+    /// When the client should come back.
+    pub retry_after_ms: u64,
+}
+
+/// The decision on one request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Choice {
+    /// Send it.
+    Send(Pick),
+    /// Refuse it.
+    Refuse(Refusal),
+}
--- /dev/null
+++ b/crates/damaskvane-routing/src/placement/request.rs
@@ -0,0 +1,22 @@
+//! What placement must know of a request.
+
+use damaskvane_core::ids;
+
+use crate::configuration::Route;
+
+/// A request that is to be placed.
+#[derive(Debug, Clone, Copy)]
+pub struct PlacementRequest<'a> {
+    /// Its route.
+    pub route: &'a Route,
+    /// The service that takes it.
+    pub service: &'a ids::ServiceId,
+    /// The hash of its object, if it names one and the route has affinity.
+    pub object: Option<u64>,
+    /// The servers it was sent to before.
+    pub tried: &'a [ids::BackendServerId],
+    /// The time left for it.
+    pub left_ms: u64,
+    /// A number between 0 and 1 that spreads the return of refused clients.
+    pub spread: f64,
+}
--- /dev/null
+++ b/crates/damaskvane-routing/src/pool/server.rs
@@ -0,0 +1,250 @@
+//! One backend server: its entry, and what this instance has seen of it.
+
+use std::collections::{BTreeMap, HashMap};
+
+use damaskvane_core::ids;
+use damaskvane_core::time::{SpanMs, TimeMs};
+
+use crate::limit::ColdRate;
+use crate::pool::load::OthersLoad;
+use crate::pool::speed::Slowness;
+use crate::pool::{ExchangeEnd, ExchangeId, Reach, ServerEntry, ServerReport};
+
+/// How long a server is taken to remember an object that this instance sent there.
+const OBJECT_MEMORY_MS: u64 = 30_000;
+/// Objects that are kept in mind for each server; well above what servers remember.
+const MOST_OBJECTS: usize = 1_024;
+/// An exchange that lasts this many times the usual time shows a stalled server.
+const STALLED_FACTOR: f64 = 3.0;
+/// Exchanges shorter than this never show a stalled server: one lost packet costs about as much.
+const STALLED_LEAST_MS: f64 = 350.0;
+/// The weight of a new sample in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.2;
+/// The time in which a share of failures fades to a third.
+const FAILURE_FADES_MS: f64 = 4_000.0;
+
+#[derive(Debug, Clone, Copy)]
+struct Flight {
+    sent_at: TimeMs,
+    expected_ms: f64,
+}
+
+/// A backend server.
+#[derive(Debug)]
+pub struct Server {
+    /// Its entry in the store.
+    pub entry: ServerEntry,
+    region: Option<ids::RegionId>,
+    /// Until when it is cold; no time where it is warm.
+    pub cold_until: TimeMs,
+    /// When its entry is to be taken as gone, if it was missing after an outage of the store.
+    pub lapses_at: Option<TimeMs>,
+    /// Whether it can be reached.
+    pub reach: Reach,
+    cold_rate: ColdRate,
+    flights: BTreeMap<ExchangeId, Flight>,
+    others: OthersLoad,
+    slowness: Slowness,
+    slowness_at: TimeMs,
+    failure_share: f64,
+    failures_at: TimeMs,
+    objects: HashMap<u64, TimeMs>,
+}
+
+impl Server {
+    /// A server of which only its entry is known.
+    #[must_use]
+    pub fn new(now: TimeMs, entry: ServerEntry, region: Option<ids::RegionId>) -> Self {
+        let cold_until = now + SpanMs::new(entry.warmup_left_ms);
+        Self {
+            entry,
+            region,
+            cold_until,
+            lapses_at: None,
+            reach: Reach::Up,
+            cold_rate: ColdRate::default(),
+            flights: BTreeMap::new(),
+            others: OthersLoad::default(),
+            slowness: Slowness::default(),
+            slowness_at: now,
+            failure_share: 0.0,
+            failures_at: now,
+            objects: HashMap::new(),
+        }
+    }
+
+    /// The region of its zone, if that is known.
+    #[must_use]
+    pub const fn region(&self) -> Option<&ids::RegionId> {
+        self.region.as_ref()
+    }
+
+    /// Marks the server cold for so long, if it isn't already for longer.
+    pub fn chill(&mut self, now: TimeMs, left_ms: u64) {
+        self.cold_until = self.cold_until.max(now + SpanMs::new(left_ms));
+    }
+
+    /// Forgets what the server remembered and how it did: it has restarted.
+    pub fn restarted(&mut self, now: TimeMs) {
+        self.objects.clear();
+        self.slowness = Slowness::default();
+        self.failure_share = 0.0;
+        self.failures_at = now;
+        self.reach = Reach::Up;
+    }
+
+    /// Whether the bound on cold servers applies: the server is cold, or may be.
+    #[must_use]
+    pub fn is_cold(&self, now: TimeMs) -> bool {
+        now < self.cold_until || matches!(self.reach, Reach::Doubtful { .. })
+    }
+
+    /// Whether one more request stays within this instance's share of a cold server.
+    pub fn has_cold_room(&mut self, now: TimeMs, share: usize) -> bool {
+        !self.is_cold(now) || self.cold_rate.has_room(now, share)
+    }
+
+    /// Requests of this instance there.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.flights.len()
+    }
+
+    /// Requests of all instances there, as far as one can tell.
+    #[must_use]
+    pub fn load(&self, now: TimeMs) -> f64 {
+        self.others.estimate(now) + self.flights.len() as f64
+    }
+
+    /// How much longer than usual it takes.
+    #[must_use]
+    pub fn slowness(&self, now: TimeMs) -> f64 {
+        let mut faded = self.slowness;
+        faded.fade(now.since(self.slowness_at).get());
+        faded.ratio()
+    }
+
+    /// The share of its exchanges that failed lately.
+    #[must_use]
+    pub fn failure_share(&self, now: TimeMs) -> f64 {
+        let age_ms = now.since(self.failures_at).get() as f64;
+        self.failure_share * (-age_ms / FAILURE_FADES_MS).exp()
+    }
+
+    /// Whether an exchange of this instance has lasted far longer than usual.
+    ///
+    /// A server that went silent or very slow shows nothing until an exchange ends; the age of those
+    /// that haven't ended shows it within a few hundred milliseconds.
+    #[must_use]
+    pub fn is_stalled(&self, now: TimeMs) -> bool {
+        self.flights.values().any(|flight| {
+            let bound_ms = (flight.expected_ms * STALLED_FACTOR).max(STALLED_LEAST_MS);
+            now.since(flight.sent_at).get() as f64 > bound_ms
+        })
+    }
+
+    /// Whether this instance has sent it the object lately.
+    #[must_use]
+    pub fn remembers(&self, now: TimeMs, object: u64) -> bool {
+        self.objects
+            .get(&object)
+            .is_some_and(|at| now.since(*at).get() < OBJECT_MEMORY_MS)
+    }
+
+    /// Notes a request that is sent now.
+    pub fn note_sent(&mut self, now: TimeMs, exchange: ExchangeId, expected_ms: f64) {
+        self.cold_rate.note(now);
+        let flight = Flight {
+            sent_at: now,
+            expected_ms,
+        };
+        self.flights.insert(exchange, flight);
+    }
+
+    /// Notes the end of an exchange; returns how long it took, if it was under way.
+    pub fn note_end(
+        &mut self,
+        now: TimeMs,
+        exchange: ExchangeId,
+        end: ExchangeEnd,
+        report: ServerReport,
+    ) -> Option<u64> {
+        let flight = self.flights.remove(&exchange)?;
+        if let Some(load) = report.load {
+            self.others.note(now, load, self.flights.len());
+        }
+        self.note_reach(now, end);
+        if let Some(failed) = self.verdict(end, report) {
+            let share = self.failure_share(now);
+            let sample = if failed { 1.0 } else { 0.0 };
+            self.failure_share = share + (sample - share) * FAILURE_WEIGHT;
+            self.failures_at = now;
+        }
+        Some(now.since(flight.sent_at).get())
+    }
+
+    /// Notes how long an answered request took, without the way there and back.
+    pub fn note_time(&mut self, now: TimeMs, took_ms: f64, expected_ms: f64) {
+        self.slowness.fade(now.since(self.slowness_at).get());
+        self.slowness.note(took_ms, expected_ms);
+        self.slowness_at = now;
+    }
+
+    /// Notes that the server has handled an object.
+    pub fn note_object(&mut self, now: TimeMs, object: u64) {
+        if self.objects.len() >= MOST_OBJECTS {
+            self.objects
+                .retain(|_, at| now.since(*at).get() < OBJECT_MEMORY_MS);
+        }
+        if self.objects.len() < MOST_OBJECTS {
+            self.objects.insert(object, now);
+        }
+    }
+
+    fn note_reach(&mut self, now: TimeMs, end: ExchangeEnd) {
+        match end {
+            ExchangeEnd::Unreachable => {
+                if !matches!(self.reach, Reach::Down { .. } | Reach::Replaced) {
+                    self.reach = Reach::down(now);
+                }
+            }
+            // An open connection can go silent while new ones work: a new one is tried at once.
+            ExchangeEnd::Silent => {
+                if !matches!(self.reach, Reach::Down { .. } | Reach::Replaced) {
+                    self.reach = Reach::Down {
+                        probe_at: now,
+                        failures: 0,
+                    };
+                }
+            }
+            ExchangeEnd::Broken => {
+                if self.reach == Reach::Up {
+                    self.reach = Reach::Doubtful { probe_at: now };
+                }
+            }
+            ExchangeEnd::Misdirected => self.reach = Reach::Replaced,
+            ExchangeEnd::Answered
+            | ExchangeEnd::Failed
+            | ExchangeEnd::Shed
+            | ExchangeEnd::Malformed
+            | ExchangeEnd::Abandoned => {}
+        }
+    }
+
+    /// Whether the end counts as the server's failure; `None` where it says nothing of the server.
+    fn verdict(&self, end: ExchangeEnd, report: ServerReport) -> Option<bool> {
+        match end {
+            ExchangeEnd::Answered => Some(false),
+            ExchangeEnd::Failed | ExchangeEnd::Broken | ExchangeEnd::Malformed => Some(true),
+            // A full server sheds by right; one with free slots that sheds is unwell.
+            ExchangeEnd::Shed => report
+                .load
+                .is_none_or(|load| load.running < load.slots)
+                .then_some(true),
+            ExchangeEnd::Misdirected
+            | ExchangeEnd::Unreachable
+            | ExchangeEnd::Silent
+            | ExchangeEnd::Abandoned => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-routing/src/pool/server_pool.rs
@@ -0,0 +1,246 @@
+//! All backend servers, as the store names them.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use damaskvane_core::ids;
+use damaskvane_core::time::{SpanMs, TimeMs};
+
+use crate::pool::{DueProbe, PoolSettings, ProbeResult, Reach, Server, ServerEntry, ServerState};
+
+/// What a piece of news changed, for the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// The server is new.
+    Joined(ids::BackendServerId),
+    /// The server has restarted under its name.
+    Restarted(ids::BackendServerId),
+    /// The server takes no new work.
+    Draining(ids::BackendServerId),
+    /// The server is gone.
+    Gone(ids::BackendServerId),
+    /// The entry is missing after an outage of the store; the server is used until its grace ends.
+    Lapsing(ids::BackendServerId),
+}
+
+/// The backend servers, the zones that are evacuated, and when the store was last away.
+#[derive(Debug)]
+pub struct ServerPool {
+    settings: PoolSettings,
+    servers: BTreeMap<ids::BackendServerId, Server>,
+    evacuated: BTreeSet<ids::AvailabilityZoneId>,
+    /// Until when a missing entry may have lapsed only because the store was away.
+    lapses_excused_until: TimeMs,
+    warmup_ms: HashMap<ids::ServiceId, u64>,
+}
+
+impl ServerPool {
+    /// An empty pool.
+    #[must_use]
+    pub fn new(settings: PoolSettings) -> Self {
+        Self {
+            settings,
+            servers: BTreeMap::new(),
+            evacuated: BTreeSet::new(),
+            lapses_excused_until: TimeMs::ZERO,
+            warmup_ms: HashMap::new(),
+        }
+    }
+
+    /// The settings.
+    #[must_use]
+    pub const fn settings(&self) -> &PoolSettings {
+        &self.settings
+    }
+
+    /// Takes over changed settings.
+    pub fn set_settings(&mut self, settings: PoolSettings) {
+        self.settings = settings;
+    }
+
+    /// All servers.
+    pub fn servers(&self) -> impl Iterator<Item = &Server> {
+        self.servers.values()
+    }
+
+    /// One server.
+    #[must_use]
+    pub fn server(&self, id: &ids::BackendServerId) -> Option<&Server> {
+        self.servers.get(id)
+    }
+
+    /// One server, to note something of it.
+    pub fn server_mut(&mut self, id: &ids::BackendServerId) -> Option<&mut Server> {
+        self.servers.get_mut(id)
+    }
+
+    /// Whether the zone is evacuated.
+    #[must_use]
+    pub fn is_evacuated(&self, zone: &ids::AvailabilityZoneId) -> bool {
+        self.evacuated.contains(zone)
+    }
+
+    /// Tells how long servers of each service are cold after a start.
+    pub fn set_warmups(&mut self, warmups: impl IntoIterator<Item = (ids::ServiceId, u64)>) {
+        self.warmup_ms = warmups.into_iter().collect();
+    }
+
+    /// The store answers again after it was away: entries that lapsed meanwhile may come back.
+    pub fn store_returned(&mut self, now: TimeMs) {
+        self.lapses_excused_until = now + SpanMs::new(self.settings.lapse_grace_ms);
+    }
+
+    /// Takes in one server's entry.
+    pub fn apply(&mut self, now: TimeMs, entry: ServerEntry) -> Option<Change> {
+        let id = entry.id.clone();
+        let is_draining = entry.state == ServerState::Draining;
+        let Some(server) = self.servers.get_mut(&id) else {
+            let region = self.settings.regions.get(&entry.zone).cloned();
+            self.servers
+                .insert(id.clone(), Server::new(now, entry, region));
+            return Some(Change::Joined(id));
+        };
+        if entry.is_older_than(&server.entry) {
+            return None;
+        }
+        server.lapses_at = None;
+        let has_restarted = entry.started_unix_ms > server.entry.started_unix_ms
+            || entry.address != server.entry.address;
+        let was_draining = server.entry.state == ServerState::Draining;
+        server.chill(now, entry.warmup_left_ms);
+        server.entry = entry;
+        if has_restarted {
+            server.restarted(now);
+            return Some(Change::Restarted(id));
+        }
+        (is_draining && !was_draining).then_some(Change::Draining(id))
+    }
+
+    /// Takes in that a server's entry was removed.
+    ///
+    /// Entries lapse while the store is away. Taken at their word, such removals would empty the pool
+    /// and leave clients without an answer although every server lives.
+    pub fn remove(&mut self, now: TimeMs, id: &ids::BackendServerId) -> Option<Change> {
+        let server = self.servers.get_mut(id)?;
+        let is_draining = server.entry.state == ServerState::Draining;
+        if now < self.lapses_excused_until && !is_draining {
+            server.lapses_at.get_or_insert(self.lapses_excused_until);
+            return Some(Change::Lapsing(id.clone()));
+        }
+        self.servers.remove(id);
+        Some(Change::Gone(id.clone()))
+    }
+
+    /// Takes in a complete list; servers that it doesn't name are removed.
+    pub fn replace(
+        &mut self,
+        now: TimeMs,
+        entries: impl IntoIterator<Item = ServerEntry>,
+    ) -> Vec<Change> {
+        let mut named = BTreeSet::new();
+        let mut changes = Vec::new();
+        for entry in entries {
+            named.insert(entry.id.clone());
+            changes.extend(self.apply(now, entry));
+        }
+        let missing: Vec<_> = self
+            .servers
+            .keys()
+            .filter(|id| !named.contains(*id))
+            .cloned()
+            .collect();
+        for id in missing {
+            changes.extend(self.remove(now, &id));
+        }
+        changes
+    }
+
+    /// Lets go the servers whose grace after an outage has ended.
+    pub fn expire(&mut self, now: TimeMs) -> Vec<Change> {
+        let lapsed: Vec<_> = self
+            .servers
+            .values()
+            .filter(|server| server.lapses_at.is_some_and(|at| at <= now))
+            .map(|server| server.entry.id.clone())
+            .collect();
+        for id in &lapsed {
+            self.servers.remove(id);
+        }
+        lapsed.into_iter().map(Change::Gone).collect()
+    }
+
+    /// Takes in which zones are evacuated; returns the zones taken back.
+    ///
+    /// Servers of a zone that is taken back may have become cold meanwhile, so they count as cold for a
+    /// whole warm-up: otherwise the first second of the zone's full load would crash them.
+    pub fn set_evacuated(
+        &mut self,
+        now: TimeMs,
+        zones: BTreeSet<ids::AvailabilityZoneId>,
+    ) -> Vec<ids::AvailabilityZoneId> {
+        let taken_back: Vec<_> = self.evacuated.difference(&zones).cloned().collect();
+        for server in self.servers.values_mut() {
+            if taken_back.contains(&server.entry.zone) {
+                let warmup_ms = self.warmup_ms.get(&server.entry.service).copied();
+                server.chill(now, warmup_ms.unwrap_or_default());
+            }
+        }
+        self.evacuated = zones;
+        taken_back
+    }
+
+    /// The probes that are to be sent now; each is pushed back so that it is sent once.
+    pub fn due_probes(
+        &mut self,
+        now: TimeMs,
+        health_path: impl Fn(&ids::ServiceId) -> Option<String>,
+    ) -> Vec<DueProbe> {
+        let mut due = Vec::new();
+        for server in self.servers.values_mut() {
+            if server.reach.probe_at().is_none_or(|at| now < at) {
+                continue;
+            }
+            server.reach = match server.reach {
+                Reach::Doubtful { .. } => Reach::Doubtful {
+                    probe_at: now + SpanMs::new(PROBE_AGAIN_MS),
+                },
+                other => other.still_down(now),
+            };
+            if let Some(health_path) = health_path(&server.entry.service) {
+                due.push(DueProbe {
+                    server: server.entry.id.clone(),
+                    address: server.entry.address,
+                    health_path,
+                });
+            }
+        }
+        due
+    }
+
+    /// Takes in what a probe found.
+    pub fn note_probe(&mut self, now: TimeMs, id: &ids::BackendServerId, result: ProbeResult) {
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        match result {
+            ProbeResult::Healthy { warmup_left_ms } => {
+                server.reach = Reach::Up;
+                server.chill(now, warmup_left_ms);
+            }
+            ProbeResult::OtherServer => server.reach = Reach::Replaced,
+            // It answers, so it can be reached; whether it is cold stays open.
+            ProbeResult::Unhealthy => {
+                server.reach = Reach::Doubtful {
+                    probe_at: now + SpanMs::new(PROBE_AGAIN_MS),
+                };
+            }
+            ProbeResult::NoAnswer => {
+                if !matches!(server.reach, Reach::Replaced | Reach::Down { .. }) {
+                    server.reach = Reach::down(now);
+                }
+            }
+        }
+    }
+}
+
+/// The pause before a server in doubt is asked once more.
+const PROBE_AGAIN_MS: u64 = 1_000;
--- /dev/null
+++ b/crates/damaskvane-routing/src/retry.rs
@@ -0,0 +1,80 @@
+//! What follows an exchange with a backend server.
+//!
+//! ```
+//! use damaskvane_routing::{configuration, pool, retry};
+//!
+//! let mut progress = retry::Progress::new(configuration::RouteKind::NonIdempotent, 2);
+//! progress.note(pool::ExchangeEnd::Broken);
+//! assert!(!progress.may_try_again());
+//! assert!(!progress.is_proven_not_run());
+//! ```
+
+use crate::configuration::RouteKind;
+use crate::pool::ExchangeEnd;
+
+/// Most servers that a request finds unreachable before it is refused: each costs a connection time-out.
+const MOST_UNREACHABLE: u32 = 3;
+
+/// The exchanges of one request so far.
+///
+/// The proof that a request has not run is kept here: it is lost with the first exchange that wrote the
+/// request and can't show the server's word that it didn't run.
+#[derive(Debug, Clone)]
+pub struct Progress {
+    kind: RouteKind,
+    attempts: u32,
+    sent: u32,
+    unreachable: u32,
+    may_have_run: bool,
+}
+
+impl Progress {
+    /// Nothing was sent yet.
+    #[must_use]
+    pub const fn new(kind: RouteKind, attempts: u32) -> Self {
+        Self {
+            kind,
+            attempts,
+            sent: 0,
+            unreachable: 0,
+            may_have_run: false,
+        }
+    }
+
+    /// Notes the end of an exchange.
+    pub const fn note(&mut self, end: ExchangeEnd) {
+        match end {
+            ExchangeEnd::Unreachable => self.unreachable += 1,
+            ExchangeEnd::Shed | ExchangeEnd::Misdirected => self.sent += 1,
+            ExchangeEnd::Answered
+            | ExchangeEnd::Failed
+            | ExchangeEnd::Broken
+            | ExchangeEnd::Malformed
+            | ExchangeEnd::Silent
+            | ExchangeEnd::Abandoned => {
+                self.sent += 1;
+                self.may_have_run = true;
+            }
+        }
+    }
+
+    /// Whether another server may be tried, time and budget aside.
+    #[must_use]
+    pub const fn may_try_again(&self) -> bool {
+        self.sent < self.attempts
+            && self.unreachable < MOST_UNREACHABLE
+            && (!self.may_have_run || self.kind.may_run_again())
+    }
+
+    /// Whether the request certainly has not run on any server.
+    #[must_use]
+    pub const fn is_proven_not_run(&self) -> bool {
+        !self.may_have_run
+    }
+
+    /// Whether any server has got the request.
+    #[must_use]
+    pub const fn was_sent(&self) -> bool {
+        self.sent > 0
+    }
+}
--- a/crates/damaskvane-telemetry/src/logging.rs
+++ b/crates/damaskvane-telemetry/src/logging.rs
@@ -89,9 +89,20 @@
 
 /// A logger that writes JSON lines to standard error.
 pub fn logger(program: &'static str, level: Level) -> slog::Logger {
-    let json = slog_json::Json::new(io::stderr())
-        .add_default_keys()
-        .build();
+    logger_to(io::stderr(), program, level)
+}
+
+/// A logger that writes JSON lines to standard output.
+pub fn output_logger(program: &'static str, level: Level) -> slog::Logger {
+    logger_to(io::stdout(), program, level)
+}
+
+fn logger_to(
+    output: impl io::Write + Send + 'static,
+    program: &'static str,
+    level: Level,
+) -> slog::Logger {
+    let json = slog_json::Json::new(output).add_default_keys().build();
     let background = slog_async::Async::new(Mutex::new(json).fuse()).build();
     // Behind the queue, lines below the level would cost their way through it, and could push lines that
     // count out of it.
