Placement learns from answers; a guessed time is no reason to refuse

Ruled out: a route table behind its version (the log shows it in force 40 ms after). Change: only measured times refuse; answers feed baselines, slowness and objects.

--- a/crates/damaskvane-gateway/src/clients/dispatch.rs
+++ b/crates/damaskvane-gateway/src/clients/dispatch.rs
@@ -7,7 +7,9 @@
 use damaskvane_core::time::{SpanMs, TimeMs};
 use damaskvane_routing::configuration::{Configuration, Route};
 use damaskvane_routing::limit::RetryBudget;
-use damaskvane_routing::placement::{self, Choice, Pick, PlacementRequest, Refusal};
+use damaskvane_routing::placement::{
+    self, AnsweredRequest, Choice, Pick, PlacementRequest, Refusal,
+};
 use damaskvane_routing::pool::ExchangeEnd;
 use damaskvane_routing::retry::Progress;
 use hyper::body::Incoming;
@@ -241,6 +243,9 @@
         let now = self.node.now();
         let end = end_name(outcome.end);
         self.node.metrics.exchanges.with_label_values(&[end]).inc();
+        if outcome.end == ExchangeEnd::Answered {
+            self.learn(now, pick, outcome);
+        }
         let matter = if outcome.end == ExchangeEnd::Answered {
             Matter::Success
         } else {
@@ -258,6 +263,22 @@
         });
     }
 
+    fn learn(&self, now: TimeMs, pick: &Pick, outcome: &ExchangeOutcome) {
+        let Some(took_ms) = outcome.took_ms else {
+            return;
+        };
+        let mut state = self.node.state.borrow_mut();
+        let state = &mut *state;
+        let answered = AnsweredRequest {
+            route: self.route,
+            pick,
+            object: self.object,
+            took_ms,
+            has_waited: outcome.report.load.is_some_and(|load| load.waiting > 0),
+        };
+        state.placer.note_answered(now, &mut state.pool, &answered);
+    }
+
     fn timed_out(&self) -> Response<AnswerBody> {
         self.log_end("timeout", None);
         reply::own(
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -41,6 +41,8 @@
     pub answer: Option<Answer>,
     /// When the server wants to be asked again, where it turned the request away.
     pub retry_after_ms: Option<u64>,
+    /// The time it took.
+    pub took_ms: Option<u64>,
 }
 
 impl ExchangeOutcome {
@@ -56,6 +58,7 @@
             report: ServerReport::default(),
             answer: None,
             retry_after_ms: None,
+            took_ms: None,
         }
     }
 }
@@ -126,7 +129,7 @@
         if is_long {
             outcome.end = ExchangeEnd::Answered;
         }
-        running.end(outcome.end, outcome.report);
+        outcome.took_ms = running.end(outcome.end, outcome.report);
         outcome
     }
 
@@ -266,6 +269,7 @@
             report,
             answer: Some(answer),
             retry_after_ms,
+            took_ms: None,
         }
     }
 
--- a/crates/damaskvane-routing/src/placement.rs
+++ b/crates/damaskvane-routing/src/placement.rs
@@ -23,6 +23,6 @@
 pub use choice::{Choice, Pick, Refusal, RefusalReason};
 pub use placer::Placer;
 pub use rank::object_hash;
-pub use request::PlacementRequest;
+pub use request::{AnsweredRequest, PlacementRequest};
 pub use round_trips::RoundTrips;
 pub use settings::PlacementSettings;
--- a/crates/damaskvane-routing/src/placement/placer.rs
+++ b/crates/damaskvane-routing/src/placement/placer.rs
@@ -6,7 +6,8 @@
 use crate::configuration::Configuration;
 use crate::placement::rank;
 use crate::placement::{
-    Choice, Pick, PlacementRequest, PlacementSettings, Refusal, RefusalReason, RoundTrips,
+    AnsweredRequest, Choice, Pick, PlacementRequest, PlacementSettings, Refusal, RefusalReason,
+    RoundTrips,
 };
 use crate::pool::{Baselines, Reach, Server, ServerPool, ServerState};
 
@@ -24,6 +25,8 @@
 const FAILURE_COST: f64 = 2.5;
 /// What a server whose last exchanges hang costs, in objectives.
 const STALLED_COST: f64 = 3.0;
+/// The part of a request's usual time that hardly any request takes less than.
+const LEAST_SHARE: f64 = 0.6;
 /// The round trip to a zone that was never reached.
 const UNKNOWN_ROUND_TRIP_MS: f64 = 5.0;
 
@@ -98,8 +101,47 @@
         }
     }
 
+    /// Takes in an answered request: how long its work takes, on this server and everywhere.
+    pub fn note_answered(
+        &mut self,
+        now: TimeMs,
+        pool: &mut ServerPool,
+        answered: &AnsweredRequest<'_>,
+    ) {
+        let Some(server) = pool.server_mut(&answered.pick.server) else {
+            return;
+        };
+        let round_trip_ms = self.round_trips.get(&answered.pick.zone);
+        let took_ms = answered.took_ms as f64;
+        let work_ms = (took_ms - round_trip_ms.unwrap_or(0.0)).max(1.0);
+        // Waiting and a cold start say how busy or fresh the server is, not how fast.
+        let says_nothing = answered.has_waited || server.is_cold(now);
+        let is_remembered = answered
+            .object
+            .is_some_and(|object| server.remembers(now, object));
+        if let Some(object) = answered.object {
+            server.note_object(now, object);
+        }
+        if says_nothing {
+            return;
+        }
+        let route = answered.route;
+        let baseline = self.baselines.of(&route.name, route.objective_ms);
+        if is_remembered {
+            server.note_time(now, work_ms, baseline.warm_ms);
+            self.baselines
+                .note(&route.name, route.objective_ms, true, work_ms);
+        } else if answered.pick.rank > 0 || answered.object.is_none() {
+            self.baselines
+                .note(&route.name, route.objective_ms, false, work_ms);
+        }
+        if !is_remembered && work_ms > baseline.first_ms {
+            server.note_time(now, work_ms, baseline.first_ms);
+        }
+    }
+
     fn admit(&self, pick: Pick, request: &PlacementRequest<'_>) -> Choice {
-        if pick.expected_ms > request.left_ms as f64 {
+        if pick.least_ms > request.left_ms as f64 {
             return self.refuse(RefusalReason::TooLate, request);
         }
         Choice::Send(pick)
@@ -190,6 +232,12 @@
         let expected_ms = work_ms + wait_ms + round_trip_ms;
         let objective_ms = route.objective_ms as f64;
         let busy = (load / slots).min(2.0);
+        // A guess is no reason to refuse: the route may be new, and faster than its objective suggests.
+        let least_work_ms = if baseline.is_measured {
+            baseline.warm_ms * LEAST_SHARE
+        } else {
+            0.0
+        };
         let mut cost_ms = expected_ms + busy * busy * BUSY_SHARE * work_ms;
         cost_ms += server.failure_share(now) * FAILURE_COST * objective_ms;
         if server.is_stalled(now) {
@@ -201,6 +249,7 @@
             address: server.entry.address,
             zone: server.entry.zone.clone(),
             expected_ms,
+            least_ms: least_work_ms + wait_ms + round_trip_ms,
             is_warm: warm_chance >= WARM_CHANCE[0],
             load: load / slots,
             rank,
--- a/crates/damaskvane-routing/src/pool/speed.rs
+++ b/crates/damaskvane-routing/src/pool/speed.rs
@@ -12,6 +12,8 @@
     pub warm_ms: f64,
     /// On any other server.
     pub first_ms: f64,
+    /// Whether it comes from requests that were seen, and not from a guess.
+    pub is_measured: bool,
 }
 
 impl Baseline {
@@ -22,6 +24,7 @@
         Self {
             warm_ms: objective_ms * 0.45,
             first_ms: objective_ms * 1.4,
+            is_measured: false,
         }
     }
 
@@ -52,6 +55,7 @@
     /// Notes one request's time.
     pub fn note(&mut self, route: &str, objective_ms: u64, is_warm: bool, took_ms: f64) {
         let mut baseline = self.of(route, objective_ms);
+        baseline.is_measured |= is_warm;
         let usual = if is_warm {
             &mut baseline.warm_ms
         } else {
