Two servers an object; the load limit leaves room for short queues

Objects belong to a region: 285 for the larger service, of which 20 servers remember 59 each, so four servers an object (1,140 of 1,180 places) evicted each other's objects, and a limit of 1.2 slots refused what would have waited 20 ms. Ruled out: too few slots (p50 was that of remembered objects). Change: 2 servers, limit 2.5 less 0.3 a rank.

--- a/crates/damaskvane-gateway/src/clients/dispatch.rs
+++ b/crates/damaskvane-gateway/src/clients/dispatch.rs
@@ -291,7 +291,7 @@
         self.node.log.request(now, matter, |log, left_out| {
             slog::info!(log, "exchange ended";
                 "request_id" => self.outgoing.request_id.as_deref(),
-                "route" => &self.route.name, "backend_server" => %pick.server,
+                "route" => &self.route.name, "backend_server" => %pick.server, "object" => self.object,
                 "outcome" => end, "status" => outcome.answer.as_ref().map(|answer| answer.status),
                 "load" => pick.load, "rank" => pick.rank, "expected_ms" => pick.expected_ms,
                 "left_ms" => self.deadline.since(now).get(),
@@ -374,7 +374,7 @@
             .request(now, Matter::Failure, |log, left_out| {
                 slog::info!(log, "request not served";
                 "request_id" => self.outgoing.request_id.as_deref(),
-                "route" => &self.route.name, "service" => %self.service, "reason" => reason,
+                "route" => &self.route.name, "service" => %self.service, "object" => self.object, "reason" => reason,
                 "retry_after_ms" => retry_after_ms, "tried" => self.tried.len(),
                 "left_ms" => self.deadline.since(now).get(),
                 "config_version" => self.configuration.version().get(),
--- a/crates/damaskvane-gateway/src/settings.rs
+++ b/crates/damaskvane-gateway/src/settings.rs
@@ -33,6 +33,8 @@
     pub metrics_address: Option<net::SocketAddr>,
     /// The platform's store.
     pub store_address: net::SocketAddr,
+    /// How long the platform must have been in order before its bounds count.
+    pub contact_ms: f64,
     /// How long a planned stop may take before the process is killed.
     pub grace_s: f64,
     /// The bound on retries: for each request.
@@ -123,6 +125,7 @@
 
     fn check(&self, file: &str) -> Result<(), SettingsError> {
         let numbers = [
+            ("contact_ms", self.contact_ms),
             ("grace_s", self.grace_s),
             ("retry_ratio", self.retry_ratio),
             ("retry_slack", self.retry_slack),
@@ -155,7 +158,7 @@
                 ..limit::ColdRateSettings::default()
             },
             regions: self.regions.clone(),
-            ..pool::PoolSettings::default()
+            lapse_grace_ms: lapse_grace_ms(self.contact_ms),
         }
     }
 
@@ -176,3 +179,13 @@
         peers::PeerSettings::default()
     }
 }
+
+/// The time that entries which lapsed while the store was away may be missing after its return is seen.
+///
+/// They are back within about two seconds. The return itself may be seen a second late, and servers that
+/// are gone must be left before the platform's bounds count again.
+fn lapse_grace_ms(contact_ms: f64) -> u64 {
+    const BACK_WITHIN_MS: f64 = 2_000.0;
+    const SEEN_LATE_MS: f64 = 1_100.0;
+    (contact_ms - SEEN_LATE_MS).clamp(0.0, BACK_WITHIN_MS) as u64
+}
--- a/crates/damaskvane-gateway/src/store/client.rs
+++ b/crates/damaskvane-gateway/src/store/client.rs
@@ -11,8 +11,9 @@
 use crate::http::{self, BodyReader, ReadError};
 use crate::node::Node;
 
-/// How long a connection to the store may take to open.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long a connection to the store may take to open. A packet that a partition swallows is sent again
+/// after a second; a new try after this time finds the healed link sooner.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// The silence after which a connection to the store is given up. An open connection can go silent for
 /// good; a change must still be heard within about two seconds more.
 const SILENCE: Duration = Duration::from_millis(2_500);
--- a/crates/damaskvane-gateway/src/store/follow.rs
+++ b/crates/damaskvane-gateway/src/store/follow.rs
@@ -27,7 +27,7 @@
 /// The first pause after a failure.
 const FIRST_PAUSE_MS: u64 = 150;
 /// The longest pause after failures: a store that is back is noticed within it.
-const LONGEST_PAUSE_MS: u64 = 800;
+const LONGEST_PAUSE_MS: u64 = 400;
 /// Changes that come within this time are fetched together: each return of a watch is a call that is
 /// paid for, and a replaced server makes several changes.
 const GATHER: Duration = Duration::from_millis(150);
--- a/crates/damaskvane-routing/src/placement/settings.rs
+++ b/crates/damaskvane-routing/src/placement/settings.rs
@@ -27,10 +27,10 @@
 impl Default for PlacementSettings {
     fn default() -> Self {
         Self {
-            servers_per_object: 4,
-            load_limit: 1.2,
-            load_limit_step: 0.2,
-            load_limit_floor: 0.5,
+            servers_per_object: 2,
+            load_limit: 2.5,
+            load_limit_step: 0.3,
+            load_limit_floor: 1.0,
             other_zone_cost_ms: 10.0,
             other_region_cost_ms: 10.0,
             retry_after_ms: 150,
