--- a/crates/damaskvane-routing/src/placement.rs
+++ b/crates/damaskvane-routing/src/placement.rs
@@ -16,9 +16,11 @@
 mod choice;
 mod placer;
 mod rank;
+mod ranking;
 mod request;
 mod round_trips;
 mod settings;
+mod shares;
 
 pub use choice::{Choice, Pick, Refusal, RefusalReason};
 pub use placer::Placer;
--- a/crates/damaskvane-routing/src/placement/placer.rs
+++ b/crates/damaskvane-routing/src/placement/placer.rs
@@ -4,7 +4,7 @@
 use damaskvane_core::time::TimeMs;
 
 use crate::configuration::Configuration;
-use crate::placement::rank;
+use crate::placement::ranking;
 use crate::placement::{
     AnsweredRequest, Choice, Pick, PlacementRequest, PlacementSettings, Refusal, RefusalReason,
     RoundTrips,
@@ -43,12 +43,6 @@
     own_region: ids::RegionId,
 }
 
-#[derive(Debug)]
-struct Candidate {
-    id: ids::BackendServerId,
-    weight: u64,
-}
-
 impl Placer {
     /// A placer for an instance of this zone.
     #[must_use]
@@ -156,17 +150,19 @@
     }
 
     /// The servers that may take the request, the object's first server first.
-    fn ranked(&self, pool: &ServerPool, request: &PlacementRequest<'_>) -> Vec<Candidate> {
-        let mut ranked: Vec<Candidate> = pool
-            .servers()
-            .filter(|server| may_take(pool, server, request))
-            .map(|server| Candidate {
-                weight: rank::weight(request.object.unwrap_or_default(), &server.entry.id),
-                id: server.entry.id.clone(),
-            })
-            .collect();
-        ranked.sort_unstable_by_key(|candidate| std::cmp::Reverse(candidate.weight));
-        ranked
+    fn ranked(
+        &self,
+        pool: &ServerPool,
+        request: &PlacementRequest<'_>,
+    ) -> Vec<ids::BackendServerId> {
+        let origin = ranking::Origin {
+            zone: &self.own_zone,
+            region: &self.own_region,
+        };
+        let object = request.object.unwrap_or_default();
+        ranking::of_object(pool, origin, object, |server| {
+            may_take(pool, server, request)
+        })
     }
 
     /// The cheapest of the servers that have room.
@@ -175,14 +171,14 @@
         now: TimeMs,
         pool: &mut ServerPool,
         request: &PlacementRequest<'_>,
-        candidates: &[Candidate],
+        candidates: &[ids::BackendServerId],
         cold_share: usize,
     ) -> Result<Pick, RefusalReason> {
         let limit = self.settings.load_limit(request.route.priority);
         let mut best: Option<(f64, Pick)> = None;
         let mut reason = RefusalReason::Cold;
         for (rank, candidate) in candidates.iter().enumerate() {
-            let Some(server) = pool.server_mut(&candidate.id) else {
+            let Some(server) = pool.server_mut(candidate) else {
                 continue;
             };
             if !server.has_cold_room(now, cold_share) {
@@ -243,7 +239,10 @@
         if server.is_stalled(now) {
             cost_ms += STALLED_COST * objective_ms;
         }
-        cost_ms += self.distance_cost_ms(server);
+        // The order of servers has weighed the distance of the first one against its slots.
+        if rank > 0 {
+            cost_ms += self.distance_cost_ms(server);
+        }
         let pick = Pick {
             server: server.entry.id.clone(),
             address: server.entry.address,
--- a/crates/damaskvane-routing/src/placement/rank.rs
+++ b/crates/damaskvane-routing/src/placement/rank.rs
@@ -12,10 +12,19 @@
     )
 }
 
-/// The weight of a server for an object: the highest weight is the first server.
+/// The score of a server or region for an object: the highest score is the first one.
 ///
-/// Rendezvous hashing: a server that joins or leaves moves only the objects that it gains or loses.
+/// Weighted rendezvous hashing: each name is first for a part of the objects in proportion to its weight,
+/// and one that joins or leaves moves only the objects that it gains or loses.
 #[must_use]
-pub(super) fn weight(object: u64, server: &ids::BackendServerId) -> u64 {
-    xxh3::xxh3_64_with_seed(server.as_str().as_bytes(), object)
+pub(super) fn score(object: u64, name: &str, weight: f64) -> f64 {
+    -weight / uniform(object, name).ln()
+}
+
+/// A number between 0 and 1, without its ends, that is the same for a name and an object everywhere.
+#[must_use]
+pub(super) fn uniform(object: u64, name: &str) -> f64 {
+    let hash = xxh3::xxh3_64_with_seed(name.as_bytes(), object);
+    // The upper 53 bits are what a floating-point number holds exactly.
+    ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64
 }
--- a/crates/damaskvane-routing/src/placement/settings.rs
+++ b/crates/damaskvane-routing/src/placement/settings.rs
@@ -31,7 +31,7 @@
             load_limit: 2.5,
             load_limit_step: 0.3,
             load_limit_floor: 1.0,
-            other_zone_cost_ms: 10.0,
+            other_zone_cost_ms: 90.0,
             other_region_cost_ms: 10.0,
             retry_after_ms: 150,
             retry_spread_ms: 150,
--- /dev/null
+++ b/crates/damaskvane-routing/tests/limits.rs
@@ -0,0 +1,76 @@
+//! Limits that all instances keep together without a message.
+
+mod support;
+
+use damaskvane_routing::limit::{ColdRate, ColdRateSettings, RetryBudget, RetryBudgetSettings};
+use damaskvane_routing::peers::{Members, PeerSettings};
+use support::{at, regions};
+
+const INSTANCES: usize = 8;
+
+/// Servers of a whole zone come up at once and every instance sends them their objects. Without shares that
+/// add up, the sum of all instances would crash each of them.
+#[test]
+fn shares_of_a_cold_server_stay_within_its_bound_in_any_second() {
+    let settings = ColdRateSettings::default();
+    let bound = 13.0 * settings.factor + settings.slack;
+    let share = settings.share(13.0, INSTANCES);
+    let mut sent = Vec::new();
+    for _ in 0..INSTANCES {
+        let mut rate = ColdRate::default();
+        for now_ms in 0..5_000 {
+            if rate.has_room(at(now_ms), share) {
+                rate.note(at(now_ms));
+                sent.push(now_ms);
+            }
+        }
+    }
+    for start_ms in 0..4_000 {
+        let in_second = sent
+            .iter()
+            .filter(|ms| (start_ms..start_ms + 1_000).contains(*ms))
+            .count();
+        assert!(in_second as f64 <= bound, "{in_second} from {start_ms} ms");
+    }
+}
+
+/// Every server fails and every request wants a second try, at every instance. The tries over all
+/// instances must stay within the declared part of the requests, or retries keep the servers down.
+#[test]
+fn retries_of_all_instances_stay_within_the_budget_in_any_window() {
+    let settings = RetryBudgetSettings::default();
+    let mut requests = 0_u32;
+    let mut retries = Vec::new();
+    let mut budgets: Vec<_> = (0..INSTANCES).map(|_| RetryBudget::new(settings)).collect();
+    for now_ms in (0..30_000_u64).step_by(20) {
+        for budget in &mut budgets {
+            budget.note_request(at(now_ms));
+            requests += 1;
+            if budget.take(at(now_ms), INSTANCES) {
+                retries.push(now_ms);
+            }
+        }
+    }
+    let per_window = f64::from(requests) * settings.window_ms as f64 / 30_000.0;
+    let bound = settings.ratio * per_window + settings.slack;
+    for start_ms in (0..20_000).step_by(500) {
+        let window = start_ms..start_ms + settings.window_ms;
+        let in_window = retries.iter().filter(|ms| window.contains(*ms)).count();
+        assert!(in_window as f64 <= bound, "{in_window} from {start_ms} ms");
+    }
+}
+
+/// An instance has just restarted and knows nobody. Were it to take whole limits for itself, it would break
+/// them together with those it hasn't heard of yet.
+#[test]
+fn an_instance_that_knows_nobody_reckons_with_many() {
+    let settings = PeerSettings::default();
+    let mut members = Members::new(settings, "a-1".parse().expect("a name"), regions());
+    assert_eq!(members.most_at_work(), settings.unknown_instances);
+    let listed = ["a-1", "a-2", "b-1"].map(|name| {
+        let address = "10.0.0.1:7000".parse().expect("an address");
+        (name.parse().expect("a name"), address)
+    });
+    members.set_listed(listed);
+    assert_eq!(members.most_at_work(), 3);
+}
--- /dev/null
+++ b/crates/damaskvane-routing/tests/peers.rs
@@ -0,0 +1,89 @@
+//! Which instances are alive, and which a look-up names.
+
+mod support;
+
+use damaskvane_core::ids;
+use damaskvane_routing::peers::{Heartbeat, Members, PeerSettings, Phase};
+use support::{at, regions, zone};
+
+fn heartbeat(name: &str, zone_name: &str, incarnation: u64, serial: u64) -> Heartbeat {
+    let port = name.bytes().map(u16::from).sum();
+    Heartbeat {
+        instance: name.parse().expect("a name"),
+        incarnation: ids::Incarnation::new(incarnation),
+        serial,
+        zone: zone(zone_name),
+        client_address: ([10, 0, 0, 1], port).into(),
+        peer_address: ([10, 0, 0, 2], port).into(),
+        phase: Phase::Ready,
+    }
+}
+
+fn members() -> Members {
+    let own = "own".parse().expect("a name");
+    let mut members = Members::new(PeerSettings::default(), own, regions());
+    members.note(at(0), heartbeat("own", "east-a", 1, 1));
+    members
+}
+
+fn named(members: &Members, now_ms: u64, zone_name: &str) -> Vec<u16> {
+    let region = regions()[&zone(zone_name)].clone();
+    let zone = zone(zone_name);
+    let addresses = members.look_up(at(now_ms), Some(&zone), Some(&region), &[]);
+    addresses.iter().map(std::net::SocketAddr::port).collect()
+}
+
+fn port(name: &str) -> u16 {
+    name.bytes().map(u16::from).sum()
+}
+
+/// An instance loses power. Clients that are still sent there wait a second for each new connection, so it
+/// isn't named once its heartbeats are missing.
+#[test]
+fn a_silent_instance_is_no_longer_named() {
+    let mut members = members();
+    members.note(at(0), heartbeat("peer", "west-a", 1, 1));
+    assert_eq!(named(&members, 1_000, "west-a"), [port("peer")]);
+    assert_eq!(named(&members, 5_000, "west-a"), [port("own")]);
+}
+
+/// A stopping instance says so and isn't named from then on, although its last heartbeat of before may
+/// arrive after that word.
+#[test]
+fn a_leaving_instance_is_no_longer_named_even_if_an_older_heartbeat_comes_late() {
+    let mut members = members();
+    let leaving = Heartbeat {
+        phase: Phase::Leaving,
+        ..heartbeat("peer", "west-a", 1, 8)
+    };
+    members.note(at(0), heartbeat("peer", "west-a", 1, 6));
+    members.note(at(100), leaving);
+    members.note(at(120), heartbeat("peer", "west-a", 1, 7));
+    assert_eq!(named(&members, 200, "west-a"), [port("own")]);
+}
+
+/// An instance restarts and counts its heartbeats anew. Compared with the count of its last start they would
+/// look old, and the instance would stay unnamed.
+#[test]
+fn a_restarted_instance_is_named_again() {
+    let mut members = members();
+    members.note(at(0), heartbeat("peer", "west-a", 1, 500));
+    members.note(at(2_000), heartbeat("peer", "west-a", 2, 1));
+    assert_eq!(named(&members, 2_100, "west-a"), [port("peer")]);
+}
+
+/// All instances of a caller's zone are gone. The caller gets those of its region first, since they are
+/// nearest.
+#[test]
+fn a_zone_without_instances_is_served_from_its_region() {
+    let mut members = members();
+    members.note(at(0), heartbeat("west", "west-a", 1, 1));
+    assert_eq!(named(&members, 100, "east-b"), [port("own")]);
+}
+
+/// The own process is alive whatever its own timers say: a woken instance must not leave itself out.
+#[test]
+fn an_instance_always_names_itself_while_it_is_ready() {
+    let members = members();
+    assert_eq!(named(&members, 60_000, "east-a"), [port("own")]);
+}
--- /dev/null
+++ b/crates/damaskvane-routing/tests/placement.rs
@@ -0,0 +1,215 @@
+//! Where requests go, and when they are refused.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use damaskvane_routing::placement::{Choice, Pick, RefusalReason};
+use damaskvane_routing::pool::{
+    ExchangeEnd, ExchangeId, LoadReport, ServerPool, ServerReport, ServerState,
+};
+use support::{at, configuration, entry, placer, pool_of, request, route, server_id, service_id};
+
+fn choose(pool: &mut ServerPool, own_zone: &str, object: u64) -> Choice {
+    let (route, service) = (route(), service_id());
+    let request = request(&route, &service, object);
+    placer(own_zone).choose(at(1_000), pool, &configuration(), &request, 1)
+}
+
+fn pick(pool: &mut ServerPool, own_zone: &str, object: u64) -> Pick {
+    match choose(pool, own_zone, object) {
+        Choice::Send(pick) => pick,
+        Choice::Refuse(refusal) => panic!("refused: {:?}", refusal.reason),
+    }
+}
+
+fn fill(pool: &mut ServerPool, name: &str, count: u64) {
+    let server = pool.server_mut(&server_id(name)).expect("a known server");
+    for number in 0..count {
+        server.note_sent(at(999), ExchangeId(number), 100.0);
+    }
+}
+
+/// Two instances of a zone that disagree on an object's server would make two servers load it, and each
+/// request would take several times as long.
+#[test]
+fn all_instances_of_a_zone_choose_the_same_server_for_an_object() {
+    let mut one = pool_of(&[("east-a", 4), ("west-a", 4)]);
+    let mut other = pool_of(&[("west-a", 4), ("east-a", 4)]);
+    for object in 0..200 {
+        let first = pick(&mut one, "east-a", object).server;
+        assert_eq!(first, pick(&mut other, "east-a", object).server);
+    }
+}
+
+/// Bytes between zones cost, so objects belong to their zone's own servers where these suffice.
+#[test]
+fn a_zone_with_its_part_of_the_slots_keeps_its_objects() {
+    let mut pool = pool_of(&[("east-a", 4), ("east-b", 4), ("west-a", 4)]);
+    let local = (0..300)
+        .filter(|object| pick(&mut pool, "east-a", *object).zone.as_str() == "east-a")
+        .count();
+    assert!(local >= 255, "{local} of 300 objects stay in their zone");
+}
+
+/// A zone with a third of the callers and a twelfth of the slots would drown its few servers, while others
+/// idle. It keeps what they bear; its region keeps what it bears, and the rest goes to the region that has
+/// more than its part.
+#[test]
+fn a_zone_with_few_slots_keeps_what_they_bear() {
+    let mut pool = pool_of(&[("east-a", 1), ("east-b", 4), ("west-a", 7)]);
+    let mut zones = BTreeMap::<String, u32>::new();
+    for object in 0..1_000 {
+        let picked = pick(&mut pool, "east-a", object).zone;
+        *zones.entry(picked.to_string()).or_default() += 1;
+    }
+    let of = |name: &str| zones.get(name).copied().unwrap_or_default();
+    assert!((150..320).contains(&of("east-a")), "{zones:?}");
+    assert!((240..440).contains(&of("east-b")), "{zones:?}");
+    assert!((360..520).contains(&of("west-a")), "{zones:?}");
+}
+
+/// Servers remember few objects. Were each zone of a region to spread an object over servers of its own, the
+/// region's servers would forget objects faster than they use them: an object has one server in each zone.
+#[test]
+fn an_object_has_one_server_in_each_zone_of_its_region() {
+    let mut pool = pool_of(&[("east-a", 4), ("east-b", 4), ("west-a", 4)]);
+    for object in 0..100 {
+        let near = pick(&mut pool, "east-a", object);
+        if near.zone.as_str() != "east-a" {
+            continue;
+        }
+        let other = pick(&mut pool, "east-b", object).server;
+        fill(&mut pool, near.server.as_str(), 15);
+        assert_eq!(pick(&mut pool, "east-a", object).server, other);
+        let server = pool.server_mut(&near.server).expect("a known server");
+        for number in 0..15 {
+            let report = ServerReport::default();
+            server.note_end(
+                at(1_000),
+                ExchangeId(number),
+                ExchangeEnd::Abandoned,
+                report,
+            );
+        }
+    }
+}
+
+/// A server that leaves must move only its own objects: if all moved, every server would load objects anew
+/// at once, and the whole zone would be slow.
+#[test]
+fn a_server_that_leaves_moves_only_its_own_objects() {
+    let mut pool = pool_of(&[("east-a", 5)]);
+    let before: Vec<_> = (0..300)
+        .map(|object| pick(&mut pool, "east-a", object).server)
+        .collect();
+    let gone = server_id("east-a-2");
+    pool.remove(at(1_000), &gone);
+    for (object, server) in (0..).zip(before) {
+        if server != gone {
+            assert_eq!(pick(&mut pool, "east-a", object).server, server);
+        }
+    }
+}
+
+/// A server that drains gets nothing new, or its last requests are cut when it ends.
+#[test]
+fn a_draining_server_and_an_evacuated_zone_get_nothing() {
+    let mut pool = pool_of(&[("east-a", 2), ("west-a", 2)]);
+    let mut leaving = entry("east-a-0", "east-a");
+    leaving.state = ServerState::Draining;
+    leaving.sequence = 2;
+    pool.apply(at(500), leaving);
+    pool.set_evacuated(at(500), BTreeSet::from([support::zone("west-a")]));
+    for object in 0..100 {
+        assert_eq!(
+            pick(&mut pool, "east-a", object).server,
+            server_id("east-a-1")
+        );
+    }
+}
+
+/// Queues grow because load exceeds the slots. Spreading objects over more servers then makes each request
+/// take longer and the queues grow further, and the load stays lost after it has fallen again. The objects
+/// stay with their two servers, and what these can't take is refused at once.
+#[test]
+fn a_full_pair_of_servers_refuses_and_does_not_spread() {
+    let mut pool = pool_of(&[("east-a", 4)]);
+    let first = pick(&mut pool, "east-a", 7).server;
+    fill(&mut pool, first.as_str(), 15);
+    let second = pick(&mut pool, "east-a", 7).server;
+    assert_ne!(first, second);
+    fill(&mut pool, second.as_str(), 15);
+    match choose(&mut pool, "east-a", 7) {
+        Choice::Refuse(refusal) => {
+            assert_eq!(refusal.reason, RefusalReason::Overloaded);
+            assert!(refusal.retry_after_ms > 0);
+        }
+        Choice::Send(pick) => panic!("sent to {}", pick.server),
+    }
+}
+
+/// Under load the less urgent requests of a service must be refused first.
+#[test]
+fn the_less_urgent_are_refused_at_a_lower_load() {
+    let settings = damaskvane_routing::placement::PlacementSettings::default();
+    let limits: Vec<f64> = (0..4).map(|rank| settings.load_limit(rank)).collect();
+    assert!(
+        limits.windows(2).all(|pair| pair[0] > pair[1]),
+        "{limits:?}"
+    );
+}
+
+/// A server hangs. Nothing tells so until its exchanges end, and until then every request for its objects
+/// would be lost. Exchanges that last several times as long as usual show it.
+#[test]
+fn a_server_whose_exchanges_hang_is_left() {
+    let mut pool = pool_of(&[("east-a", 3)]);
+    let first = pick(&mut pool, "east-a", 3).server;
+    let server = pool.server_mut(&first).expect("a known server");
+    server.note_sent(at(100), ExchangeId(1), 100.0);
+    assert_ne!(pick(&mut pool, "east-a", 3).server, first);
+}
+
+/// A server fails part of its requests while its health check passes. It gets fewer requests as long as it
+/// fails, and gets them back a while after.
+#[test]
+fn a_server_that_fails_is_left_and_tried_again() {
+    let mut pool = pool_of(&[("east-a", 3)]);
+    let first = pick(&mut pool, "east-a", 3).server;
+    let server = pool.server_mut(&first).expect("a known server");
+    for number in 0..10 {
+        server.note_sent(at(900 + number), ExchangeId(number), 100.0);
+        let report = ServerReport {
+            load: Some(LoadReport {
+                running: 1,
+                waiting: 0,
+                slots: 6,
+            }),
+        };
+        server.note_end(
+            at(900 + number),
+            ExchangeId(number),
+            ExchangeEnd::Shed,
+            report,
+        );
+    }
+    assert_ne!(pick(&mut pool, "east-a", 3).server, first);
+    let (route, service) = (route(), service_id());
+    let request = request(&route, &service, 3);
+    let later = placer("east-a").choose(at(15_000), &mut pool, &configuration(), &request, 1);
+    assert!(matches!(later, Choice::Send(pick) if pick.server == first));
+}
+
+/// A route may be served only in its regions; a server elsewhere must not see the request even if no other
+/// is left.
+#[test]
+fn a_route_that_is_bound_to_regions_is_refused_rather_than_sent_elsewhere() {
+    let mut pool = pool_of(&[("west-a", 3)]);
+    let mut bound = route();
+    bound.allowed_regions = vec!["east".parse().expect("a name")];
+    let service = service_id();
+    let request = request(&bound, &service, 3);
+    let choice = placer("east-a").choose(at(1_000), &mut pool, &configuration(), &request, 1);
+    assert!(matches!(choice, Choice::Refuse(refusal) if refusal.reason == RefusalReason::NoServer));
+}
