--- a/crates/damaskvane-gateway/src/clients.rs
+++ b/crates/damaskvane-gateway/src/clients.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod dispatch;
+mod head_timer;
 mod listener;
 mod reply;
 
--- a/crates/damaskvane-gateway/src/clients/listener.rs
+++ b/crates/damaskvane-gateway/src/clients/listener.rs
@@ -16,6 +16,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpStream;
 
+use crate::clients::head_timer::{HeadTimer, TimedStream};
 use crate::clients::{dispatch, reply};
 use crate::node::Node;
 use crate::stop::StopPhase;
@@ -106,10 +107,18 @@
         .configuration()
         .map(|configuration| configuration.limits())
         .unwrap_or_default();
+    let timer = Rc::new(HeadTimer::default());
     let handler = service_fn(|request| {
         let node = Rc::clone(node);
-        async move { Ok::<_, Infallible>(handle(&node, service, request).await) }
+        let timer = Rc::clone(&timer);
+        async move {
+            timer.request_begins();
+            let response = handle(&node, service, request).await;
+            timer.request_ends();
+            Ok::<_, Infallible>(response)
+        }
     });
+    let stream = TimedStream::new(stream, Rc::clone(&timer));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
@@ -120,6 +129,7 @@
     let mut phases = node.stop.subscribe();
     tokio::select! {
         _ = connection.as_mut() => return,
+        () = timer.expired(Duration::from_millis(limits.header_timeout_ms)) => return,
         _ = phases.wait_for(|phase| *phase == StopPhase::Closing) => {}
     }
     connection.as_mut().graceful_shutdown();
--- a/crates/damaskvane-gateway/src/lookups.rs
+++ b/crates/damaskvane-gateway/src/lookups.rs
@@ -41,12 +41,13 @@
     let _timer = node.metrics.look_up_s.start_timer();
     node.metrics.look_ups.inc();
     let allowed = allowed_regions(node, &look_up.host);
-    let mut addresses = node.state.borrow().members.look_up(
-        node.now(),
-        look_up.zone.as_ref(),
-        look_up.region.as_ref(),
-        &allowed,
-    );
+    let phase = node.phase();
+    let mut addresses = {
+        let members = &mut node.state.borrow_mut().members;
+        members.set_own_phase(phase);
+        let (zone, region) = (look_up.zone.as_ref(), look_up.region.as_ref());
+        members.look_up(node.now(), zone, region, &allowed)
+    };
     if addresses.is_empty() {
         return status(StatusCode::SERVICE_UNAVAILABLE);
     }
--- a/crates/damaskvane-routing/src/peers/members.rs
+++ b/crates/damaskvane-routing/src/peers/members.rs
@@ -97,6 +97,13 @@
         !is_same_start
     }
 
+    /// Takes in where the own process stands, which look-ups must know before its next heartbeat.
+    pub fn set_own_phase(&mut self, phase: Phase) {
+        if let Some(own) = self.members.get_mut(&self.own) {
+            own.heartbeat.phase = phase;
+        }
+    }
+
     /// Where heartbeats go: everybody listed or heard of, but for this instance.
     #[must_use]
     pub fn recipients(&self) -> Vec<net::SocketAddr> {
--- a/crates/damaskvane-routing/tests/support/mod.rs
+++ b/crates/damaskvane-routing/tests/support/mod.rs
@@ -1,5 +1,5 @@
 //! Small builders for the tests of decisions.
-#![allow(dead_code, reason = "each test file uses its part")]
+#![allow(dead_code, unreachable_pub, reason = "each test file uses its part")]
 
 use std::collections::HashMap;
 
