--- a/crates/damaskvane-gateway/src/adapter.rs
+++ b/crates/damaskvane-gateway/src/adapter.rs
@@ -155,6 +155,9 @@
     /// The call that waits for changes.
     fn watch(&self, of: Collection, revision: u64, wait_ms: u64) -> StoreRequest;
 
+    /// The cheapest call that shows whether the store answers.
+    fn contact(&self, instance: &ids::InstanceId) -> StoreRequest;
+
     /// The calls that store an instance's record: the first creates it, the second replaces it.
     fn register(&self, record: &InstanceRecord) -> [StoreRequest; 2];
 
--- a/crates/damaskvane-gateway/src/metrics.rs
+++ b/crates/damaskvane-gateway/src/metrics.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::node::Node;
+use crate::store::Source;
 use crate::upstream::AnswerBody;
 
 /// Upper bounds of the latency histograms, in seconds: from a hop within a zone to the longest deadline.
@@ -53,6 +54,8 @@
     pub servers: IntGauge,
     /// Entry instances that look-ups may name.
     pub instances: IntGauge,
+    /// Whether changes come from a relay of the zone.
+    pub hears_from_relay: IntGauge,
     /// Milliseconds since the store last answered.
     pub store_age_ms: IntGauge,
 }
@@ -85,6 +88,7 @@
             configuration_version: make.gauge("configuration_version", "Version in force")?,
             servers: make.gauge("servers", "Backend servers known")?,
             instances: make.gauge("instances", "Instances that look-ups may name")?,
+            hears_from_relay: make.gauge("hears_from_relay", "Whether a relay tells of changes")?,
             store_age_ms: make.gauge("store_age_milliseconds", "Since the store answered")?,
             registry,
         })
@@ -155,6 +159,8 @@
     {
         let state = node.state.borrow();
         let metrics = &node.metrics;
+        let is_relayed = node.store.source() == Source::Relay;
+        metrics.hears_from_relay.set(i64::from(is_relayed));
         metrics.servers.set(state.pool.servers().count() as i64);
         metrics
             .instances
--- a/crates/damaskvane-gateway/src/node.rs
+++ b/crates/damaskvane-gateway/src/node.rs
@@ -19,7 +19,7 @@
 use crate::metrics::Metrics;
 use crate::settings::GatewaySettings;
 use crate::stop::Stop;
-use crate::store::StoreHealth;
+use crate::store::{Feed, Journal, StoreHealth};
 use crate::upstream::IdleConnections;
 
 /// What is believed and decided from.
@@ -55,6 +55,10 @@
     pub stop: Stop,
     /// Whether the store answers.
     pub store: StoreHealth,
+    /// The changes heard, for other instances of the zone.
+    pub journal: Journal,
+    /// The changes that come from a relay.
+    pub feed: Feed,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// The log.
@@ -105,6 +109,8 @@
             idle: RefCell::new(IdleConnections::default()),
             stop: Stop::default(),
             store: StoreHealth::default(),
+            journal: Journal::default(),
+            feed: Feed::default(),
             metrics,
             log: DecisionLog::new(log),
             started: Instant::now(),
--- a/crates/damaskvane-gateway/src/process.rs
+++ b/crates/damaskvane-gateway/src/process.rs
@@ -9,7 +9,7 @@
 use damaskvane_core::ids;
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::adapter::{Adapter, Collection};
+use crate::adapter::Adapter;
 use crate::clients::{self, Service};
 use crate::metrics::Metrics;
 use crate::node::Node;
@@ -108,8 +108,20 @@
             }
         });
     }
-    let beating = peers::run(Rc::clone(node), incarnation);
     let address = settings.peer_address;
+    let feeding = store::serve_feed(Rc::clone(node));
+    let feed_sender = sender.clone();
+    tokio::task::spawn_local(async move {
+        if let Err(error) = feeding.await {
+            let failure = ProcessError::Listen {
+                address,
+                purpose: "changes",
+                error,
+            };
+            let _ = feed_sender.send(failure);
+        }
+    });
+    let beating = peers::run(Rc::clone(node), incarnation);
     tokio::task::spawn_local(async move {
         if let Err(error) = beating.await {
             let failure = ProcessError::Listen {
@@ -120,13 +132,12 @@
             let _ = sender.send(failure);
         }
     });
-    for collection in [
-        Collection::Configuration,
-        Collection::Servers,
-        Collection::Evacuations,
-    ] {
+    for collection in store::FOLLOWED {
         tokio::task::spawn_local(store::follow(Rc::clone(node), collection));
     }
+    tokio::task::spawn_local(store::keep_contact(Rc::clone(node)));
+    tokio::task::spawn_local(store::listen_to_relay(Rc::clone(node)));
+    tokio::task::spawn_local(store::watch_freshness(Rc::clone(node)));
     tokio::task::spawn_local(store::register(Rc::clone(node)));
     tokio::task::spawn_local(probes::run(Rc::clone(node)));
     failures
--- a/crates/damaskvane-gateway/src/store.rs
+++ b/crates/damaskvane-gateway/src/store.rs
@@ -1,11 +1,26 @@
-//! What the platform's store says, followed by watches.
+//! What the platform's store says: lists, watches, and changes handed on within a zone.
 
 mod client;
+mod contact;
+mod feed;
 mod follow;
 mod health;
+mod journal;
 mod register;
 
 pub use client::{CallError, StoreClient};
+pub use contact::keep as keep_contact;
+pub use feed::{Feed, listen as listen_to_relay, serve as serve_feed, watch_freshness};
 pub use follow::follow;
-pub use health::StoreHealth;
+pub use health::{Source, StoreHealth};
+pub use journal::Journal;
 pub use register::register;
+
+use crate::adapter::Collection;
+
+/// The collections that every instance follows.
+pub const FOLLOWED: [Collection; 3] = [
+    Collection::Configuration,
+    Collection::Servers,
+    Collection::Evacuations,
+];
--- a/crates/damaskvane-gateway/src/store/follow.rs
+++ b/crates/damaskvane-gateway/src/store/follow.rs
@@ -4,28 +4,27 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
+use bytes::Bytes;
 use damaskvane_core::ids;
 use damaskvane_core::time::TimeMs;
 use damaskvane_routing::configuration::Configuration;
 use damaskvane_routing::pool::{Change, ServerEntry};
 use rand::RngExt;
 
-use crate::adapter::{Changes, Collection, Event, Record, StoreRequest};
+use crate::adapter::{Collection, Event, Record, StoreRequest};
 use crate::node::Node;
-use crate::store::{CallError, StoreClient};
+use crate::store::feed::Item;
+use crate::store::{CallError, Source, StoreClient};
 
-/// How long the sentinel's watch waits: an outage is noticed at most this long, and the slack, after its
-/// start.
-const SENTINEL_WAIT_MS: u64 = 3_000;
-/// How long other watches wait; the longest that stores commonly allow is 30 s.
-const LONG_WAIT_MS: u64 = 25_000;
+/// How long a watch waits; the longest that stores commonly allow is 30 s.
+const WAIT_MS: u64 = 25_000;
 /// How much later than announced a watch may return.
 const WAIT_SLACK: Duration = Duration::from_millis(1_200);
 /// How long a call that doesn't wait may take: a store that is 50 times slower than usual still answers
 /// a long list in this time.
 const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// The first pause after a failure.
-const FIRST_PAUSE_MS: u64 = 150;
+const FIRST_PAUSE_MS: u64 = 50;
 /// The longest pause after failures: a store that is back is noticed within it.
 const LONGEST_PAUSE_MS: u64 = 400;
 /// Changes that come within this time are fetched together: each return of a watch is a call that is
@@ -63,11 +62,6 @@
         }
     }
 
-    /// The servers' collection changes most often, so its watch is the sentinel.
-    fn is_sentinel(&self) -> bool {
-        self.collection == Collection::Servers
-    }
-
     async fn list(&mut self) -> Result<u64, CallError> {
         let mut items = Vec::new();
         let mut after: Option<String> = None;
@@ -87,31 +81,43 @@
             match page.continue_after {
                 Some(name) => after = Some(name),
                 None => {
-                    self.answered();
+                    self.failures = 0;
                     self.replace(items);
+                    self.node.journal.restart(self.collection, revision);
+                    self.node.feed.set_revision(self.collection, revision);
                     return Ok(revision);
                 }
             }
         }
     }
 
-    /// Watches until the history is gone.
+    /// Follows changes until the history is gone.
     async fn watch(&mut self, mut revision: u64) {
         loop {
-            match self.next_changes(revision).await {
-                Ok(changes) => {
-                    self.answered();
-                    revision = changes.revision;
-                    let is_empty = changes.events.is_empty();
+            match self.next_body(revision).await {
+                Ok((to, body)) => {
+                    self.failures = 0;
+                    if to <= revision {
+                        continue;
+                    }
+                    let Ok(changes) = self.node.adapter.changes(self.collection, &body) else {
+                        return;
+                    };
+                    revision = to;
+                    self.node.feed.set_revision(self.collection, revision);
+                    if changes.events.is_empty() {
+                        continue;
+                    }
+                    self.node.journal.append(self.collection, to, body);
                     for event in changes.events {
                         self.apply(event);
                     }
-                    if !is_empty {
+                    if self.node.store.source() == Source::Store {
                         tokio::time::sleep(GATHER).await;
                     }
                 }
                 Err(CallError::HistoryGone) => {
-                    slog::info!(self.node.log.log, "history of the store is gone";
+                    slog::info!(self.node.log.log, "history is gone";
                         "collection" => self.collection.as_str(), "revision" => revision);
                     return;
                 }
@@ -120,24 +126,40 @@
         }
     }
 
-    async fn next_changes(&mut self, revision: u64) -> Result<Changes, CallError> {
-        let wait_ms = if self.is_sentinel() {
-            SENTINEL_WAIT_MS
-        } else {
-            LONG_WAIT_MS
-        };
-        let request: StoreRequest = self.node.adapter.watch(self.collection, revision, wait_ms);
-        let timeout = Duration::from_millis(wait_ms) + WAIT_SLACK;
-        let body = if self.is_sentinel() {
-            self.client.call(&request, timeout).await?
-        } else {
-            tokio::select! {
-                body = self.client.call(&request, timeout) => body?,
-                () = self.node.store.until_down() => return Err(CallError::Timeout),
+    /// The next changes with the revision that they lead to, from wherever changes come.
+    async fn next_body(&mut self, revision: u64) -> Result<(u64, Bytes), CallError> {
+        let node = Rc::clone(&self.node);
+        match node.store.source() {
+            Source::Store => tokio::select! {
+                body = self.watch_store(revision) => body,
+                () = node.store.until_source(Source::Relay) => Ok((revision, Bytes::new())),
+            },
+            Source::Undecided => {
+                node.store.until_other_source(Source::Undecided).await;
+                Ok((revision, Bytes::new()))
             }
+            Source::Relay => tokio::select! {
+                item = node.feed.next(self.collection) => match item {
+                    Item::Batch(batch) if batch.from <= revision => Ok((batch.to, batch.body)),
+                    // The relay has left something out that this instance lacks.
+                    Item::Batch(_) | Item::Gone => Err(CallError::HistoryGone),
+                },
+                () = node.store.until_other_source(Source::Relay) => Ok((revision, Bytes::new())),
+            },
+        }
+    }
+
+    async fn watch_store(&mut self, revision: u64) -> Result<(u64, Bytes), CallError> {
+        let request: StoreRequest = self.node.adapter.watch(self.collection, revision, WAIT_MS);
+        let timeout = Duration::from_millis(WAIT_MS) + WAIT_SLACK;
+        let node = Rc::clone(&self.node);
+        let body = tokio::select! {
+            body = self.client.call(&request, timeout) => body?,
+            () = node.store.until_down() => return Err(CallError::Timeout),
         };
         let changes = self.node.adapter.changes(self.collection, &body);
-        changes.map_err(|error| self.unreadable(&error))
+        let changes = changes.map_err(|error| self.unreadable(&error))?;
+        Ok((changes.revision, body))
     }
 
     fn unreadable(&self, error: &crate::adapter::DecodeError) -> CallError {
@@ -146,29 +168,13 @@
         CallError::Malformed
     }
 
-    fn answered(&mut self) {
-        self.failures = 0;
-        if !self.is_sentinel() {
-            return;
-        }
-        let now = self.node.now();
-        if let Some(away) = self.node.store.answered(now) {
-            self.node.state.borrow_mut().pool.store_returned(now);
-            slog::info!(self.node.log.log, "store regained"; "away_ms" => away.get());
-        }
-    }
-
-    /// Waits before the next call. While the store is away only the sentinel asks, so that an outage
-    /// costs few calls and a store that comes back meets no herd.
+    /// Waits before the next call. While the store is away nothing but the contact task asks, so that an
+    /// outage costs few calls and a store that comes back meets no herd.
     async fn pause(&mut self, error: &CallError) {
         self.failures += 1;
-        if self.is_sentinel() {
-            if self.node.store.failed() {
-                slog::warn!(self.node.log.log, "store lost"; "error" => %error);
-            }
-        } else {
-            self.node.store.until_up().await;
-        }
+        slog::debug!(self.node.log.log, "call on the store failed";
+            "collection" => self.collection.as_str(), "error" => %error);
+        self.node.store.until_up().await;
         let longest_ms = (FIRST_PAUSE_MS << self.failures.min(4)).min(LONGEST_PAUSE_MS);
         let pause_ms = rand::rng().random_range(longest_ms / 2..=longest_ms);
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
--- a/crates/damaskvane-gateway/src/store/health.rs
+++ b/crates/damaskvane-gateway/src/store/health.rs
@@ -1,25 +1,35 @@
-//! Whether the store answers this instance.
+//! Whether what the instance knows of the store is fresh.
 //!
-//! One watch, the sentinel, waits for short times only and so finds out soon that the store is away. All
-//! other watches wait long, which saves calls, and start anew when the sentinel fails: a watch that hung
-//! through an outage may never return.
+//! The store's contact task finds out within about a second that the store is away. Watches wait long, which
+//! saves calls, and start anew after an outage: one that hung through it may never return.
 
 use std::cell::Cell;
 
 use damaskvane_core::time::{SpanMs, TimeMs};
 use tokio::sync::watch;
 
-/// What the sentinel found last.
+/// Where changes come from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// From the store itself.
+    Store,
+    /// From an instance of the zone that watches the store.
+    Relay,
+    /// From nowhere for a moment: the process has just started and may find a relay.
+    Undecided,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Reachability {
     Up,
     Down,
 }
 
-/// The store, as the sentinel finds it.
+/// The store, as the instance finds it.
 #[derive(Debug)]
 pub struct StoreHealth {
     reachability: watch::Sender<Reachability>,
+    source: watch::Sender<Source>,
     answered_at: Cell<TimeMs>,
 }
 
@@ -27,16 +37,17 @@
     fn default() -> Self {
         Self {
             reachability: watch::Sender::new(Reachability::Up),
+            source: watch::Sender::new(Source::Undecided),
             answered_at: Cell::new(TimeMs::ZERO),
         }
     }
 }
 
 impl StoreHealth {
-    /// Notes that the store answered; returns how long it was away, if it was.
-    pub fn answered(&self, now: TimeMs) -> Option<SpanMs> {
-        let away = now.since(self.answered_at.get());
-        self.answered_at.set(now);
+    /// Notes that the store answered at a time; returns how long it was away, if it was.
+    pub fn answered(&self, at: TimeMs) -> Option<SpanMs> {
+        let away = at.since(self.answered_at.get());
+        self.answered_at.set(self.answered_at.get().max(at));
         let was_down = self.reachability.send_if_modified(|reachability| {
             let was_down = *reachability == Reachability::Down;
             *reachability = Reachability::Up;
@@ -45,7 +56,7 @@
         was_down.then_some(away)
     }
 
-    /// Notes that the sentinel failed; returns whether that is news.
+    /// Notes that the store does not answer; returns whether that is news.
     pub fn failed(&self) -> bool {
         self.reachability.send_if_modified(|reachability| {
             let was_up = *reachability == Reachability::Up;
@@ -54,25 +65,52 @@
         })
     }
 
-    /// The time since the store answered last.
+    /// The time since the store answered last, to this instance or to its relay.
     #[must_use]
     pub fn age(&self, now: TimeMs) -> SpanMs {
         now.since(self.answered_at.get())
     }
 
-    /// Waits until the sentinel finds the store away.
+    /// Where changes come from.
+    #[must_use]
+    pub fn source(&self) -> Source {
+        *self.source.borrow()
+    }
+
+    /// Changes the source; returns whether it was another one.
+    pub fn set_source(&self, source: Source) -> bool {
+        self.source.send_if_modified(|current| {
+            let is_other = *current != source;
+            *current = source;
+            is_other
+        })
+    }
+
+    /// Waits until changes come from this source.
+    pub async fn until_source(&self, wanted: Source) {
+        let mut changes = self.source.subscribe();
+        // The sender lives as long as the node, so waiting doesn't fail.
+        let _ = changes.wait_for(|current| *current == wanted).await;
+    }
+
+    /// Waits until changes no longer come from this source.
+    pub async fn until_other_source(&self, than: Source) {
+        let mut changes = self.source.subscribe();
+        let _ = changes.wait_for(|current| *current != than).await;
+    }
+
+    /// Waits until the store is away.
     pub async fn until_down(&self) {
         self.until(Reachability::Down).await;
     }
 
-    /// Waits until the sentinel finds the store there.
+    /// Waits until the store is there.
     pub async fn until_up(&self) {
         self.until(Reachability::Up).await;
     }
 
     async fn until(&self, wanted: Reachability) {
         let mut changes = self.reachability.subscribe();
-        // The sender lives as long as the node, so waiting doesn't fail.
         let _ = changes.wait_for(|current| *current == wanted).await;
     }
 }
--- a/crates/damaskvane-routing/src/lib.rs
+++ b/crates/damaskvane-routing/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`placement`]: which backend server a request goes to, or why it is refused.
 //! - [`limit`]: shares of limits that all instances keep together without a message.
 //! - [`retry`]: what follows an exchange with a backend server.
+//! - [`relay`]: changes of the store that instances of a zone hand on.
 //! - [`peers`]: which entry instances are alive, and which a look-up names.
 //!
 //! ```
@@ -24,5 +25,6 @@
 pub mod peers;
 pub mod placement;
 pub mod pool;
+pub mod relay;
 pub mod retry;
 pub mod split;
--- a/crates/damaskvane-routing/src/peers/members.rs
+++ b/crates/damaskvane-routing/src/peers/members.rs
@@ -18,6 +18,8 @@
     pub silence_ms: u64,
     /// Instances to reckon with before the platform's list was read.
     pub unknown_instances: usize,
+    /// Instances of a zone that watch the store: the second one serves when the first is lost.
+    pub relays_per_zone: usize,
 }
 
 impl Default for PeerSettings {
@@ -26,6 +28,7 @@
             heartbeat_ms: 800,
             silence_ms: 2_600,
             unknown_instances: 16,
+            relays_per_zone: 2,
         }
     }
 }
@@ -145,6 +148,23 @@
             .map(|member| &member.heartbeat)
     }
 
+    /// The instances of a zone that watch the store for it, with their addresses.
+    ///
+    /// Every instance computes them from the heartbeats that it hears. Two that disagree cost some calls:
+    /// an instance whose source is stale watches the store itself.
+    #[must_use]
+    pub fn relays(
+        &self,
+        now: TimeMs,
+        zone: &ids::AvailabilityZoneId,
+    ) -> Vec<(ids::InstanceId, net::SocketAddr)> {
+        let in_zone = self.usable(now).filter(|heartbeat| heartbeat.zone == *zone);
+        in_zone
+            .take(self.settings.relays_per_zone)
+            .map(|heartbeat| (heartbeat.instance.clone(), heartbeat.peer_address))
+            .collect()
+    }
+
     /// The client addresses for a caller: of its own zone, or else of its region, or else of the regions
     /// that may serve it, or else all.
     #[must_use]
