--- a/crates/damaskvane-gateway/src/clients/dispatch.rs
+++ b/crates/damaskvane-gateway/src/clients/dispatch.rs
@@ -212,6 +212,12 @@
         if may {
             let after = last.map_or("none", |last| end_name(last.end));
             self.node.metrics.retries.with_label_values(&[after]).inc();
+            let log = &self.node.log;
+            log.request(now, Matter::Failure, |log, left_out| {
+                slog::info!(log, "tried again";
+                    "request_id" => self.outgoing.request_id.as_deref(), "after" => after,
+                    "instances" => instances, "lines_left_out" => left_out);
+            });
         } else {
             self.node.metrics.retries_denied.inc();
         }
--- /dev/null
+++ b/crates/damaskvane-gateway/src/explain/line.rs
@@ -0,0 +1,48 @@
+//! One line of a log.
+
+use serde_json::{Map, Value};
+
+/// A line, read as JSON; whatever stands before the object is left out.
+#[derive(Debug, Clone)]
+pub(super) struct Line(Map<String, Value>);
+
+impl Line {
+    pub(super) fn parse(text: &str) -> Option<Self> {
+        let start = text.find('{')?;
+        let value: Value = serde_json::from_str(text[start..].trim_end()).ok()?;
+        match value {
+            Value::Object(fields) => Some(Self(fields)),
+            _ => None,
+        }
+    }
+
+    pub(super) fn text(&self, field: &str) -> Option<&str> {
+        self.0.get(field)?.as_str()
+    }
+
+    pub(super) fn message(&self) -> &str {
+        self.text("msg").unwrap_or_default()
+    }
+
+    /// Lines on requests that were left out before this one.
+    pub(super) fn left_out(&self) -> u64 {
+        let count = self.0.get("lines_left_out");
+        count.and_then(Value::as_u64).unwrap_or_default()
+    }
+
+    /// The line for a reader: time, message, and all other fields that hold something.
+    pub(super) fn told(&self) -> String {
+        const LEFT_OUT: [&str; 6] = ["msg", "ts", "level", "instance", "program", "request_id"];
+        let mut told = format!("{} {}", self.text("ts").unwrap_or("-"), self.message());
+        for (field, value) in &self.0 {
+            if LEFT_OUT.contains(&field.as_str()) || value.is_null() {
+                continue;
+            }
+            let value = value
+                .as_str()
+                .map_or_else(|| value.to_string(), str::to_owned);
+            told.push_str(&format!(", {field} {value}"));
+        }
+        told
+    }
+}
--- a/crates/damaskvane-gateway/src/probes.rs
+++ b/crates/damaskvane-gateway/src/probes.rs
@@ -22,7 +22,9 @@
         let now = node.now();
         let gone = node.state.borrow_mut().pool.expire(now);
         for change in gone {
-            slog::info!(node.log.log, "backend server"; "change" => ?change, "reason" => "lapsed");
+            slog::info!(node.log.log, "backend server";
+                "backend_server" => %change.server(), "change" => change.as_str(),
+                "reason" => "missing after an outage of the store");
         }
         node.idle.borrow_mut().expire(now);
         let Some(configuration) = node.configuration() else {
--- a/crates/damaskvane-gateway/src/store/follow.rs
+++ b/crates/damaskvane-gateway/src/store/follow.rs
@@ -256,7 +256,10 @@
             if let Change::Gone(id) | Change::Restarted(id) = change {
                 self.node.idle.borrow_mut().drop_server(id);
             }
-            slog::info!(self.node.log.log, "backend server"; "change" => ?change);
+            slog::info!(self.node.log.log, "backend server";
+                "backend_server" => %change.server(), "change" => change.as_str(),
+                "source" => ?self.node.store.source(),
+                "store_age_ms" => self.node.store.age(self.node.now()).get());
         }
     }
 
--- a/crates/damaskvane-routing/src/pool/server_pool.rs
+++ b/crates/damaskvane-routing/src/pool/server_pool.rs
@@ -22,6 +22,32 @@
     Lapsing(ids::BackendServerId),
 }
 
+impl Change {
+    /// The server that changed.
+    #[must_use]
+    pub const fn server(&self) -> &ids::BackendServerId {
+        match self {
+            Self::Joined(id)
+            | Self::Restarted(id)
+            | Self::Draining(id)
+            | Self::Gone(id)
+            | Self::Lapsing(id) => id,
+        }
+    }
+
+    /// The change as a word for logs.
+    #[must_use]
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Joined(_) => "joined",
+            Self::Restarted(_) => "restarted",
+            Self::Draining(_) => "draining",
+            Self::Gone(_) => "gone",
+            Self::Lapsing(_) => "lapsing",
+        }
+    }
+}
+
 /// The backend servers, the zones that are evacuated, and when the store was last away.
 #[derive(Debug)]
 pub struct ServerPool {
