--- a/crates/damaskvane-gateway/src/process.rs
+++ b/crates/damaskvane-gateway/src/process.rs
@@ -89,7 +89,6 @@
         (Some(settings.client_address), Service::Clients, "clients"),
         (settings.lookup_address, Service::LookUps, "look-ups"),
         (Some(settings.ready_address), Service::Ready, "readiness"),
-        (settings.metrics_address, Service::Metrics, "metrics"),
     ];
     for (address, service, purpose) in listeners {
         let Some(address) = address else {
@@ -140,9 +139,23 @@
     tokio::task::spawn_local(store::watch_freshness(Rc::clone(node)));
     tokio::task::spawn_local(store::register(Rc::clone(node)));
     tokio::task::spawn_local(probes::run(Rc::clone(node)));
+    if let Some(address) = settings.metrics_address {
+        tokio::task::spawn_local(serve_metrics(Rc::clone(node), address));
+    }
     failures
 }
 
+/// Serves the metrics if their port is free; the last listener to start.
+///
+/// The port is fixed while the platform draws all others. Where they meet, clients are served and the
+/// metrics are missing: a process that ended over it would end at every start, on every machine.
+async fn serve_metrics(node: Rc<Node>, address: std::net::SocketAddr) {
+    let log = node.log.log.clone();
+    if let Err(error) = clients::listen(node, address, Service::Metrics).await {
+        slog::warn!(log, "metrics can't be read"; "address" => %address, "error" => %error);
+    }
+}
+
 /// Which start this is: the time of day, which two starts of one instance differ in.
 fn incarnation() -> ids::Incarnation {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
