--- a/crates/damaskvane-gateway/src/store/contact.rs
+++ b/crates/damaskvane-gateway/src/store/contact.rs
@@ -1,6 +1,6 @@
 //! Finds out whether the store answers.
 //!
-//! Only an instance that watches the store itself asks. It reads its own record, stale data allowed: such a
+//! Only an instance that watches the store itself asks, or one that would if the store answered it. It reads its own record, stale data allowed: such a
 //! call is the cheapest there is. Meanwhile the watches may wait for as long as they like.
 
 use core::time::Duration;
@@ -15,6 +15,8 @@
 /// The pause between two questions. A zone's other instances must hear within about a second that their
 /// relay is cut off, so that they learn of a drain themselves in time.
 const PERIOD: Duration = Duration::from_millis(300);
+/// The pause while another instance tells of changes because the store doesn't answer this one.
+const LOST_PERIOD: Duration = Duration::from_millis(800);
 /// How long an answer may take: longer than a lost packet, or a store that is 60 times slower than usual.
 const TIMEOUT: Duration = Duration::from_millis(900);
 /// Outages shorter than this make no entry lapse: servers miss three of their own writes before.
@@ -25,24 +27,38 @@
     let mut client = StoreClient::new(Rc::clone(&node), Collection::Instances);
     let request = node.adapter.contact(&node.settings().instance);
     loop {
-        if node.store.source() == Source::Relay {
+        let is_relayed = node.store.source() == Source::Relay;
+        if is_relayed && !node.store.is_own_contact_lost() {
             node.store.until_other_source(Source::Relay).await;
         }
         match client.call(&request, TIMEOUT).await {
             // That the record isn't written yet is an answer too.
             Ok(_) | Err(CallError::Status(StatusCode::NOT_FOUND)) => note_answer(&node),
-            Err(error) => {
-                if node.store.failed() {
-                    slog::warn!(node.log.log, "store lost"; "error" => %error);
-                }
-            }
+            Err(error) => note_failure(&node, &error),
         }
-        tokio::time::sleep(PERIOD).await;
+        let period = if node.store.source() == Source::Relay {
+            LOST_PERIOD
+        } else {
+            PERIOD
+        };
+        tokio::time::sleep(period).await;
+    }
+}
+
+fn note_failure(node: &Rc<Node>, error: &CallError) {
+    if !node.store.is_own_contact_lost() {
+        slog::warn!(node.log.log, "store lost"; "error" => %error);
+    }
+    node.store.set_own_contact_lost(true);
+    // Where a relay tells of changes, what is known stays fresh.
+    if node.store.source() != Source::Relay {
+        node.store.failed();
     }
 }
 
 fn note_answer(node: &Rc<Node>) {
     let now = node.now();
+    node.store.set_own_contact_lost(false);
     let Some(away) = node.store.answered(now) else {
         return;
     };
--- a/crates/damaskvane-gateway/src/store/feed.rs
+++ b/crates/damaskvane-gateway/src/store/feed.rs
@@ -32,6 +32,8 @@
 const STALE_MS: u64 = 900;
 /// The age of the store's last answer to the relay after which a listener watches the store itself.
 const STORE_STALE_MS: u64 = 1_100;
+/// The pause before another relay is tried in place of one that knows nothing fresh.
+const STALE_PAUSE: Duration = Duration::from_millis(300);
 /// How long a new process waits for a relay before it watches the store itself.
 const UNDECIDED_MS: u64 = 1_500;
 /// The pause between two looks at the source, and between two tries to connect.
@@ -194,13 +196,13 @@
 enum Role {
     /// It watches the store for others.
     Relay,
-    /// It hears from the relay at this address.
+    /// It hears from the instance at this address.
     Listener(net::SocketAddr),
-    /// No relay is known.
+    /// Nobody is known to hear from.
     Unknown,
 }
 
-/// Listens to a relay of the zone whenever there is one, until the process ends.
+/// Listens to a relay whenever there is one, until the process ends.
 pub async fn listen(node: Rc<Node>) {
     let mut turn = 0;
     loop {
@@ -216,22 +218,30 @@
     }
 }
 
+/// The relays of the zone come first. An instance that the store doesn't answer hears from anybody: the
+/// store may turn some machines away while others still reach it, and a machine that knows nothing of an
+/// evacuation or a drain would go on sending requests there.
 fn role(node: &Rc<Node>, turn: usize) -> Role {
     let settings = node.settings();
-    let relays = node
-        .state
-        .borrow()
-        .members
-        .relays(node.now(), &settings.zone);
-    if relays.is_empty() {
-        return Role::Unknown;
-    }
-    if relays.iter().any(|(id, _)| *id == settings.instance) {
+    let state = node.state.borrow();
+    let now = node.now();
+    let is_lost = node.store.is_own_contact_lost();
+    let mut sources = state.members.relays(now, &settings.zone);
+    let is_relay = sources.iter().any(|(id, _)| *id == settings.instance);
+    if is_relay && !is_lost {
         return Role::Relay;
     }
+    if is_lost {
+        let others = state.members.usable(now);
+        sources.extend(others.map(|one| (one.instance.clone(), one.peer_address)));
+    }
+    sources.retain(|(id, _)| *id != settings.instance);
+    if sources.is_empty() {
+        return Role::Unknown;
+    }
     // Listeners spread over the relays by the bytes of their names.
     let spread: usize = settings.instance.as_str().bytes().map(usize::from).sum();
-    let (_, address) = relays[(spread + turn) % relays.len()];
+    let (_, address) = sources[(spread + turn) % sources.len()];
     Role::Listener(address)
 }
 
@@ -252,11 +262,16 @@
         match decode(&bytes)? {
             Frame::Alive { store_age_ms } => {
                 feed.heard_at.set(Some(now));
-                if store_age_ms <= STORE_STALE_MS && node.store.source() == Source::Relay {
+                decide(node, Some(SpanMs::new(store_age_ms)));
+                if store_age_ms > STORE_STALE_MS {
+                    // Another one may know more; if the store is away for all, there is no hurry.
+                    tokio::time::sleep(STALE_PAUSE).await;
+                    return Ok(());
+                }
+                if node.store.source() == Source::Relay {
                     let at = TimeMs::new(now.get().saturating_sub(store_age_ms));
                     node.store.answered(at);
                 }
-                decide(node, Some(SpanMs::new(store_age_ms)));
             }
             Frame::Changes {
                 collection,
@@ -286,10 +301,10 @@
     let now = node.now();
     let heard_at = node.feed.heard_at.get();
     let is_heard = heard_at.is_some_and(|at| now.since(at).get() <= STALE_MS);
-    let role = role(node, 0);
+    let is_relay = role(node, 0) == Role::Relay;
     let current = node.store.source();
     let wanted = match store_age {
-        _ if role == Role::Relay => Source::Store,
+        _ if is_relay => Source::Store,
         Some(age) if age.get() <= STORE_STALE_MS => Source::Relay,
         Some(_) => Source::Store,
         None if current == Source::Relay && is_heard => Source::Relay,
--- a/crates/damaskvane-gateway/src/store/health.rs
+++ b/crates/damaskvane-gateway/src/store/health.rs
@@ -31,6 +31,8 @@
     reachability: watch::Sender<Reachability>,
     source: watch::Sender<Source>,
     answered_at: Cell<TimeMs>,
+    /// Whether the store does not answer this instance itself, whatever a relay tells.
+    is_own_contact_lost: Cell<bool>,
 }
 
 impl Default for StoreHealth {
@@ -39,6 +41,7 @@
             reachability: watch::Sender::new(Reachability::Up),
             source: watch::Sender::new(Source::Undecided),
             answered_at: Cell::new(TimeMs::ZERO),
+            is_own_contact_lost: Cell::new(false),
         }
     }
 }
@@ -65,6 +68,17 @@
         })
     }
 
+    /// Notes whether the store answers this instance itself.
+    pub fn set_own_contact_lost(&self, is_lost: bool) {
+        self.is_own_contact_lost.set(is_lost);
+    }
+
+    /// Whether the store does not answer this instance itself.
+    #[must_use]
+    pub const fn is_own_contact_lost(&self) -> bool {
+        self.is_own_contact_lost.get()
+    }
+
     /// The time since the store answered last, to this instance or to its relay.
     #[must_use]
     pub fn age(&self, now: TimeMs) -> SpanMs {
