--- a/crates/damaskvane-gateway/src/http.rs
+++ b/crates/damaskvane-gateway/src/http.rs
@@ -8,6 +8,6 @@
 mod connection;
 mod head;
 
-pub use body::{BodyKind, BodyReader};
+pub use body::{BodyKind, BodyReader, MalformedBody, Piece};
 pub use connection::{Connection, ReadError};
-pub use head::AnswerHead;
+pub use head::{AnswerHead, MalformedHead};
--- a/crates/damaskvane-gateway/src/http/connection.rs
+++ b/crates/damaskvane-gateway/src/http/connection.rs
@@ -15,6 +15,9 @@
 /// The first size of a read buffer: holds most heads with a short body.
 const BUFFER_BYTES: usize = 4_096;
 
+/// How long a server that has begun to answer may still take to read the rest of a long request.
+const EARLY_PATIENCE: Duration = Duration::from_millis(200);
+
 /// Why no answer could be read.
 #[derive(Debug)]
 pub enum ReadError {
@@ -75,24 +78,34 @@
 
     /// Writes a long request while it listens for an early answer; returns whether all was written.
     ///
-    /// A server may answer before it has read the whole body. One that does and stops reading would
-    /// block a writer that doesn't listen, until the deadline.
+    /// A server may answer before it has read the whole body, and go on reading or not. One that doesn't
+    /// would block a writer that doesn't listen until the deadline; one that does gets the rest, since other
+    /// bytes in its place would be taken for a part of the body.
     ///
     /// # Errors
     ///
     /// Fails if the connection is broken.
     pub async fn write_listening(&mut self, mut bytes: Bytes) -> io::Result<bool> {
         let (mut reader, mut writer) = self.stream.split();
+        let mut end = None;
         while !bytes.is_empty() {
-            tokio::select! {
-                biased;
-                read = reader.read_buf(&mut self.buffer) => {
-                    read?;
-                    return Ok(false);
+            let patience = async {
+                match end {
+                    Some(end) => tokio::time::sleep_until(end).await,
+                    None => core::future::pending().await,
                 }
+            };
+            tokio::select! {
                 written = writer.write(&bytes) => {
                     let _ = bytes.split_to(written?);
                 }
+                read = reader.read_buf(&mut self.buffer) => {
+                    if read? == 0 {
+                        return Ok(false);
+                    }
+                    end.get_or_insert_with(|| tokio::time::Instant::now() + EARLY_PATIENCE);
+                }
+                () = patience => return Ok(false),
             }
         }
         Ok(true)
--- /dev/null
+++ b/crates/damaskvane-gateway/tests/http.rs
@@ -0,0 +1,113 @@
+//! Reading answers of backend servers, byte by byte.
+
+use std::io::Write;
+use std::net;
+use std::time::Duration;
+
+use damaskvane_gateway::http::{BodyReader, Connection, ReadError};
+
+/// Reads one answer that arrives in pieces of so many bytes.
+fn read(bytes: &'static [u8], piece: usize) -> Result<(u16, Vec<u8>, bool), ReadError> {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let writing = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        stream.set_nodelay(true).expect("an option");
+        for piece in bytes.chunks(piece) {
+            // The reader may have found fault and closed.
+            if stream.write_all(piece).is_err() {
+                return;
+            }
+        }
+    });
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let result = runtime.block_on(async {
+        let second = Duration::from_secs(20);
+        let mut connection = Connection::open(address, second, second).await?;
+        let head = connection.read_head().await?;
+        let mut body = BodyReader::new(head.body);
+        let whole = connection.read_body(&mut body, 1 << 20).await?;
+        let whole = whole.expect("a short body");
+        Ok((head.status, whole.to_vec(), head.keeps_open))
+    });
+    writing.join().expect("the writer ends");
+    result
+}
+
+const PIECES: [usize; 3] = [1, 7, 10_000];
+
+#[test]
+fn whole_answers_are_read_however_they_arrive() {
+    let answers: [(&[u8], &[u8]); 5] = [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", b"hello"),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2;x=y\r\nlo\r\n0\r\nT: r\r\n\r\n",
+            b"hello",
+        ),
+        (b"HTTP/1.1 200 OK\r\n\r\nhello", b"hello"),
+        (b"HTTP/1.1 204 No\r\n\r\n", b""),
+        (
+            b"HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+            b"ok",
+        ),
+    ];
+    for (bytes, body) in answers {
+        for piece in PIECES {
+            let (status, read_body, _) = read(bytes, piece).expect("a whole answer");
+            assert!(status == 200 || status == 204);
+            assert_eq!(read_body, body);
+        }
+    }
+}
+
+/// A server breaks off in the middle of its answer. What came must not pass for the whole.
+#[test]
+fn cut_answers_are_never_taken_for_whole() {
+    let answers: [&[u8]; 4] = [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhell",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel",
+        b"HTTP/1.1 200 OK\r\nContent-Le",
+    ];
+    for bytes in answers {
+        for piece in PIECES {
+            assert!(
+                read(bytes, piece).is_err(),
+                "{}",
+                String::from_utf8_lossy(bytes)
+            );
+        }
+    }
+}
+
+/// Bytes that are no answer, or whose end can't be told, would let one client read what belongs to another.
+#[test]
+fn answers_without_a_certain_end_are_malformed() {
+    let answers: [&[u8]; 5] = [
+        b"no answer at all\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!",
+        b"HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nhello",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\nhello\r\n0\r\n\r\n",
+    ];
+    for bytes in answers {
+        let result = read(bytes, 10_000);
+        assert!(
+            matches!(result, Err(ReadError::Malformed)),
+            "{}",
+            String::from_utf8_lossy(bytes)
+        );
+    }
+}
+
+#[test]
+fn a_sender_that_closes_or_ends_with_the_connection_is_not_kept() {
+    let closing = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    assert!(!read(closing, 100).expect("an answer").2);
+    assert!(!read(b"HTTP/1.1 200 OK\r\n\r\n", 100).expect("an answer").2);
+    let keeping = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    assert!(read(keeping, 100).expect("an answer").2);
+}
