A source with a gap passes for none; whole collections come from other instances

Ruled out: the listener's own clock (its words arrived every 250 ms). Change: an instance that misses something tells an age of an hour; a listener that lacks more than the kept changes gets the list with all changes since, taken in as one, so that no server counts as gone or cold in between.

--- a/crates/damaskvane-gateway/src/store/feed.rs
+++ b/crates/damaskvane-gateway/src/store/feed.rs
@@ -21,7 +21,7 @@
 
 use crate::adapter::Collection;
 use crate::node::Node;
-use crate::store::journal::Next;
+use crate::store::journal::{Listing, Next};
 use crate::store::{FOLLOWED, Source};
 
 /// The pause between two words on the store's age.
@@ -34,6 +34,8 @@
 const STORE_STALE_MS: u64 = 1_100;
 /// The pause before another relay is tried in place of one that knows nothing fresh.
 const STALE_PAUSE: Duration = Duration::from_millis(300);
+/// The age that an instance tells which has missed something.
+const GAP_AGE_MS: u64 = 3_600_000;
 /// How long a new process waits for a relay before it watches the store itself.
 const UNDECIDED_MS: u64 = 1_500;
 /// The pause between two looks at the source, and between two tries to connect.
@@ -63,6 +65,13 @@
         #[serde(with = "serde_bytes")]
         body: Vec<u8>,
     },
+    /// A whole collection, for a listener that lacks more than the changes that are kept.
+    Listing {
+        collection: u8,
+        revision: u64,
+        pages: Vec<serde_bytes::ByteBuf>,
+        changes: Vec<serde_bytes::ByteBuf>,
+    },
     /// What the listener lacks of a collection is no longer known.
     Gone { collection: u8 },
 }
@@ -72,6 +81,8 @@
 pub enum Item {
     /// Changes.
     Batch(Batch<Bytes>),
+    /// The whole collection.
+    Listing(Listing),
     /// Everything must be read anew.
     Gone,
 }
@@ -84,9 +95,25 @@
     /// The revisions that the collections are at.
     revisions: RefCell<[u64; FOLLOWED.len()]>,
     heard_at: Cell<Option<TimeMs>>,
+    restarts: Notify,
 }
 
 impl Feed {
+    /// Asks for a whole collection in place of its next changes.
+    pub fn ask_anew(&self, collection: Collection) {
+        self.set_revision(collection, 0);
+        self.restarts.notify_waiters();
+    }
+
+    /// Waits for the whole collection.
+    pub async fn listing(&self, collection: Collection) -> Listing {
+        loop {
+            if let Item::Listing(listing) = self.next(collection).await {
+                return listing;
+            }
+        }
+    }
+
     /// Notes the revision that a collection is at.
     pub fn set_revision(&self, collection: Collection, revision: u64) {
         if let Some(index) = FOLLOWED.iter().position(|one| *one == collection) {
@@ -154,7 +181,11 @@
         for (index, collection) in FOLLOWED.into_iter().enumerate() {
             send_missing(node, &mut stream, index, collection, &mut revisions[index]).await?;
         }
-        let store_age_ms = node.store.age(node.now()).get();
+        let store_age_ms = if node.journal.is_whole() {
+            node.store.age(node.now()).get()
+        } else {
+            GAP_AGE_MS
+        };
         send(&mut stream, &Frame::Alive { store_age_ms }).await?;
         // A change is handed on at once; without one, the age is told once a period.
         let _ = tokio::time::timeout(PERIOD, additions.changed()).await;
@@ -172,6 +203,16 @@
     loop {
         match node.journal.since(collection, *revision) {
             Next::Nothing => return Ok(()),
+            Next::Listing(listing) => {
+                *revision = listing.revision;
+                let frame = Frame::Listing {
+                    collection: number,
+                    revision: listing.revision,
+                    pages: to_wire(&listing.pages),
+                    changes: to_wire(&listing.changes),
+                };
+                send(stream, &frame).await?;
+            }
             Next::Gone { resume_at } => {
                 *revision = resume_at;
                 let frame = Frame::Gone { collection: number };
@@ -206,10 +247,7 @@
 pub async fn listen(node: Rc<Node>) {
     let mut turn = 0;
     loop {
-        let is_listed = !node.feed.revisions.borrow().contains(&0);
-        if let Role::Listener(address) = role(&node, turn)
-            && is_listed
-        {
+        if let Role::Listener(address) = role(&node, turn) {
             // Why it ended doesn't matter: the next one is tried.
             let _ = listen_to(&node, address).await;
             turn += 1;
@@ -257,7 +295,10 @@
     };
     send(&mut stream, &hello).await?;
     loop {
-        let bytes = tokio::time::timeout(SILENCE, read_frame(&mut stream)).await??;
+        let bytes = tokio::select! {
+            read = tokio::time::timeout(SILENCE, read_frame(&mut stream)) => read??,
+            () = feed.restarts.notified() => return Ok(()),
+        };
         let now = node.now();
         match decode(&bytes)? {
             Frame::Alive { store_age_ms } => {
@@ -283,6 +324,19 @@
                 let item = Item::Batch(Batch { from, to, body });
                 feed.push(collection_of(collection)?, item);
             }
+            Frame::Listing {
+                collection,
+                revision,
+                pages,
+                changes,
+            } => {
+                let item = Item::Listing(Listing {
+                    revision,
+                    pages: from_wire(pages),
+                    changes: from_wire(changes),
+                });
+                feed.push(collection_of(collection)?, item);
+            }
             Frame::Gone { collection } => feed.push(collection_of(collection)?, Item::Gone),
         }
     }
@@ -318,6 +372,15 @@
     }
 }
 
+fn to_wire(bodies: &[Bytes]) -> Vec<serde_bytes::ByteBuf> {
+    bodies.iter().map(|body| body.to_vec().into()).collect()
+}
+
+fn from_wire(bodies: Vec<serde_bytes::ByteBuf>) -> Vec<Bytes> {
+    let bodies = bodies.into_iter();
+    bodies.map(|body| Bytes::from(body.into_vec())).collect()
+}
+
 fn collection_of(number: u8) -> io::Result<Collection> {
     let found = FOLLOWED.get(usize::from(number)).copied();
     found.ok_or_else(|| io::ErrorKind::InvalidData.into())
--- a/crates/damaskvane-gateway/src/store/follow.rs
+++ b/crates/damaskvane-gateway/src/store/follow.rs
@@ -1,7 +1,7 @@
 //! Follows one collection of the store: a list, then watches from its revision on.
 
 use core::time::Duration;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -11,9 +11,10 @@
 use damaskvane_routing::pool::{Change, ServerEntry};
 use rand::RngExt;
 
-use crate::adapter::{Collection, Event, Record, StoreRequest};
+use crate::adapter::{Collection, DecodeError, Event, Record, StoreRequest};
 use crate::node::Node;
 use crate::store::feed::Item;
+use crate::store::journal::Listing;
 use crate::store::{CallError, Source, StoreClient};
 
 /// How long a watch waits; the longest that stores commonly allow is 30 s.
@@ -27,6 +28,8 @@
 const FIRST_PAUSE_MS: u64 = 50;
 /// The longest pause after failures: a store that is back is noticed within it.
 const LONGEST_PAUSE_MS: u64 = 400;
+/// How long a relay may take to send a whole collection before the store is asked for it.
+const RELAY_PATIENCE: Duration = Duration::from_millis(400);
 /// Changes that come within this time are fetched together: each return of a watch is a call that is
 /// paid for, and a replaced server makes several changes.
 const GATHER: Duration = Duration::from_millis(150);
@@ -55,15 +58,47 @@
 impl Follower {
     async fn run(&mut self) {
         loop {
-            match self.list().await {
-                Ok(revision) => self.watch(revision).await,
-                Err(error) => self.pause(&error).await,
+            let revision = self.begin().await;
+            self.watch(revision).await;
+            self.node.journal.set_gap(self.collection);
+            self.node.feed.ask_anew(self.collection);
+        }
+    }
+
+    /// Reads the whole collection, from a relay if there is one, else from the store; whichever answers.
+    async fn begin(&mut self) -> u64 {
+        let node = Rc::clone(&self.node);
+        let collection = self.collection;
+        if node.store.source() == Source::Relay {
+            let listing = node.feed.listing(collection);
+            if let Ok(listing) = tokio::time::timeout(RELAY_PATIENCE, listing).await
+                && let Ok(revision) = self.take_listing(listing)
+            {
+                return revision;
+            }
+        }
+        loop {
+            let read = async {
+                match self.read_list().await {
+                    Err(error) => {
+                        self.pause(&error).await;
+                        None
+                    }
+                    Ok(listing) => Some(listing),
+                }
+            };
+            let listing = tokio::select! {
+                listing = read => listing,
+                listing = node.feed.listing(collection) => Some(listing),
+            };
+            if let Some(Ok(revision)) = listing.map(|listing| self.take_listing(listing)) {
+                return revision;
             }
         }
     }
 
-    async fn list(&mut self) -> Result<u64, CallError> {
-        let mut items = Vec::new();
+    async fn read_list(&mut self) -> Result<Listing, CallError> {
+        let mut pages = Vec::new();
         let mut after: Option<String> = None;
         let mut first_revision = None;
         loop {
@@ -75,22 +110,45 @@
             self.node.metrics.store_s.observe(took_ms as f64 / 1_000.0);
             let page = self.node.adapter.page(self.collection, &body);
             let page = page.map_err(|error| self.unreadable(&error))?;
-            items.extend(page.items);
+            pages.push(body);
             // Changes between two pages are in the history after the first one.
             let revision = *first_revision.get_or_insert(page.revision);
             match page.continue_after {
                 Some(name) => after = Some(name),
                 None => {
-                    self.failures = 0;
-                    self.replace(items);
-                    self.node.journal.restart(self.collection, revision);
-                    self.node.feed.set_revision(self.collection, revision);
-                    return Ok(revision);
+                    return Ok(Listing {
+                        revision,
+                        pages,
+                        changes: Vec::new(),
+                    });
                 }
             }
         }
     }
 
+    /// Puts a whole collection in place of what was known.
+    fn take_listing(&mut self, listing: Listing) -> Result<u64, DecodeError> {
+        // The last word on each object counts. Were the list taken in before the changes since, servers that
+        // joined after it would be taken as gone for a moment, and as cold after that.
+        let mut items: BTreeMap<String, Event> = BTreeMap::new();
+        for body in &listing.pages {
+            let page = self.node.adapter.page(self.collection, body)?;
+            items.extend(page.items.into_iter().map(|item| (item.name.clone(), item)));
+        }
+        for body in &listing.changes {
+            let changes = self.node.adapter.changes(self.collection, body)?;
+            let events = changes.events.into_iter();
+            items.extend(events.map(|event| (event.name.clone(), event)));
+        }
+        items.retain(|_, item| item.record.is_some());
+        let revision = listing.revision;
+        self.failures = 0;
+        self.replace(items.into_values().collect());
+        self.node.journal.restart(self.collection, listing);
+        self.node.feed.set_revision(self.collection, revision);
+        Ok(revision)
+    }
+
     /// Follows changes until the history is gone.
     async fn watch(&mut self, mut revision: u64) {
         loop {
@@ -100,6 +158,11 @@
                     if to <= revision {
                         continue;
                     }
+                    if body.is_empty() {
+                        // A whole collection was taken in.
+                        revision = to;
+                        continue;
+                    }
                     let Ok(changes) = self.node.adapter.changes(self.collection, &body) else {
                         return;
                     };
@@ -143,6 +206,13 @@
                     Item::Batch(batch) if batch.from <= revision => Ok((batch.to, batch.body)),
                     // The relay has left something out that this instance lacks.
                     Item::Batch(_) | Item::Gone => Err(CallError::HistoryGone),
+                    Item::Listing(listing) => {
+                        let to = listing.revision;
+                        if to > revision && self.take_listing(listing).is_err() {
+                            return Err(CallError::HistoryGone);
+                        }
+                        Ok((to, Bytes::new()))
+                    }
                 },
                 () = node.store.until_other_source(Source::Relay) => Ok((revision, Bytes::new())),
             },
@@ -162,7 +232,7 @@
         Ok((changes.revision, body))
     }
 
-    fn unreadable(&self, error: &crate::adapter::DecodeError) -> CallError {
+    fn unreadable(&self, error: &DecodeError) -> CallError {
         slog::warn!(self.node.log.log, "answer of the store can't be read";
             "collection" => self.collection.as_str(), "error" => %error);
         CallError::Malformed
--- a/crates/damaskvane-routing/src/pool/server_pool.rs
+++ b/crates/damaskvane-routing/src/pool/server_pool.rs
@@ -129,6 +129,10 @@
             return None;
         }
         server.lapses_at = None;
+        if entry == server.entry {
+            // Read once more; the cold time that it names has passed since it was written.
+            return None;
+        }
         let has_restarted = entry.started_unix_ms > server.entry.started_unix_ms
             || entry.address != server.entry.address;
         let was_draining = server.entry.state == ServerState::Draining;
--- a/crates/damaskvane-routing/src/relay.rs
+++ b/crates/damaskvane-routing/src/relay.rs
@@ -16,7 +16,7 @@
 use std::collections::VecDeque;
 
 /// Most bytes of changes that are kept: a large configuration is about a hundred kilobytes.
-const MOST_BYTES: usize = 1 << 20;
+const MOST_BYTES: usize = 4 << 20;
 
 /// Some changes, and the revisions that they lead from and to.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -86,6 +86,23 @@
         }
     }
 
+    /// The revision before the first batch that is kept.
+    #[must_use]
+    pub const fn start(&self) -> u64 {
+        self.start
+    }
+
+    /// The revision after the last batch.
+    #[must_use]
+    pub const fn end(&self) -> u64 {
+        self.end
+    }
+
+    /// The changes that are kept, in order.
+    pub fn bodies(&self) -> impl Iterator<Item = &B> {
+        self.batches.iter().map(|(batch, _)| &batch.body)
+    }
+
     /// What comes after a revision.
     #[must_use]
     pub fn since(&self, revision: u64) -> Since<'_, B> {
--- a/crates/damaskvane-routing/tests/pool.rs
+++ b/crates/damaskvane-routing/tests/pool.rs
@@ -102,6 +102,21 @@
     assert!(!server.is_cold(at(8_000)));
 }
 
+/// Everything is read anew, and an entry that was written at a server's start is read a second time. The server
+/// has long been warm, and must not get a cold server's few requests again.
+#[test]
+fn an_entry_that_is_read_again_does_not_make_its_server_cold_again() {
+    let mut pool = pool();
+    let fresh = ServerEntry {
+        warmup_left_ms: 3_000,
+        ..entry("s", "east-a")
+    };
+    pool.apply(at(0), fresh.clone());
+    assert_eq!(pool.replace(at(10_000), [fresh]), []);
+    let server = pool.server(&server_id("s")).expect("a known server");
+    assert!(!server.is_cold(at(10_001)));
+}
+
 /// A zone that was evacuated is taken back, and its servers may have been restarted meanwhile. Their full
 /// load at once would crash them, so they count as cold first.
 #[test]
