A server's failures cost one objective

Cause: while servers lost part of their answers, requests left them for servers that didn't know the object, which cost more than it saved.

--- a/crates/damaskvane-routing/src/placement/placer.rs
+++ b/crates/damaskvane-routing/src/placement/placer.rs
@@ -22,7 +22,7 @@
 /// of an object before any of them has a queue.
 const BUSY_SHARE: f64 = 0.4;
 /// What a failed exchange costs, in objectives.
-const FAILURE_COST: f64 = 2.5;
+const FAILURE_COST: f64 = 1.0;
 /// What a server whose last exchanges hang costs, in objectives.
 const STALLED_COST: f64 = 3.0;
 /// The part of a request's usual time that hardly any request takes less than.
