--- a/crates/damaskvane-bench/src/cluster/process.rs
+++ b/crates/damaskvane-bench/src/cluster/process.rs
@@ -1,4 +1,4 @@
-//! One process that the bench started, and nothing else's.
+//! One process that a run has started; no other one is ever ended.
 //!
 //! ```
 //! use damaskvane_bench::cluster;
--- a/crates/damaskvane-gateway/src/clients.rs
+++ b/crates/damaskvane-gateway/src/clients.rs
@@ -2,8 +2,10 @@
 
 mod body;
 mod dispatch;
+mod head;
 mod head_timer;
 mod listener;
 mod reply;
+mod run;
 
 pub use listener::{Service, listen};
--- a/crates/damaskvane-gateway/src/clients/reply.rs
+++ b/crates/damaskvane-gateway/src/clients/reply.rs
@@ -1,9 +1,12 @@
 //! The instance's own answers to clients.
 
+use std::rc::Rc;
+
 use bytes::Bytes;
 use hyper::header::{self, HeaderValue};
 use hyper::{Response, StatusCode};
 
+use crate::node::Node;
 use crate::upstream::{Answer, AnswerBody};
 
 /// An answer of the instance itself.
@@ -33,3 +36,8 @@
     *response.headers_mut() = answer.headers;
     response
 }
+
+/// Counts a request that no server has answered.
+pub(super) fn count_refusal(node: &Rc<Node>, reason: &str) {
+    node.metrics.refusals.with_label_values(&[reason]).inc();
+}
--- a/crates/damaskvane-gateway/src/node.rs
+++ b/crates/damaskvane-gateway/src/node.rs
@@ -63,6 +63,8 @@
     pub metrics: Metrics,
     /// The log.
     pub log: DecisionLog,
+    /// Bytes of requests' bodies that are held.
+    pub held_bytes: Cell<usize>,
     started: Instant,
     exchanges: Cell<u64>,
 }
@@ -113,6 +115,7 @@
             feed: Feed::default(),
             metrics,
             log: DecisionLog::new(log),
+            held_bytes: Cell::new(0),
             started: Instant::now(),
             exchanges: Cell::new(0),
         }
--- a/crates/damaskvane-gateway/src/store/follow.rs
+++ b/crates/damaskvane-gateway/src/store/follow.rs
@@ -376,6 +376,14 @@
         let taken_back = state.pool.set_evacuated(now, self.evacuated.clone());
         drop(state);
         slog::info!(self.node.log.log, "evacuations";
-            "zones" => ?self.evacuated, "taken_back" => ?taken_back);
+            "zones" => names(&self.evacuated), "taken_back" => names(&taken_back));
     }
 }
+
+fn names<'a>(zones: impl IntoIterator<Item = &'a ids::AvailabilityZoneId>) -> String {
+    let names: Vec<&str> = zones
+        .into_iter()
+        .map(ids::AvailabilityZoneId::as_str)
+        .collect();
+    names.join(" ")
+}
--- a/crates/damaskvane-routing/src/pool/exchange.rs
+++ b/crates/damaskvane-routing/src/pool/exchange.rs
@@ -35,3 +35,21 @@
     /// This instance or the client gave up while the server was at work.
     Abandoned,
 }
+
+impl ExchangeEnd {
+    /// The end as a word for logs and counters.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Failed => "failed",
+            Self::Shed => "shed",
+            Self::Misdirected => "misdirected",
+            Self::Broken => "broken",
+            Self::Malformed => "malformed",
+            Self::Unreachable => "unreachable",
+            Self::Silent => "silent",
+            Self::Abandoned => "abandoned",
+        }
+    }
+}
