An instance that never heard from the store is no fresh source; an open question ends watches

Ruled out: the listing from peers (version 8 was the newest that any had). Change: no answer ever is the longest age; each question left open ends the watches under way.

--- a/crates/damaskvane-gateway/src/store/contact.rs
+++ b/crates/damaskvane-gateway/src/store/contact.rs
@@ -50,6 +50,7 @@
         slog::warn!(node.log.log, "store lost"; "error" => %error);
     }
     node.store.set_own_contact_lost(true);
+    node.store.left_open();
     // Where a relay tells of changes, what is known stays fresh.
     if node.store.source() != Source::Relay {
         node.store.failed();
--- a/crates/damaskvane-gateway/src/store/follow.rs
+++ b/crates/damaskvane-gateway/src/store/follow.rs
@@ -225,7 +225,7 @@
         let node = Rc::clone(&self.node);
         let body = tokio::select! {
             body = self.client.call(&request, timeout) => body?,
-            () = node.store.until_down() => return Err(CallError::Timeout),
+            () = node.store.until_left_open() => return Err(CallError::Timeout),
         };
         let changes = self.node.adapter.changes(self.collection, &body);
         let changes = changes.map_err(|error| self.unreadable(&error))?;
--- a/crates/damaskvane-gateway/src/store/health.rs
+++ b/crates/damaskvane-gateway/src/store/health.rs
@@ -30,7 +30,11 @@
 pub struct StoreHealth {
     reachability: watch::Sender<Reachability>,
     source: watch::Sender<Source>,
-    answered_at: Cell<TimeMs>,
+    /// When the store answered last; none if it never has. A process that has just started without the store
+    /// must not pass for one that heard from it a moment ago.
+    answered_at: Cell<Option<TimeMs>>,
+    /// Counts the questions of this instance that the store left open.
+    failures: watch::Sender<u64>,
     /// Whether the store does not answer this instance itself, whatever a relay tells.
     is_own_contact_lost: Cell<bool>,
 }
@@ -40,7 +44,8 @@
         Self {
             reachability: watch::Sender::new(Reachability::Up),
             source: watch::Sender::new(Source::Undecided),
-            answered_at: Cell::new(TimeMs::ZERO),
+            answered_at: Cell::new(None),
+            failures: watch::Sender::new(0),
             is_own_contact_lost: Cell::new(false),
         }
     }
@@ -49,8 +54,9 @@
 impl StoreHealth {
     /// Notes that the store answered at a time; returns how long it was away, if it was.
     pub fn answered(&self, at: TimeMs) -> Option<SpanMs> {
-        let away = at.since(self.answered_at.get());
-        self.answered_at.set(self.answered_at.get().max(at));
+        let before = self.answered_at.get();
+        let away = at.since(before.unwrap_or(TimeMs::ZERO));
+        self.answered_at.set(before.max(Some(at)));
         let was_down = self.reachability.send_if_modified(|reachability| {
             let was_down = *reachability == Reachability::Down;
             *reachability = Reachability::Up;
@@ -59,7 +65,20 @@
         was_down.then_some(away)
     }
 
-    /// Notes that the store does not answer; returns whether that is news.
+    /// Notes that the store did not answer this instance. Watches that were under way start anew: one that
+    /// hangs may never return, whatever a relay says of the store meanwhile.
+    pub fn left_open(&self) {
+        self.failures.send_modify(|failures| *failures += 1);
+    }
+
+    /// Waits until the store does not answer a question of this instance.
+    pub async fn until_left_open(&self) {
+        let mut failures = self.failures.subscribe();
+        // The sender lives as long as the node, so waiting doesn't fail.
+        let _ = failures.changed().await;
+    }
+
+    /// Notes that the store is away; returns whether that is news.
     pub fn failed(&self) -> bool {
         self.reachability.send_if_modified(|reachability| {
             let was_up = *reachability == Reachability::Up;
@@ -79,10 +98,12 @@
         self.is_own_contact_lost.get()
     }
 
-    /// The time since the store answered last, to this instance or to its relay.
+    /// The time since the store answered last, to this instance or to its relay; the longest span if it never
+    /// has.
     #[must_use]
     pub fn age(&self, now: TimeMs) -> SpanMs {
-        now.since(self.answered_at.get())
+        let answered_at = self.answered_at.get();
+        answered_at.map_or(SpanMs::new(u64::MAX), |at| now.since(at))
     }
 
     /// Where changes come from.
@@ -113,11 +134,6 @@
         let _ = changes.wait_for(|current| *current != than).await;
     }
 
-    /// Waits until the store is away.
-    pub async fn until_down(&self) {
-        self.until(Reachability::Down).await;
-    }
-
     /// Waits until the store is there.
     pub async fn until_up(&self) {
         self.until(Reachability::Up).await;
