A fenced instance's entry stays as a mark, so that a newcomer knows it may still lend

Two instances fenced each other, one started anew, found itself alone on an empty list and lent slots that the other still lent: 4 requests on 3 slots. Change: the fence marks the entry under its version instead of deleting it; a starter that has never known the marked start takes it as gone only once its authority has lapsed. The first of a zone deletes marks after that time plus the list's lag.

--- a/crates/damaskvane-ctl/src/command/status.rs
+++ b/crates/damaskvane-ctl/src/command/status.rs
@@ -79,7 +79,8 @@
 /// When the platform can't be read.
 pub fn status(api: &impl ObjectApi, timeout: time::SpanMs) -> Result<StatusReport, CtlError> {
     let accepted = store::read_head(api)?.version;
-    let records = api.instances()?;
+    let mut records = api.instances()?;
+    records.retain(|record| !record.fenced);
     let mut zones: BTreeMap<_, ZoneStatus> = BTreeMap::new();
     let mut in_force_everywhere = !records.is_empty();
     for (record, status) in records.iter().zip(ask_all(&records, timeout)) {
--- a/crates/damaskvane-entry/src/control/configuration.rs
+++ b/crates/damaskvane-entry/src/control/configuration.rs
@@ -122,6 +122,9 @@
                 incarnation,
                 outcome,
             } => self.fenced(instance, incarnation, outcome),
+            store::StoreReport::Unmarked { instance } => {
+                info!(self.logger, "an old fenced entry is deleted"; "peer" => %instance);
+            }
             store::StoreReport::Unavailable { call } => self.unavailable(call),
         }
     }
@@ -140,6 +143,8 @@
             }
             store::Call::Instances => self.list_failed(),
             store::Call::Announce => self.announce_failed(),
+            // The membership asks again while the entry is listed.
+            store::Call::Unmark => {}
         }
     }
 
--- a/crates/damaskvane-entry/src/control/fleet.rs
+++ b/crates/damaskvane-entry/src/control/fleet.rs
@@ -123,6 +123,13 @@
                     incarnation,
                 });
             }
+            view::Action::Unmark {
+                instance,
+                incarnation,
+            } => self.store.submit(store::StoreJob::Unmark {
+                instance,
+                incarnation,
+            }),
             view::Action::Allow(_) => return self.listing_changed(),
             view::Action::Changed { instance, state } => {
                 info!(self.logger, "an instance changed"; "peer" => %instance,
@@ -309,5 +316,6 @@
         peer_address: record.peer_address,
         operator_address: record.operator_address,
         leaving: record.leaving,
+        fenced: record.fenced,
     }
 }
--- a/crates/damaskvane-entry/src/process.rs
+++ b/crates/damaskvane-entry/src/process.rs
@@ -92,6 +92,7 @@
         peer_address: peers.local_address().get(),
         operator_address: operators,
         leaving: false,
+        fenced: false,
     };
     let (control, control_inbox) = flume::unbounded();
     start_engine(
--- a/crates/damaskvane-entry/src/store/job.rs
+++ b/crates/damaskvane-entry/src/store/job.rs
@@ -33,13 +33,20 @@
     },
     /// Write this instance's own record.
     Announce(api::InstanceRecord),
-    /// Delete another instance's record, if it still has this incarnation.
+    /// Mark another instance's record as fenced, if it still has this incarnation.
     Fence {
         /// The instance.
         instance: ids::InstanceId,
         /// The start in question.
         incarnation: ids::Incarnation,
     },
+    /// Delete another instance's record, if it is still marked as fenced and has this incarnation.
+    Unmark {
+        /// The instance.
+        instance: ids::InstanceId,
+        /// The start in question.
+        incarnation: ids::Incarnation,
+    },
 }
 
 /// A call that can fail.
@@ -55,6 +62,8 @@
     Instances,
     /// Writing the own record.
     Announce,
+    /// Deleting an old mark on the record of another.
+    Unmark,
 }
 
 impl Call {
@@ -67,11 +76,12 @@
             Self::Chunk => "chunk",
             Self::Instances => "instances",
             Self::Announce => "announce",
+            Self::Unmark => "unmark",
         }
     }
 }
 
-/// What became of the deletion of another instance's record.
+/// What became of the mark on another instance's record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FenceOutcome {
     /// The platform took it.
@@ -109,6 +119,11 @@
     },
     /// The own record stands in the platform.
     Announced,
+    /// A mark that was too old was deleted, or is not there any more; if it is, it is tried again.
+    Unmarked {
+        /// The instance.
+        instance: ids::InstanceId,
+    },
     /// The call to fence an instance ended.
     Fenced {
         /// The instance.
--- a/crates/damaskvane-entry/src/store/worker.rs
+++ b/crates/damaskvane-entry/src/store/worker.rs
@@ -132,6 +132,10 @@
                     outcome,
                 }
             }
+            StoreJob::Unmark {
+                instance,
+                incarnation,
+            } => self.unmark(instance, incarnation),
         }
     }
 
@@ -222,7 +226,7 @@
         }
     }
 
-    /// The condition makes the deletion hit the start in question or nothing: a restarted instance has
+    /// The condition makes the mark hit the start in question or nothing: a restarted instance has
     /// written another version.
     fn fence(&self, instance: &ids::InstanceId, incarnation: ids::Incarnation) -> FenceOutcome {
         self.serving.counters.increment(CALLS, "fence");
@@ -232,12 +236,24 @@
             Ok(None) => return FenceOutcome::Taken,
             Err(_) => return FenceOutcome::Unknown,
         };
-        let record = serde_json::from_slice::<api::InstanceRecord>(&object.value);
-        if record.is_ok_and(|record| record.incarnation != incarnation) {
+        let Ok(record) = serde_json::from_slice::<api::InstanceRecord>(&object.value) else {
             return FenceOutcome::NotTaken;
+        };
+        if record.incarnation != incarnation {
+            return FenceOutcome::NotTaken;
+        }
+        if record.fenced {
+            return FenceOutcome::Taken;
         }
+        let marked = api::InstanceRecord {
+            fenced: true,
+            ..record
+        };
+        let Ok(value) = serde_json::to_vec(&marked) else {
+            return FenceOutcome::NotTaken;
+        };
         let id = api::WriteId::new(&format!("fence-{instance}-{incarnation}"));
-        match self.api.delete_if(&key, object.version, &id) {
+        match self.api.put_if(&key, object.version, &value, &id) {
             api::WriteResult::Applied { .. } => FenceOutcome::Taken,
             api::WriteResult::Conflict { .. } | api::WriteResult::NotApplied(_) => {
                 FenceOutcome::NotTaken
@@ -246,6 +262,30 @@
         }
     }
 
+    /// Deletes an entry only if it is still the marked one: the instance may have started anew.
+    fn unmark(&self, instance: ids::InstanceId, incarnation: ids::Incarnation) -> StoreReport {
+        self.count(Call::Unmark);
+        let key = instance_key(&instance);
+        let failed = StoreReport::Unavailable { call: Call::Unmark };
+        let object = match self.api.get(&key) {
+            Ok(Some(object)) => object,
+            Ok(None) => return StoreReport::Unmarked { instance },
+            Err(_) => return failed,
+        };
+        let is_marked = serde_json::from_slice::<api::InstanceRecord>(&object.value)
+            .is_ok_and(|record| record.fenced && record.incarnation == incarnation);
+        if !is_marked {
+            return StoreReport::Unmarked { instance };
+        }
+        let id = api::WriteId::new(&format!("unmark-{instance}-{incarnation}"));
+        match self.api.delete_if(&key, object.version, &id) {
+            api::WriteResult::Applied { .. } | api::WriteResult::Conflict { .. } => {
+                StoreReport::Unmarked { instance }
+            }
+            api::WriteResult::NotApplied(_) | api::WriteResult::Unknown(_) => failed,
+        }
+    }
+
     fn put_record(
         &self,
         key: &api::ObjectKey,
--- a/crates/damaskvane-membership/src/record.rs
+++ b/crates/damaskvane-membership/src/record.rs
@@ -34,4 +34,10 @@
     pub operator_address: net::SocketAddr,
     /// Whether it is about to stop.
     pub leaving: bool,
+    /// Whether another instance took its authority away.
+    ///
+    /// Deleted at once, the entry would leave one that starts next without any sign of a start that may
+    /// still lend slots for a while: both would lend the same ones, and a backend server would shed.
+    #[serde(default)]
+    pub fenced: bool,
 }
--- a/crates/damaskvane-membership/src/settings.rs
+++ b/crates/damaskvane-membership/src/settings.rs
@@ -42,6 +42,8 @@
     pub platform_lost_ms: SpanMs,
     /// How long a neighbour is dead before it is fenced through the platform.
     pub fence_after_ms: SpanMs,
+    /// Time between two calls to delete an entry that was marked as fenced long ago.
+    pub unmark_retry_ms: SpanMs,
     /// Time between two probes of, or new connections to, one silent neighbour.
     pub retry_ms: SpanMs,
 }
@@ -62,6 +64,7 @@
             list_lag_ms: SpanMs::new(20_000),
             platform_lost_ms: SpanMs::new(15_000),
             fence_after_ms: SpanMs::new(5_000),
+            unmark_retry_ms: SpanMs::new(10_000),
             retry_ms: SpanMs::new(1_000),
         }
     }
--- a/crates/damaskvane-membership/src/state.rs
+++ b/crates/damaskvane-membership/src/state.rs
@@ -63,9 +63,9 @@
 pub enum GoneProof {
     /// Its machine answers that nothing listens at its address.
     Refused,
-    /// The platform's list shows it no more.
+    /// The platform's list shows it no more, or shows it as fenced.
     Delisted,
-    /// This instance deleted its object at the platform.
+    /// This instance marked its object at the platform.
     Fenced,
 }
 
--- a/crates/damaskvane-membership/src/view/event.rs
+++ b/crates/damaskvane-membership/src/view/event.rs
@@ -58,14 +58,14 @@
         /// What was found.
         outcome: ProbeOutcome,
     },
-    /// The platform deleted the object of an instance.
+    /// The platform marked the object of an instance as fenced.
     Fenced {
         /// The instance.
         instance: ids::InstanceId,
         /// The start that was fenced.
         incarnation: ids::Incarnation,
     },
-    /// The object was surely not deleted; an unknown outcome is not this.
+    /// The object was surely not marked; an unknown outcome is not this.
     FenceFailed {
         /// The instance.
         instance: ids::InstanceId,
@@ -111,14 +111,22 @@
         /// Where it listens.
         address: net::SocketAddr,
     },
-    /// Delete the instance's object at the platform, on condition that it still has this incarnation, and
-    /// report [`Event::Fenced`] or [`Event::FenceFailed`].
+    /// Mark the instance's object at the platform as fenced, on condition that it still has this
+    /// incarnation, and report [`Event::Fenced`] or [`Event::FenceFailed`].
     Fence {
         /// The dead neighbour.
         instance: ids::InstanceId,
         /// The start in question.
         incarnation: ids::Incarnation,
     },
+    /// Delete an object that was marked long ago, on condition that it is still marked and has this
+    /// incarnation; no report is needed.
+    Unmark {
+        /// The instance that was fenced.
+        instance: ids::InstanceId,
+        /// Its start that was fenced.
+        incarnation: ids::Incarnation,
+    },
     /// Listen to these instances only.
     Allow(Vec<ids::InstanceId>),
     /// The state of an instance changed.
--- a/crates/damaskvane-membership/src/view/listing.rs
+++ b/crates/damaskvane-membership/src/view/listing.rs
@@ -25,6 +25,8 @@
         }
         self.list = Some((self.now, age));
         let made_at = time::TimeMs::new(self.now.get().saturating_sub(age.get()));
+        let (marked, records): (Vec<InstanceRecord>, Vec<InstanceRecord>) =
+            records.into_iter().partition(|record| record.fenced);
         let mut listed: BTreeMap<ids::InstanceId, InstanceRecord> = records
             .into_iter()
             .map(|record| (record.instance.clone(), record))
@@ -35,11 +37,12 @@
         for (instance, record) in listed {
             self.take_record(instance, record);
         }
+        self.take_marks(marked);
         self.plan_neighbours();
         self.allow(actions);
     }
 
-    /// An entry that is missing was deleted by one who fenced this instance.
+    /// An entry that is missing or marked shows that this instance was fenced.
     fn take_own_record(
         &mut self,
         own: Option<InstanceRecord>,
@@ -78,6 +81,75 @@
         }
     }
 
+    /// Learns of starts that others fenced before this one could know them.
+    ///
+    /// Such a start may go on with what it owns until its authority lapses. Without this, one that starts
+    /// anew and finds itself alone would own at once what the other still lends.
+    fn take_marks(&mut self, marked: Vec<InstanceRecord>) {
+        let now = self.now;
+        let marked: BTreeMap<ids::InstanceId, InstanceRecord> = marked
+            .into_iter()
+            .filter(|record| record.instance != self.own.instance)
+            .map(|record| (record.instance.clone(), record))
+            .collect();
+        for (instance, member) in &mut self.members {
+            let mark = marked.get(instance);
+            if mark.is_none_or(|mark| mark.incarnation < member.incarnation) {
+                member.marked_at = None;
+            }
+        }
+        for (instance, record) in marked {
+            let incarnation = record.incarnation;
+            let known = self.members.get(&instance).map(|member| member.incarnation);
+            if known > Some(incarnation) {
+                continue;
+            }
+            let member = self
+                .members
+                .entry(instance.clone())
+                .or_insert_with(|| Member::new(record, now));
+            member.marked_at.get_or_insert(now);
+            // One that was known while it was listed is judged as any that left the list.
+            if known < Some(incarnation) {
+                member.start_anew(incarnation, now);
+                member.marked_at = Some(now);
+                member.delisted_at = Some(now);
+                self.prove_gone(&instance, incarnation, GoneProof::Delisted);
+            }
+        }
+    }
+
+    /// Asks to delete entries that were marked so long ago that whoever they name has stopped.
+    pub(super) fn unmark_old(&mut self, actions: &mut Vec<Action>) {
+        // The start that was fenced may have read a list that was as old as lists get just before.
+        let (authority, lag) = (self.settings.authority_ms, self.settings.list_lag_ms);
+        let (now, retry) = (self.now, self.settings.unmark_retry_ms);
+        if !self.is_first_of_zone() || !self.is_list_fresh() {
+            return;
+        }
+        for (instance, member) in &mut self.members {
+            let is_old = member
+                .marked_at
+                .is_some_and(|marked_at| marked_at + authority + lag <= now);
+            if is_old && now.since(member.retried_at) >= retry {
+                member.retried_at = now;
+                actions.push(Action::Unmark {
+                    instance: instance.clone(),
+                    incarnation: member.incarnation,
+                });
+            }
+        }
+    }
+
+    /// One of a zone cleans up, so that not all of them call the platform for the same entry.
+    fn is_first_of_zone(&self) -> bool {
+        let mut others = self
+            .members
+            .values()
+            .filter(|member| member.record.zone == self.own.zone && !member.is_gone());
+        others.all(|member| self.own.instance < member.record.instance)
+    }
+
     fn take_record(&mut self, instance: ids::InstanceId, record: InstanceRecord) {
         let now = self.now;
         let Some(member) = self.members.get_mut(&instance) else {
@@ -110,6 +182,7 @@
             if member
                 .gone
                 .is_some_and(|gone| is_over && gone.from <= self.now)
+                && member.marked_at.is_none()
             {
                 forgotten.push(instance.clone());
             } else if is_over || is_silent {
--- a/crates/damaskvane-membership/src/view/member.rs
+++ b/crates/damaskvane-membership/src/view/member.rs
@@ -26,6 +26,8 @@
     pub(super) incarnation: ids::Incarnation,
     pub(super) leaving: bool,
     pub(super) delisted_at: Option<time::TimeMs>,
+    /// Since when the list has shown it as fenced, without a break.
+    pub(super) marked_at: Option<time::TimeMs>,
     pub(super) is_neighbour: bool,
     /// Since when heartbeats are to be expected.
     pub(super) expected_from: time::TimeMs,
@@ -48,6 +50,7 @@
             leaving: record.leaving,
             record,
             delisted_at: None,
+            marked_at: None,
             is_neighbour: false,
             expected_from: now,
             heard: None,
@@ -65,6 +68,7 @@
         self.incarnation = incarnation;
         self.leaving = false;
         self.delisted_at = None;
+        self.marked_at = None;
         self.expected_from = now;
         self.heard = None;
         self.supported_from = None;
--- a/crates/damaskvane-membership/src/view/membership.rs
+++ b/crates/damaskvane-membership/src/view/membership.rs
@@ -279,6 +279,7 @@
 
     fn tick(&mut self, actions: &mut Vec<Action>) {
         self.forget_delisted(actions);
+        self.unmark_old(actions);
         self.judge_silent(actions);
         if self.now >= self.next_round_at {
             self.send_round(actions);
--- a/crates/damaskvane-membership/tests/common/mod.rs
+++ b/crates/damaskvane-membership/tests/common/mod.rs
@@ -33,6 +33,7 @@
         peer_address: address,
         operator_address: address,
         leaving: false,
+        fenced: false,
     }
 }
 
@@ -205,13 +206,24 @@
                 instance,
                 incarnation,
             } if !self.without_platform.contains(from) => {
-                self.list.remove(&instance);
+                if let Some(entry) = self.list.get_mut(&instance) {
+                    entry.fenced = true;
+                }
                 let event = view::Event::Fenced {
                     instance,
                     incarnation,
                 };
                 self.feed(from, event, delay_ms);
             }
+            view::Action::Unmark {
+                instance,
+                incarnation,
+            } if !self.without_platform.contains(from) => {
+                let entry = self.list.get(&instance);
+                if entry.is_some_and(|entry| entry.fenced && entry.incarnation == incarnation) {
+                    self.list.remove(&instance);
+                }
+            }
             _ => {}
         }
     }
--- a/crates/damaskvane-platform/src/api/instance.rs
+++ b/crates/damaskvane-platform/src/api/instance.rs
@@ -35,4 +35,7 @@
     /// Whether it is about to go.
     #[serde(default)]
     pub leaving: bool,
+    /// Whether another instance took its authority away; the entry stays for a while as a sign of that.
+    #[serde(default)]
+    pub fenced: bool,
 }
--- a/crates/damaskvane-scenario/src/world/control.rs
+++ b/crates/damaskvane-scenario/src/world/control.rs
@@ -112,6 +112,7 @@
             peer_address: address,
             operator_address: address,
             leaving: false,
+            fenced: false,
         });
     }
 
--- a/crates/damaskvane-scenario/src/world/entry.rs
+++ b/crates/damaskvane-scenario/src/world/entry.rs
@@ -186,6 +186,10 @@
                 instance,
                 incarnation,
             } => self.fence(me, instance, incarnation),
+            view::Action::Unmark {
+                instance,
+                incarnation,
+            } => self.unmark(&me.instance, &instance, incarnation),
             view::Action::Allow(_) | view::Action::Changed { .. } => return true,
             view::Action::OwnFenced => {
                 self.kill(&me.instance);
--- a/crates/damaskvane-scenario/src/world/platform.rs
+++ b/crates/damaskvane-scenario/src/world/platform.rs
@@ -1,7 +1,7 @@
 //! The fake platform's list of instances, and probes of their addresses.
 //!
 //! ```text
-//! list read -> records; fence -> record deleted if it still has the incarnation
+//! list read -> records; fence -> record marked if it still has the incarnation; unmark -> marked record deleted
 //! ```
 
 use std::collections::BTreeMap;
@@ -28,6 +28,19 @@
         self.records.insert(record.instance.clone(), record);
     }
 
+    fn mark(&mut self, instance: &ids::InstanceId) {
+        if let Some(record) = self.records.get_mut(instance) {
+            record.fenced = true;
+        }
+    }
+
+    fn unmark(&mut self, instance: &ids::InstanceId, incarnation: ids::Incarnation) {
+        let record = self.records.get(instance);
+        if record.is_some_and(|record| record.fenced && record.incarnation == incarnation) {
+            self.records.remove(instance);
+        }
+    }
+
     pub(super) fn withdraw(&mut self, instance: &ids::InstanceId) {
         self.records.remove(instance);
     }
@@ -84,7 +97,7 @@
         let listed = self.platform.records.get(&instance);
         let is_current = listed.is_some_and(|record| record.incarnation == incarnation);
         let event = if self.reaches_platform(&from.instance) && is_current {
-            self.platform.withdraw(&instance);
+            self.platform.mark(&instance);
             view::Event::Fenced {
                 instance,
                 incarnation,
@@ -96,6 +109,17 @@
         self.send_to_start(from, way, Input::Membership(Box::new(event)));
     }
 
+    pub(super) fn unmark(
+        &mut self,
+        from: &ids::InstanceId,
+        instance: &ids::InstanceId,
+        incarnation: ids::Incarnation,
+    ) {
+        if self.reaches_platform(from) {
+            self.platform.unmark(instance, incarnation);
+        }
+    }
+
     /// How long a new process takes to be there.
     pub(super) fn restart_later(&mut self, instance: &ids::InstanceId) {
         let restart = super::delivery::Delivery::Restart(instance.clone());
--- a/crates/damaskvane-slots/tests/common/mod.rs
+++ b/crates/damaskvane-slots/tests/common/mod.rs
@@ -44,6 +44,7 @@
         peer_address: address,
         operator_address: address,
         leaving: false,
+        fenced: false,
     }
 }
 
@@ -460,6 +461,15 @@
                 instance,
                 incarnation,
             } => self.fence(name, instance, incarnation),
+            view::Action::Unmark {
+                instance,
+                incarnation,
+            } if !self.without_platform.contains(name) => {
+                let entry = self.list.get(&instance);
+                if entry.is_some_and(|entry| entry.fenced && entry.incarnation == incarnation) {
+                    self.list.remove(&instance);
+                }
+            }
             // A fenced process ends; its supervisor starts it again.
             view::Action::OwnFenced => {
                 self.kill(&name.clone());
@@ -485,7 +495,9 @@
             .get(&instance)
             .is_some_and(|entry| entry.incarnation == incarnation);
         let event = if is_reached && is_same {
-            self.list.remove(&instance);
+            if let Some(entry) = self.list.get_mut(&instance) {
+                entry.fenced = true;
+            }
             view::Event::Fenced {
                 instance,
                 incarnation,
