An owner that waited asks instances that started meanwhile before it lends

Ruled out: the receiver refusing the hand-over, as it cannot know of the fence from a list read 200 ms before it. Change: who consented is kept with its start while an owner waits; if another start is there when the wait is over, it claims again, and the newcomer hands over its ledger or consents.

--- a/crates/damaskvane-slots/src/claim.rs
+++ b/crates/damaskvane-slots/src/claim.rs
@@ -14,7 +14,7 @@
 //! assert_eq!(claim.number(), 7);
 //! ```
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use damaskvane_core::{ids, time, units};
 
@@ -26,7 +26,7 @@
 pub struct Claim {
     number: u64,
     asked_at: time::TimeMs,
-    consents: BTreeSet<ids::InstanceId>,
+    consents: BTreeMap<ids::InstanceId, ids::Incarnation>,
     reports: BTreeMap<GrantKey, Grant>,
     not_before: time::TimeMs,
 }
@@ -38,7 +38,7 @@
         Self {
             number,
             asked_at: now,
-            consents: BTreeSet::new(),
+            consents: BTreeMap::new(),
             reports: BTreeMap::new(),
             not_before: time::TimeMs::ZERO,
         }
@@ -62,7 +62,7 @@
     /// Whether an instance has consented.
     #[must_use]
     pub fn has_consent(&self, instance: &ids::InstanceId) -> bool {
-        self.consents.contains(instance)
+        self.consents.contains_key(instance)
     }
 
     /// Notes until when one that others fenced may still act.
@@ -98,7 +98,7 @@
             self.reports
                 .insert(key.clone(), Grant { key, slots, until });
         }
-        self.consents.insert(from);
+        self.consents.insert(from, incarnation);
     }
 
     /// Notes that a holder gave slots back that it had reported.
@@ -110,6 +110,12 @@
         }
     }
 
+    /// Who has consented, and which start of it.
+    #[must_use]
+    pub fn consents(&self) -> BTreeMap<ids::InstanceId, ids::Incarnation> {
+        self.consents.clone()
+    }
+
     /// What was reported.
     #[must_use]
     pub fn into_reports(self) -> BTreeMap<GrantKey, Grant> {
--- a/crates/damaskvane-slots/src/exchange/claiming.rs
+++ b/crates/damaskvane-slots/src/exchange/claiming.rs
@@ -34,6 +34,7 @@
 
     pub(super) fn tick_claim(&mut self, name: &ids::BackendServerId) {
         let (now, every) = (self.now, self.settings.claim_retry_ms);
+        let has_newcomers = self.has_newcomers(name);
         let Some(server) = self.servers.get_mut(name) else {
             return;
         };
@@ -46,6 +47,9 @@
                     self.complete_if_agreed(name);
                 }
             }
+            Ownership::Waiting(ledger) if has_newcomers && ledger.until() <= now => {
+                self.claim_again(name);
+            }
             Ownership::Waiting(ledger) => {
                 server.ownership = match ledger.start(now) {
                     Ok(serving) => Ownership::Serving(serving),
@@ -56,6 +60,32 @@
         }
     }
 
+    /// Whether an instance has started since all that were there consented.
+    ///
+    /// One that was fenced without knowing it may hand its ledger to a newcomer while its authority
+    /// lasts. Both the newcomer and this instance would lend then, and the backend server would shed.
+    fn has_newcomers(&self, name: &ids::BackendServerId) -> bool {
+        let agreed = self
+            .servers
+            .get(name)
+            .and_then(|server| server.agreed.as_ref());
+        agreed.is_some_and(|agreed| {
+            self.others()
+                .any(|member| agreed.get(&member.instance) < Some(&member.incarnation))
+        })
+    }
+
+    fn claim_again(&mut self, name: &ids::BackendServerId) {
+        self.last_claim += 1;
+        let claim = Claim::new(self.last_claim, self.now);
+        if let Some(server) = self.servers.get_mut(name) {
+            server.agreed = None;
+            server.ownership = Ownership::Claiming(claim);
+        }
+        self.ask_consent(name);
+        self.complete_if_agreed(name);
+    }
+
     fn ask_consent(&mut self, name: &ids::BackendServerId) {
         let Some(claim) = self.claim(name) else {
             return;
@@ -103,6 +133,10 @@
         }
         let until = self.last_use(name) + self.settings.lapse_ms();
         self.counters.waited_out += 1;
+        let agreed = self.claim(name).map(Claim::consents);
+        if let Some(server) = self.servers.get_mut(name) {
+            server.agreed = agreed;
+        }
         self.complete(name, Vec::new(), until);
     }
 
@@ -269,6 +303,9 @@
             until: now + entry.left_ms,
         });
         self.counters.handed_over += 1;
+        if let Some(server) = self.servers.get_mut(name) {
+            server.agreed = None;
+        }
         self.complete(name, grants.collect(), now + ledger.wait_ms);
     }
 }
--- a/crates/damaskvane-slots/src/exchange/server.rs
+++ b/crates/damaskvane-slots/src/exchange/server.rs
@@ -1,6 +1,6 @@
 //! One backend server as an instance of its zone sees it.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use damaskvane_core::{ids, time, units};
 
@@ -48,6 +48,8 @@
     /// To whom this instance has consented, or whom its asks go to.
     pub(super) owner: Option<ids::InstanceId>,
     pub(super) recalled_at: Option<time::TimeMs>,
+    /// Who consented to the ownership that is waited for; nothing if a ledger was handed over.
+    pub(super) agreed: Option<BTreeMap<ids::InstanceId, ids::Incarnation>>,
 }
 
 impl Server {
@@ -59,6 +61,7 @@
             queue: VecDeque::new(),
             owner: None,
             recalled_at: None,
+            agreed: None,
         }
     }
 
