A server's own answer of a failure is kept where the next server does no better

Cause: a look-up whose first server failed with 500 and whose second one turned it away was answered 502, *the server's answer was lost*, although the 500 was at hand. Found by reading, not by a broken rule. And a 500 of more than 256 KB was taken for a success: no second server was asked, and the first one was praised. Ruled out: delivering the 500 before the second try, which takes the better answer from the client. Change: the last failure's answer is kept beside the run, and given where no other server answers, also at the route's timeout; the branch for long answers is gone. Tests that failed first: the_answer_of_a_failure_is_kept..., and long failures in a_repeatable_request... Kept for its truth to clients.

--- a/crates/damaskvane-gateway/src/clients/dispatch.rs
+++ b/crates/damaskvane-gateway/src/clients/dispatch.rs
@@ -122,6 +122,7 @@
         progress: Progress::new(route.kind, route.attempts.max(1)),
         tried: Vec::new(),
         reserved: None,
+        failure: None,
     }
     .run()
     .await
--- a/crates/damaskvane-gateway/src/clients/run.rs
+++ b/crates/damaskvane-gateway/src/clients/run.rs
@@ -16,7 +16,7 @@
 use crate::clients::reply;
 use crate::decision_log::Matter;
 use crate::node::Node;
-use crate::upstream::{AnswerBody, Exchange, ExchangeOutcome, OutgoingRequest};
+use crate::upstream::{Answer, AnswerBody, Exchange, ExchangeOutcome, OutgoingRequest};
 
 /// When a client should come back whose request no server took.
 pub(super) const TURNED_AWAY_RETRY_AFTER_MS: u64 = 200;
@@ -36,6 +36,8 @@
     pub(super) tried: Vec<ids::BackendServerId>,
     /// The next server, where it was chosen and paid for before the last exchange was given up.
     pub(super) reserved: Option<Pick>,
+    /// The answer of the last server that failed: the client gets it where no other server does better.
+    pub(super) failure: Option<Answer>,
 }
 
 impl Run<'_> {
@@ -55,11 +57,14 @@
                     Choice::Refuse(refusal) => return self.give_up(last, refusal),
                 },
             };
-            let Some(outcome) = self.attempt(&pick).await else {
+            let Some(mut outcome) = self.attempt(&pick).await else {
                 return self.timed_out();
             };
             self.progress.note(outcome.end);
             self.note(&pick, &outcome);
+            if outcome.end == ExchangeEnd::Failed {
+                self.failure = outcome.answer.take();
+            }
             if outcome.end == ExchangeEnd::Answered {
                 return self.answer_last(Some(outcome));
             }
@@ -218,7 +223,10 @@
         state.placer.note_answered(now, &mut state.pool, &answered);
     }
 
-    fn timed_out(&self) -> Response<AnswerBody> {
+    fn timed_out(&mut self) -> Response<AnswerBody> {
+        if let Some(answer) = self.failure.take() {
+            return reply::from_server(answer);
+        }
         self.log_end("timeout", None);
         reply::own(
             StatusCode::GATEWAY_TIMEOUT,
@@ -227,25 +235,25 @@
     }
 
     /// Answers after the last exchange: the server's answer, or the instance's own word.
-    fn answer_last(&self, last: Option<ExchangeOutcome>) -> Response<AnswerBody> {
+    fn answer_last(&mut self, last: Option<ExchangeOutcome>) -> Response<AnswerBody> {
         let Some(last) = last else {
             return self.turned_away(TURNED_AWAY_RETRY_AFTER_MS);
         };
-        match last.end {
-            ExchangeEnd::Answered | ExchangeEnd::Failed => match last.answer {
-                Some(answer) => reply::from_server(answer),
-                None => self.unknown(),
-            },
-            _ if self.progress.is_proven_not_run() => {
-                let after = last.retry_after_ms.unwrap_or(TURNED_AWAY_RETRY_AFTER_MS);
-                self.turned_away(after)
-            }
-            _ => self.unknown(),
+        if let Some(answer) = last.answer.filter(|_| last.end == ExchangeEnd::Answered) {
+            return reply::from_server(answer);
+        }
+        if let Some(answer) = self.failure.take() {
+            return reply::from_server(answer);
+        }
+        if self.progress.is_proven_not_run() {
+            let after = last.retry_after_ms.unwrap_or(TURNED_AWAY_RETRY_AFTER_MS);
+            return self.turned_away(after);
         }
+        self.unknown()
     }
 
     /// Answers where no further server can be asked.
-    fn give_up(&self, last: Option<ExchangeOutcome>, refusal: Refusal) -> Response<AnswerBody> {
+    fn give_up(&mut self, last: Option<ExchangeOutcome>, refusal: Refusal) -> Response<AnswerBody> {
         if last.is_some() {
             return self.answer_last(last);
         }
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -125,10 +125,6 @@
     pub async fn run(self) -> ExchangeOutcome {
         let mut running = Running::start(self.node, self.pick);
         let mut outcome = self.exchange().await;
-        let is_long = matches!(&outcome.answer, Some(answer) if matches!(answer.body, AnswerBody::Arriving(_)));
-        if is_long {
-            outcome.end = ExchangeEnd::Answered;
-        }
         outcome.took_ms = running.end(outcome.end, outcome.report);
         outcome
     }
