Every refusal, timeout and leaving client is in the log: ten causes told from the id alone

Requests that were turned away before a server was chosen (no route, no configuration, body too slow, too large or broken) had a counter and no line; a timeout did not name the server that kept it; a client that left took its request's story along with the dropped future. Ruled out: a line for each request at its head, which doubles the volume. Change: a guard from head to answer writes the line where no answer was given; early refusals pass through it; the end of a request names the last server asked. New counter clients_left_total.

--- a/crates/damaskvane-gateway/src/clients.rs
+++ b/crates/damaskvane-gateway/src/clients.rs
@@ -1,5 +1,6 @@
 //! Clients' connections, and the way of a request through the instance.
 
+mod asked;
 mod body;
 mod dispatch;
 mod head;
--- /dev/null
+++ b/crates/damaskvane-gateway/src/clients/asked.rs
@@ -0,0 +1,69 @@
+//! A request from its head to its answer, for the log.
+
+use std::rc::Rc;
+
+use damaskvane_core::time::TimeMs;
+
+use crate::clients::reply;
+use crate::decision_log::Matter;
+use crate::node::Node;
+
+/// A request that has no answer yet.
+///
+/// A client that leaves drops the future that works for it. Without this guard its request would vanish from
+/// the log, and a missing answer would look like a fault of the instance.
+#[derive(Debug)]
+pub(super) struct Asked<'a> {
+    pub(super) node: &'a Rc<Node>,
+    pub(super) request_id: Option<String>,
+    pub(super) started: TimeMs,
+    is_answered: bool,
+}
+
+impl<'a> Asked<'a> {
+    pub(super) const fn new(
+        node: &'a Rc<Node>,
+        request_id: Option<String>,
+        started: TimeMs,
+    ) -> Self {
+        Self {
+            node,
+            request_id,
+            started,
+            is_answered: false,
+        }
+    }
+
+    /// Notes that the client is about to get an answer.
+    pub(super) fn answered(mut self) {
+        self.is_answered = true;
+    }
+
+    /// Notes that the request was turned away before a server was chosen.
+    pub(super) fn turned_away(&self, reason: &str) {
+        reply::count_refusal(self.node, reason);
+        self.log(reason);
+    }
+
+    fn log(&self, reason: &str) {
+        let now = self.node.now();
+        let version = self.node.configuration().map(|found| found.version().get());
+        self.node
+            .log
+            .request(now, Matter::Failure, |log, left_out| {
+                slog::info!(log, "request not served";
+                    "request_id" => self.request_id.as_deref(), "reason" => reason,
+                    "after_ms" => now.since(self.started).get(), "config_version" => version,
+                    "store_age_ms" => self.node.store.age(now).get(), "lines_left_out" => left_out);
+            });
+    }
+}
+
+impl Drop for Asked<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            self.node.metrics.clients_left.inc();
+            self.log("client_left");
+        }
+    }
+}
--- a/crates/damaskvane-gateway/src/clients/dispatch.rs
+++ b/crates/damaskvane-gateway/src/clients/dispatch.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use damaskvane_core::ids;
-use damaskvane_core::time::{SpanMs, TimeMs};
+use damaskvane_core::time::SpanMs;
 use damaskvane_routing::configuration::Route;
 use damaskvane_routing::limit::RetryBudget;
 use damaskvane_routing::placement;
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 
+use crate::clients::asked::Asked;
 use crate::clients::body::{self, BodyError};
 use crate::clients::{head, reply, run};
 use crate::node::Node;
@@ -23,7 +24,11 @@
 pub(super) async fn answer(node: &Rc<Node>, request: Request<Incoming>) -> Response<AnswerBody> {
     let started = node.now();
     let _guard = Stop::request(node);
-    let response = route_and_run(node, request, started).await;
+    let names = node.adapter.headers();
+    let request_id = head::text(request.headers(), &names.request_id).map(str::to_owned);
+    let asked = Asked::new(node, request_id, started);
+    let response = route_and_run(&asked, request).await;
+    asked.answered();
     let status = response.status();
     let took_s = node.now().since(started).get() as f64 / 1_000.0;
     let outcome = match status.as_u16() {
@@ -40,20 +45,17 @@
     response
 }
 
-async fn route_and_run(
-    node: &Rc<Node>,
-    request: Request<Incoming>,
-    started: TimeMs,
-) -> Response<AnswerBody> {
+async fn route_and_run(asked: &Asked<'_>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let (node, started) = (asked.node, asked.started);
     let Some(configuration) = node.configuration() else {
-        reply::count_refusal(node, "starting");
+        asked.turned_away("starting");
         return reply::not_run("no configuration is known yet\n", STARTING_RETRY_AFTER_MS);
     };
     let (parts, incoming) = request.into_parts();
     let host = head::host_of(&parts.headers, &parts.uri);
     let route = configuration.route(&host, parts.uri.path()).cloned();
     let Some(route) = route else {
-        reply::count_refusal(node, "no_route");
+        asked.turned_away("no_route");
         return reply::own(StatusCode::NOT_FOUND, "no route takes this host and path\n");
     };
     let names = node.adapter.headers();
@@ -63,29 +65,28 @@
     let mut held = body::HeldBytes::new(node);
     let reading = body::read(incoming, most_bytes, &mut held);
     let Ok(read) = tokio::time::timeout(run::remaining(node, deadline), reading).await else {
-        reply::count_refusal(node, "slow_body");
+        asked.turned_away("slow_body");
         return reply::not_run("the body did not arrive in time\n", 0);
     };
     let body = match read {
         Ok(body) => body,
         Err(BodyError::TooLarge) => {
-            reply::count_refusal(node, "body_too_large");
+            asked.turned_away("body_too_large");
             return reply::own(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
         }
         Err(BodyError::NoRoom) => {
-            reply::count_refusal(node, "no_memory");
+            asked.turned_away("no_memory");
             return reply::not_run(
                 "too many long requests are at work\n",
                 STARTING_RETRY_AFTER_MS,
             );
         }
         Err(BodyError::Broken) => {
-            reply::count_refusal(node, "body_broken");
+            asked.turned_away("body_broken");
             return reply::own(StatusCode::BAD_REQUEST, "the body is broken\n");
         }
     };
     let object = head::object_of(&parts.headers, &names.object_cookie);
-    let request_id = head::text(&parts.headers, &names.request_id).map(str::to_owned);
     let target = parts
         .uri
         .path_and_query()
@@ -98,10 +99,10 @@
         target,
         headers,
         body,
-        request_id,
+        request_id: asked.request_id.clone(),
     };
     let Some(part) = next_part(node, &route) else {
-        reply::count_refusal(node, "no_destination");
+        asked.turned_away("no_destination");
         return reply::not_run(
             "the route has no destination\n",
             run::TURNED_AWAY_RETRY_AFTER_MS,
--- a/crates/damaskvane-gateway/src/clients/run.rs
+++ b/crates/damaskvane-gateway/src/clients/run.rs
@@ -58,6 +58,7 @@
                 },
             };
             let Some(mut outcome) = self.attempt(&pick).await else {
+                self.tried.push(pick.server);
                 return self.timed_out();
             };
             self.progress.note(outcome.end);
@@ -286,6 +287,7 @@
                 "request_id" => self.outgoing.request_id.as_deref(),
                 "route" => &self.route.name, "service" => %self.service, "object" => self.object, "reason" => reason,
                 "retry_after_ms" => retry_after_ms, "tried" => self.tried.len(),
+                "backend_server" => self.tried.last().map(ToString::to_string),
                 "left_ms" => self.deadline.since(now).get(),
                 "config_version" => self.configuration.version().get(),
                 "store_age_ms" => self.node.store.age(now).get(),
--- a/crates/damaskvane-gateway/src/metrics.rs
+++ b/crates/damaskvane-gateway/src/metrics.rs
@@ -34,6 +34,8 @@
     pub exchanges: IntCounterVec,
     /// Answers that belonged to another request.
     pub foreign_answers: IntCounter,
+    /// Clients that left before their answer.
+    pub clients_left: IntCounter,
     /// Connections opened to backend servers.
     pub new_connections: IntCounter,
     /// Calls on the store by collection and outcome.
@@ -78,6 +80,10 @@
             retries_denied: make.counter("retries_denied_total", "Tries without budget")?,
             exchanges: make.counters("exchanges_total", "Exchanges with servers", &["end"])?,
             foreign_answers: make.counter("foreign_answers_total", "Answers to other requests")?,
+            clients_left: make.counter(
+                "clients_left_total",
+                "Clients that left before their answer",
+            )?,
             new_connections: make.counter("new_connections_total", "Connections to servers")?,
             store_calls: make.counters("store_calls_total", "Calls", &["collection", "outcome"])?,
             probes: make.counter("probes_total", "Health probes")?,
