--- a/crates/damaskvane-ctl/src/bin/damaskvane-ctl.rs
+++ b/crates/damaskvane-ctl/src/bin/damaskvane-ctl.rs
@@ -11,8 +11,8 @@
 use damaskvane_ctl::command::{self, Submit};
 use damaskvane_ctl::error::CtlError;
 use damaskvane_ctl::store;
-use damaskvane_platform::backoff::{Backoff, BackoffSettings};
-use damaskvane_platform::http::{HttpObjectApi, PlatformSettings};
+use damaskvane_objects::backoff::{Backoff, BackoffSettings};
+use damaskvane_objects::http::{HttpObjectApi, PlatformSettings};
 use serde::Serialize;
 use serde_json::Value;
 
--- a/crates/damaskvane-ctl/src/command/export.rs
+++ b/crates/damaskvane-ctl/src/command/export.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 
 use damaskvane_core::ids;
-use damaskvane_platform::api::ObjectApi;
+use damaskvane_objects::api::ObjectApi;
 use serde::Serialize;
 
 use crate::error::CtlError;
--- a/crates/damaskvane-ctl/src/command/history.rs
+++ b/crates/damaskvane-ctl/src/command/history.rs
@@ -5,7 +5,7 @@
 use damaskvane_config::object::ObjectId;
 use damaskvane_config::ticket::Ticket;
 use damaskvane_core::ids;
-use damaskvane_platform::api::ObjectApi;
+use damaskvane_objects::api::ObjectApi;
 use serde::Serialize;
 
 use crate::error::CtlError;
--- a/crates/damaskvane-ctl/src/command/show.rs
+++ b/crates/damaskvane-ctl/src/command/show.rs
@@ -7,7 +7,7 @@
 use damaskvane_config::object::ObjectId;
 use damaskvane_config::ticket::Ticket;
 use damaskvane_core::ids;
-use damaskvane_platform::api::ObjectApi;
+use damaskvane_objects::api::ObjectApi;
 use serde::Serialize;
 
 use crate::error::CtlError;
--- a/crates/damaskvane-ctl/src/command/status.rs
+++ b/crates/damaskvane-ctl/src/command/status.rs
@@ -5,7 +5,7 @@
 use std::thread;
 
 use damaskvane_core::{ids, time};
-use damaskvane_platform::api::{InstanceRecord, ObjectApi};
+use damaskvane_objects::api::{InstanceRecord, ObjectApi};
 use serde::Serialize;
 use serde_json::Value;
 
--- a/crates/damaskvane-ctl/src/command/submit.rs
+++ b/crates/damaskvane-ctl/src/command/submit.rs
@@ -9,8 +9,8 @@
 use damaskvane_config::ticket::{Base, Changes, Draft, Overlap};
 use damaskvane_core::hash::ContentHash;
 use damaskvane_core::ids;
-use damaskvane_platform::api::ObjectApi;
-use damaskvane_platform::backoff::Backoff;
+use damaskvane_objects::api::ObjectApi;
+use damaskvane_objects::backoff::Backoff;
 use serde::Serialize;
 
 use crate::command::check;
--- a/crates/damaskvane-ctl/src/error.rs
+++ b/crates/damaskvane-ctl/src/error.rs
@@ -17,7 +17,7 @@
 
 use damaskvane_config::problem::Problem;
 use damaskvane_core::ids;
-use damaskvane_platform::api;
+use damaskvane_objects::api;
 
 use crate::ask::AskError;
 use crate::command::ChangedObject;
--- a/crates/damaskvane-ctl/src/history.rs
+++ b/crates/damaskvane-ctl/src/history.rs
@@ -14,7 +14,7 @@
 use damaskvane_config::ticket::Ticket;
 use damaskvane_core::hash::ContentHash;
 use damaskvane_core::ids;
-use damaskvane_platform::api::{ObjectApi, ObjectKey};
+use damaskvane_objects::api::{ObjectApi, ObjectKey};
 
 use crate::error::CtlError;
 use crate::store;
--- a/crates/damaskvane-ctl/src/store.rs
+++ b/crates/damaskvane-ctl/src/store.rs
@@ -14,8 +14,8 @@
 use damaskvane_config::submit::{Answer, Call, Outcome, Step, Submission};
 use damaskvane_config::{chunk, ticket};
 use damaskvane_core::hash::ContentHash;
-use damaskvane_platform::api::{ObjectApi, ObjectKey, ObjectVersion, WriteId, WriteResult};
-use damaskvane_platform::backoff::Backoff;
+use damaskvane_objects::api::{ObjectApi, ObjectKey, ObjectVersion, WriteId, WriteResult};
+use damaskvane_objects::backoff::Backoff;
 
 use crate::error::CtlError;
 
@@ -138,7 +138,7 @@
 }
 
 fn read(api: &impl ObjectApi, call: &Call) -> Answer {
-    use damaskvane_platform::api::ReadError;
+    use damaskvane_objects::api::ReadError;
     match api.get(&key(call)) {
         Ok(None) => Answer::Absent,
         Ok(Some(object)) => Answer::Found {
--- a/crates/damaskvane-ctl/tests/tickets.rs
+++ b/crates/damaskvane-ctl/tests/tickets.rs
@@ -8,8 +8,8 @@
 use damaskvane_ctl::command::{self, Submit, SubmitReport};
 use damaskvane_ctl::error::CtlError;
 use damaskvane_ctl::store;
-use damaskvane_platform::backoff::{Backoff, BackoffSettings};
-use damaskvane_platform::http::{HttpObjectApi, PlatformSettings};
+use damaskvane_objects::backoff::{Backoff, BackoffSettings};
+use damaskvane_objects::http::{HttpObjectApi, PlatformSettings};
 use damaskvane_standins::platform::{Faults, Running};
 
 const ZONES: &str = "[region.sask]\n[availability_zone.sask-a]\nregion = \"sask\"\n\
@@ -345,7 +345,7 @@
 /// everywhere, without waiting long.
 #[test]
 fn status_names_silent_instances_and_versions_by_zone() {
-    use damaskvane_platform::api::{ObjectApi, ObjectKey, ObjectVersion, WriteId};
+    use damaskvane_objects::api::{ObjectApi, ObjectKey, ObjectVersion, WriteId};
     let fixture = Fixture::new();
     fixture.submit("anna", ZONES, None).expect("accepted");
     let answer = |_: &rouille::Request| {
--- a/crates/damaskvane-entry/src/control.rs
+++ b/crates/damaskvane-entry/src/control.rs
@@ -29,8 +29,8 @@
 use damaskvane_dispatch::home;
 use damaskvane_engine::event;
 use damaskvane_membership::{settings as membership_settings, view};
+use damaskvane_objects::api;
 use damaskvane_peer::transport;
-use damaskvane_platform::api;
 pub use input::ControlInput;
 use slog::info;
 
--- a/crates/damaskvane-entry/src/control/configuration.rs
+++ b/crates/damaskvane-entry/src/control/configuration.rs
@@ -8,7 +8,7 @@
 
 use damaskvane_config::relay;
 use damaskvane_core::{hash, ids, time};
-use damaskvane_platform::api;
+use damaskvane_objects::api;
 use slog::{info, warn};
 
 use crate::control::Control;
--- a/crates/damaskvane-entry/src/process.rs
+++ b/crates/damaskvane-entry/src/process.rs
@@ -21,8 +21,8 @@
 use std::thread;
 
 use damaskvane_dispatch::home;
+use damaskvane_objects::{api, http};
 use damaskvane_peer::{settings as peer_settings, transport};
-use damaskvane_platform::{api, http};
 use damaskvane_telemetry::{counters, logging};
 pub use error::StartError;
 use slog::{error, info, o};
@@ -242,7 +242,7 @@
     .map_err(StartError::Thread)
 }
 
-fn read_token(path: &str) -> Result<damaskvane_platform::credential::Token, StartError> {
+fn read_token(path: &str) -> Result<damaskvane_objects::credential::Token, StartError> {
     let wrong = |error: String| StartError::Token {
         path: path.to_owned(),
         error,
@@ -250,7 +250,7 @@
     let text = fs::read_to_string(path).map_err(|error| wrong(error.to_string()))?;
     text.trim()
         .parse()
-        .map_err(|error: damaskvane_platform::credential::ParseTokenError| wrong(error.to_string()))
+        .map_err(|error: damaskvane_objects::credential::ParseTokenError| wrong(error.to_string()))
 }
 
 fn start_control(
--- a/crates/damaskvane-entry/src/process/ready.rs
+++ b/crates/damaskvane-entry/src/process/ready.rs
@@ -4,7 +4,7 @@
 //! {"client":"127.0.0.1:40001","operator":"127.0.0.1:40002","peer":"127.0.0.1:40003"}
 //! ```
 
-use damaskvane_platform::api;
+use damaskvane_objects::api;
 use serde::Serialize;
 
 #[derive(Debug, Serialize)]
--- a/crates/damaskvane-entry/src/settings/check.rs
+++ b/crates/damaskvane-entry/src/settings/check.rs
@@ -7,7 +7,7 @@
 use std::fs;
 use std::net;
 
-use damaskvane_platform::credential;
+use damaskvane_objects::credential;
 use damaskvane_telemetry::settings::WrongValue;
 
 use crate::peers;
--- a/crates/damaskvane-entry/src/store/job.rs
+++ b/crates/damaskvane-entry/src/store/job.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 
 use damaskvane_core::{hash, ids, time};
-use damaskvane_platform::api;
+use damaskvane_objects::api;
 
 /// One call on the platform.
 #[derive(Debug, Clone)]
--- a/crates/damaskvane-entry/src/store/worker.rs
+++ b/crates/damaskvane-entry/src/store/worker.rs
@@ -15,7 +15,7 @@
 
 use damaskvane_config::{chunk, document, manifest, ticket};
 use damaskvane_core::{hash, ids};
-use damaskvane_platform::{api, api::ObjectApi, backoff, http, write};
+use damaskvane_objects::{api, api::ObjectApi, backoff, http, write};
 
 use crate::serving;
 use crate::store::job::{Call, FenceOutcome, StoreJob, StoreReport};
--- a/crates/damaskvane-platform/src/api.rs
+++ b/crates/damaskvane-objects/src/api.rs
@@ -1,7 +1,7 @@
 //! The object API as a trait, with results that tell what is known.
 //!
 //! ```
-//! use damaskvane_platform::api;
+//! use damaskvane_objects::api;
 //!
 //! assert_eq!(api::ObjectVersion::ABSENT.to_string(), "0");
 //! ```
--- a/crates/damaskvane-platform/src/api/instance.rs
+++ b/crates/damaskvane-objects/src/api/instance.rs
@@ -1,7 +1,7 @@
 //! An entry of the platform's list of instances.
 //!
 //! ```
-//! use damaskvane_platform::api;
+//! use damaskvane_objects::api;
 //!
 //! let text = r#"{"instance":"sask-a-1","availability_zone":"sask-a","region":"sask",
 //!     "incarnation":3,"client_address":"127.0.0.1:1","peer_address":"127.0.0.1:2",
--- a/crates/damaskvane-platform/src/api/object.rs
+++ b/crates/damaskvane-objects/src/api/object.rs
@@ -1,7 +1,7 @@
 //! Objects and listings.
 //!
 //! ```
-//! use damaskvane_platform::api;
+//! use damaskvane_objects::api;
 //!
 //! assert!(api::Listing::default().objects.is_empty());
 //! ```
--- a/crates/damaskvane-platform/src/api/read.rs
+++ b/crates/damaskvane-objects/src/api/read.rs
@@ -1,7 +1,7 @@
 //! Why a read gave nothing.
 //!
 //! ```
-//! use damaskvane_platform::api;
+//! use damaskvane_objects::api;
 //!
 //! assert!(api::ReadError::Unauthorized.to_string().contains("token"));
 //! ```
--- a/crates/damaskvane-platform/src/api/version.rs
+++ b/crates/damaskvane-objects/src/api/version.rs
@@ -1,7 +1,7 @@
 //! Versions of objects and revisions of kinds.
 //!
 //! ```
-//! use damaskvane_platform::api;
+//! use damaskvane_objects::api;
 //!
 //! assert!(api::Revision::new(2) > api::Revision::START);
 //! ```
--- a/crates/damaskvane-platform/src/api/write.rs
+++ b/crates/damaskvane-objects/src/api/write.rs
@@ -1,7 +1,7 @@
 //! What is known of a write.
 //!
 //! ```
-//! use damaskvane_platform::api;
+//! use damaskvane_objects::api;
 //!
 //! let unknown = api::WriteResult::Unknown(api::UnknownReason::NoAnswer("timed out".into()));
 //! assert_ne!(unknown, api::WriteResult::Conflict { current: api::ObjectVersion::ABSENT });
--- a/crates/damaskvane-platform/src/backoff.rs
+++ b/crates/damaskvane-objects/src/backoff.rs
@@ -1,7 +1,7 @@
 //! Growing pauses between tries, with jitter.
 //!
 //! ```
-//! use damaskvane_platform::backoff;
+//! use damaskvane_objects::backoff;
 //!
 //! let mut backoff = backoff::Backoff::new(backoff::BackoffSettings::default(), 7);
 //! let first = backoff.pause();
--- a/crates/damaskvane-platform/src/budget.rs
+++ b/crates/damaskvane-objects/src/budget.rs
@@ -2,7 +2,7 @@
 //!
 //! ```
 //! use damaskvane_core::time;
-//! use damaskvane_platform::budget;
+//! use damaskvane_objects::budget;
 //!
 //! let mut budget = budget::RateBudget::new(2, time::TimeMs::ZERO);
 //! assert!(budget.take(time::TimeMs::ZERO).is_ok());
--- a/crates/damaskvane-platform/src/credential.rs
+++ b/crates/damaskvane-objects/src/credential.rs
@@ -1,7 +1,7 @@
 //! Tokens, which are never shown.
 //!
 //! ```
-//! use damaskvane_platform::credential;
+//! use damaskvane_objects::credential;
 //!
 //! let token: credential::Token = "secret-1\n".parse().expect("a token");
 //! assert_eq!(format!("{token:?}"), "Token(hidden)");
--- a/crates/damaskvane-platform/src/http.rs
+++ b/crates/damaskvane-objects/src/http.rs
@@ -1,7 +1,7 @@
 //! The object API over HTTP.
 //!
 //! ```
-//! use damaskvane_platform::http;
+//! use damaskvane_objects::http;
 //!
 //! let settings = http::PlatformSettings::new("127.0.0.1:1", "secret".parse().expect("a token"));
 //! assert_eq!(http::HttpObjectApi::new(settings).counts().calls(), 0);
--- a/crates/damaskvane-platform/src/http/counts.rs
+++ b/crates/damaskvane-objects/src/http/counts.rs
@@ -1,7 +1,7 @@
 //! Counts of calls and of what went wrong with them.
 //!
 //! ```
-//! use damaskvane_platform::http;
+//! use damaskvane_objects::http;
 //!
 //! assert_eq!(http::CallCounts::default().calls(), 0);
 //! ```
--- a/crates/damaskvane-platform/src/http/settings.rs
+++ b/crates/damaskvane-objects/src/http/settings.rs
@@ -2,7 +2,7 @@
 //!
 //! ```
 //! use damaskvane_core::time;
-//! use damaskvane_platform::http;
+//! use damaskvane_objects::http;
 //!
 //! let settings = http::PlatformSettings {
 //!     timeout_ms: time::SpanMs::new(500),
--- a/crates/damaskvane-platform/src/lib.rs
+++ b/crates/damaskvane-objects/src/lib.rs
@@ -10,7 +10,7 @@
 //! - [`credential`]: tokens, which are never shown.
 //!
 //! ```
-//! use damaskvane_platform::api;
+//! use damaskvane_objects::api;
 //!
 //! let key: api::ObjectKey = api::ObjectKey::new("head", "config");
 //! assert_eq!(key.to_string(), "head/config");
--- a/crates/damaskvane-platform/src/write.rs
+++ b/crates/damaskvane-objects/src/write.rs
@@ -1,7 +1,7 @@
 //! A write whose lost answer is resolved by reading its own identity back.
 //!
 //! ```
-//! use damaskvane_platform::write;
+//! use damaskvane_objects::write;
 //!
 //! assert_eq!(write::Outcome::Lost, write::Outcome::Lost);
 //! ```
--- a/crates/damaskvane-platform/tests/faults.rs
+++ b/crates/damaskvane-objects/tests/faults.rs
@@ -1,13 +1,13 @@
 //! What the client says of each fault of the platform.
 
 use damaskvane_core::time::SpanMs;
-use damaskvane_platform::api::{
+use damaskvane_objects::api::{
     NotAppliedReason, ObjectApi, ObjectKey, ObjectVersion, ReadError, Revision, UnknownReason,
     WriteId, WriteResult,
 };
-use damaskvane_platform::backoff::{Backoff, BackoffSettings};
-use damaskvane_platform::http::{HttpObjectApi, PlatformSettings};
-use damaskvane_platform::write::{self, Outcome};
+use damaskvane_objects::backoff::{Backoff, BackoffSettings};
+use damaskvane_objects::http::{HttpObjectApi, PlatformSettings};
+use damaskvane_objects::write::{self, Outcome};
 use damaskvane_standins::platform::{Faults, Running};
 
 const TOKENS: &str = "secret-anna anna\nsecret-ben ben\n";
--- a/crates/damaskvane-platform/tests/limits.rs
+++ b/crates/damaskvane-objects/tests/limits.rs
@@ -1,8 +1,8 @@
 //! Pauses between tries and the rate budget.
 
 use damaskvane_core::time::TimeMs;
-use damaskvane_platform::backoff::{Backoff, BackoffSettings};
-use damaskvane_platform::budget::RateBudget;
+use damaskvane_objects::backoff::{Backoff, BackoffSettings};
+use damaskvane_objects::budget::RateBudget;
 
 #[test]
 fn pauses_grow_to_their_limit_and_differ_between_seeds() {
