--- /dev/null
+++ b/crates/damaskvane-slots/tests/common/messages.rs
@@ -0,0 +1,172 @@
+//! Messages of the modelled zone, and what instances ask for: heartbeats, probes, fences, slots.
+
+use damaskvane_core::ids;
+use damaskvane_membership::view;
+use damaskvane_slots::exchange;
+use rand::RngExt;
+
+use super::{Flying, Wire, World, ms};
+
+impl World {
+    pub(super) fn deliver(&mut self) {
+        let now = self.now;
+        let instances = &self.instances;
+        let (due, later): (Vec<Flying>, Vec<Flying>) = self.flying.drain(..).partition(|message| {
+            let to = instances.get(&message.to);
+            message.due <= now && to.is_none_or(|to| to.paused_until <= now)
+        });
+        self.flying = later;
+        for message in due {
+            if self
+                .cuts
+                .contains(&(message.from.clone(), message.to.clone()))
+            {
+                continue;
+            }
+            let (from, incarnation) = (message.from, message.incarnation);
+            match message.wire {
+                Wire::Heartbeat(heartbeat) => {
+                    let event = view::Event::Heartbeat {
+                        from,
+                        incarnation,
+                        heartbeat,
+                    };
+                    self.membership(&message.to, event);
+                }
+                Wire::Slots(wire) => {
+                    let event = exchange::Event::Message {
+                        from,
+                        incarnation,
+                        message: wire,
+                    };
+                    self.slots(&message.to, event);
+                }
+            }
+        }
+    }
+
+    pub(super) fn fly(&mut self, from: &ids::InstanceId, to: ids::InstanceId, wire: Wire) {
+        if self.random.random_range(0..1_000) < self.loss_permille {
+            return;
+        }
+        let Some(instance) = self.instances.get(from) else {
+            return;
+        };
+        self.flying.push(Flying {
+            due: self.now + ms(self.random.random_range(0..=self.max_delay_ms)),
+            from: from.clone(),
+            incarnation: ids::Incarnation::new(instance.incarnation),
+            to,
+            wire,
+        });
+    }
+
+    pub(crate) fn membership(&mut self, name: &ids::InstanceId, event: view::Event) {
+        let Some(instance) = self.instances.get_mut(name) else {
+            return;
+        };
+        let actions = instance.membership.handle(self.now, event);
+        let roster = instance.membership.roster();
+        self.slots(name, exchange::Event::Roster(roster));
+        for action in actions {
+            self.perform_membership(name, action);
+        }
+    }
+
+    fn perform_membership(&mut self, name: &ids::InstanceId, action: view::Action) {
+        match action {
+            view::Action::Send { to, heartbeat, .. } => {
+                self.fly(name, to, Wire::Heartbeat(heartbeat));
+            }
+            view::Action::Probe {
+                instance,
+                incarnation,
+                ..
+            } => {
+                let is_cut = self.is_cut(name, &instance) || self.is_cut(&instance, name);
+                let outcome = match self.instances.contains_key(&instance) {
+                    _ if is_cut => view::ProbeOutcome::Silent,
+                    true => view::ProbeOutcome::Answered,
+                    false => view::ProbeOutcome::Refused,
+                };
+                let event = view::Event::Probed {
+                    instance,
+                    incarnation,
+                    outcome,
+                };
+                self.membership(name, event);
+            }
+            view::Action::Fence {
+                instance,
+                incarnation,
+            } => self.fence(name, instance, incarnation),
+            view::Action::Unmark {
+                instance,
+                incarnation,
+            } if !self.without_platform.contains(name) => {
+                let entry = self.list.get(&instance);
+                if entry.is_some_and(|entry| entry.fenced && entry.incarnation == incarnation) {
+                    self.list.remove(&instance);
+                }
+            }
+            // A fenced process ends; its supervisor starts it again.
+            view::Action::OwnFenced => {
+                self.kill(&name.clone());
+                self.start(&name.clone());
+            }
+            _ => {}
+        }
+    }
+
+    fn is_cut(&self, from: &ids::InstanceId, to: &ids::InstanceId) -> bool {
+        self.cuts.contains(&(from.clone(), to.clone()))
+    }
+
+    fn fence(
+        &mut self,
+        name: &ids::InstanceId,
+        instance: ids::InstanceId,
+        incarnation: ids::Incarnation,
+    ) {
+        let is_reached = !self.without_platform.contains(name);
+        let is_same = self
+            .list
+            .get(&instance)
+            .is_some_and(|entry| entry.incarnation == incarnation);
+        let event = if is_reached && is_same {
+            if let Some(entry) = self.list.get_mut(&instance) {
+                entry.fenced = true;
+            }
+            view::Event::Fenced {
+                instance,
+                incarnation,
+            }
+        } else {
+            view::Event::FenceFailed { instance }
+        };
+        self.membership(name, event);
+    }
+
+    pub(crate) fn slots(&mut self, name: &ids::InstanceId, event: exchange::Event) {
+        let Some(instance) = self.instances.get_mut(name) else {
+            return;
+        };
+        let actions = instance.slots.handle(self.now, event);
+        self.perform_slots(name, actions);
+    }
+
+    pub(super) fn perform_slots(&mut self, name: &ids::InstanceId, actions: Vec<exchange::Action>) {
+        for action in actions {
+            match action {
+                exchange::Action::Send { to, message } => {
+                    self.fly(name, to, Wire::Slots(message));
+                }
+                exchange::Action::Available { .. } => {}
+                exchange::Action::Broken { invariant } => {
+                    self.broken += 1;
+                    assert!(self.broken == 0, "{invariant}");
+                }
+            }
+        }
+    }
+}
