Words of the bench's command lines are read by one function

Ruled out: a derive, a dependency for five uses. Change: arguments::named. Checked by the crate's tests.

--- a/crates/damaskvane-bench/src/arguments.rs
+++ b/crates/damaskvane-bench/src/arguments.rs
@@ -9,7 +9,7 @@
 //! # Ok::<(), damaskvane_telemetry::command_line::UsageError>(())
 //! ```
 
-use core::str;
+use core::{fmt, str};
 use std::process;
 
 use damaskvane_telemetry::command_line;
@@ -86,6 +86,19 @@
     Ok(shared)
 }
 
+/// The one of `all` that is written so; `what` names what the words are, for the error.
+///
+/// # Errors
+///
+/// A text that names the words that may be written.
+pub fn named<T: Copy + fmt::Display>(all: &[T], text: &str, what: &str) -> Result<T, String> {
+    let found = all.iter().copied().find(|one| one.to_string() == text);
+    found.ok_or_else(|| {
+        let names: Vec<String> = all.iter().map(ToString::to_string).collect();
+        format!("{text:?} is no {what}; write one of {}", names.join(", "))
+    })
+}
+
 /// The value of the flag just read.
 pub fn value<T: str::FromStr>(parser: &mut lexopt::Parser) -> Result<T, command_line::UsageError> {
     let text = text(parser)?;
--- a/crates/damaskvane-bench/src/placement/case.rs
+++ b/crates/damaskvane-bench/src/placement/case.rs
@@ -2,6 +2,7 @@
 
 use core::{fmt, str};
 
+use crate::arguments;
 use crate::placement::policy::Policy;
 
 /// How the load behaves.
@@ -43,11 +44,7 @@
     type Err = String;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let found = Self::ALL.into_iter().find(|one| one.as_str() == text);
-        found.ok_or_else(|| {
-            let names = Self::ALL.map(Self::as_str).join(", ");
-            format!("{text:?} is no pattern; write one of {names}")
-        })
+        arguments::named(&Self::ALL, text, "pattern")
     }
 }
 
--- a/crates/damaskvane-bench/src/placement/policy.rs
+++ b/crates/damaskvane-bench/src/placement/policy.rs
@@ -4,6 +4,8 @@
 
 use damaskvane_routing::placement::PlacementSettings;
 
+use crate::arguments;
+
 /// A way to choose a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Policy {
@@ -99,10 +101,6 @@
     type Err = String;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let found = Self::ALL.into_iter().find(|one| one.as_str() == text);
-        found.ok_or_else(|| {
-            let names = Self::ALL.map(Self::as_str).join(", ");
-            format!("{text:?} is no policy; write one of {names}")
-        })
+        arguments::named(&Self::ALL, text, "policy")
     }
 }
--- a/crates/damaskvane-bench/src/steering/deployment.rs
+++ b/crates/damaskvane-bench/src/steering/deployment.rs
@@ -6,12 +6,13 @@
 //! assert_eq!("valokirja".parse(), Ok(steering::DeploymentName::Valokirja));
 //! ```
 
-use core::fmt;
-use core::str;
+use core::{fmt, str};
 
 use damaskvane_core::{ids, units};
 use damaskvane_steering::input;
 
+use crate::arguments;
+
 /// Zones of a region.
 const LETTERS: [&str; 2] = ["a", "b"];
 
@@ -42,8 +43,7 @@
     type Err = String;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let found = Self::ALL.into_iter().find(|name| name.to_string() == text);
-        found.ok_or_else(|| format!("{text:?} is no deployment; write prairie or valokirja"))
+        arguments::named(&Self::ALL, text, "deployment")
     }
 }
 
--- a/crates/damaskvane-bench/src/steering/fault.rs
+++ b/crates/damaskvane-bench/src/steering/fault.rs
@@ -6,8 +6,9 @@
 //! assert_eq!("region-loss".parse(), Ok(steering::Fault::RegionLoss));
 //! ```
 
-use core::fmt;
-use core::str;
+use core::{fmt, str};
+
+use crate::arguments;
 
 /// When a fault begins and ends, in virtual seconds.
 pub(super) const BEGIN_S: u64 = 40;
@@ -102,12 +103,6 @@
     type Err = String;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let found = Self::ALL
-            .into_iter()
-            .find(|fault| fault.to_string() == text);
-        found.ok_or_else(|| {
-            let names = Self::ALL.map(|fault| fault.to_string()).join(", ");
-            format!("{text:?} is no fault; write one of {names}")
-        })
+        arguments::named(&Self::ALL, text, "fault")
     }
 }
--- a/crates/damaskvane-bench/src/steering/strategy.rs
+++ b/crates/damaskvane-bench/src/steering/strategy.rs
@@ -6,11 +6,12 @@
 //! assert_eq!("round-robin".parse(), Ok(steering::Strategy::RoundRobin));
 //! ```
 
-use core::fmt;
-use core::str;
+use core::{fmt, str};
 
 use damaskvane_steering::policy;
 
+use crate::arguments;
+
 /// How look-ups are answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Strategy {
@@ -61,12 +62,6 @@
     type Err = String;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let found = Self::ALL
-            .into_iter()
-            .find(|strategy| strategy.to_string() == text);
-        found.ok_or_else(|| {
-            let names = Self::ALL.map(|strategy| strategy.to_string()).join(", ");
-            format!("{text:?} is no strategy; write one of {names}")
-        })
+        arguments::named(&Self::ALL, text, "strategy")
     }
 }
