Starting instances tell their own zone only, and digests carry phases

Worked out from sizes: heartbeats to all seven times a second while instances start, four to all when they are ready, and one in sixteen after that make about all of it. Ruled out: requests (their bytes grow with the load, which is in proportion) and digests (1.1 MB/s for all twelve speakers together). Change: the record in the store names the zone, so that an instance that starts finds its own zone at once and greets unheard ones of other zones each eighth beat; a ready one tells all for one second (two beats), a leaving one for 2.6 s as before; digests carry the phase, which mends a lost word; one beat in 32 goes to all. Tests: three in routing/tests/digests.rs; records of earlier versions without a zone are still read.

--- a/crates/damaskvane-gateway/src/adapter.rs
+++ b/crates/damaskvane-gateway/src/adapter.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use damaskvane_core::ids;
-use damaskvane_routing::{configuration, pool};
+use damaskvane_routing::{configuration, peers, pool};
 use hyper::header::HeaderName;
 
 /// The headers that clients and backend servers use beside the usual ones.
@@ -67,15 +67,6 @@
     }
 }
 
-/// Where an instance can be reached by others.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct InstanceRecord {
-    /// The instance.
-    pub instance: ids::InstanceId,
-    /// Its address for heartbeats.
-    pub peer_address: net::SocketAddr,
-}
-
 /// One object of the store, decoded.
 #[derive(Debug)]
 pub enum Record {
@@ -86,7 +77,7 @@
     /// A zone that is evacuated.
     Evacuation(ids::AvailabilityZoneId),
     /// An entry instance.
-    Instance(InstanceRecord),
+    Instance(peers::ListedInstance),
     /// Something that can't be used, with the reason.
     Unusable(String),
 }
@@ -159,7 +150,7 @@
     fn contact(&self, instance: &ids::InstanceId) -> StoreRequest;
 
     /// The calls that store an instance's record: the first creates it, the second replaces it.
-    fn register(&self, record: &InstanceRecord) -> [StoreRequest; 2];
+    fn register(&self, record: &peers::ListedInstance) -> [StoreRequest; 2];
 
     /// Reads a part of a list.
     ///
--- a/crates/damaskvane-gateway/src/peers.rs
+++ b/crates/damaskvane-gateway/src/peers.rs
@@ -20,7 +20,7 @@
 const MAGIC: u32 = 0x6476_6231;
 /// The same for digests.
 const DIGEST_MAGIC: u32 = 0x6476_6431;
-/// Entries of a digest in one datagram, so that it is not split on its way: 12 bytes each.
+/// Entries of a digest in one datagram, so that it is not split on its way: 13 bytes each.
 const MOST_ENTRIES: usize = 64;
 /// A digest goes out with every so many heartbeats; the other speaker of the zone sends one in between.
 const BEATS_PER_DIGEST: u64 = 2;
@@ -52,21 +52,12 @@
             zone: heartbeat.zone,
             client_address: heartbeat.client_address,
             peer_address: heartbeat.peer_address,
-            phase: match heartbeat.phase {
-                Phase::Starting => 0,
-                Phase::Ready => 1,
-                Phase::Leaving => 2,
-            },
+            phase: phase_number(heartbeat.phase),
         }
     }
 
     fn into_heartbeat(self) -> Option<Heartbeat> {
-        let phase = match self.phase {
-            0 => Phase::Starting,
-            1 => Phase::Ready,
-            2 => Phase::Leaving,
-            _ => return None,
-        };
+        let phase = phase_of(self.phase)?;
         (self.magic == MAGIC).then_some(Heartbeat {
             instance: self.instance,
             incarnation: self.incarnation,
@@ -79,6 +70,23 @@
     }
 }
 
+const fn phase_number(phase: Phase) -> u8 {
+    match phase {
+        Phase::Starting => 0,
+        Phase::Ready => 1,
+        Phase::Leaving => 2,
+    }
+}
+
+const fn phase_of(number: u8) -> Option<Phase> {
+    match number {
+        0 => Some(Phase::Starting),
+        1 => Some(Phase::Ready),
+        2 => Some(Phase::Leaving),
+        _ => None,
+    }
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 struct DigestMessage {
     magic: u32,
@@ -89,6 +97,7 @@
 struct EntryMessage {
     key: [u8; 8],
     serial: u64,
+    phase: u8,
     age_ms: u64,
 }
 
@@ -97,6 +106,7 @@
         let entries = entries.iter().map(|entry| EntryMessage {
             key: entry.key.get().to_le_bytes(),
             serial: entry.serial,
+            phase: phase_number(entry.phase),
             age_ms: entry.age_ms,
         });
         Self {
@@ -106,10 +116,13 @@
     }
 
     fn into_digest(self) -> Option<Digest> {
-        let entries = self.entries.into_iter().map(|entry| DigestEntry {
-            key: StartKey::from_wire(u64::from_le_bytes(entry.key)),
-            serial: entry.serial,
-            age_ms: entry.age_ms,
+        let entries = self.entries.into_iter().filter_map(|entry| {
+            Some(DigestEntry {
+                key: StartKey::from_wire(u64::from_le_bytes(entry.key)),
+                serial: entry.serial,
+                phase: phase_of(entry.phase)?,
+                age_ms: entry.age_ms,
+            })
         });
         (self.magic == DIGEST_MAGIC).then(|| Digest {
             entries: entries.collect(),
--- a/crates/damaskvane-gateway/src/store/register.rs
+++ b/crates/damaskvane-gateway/src/store/register.rs
@@ -3,9 +3,10 @@
 use core::time::Duration;
 use std::rc::Rc;
 
+use damaskvane_routing::peers::ListedInstance;
 use hyper::StatusCode;
 
-use crate::adapter::{Collection, InstanceRecord, Record};
+use crate::adapter::{Collection, Record};
 use crate::node::Node;
 use crate::store::{CallError, StoreClient};
 
@@ -24,9 +25,10 @@
 pub async fn register(node: Rc<Node>) {
     let mut client = StoreClient::new(Rc::clone(&node), Collection::Instances);
     let settings = node.settings();
-    let record = InstanceRecord {
+    let record = ListedInstance {
         instance: settings.instance.clone(),
         peer_address: settings.peer_address,
+        zone: Some(settings.zone.clone()),
     };
     while let Err(error) = write(&node, &mut client, &record).await {
         slog::warn!(node.log.log, "own record isn't written"; "error" => %error);
@@ -52,7 +54,7 @@
 async fn write(
     node: &Rc<Node>,
     client: &mut StoreClient,
-    record: &InstanceRecord,
+    record: &ListedInstance,
 ) -> Result<(), CallError> {
     let [create, replace] = node.adapter.register(record);
     match client.call(&create, CALL_TIMEOUT).await {
@@ -78,7 +80,7 @@
         let page = node.adapter.page(Collection::Instances, &body);
         let page = page.map_err(|_| CallError::Malformed)?;
         listed.extend(page.items.into_iter().filter_map(|item| match item.record {
-            Some(Record::Instance(record)) => Some((record.instance, record.peer_address)),
+            Some(Record::Instance(record)) => Some(record),
             _ => None,
         }));
         match page.continue_after {
--- a/crates/damaskvane-routing/src/peers.rs
+++ b/crates/damaskvane-routing/src/peers.rs
@@ -13,4 +13,4 @@
 
 pub use digest::{Digest, DigestEntry, StartKey};
 pub use heartbeat::{Heartbeat, Phase};
-pub use members::{Members, PeerSettings};
+pub use members::{ListedInstance, Members, PeerSettings};
--- a/crates/damaskvane-routing/src/peers/digest.rs
+++ b/crates/damaskvane-routing/src/peers/digest.rs
@@ -3,7 +3,7 @@
 use damaskvane_core::ids;
 use xxhash_rust::xxh3;
 
-use crate::peers::Heartbeat;
+use crate::peers::{Heartbeat, Phase};
 
 /// Names one start of an instance in eight bytes, to those who have heard it before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -41,6 +41,8 @@
     pub key: StartKey,
     /// The count of its heartbeat.
     pub serial: u64,
+    /// Where the instance stood then.
+    pub phase: Phase,
     /// How long ago the heartbeat was heard.
     pub age_ms: u64,
 }
--- a/crates/damaskvane-routing/src/peers/members.rs
+++ b/crates/damaskvane-routing/src/peers/members.rs
@@ -25,8 +25,13 @@
     /// The silence after which the next instance of a zone speaks for it: a heartbeat and a half. Two more
     /// that speak for a moment cost some bytes, none at all makes a zone look dead to all others.
     pub speaker_silence_ms: u64,
+    /// The time after it has become ready in which an instance's heartbeats go to all: two heartbeats, so
+    /// that a lost one does no harm.
+    pub ready_told_ms: u64,
+    /// Every so many heartbeats one goes to listed instances of other zones that were never heard.
+    pub beats_between_greetings: u64,
     /// Every so many heartbeats one goes to all: what an instance missed while it was cut off from a zone
-    /// that others joined is mended after 12.8 s.
+    /// that others joined is mended after 25.6 s.
     pub beats_between_repairs: u64,
     /// Instances to reckon with before the platform's list was read.
     pub unknown_instances: usize,
@@ -42,7 +47,9 @@
             other_zone_silence_ms: 3_200,
             speakers_per_zone: 2,
             speaker_silence_ms: 1_200,
-            beats_between_repairs: 16,
+            ready_told_ms: 1_000,
+            beats_between_greetings: 8,
+            beats_between_repairs: 32,
             unknown_instances: 16,
             relays_per_zone: 2,
         }
@@ -55,6 +62,17 @@
     heard_at: TimeMs,
 }
 
+/// An instance, as the platform's list names it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListedInstance {
+    /// The instance.
+    pub instance: ids::InstanceId,
+    /// Where other instances reach it.
+    pub peer_address: net::SocketAddr,
+    /// Its availability zone, where the record names one.
+    pub zone: Option<ids::AvailabilityZoneId>,
+}
+
 /// The entry instances, as this one sees them.
 #[derive(Debug)]
 pub struct Members {
@@ -63,7 +81,7 @@
     regions: HashMap<ids::AvailabilityZoneId, ids::RegionId>,
     members: BTreeMap<ids::InstanceId, Member>,
     /// Where the platform's list says that instances are.
-    listed: BTreeMap<ids::InstanceId, net::SocketAddr>,
+    listed: BTreeMap<ids::InstanceId, ListedInstance>,
     is_listed: bool,
     /// When the own process last changed its phase.
     own_phase_at: Option<TimeMs>,
@@ -88,11 +106,11 @@
     }
 
     /// Takes in the platform's list of instances.
-    pub fn set_listed(
-        &mut self,
-        listed: impl IntoIterator<Item = (ids::InstanceId, net::SocketAddr)>,
-    ) {
-        self.listed = listed.into_iter().collect();
+    pub fn set_listed(&mut self, listed: impl IntoIterator<Item = ListedInstance>) {
+        self.listed = listed
+            .into_iter()
+            .map(|one| (one.instance.clone(), one))
+            .collect();
         self.is_listed = true;
     }
 
@@ -151,6 +169,7 @@
             }
             let heard_at = TimeMs::new(now.get().saturating_sub(entry.age_ms));
             member.heartbeat.serial = entry.serial;
+            member.heartbeat.phase = entry.phase;
             member.heard_at = member.heard_at.max(heard_at);
         }
     }
@@ -164,6 +183,7 @@
         let entries = self.in_own_zone().map(|member| DigestEntry {
             key: StartKey::of(&member.heartbeat),
             serial: member.heartbeat.serial,
+            phase: member.heartbeat.phase,
             age_ms: now.since(member.heard_at).get(),
         });
         let entries = entries
@@ -204,8 +224,12 @@
     }
 
     fn is_in_own_zone(&self, member: &Member) -> bool {
+        self.own_zone() == Some(&member.heartbeat.zone)
+    }
+
+    fn own_zone(&self) -> Option<&ids::AvailabilityZoneId> {
         let own = self.members.get(&self.own);
-        own.is_some_and(|own| own.heartbeat.zone == member.heartbeat.zone)
+        own.map(|own| &own.heartbeat.zone)
     }
 
     /// Where a heartbeat goes: to the own zone and to who was never heard, and to all around a change of
@@ -216,26 +240,37 @@
     #[must_use]
     pub fn recipients(&self, now: TimeMs, serial: u64) -> Vec<net::SocketAddr> {
         let is_to_all = self.is_to_all(now, serial);
-        let mut addresses = self.listed.clone();
-        for (id, member) in &self.members {
-            if is_to_all || self.is_in_own_zone(member) {
-                addresses.insert(id.clone(), member.heartbeat.peer_address);
-            } else {
-                addresses.remove(id);
-            }
-        }
-        addresses.remove(&self.own);
-        addresses.into_values().collect()
+        let greets = serial.is_multiple_of(self.settings.beats_between_greetings);
+        let own_zone = self.own_zone();
+        let unheard = self.listed.values().filter(|listed| {
+            let is_near = listed.zone.is_none() || listed.zone.as_ref() == own_zone;
+            let is_unheard = !self.members.contains_key(&listed.instance);
+            is_unheard && (is_near || greets || is_to_all)
+        });
+        let heard = self.members.values().filter(|member| {
+            let is_own = member.heartbeat.instance == self.own;
+            !is_own && (is_to_all || self.is_in_own_zone(member))
+        });
+        unheard
+            .filter(|listed| listed.instance != self.own)
+            .map(|listed| listed.peer_address)
+            .chain(heard.map(|member| member.heartbeat.peer_address))
+            .collect()
     }
 
     fn is_to_all(&self, now: TimeMs, serial: u64) -> bool {
-        let own = self.members.get(&self.own);
-        let is_ready = own.is_some_and(|own| own.heartbeat.phase == Phase::Ready);
+        let phase = self.members.get(&self.own).map(|own| own.heartbeat.phase);
+        let told_ms = match phase {
+            // Nobody sends clients there yet.
+            Some(Phase::Starting) | None => 0,
+            Some(Phase::Ready) => self.settings.ready_told_ms,
+            // Whoever misses it goes on sending clients there.
+            Some(Phase::Leaving) => self.settings.silence_ms,
+        };
         let changed_lately = self
             .own_phase_at
-            .is_some_and(|at| now.since(at).get() < self.settings.silence_ms);
-        let is_repair = serial.is_multiple_of(self.settings.beats_between_repairs);
-        !is_ready || changed_lately || is_repair
+            .is_some_and(|at| now.since(at).get() < told_ms);
+        changed_lately || serial.is_multiple_of(self.settings.beats_between_repairs)
     }
 
     /// The most instances that may be at work: the divisor of every shared limit.
--- a/crates/damaskvane-routing/tests/digests.rs
+++ b/crates/damaskvane-routing/tests/digests.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use damaskvane_core::ids;
-use damaskvane_routing::peers::{Heartbeat, Members, PeerSettings, Phase};
+use damaskvane_routing::peers::{Heartbeat, ListedInstance, Members, PeerSettings, Phase};
 use support::{at, regions, zone};
 
 /// The pause between two heartbeats of an instance.
@@ -57,14 +57,61 @@
     assert_eq!(own.recipients(at(300), 11).len(), 1);
 }
 
-/// A listed instance was never heard: it may be one that has just started and knows nobody. It is told,
-/// whichever zone it stands in.
+fn listed(name: &str, zone_name: &str) -> ListedInstance {
+    ListedInstance {
+        instance: name.parse().expect("a name"),
+        peer_address: heartbeat(name, zone_name, 1).peer_address,
+        zone: Some(zone(zone_name)),
+    }
+}
+
+/// A listed instance was never heard: it may be one that has just started and knows nobody. One of the own
+/// zone is told at once, since the zone's changes of the store come through its first instances; one of
+/// another zone now and then.
 #[test]
 fn an_instance_that_was_never_heard_gets_heartbeats() {
     let mut own = members("east-1", "east-a");
-    let address = heartbeat("new", "west-a", 1).peer_address;
-    own.set_listed([("new".parse().expect("a name"), address)]);
-    assert_eq!(own.recipients(at(100), 10), [address]);
+    let (near, far) = (listed("near", "east-a"), listed("far", "west-a"));
+    own.set_listed([near.clone(), far.clone()]);
+    assert_eq!(own.recipients(at(100), 10), [near.peer_address]);
+    let greeted = own.recipients(at(100), 16);
+    assert_eq!(greeted, [far.peer_address, near.peer_address]);
+}
+
+/// Hundreds of instances start together, each with seven heartbeats a second. Sent to all, these would be most
+/// of a large fleet's bytes; nobody sends clients to an instance that isn't ready.
+#[test]
+fn a_starting_instance_tells_its_own_zone_only() {
+    let own_id = "east-1".parse().expect("a name");
+    let mut own = Members::new(PeerSettings::default(), own_id, regions());
+    let starting = Heartbeat {
+        phase: Phase::Starting,
+        ..heartbeat("east-1", "east-a", 1)
+    };
+    own.note(at(0), starting);
+    own.note(at(0), heartbeat("east-2", "east-a", 1));
+    own.note(at(0), heartbeat("west-1", "west-a", 1));
+    assert_eq!(own.recipients(at(100), 2).len(), 1);
+    own.set_own_phase(at(200), Phase::Ready);
+    assert_eq!(own.recipients(at(200), 3).len(), 2);
+}
+
+/// The heartbeat with which an instance told that it is ready was lost on its way to another zone. The digest
+/// says so too, or callers there would go without the instance until the next heartbeat to all.
+#[test]
+fn a_digest_tells_that_an_instance_is_ready() {
+    let mut west = members("west-1", "west-a");
+    let starting = Heartbeat {
+        phase: Phase::Starting,
+        ..heartbeat("east-2", "east-a", 1)
+    };
+    west.note(at(0), starting);
+    assert!(!is_usable(&west, 100, "east-2"));
+    let mut east = members("east-1", "east-a");
+    east.note(at(500), heartbeat("east-2", "east-a", 2));
+    let digest = east.digest(at(600)).expect("it speaks for its zone");
+    west.note_digest(at(650), &digest);
+    assert!(is_usable(&west, 700, "east-2"));
 }
 
 /// An instance is alive and heard by its own zone only. The digest of its zone keeps it known in the others:
--- a/crates/damaskvane-routing/tests/limits.rs
+++ b/crates/damaskvane-routing/tests/limits.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use damaskvane_routing::limit::{ColdRate, ColdRateSettings, RetryBudget, RetryBudgetSettings};
-use damaskvane_routing::peers::{Members, PeerSettings};
+use damaskvane_routing::peers::{ListedInstance, Members, PeerSettings};
 use support::{at, regions};
 
 const INSTANCES: usize = 8;
@@ -67,9 +67,10 @@
     let settings = PeerSettings::default();
     let mut members = Members::new(settings, "a-1".parse().expect("a name"), regions());
     assert_eq!(members.most_at_work(), settings.unknown_instances);
-    let listed = ["a-1", "a-2", "b-1"].map(|name| {
-        let address = "10.0.0.1:7000".parse().expect("an address");
-        (name.parse().expect("a name"), address)
+    let listed = ["a-1", "a-2", "b-1"].map(|name| ListedInstance {
+        instance: name.parse().expect("a name"),
+        peer_address: "10.0.0.1:7000".parse().expect("an address"),
+        zone: None,
     });
     members.set_listed(listed);
     assert_eq!(members.most_at_work(), 3);
