--- a/crates/damaskvane-bench/src/placement/measure.rs
+++ b/crates/damaskvane-bench/src/placement/measure.rs
@@ -1,5 +1,7 @@
 //! What callers got.
 
+use std::collections::BTreeMap;
+
 use crate::placement::deployment::ZONES;
 
 /// The span of the worst time, in milliseconds.
@@ -43,6 +45,8 @@
     kinds: Vec<(f64, f64)>,
     zones: Vec<(f64, f64)>,
     windows: Vec<(f64, f64)>,
+    /// Answers by the callers' region, the window, and the region in which they ran.
+    ran: BTreeMap<(&'static str, u64), BTreeMap<&'static str, u64>>,
 }
 
 impl Measured {
@@ -76,6 +80,24 @@
         }
     }
 
+    /// Notes in which region an answered request ran.
+    pub(super) fn note_region(&mut self, callers: &'static str, ran: &'static str, asked_ms: u64) {
+        self.moved += u64::from(callers != ran);
+        let window = self.ran.entry((callers, asked_ms / WINDOW_MS)).or_default();
+        *window.entry(ran).or_default() += 1;
+    }
+
+    /// The largest share of a region's requests that changed the region in which they run from one window of
+    /// two seconds to the next.
+    #[must_use]
+    pub fn largest_shift(&self) -> f64 {
+        let consecutive = self.ran.iter().filter_map(|((callers, window), ran)| {
+            let next = self.ran.get(&(*callers, window + 1))?;
+            Some(shifted(ran, next))
+        });
+        consecutive.fold(0.0, f64::max)
+    }
+
     pub(super) fn count(&mut self, ending: Ending, objective_ms: u64) {
         match ending {
             Ending::Answered(took_ms) if took_ms <= objective_ms => self.in_time += 1,
@@ -110,6 +132,20 @@
     }
 }
 
+/// Half the distance between two distributions: the share that must move to get from one to the other.
+fn shifted(one: &BTreeMap<&str, u64>, other: &BTreeMap<&str, u64>) -> f64 {
+    let part = |of: &BTreeMap<&str, u64>, region: &str| {
+        let all: u64 = of.values().sum();
+        of.get(region).copied().unwrap_or_default() as f64 / all.max(1) as f64
+    };
+    let regions: std::collections::BTreeSet<&str> =
+        one.keys().chain(other.keys()).copied().collect();
+    let distances = regions
+        .into_iter()
+        .map(|region| (part(one, region) - part(other, region)).abs());
+    distances.sum::<f64>() / 2.0
+}
+
 fn share((owed, earned): (f64, f64)) -> f64 {
     if owed > 0.0 { earned / owed } else { 1.0 }
 }
--- a/crates/damaskvane-bench/src/placement/report.rs
+++ b/crates/damaskvane-bench/src/placement/report.rs
@@ -39,6 +39,8 @@
     pub shed: Interval,
     /// Answers from another region than the caller's.
     pub moved: Interval,
+    /// The largest share of a region's requests that changed the region in which they run within two seconds.
+    pub shift: Interval,
 }
 
 impl Row {
@@ -70,6 +72,7 @@
             timed_out: part(|run| run.timed_out),
             shed: part(|run| run.shed),
             moved: part(|run| run.moved),
+            shift: share(Measured::largest_shift),
         }
     }
 
@@ -77,7 +80,7 @@
     #[must_use]
     pub fn head() -> String {
         format!(
-            "{:<8} {:>4} {:<16} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10}",
+            "{:<8} {:>4} {:<16} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10}",
             "pattern",
             "load",
             "policy",
@@ -90,7 +93,8 @@
             "refused",
             "timed out",
             "shed",
-            "moved"
+            "moved",
+            "shift"
         )
     }
 }
@@ -99,7 +103,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{:<8} {:>4} {:<16} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10}",
+            "{:<8} {:>4} {:<16} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10}",
             self.pattern,
             self.load_percent,
             self.policy,
@@ -113,6 +117,7 @@
             self.timed_out,
             self.shed,
             self.moved,
+            self.shift,
         )
     }
 }
--- a/crates/damaskvane-bench/src/placement/world.rs
+++ b/crates/damaskvane-bench/src/placement/world.rs
@@ -298,10 +298,14 @@
         match end {
             End::Answered => {
                 let took_ms = self.now_ms - self.calls[call].wanted.asked_ms;
+                let wanted = &self.calls[call].wanted;
                 let from = &self.flights[flight].pick.server;
-                let region = self.places.get(from).map(|(_, zone)| region_of(zone));
-                let own = ZONES[self.calls[call].wanted.zone].1;
-                self.measured.moved += u64::from(region != Some(own));
+                if let Some((_, zone)) = self.places.get(from) {
+                    let callers = ZONES[wanted.zone].1;
+                    let asked_ms = wanted.asked_ms;
+                    self.measured
+                        .note_region(callers, region_of(zone), asked_ms);
+                }
                 self.end(call, Ending::Answered(took_ms));
             }
             End::Shed if self.calls[call].progress.may_try_again() => self.send(call),
--- a/crates/damaskvane-bench/tests/placement.rs
+++ b/crates/damaskvane-bench/tests/placement.rs
@@ -4,6 +4,8 @@
 
 /// Seeds that were never used while settings were chosen.
 const HELD_OUT: [u64; 2] = [11, 12];
+/// The share of a region's requests that may change the region in which they run within two seconds.
+const SHIFT_MOST: f64 = 0.15;
 /// The troubles begin at 12 s and last up to 6 s.
 const LENGTH: Length = Length { run_ms: 20_000 };
 
@@ -62,6 +64,18 @@
     assert!(burst > calm - 0.05, "{burst} after {calm}");
 }
 
+/// Traffic rises, bursts or moves between zones. Requests of a region may then run elsewhere, but not many of
+/// them at once: the servers there remember none of their objects, and what was stored near its callers is far.
+#[test]
+fn few_requests_change_their_region_at_once() {
+    for pattern in [Pattern::Steady, Pattern::Burst, Pattern::Shift] {
+        for run in runs(Policy::Current, pattern, 100) {
+            let shift = run.largest_shift();
+            assert!(shift < SHIFT_MOST, "{pattern}: {shift}");
+        }
+    }
+}
+
 /// The word for each choice is what the command line takes.
 #[test]
 fn every_name_is_read_back() {
