--- a/crates/damaskvane-routing/src/peers.rs
+++ b/crates/damaskvane-routing/src/peers.rs
@@ -9,8 +9,12 @@
 
 mod digest;
 mod heartbeat;
+mod listed;
 mod members;
+mod settings;
 
 pub use digest::{Digest, DigestEntry, StartKey};
 pub use heartbeat::{Heartbeat, Phase};
-pub use members::{ListedInstance, Members, PeerSettings};
+pub use listed::ListedInstance;
+pub use members::Members;
+pub use settings::PeerSettings;
