A request that was given up is reset, so that the kernel does not deliver it later

Read from the sender's log: nothing was sent to it after 6.6 s. Ruled out: a stale view (the pool had lost the server at 9.8 s), digests and heartbeats (the server was never chosen again), the retry's second server. Change: dropping a connection whose answer was not read whole resets it (linger of zero). Test that failed first: a_request_that_was_given_up_is_not_delivered_later (3.9 MB arrived, no error).

--- a/crates/damaskvane-gateway/src/http/connection.rs
+++ b/crates/damaskvane-gateway/src/http/connection.rs
@@ -38,6 +38,21 @@
 pub struct Connection {
     stream: TcpStream,
     buffer: BytesMut,
+    /// Whether something was sent whose answer has not been read whole.
+    is_asking: bool,
+}
+
+/// A connection on which an answer is awaited is reset, not closed.
+///
+/// The kernel goes on sending what an ordinary close leaves unsent, for seconds: a request that was given up
+/// in a cut between two zones reached its server 7 s later, when that had long said that it leaves.
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if self.is_asking {
+            // Where the option can't be set the connection is broken already.
+            let _ = socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
 }
 
 impl Connection {
@@ -64,6 +79,7 @@
         Ok(Self {
             stream,
             buffer: BytesMut::with_capacity(BUFFER_BYTES),
+            is_asking: false,
         })
     }
 
@@ -73,6 +89,7 @@
     ///
     /// Fails if the connection is broken.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.is_asking = true;
         self.stream.write_all(bytes).await
     }
 
@@ -86,6 +103,7 @@
     ///
     /// Fails if the connection is broken.
     pub async fn write_listening(&mut self, mut bytes: Bytes) -> io::Result<bool> {
+        self.is_asking = true;
         let (mut reader, mut writer) = self.stream.split();
         let mut end = None;
         while !bytes.is_empty() {
@@ -167,6 +185,7 @@
                 return Ok(Err(whole.freeze()));
             }
         }
+        self.is_asking = false;
         Ok(Ok(whole.freeze()))
     }
 
--- a/crates/damaskvane-gateway/tests/http.rs
+++ b/crates/damaskvane-gateway/tests/http.rs
@@ -111,3 +111,32 @@
     let keeping = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
     assert!(read(keeping, 100).expect("an answer").2);
 }
+
+/// A request is given up while its bytes are held up on the way, as in a cut between two zones. A connection
+/// that is closed in the usual way goes on sending them, and a server that has left since gets the request.
+#[test]
+fn a_request_that_was_given_up_is_not_delivered_later() {
+    const REQUEST_BYTES: usize = 64 << 20;
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(async {
+        let second = Duration::from_secs(20);
+        let mut connection = Connection::open(address, second, second)
+            .await
+            .expect("a connection");
+        // Nobody reads, so the bytes fill the buffers and the write hangs.
+        let request = vec![b'x'; REQUEST_BYTES];
+        let writing = connection.write(&request);
+        let held_up = tokio::time::timeout(Duration::from_millis(300), writing).await;
+        assert!(held_up.is_err(), "the buffers took {REQUEST_BYTES} bytes");
+    });
+    let (mut stream, _) = listener.accept().expect("a connection");
+    let mut arrived = Vec::new();
+    let end = std::io::Read::read_to_end(&mut stream, &mut arrived);
+    let end = end.expect_err("the connection is broken off");
+    assert_eq!(end.kind(), std::io::ErrorKind::ConnectionReset);
+}
