The peer test waits for the word that a connection is up

Ruled out: ports (the message had arrived). Change: the test waits for it within its bound, as it does for counts; a connection that is never told to be up still fails it.

--- a/crates/damaskvane-peer/tests/transport.rs
+++ b/crates/damaskvane-peer/tests/transport.rs
@@ -78,7 +78,8 @@
     assert_eq!(received.message, Message::Number { value: 7 });
     assert_eq!(a.counters().sent["number"].bytes, received.bytes.get());
     wait_until(|| b.counters().received.contains_key("number"));
-    assert!(a.is_connected(b.local_address()));
+    // The word that the connection is up comes from another thread than the message, and may come after it.
+    wait_until(|| a.is_connected(b.local_address()));
 }
 
 /// A machine that is not one of ours, or one that was taken off the list, sends messages that look right.
