--- a/crates/damaskvane-steering/tests/common/mod.rs
+++ b/crates/damaskvane-steering/tests/common/mod.rs
@@ -7,6 +7,8 @@
 use damaskvane_steering::{digest, input, plan, rate};
 
 pub(crate) const SERVICE: &str = "rider-desk";
+/// The time between two plans.
+pub(crate) const STEP_MS: u64 = 1_000;
 
 pub(crate) fn zone(text: &str) -> ids::AvailabilityZoneId {
     text.parse().unwrap()
