One type of settings errors, a reload that lives without SIGHUP, a plain name for a pending request

Cause: the gateway had its own copy of damaskvane-telemetry's SettingsError; where SIGHUP could not be had, the log said that settings are read by time and the task ended, so that they were never read; asked.rs did not say what it holds. Ruled out: a test of the second, as no test can take the signal away from the process. Change: the type is reused, the loop goes on with its timer, the file is pending.rs.

--- a/crates/damaskvane-gateway/src/clients/dispatch.rs
+++ b/crates/damaskvane-gateway/src/clients/dispatch.rs
@@ -11,8 +11,8 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 
-use crate::clients::asked::Asked;
 use crate::clients::body::{self, BodyError};
+use crate::clients::pending::PendingRequest;
 use crate::clients::{head, reply, run};
 use crate::node::Node;
 use crate::stop::Stop;
@@ -26,9 +26,9 @@
     let _guard = Stop::request(node);
     let names = node.adapter.headers();
     let request_id = head::text(request.headers(), &names.request_id).map(str::to_owned);
-    let asked = Asked::new(node, request_id, started);
-    let response = route_and_run(&asked, request).await;
-    asked.answered();
+    let pending = PendingRequest::new(node, request_id, started);
+    let response = route_and_run(&pending, request).await;
+    pending.answered();
     let status = response.status();
     let took_s = node.now().since(started).get() as f64 / 1_000.0;
     let outcome = match status.as_u16() {
@@ -45,17 +45,20 @@
     response
 }
 
-async fn route_and_run(asked: &Asked<'_>, request: Request<Incoming>) -> Response<AnswerBody> {
-    let (node, started) = (asked.node, asked.started);
+async fn route_and_run(
+    pending: &PendingRequest<'_>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let (node, started) = (pending.node, pending.started);
     let Some(configuration) = node.configuration() else {
-        asked.turned_away("starting");
+        pending.turned_away("starting");
         return reply::not_run("no configuration is known yet\n", STARTING_RETRY_AFTER_MS);
     };
     let (parts, incoming) = request.into_parts();
     let host = head::host_of(&parts.headers, &parts.uri);
     let route = configuration.route(&host, parts.uri.path()).cloned();
     let Some(route) = route else {
-        asked.turned_away("no_route");
+        pending.turned_away("no_route");
         return reply::own(StatusCode::NOT_FOUND, "no route takes this host and path\n");
     };
     let names = node.adapter.headers();
@@ -65,24 +68,24 @@
     let mut held = body::HeldBytes::new(node);
     let reading = body::read(incoming, most_bytes, &mut held);
     let Ok(read) = tokio::time::timeout(run::remaining(node, deadline), reading).await else {
-        asked.turned_away("slow_body");
+        pending.turned_away("slow_body");
         return reply::not_run("the body did not arrive in time\n", 0);
     };
     let body = match read {
         Ok(body) => body,
         Err(BodyError::TooLarge) => {
-            asked.turned_away("body_too_large");
+            pending.turned_away("body_too_large");
             return reply::own(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
         }
         Err(BodyError::NoRoom) => {
-            asked.turned_away("no_memory");
+            pending.turned_away("no_memory");
             return reply::not_run(
                 "too many long requests are at work\n",
                 STARTING_RETRY_AFTER_MS,
             );
         }
         Err(BodyError::Broken) => {
-            asked.turned_away("body_broken");
+            pending.turned_away("body_broken");
             return reply::own(StatusCode::BAD_REQUEST, "the body is broken\n");
         }
     };
@@ -99,10 +102,10 @@
         target,
         headers,
         body,
-        request_id: asked.request_id.clone(),
+        request_id: pending.request_id.clone(),
     };
     let Some(part) = next_part(node, &route) else {
-        asked.turned_away("no_destination");
+        pending.turned_away("no_destination");
         return reply::not_run(
             "the route has no destination\n",
             run::TURNED_AWAY_RETRY_AFTER_MS,
--- a/crates/damaskvane-gateway/src/clients/pending.rs
+++ b/crates/damaskvane-gateway/src/clients/pending.rs
@@ -1,4 +1,4 @@
-//! A request from its head to its answer, for the log.
+//! A request that has no answer yet: what the log tells if it never gets one.
 
 use std::rc::Rc;
 
@@ -13,14 +13,14 @@
 /// A client that leaves drops the future that works for it. Without this guard its request would vanish from
 /// the log, and a missing answer would look like a fault of the instance.
 #[derive(Debug)]
-pub(super) struct Asked<'a> {
+pub(super) struct PendingRequest<'a> {
     pub(super) node: &'a Rc<Node>,
     pub(super) request_id: Option<String>,
     pub(super) started: TimeMs,
     is_answered: bool,
 }
 
-impl<'a> Asked<'a> {
+impl<'a> PendingRequest<'a> {
     pub(super) const fn new(
         node: &'a Rc<Node>,
         request_id: Option<String>,
@@ -59,7 +59,7 @@
     }
 }
 
-impl Drop for Asked<'_> {
+impl Drop for PendingRequest<'_> {
     fn drop(&mut self) {
         if !self.is_answered {
             self.node.metrics.clients_left.inc();
--- a/crates/damaskvane-gateway/src/process.rs
+++ b/crates/damaskvane-gateway/src/process.rs
@@ -7,13 +7,14 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use damaskvane_core::ids;
+use damaskvane_telemetry::settings;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::adapter::Adapter;
 use crate::clients::{self, Service};
 use crate::metrics::Metrics;
 use crate::node::Node;
-use crate::settings::{GatewaySettings, SettingsError};
+use crate::settings::GatewaySettings;
 use crate::{peers, probes, stop, store};
 
 /// How often the settings file is looked at: it may change without a signal.
@@ -23,7 +24,7 @@
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub enum ProcessError {
     /// {0}
-    Settings(#[from] SettingsError),
+    Settings(#[from] settings::SettingsError),
     /// the address {address} for {purpose} can't be used: {error}; check it in the settings
     Listen {
         /// The address.
@@ -165,16 +166,20 @@
 
 /// Reads the settings again on SIGHUP, and from time to time, since they may change without a signal.
 async fn watch_settings(node: Rc<Node>, file: PathBuf) {
-    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
-        slog::warn!(
-            node.log.log,
-            "SIGHUP can't be received; settings are read by time only"
-        );
-        return;
-    };
+    let mut hangup = signal(SignalKind::hangup());
+    if let Err(error) = &hangup {
+        slog::warn!(node.log.log, "SIGHUP can't be received; settings are read by time only";
+            "error" => %error);
+    }
     loop {
+        let asked = async {
+            match &mut hangup {
+                Ok(hangup) => hangup.recv().await,
+                Err(_) => core::future::pending().await,
+            }
+        };
         let was_asked = tokio::select! {
-            _ = hangup.recv() => true,
+            _ = asked => true,
             () = tokio::time::sleep(SETTINGS_PERIOD) => false,
         };
         match GatewaySettings::load(&file) {
--- a/crates/damaskvane-gateway/src/settings.rs
+++ b/crates/damaskvane-gateway/src/settings.rs
@@ -8,6 +8,7 @@
 
 use damaskvane_core::ids;
 use damaskvane_routing::{limit, peers, placement, pool};
+use damaskvane_telemetry::settings::{SettingsError, WrongValue};
 use serde::Deserialize;
 
 /// Settings of an entry instance.
@@ -61,37 +62,7 @@
     pub placement: placement::PlacementSettings,
 }
 
-/// What is wrong with a settings file.
-#[derive(Debug, displaydoc::Display, thiserror::Error)]
-pub enum SettingsError {
-    /// the settings file {file} can't be read: {error}; give its path in the variable DAMASKVANE_CONFIG
-    Unreadable {
-        /// The file.
-        file: String,
-        /// What the system said.
-        error: String,
-    },
-    /// {file}: {error}; correct the value on that line
-    Malformed {
-        /// The file.
-        file: String,
-        /// Line, key and value.
-        error: String,
-    },
-    /// {file}: {key} = {value} is out of range; write {remedy}
-    OutOfRange {
-        /// The file.
-        file: String,
-        /// The key.
-        key: &'static str,
-        /// Its value.
-        value: String,
-        /// What may stand there.
-        remedy: &'static str,
-    },
-}
-
-const NUMBERS_REMEDY: &str = "a number of at least 0";
+const NUMBERS_REMEDY: &str = "write a number of at least 0";
 
 impl GatewaySettings {
     /// Reads and checks a settings file.
@@ -139,11 +110,9 @@
             .find(|(_, value)| !value.is_finite() || *value < 0.0);
         match wrong {
             None => Ok(()),
-            Some((key, value)) => Err(SettingsError::OutOfRange {
+            Some((key, value)) => Err(SettingsError::Wrong {
                 file: file.to_owned(),
-                key,
-                value: value.to_string(),
-                remedy: NUMBERS_REMEDY,
+                wrong: WrongValue::new(key, value.to_string(), "out of range", NUMBERS_REMEDY),
             }),
         }
     }
