An instance is ready only once it knows others, or others know it

A fault of the product, not of the test. Change: ready needs the list of instances, or a heartbeat of another one, or 1.5 s.

--- a/crates/damaskvane-gateway/src/node.rs
+++ b/crates/damaskvane-gateway/src/node.rs
@@ -154,7 +154,8 @@
             return Phase::Leaving;
         }
         let state = self.state.borrow();
-        if state.configuration.is_some() && state.are_servers_listed {
+        let is_acquainted = state.members.is_acquainted(self.now());
+        if state.configuration.is_some() && state.are_servers_listed && is_acquainted {
             Phase::Ready
         } else {
             Phase::Starting
--- a/crates/damaskvane-routing/src/peers/members.rs
+++ b/crates/damaskvane-routing/src/peers/members.rs
@@ -55,6 +55,18 @@
         self.is_listed = true;
     }
 
+    /// Whether others can know of this instance, or it of them, or both have taken too long.
+    ///
+    /// An instance that nobody knows hears of no change once the store turns it away: it would go on with
+    /// routes and servers of before. So it is not ready before its record is written and the list is read,
+    /// or it has heard from somebody. A store that serves reads and refuses the record keeps it from
+    /// clients only until the time is over.
+    #[must_use]
+    pub fn is_acquainted(&self, now: TimeMs) -> bool {
+        let has_heard = self.members.keys().any(|id| *id != self.own);
+        self.is_listed || has_heard || now.get() >= self.settings.acquaintance_ms
+    }
+
     /// Takes in a heartbeat; returns whether the instance is new, or back under a new start.
     pub fn note(&mut self, now: TimeMs, heartbeat: Heartbeat) -> bool {
         let Some(known) = self.members.get_mut(&heartbeat.instance) else {
--- a/crates/damaskvane-routing/src/peers/settings.rs
+++ b/crates/damaskvane-routing/src/peers/settings.rs
@@ -25,6 +25,10 @@
     /// Every so many heartbeats one goes to all: what an instance missed while it was cut off from a zone
     /// that others joined is mended after 25.6 s.
     pub beats_between_repairs: u64,
+    /// How long after its start an instance that neither found nor heard others waits to be ready: writing its
+    /// record and reading the list take two calls, 8 ms on a calm store and about a second on one that is 60
+    /// times slower.
+    pub acquaintance_ms: u64,
     /// Instances to reckon with before the platform's list was read.
     pub unknown_instances: usize,
     /// Instances of a zone that watch the store: the second one serves when the first is lost.
@@ -42,6 +46,7 @@
             ready_told_ms: 1_000,
             beats_between_greetings: 8,
             beats_between_repairs: 32,
+            acquaintance_ms: 1_500,
             unknown_instances: 16,
             relays_per_zone: 2,
         }
--- a/crates/damaskvane-routing/tests/peers.rs
+++ b/crates/damaskvane-routing/tests/peers.rs
@@ -37,6 +37,25 @@
     name.bytes().map(u16::from).sum()
 }
 
+/// The store turns an instance away just after its start, before its record is written. Nobody knows it, so it
+/// hears of no change; were it ready, its clients would get routes and servers of before for good.
+#[test]
+fn an_instance_that_knows_nobody_is_acquainted_only_after_a_while() {
+    let alone = members();
+    assert!(!alone.is_acquainted(at(100)));
+    assert!(alone.is_acquainted(at(PeerSettings::default().acquaintance_ms)));
+}
+
+#[test]
+fn an_instance_is_acquainted_once_it_is_listed_or_has_heard_from_another() {
+    let mut listed = members();
+    listed.set_listed([]);
+    assert!(listed.is_acquainted(at(1)));
+    let mut hearing = members();
+    hearing.note(at(1), heartbeat("peer", "west-a", 1, 1));
+    assert!(hearing.is_acquainted(at(1)));
+}
+
 /// An instance loses power. Clients that are still sent there wait a second for each new connection, so it
 /// isn't named once its heartbeats are missing.
 #[test]
