Requests that crash what runs them are quarantined on all instances of the users' machines

A caller that sent such a request again took one server after the other. Ruled out: every broken connection as an incident (answers that are lost, reset and forgotten connections would quarantine look-ups); silence as an incident (a machine that is cut off sees all its servers fall silent); suspects one at a time (after the loss of a zone all retries would wait for each other). Change: a broken exchange makes a suspect once its server is found dead (its port refuses, another server answers there, or it registers a new start); all instances hear of it by three datagrams; the second death refuses the request and is recorded in the store, which every instance follows, so that a restart forgets nothing; operators let a request go by removing the record. One copy of the logic: damaskvane-dispatch grows by proof of death, recorded entries and a verdict without a turn.

--- a/crates/damaskvane-dispatch/src/fingerprint.rs
+++ b/crates/damaskvane-dispatch/src/fingerprint.rs
@@ -28,12 +28,22 @@
     /// The fingerprint of a request.
     #[must_use]
     pub fn of(service: &ids::ServiceId, method: &str, path: &str, body: &[u8]) -> Self {
-        let mut content = Vec::with_capacity(method.len() + path.len() + body.len() + 96);
-        for field in [
-            service.as_str().as_bytes(),
-            method.as_bytes(),
-            path.as_bytes(),
-        ] {
+        Self::of_fields([service.as_str(), method, path], body)
+    }
+
+    /// The fingerprint of a request by the fields that make it the same one, in this order.
+    ///
+    /// ```
+    /// use damaskvane_dispatch::fingerprint;
+    ///
+    /// let one = fingerprint::Fingerprint::of_fields(["10.0.0.1", "GET", "/look"], b"");
+    /// let other = fingerprint::Fingerprint::of_fields(["10.0.0.1", "GET/look"], b"");
+    /// assert_ne!(one, other);
+    /// ```
+    #[must_use]
+    pub fn of_fields<'a>(fields: impl IntoIterator<Item = &'a str>, body: &[u8]) -> Self {
+        let mut content = Vec::with_capacity(body.len() + 192);
+        for field in fields.into_iter().map(str::as_bytes) {
             // The length keeps "/a" + "b" apart from "/ab".
             content.extend_from_slice(&(field.len() as u64).to_le_bytes());
             content.extend_from_slice(field);
--- a/crates/damaskvane-dispatch/src/quarantine.rs
+++ b/crates/damaskvane-dispatch/src/quarantine.rs
@@ -26,12 +26,14 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
+mod broken;
 mod incident;
 mod list;
 mod settings;
 mod suspect;
 mod verdict;
 
+pub use broken::BrokenExchanges;
 pub use incident::{Incident, IncidentId};
 pub use list::Quarantine;
 pub use settings::QuarantineSettings;
--- a/crates/damaskvane-dispatch/src/quarantine/list.rs
+++ b/crates/damaskvane-dispatch/src/quarantine/list.rs
@@ -36,17 +36,74 @@
         }
     }
 
-    /// Merges an incident seen here or told by a peer; in any order, any number of times.
-    pub fn note_incident(&mut self, now: time::TimeMs, incident: &incident::Incident) {
+    /// Merges an incident seen here or told by a peer; in any order, any number of times. Returns the
+    /// requests that are refused from now on.
+    pub fn note_incident(
+        &mut self,
+        now: time::TimeMs,
+        incident: &incident::Incident,
+    ) -> Vec<fingerprint::Fingerprint> {
         self.expire(now);
+        let mut refused = Vec::new();
         for fingerprint in &incident.suspects {
             if self.alone == Some(*fingerprint) {
                 self.alone = None;
             }
-            if !self.was_cleared_since(now, *fingerprint, incident.age) {
-                self.suspect(now, *fingerprint, incident);
+            if self.was_cleared_since(now, *fingerprint, incident.age) {
+                continue;
+            }
+            let was_refused = self.refusal(now, *fingerprint).is_some();
+            self.suspect(now, *fingerprint, incident);
+            if !was_refused && self.refusal(now, *fingerprint).is_some() {
+                refused.push(*fingerprint);
             }
         }
+        refused
+    }
+
+    /// Takes in that another instance has found a request guilty and recorded so for all; returns whether
+    /// that is news.
+    pub fn note_recorded(
+        &mut self,
+        now: time::TimeMs,
+        fingerprint: fingerprint::Fingerprint,
+    ) -> bool {
+        let was_refused = self.refusal(now, fingerprint).is_some();
+        let suspect = self.suspects.entry(fingerprint).or_default();
+        suspect.is_recorded = true;
+        if !was_refused {
+            suspect.until = now + time::SpanMs::new(self.settings.expiry_ms);
+        }
+        !was_refused
+    }
+
+    /// How much longer a request is refused; none if it may run.
+    #[must_use]
+    pub fn refusal(
+        &self,
+        now: time::TimeMs,
+        fingerprint: fingerprint::Fingerprint,
+    ) -> Option<time::SpanMs> {
+        let suspect = self.suspects.get(&fingerprint)?;
+        let is_refused = now < suspect.until && suspect.is_refused(self.settings.incidents);
+        is_refused.then(|| suspect.until.since(now))
+    }
+
+    /// Whether a request would be refused if so many broken exchanges of it, for which the proof is missing,
+    /// turn out as incidents.
+    #[must_use]
+    pub fn may_be_refused(&self, fingerprint: fingerprint::Fingerprint, unproven: usize) -> bool {
+        let proven = self
+            .suspects
+            .get(&fingerprint)
+            .map_or(0, suspect::Suspect::len);
+        unproven > 0 && proven + unproven >= self.settings.incidents
+    }
+
+    /// Whether nothing is suspected, so that no request needs to be judged.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
     }
 
     /// Notes a completed run, which clears a suspect; returns whether it was one, so that peers are
@@ -79,10 +136,8 @@
         if suspect.until <= now {
             return verdict::Verdict::Run;
         }
-        if suspect.len() >= self.settings.incidents {
-            return verdict::Verdict::Refuse {
-                retry_after: suspect.until.since(now),
-            };
+        if let Some(retry_after) = self.refusal(now, fingerprint) {
+            return verdict::Verdict::Refuse { retry_after };
         }
         if self.alone.is_some() {
             return verdict::Verdict::Wait;
@@ -114,7 +169,7 @@
             verdict::Listed {
                 fingerprint: *fingerprint,
                 incidents: suspect.len(),
-                is_refused: suspect.len() >= self.settings.incidents,
+                is_refused: suspect.is_refused(self.settings.incidents),
                 time_left: suspect.until.since(now),
             }
         };
@@ -160,7 +215,7 @@
         if !suspect.add(now, incident) {
             return;
         }
-        let is_refused = suspect.len() >= self.settings.incidents;
+        let is_refused = suspect.is_refused(self.settings.incidents);
         let lasts_ms = if is_refused {
             self.settings.expiry_ms
         } else {
--- a/crates/damaskvane-dispatch/src/quarantine/suspect.rs
+++ b/crates/damaskvane-dispatch/src/quarantine/suspect.rs
@@ -13,6 +13,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Suspect {
     incidents: collections::BTreeMap<incident::IncidentId, Death>,
+    /// Whether another instance has found it guilty and recorded so.
+    pub(super) is_recorded: bool,
     pub(super) until: time::TimeMs,
 }
 
@@ -42,6 +44,11 @@
         true
     }
 
+    /// Whether the request is refused, where so many incidents are needed.
+    pub(super) fn is_refused(&self, incidents: usize) -> bool {
+        self.is_recorded || self.len() >= incidents
+    }
+
     pub(super) fn len(&self) -> usize {
         self.incidents.len()
     }
--- a/crates/damaskvane-dispatch/tests/quarantine.rs
+++ b/crates/damaskvane-dispatch/tests/quarantine.rs
@@ -107,3 +107,46 @@
     assert!(!is_refused(&mut list, 2, "bad"));
     assert!(list.list(at(2)).is_empty());
 }
+
+/// A connection breaks and its server lives: it closed an idle connection, or lost an answer. Were that an
+/// incident, requests that harm nobody would be refused on a day of broken connections.
+#[test]
+fn a_broken_exchange_makes_a_suspect_only_if_its_server_is_found_dead_soon() {
+    let mut broken = quarantine::BrokenExchanges::default();
+    let server = "desk-1".parse().expect("a server");
+    broken.note(at(0), &server, fingerprint_of("long ago"));
+    broken.note(at(5_000), &server, fingerprint_of("bad"));
+    broken.note(at(5_001), &server, fingerprint_of("bad"));
+    let other = "desk-2".parse().expect("a server");
+    assert!(broken.take_dead(at(5_100), &other).is_empty());
+    assert_eq!(
+        broken.take_dead(at(5_100), &server),
+        [fingerprint_of("bad")]
+    );
+    assert!(broken.take_dead(at(5_200), &server).is_empty());
+}
+
+/// All instances are killed at once, and a caller sends a request again that had crashed two servers. The
+/// restarted instances know of no incident; what was recorded keeps them from sending it to a third one.
+#[test]
+fn a_request_that_others_recorded_is_refused_without_an_incident() {
+    let mut list = list();
+    assert!(list.note_recorded(at(0), fingerprint_of("bad")));
+    assert!(!list.note_recorded(at(1), fingerprint_of("bad")));
+    assert!(list.refusal(at(2), fingerprint_of("bad")).is_some());
+    assert!(list.refusal(at(600_001), fingerprint_of("bad")).is_none());
+    assert!(list.refusal(at(2), fingerprint_of("good")).is_none());
+}
+
+/// Every instance that hears of the incidents records the request for all others, and only once: each record
+/// is a call on the store.
+#[test]
+fn a_request_is_told_as_refused_once() {
+    let mut list = list();
+    let first = incident(1, "a/1", "desk-1", &["bad", "beside it"]);
+    assert!(list.note_incident(at(0), &first).is_empty());
+    let second = incident(2, "a/1", "desk-2", &["bad"]);
+    assert_eq!(list.note_incident(at(9), &second), [fingerprint_of("bad")]);
+    let third = incident(3, "a/1", "desk-3", &["bad"]);
+    assert!(list.note_incident(at(18), &third).is_empty());
+}
--- a/crates/damaskvane-gateway/src/adapter.rs
+++ b/crates/damaskvane-gateway/src/adapter.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use damaskvane_core::ids;
+use damaskvane_dispatch::fingerprint::Fingerprint;
 use damaskvane_routing::{configuration, peers, pool};
 use hyper::header::HeaderName;
 
@@ -52,6 +53,8 @@
     Evacuations,
     /// The entry instances' own records.
     Instances,
+    /// Requests that are refused because they crash what runs them.
+    Quarantine,
 }
 
 impl Collection {
@@ -63,6 +66,7 @@
             Self::Servers => "servers",
             Self::Evacuations => "evacuations",
             Self::Instances => "instances",
+            Self::Quarantine => "quarantine",
         }
     }
 }
@@ -78,6 +82,8 @@
     Evacuation(ids::AvailabilityZoneId),
     /// An entry instance.
     Instance(peers::ListedInstance),
+    /// A request that is refused.
+    Quarantined(Fingerprint),
     /// Something that can't be used, with the reason.
     Unusable(String),
 }
@@ -152,6 +158,12 @@
     /// The calls that store an instance's record: the first creates it, the second replaces it.
     fn register(&self, record: &peers::ListedInstance) -> [StoreRequest; 2];
 
+    /// The call that records a request as refused; it fails with a conflict where it is recorded already.
+    fn record_quarantine(&self, fingerprint: &Fingerprint) -> StoreRequest;
+
+    /// The call that removes such a record.
+    fn lift_quarantine(&self, fingerprint: &Fingerprint) -> StoreRequest;
+
     /// Reads a part of a list.
     ///
     /// # Errors
--- a/crates/damaskvane-gateway/src/clients/dispatch.rs
+++ b/crates/damaskvane-gateway/src/clients/dispatch.rs
@@ -1,5 +1,6 @@
 //! The way of one request: its route, its body, its service; `run.rs` takes it from there.
 
+use std::net;
 use std::rc::Rc;
 
 use damaskvane_core::ids;
@@ -14,6 +15,7 @@
 use crate::clients::body::{self, BodyError};
 use crate::clients::pending::PendingRequest;
 use crate::clients::{head, reply, run};
+use crate::crashes;
 use crate::node::Node;
 use crate::stop::Stop;
 use crate::upstream::{self, AnswerBody, OutgoingRequest};
@@ -21,13 +23,17 @@
 /// When a client should come back while the instance knows no configuration.
 const STARTING_RETRY_AFTER_MS: u64 = 500;
 /// Answers a client's request.
-pub(super) async fn answer(node: &Rc<Node>, request: Request<Incoming>) -> Response<AnswerBody> {
+pub(super) async fn answer(
+    node: &Rc<Node>,
+    caller: net::IpAddr,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
     let started = node.now();
     let _guard = Stop::request(node);
     let names = node.adapter.headers();
     let request_id = head::text(request.headers(), &names.request_id).map(str::to_owned);
     let pending = PendingRequest::new(node, request_id, started);
-    let response = route_and_run(&pending, request).await;
+    let response = route_and_run(&pending, caller, request).await;
     pending.answered();
     let status = response.status();
     let took_s = node.now().since(started).get() as f64 / 1_000.0;
@@ -47,6 +53,7 @@
 
 async fn route_and_run(
     pending: &PendingRequest<'_>,
+    caller: net::IpAddr,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let (node, started) = (pending.node, pending.started);
@@ -103,7 +110,15 @@
         headers,
         body,
         request_id: pending.request_id.clone(),
+        caller,
     };
+    if let Some(left) = quarantine_left(node, &outgoing).await {
+        pending.turned_away("quarantined");
+        return reply::not_run(
+            "this request has crashed backend servers; an operator can let it go\n",
+            left.get(),
+        );
+    }
     let Some(part) = next_part(node, &route) else {
         pending.turned_away("no_destination");
         return reply::not_run(
@@ -132,6 +147,14 @@
     .await
 }
 
+/// How much longer the request is refused because it crashes what runs it.
+async fn quarantine_left(node: &Rc<Node>, outgoing: &OutgoingRequest) -> Option<SpanMs> {
+    if node.crashes.is_quiet() {
+        return None;
+    }
+    crashes::verdict(node, outgoing.fingerprint()).await
+}
+
 fn next_part(node: &Rc<Node>, route: &Route) -> Option<ids::ServiceId> {
     let mut state = node.state.borrow_mut();
     let index = state.splits.next(&route.name, &route.destinations)?;
--- a/crates/damaskvane-gateway/src/clients/listener.rs
+++ b/crates/damaskvane-gateway/src/clients/listener.rs
@@ -66,7 +66,7 @@
             accepted = listener.accept() => accepted,
             _ = phases.wait_for(|phase| *phase == StopPhase::Closing) => return Ok(()),
         };
-        let Ok((stream, _)) = accepted else {
+        let Ok((stream, caller)) = accepted else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
@@ -77,7 +77,7 @@
         let node = Rc::clone(&node);
         let open = Rc::clone(&open);
         tokio::task::spawn_local(async move {
-            serve(&node, stream, service).await;
+            serve(&node, stream, caller.ip(), service).await;
             open.set(open.get() - 1);
         });
     }
@@ -97,7 +97,7 @@
     tokio::net::TcpListener::from_std(socket.into())
 }
 
-async fn serve(node: &Rc<Node>, stream: TcpStream, service: Service) {
+async fn serve(node: &Rc<Node>, stream: TcpStream, caller: net::IpAddr, service: Service) {
     let _ = stream.set_nodelay(true);
     let socket = socket2::SockRef::from(&stream);
     let _ = socket.set_tcp_user_timeout(Some(CLIENT_SILENCE));
@@ -113,7 +113,7 @@
         let timer = Rc::clone(&timer);
         async move {
             timer.request_begins();
-            let response = handle(&node, service, request).await;
+            let response = handle(&node, service, caller, request).await;
             timer.request_ends();
             Ok::<_, Infallible>(response)
         }
@@ -140,10 +140,11 @@
 async fn handle(
     node: &Rc<Node>,
     service: Service,
+    caller: net::IpAddr,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let mut response = match service {
-        Service::Clients => dispatch::answer(node, request).await,
+        Service::Clients => dispatch::answer(node, caller, request).await,
         Service::LookUps => lookups::look_up(node, &request),
         Service::Ready => lookups::ready(node, &request),
         Service::Metrics if request.method() == hyper::Method::GET => metrics::answer(node),
--- a/crates/damaskvane-gateway/src/clients/run.rs
+++ b/crates/damaskvane-gateway/src/clients/run.rs
@@ -14,6 +14,7 @@
 use rand::RngExt;
 
 use crate::clients::reply;
+use crate::crashes;
 use crate::decision_log::Matter;
 use crate::node::Node;
 use crate::upstream::{Answer, AnswerBody, Exchange, ExchangeOutcome, OutgoingRequest};
@@ -70,7 +71,7 @@
                 return self.answer_last(Some(outcome));
             }
             self.tried.push(pick.server);
-            if !self.progress.may_try_again() {
+            if !self.progress.may_try_again() || self.is_quarantined().await {
                 return self.answer_last(Some(outcome));
             }
             last = Some(outcome);
@@ -188,6 +189,7 @@
         let now = self.node.now();
         let end = outcome.end.as_str();
         self.node.metrics.exchanges.with_label_values(&[end]).inc();
+        self.note_evidence(pick, outcome.end);
         if outcome.end == ExchangeEnd::Answered {
             self.learn(now, pick, outcome);
         }
@@ -208,6 +210,28 @@
         });
     }
 
+    /// Takes the end of an exchange as evidence for or against the request itself.
+    fn note_evidence(&self, pick: &Pick, end: ExchangeEnd) {
+        let crashes = &self.node.crashes;
+        match end {
+            ExchangeEnd::Broken => {
+                crashes::note_broken(self.node, &pick.server, self.outgoing.fingerprint());
+            }
+            ExchangeEnd::Answered | ExchangeEnd::Failed if !crashes.is_quiet() => {
+                crashes::note_completed(self.node, self.outgoing.fingerprint());
+            }
+            _ => {}
+        }
+    }
+
+    async fn is_quarantined(&self) -> bool {
+        if self.node.crashes.is_quiet() {
+            return false;
+        }
+        let verdict = crashes::verdict(self.node, self.outgoing.fingerprint());
+        verdict.await.is_some()
+    }
+
     fn learn(&self, now: TimeMs, pick: &Pick, outcome: &ExchangeOutcome) {
         let Some(took_ms) = outcome.took_ms else {
             return;
--- a/crates/damaskvane-gateway/src/lib.rs
+++ b/crates/damaskvane-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`clients`]: clients' connections, and the way of a request through the instance.
 //! - [`lookups`]: look-ups and readiness.
 //! - [`upstream`]: connections to and exchanges with backend servers.
+//! - [`crashes`]: requests that crash what runs them.
 //! - [`http`]: reading answers from a connection.
 //! - [`store`]: what the platform's store says, followed by watches.
 //! - [`peers`]: heartbeats between instances.
@@ -24,6 +25,7 @@
 
 pub mod adapter;
 pub mod clients;
+pub mod crashes;
 pub mod decision_log;
 pub mod explain;
 pub mod http;
--- a/crates/damaskvane-gateway/src/metrics.rs
+++ b/crates/damaskvane-gateway/src/metrics.rs
@@ -42,6 +42,8 @@
     pub store_calls: IntCounterVec,
     /// Health probes sent.
     pub probes: IntCounter,
+    /// Deaths of backend servers with requests of this instance on them.
+    pub crash_incidents: IntCounter,
     /// Look-ups answered.
     pub look_ups: IntCounter,
     /// Time from a request's head to its answer, by outcome.
@@ -87,6 +89,10 @@
             new_connections: make.counter("new_connections_total", "Connections to servers")?,
             store_calls: make.counters("store_calls_total", "Calls", &["collection", "outcome"])?,
             probes: make.counter("probes_total", "Health probes")?,
+            crash_incidents: make.counter(
+                "crash_incidents_total",
+                "Servers that died with requests on them",
+            )?,
             look_ups: make.counter("look_ups_total", "Look-ups answered")?,
             request_s: make.histograms("request_seconds", "Time of requests", &["outcome"])?,
             look_up_s: make.histogram("look_up_seconds", "Time of look-ups")?,
--- a/crates/damaskvane-gateway/src/node.rs
+++ b/crates/damaskvane-gateway/src/node.rs
@@ -13,8 +13,10 @@
 use damaskvane_routing::placement::Placer;
 use damaskvane_routing::pool::{ExchangeId, ServerPool};
 use damaskvane_routing::split::Splits;
+use tokio::sync::Notify;
 
 use crate::adapter::Adapter;
+use crate::crashes::Crashes;
 use crate::decision_log::DecisionLog;
 use crate::metrics::Metrics;
 use crate::settings::GatewaySettings;
@@ -59,6 +61,12 @@
     pub journal: Journal,
     /// The changes that come from a relay.
     pub feed: Feed,
+    /// Requests that crash what runs them.
+    pub crashes: Crashes,
+    /// Asks for a look at the probes that are due, before the next one by time.
+    pub probe_wanted: Notify,
+    /// Which start of the instance this is.
+    pub incarnation: ids::Incarnation,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// The log.
@@ -83,6 +91,7 @@
     pub fn new(
         adapter: Box<dyn Adapter>,
         settings: GatewaySettings,
+        incarnation: ids::Incarnation,
         log: slog::Logger,
         metrics: Metrics,
     ) -> Self {
@@ -113,6 +122,9 @@
             store: StoreHealth::default(),
             journal: Journal::default(),
             feed: Feed::default(),
+            crashes: Crashes::default(),
+            probe_wanted: Notify::new(),
+            incarnation,
             metrics,
             log: DecisionLog::new(log),
             held_bytes: Cell::new(0),
--- a/crates/damaskvane-gateway/src/peers.rs
+++ b/crates/damaskvane-gateway/src/peers.rs
@@ -1,4 +1,4 @@
-//! Heartbeats between instances, and digests of them between zones, as datagrams.
+//! Heartbeats between instances, digests of them between zones, and notices of crashes, as datagrams.
 //!
 //! A heartbeat is worth nothing once the next one comes, so a lost one needs no second sending, and a
 //! peer that reads slowly can't hold a sender up. That is why datagrams carry them.
@@ -9,10 +9,12 @@
 use std::rc::Rc;
 
 use damaskvane_core::ids;
+use damaskvane_dispatch::quarantine::Incident;
 use damaskvane_routing::peers::{Digest, DigestEntry, Heartbeat, Phase, StartKey};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
+use crate::crashes;
 use crate::node::Node;
 use crate::stop::StopPhase;
 
@@ -20,6 +22,12 @@
 const MAGIC: u32 = 0x6476_6231;
 /// The same for digests.
 const DIGEST_MAGIC: u32 = 0x6476_6431;
+/// The same for incidents.
+const INCIDENT_MAGIC: u32 = 0x6476_6931;
+/// How often an incident is told: a datagram may be lost, and a recipient may stand still for a moment.
+const INCIDENT_TOLD_TIMES: u32 = 3;
+/// The pause between two tellings.
+const INCIDENT_TOLD_PAUSE: Duration = Duration::from_millis(400);
 /// Entries of a digest in one datagram, so that it is not split on its way: 13 bytes each.
 const MOST_ENTRIES: usize = 64;
 /// A digest goes out with every so many heartbeats; the other speaker of the zone sends one in between.
@@ -130,21 +138,28 @@
     }
 }
 
+#[derive(Debug, Serialize, Deserialize)]
+struct IncidentMessage {
+    magic: u32,
+    incident: Incident,
+}
+
 /// Sends and receives heartbeats until the process ends.
 ///
 /// # Errors
 ///
 /// Fails if the address can't be used.
-pub async fn run(node: Rc<Node>, incarnation: ids::Incarnation) -> io::Result<()> {
+pub async fn run(node: Rc<Node>) -> io::Result<()> {
     let socket = Rc::new(UdpSocket::bind(node.settings().peer_address).await?);
     tokio::task::spawn_local(receive(Rc::clone(&node), Rc::clone(&socket)));
+    tokio::task::spawn_local(tell_incidents(Rc::clone(&node), Rc::clone(&socket)));
     let period = Duration::from_millis(node.settings().peers().heartbeat_ms);
     let mut phases = node.stop.subscribe();
     let mut serial = 0;
     let mut last_phase = None;
     loop {
         serial += 1;
-        let heartbeat = own(&node, incarnation, serial);
+        let heartbeat = own(&node, serial);
         let phase = heartbeat.phase;
         let (now, recipients) = {
             let now = node.now();
@@ -168,11 +183,11 @@
     }
 }
 
-fn own(node: &Node, incarnation: ids::Incarnation, serial: u64) -> Heartbeat {
+fn own(node: &Node, serial: u64) -> Heartbeat {
     let settings = node.settings();
     Heartbeat {
         instance: settings.instance.clone(),
-        incarnation,
+        incarnation: node.incarnation,
         serial,
         zone: settings.zone.clone(),
         client_address: settings.client_address,
@@ -193,6 +208,39 @@
     }
 }
 
+/// Tells the other instances of each incident, until the process ends.
+async fn tell_incidents(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    while let Ok(incident) = node.crashes.notices().recv_async().await {
+        let telling = tell(Rc::clone(&node), Rc::clone(&socket), incident);
+        tokio::task::spawn_local(telling);
+    }
+}
+
+async fn tell(node: Rc<Node>, socket: Rc<UdpSocket>, incident: Incident) {
+    let seen_at = node.now();
+    let mut message = IncidentMessage {
+        magic: INCIDENT_MAGIC,
+        incident,
+    };
+    for time in 0..INCIDENT_TOLD_TIMES {
+        if time > 0 {
+            tokio::time::sleep(INCIDENT_TOLD_PAUSE).await;
+        }
+        message.incident.age = node.now().since(seen_at);
+        let recipients = node.state.borrow().members.others();
+        send(&node, &socket, &message, &recipients).await;
+    }
+}
+
+fn take_incident(node: &Node, bytes: &[u8]) {
+    let message: Result<IncidentMessage, _> = postcard::from_bytes(bytes);
+    if let Ok(message) = message
+        && message.magic == INCIDENT_MAGIC
+    {
+        crashes::take_told(node, &message.incident);
+    }
+}
+
 async fn send(
     node: &Node,
     socket: &UdpSocket,
@@ -228,6 +276,7 @@
             continue;
         };
         take_digest(&node, &buffer[..length]);
+        take_incident(&node, &buffer[..length]);
         let message: Result<Message, _> = postcard::from_bytes(&buffer[..length]);
         let heartbeat = message.ok().and_then(Message::into_heartbeat);
         if let Some(heartbeat) = heartbeat {
--- a/crates/damaskvane-gateway/src/probes.rs
+++ b/crates/damaskvane-gateway/src/probes.rs
@@ -1,10 +1,12 @@
 //! Health probes of servers in doubt.
 
 use core::time::Duration;
+use std::io;
 use std::rc::Rc;
 
 use damaskvane_routing::pool::{DueProbe, ProbeResult};
 
+use crate::crashes;
 use crate::http::{self, BodyReader};
 use crate::node::Node;
 
@@ -18,7 +20,7 @@
 /// Sends probes as they fall due, and lets go what has expired, until the process ends.
 pub async fn run(node: Rc<Node>) {
     loop {
-        tokio::time::sleep(LOOK_PAUSE).await;
+        let _ = tokio::time::timeout(LOOK_PAUSE, node.probe_wanted.notified()).await;
         let now = node.now();
         let gone = node.state.borrow_mut().pool.expire(now);
         for change in gone {
@@ -46,6 +48,15 @@
     let asked = tokio::time::timeout(PROBE_TIMEOUT, ask(&node, &probe)).await;
     let result = asked.ok().flatten().unwrap_or(ProbeResult::NoAnswer);
     let now = node.now();
+    match result {
+        ProbeResult::Refused | ProbeResult::OtherServer => {
+            crashes::note_death(&node, &probe.server, "probe");
+        }
+        ProbeResult::Healthy { .. } | ProbeResult::Unhealthy => {
+            crashes::note_alive(&node, &probe.server);
+        }
+        ProbeResult::NoAnswer => {}
+    }
     node.state
         .borrow_mut()
         .pool
@@ -56,7 +67,13 @@
 
 async fn ask(node: &Rc<Node>, probe: &DueProbe) -> Option<ProbeResult> {
     let opened = http::Connection::open(probe.address, PROBE_TIMEOUT, PROBE_TIMEOUT).await;
-    let mut connection = opened.ok()?;
+    let mut connection = match opened {
+        Ok(connection) => connection,
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            return Some(ProbeResult::Refused);
+        }
+        Err(_) => return None,
+    };
     let request = format!(
         "GET {} HTTP/1.1\r\nhost: {}\r\n\r\n",
         probe.health_path, probe.address
--- a/crates/damaskvane-gateway/src/process.rs
+++ b/crates/damaskvane-gateway/src/process.rs
@@ -15,7 +15,7 @@
 use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::settings::GatewaySettings;
-use crate::{peers, probes, stop, store};
+use crate::{crashes, peers, probes, stop, store};
 
 /// How often the settings file is looked at: it may change without a signal.
 const SETTINGS_PERIOD: Duration = Duration::from_secs(2);
@@ -53,18 +53,18 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    let node = Rc::new(Node::new(adapter, settings, log, Metrics::new()?));
+    let metrics = Metrics::new()?;
+    let node = Rc::new(Node::new(adapter, settings, incarnation(), log, metrics));
     let local = tokio::task::LocalSet::new();
     local.block_on(&runtime, run_node(node, settings_file.to_owned()))
 }
 
 async fn run_node(node: Rc<Node>, settings_file: PathBuf) -> Result<(), ProcessError> {
-    let incarnation = incarnation();
-    slog::info!(node.log.log, "start"; "incarnation" => incarnation.get(),
+    slog::info!(node.log.log, "start"; "incarnation" => node.incarnation.get(),
         "version" => env!("CARGO_PKG_VERSION"));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let failures = start(&node, incarnation);
+    let failures = start(&node);
     tokio::task::spawn_local(watch_settings(Rc::clone(&node), settings_file));
     tokio::select! {
         _ = terminate.recv() => {}
@@ -83,7 +83,7 @@
 }
 
 /// Starts all tasks; what ends one of them for good arrives on the channel.
-fn start(node: &Rc<Node>, incarnation: ids::Incarnation) -> flume::Receiver<ProcessError> {
+fn start(node: &Rc<Node>) -> flume::Receiver<ProcessError> {
     let (sender, failures) = flume::unbounded();
     let settings = node.settings();
     let listeners = [
@@ -121,7 +121,7 @@
             let _ = feed_sender.send(failure);
         }
     });
-    let beating = peers::run(Rc::clone(node), incarnation);
+    let beating = peers::run(Rc::clone(node));
     tokio::task::spawn_local(async move {
         if let Err(error) = beating.await {
             let failure = ProcessError::Listen {
@@ -140,6 +140,7 @@
     tokio::task::spawn_local(store::watch_freshness(Rc::clone(node)));
     tokio::task::spawn_local(store::register(Rc::clone(node)));
     tokio::task::spawn_local(probes::run(Rc::clone(node)));
+    tokio::task::spawn_local(crashes::keep_records(Rc::clone(node)));
     if let Some(address) = settings.metrics_address {
         tokio::task::spawn_local(serve_metrics(Rc::clone(node), address));
     }
--- a/crates/damaskvane-gateway/src/store.rs
+++ b/crates/damaskvane-gateway/src/store.rs
@@ -19,8 +19,9 @@
 use crate::adapter::Collection;
 
 /// The collections that every instance follows.
-pub const FOLLOWED: [Collection; 3] = [
+pub const FOLLOWED: [Collection; 4] = [
     Collection::Configuration,
     Collection::Servers,
     Collection::Evacuations,
+    Collection::Quarantine,
 ];
--- a/crates/damaskvane-gateway/src/store/feed/frames.rs
+++ b/crates/damaskvane-gateway/src/store/feed/frames.rs
@@ -12,7 +12,7 @@
 use crate::store::feed::SILENCE;
 
 /// Tells the protocol from others on the port, and its form from later ones.
-pub(super) const MAGIC: u32 = 0x6476_6631;
+pub(super) const MAGIC: u32 = 0x6476_6632;
 /// Largest frame: a list of changes is a megabyte at most.
 const MOST_BYTES: u32 = 8 << 20;
 
--- a/crates/damaskvane-gateway/src/store/follow.rs
+++ b/crates/damaskvane-gateway/src/store/follow.rs
@@ -12,6 +12,7 @@
 use rand::RngExt;
 
 use crate::adapter::{Collection, DecodeError, Event, Record, StoreRequest};
+use crate::crashes;
 use crate::node::Node;
 use crate::store::feed::Item;
 use crate::store::journal::Listing;
@@ -269,6 +270,10 @@
                 }
                 self.publish_evacuations(now);
             }
+            Collection::Quarantine => {
+                let recorded = items.iter().filter_map(|item| item.name.parse().ok());
+                crashes::replace_recorded(&self.node, &recorded.collect());
+            }
             Collection::Configuration | Collection::Instances => {
                 for item in items {
                     self.apply(item);
@@ -300,6 +305,14 @@
                 self.note_evacuation(event);
                 self.publish_evacuations(now);
             }
+            Collection::Quarantine => match (event.record, event.name.parse()) {
+                (Some(Record::Quarantined(fingerprint)), _) => {
+                    crashes::note_recorded(&self.node, fingerprint);
+                }
+                (Some(Record::Unusable(why)), _) => self.note_unusable(&event.name, &why),
+                (None, Ok(fingerprint)) => crashes::note_lifted(&self.node, fingerprint),
+                _ => {}
+            },
             Collection::Instances => {}
         }
     }
@@ -326,6 +339,9 @@
             if let Change::Gone(id) | Change::Restarted(id) = change {
                 self.node.idle.borrow_mut().drop_server(id);
             }
+            if let Change::Restarted(id) = change {
+                crashes::note_death(&self.node, id, "restart");
+            }
             slog::info!(self.node.log.log, "backend server";
                 "backend_server" => %change.server(), "change" => change.as_str(),
                 "source" => ?self.node.store.source(),
--- a/crates/damaskvane-gateway/src/upstream/request.rs
+++ b/crates/damaskvane-gateway/src/upstream/request.rs
@@ -1,9 +1,11 @@
 //! A client's request, as it goes on to a backend server.
 
 use std::io::Write;
+use std::net;
 
 use bytes::{Bytes, BytesMut};
 use damaskvane_core::ids;
+use damaskvane_dispatch::fingerprint::Fingerprint;
 use hyper::header::{self, HeaderMap, HeaderName};
 
 use crate::adapter::HeaderNames;
@@ -51,9 +53,21 @@
     pub body: Option<Bytes>,
     /// The client's name for this try.
     pub request_id: Option<String>,
+    /// Where the client connected from.
+    pub caller: net::IpAddr,
 }
 
 impl OutgoingRequest {
+    /// What makes it the same request when its caller sends it again, under whatever name.
+    #[must_use]
+    pub fn fingerprint(&self) -> Fingerprint {
+        let caller = self.caller.to_string();
+        let host = self.headers.get(header::HOST);
+        let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+        let fields = [&caller, host, self.method.as_str(), &self.target];
+        Fingerprint::of_fields(fields, self.body.as_deref().unwrap_or_default())
+    }
+
     /// The bytes of the request for one server, with the time left.
     #[must_use]
     pub fn to_bytes(
--- a/crates/damaskvane-routing/src/peers/members.rs
+++ b/crates/damaskvane-routing/src/peers/members.rs
@@ -211,6 +211,19 @@
             .collect()
     }
 
+    /// All other instances that were ever listed or heard, for what concerns everybody.
+    #[must_use]
+    pub fn others(&self) -> Vec<net::SocketAddr> {
+        let heard = self.members.values().map(|member| &member.heartbeat);
+        let heard = heard.map(|heartbeat| (&heartbeat.instance, heartbeat.peer_address));
+        let listed = self.listed.values();
+        let listed = listed.map(|listed| (&listed.instance, listed.peer_address));
+        // What an instance says of itself is newer than the list.
+        let addresses: BTreeMap<_, _> = listed.chain(heard).collect();
+        let others = addresses.into_iter().filter(|(id, _)| **id != self.own);
+        others.map(|(_, address)| address).collect()
+    }
+
     fn is_to_all(&self, now: TimeMs, serial: u64) -> bool {
         let phase = self.members.get(&self.own).map(|own| own.heartbeat.phase);
         let told_ms = match phase {
--- a/crates/damaskvane-routing/src/pool/probes.rs
+++ b/crates/damaskvane-routing/src/pool/probes.rs
@@ -27,6 +27,8 @@
     Unhealthy,
     /// Another server has the address.
     OtherServer,
+    /// Nobody listens at its address: the process is gone.
+    Refused,
     /// No answer.
     NoAnswer,
 }
--- a/crates/damaskvane-routing/src/pool/server_pool.rs
+++ b/crates/damaskvane-routing/src/pool/server_pool.rs
@@ -263,7 +263,7 @@
                     probe_at: now + SpanMs::new(PROBE_AGAIN_MS),
                 };
             }
-            ProbeResult::NoAnswer => {
+            ProbeResult::Refused | ProbeResult::NoAnswer => {
                 if !matches!(server.reach, Reach::Replaced | Reach::Down { .. }) {
                     server.reach = Reach::down(now);
                 }
