Changes of servers are fetched every 0.5 s at most

Ruled out: longer gathering of configurations and evacuations (few, and their bounds are tighter). Change: 500 ms for servers. A drain may be heard 0.35 s later; the least bound on it is 2 s after its acknowledgement, and a joined server is cold.

--- a/crates/damaskvane-gateway/src/store/follow.rs
+++ b/crates/damaskvane-gateway/src/store/follow.rs
@@ -34,6 +34,16 @@
 /// Changes that come within this time are fetched together: each return of a watch is a call that is
 /// paid for, and a replaced server makes several changes.
 const GATHER: Duration = Duration::from_millis(150);
+/// The same for servers, which change most while many join and grow warm. One that drains may still get
+/// requests for 2 s at least, and one that joined is cold.
+const GATHER_SERVERS: Duration = Duration::from_millis(500);
+
+const fn gather(collection: Collection) -> Duration {
+    match collection {
+        Collection::Servers => GATHER_SERVERS,
+        _ => GATHER,
+    }
+}
 
 /// Follows a collection until the process ends.
 pub async fn follow(node: Rc<Node>, collection: Collection) {
@@ -177,7 +187,7 @@
                         self.apply(event);
                     }
                     if self.node.store.source() == Source::Store {
-                        tokio::time::sleep(GATHER).await;
+                        tokio::time::sleep(gather(self.collection)).await;
                     }
                 }
                 Err(CallError::HistoryGone) => {
