Instances that are starting are relays as long as nobody in their zone is ready

Ruled out: waiting longer for a relay before lists are read (a zone that was killed would serve 0.5 s later). Change: without a ready instance in the zone those that start are relays, and a new process listens for 0.7 s before it takes itself for one. Lists are still read at once. Test: routing/tests/peers.rs, instances_that_are_starting_are_relays_as_long_as_nobody_is_ready.

--- a/crates/damaskvane-gateway/src/store/feed/listen.rs
+++ b/crates/damaskvane-gateway/src/store/feed/listen.rs
@@ -25,6 +25,10 @@
 /// How long a new process waits for a relay before it watches the store itself.
 const UNDECIDED_MS: u64 = 1_500;
 
+/// How long a new process listens for heartbeats before it takes itself for a relay: instances of a zone that
+/// start together have heard each other by then, and only two of them watch the store.
+const SETTLED_MS: u64 = 700;
+
 /// What this instance is for its zone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Role {
@@ -151,6 +155,7 @@
     let is_relay = role(node, 0) == Role::Relay;
     let current = node.store.source();
     let wanted = match store_age {
+        _ if is_relay && current == Source::Undecided && now.get() < SETTLED_MS => current,
         _ if is_relay => Source::Store,
         Some(age) if age.get() <= STORE_STALE_MS => Source::Relay,
         Some(_) => Source::Store,
--- a/crates/damaskvane-routing/src/peers/members.rs
+++ b/crates/damaskvane-routing/src/peers/members.rs
@@ -259,10 +259,15 @@
 
     /// The instances that clients may use, with their zones.
     pub fn usable(&self, now: TimeMs) -> impl Iterator<Item = &Heartbeat> {
+        self.alive(now, Phase::Ready)
+    }
+
+    /// The instances in a phase that are not silent.
+    fn alive(&self, now: TimeMs, phase: Phase) -> impl Iterator<Item = &Heartbeat> {
         self.members
             .values()
             .filter(move |member| {
-                member.heartbeat.phase == Phase::Ready
+                member.heartbeat.phase == phase
                     && (member.heartbeat.instance == self.own
                         || now.since(member.heard_at).get() < self.silence_ms(member))
             })
@@ -280,18 +285,26 @@
     /// The instances of a zone that watch the store for it, with their addresses.
     ///
     /// Every instance computes them from the heartbeats that it hears. Two that disagree cost some calls:
-    /// an instance whose source is stale watches the store itself.
+    /// an instance whose source is stale watches the store itself. As long as nobody in the zone is ready,
+    /// which lasts until the first configuration is written, instances that are starting do it for the others.
     #[must_use]
     pub fn relays(
         &self,
         now: TimeMs,
         zone: &ids::AvailabilityZoneId,
     ) -> Vec<(ids::InstanceId, net::SocketAddr)> {
-        let in_zone = self.usable(now).filter(|heartbeat| heartbeat.zone == *zone);
-        in_zone
-            .take(self.settings.relays_per_zone)
-            .map(|heartbeat| (heartbeat.instance.clone(), heartbeat.peer_address))
-            .collect()
+        let relays_in = |phase: Phase| {
+            self.alive(now, phase)
+                .filter(|heartbeat| heartbeat.zone == *zone)
+                .take(self.settings.relays_per_zone)
+                .map(|heartbeat| (heartbeat.instance.clone(), heartbeat.peer_address))
+                .collect::<Vec<_>>()
+        };
+        let ready = relays_in(Phase::Ready);
+        if ready.is_empty() {
+            return relays_in(Phase::Starting);
+        }
+        ready
     }
 
     /// The client addresses for a caller: of its own zone, or else of its region, or else of the regions
--- a/crates/damaskvane-routing/tests/peers.rs
+++ b/crates/damaskvane-routing/tests/peers.rs
@@ -119,3 +119,25 @@
     let ports: Vec<u16> = addresses.iter().map(std::net::SocketAddr::port).collect();
     assert_eq!(ports, [port("west")]);
 }
+
+fn relays(members: &Members, now_ms: u64) -> Vec<String> {
+    let relays = members.relays(at(now_ms), &zone("east-a"));
+    relays.into_iter().map(|(id, _)| id.to_string()).collect()
+}
+
+/// A deployment starts, and its first configuration is written a second later. Nobody is ready before; were
+/// only ready instances relays, each instance would watch the store for itself meanwhile.
+#[test]
+fn instances_that_are_starting_are_relays_as_long_as_nobody_is_ready() {
+    let mut members = members();
+    let starting = |name: &str| Heartbeat {
+        phase: Phase::Starting,
+        ..heartbeat(name, "east-a", 1, 1)
+    };
+    members.set_own_phase(at(0), Phase::Starting);
+    members.note(at(1), starting("another"));
+    members.note(at(1), starting("third"));
+    assert_eq!(relays(&members, 2), ["another", "own"]);
+    members.note(at(3), heartbeat("third", "east-a", 1, 2));
+    assert_eq!(relays(&members, 4), ["third"]);
+}
