--- a/crates/damaskvane-gateway/src/clients/dispatch.rs
+++ b/crates/damaskvane-gateway/src/clients/dispatch.rs
@@ -16,6 +16,7 @@
 use crate::clients::pending::PendingRequest;
 use crate::clients::{head, reply, run};
 use crate::crashes;
+use crate::decision_log::Matter;
 use crate::node::Node;
 use crate::stop::Stop;
 use crate::upstream::{self, AnswerBody, OutgoingRequest};
@@ -112,7 +113,7 @@
         request_id: pending.request_id.clone(),
         caller,
     };
-    if let Some(left) = quarantine_left(node, &outgoing).await {
+    if let Some(left) = quarantine_left(pending, &outgoing).await {
         pending.turned_away("quarantined");
         return reply::not_run(
             "this request has crashed backend servers; an operator can let it go\n",
@@ -130,6 +131,7 @@
     note_request(node, &service);
     run::Run {
         node,
+        pending,
         configuration: &configuration,
         route: &route,
         object: object
@@ -148,11 +150,23 @@
 }
 
 /// How much longer the request is refused because it crashes what runs it.
-async fn quarantine_left(node: &Rc<Node>, outgoing: &OutgoingRequest) -> Option<SpanMs> {
+async fn quarantine_left(
+    pending: &PendingRequest<'_>,
+    outgoing: &OutgoingRequest,
+) -> Option<SpanMs> {
+    let node = pending.node;
     if node.crashes.is_quiet() {
         return None;
     }
-    crashes::verdict(node, outgoing.fingerprint()).await
+    let fingerprint = outgoing.fingerprint();
+    let left = crashes::verdict(node, fingerprint).await?;
+    node.log
+        .request(node.now(), Matter::Failure, |log, left_out| {
+            slog::info!(log, "request is known to crash servers";
+            "request_id" => outgoing.request_id.as_deref(), "fingerprint" => %fingerprint,
+            "refused_for_ms" => left.get(), "lines_left_out" => left_out);
+        });
+    Some(left)
 }
 
 fn next_part(node: &Rc<Node>, route: &Route) -> Option<ids::ServiceId> {
--- a/crates/damaskvane-gateway/src/clients/pending.rs
+++ b/crates/damaskvane-gateway/src/clients/pending.rs
@@ -1,7 +1,9 @@
 //! A request that has no answer yet: what the log tells if it never gets one.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 
+use damaskvane_core::ids;
 use damaskvane_core::time::TimeMs;
 
 use crate::clients::reply;
@@ -18,6 +20,8 @@
     pub(super) request_id: Option<String>,
     pub(super) started: TimeMs,
     is_answered: bool,
+    /// The server that it was sent to last.
+    sent_to: RefCell<Option<ids::BackendServerId>>,
 }
 
 impl<'a> PendingRequest<'a> {
@@ -31,6 +35,7 @@
             request_id,
             started,
             is_answered: false,
+            sent_to: RefCell::new(None),
         }
     }
 
@@ -39,6 +44,11 @@
         self.is_answered = true;
     }
 
+    /// Notes where the request is sent.
+    pub(super) fn sent_to(&self, server: &ids::BackendServerId) {
+        *self.sent_to.borrow_mut() = Some(server.clone());
+    }
+
     /// Notes that the request was turned away before a server was chosen.
     pub(super) fn turned_away(&self, reason: &str) {
         reply::count_refusal(self.node, reason);
@@ -53,6 +63,7 @@
             .request(now, Matter::Failure, |log, left_out| {
                 slog::info!(log, "request not served";
                     "request_id" => self.request_id.as_deref(), "reason" => reason,
+                    "backend_server" => self.sent_to.borrow().as_ref().map(ToString::to_string),
                     "after_ms" => now.since(self.started).get(), "config_version" => version,
                     "store_age_ms" => self.node.store.age(now).get(), "lines_left_out" => left_out);
             });
--- a/crates/damaskvane-gateway/src/clients/run.rs
+++ b/crates/damaskvane-gateway/src/clients/run.rs
@@ -13,6 +13,7 @@
 use hyper::{Response, StatusCode};
 use rand::RngExt;
 
+use crate::clients::pending::PendingRequest;
 use crate::clients::reply;
 use crate::crashes;
 use crate::decision_log::Matter;
@@ -27,6 +28,7 @@
 /// A request whose service is known.
 pub(super) struct Run<'a> {
     pub(super) node: &'a Rc<Node>,
+    pub(super) pending: &'a PendingRequest<'a>,
     pub(super) configuration: &'a Configuration,
     pub(super) route: &'a Route,
     pub(super) service: ids::ServiceId,
@@ -130,6 +132,7 @@
     /// One exchange; `None` if the time is over.
     async fn attempt(&mut self, pick: &Pick) -> Option<ExchangeOutcome> {
         let started = self.node.now();
+        self.pending.sent_to(&pick.server);
         let exchange = Exchange {
             node: self.node,
             request: self.outgoing,
