Datagrams between instances are one typed message, read once

Change: peers/message.rs holds the message and its form; what can't be read is counted (unread_datagrams_total).

--- a/crates/damaskvane-gateway/src/metrics.rs
+++ b/crates/damaskvane-gateway/src/metrics.rs
@@ -44,6 +44,8 @@
     pub probes: IntCounter,
     /// Deaths of backend servers with requests of this instance on them.
     pub crash_incidents: IntCounter,
+    /// Datagrams that are no message of this protocol.
+    pub unread_datagrams: IntCounter,
     /// Look-ups answered.
     pub look_ups: IntCounter,
     /// Time from a request's head to its answer, by outcome.
@@ -93,6 +95,8 @@
                 "crash_incidents_total",
                 "Servers that died with requests on them",
             )?,
+            unread_datagrams: make
+                .counter("unread_datagrams_total", "Datagrams that are no message")?,
             look_ups: make.counter("look_ups_total", "Look-ups answered")?,
             request_s: make.histograms("request_seconds", "Time of requests", &["outcome"])?,
             look_up_s: make.histogram("look_up_seconds", "Time of look-ups")?,
--- a/crates/damaskvane-gateway/src/peers.rs
+++ b/crates/damaskvane-gateway/src/peers.rs
@@ -3,28 +3,23 @@
 //! A heartbeat is worth nothing once the next one comes, so a lost one needs no second sending, and a
 //! peer that reads slowly can't hold a sender up. That is why datagrams carry them.
 
+mod message;
+
 use core::time::Duration;
 use std::io;
 use std::net;
 use std::rc::Rc;
 
-use damaskvane_core::ids;
 use damaskvane_dispatch::quarantine::Incident;
-use damaskvane_routing::peers::{Digest, DigestEntry, Heartbeat, Phase, StartKey};
-use damaskvane_routing::pool::{LoadReport, ServerKey, ToldLoad};
-use serde::{Deserialize, Serialize};
+use damaskvane_routing::peers::{Digest, Heartbeat, Phase};
 use tokio::net::UdpSocket;
 
+pub use message::Message;
+
 use crate::crashes;
 use crate::node::Node;
 use crate::stop::StopPhase;
 
-/// Tells this message from others on the port, and its form from later ones.
-const MAGIC: u32 = 0x6476_6231;
-/// The same for digests.
-const DIGEST_MAGIC: u32 = 0x6476_6432;
-/// The same for loads.
-const LOAD_MAGIC: u32 = 0x6476_6c31;
 /// The pause between two words on busy servers, for each instance that hears them: a queue changes within a few
 /// hundred milliseconds, and 17 listeners get 4.3 KB/s from one instance at most.
 const LOAD_PAUSE_PER_LISTENER: Duration = Duration::from_millis(30);
@@ -32,8 +27,6 @@
 const LEAST_LOAD_PAUSE: Duration = Duration::from_millis(250);
 /// Servers in one word on busy ones: 8 bytes each.
 const MOST_LOADS: usize = 12;
-/// The same for incidents.
-const INCIDENT_MAGIC: u32 = 0x6476_6931;
 /// How often an incident is told: a datagram may be lost, and a recipient may stand still for a moment.
 const INCIDENT_TOLD_TIMES: u32 = 3;
 /// The pause between two tellings.
@@ -48,159 +41,6 @@
 /// Largest datagram.
 const MOST_BYTES: usize = 1_400;
 
-#[derive(Debug, Serialize, Deserialize)]
-struct Message {
-    magic: u32,
-    instance: ids::InstanceId,
-    incarnation: ids::Incarnation,
-    serial: u64,
-    zone: ids::AvailabilityZoneId,
-    client_address: net::SocketAddr,
-    peer_address: net::SocketAddr,
-    phase: u8,
-}
-
-impl Message {
-    fn of(heartbeat: Heartbeat) -> Self {
-        Self {
-            magic: MAGIC,
-            instance: heartbeat.instance,
-            incarnation: heartbeat.incarnation,
-            serial: heartbeat.serial,
-            zone: heartbeat.zone,
-            client_address: heartbeat.client_address,
-            peer_address: heartbeat.peer_address,
-            phase: phase_number(heartbeat.phase),
-        }
-    }
-
-    fn into_heartbeat(self) -> Option<Heartbeat> {
-        let phase = phase_of(self.phase)?;
-        (self.magic == MAGIC).then_some(Heartbeat {
-            instance: self.instance,
-            incarnation: self.incarnation,
-            serial: self.serial,
-            zone: self.zone,
-            client_address: self.client_address,
-            peer_address: self.peer_address,
-            phase,
-        })
-    }
-}
-
-const fn phase_number(phase: Phase) -> u8 {
-    match phase {
-        Phase::Starting => 0,
-        Phase::Ready => 1,
-        Phase::Leaving => 2,
-    }
-}
-
-const fn phase_of(number: u8) -> Option<Phase> {
-    match number {
-        0 => Some(Phase::Starting),
-        1 => Some(Phase::Ready),
-        2 => Some(Phase::Leaving),
-        _ => None,
-    }
-}
-
-#[derive(Debug, Clone, Serialize, Deserialize)]
-struct DigestMessage {
-    magic: u32,
-    /// Whether an instance of the recipient's zone hands it on.
-    is_handed_on: bool,
-    entries: Vec<EntryMessage>,
-}
-
-#[derive(Debug, Clone, Serialize, Deserialize)]
-struct EntryMessage {
-    key: [u8; 8],
-    serial: u64,
-    phase: u8,
-    age_ms: u64,
-}
-
-impl DigestMessage {
-    fn of(entries: &[DigestEntry]) -> Self {
-        let entries = entries.iter().map(|entry| EntryMessage {
-            key: entry.key.get().to_le_bytes(),
-            serial: entry.serial,
-            phase: phase_number(entry.phase),
-            age_ms: entry.age_ms,
-        });
-        Self {
-            magic: DIGEST_MAGIC,
-            is_handed_on: false,
-            entries: entries.collect(),
-        }
-    }
-
-    fn into_digest(self) -> Option<Digest> {
-        let entries = self.entries.into_iter().filter_map(|entry| {
-            Some(DigestEntry {
-                key: StartKey::from_wire(u64::from_le_bytes(entry.key)),
-                serial: entry.serial,
-                phase: phase_of(entry.phase)?,
-                age_ms: entry.age_ms,
-            })
-        });
-        (self.magic == DIGEST_MAGIC).then(|| Digest {
-            entries: entries.collect(),
-        })
-    }
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct IncidentMessage {
-    magic: u32,
-    incident: Incident,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct LoadMessage {
-    magic: u32,
-    loads: Vec<LoadEntry>,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct LoadEntry {
-    server: u32,
-    running: u32,
-    waiting: u32,
-    slots: u32,
-    age_ms: u64,
-}
-
-impl LoadMessage {
-    fn of(told: &[ToldLoad]) -> Self {
-        let loads = told.iter().map(|told| LoadEntry {
-            server: told.server.get(),
-            running: told.load.running,
-            waiting: told.load.waiting,
-            slots: told.load.slots,
-            age_ms: told.age_ms,
-        });
-        Self {
-            magic: LOAD_MAGIC,
-            loads: loads.collect(),
-        }
-    }
-
-    fn into_told(self) -> Option<Vec<ToldLoad>> {
-        let loads = self.loads.into_iter().map(|entry| ToldLoad {
-            server: ServerKey::from_wire(entry.server),
-            load: LoadReport {
-                running: entry.running,
-                waiting: entry.waiting,
-                slots: entry.slots,
-            },
-            age_ms: entry.age_ms,
-        });
-        (self.magic == LOAD_MAGIC).then(|| loads.collect())
-    }
-}
-
 /// Sends and receives heartbeats until the process ends.
 ///
 /// # Errors
@@ -229,7 +69,7 @@
             slog::info!(node.log.log, "own phase"; "phase" => ?phase, "at_ms" => now.get());
             last_phase = Some(phase);
         }
-        send(&node, &socket, &Message::of(heartbeat), &recipients).await;
+        send(&node, &socket, &Message::Heartbeat(heartbeat), &recipients).await;
         if serial.is_multiple_of(BEATS_PER_DIGEST) {
             send_digest(&node, &socket).await;
         }
@@ -262,7 +102,13 @@
     };
     let entries = digest.map(|digest| digest.entries).unwrap_or_default();
     for entries in entries.chunks(MOST_ENTRIES) {
-        send(node, socket, &DigestMessage::of(entries), &recipients).await;
+        let message = Message::Digest {
+            is_handed_on: false,
+            digest: Digest {
+                entries: entries.to_vec(),
+            },
+        };
+        send(node, socket, &message, &recipients).await;
     }
 }
 
@@ -280,20 +126,11 @@
         let listeners = u32::try_from(neighbours.len()).unwrap_or(u32::MAX);
         pause = LEAST_LOAD_PAUSE.max(LOAD_PAUSE_PER_LISTENER.saturating_mul(listeners));
         if !told.is_empty() {
-            send(&node, &socket, &LoadMessage::of(&told), &neighbours).await;
+            send(&node, &socket, &Message::Loads(told), &neighbours).await;
         }
     }
 }
 
-fn take_loads(node: &Node, bytes: &[u8]) {
-    let message: Result<LoadMessage, _> = postcard::from_bytes(bytes);
-    if let Some(told) = message.ok().and_then(LoadMessage::into_told) {
-        let now = node.now();
-        let mut state = node.state.borrow_mut();
-        state.pool.note_told_loads(now, &told);
-    }
-}
-
 /// Tells the other instances of each incident, until the process ends.
 async fn tell_incidents(node: Rc<Node>, socket: Rc<UdpSocket>) {
     while let Ok(incident) = node.crashes.notices().recv_async().await {
@@ -304,36 +141,21 @@
 
 async fn tell(node: Rc<Node>, socket: Rc<UdpSocket>, incident: Incident) {
     let seen_at = node.now();
-    let mut message = IncidentMessage {
-        magic: INCIDENT_MAGIC,
-        incident,
-    };
     for time in 0..INCIDENT_TOLD_TIMES {
         if time > 0 {
             tokio::time::sleep(INCIDENT_TOLD_PAUSE).await;
         }
-        message.incident.age = node.now().since(seen_at);
+        let incident = Incident {
+            age: node.now().since(seen_at),
+            ..incident.clone()
+        };
         let recipients = node.state.borrow().members.others();
-        send(&node, &socket, &message, &recipients).await;
-    }
-}
-
-fn take_incident(node: &Node, bytes: &[u8]) {
-    let message: Result<IncidentMessage, _> = postcard::from_bytes(bytes);
-    if let Ok(message) = message
-        && message.magic == INCIDENT_MAGIC
-    {
-        crashes::take_told(node, &message.incident);
+        send(&node, &socket, &Message::Incident(incident), &recipients).await;
     }
 }
 
-async fn send(
-    node: &Node,
-    socket: &UdpSocket,
-    message: &impl Serialize,
-    recipients: &[net::SocketAddr],
-) {
-    let bytes = match postcard::to_allocvec(message) {
+async fn send(node: &Node, socket: &UdpSocket, message: &Message, recipients: &[net::SocketAddr]) {
+    let bytes = match message.encode() {
         Ok(bytes) => bytes,
         Err(error) => {
             slog::error!(node.log.log, "a message to other instances can't be encoded"; "error" => %error);
@@ -341,30 +163,11 @@
         }
     };
     for recipient in recipients {
-        // A recipient that can't be reached now is told by the next heartbeat.
+        // A recipient that can't be reached now is told by the next message.
         let _ = socket.send_to(&bytes, recipient).await;
     }
 }
 
-async fn take_digest(node: &Node, socket: &UdpSocket, bytes: &[u8]) {
-    let message: Result<DigestMessage, _> = postcard::from_bytes(bytes);
-    let Some(message) = message.ok().filter(|one| one.magic == DIGEST_MAGIC) else {
-        return;
-    };
-    let now = node.now();
-    let listeners = node.state.borrow().members.digest_listeners(now);
-    if !message.is_handed_on && !listeners.is_empty() {
-        let handed_on = DigestMessage {
-            is_handed_on: true,
-            ..message.clone()
-        };
-        send(node, socket, &handed_on, &listeners).await;
-    }
-    if let Some(digest) = message.into_digest() {
-        node.state.borrow_mut().members.note_digest(now, &digest);
-    }
-}
-
 async fn receive(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let mut buffer = [0; MOST_BYTES];
     loop {
@@ -372,20 +175,49 @@
             // An earlier datagram found nobody; the socket goes on working.
             continue;
         };
-        take_digest(&node, &socket, &buffer[..length]).await;
-        take_incident(&node, &buffer[..length]);
-        take_loads(&node, &buffer[..length]);
-        let message: Result<Message, _> = postcard::from_bytes(&buffer[..length]);
-        let heartbeat = message.ok().and_then(Message::into_heartbeat);
-        if let Some(heartbeat) = heartbeat {
-            let instance = heartbeat.instance.clone();
-            let phase = heartbeat.phase;
-            let now = node.now();
-            let is_new = node.state.borrow_mut().members.note(now, heartbeat);
-            if is_new {
-                slog::info!(node.log.log, "instance started";
-                    "peer" => %instance, "phase" => ?phase);
+        match Message::decode(&buffer[..length]) {
+            Some(Message::Heartbeat(heartbeat)) => take_heartbeat(&node, heartbeat),
+            Some(Message::Digest {
+                is_handed_on,
+                digest,
+            }) => {
+                if !is_handed_on {
+                    hand_on(&node, &socket, &digest).await;
+                }
+                let now = node.now();
+                node.state.borrow_mut().members.note_digest(now, &digest);
+            }
+            Some(Message::Incident(incident)) => crashes::take_told(&node, &incident),
+            Some(Message::Loads(told)) => {
+                let now = node.now();
+                node.state.borrow_mut().pool.note_told_loads(now, &told);
             }
+            None => node.metrics.unread_datagrams.inc(),
         }
     }
 }
+
+fn take_heartbeat(node: &Node, heartbeat: Heartbeat) {
+    let instance = heartbeat.instance.clone();
+    let phase = heartbeat.phase;
+    let now = node.now();
+    let is_new = node.state.borrow_mut().members.note(now, heartbeat);
+    if is_new {
+        slog::info!(node.log.log, "instance started";
+            "peer" => %instance, "phase" => ?phase);
+    }
+}
+
+/// Tells the own zone what another one says, if this instance speaks for its zone.
+async fn hand_on(node: &Node, socket: &UdpSocket, digest: &Digest) {
+    let now = node.now();
+    let listeners = node.state.borrow().members.digest_listeners(now);
+    if listeners.is_empty() {
+        return;
+    }
+    let message = Message::Digest {
+        is_handed_on: true,
+        digest: digest.clone(),
+    };
+    send(node, socket, &message, &listeners).await;
+}
--- /dev/null
+++ b/crates/damaskvane-gateway/src/peers/message.rs
@@ -0,0 +1,212 @@
+//! The datagrams between instances and their form on the wire.
+
+use std::net;
+
+use damaskvane_core::ids;
+use damaskvane_dispatch::quarantine::Incident;
+use damaskvane_routing::peers::{Digest, DigestEntry, Heartbeat, Phase, StartKey};
+use damaskvane_routing::pool::{LoadReport, ServerKey, ToldLoad};
+use serde::{Deserialize, Serialize};
+
+/// Tells the protocol from others on the port, and its form from other ones: it changes with the messages.
+const MAGIC: u32 = 0x6476_7031;
+
+/// Something that one instance tells another.
+#[derive(Debug, Clone)]
+pub enum Message {
+    /// Where the sender stands.
+    Heartbeat(Heartbeat),
+    /// What a zone says of its instances.
+    Digest {
+        /// Whether an instance of the recipient's zone hands it on.
+        is_handed_on: bool,
+        /// What it says.
+        digest: Digest,
+    },
+    /// A server died with requests on it.
+    Incident(Incident),
+    /// Servers that have a queue, or no longer have one.
+    Loads(Vec<ToldLoad>),
+}
+
+impl Message {
+    /// The bytes of a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Fails only if the message can't be encoded at all.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_allocvec(&(MAGIC, Wire::of(self)))
+    }
+
+    /// Reads a datagram; `None` for bytes that are no message of this protocol.
+    #[must_use]
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        let (magic, wire): (u32, Wire) = postcard::from_bytes(bytes).ok()?;
+        (magic == MAGIC).then(|| wire.into_message()).flatten()
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+enum Wire {
+    Heartbeat(HeartbeatWire),
+    Digest {
+        is_handed_on: bool,
+        entries: Vec<EntryWire>,
+    },
+    Incident(Incident),
+    Loads(Vec<LoadWire>),
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct HeartbeatWire {
+    instance: ids::InstanceId,
+    incarnation: ids::Incarnation,
+    serial: u64,
+    zone: ids::AvailabilityZoneId,
+    client_address: net::SocketAddr,
+    peer_address: net::SocketAddr,
+    phase: u8,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct EntryWire {
+    /// A hash, whose bytes are shorter as they are than as a number of variable length.
+    key: [u8; 8],
+    serial: u64,
+    phase: u8,
+    age_ms: u64,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct LoadWire {
+    server: u32,
+    running: u32,
+    waiting: u32,
+    slots: u32,
+    age_ms: u64,
+}
+
+impl Wire {
+    fn of(message: &Message) -> Self {
+        match message {
+            Message::Heartbeat(heartbeat) => Self::Heartbeat(HeartbeatWire::of(heartbeat)),
+            Message::Digest {
+                is_handed_on,
+                digest,
+            } => Self::Digest {
+                is_handed_on: *is_handed_on,
+                entries: digest.entries.iter().map(EntryWire::of).collect(),
+            },
+            Message::Incident(incident) => Self::Incident(incident.clone()),
+            Message::Loads(loads) => Self::Loads(loads.iter().map(LoadWire::of).collect()),
+        }
+    }
+
+    fn into_message(self) -> Option<Message> {
+        Some(match self {
+            Self::Heartbeat(heartbeat) => Message::Heartbeat(heartbeat.into_heartbeat()?),
+            Self::Digest {
+                is_handed_on,
+                entries,
+            } => Message::Digest {
+                is_handed_on,
+                digest: Digest {
+                    // An entry in a phase of a later version is left out; the others hold.
+                    entries: entries.into_iter().filter_map(EntryWire::read).collect(),
+                },
+            },
+            Self::Incident(incident) => Message::Incident(incident),
+            Self::Loads(loads) => {
+                Message::Loads(loads.into_iter().map(LoadWire::into_told).collect())
+            }
+        })
+    }
+}
+
+impl HeartbeatWire {
+    fn of(heartbeat: &Heartbeat) -> Self {
+        Self {
+            instance: heartbeat.instance.clone(),
+            incarnation: heartbeat.incarnation,
+            serial: heartbeat.serial,
+            zone: heartbeat.zone.clone(),
+            client_address: heartbeat.client_address,
+            peer_address: heartbeat.peer_address,
+            phase: phase_number(heartbeat.phase),
+        }
+    }
+
+    fn into_heartbeat(self) -> Option<Heartbeat> {
+        Some(Heartbeat {
+            instance: self.instance,
+            incarnation: self.incarnation,
+            serial: self.serial,
+            zone: self.zone,
+            client_address: self.client_address,
+            peer_address: self.peer_address,
+            phase: phase_of(self.phase)?,
+        })
+    }
+}
+
+impl EntryWire {
+    fn of(entry: &DigestEntry) -> Self {
+        Self {
+            key: entry.key.get().to_le_bytes(),
+            serial: entry.serial,
+            phase: phase_number(entry.phase),
+            age_ms: entry.age_ms,
+        }
+    }
+
+    fn read(self) -> Option<DigestEntry> {
+        Some(DigestEntry {
+            key: StartKey::from_wire(u64::from_le_bytes(self.key)),
+            serial: self.serial,
+            phase: phase_of(self.phase)?,
+            age_ms: self.age_ms,
+        })
+    }
+}
+
+impl LoadWire {
+    const fn of(told: &ToldLoad) -> Self {
+        Self {
+            server: told.server.get(),
+            running: told.load.running,
+            waiting: told.load.waiting,
+            slots: told.load.slots,
+            age_ms: told.age_ms,
+        }
+    }
+
+    const fn into_told(self) -> ToldLoad {
+        ToldLoad {
+            server: ServerKey::from_wire(self.server),
+            load: LoadReport {
+                running: self.running,
+                waiting: self.waiting,
+                slots: self.slots,
+            },
+            age_ms: self.age_ms,
+        }
+    }
+}
+
+const fn phase_number(phase: Phase) -> u8 {
+    match phase {
+        Phase::Starting => 0,
+        Phase::Ready => 1,
+        Phase::Leaving => 2,
+    }
+}
+
+const fn phase_of(number: u8) -> Option<Phase> {
+    match number {
+        0 => Some(Phase::Starting),
+        1 => Some(Phase::Ready),
+        2 => Some(Phase::Leaving),
+        _ => None,
+    }
+}
