--- a/crates/damaskvane-gateway/src/store.rs
+++ b/crates/damaskvane-gateway/src/store.rs
@@ -5,6 +5,7 @@
 mod feed;
 mod follow;
 mod health;
+mod intake;
 mod journal;
 mod register;
 
--- a/crates/damaskvane-gateway/src/store/follow.rs
+++ b/crates/damaskvane-gateway/src/store/follow.rs
@@ -1,20 +1,16 @@
 //! Follows one collection of the store: a list, then watches from its revision on.
 
 use core::time::Duration;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use bytes::Bytes;
-use damaskvane_core::ids;
-use damaskvane_core::time::TimeMs;
-use damaskvane_routing::configuration::Configuration;
-use damaskvane_routing::pool::{Change, ServerEntry};
 use rand::RngExt;
 
-use crate::adapter::{Collection, DecodeError, Event, Record, StoreRequest};
-use crate::crashes;
+use crate::adapter::{Collection, DecodeError, Event, StoreRequest};
 use crate::node::Node;
 use crate::store::feed::Item;
+use crate::store::intake::Intake;
 use crate::store::journal::Listing;
 use crate::store::{CallError, Source, StoreClient};
 
@@ -47,10 +43,10 @@
 pub async fn follow(node: Rc<Node>, collection: Collection) {
     Follower {
         client: StoreClient::new(Rc::clone(&node), collection),
+        intake: Intake::new(Rc::clone(&node), collection),
         node,
         collection,
         failures: 0,
-        evacuated: BTreeSet::new(),
     }
     .run()
     .await;
@@ -60,8 +56,8 @@
     node: Rc<Node>,
     collection: Collection,
     client: StoreClient,
+    intake: Intake,
     failures: u32,
-    evacuated: BTreeSet<ids::AvailabilityZoneId>,
 }
 
 impl Follower {
@@ -152,7 +148,7 @@
         items.retain(|_, item| item.record.is_some());
         let revision = listing.revision;
         self.failures = 0;
-        self.replace(items.into_values().collect());
+        self.intake.replace(items.into_values().collect());
         self.node.journal.restart(self.collection, listing);
         self.node.feed.set_revision(self.collection, revision);
         Ok(revision)
@@ -182,7 +178,7 @@
                     }
                     self.node.journal.append(self.collection, to, body);
                     for event in changes.events {
-                        self.apply(event);
+                        self.intake.apply(event);
                     }
                     if self.node.store.source() == Source::Store {
                         tokio::time::sleep(gather(self.collection)).await;
@@ -259,156 +255,4 @@
         let pause_ms = rand::rng().random_range(longest_ms / 2..=longest_ms);
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
     }
-
-    fn replace(&mut self, items: Vec<Event>) {
-        let now = self.node.now();
-        match self.collection {
-            Collection::Servers => {
-                let entries = items.into_iter().filter_map(|item| self.server(item));
-                let entries: Vec<ServerEntry> = entries.collect();
-                let mut state = self.node.state.borrow_mut();
-                state.are_servers_listed = true;
-                let changes = state.pool.replace(now, entries);
-                drop(state);
-                self.note_changes(&changes);
-            }
-            Collection::Evacuations => {
-                self.evacuated.clear();
-                for item in items {
-                    self.note_evacuation(item);
-                }
-                self.publish_evacuations(now);
-            }
-            Collection::Quarantine => {
-                let recorded = items.iter().filter_map(|item| item.name.parse().ok());
-                crashes::replace_recorded(&self.node, &recorded.collect());
-            }
-            Collection::Configuration | Collection::Instances => {
-                for item in items {
-                    self.apply(item);
-                }
-            }
-        }
-    }
-
-    fn apply(&mut self, event: Event) {
-        let now = self.node.now();
-        match self.collection {
-            Collection::Configuration => match event.record {
-                Some(Record::Configuration(configuration)) => self.adopt(*configuration),
-                Some(Record::Unusable(why)) => self.note_unusable(&event.name, &why),
-                _ => {}
-            },
-            Collection::Servers => {
-                let name = event.name.clone();
-                let change = match self.server(event) {
-                    Some(entry) => self.node.state.borrow_mut().pool.apply(now, entry),
-                    None => name.parse().ok().and_then(|id| {
-                        let mut state = self.node.state.borrow_mut();
-                        state.pool.remove(now, &id)
-                    }),
-                };
-                self.note_changes(change.as_slice());
-            }
-            Collection::Evacuations => {
-                self.note_evacuation(event);
-                self.publish_evacuations(now);
-            }
-            Collection::Quarantine => match (event.record, event.name.parse()) {
-                (Some(Record::Quarantined(fingerprint)), _) => {
-                    crashes::note_recorded(&self.node, fingerprint);
-                }
-                (Some(Record::Unusable(why)), _) => self.note_unusable(&event.name, &why),
-                (None, Ok(fingerprint)) => crashes::note_lifted(&self.node, fingerprint),
-                _ => {}
-            },
-            Collection::Instances => {}
-        }
-    }
-
-    /// The entry that an event holds, if it is one that can be used.
-    fn server(&self, event: Event) -> Option<ServerEntry> {
-        match event.record? {
-            Record::Server(entry) => Some(entry),
-            Record::Unusable(why) => {
-                self.note_unusable(&event.name, &why);
-                None
-            }
-            _ => None,
-        }
-    }
-
-    fn note_unusable(&self, name: &str, why: &str) {
-        slog::warn!(self.node.log.log, "object of the store can't be used";
-            "collection" => self.collection.as_str(), "name" => name, "reason" => why);
-    }
-
-    fn note_changes(&self, changes: &[Change]) {
-        for change in changes {
-            if let Change::Gone(id) | Change::Restarted(id) = change {
-                self.node.idle.borrow_mut().drop_server(id);
-            }
-            if let Change::Restarted(id) = change {
-                crashes::note_death(&self.node, id, "restart");
-            }
-            slog::info!(self.node.log.log, "backend server";
-                "backend_server" => %change.server(), "change" => change.as_str(),
-                "source" => ?self.node.store.source(),
-                "store_age_ms" => self.node.store.age(self.node.now()).get());
-        }
-    }
-
-    /// Puts a configuration in force, unless it is older than the one that is.
-    fn adopt(&self, configuration: Configuration) {
-        let mut state = self.node.state.borrow_mut();
-        let in_force = state
-            .configuration
-            .as_ref()
-            .map(|current| current.version());
-        if in_force.is_some_and(|version| configuration.version() <= version) {
-            return;
-        }
-        let warmups = configuration
-            .services()
-            .map(|service| (service.id.clone(), service.warmup_ms));
-        state.pool.set_warmups(warmups);
-        let version = configuration.version();
-        let routes = configuration.route_count();
-        state.configuration = Some(Rc::new(configuration));
-        drop(state);
-        let gauge = i64::try_from(version.get()).unwrap_or(i64::MAX);
-        self.node.metrics.configuration_version.set(gauge);
-        slog::info!(self.node.log.log, "configuration in force";
-            "config_version" => version.get(), "routes" => routes);
-    }
-
-    fn note_evacuation(&mut self, event: Event) {
-        match event.record {
-            Some(Record::Evacuation(zone)) => {
-                self.evacuated.insert(zone);
-            }
-            Some(Record::Unusable(why)) => self.note_unusable(&event.name, &why),
-            _ => {
-                if let Ok(zone) = event.name.parse() {
-                    self.evacuated.remove(&zone);
-                }
-            }
-        }
-    }
-
-    fn publish_evacuations(&self, now: TimeMs) {
-        let mut state = self.node.state.borrow_mut();
-        let taken_back = state.pool.set_evacuated(now, self.evacuated.clone());
-        drop(state);
-        slog::info!(self.node.log.log, "evacuations";
-            "zones" => names(&self.evacuated), "taken_back" => names(&taken_back));
-    }
-}
-
-fn names<'a>(zones: impl IntoIterator<Item = &'a ids::AvailabilityZoneId>) -> String {
-    let names: Vec<&str> = zones
-        .into_iter()
-        .map(ids::AvailabilityZoneId::as_str)
-        .collect();
-    names.join(" ")
 }
