--- a/crates/damaskvane-gateway/src/store/intake.rs
+++ b/crates/damaskvane-gateway/src/store/intake.rs
@@ -12,6 +12,9 @@
 use crate::crashes;
 use crate::node::Node;
 
+/// Servers that joined at once and get a line each; more of them share one line.
+const MOST_JOINED_LINES: usize = 8;
+
 /// Takes in the objects of one collection and their changes.
 pub(super) struct Intake {
     node: Rc<Node>,
@@ -115,6 +118,24 @@
     }
 
     fn note_changes(&self, changes: &[Change]) {
+        // A first list has hundreds of servers; a line each would push other lines of the start out of the queue.
+        let (joined, others): (Vec<_>, Vec<_>) = changes
+            .iter()
+            .partition(|change| matches!(change, Change::Joined(_)));
+        if joined.len() > MOST_JOINED_LINES {
+            let ids: Vec<&str> = joined.iter().map(|one| one.server().as_str()).collect();
+            slog::info!(self.node.log.log, "backend servers joined";
+                "count" => ids.len(), "backend_servers" => ids.join(" "),
+                "source" => ?self.node.store.source(),
+                "store_age_ms" => self.node.store.age(self.node.now()).get());
+            self.note_each(&others);
+        } else {
+            let all: Vec<&Change> = changes.iter().collect();
+            self.note_each(&all);
+        }
+    }
+
+    fn note_each(&self, changes: &[&Change]) {
         for change in changes {
             if let Change::Gone(id) | Change::Restarted(id) = change {
                 self.node.idle.borrow_mut().drop_server(id);
