--- a/crates/damaskvane-dispatch/src/quarantine/broken.rs
+++ b/crates/damaskvane-dispatch/src/quarantine/broken.rs
@@ -48,10 +48,7 @@
         server: &ids::BackendServerId,
         fingerprint: fingerprint::Fingerprint,
     ) {
-        self.by_server.retain(|_, of_server| {
-            of_server.retain(|broken| now.since(broken.at) < PROOF_WITHIN);
-            !of_server.is_empty()
-        });
+        self.expire(now);
         let of_server = self.by_server.entry(server.clone()).or_default();
         if of_server.len() < MOST_FOR_A_SERVER {
             of_server.push(Broken {
@@ -71,6 +68,14 @@
             .count()
     }
 
+    /// Forgets what has waited for too long.
+    pub fn expire(&mut self, now: time::TimeMs) {
+        self.by_server.retain(|_, of_server| {
+            of_server.retain(|broken| now.since(broken.at) < PROOF_WITHIN);
+            !of_server.is_empty()
+        });
+    }
+
     /// Forgets what broke on a server that was found alive.
     pub fn note_alive(&mut self, server: &ids::BackendServerId) {
         self.by_server.remove(server);
--- a/crates/damaskvane-dispatch/src/quarantine/list.rs
+++ b/crates/damaskvane-dispatch/src/quarantine/list.rs
@@ -69,6 +69,7 @@
         fingerprint: fingerprint::Fingerprint,
     ) -> bool {
         let was_refused = self.refusal(now, fingerprint).is_some();
+        self.make_room_for(fingerprint);
         let suspect = self.suspects.entry(fingerprint).or_default();
         suspect.is_recorded = true;
         if !was_refused {
@@ -206,11 +207,7 @@
         fingerprint: fingerprint::Fingerprint,
         incident: &incident::Incident,
     ) {
-        if !self.suspects.contains_key(&fingerprint)
-            && self.suspects.len() >= self.settings.max_suspects
-        {
-            self.forget_first_to_expire();
-        }
+        self.make_room_for(fingerprint);
         let suspect = self.suspects.entry(fingerprint).or_default();
         if !suspect.add(now, incident) {
             return;
@@ -224,7 +221,12 @@
         suspect.until = now + time::SpanMs::new(lasts_ms).saturating_sub(incident.age);
     }
 
-    fn forget_first_to_expire(&mut self) {
+    /// Forgets the suspect that expires first, if there is no room for another one.
+    fn make_room_for(&mut self, fingerprint: fingerprint::Fingerprint) {
+        let is_full = self.suspects.len() >= self.settings.max_suspects;
+        if !is_full || self.suspects.contains_key(&fingerprint) {
+            return;
+        }
         let first = self
             .suspects
             .iter()
--- a/crates/damaskvane-dispatch/tests/quarantine.rs
+++ b/crates/damaskvane-dispatch/tests/quarantine.rs
@@ -124,6 +124,11 @@
         [fingerprint_of("bad")]
     );
     assert!(broken.take_dead(at(5_200), &server).is_empty());
+    broken.note(at(6_000), &server, fingerprint_of("bad"));
+    broken.expire(at(7_000));
+    assert!(!broken.is_empty());
+    broken.expire(at(9_000));
+    assert!(broken.is_empty());
 }
 
 /// All instances are killed at once, and a caller sends a request again that had crashed two servers. The
--- a/crates/damaskvane-gateway/src/clients/pending.rs
+++ b/crates/damaskvane-gateway/src/clients/pending.rs
@@ -45,7 +45,7 @@
     }
 
     /// Notes where the request is sent.
-    pub(super) fn sent_to(&self, server: &ids::BackendServerId) {
+    pub(super) fn note_sent(&self, server: &ids::BackendServerId) {
         *self.sent_to.borrow_mut() = Some(server.clone());
     }
 
--- a/crates/damaskvane-gateway/src/clients/run.rs
+++ b/crates/damaskvane-gateway/src/clients/run.rs
@@ -132,7 +132,7 @@
     /// One exchange; `None` if the time is over.
     async fn attempt(&mut self, pick: &Pick) -> Option<ExchangeOutcome> {
         let started = self.node.now();
-        self.pending.sent_to(&pick.server);
+        self.pending.note_sent(&pick.server);
         let exchange = Exchange {
             node: self.node,
             request: self.outgoing,
--- a/crates/damaskvane-gateway/src/crashes.rs
+++ b/crates/damaskvane-gateway/src/crashes.rs
@@ -151,6 +151,13 @@
     node.crashes.proof.notify_waiters();
 }
 
+/// Forgets what is over: as long as anything is kept, each request is judged.
+fn expire(node: &Node) {
+    let now = node.now();
+    node.crashes.list.borrow_mut().expire(now);
+    node.crashes.broken.borrow_mut().expire(now);
+}
+
 /// Takes in an incident that another instance tells of.
 pub fn take_told(node: &Node, incident: &Incident) {
     take_in(node, incident, false);
--- a/crates/damaskvane-gateway/src/crashes/record.rs
+++ b/crates/damaskvane-gateway/src/crashes/record.rs
@@ -36,7 +36,10 @@
                 };
                 record(&node, &mut client, finding).await;
             }
-            () = tokio::time::sleep(EXPIRY_PERIOD) => remove_expired(&node, &mut client).await,
+            () = tokio::time::sleep(EXPIRY_PERIOD) => {
+                crashes::expire(&node);
+                remove_expired(&node, &mut client).await;
+            }
         }
     }
 }
