Which instances are nearest to a caller stands in a file of its own

Ruled out: moving the digests (they need the members' private times). Change: peers/caller.rs; the logic is moved, not changed.

--- a/crates/damaskvane-routing/src/peers.rs
+++ b/crates/damaskvane-routing/src/peers.rs
@@ -7,6 +7,7 @@
 //! assert!(settings.silence_ms > settings.heartbeat_ms);
 //! ```
 
+mod caller;
 mod digest;
 mod heartbeat;
 mod listed;
--- a/crates/damaskvane-routing/src/peers/members.rs
+++ b/crates/damaskvane-routing/src/peers/members.rs
@@ -6,6 +6,7 @@
 use damaskvane_core::ids;
 use damaskvane_core::time::TimeMs;
 
+use crate::peers::caller::Caller;
 use crate::peers::{Digest, DigestEntry, Heartbeat, ListedInstance, PeerSettings, Phase, StartKey};
 
 #[derive(Debug)]
@@ -380,24 +381,12 @@
         region: Option<&ids::RegionId>,
         allowed_regions: &[ids::RegionId],
     ) -> Vec<net::SocketAddr> {
-        let in_zone = |h: &Heartbeat| Some(&h.zone) == zone;
-        let in_region = |h: &Heartbeat| region.is_some() && self.regions.get(&h.zone) == region;
-        let is_allowed = |h: &Heartbeat| {
-            let region = self.regions.get(&h.zone);
-            region.is_some_and(|region| allowed_regions.contains(region))
+        let usable: Vec<&Heartbeat> = self.usable(now).collect();
+        let caller = Caller {
+            zone,
+            region,
+            allowed_regions,
         };
-        let tiers: [&dyn Fn(&Heartbeat) -> bool; 4] =
-            [&in_zone, &in_region, &is_allowed, &|_| true];
-        for tier in tiers {
-            let addresses: Vec<_> = self
-                .usable(now)
-                .filter(|heartbeat| tier(heartbeat))
-                .map(|heartbeat| heartbeat.client_address)
-                .collect();
-            if !addresses.is_empty() {
-                return addresses;
-            }
-        }
-        Vec::new()
+        caller.nearest(&usable, &self.regions)
     }
 }
