damaskvane-explain costs, and losses that keep to their zones

Cause: nobody could say which mechanism causes the calls on the store, the bytes between zones and the connections that users pay for; and with lines of several instances in one file, all losses went to the zone of the last one.

Both plots share one drawing.

--- /dev/null
+++ b/crates/damaskvane-explain/src/costs/plot.rs
@@ -0,0 +1,26 @@
+//! Calls on the store over time, a stack of causes for each window.
+
+use std::path::Path;
+
+use crate::costs::table::{Table, kind};
+use crate::losses::PlotError;
+use crate::plot::{self, Stacks};
+
+/// Draws the calls on the store over time into an SVG file.
+///
+/// # Errors
+///
+/// Fails if the file can't be written.
+pub fn draw(file: impl AsRef<Path>, table: &Table) -> Result<(), PlotError> {
+    let mut stacks = Stacks::default();
+    for row in table.rows().filter(|row| kind(&row.cause) == "calls") {
+        let stack = stacks.entry(row.from_s).or_default();
+        *stack.entry(row.cause).or_default() += row.count;
+    }
+    plot::draw(
+        file.as_ref(),
+        "calls on the store, by cause",
+        "calls in five seconds",
+        &stacks,
+    )
+}
--- a/crates/damaskvane-explain/src/lib.rs
+++ b/crates/damaskvane-explain/src/lib.rs
@@ -7,6 +7,7 @@
 //! # Crate guide
 //!
 //! - [`Story`]: what became of one request, with what the instance believed.
+//! - [`costs`]: what instances caused that their users pay for.
 //! - [`losses`]: why requests were late or not served, by route, zone and time.
 //!
 //! ```
@@ -16,8 +17,10 @@
 //! ```
 
 mod beliefs;
+pub mod costs;
 mod line;
 pub mod losses;
+mod plot;
 mod story;
 
 pub use story::Story;
--- a/crates/damaskvane-explain/src/line.rs
+++ b/crates/damaskvane-explain/src/line.rs
@@ -1,5 +1,7 @@
 //! One line of a log.
 
+use std::time::SystemTime;
+
 use serde_json::{Map, Value};
 
 /// A line, read as JSON; whatever stands before the object is left out.
@@ -36,6 +38,13 @@
         self.text("msg").unwrap_or_default()
     }
 
+    /// The time of day, by the instance's own clock.
+    pub(super) fn at_ms(&self) -> Option<u64> {
+        let at = humantime::parse_rfc3339(self.text("ts")?).ok()?;
+        let since = at.duration_since(SystemTime::UNIX_EPOCH).ok()?;
+        u64::try_from(since.as_millis()).ok()
+    }
+
     /// Lines on requests that were left out before this one.
     pub(super) fn left_out(&self) -> u64 {
         self.whole("lines_left_out").unwrap_or_default()
--- a/crates/damaskvane-explain/src/losses.rs
+++ b/crates/damaskvane-explain/src/losses.rs
@@ -20,5 +20,7 @@
 
 pub use cause::{Cause, FirstRun, Refusal};
 pub use event::Rejected;
-pub use plot::{PlotError, draw};
+pub use plot::draw;
+
+pub use crate::plot::PlotError;
 pub use table::{Row, Table};
--- a/crates/damaskvane-explain/src/losses/event.rs
+++ b/crates/damaskvane-explain/src/losses/event.rs
@@ -1,7 +1,6 @@
 //! What a line says of a request or a server, decoded once.
 
 use core::fmt;
-use std::time::SystemTime;
 
 use crate::line::Line;
 
@@ -79,7 +78,7 @@
             _ => return None,
         };
         Some(Self {
-            at_ms: line.text("ts").and_then(millis),
+            at_ms: line.at_ms(),
             request: line.text("request_id").map(str::to_owned),
             zone: zone.to_owned(),
             route: line.text("route").unwrap_or("-").to_owned(),
@@ -116,9 +115,3 @@
         waiting: number("waiting"),
     }
 }
-
-fn millis(text: &str) -> Option<u64> {
-    let at = humantime::parse_rfc3339(text).ok()?;
-    let since = at.duration_since(SystemTime::UNIX_EPOCH).ok()?;
-    u64::try_from(since.as_millis()).ok()
-}
--- a/crates/damaskvane-explain/src/losses/table.rs
+++ b/crates/damaskvane-explain/src/losses/table.rs
@@ -66,7 +66,8 @@
 
     /// The lines that matter of one log, and whether each is the last one on its request there.
     fn read(&mut self, name: &str, text: &str) -> Vec<(Event, bool)> {
-        let mut zone = String::new();
+        // A file may hold lines of several instances; one without a name is that of the file.
+        let mut zones: HashMap<String, String> = HashMap::new();
         let mut events: Vec<Event> = Vec::new();
         for (index, text) in text.lines().enumerate() {
             if text.trim().is_empty() {
@@ -79,11 +80,14 @@
                 });
                 continue;
             };
+            let instance = line.text("instance").unwrap_or_default();
             if line.message() == "start" {
-                line.text("zone").unwrap_or("-").clone_into(&mut zone);
+                let zone = line.text("zone").unwrap_or("-").to_owned();
+                zones.insert(instance.to_owned(), zone);
             }
             self.lines_left_out += line.left_out();
-            let Some(event) = Event::of(&line, &zone) else {
+            let zone = zones.get(instance).map_or("", String::as_str);
+            let Some(event) = Event::of(&line, zone) else {
                 continue;
             };
             self.lines += 1;
