--- a/crates/damaskvane-gateway/src/adapter.rs
+++ b/crates/damaskvane-gateway/src/adapter.rs
@@ -121,9 +121,40 @@
 #[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
 pub struct DecodeError(pub String);
 
+/// What a call on the store is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StorePurpose {
+    /// Reads a part of a collection.
+    List,
+    /// Reads the instances of a zone, cheaply.
+    Look,
+    /// Waits for changes.
+    Watch,
+    /// Finds out whether the store answers, cheaply.
+    Contact,
+    /// Writes something.
+    Write,
+}
+
+impl StorePurpose {
+    /// The purpose as a word for counters.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::List => "list",
+            Self::Look => "look",
+            Self::Watch => "watch",
+            Self::Contact => "contact",
+            Self::Write => "write",
+        }
+    }
+}
+
 /// A call on the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoreRequest {
+    /// What it is for.
+    pub purpose: StorePurpose,
     /// The HTTP method.
     pub method: &'static str,
     /// Path and query.
@@ -152,8 +183,11 @@
     /// The call that waits for changes.
     fn watch(&self, of: Collection, revision: u64, wait_ms: u64) -> StoreRequest;
 
+    /// The cheap call that lists instances from the first one of a zone on; what it returns may be seconds old.
+    fn list_zone(&self, zone: &ids::AvailabilityZoneId, after: Option<&str>) -> StoreRequest;
+
     /// The cheapest call that shows whether the store answers.
-    fn contact(&self, instance: &ids::InstanceId) -> StoreRequest;
+    fn contact(&self, record: &peers::ListedInstance) -> StoreRequest;
 
     /// The calls that store an instance's record: the first creates it, the second replaces it.
     fn register(&self, record: &peers::ListedInstance) -> [StoreRequest; 2];
--- a/crates/damaskvane-gateway/src/clients/dispatch.rs
+++ b/crates/damaskvane-gateway/src/clients/dispatch.rs
@@ -183,10 +183,7 @@
     let mut state = node.state.borrow_mut();
     let state = &mut *state;
     if let Some(object) = object {
-        let instances = state.members.most_at_work();
-        state
-            .placer
-            .note_asked(now, &state.pool, route, object, instances);
+        state.placer.note_asked(route, object);
     }
     let budget = state
         .budgets
--- a/crates/damaskvane-gateway/src/clients/run.rs
+++ b/crates/damaskvane-gateway/src/clients/run.rs
@@ -93,13 +93,9 @@
             left_ms: self.deadline.since(now).get(),
             spread: rand::rng().random(),
         };
-        state.placer.choose(
-            now,
-            &mut state.pool,
-            self.configuration,
-            &request,
-            instances,
-        )
+        state
+            .placer
+            .choose(now, &state.pool, self.configuration, &request, instances)
     }
 
     /// Whether another try fits the budget. One that follows an unreachable server is no retry: nothing
@@ -138,6 +134,7 @@
             request: self.outgoing,
             pick,
             deadline: self.deadline,
+            is_retry: self.progress.was_sent(),
         };
         let mut running = pin!(exchange.run());
         let left = remaining(self.node, self.deadline);
--- a/crates/damaskvane-gateway/src/http/head.rs
+++ b/crates/damaskvane-gateway/src/http/head.rs
@@ -13,6 +13,8 @@
 /// Status and headers of an answer, and how its body ends.
 #[derive(Debug)]
 pub struct AnswerHead {
+    /// Its length in bytes.
+    pub bytes: usize,
     /// The status.
     pub status: u16,
     /// The headers.
@@ -72,6 +74,7 @@
     let connection = text(&headers, &header::CONNECTION).unwrap_or_default();
     let closes = connection.to_ascii_lowercase().contains("close");
     let head = AnswerHead {
+        bytes: length,
         status,
         body,
         keeps_open: is_http_11 && !closes && body != BodyKind::UntilClose,
--- a/crates/damaskvane-gateway/src/lib.rs
+++ b/crates/damaskvane-gateway/src/lib.rs
@@ -18,12 +18,14 @@
 //! - [`peers`]: heartbeats between instances.
 //! - [`probes`]: health probes of servers in doubt.
 //! - [`stop`]: the planned stop.
+//! - [`costs`]: what the instance causes that its users pay for, by cause.
 //! - [`metrics`]: counters and histograms, and their listener.
 //! - [`decision_log`]: bounded log lines of decisions.
 //! - [`process`]: puts all of it together.
 
 pub mod adapter;
 pub mod clients;
+pub mod costs;
 pub mod crashes;
 pub mod decision_log;
 pub mod http;
--- a/crates/damaskvane-gateway/src/metrics.rs
+++ b/crates/damaskvane-gateway/src/metrics.rs
@@ -4,11 +4,13 @@
 
 use bytes::Bytes;
 use hyper::Response;
+use prometheus::core::Collector;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
     Registry, TextEncoder,
 };
 
+use crate::costs::Costs;
 use crate::node::Node;
 use crate::store::Source;
 use crate::upstream::AnswerBody;
@@ -36,9 +38,9 @@
     pub foreign_answers: IntCounter,
     /// Clients that left before their answer.
     pub clients_left: IntCounter,
-    /// Connections opened to backend servers.
-    pub new_connections: IntCounter,
-    /// Calls on the store by collection and outcome.
+    /// What users pay for, by cause.
+    pub costs: Costs,
+    /// Calls on the store by collection, purpose and outcome.
     pub store_calls: IntCounterVec,
     /// Health probes sent.
     pub probes: IntCounter,
@@ -88,8 +90,12 @@
                 "clients_left_total",
                 "Clients that left before their answer",
             )?,
-            new_connections: make.counter("new_connections_total", "Connections to servers")?,
-            store_calls: make.counters("store_calls_total", "Calls", &["collection", "outcome"])?,
+            costs: Costs::new(&registry)?,
+            store_calls: make.counters(
+                "store_calls_total",
+                "Calls",
+                &["collection", "purpose", "outcome"],
+            )?,
             probes: make.counter("probes_total", "Health probes")?,
             crash_incidents: make.counter(
                 "crash_incidents_total",
@@ -110,6 +116,26 @@
         })
     }
 
+    /// Calls on the store by collection, purpose and outcome, and what else users pay for: name and count since the
+    /// start, for the log.
+    #[must_use]
+    pub fn cost_figures(&self) -> String {
+        let mut figures: Vec<String> = self
+            .costs
+            .figures()
+            .map(|(name, count)| format!("{name}={count}"))
+            .collect();
+        for family in self.store_calls.collect() {
+            for metric in family.get_metric() {
+                let labels = metric.get_label().iter();
+                let labels: Vec<&str> = labels.map(prometheus::proto::LabelPair::value).collect();
+                let count = metric.get_counter().get_value();
+                figures.push(format!("calls.{}={count}", labels.join(".")));
+            }
+        }
+        figures.join(" ")
+    }
+
     /// All metrics as text.
     #[must_use]
     pub fn text(&self) -> Vec<u8> {
@@ -177,7 +203,7 @@
         let metrics = &node.metrics;
         let is_relayed = node.store.source() == Source::Relay;
         metrics.hears_from_relay.set(i64::from(is_relayed));
-        metrics.servers.set(state.pool.servers().count() as i64);
+        metrics.servers.set(state.pool.len() as i64);
         metrics
             .instances
             .set(state.members.usable(now).count() as i64);
--- a/crates/damaskvane-gateway/src/node.rs
+++ b/crates/damaskvane-gateway/src/node.rs
@@ -9,7 +9,7 @@
 use damaskvane_core::time::TimeMs;
 use damaskvane_routing::configuration::Configuration;
 use damaskvane_routing::limit::RetryBudget;
-use damaskvane_routing::peers::{Members, Phase};
+use damaskvane_routing::peers::{ListedInstance, Members, Phase, Relay};
 use damaskvane_routing::placement::Placer;
 use damaskvane_routing::pool::{ExchangeId, ServerPool};
 use damaskvane_routing::split::Splits;
@@ -155,6 +155,27 @@
         self.state.borrow().configuration.clone()
     }
 
+    /// Which of the instances that hand changes on in the zone this one is, if it is one.
+    #[must_use]
+    pub fn relay_rank(&self) -> Option<usize> {
+        let settings = self.settings();
+        let members = &self.state.borrow().members;
+        let relays = members.relays(self.now(), &settings.zone);
+        let is_own = |relay: &Relay| relay.instance == settings.instance;
+        relays.iter().position(is_own)
+    }
+
+    /// The instance's record in the store.
+    #[must_use]
+    pub fn record(&self) -> ListedInstance {
+        let settings = self.settings();
+        ListedInstance {
+            instance: settings.instance.clone(),
+            peer_address: settings.peer_address,
+            zone: Some(settings.zone.clone()),
+        }
+    }
+
     /// A name for the next exchange.
     pub fn next_exchange(&self) -> ExchangeId {
         let id = self.exchanges.get() + 1;
--- a/crates/damaskvane-gateway/src/peers.rs
+++ b/crates/damaskvane-gateway/src/peers.rs
@@ -16,6 +16,7 @@
 
 pub use message::Message;
 
+use crate::costs::Distance;
 use crate::crashes;
 use crate::node::Node;
 use crate::stop::StopPhase;
@@ -27,6 +28,10 @@
 const LEAST_LOAD_PAUSE: Duration = Duration::from_millis(250);
 /// Servers in one word on busy ones: 8 bytes each.
 const MOST_LOADS: usize = 12;
+/// The least pause between two reports of what clients asked for, and the pause for each instance of the zone: those
+/// that speak for it get as many in a zone of any size.
+const LEAST_ASKED_PAUSE: Duration = Duration::from_millis(1_000);
+const ASKED_PAUSE_PER_LISTENER: Duration = Duration::from_millis(30);
 /// How often an incident is told: a datagram may be lost, and a recipient may stand still for a moment.
 const INCIDENT_TOLD_TIMES: u32 = 3;
 /// The pause between two tellings.
@@ -35,6 +40,10 @@
 const MOST_ENTRIES: usize = 64;
 /// A digest goes out with every so many heartbeats; the other speaker of the zone sends one in between.
 const BEATS_PER_DIGEST: u64 = 2;
+/// The pause between two looks for news of the own zone.
+const NEWS_PAUSE: Duration = Duration::from_millis(250);
+/// Heartbeats in one datagram of news, so that it is not split on its way: about a hundred bytes each.
+const MOST_NEWS: usize = 12;
 /// The pause between two heartbeats until clients are taken: the others learn of the instance, and it
 /// of them, before the first client asks.
 const STARTING_PERIOD: Duration = Duration::from_millis(150);
@@ -51,6 +60,8 @@
     tokio::task::spawn_local(receive(Rc::clone(&node), Rc::clone(&socket)));
     tokio::task::spawn_local(tell_loads(Rc::clone(&node), Rc::clone(&socket)));
     tokio::task::spawn_local(tell_incidents(Rc::clone(&node), Rc::clone(&socket)));
+    tokio::task::spawn_local(tell_news(Rc::clone(&node), Rc::clone(&socket)));
+    tokio::task::spawn_local(tell_asked(Rc::clone(&node), Rc::clone(&socket)));
     let period = Duration::from_millis(node.settings().peers().heartbeat_ms);
     let mut phases = node.stop.subscribe();
     let mut serial = 0;
@@ -112,6 +123,31 @@
     }
 }
 
+/// Tells other zones of instances of the own one that have started or changed their phase, until the process ends.
+async fn tell_news(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    loop {
+        tokio::time::sleep(NEWS_PAUSE).await;
+        loop {
+            let now = node.now();
+            let (heartbeats, recipients) = {
+                let members = &mut node.state.borrow_mut().members;
+                (
+                    members.take_news(now, MOST_NEWS),
+                    members.digest_recipients(now),
+                )
+            };
+            if heartbeats.is_empty() {
+                break;
+            }
+            let message = Message::News {
+                is_handed_on: false,
+                heartbeats,
+            };
+            send(&node, &socket, &message, &recipients).await;
+        }
+    }
+}
+
 /// Tells the zone's other instances of busy servers, until the process ends.
 async fn tell_loads(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let mut pause = LEAST_LOAD_PAUSE;
@@ -131,6 +167,32 @@
     }
 }
 
+/// Reports what clients asked for to those that speak for the zone, or judges as one of them, until the process ends.
+async fn tell_asked(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    let mut pause = LEAST_ASKED_PAUSE;
+    loop {
+        tokio::time::sleep(pause).await;
+        let now = node.now();
+        let (message, recipients) = {
+            let mut state = node.state.borrow_mut();
+            let report = state.placer.take_asked();
+            let neighbours = state.members.neighbours(now);
+            let listeners = u32::try_from(neighbours.len()).unwrap_or(u32::MAX);
+            pause = LEAST_ASKED_PAUSE.max(ASKED_PAUSE_PER_LISTENER.saturating_mul(listeners));
+            if state.members.is_speaker(now) {
+                state.placer.note_report(now, &report);
+                let verdicts = state.placer.judge_popularity(now);
+                let by = node.settings().instance.clone();
+                state.placer.note_verdicts(now, &by, &verdicts);
+                (Message::Verdicts { by, verdicts }, neighbours)
+            } else {
+                (Message::Asked(report), state.members.speakers(now))
+            }
+        };
+        send(&node, &socket, &message, &recipients).await;
+    }
+}
+
 /// Tells the other instances of each incident, until the process ends.
 async fn tell_incidents(node: Rc<Node>, socket: Rc<UdpSocket>) {
     while let Ok(incident) = node.crashes.notices().recv_async().await {
@@ -163,6 +225,9 @@
         }
     };
     for recipient in recipients {
+        let distance = Distance::to_instance(node, recipient.ip());
+        let costs = &node.metrics.costs;
+        costs.carried(message.flow(), distance, bytes.len());
         // A recipient that can't be reached now is told by the next message.
         let _ = socket.send_to(&bytes, recipient).await;
     }
@@ -185,16 +250,47 @@
                 digest,
             }) => {
                 if !is_handed_on {
-                    hand_on(&node, &socket, &digest).await;
+                    let message = Message::Digest {
+                        is_handed_on: true,
+                        digest: digest.clone(),
+                    };
+                    hand_on(&node, &socket, &message).await;
                 }
                 let now = node.now();
                 node.state.borrow_mut().members.note_digest(now, &digest);
             }
+            Some(Message::News {
+                is_handed_on,
+                heartbeats,
+            }) => {
+                if !is_handed_on {
+                    let message = Message::News {
+                        is_handed_on: true,
+                        heartbeats: heartbeats.clone(),
+                    };
+                    hand_on(&node, &socket, &message).await;
+                }
+                for heartbeat in heartbeats {
+                    take_heartbeat(&node, heartbeat);
+                }
+            }
             Some(Message::Incident(incident)) => crashes::take_told(&node, &incident),
             Some(Message::Loads(told)) => {
                 let now = node.now();
                 node.state.borrow_mut().pool.note_told_loads(now, &told);
             }
+            Some(Message::Asked(report)) => {
+                let now = node.now();
+                let mut state = node.state.borrow_mut();
+                if state.members.is_speaker(now) {
+                    state.placer.note_report(now, &report);
+                }
+            }
+            Some(Message::Verdicts { by, verdicts }) => {
+                let now = node.now();
+                let placer = &mut node.state.borrow_mut().placer;
+                placer.note_verdicts(now, &by, &verdicts);
+            }
             None => node.metrics.unread_datagrams.inc(),
         }
     }
@@ -221,15 +317,10 @@
 }
 
 /// Tells the own zone what another one says, if this instance speaks for its zone.
-async fn hand_on(node: &Node, socket: &UdpSocket, digest: &Digest) {
+async fn hand_on(node: &Node, socket: &UdpSocket, message: &Message) {
     let now = node.now();
     let listeners = node.state.borrow().members.digest_listeners(now);
-    if listeners.is_empty() {
-        return;
+    if !listeners.is_empty() {
+        send(node, socket, message, &listeners).await;
     }
-    let message = Message::Digest {
-        is_handed_on: true,
-        digest: digest.clone(),
-    };
-    send(node, socket, &message, &listeners).await;
 }
--- a/crates/damaskvane-gateway/src/peers/message.rs
+++ b/crates/damaskvane-gateway/src/peers/message.rs
@@ -5,11 +5,14 @@
 use damaskvane_core::ids;
 use damaskvane_dispatch::quarantine::Incident;
 use damaskvane_routing::peers::{Digest, DigestEntry, Heartbeat, Phase, StartKey};
+use damaskvane_routing::placement::{AskedReport, ObjectSample, RouteKey, Verdict};
 use damaskvane_routing::pool::{LoadReport, ServerKey, ToldLoad};
 use serde::{Deserialize, Serialize};
 
+use crate::costs::Flow;
+
 /// Tells the protocol from others on the port, and its form from other ones: it changes with the messages.
-const MAGIC: u32 = 0x6476_7031;
+const MAGIC: u32 = 0x6476_7032;
 
 /// Something that one instance tells another.
 #[derive(Debug, Clone)]
@@ -23,13 +26,43 @@
         /// What it says.
         digest: Digest,
     },
+    /// Instances of a zone that have started, or changed their phase.
+    News {
+        /// Whether an instance of the recipient's zone hands it on.
+        is_handed_on: bool,
+        /// Their heartbeats.
+        heartbeats: Vec<Heartbeat>,
+    },
     /// A server died with requests on it.
     Incident(Incident),
     /// Servers that have a queue, or no longer have one.
     Loads(Vec<ToldLoad>),
+    /// What the sender's clients asked for.
+    Asked(AskedReport),
+    /// Which objects have a server in each zone, from one that speaks for the zone.
+    Verdicts {
+        /// Who has judged.
+        by: ids::InstanceId,
+        /// What it found.
+        verdicts: Vec<Verdict>,
+    },
 }
 
 impl Message {
+    /// What its bytes are carried for.
+    #[must_use]
+    pub const fn flow(&self) -> Flow {
+        match self {
+            Self::Heartbeat(_) => Flow::Heartbeat,
+            Self::Digest { .. } => Flow::Digest,
+            Self::News { .. } => Flow::News,
+            Self::Incident(_) => Flow::Incident,
+            Self::Loads(_) => Flow::Loads,
+            Self::Asked(_) => Flow::Asked,
+            Self::Verdicts { .. } => Flow::Verdicts,
+        }
+    }
+
     /// The bytes of a datagram.
     ///
     /// # Errors
@@ -54,8 +87,24 @@
         is_handed_on: bool,
         entries: Vec<EntryWire>,
     },
+    News {
+        is_handed_on: bool,
+        heartbeats: Vec<HeartbeatWire>,
+    },
     Incident(Incident),
     Loads(Vec<LoadWire>),
+    Asked(Vec<SampleWire>),
+    Verdicts {
+        by: ids::InstanceId,
+        verdicts: Vec<(u32, u8)>,
+    },
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct SampleWire {
+    route: u32,
+    halvings: u8,
+    objects: Vec<(u32, u32)>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -98,8 +147,23 @@
                 is_handed_on: *is_handed_on,
                 entries: digest.entries.iter().map(EntryWire::of).collect(),
             },
+            Message::News {
+                is_handed_on,
+                heartbeats,
+            } => Self::News {
+                is_handed_on: *is_handed_on,
+                heartbeats: heartbeats.iter().map(HeartbeatWire::of).collect(),
+            },
             Message::Incident(incident) => Self::Incident(incident.clone()),
             Message::Loads(loads) => Self::Loads(loads.iter().map(LoadWire::of).collect()),
+            Message::Asked(report) => Self::Asked(report.iter().map(SampleWire::of).collect()),
+            Message::Verdicts { by, verdicts } => Self::Verdicts {
+                by: by.clone(),
+                verdicts: verdicts
+                    .iter()
+                    .map(|one| (one.route.get(), one.steps))
+                    .collect(),
+            },
         }
     }
 
@@ -116,10 +180,34 @@
                     entries: entries.into_iter().filter_map(EntryWire::read).collect(),
                 },
             },
+            Self::News {
+                is_handed_on,
+                heartbeats,
+            } => Message::News {
+                is_handed_on,
+                // One in a phase of a later version is left out; the others hold.
+                heartbeats: heartbeats
+                    .into_iter()
+                    .filter_map(HeartbeatWire::into_heartbeat)
+                    .collect(),
+            },
             Self::Incident(incident) => Message::Incident(incident),
             Self::Loads(loads) => {
                 Message::Loads(loads.into_iter().map(LoadWire::into_told).collect())
             }
+            Self::Asked(samples) => {
+                Message::Asked(samples.into_iter().map(SampleWire::into_sample).collect())
+            }
+            Self::Verdicts { by, verdicts } => Message::Verdicts {
+                by,
+                verdicts: verdicts
+                    .into_iter()
+                    .map(|(route, steps)| Verdict {
+                        route: RouteKey::from_wire(route),
+                        steps,
+                    })
+                    .collect(),
+            },
         })
     }
 }
@@ -170,6 +258,21 @@
     }
 }
 
+impl SampleWire {
+    fn of((route, sample): &(RouteKey, ObjectSample)) -> Self {
+        Self {
+            route: route.get(),
+            halvings: sample.halvings(),
+            objects: sample.objects().collect(),
+        }
+    }
+
+    fn into_sample(self) -> (RouteKey, ObjectSample) {
+        let sample = ObjectSample::from_wire(self.halvings, self.objects);
+        (RouteKey::from_wire(self.route), sample)
+    }
+}
+
 impl LoadWire {
     const fn of(told: &ToldLoad) -> Self {
         Self {
--- a/crates/damaskvane-gateway/src/process.rs
+++ b/crates/damaskvane-gateway/src/process.rs
@@ -20,6 +20,9 @@
 /// How often the settings file is looked at: it may change without a signal.
 const SETTINGS_PERIOD: Duration = Duration::from_secs(2);
 
+/// The pause between two lines on costs.
+const COSTS_PERIOD: Duration = Duration::from_secs(5);
+
 /// Why an instance can't run.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub enum ProcessError {
@@ -142,12 +145,21 @@
     tokio::task::spawn_local(store::register(Rc::clone(node)));
     tokio::task::spawn_local(probes::run(Rc::clone(node)));
     tokio::task::spawn_local(crashes::keep_records(Rc::clone(node)));
+    tokio::task::spawn_local(tell_costs(Rc::clone(node)));
     if let Some(address) = settings.metrics_address {
         tokio::task::spawn_local(serve_metrics(Rc::clone(node), address));
     }
     failures
 }
 
+/// Writes a line on what the instance has caused since its start that is paid for, until the process ends.
+async fn tell_costs(node: Rc<Node>) {
+    loop {
+        tokio::time::sleep(COSTS_PERIOD).await;
+        slog::info!(node.log.log, "costs"; "figures" => node.metrics.cost_figures());
+    }
+}
+
 /// Serves the metrics if their port is free; the last listener to start.
 ///
 /// The port is fixed while the platform draws all others. Where they meet, clients are served and the
--- a/crates/damaskvane-gateway/src/store.rs
+++ b/crates/damaskvane-gateway/src/store.rs
@@ -4,6 +4,7 @@
 mod contact;
 mod feed;
 mod follow;
+mod freshness;
 mod health;
 mod intake;
 mod journal;
@@ -20,7 +21,8 @@
 use crate::adapter::Collection;
 
 /// The collections that every instance follows.
-pub const FOLLOWED: [Collection; 4] = [
+pub const FOLLOWED: [Collection; 5] = [
+    Collection::Instances,
     Collection::Configuration,
     Collection::Servers,
     Collection::Evacuations,
--- a/crates/damaskvane-gateway/src/store/client.rs
+++ b/crates/damaskvane-gateway/src/store/client.rs
@@ -93,7 +93,7 @@
         let result = tokio::time::timeout(timeout, self.exchange(request)).await;
         let result = result.unwrap_or(Err(CallError::Timeout));
         let outcome = result.as_ref().err().map_or("ok", CallError::as_str);
-        let labels = [self.collection.as_str(), outcome];
+        let labels = [self.collection.as_str(), request.purpose.as_str(), outcome];
         self.node
             .metrics
             .store_calls
--- a/crates/damaskvane-gateway/src/store/feed.rs
+++ b/crates/damaskvane-gateway/src/store/feed.rs
@@ -13,12 +13,13 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use bytes::Bytes;
-use damaskvane_core::time::TimeMs;
+use damaskvane_core::time::{SpanMs, TimeMs};
 use damaskvane_routing::relay::Batch;
 use tokio::sync::Notify;
 
 use crate::adapter::Collection;
 use crate::store::FOLLOWED;
+use crate::store::freshness::Heard;
 use crate::store::journal::Listing;
 
 pub use listen::{listen, watch_freshness};
@@ -49,7 +50,7 @@
     arrived: Notify,
     /// The revisions that the collections are at.
     revisions: RefCell<[u64; FOLLOWED.len()]>,
-    heard_at: Cell<Option<TimeMs>>,
+    heard: Cell<Heard>,
     restarts: Notify,
 }
 
@@ -91,6 +92,21 @@
         }
     }
 
+    /// Notes a source's word on the age of the store's last answer.
+    fn note_alive(&self, now: TimeMs, store_age: SpanMs) {
+        let mut heard = self.heard.get();
+        heard.note(now, store_age);
+        self.heard.set(heard);
+    }
+
+    /// Since when nothing was heard that is fresh by this age of the store's last answer.
+    pub(super) fn stale_since(&self, now: TimeMs, stale_ms: u64) -> Option<TimeMs> {
+        let mut heard = self.heard.get();
+        let since = heard.stale_since(now, stale_ms);
+        self.heard.set(heard);
+        since
+    }
+
     fn push(&self, collection: Collection, item: Item) {
         let mut items = self.items.borrow_mut();
         items.entry(collection).or_default().push_back(item);
--- a/crates/damaskvane-gateway/src/store/feed/frames.rs
+++ b/crates/damaskvane-gateway/src/store/feed/frames.rs
@@ -12,7 +12,7 @@
 use crate::store::feed::SILENCE;
 
 /// Tells the protocol from others on the port, and its form from later ones.
-pub(super) const MAGIC: u32 = 0x6476_6632;
+pub(super) const MAGIC: u32 = 0x6476_6633;
 /// Largest frame: a list of changes is a megabyte at most.
 const MOST_BYTES: u32 = 8 << 20;
 
@@ -75,11 +75,13 @@
     Ok(bytes)
 }
 
-pub(super) async fn send(stream: &mut TcpStream, message: &impl Serialize) -> io::Result<()> {
+/// Sends a frame; returns its bytes.
+pub(super) async fn send(stream: &mut TcpStream, message: &impl Serialize) -> io::Result<usize> {
     let body = postcard::to_allocvec(message).map_err(io::Error::other)?;
     let length = u32::try_from(body.len()).map_err(io::Error::other)?;
     let mut bytes = length.to_be_bytes().to_vec();
     bytes.extend_from_slice(&body);
     // A listener that takes nothing for so long is stopped or gone.
-    tokio::time::timeout(SILENCE, stream.write_all(&bytes)).await?
+    tokio::time::timeout(SILENCE, stream.write_all(&bytes)).await??;
+    Ok(bytes.len())
 }
--- a/crates/damaskvane-gateway/src/store/feed/serve.rs
+++ b/crates/damaskvane-gateway/src/store/feed/serve.rs
@@ -6,6 +6,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::adapter::Collection;
+use crate::costs::{Distance, Flow};
 use crate::node::Node;
 use crate::store::FOLLOWED;
 use crate::store::feed::frames::{self, Frame, Hello};
@@ -53,9 +54,14 @@
         } else {
             GAP_AGE_MS
         };
-        frames::send(&mut stream, &Frame::Alive { store_age_ms }).await?;
-        // A change is handed on at once; without one, the age is told once a period.
-        let _ = tokio::time::timeout(PERIOD, additions.changed()).await;
+        send(node, &mut stream, &Frame::Alive { store_age_ms }).await?;
+        // A change is handed on at once, and so is that the store has answered; without either, the age is told once
+        // a period.
+        tokio::select! {
+            _ = additions.changed() => {}
+            () = node.store.until_answered() => {}
+            () = tokio::time::sleep(PERIOD) => {}
+        }
     }
 }
 
@@ -78,12 +84,12 @@
                     pages: frames::to_wire(&listing.pages),
                     changes: frames::to_wire(&listing.changes),
                 };
-                frames::send(stream, &frame).await?;
+                send(node, stream, &frame).await?;
             }
             Next::Gone { resume_at } => {
                 *revision = resume_at;
                 let frame = Frame::Gone { collection: number };
-                return frames::send(stream, &frame).await;
+                return send(node, stream, &frame).await;
             }
             Next::Batch(batch) => {
                 *revision = batch.to;
@@ -93,8 +99,17 @@
                     to: batch.to,
                     body: batch.body.to_vec(),
                 };
-                frames::send(stream, &frame).await?;
+                send(node, stream, &frame).await?;
             }
         }
     }
 }
+
+async fn send(node: &Rc<Node>, stream: &mut TcpStream, frame: &Frame) -> io::Result<()> {
+    let bytes = frames::send(stream, frame).await?;
+    if let Ok(address) = stream.peer_addr() {
+        let distance = Distance::to_instance(node, address.ip());
+        node.metrics.costs.carried(Flow::Feed, distance, bytes);
+    }
+    Ok(())
+}
--- a/crates/damaskvane-gateway/src/store/follow.rs
+++ b/crates/damaskvane-gateway/src/store/follow.rs
@@ -12,13 +12,15 @@
 use crate::store::feed::Item;
 use crate::store::intake::Intake;
 use crate::store::journal::Listing;
-use crate::store::{CallError, Source, StoreClient};
+use crate::store::{CallError, Source, StoreClient, freshness};
 
 /// How much later than announced a watch may return.
 const WAIT_SLACK: Duration = Duration::from_millis(1_200);
 /// How long a call that doesn't wait may take: a store that is 50 times slower than usual still answers
 /// a long list in this time.
 const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// The pause between two looks at who is at work in the zone.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
 /// The first pause after a failure.
 const FIRST_PAUSE_MS: u64 = 50;
 /// The longest pause after failures: a store that is back is noticed within it.
@@ -32,9 +34,13 @@
 /// requests for 2 s at least, and one that joined is cold.
 const GATHER_SERVERS: Duration = Duration::from_millis(500);
 
+/// The same for instances, which tell each other that they start.
+const GATHER_INSTANCES: Duration = Duration::from_secs(2);
+
 const fn gather(collection: Collection) -> Duration {
     match collection {
         Collection::Servers => GATHER_SERVERS,
+        Collection::Instances => GATHER_INSTANCES,
         _ => GATHER,
     }
 }
@@ -47,17 +53,30 @@
         node,
         collection,
         failures: 0,
+        has_begun: false,
     }
     .run()
     .await;
 }
 
+/// Waits until this is the first instance of its zone, which finds out who is at work in the others.
+async fn until_first_of_zone(node: &Rc<Node>) {
+    loop {
+        if freshness::is_settled(node) && node.relay_rank() == Some(0) {
+            return;
+        }
+        tokio::time::sleep(LOOK_PAUSE).await;
+    }
+}
+
 struct Follower {
     node: Rc<Node>,
     collection: Collection,
     client: StoreClient,
     intake: Intake,
     failures: u32,
+    /// Whether the whole collection was read before.
+    has_begun: bool,
 }
 
 impl Follower {
@@ -71,9 +90,16 @@
     }
 
     /// Reads the whole collection, from a relay if there is one, else from the store; whichever answers.
+    ///
+    /// Hundreds of instances that start together would each read everything from the store before they know who
+    /// does it for them, so nothing is read while that is undecided.
     async fn begin(&mut self) -> u64 {
         let node = Rc::clone(&self.node);
         let collection = self.collection;
+        tokio::select! {
+            () = node.store.until_other_source(Source::Undecided) => {}
+            () = until_first_of_zone(&node), if collection == Collection::Instances => {}
+        }
         if node.store.source() == Source::Relay {
             let listing = node.feed.listing(collection);
             if let Ok(listing) = tokio::time::timeout(RELAY_PATIENCE, listing).await
@@ -108,7 +134,9 @@
         let mut first_revision = None;
         loop {
             let adapter = &self.node.adapter;
-            let request = adapter.list(self.collection, after.as_deref(), false);
+            // Of the instances, what is newer than the first list comes with the changes after it.
+            let may_be_stale = self.collection == Collection::Instances && !self.has_begun;
+            let request = adapter.list(self.collection, after.as_deref(), may_be_stale);
             let started = self.node.now();
             let body = self.client.call(&request, CALL_TIMEOUT).await?;
             let took_ms = self.node.now().since(started).get();
@@ -147,6 +175,7 @@
         }
         items.retain(|_, item| item.record.is_some());
         let revision = listing.revision;
+        self.has_begun = true;
         self.failures = 0;
         self.intake.replace(items.into_values().collect());
         self.node.journal.restart(self.collection, listing);
--- a/crates/damaskvane-gateway/src/store/health.rs
+++ b/crates/damaskvane-gateway/src/store/health.rs
@@ -6,7 +6,7 @@
 use std::cell::Cell;
 
 use damaskvane_core::time::{SpanMs, TimeMs};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// Where changes come from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -15,7 +15,7 @@
     Store,
     /// From an instance of the zone that watches the store.
     Relay,
-    /// From nowhere for a moment: the process has just started and may find a relay.
+    /// From nowhere for a moment: nobody is known who tells of them, and whether the store answers is found out.
     Undecided,
 }
 
@@ -25,6 +25,9 @@
     Down,
 }
 
+/// An answer that comes so much later than the one before is told to listeners at once.
+const TOLD_AT_ONCE_MS: u64 = 100;
+
 /// The store, as the instance finds it.
 #[derive(Debug)]
 pub struct StoreHealth {
@@ -33,6 +36,10 @@
     /// When the store answered last; none if it never has. A process that has just started without the store
     /// must not pass for one that heard from it a moment ago.
     answered_at: Cell<Option<TimeMs>>,
+    /// Tells of answers of the store.
+    answers: Notify,
+    /// When the store answered this instance itself last.
+    own_answered_at: Cell<Option<TimeMs>>,
     /// Counts the questions of this instance that the store left open.
     failures: watch::Sender<u64>,
     /// Whether the store does not answer this instance itself, whatever a relay tells.
@@ -45,6 +52,8 @@
             reachability: watch::Sender::new(Reachability::Up),
             source: watch::Sender::new(Source::Undecided),
             answered_at: Cell::new(None),
+            answers: Notify::new(),
+            own_answered_at: Cell::new(None),
             failures: watch::Sender::new(0),
             is_own_contact_lost: Cell::new(false),
         }
@@ -57,6 +66,9 @@
         let before = self.answered_at.get();
         let away = at.since(before.unwrap_or(TimeMs::ZERO));
         self.answered_at.set(before.max(Some(at)));
+        if away.get() >= TOLD_AT_ONCE_MS {
+            self.answers.notify_waiters();
+        }
         let was_down = self.reachability.send_if_modified(|reachability| {
             let was_down = *reachability == Reachability::Down;
             *reachability = Reachability::Up;
@@ -87,9 +99,21 @@
         })
     }
 
-    /// Notes whether the store answers this instance itself.
-    pub fn set_own_contact_lost(&self, is_lost: bool) {
-        self.is_own_contact_lost.set(is_lost);
+    /// Notes that the store answered this instance itself at a time.
+    pub fn own_answered(&self, at: TimeMs) {
+        self.own_answered_at.set(Some(at));
+        self.is_own_contact_lost.set(false);
+    }
+
+    /// Notes that the store did not answer this instance itself.
+    pub fn own_contact_lost(&self) {
+        self.is_own_contact_lost.set(true);
+    }
+
+    /// When the store answered this instance itself last.
+    #[must_use]
+    pub const fn own_answered_at(&self) -> Option<TimeMs> {
+        self.own_answered_at.get()
     }
 
     /// Whether the store does not answer this instance itself.
@@ -134,6 +158,11 @@
         let _ = changes.wait_for(|current| *current != than).await;
     }
 
+    /// Waits until the store answers, this instance or the one it hears from.
+    pub async fn until_answered(&self) {
+        self.answers.notified().await;
+    }
+
     /// Waits until the store is there.
     pub async fn until_up(&self) {
         self.until(Reachability::Up).await;
--- a/crates/damaskvane-gateway/src/store/intake.rs
+++ b/crates/damaskvane-gateway/src/store/intake.rs
@@ -1,11 +1,12 @@
 //! Turns what the store says of one collection into what the instance believes.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use damaskvane_core::ids;
 use damaskvane_core::time::TimeMs;
 use damaskvane_routing::configuration::Configuration;
+use damaskvane_routing::peers::ListedInstance;
 use damaskvane_routing::pool::{Change, ServerEntry};
 
 use crate::adapter::{Collection, Event, Record};
@@ -20,6 +21,8 @@
     node: Rc<Node>,
     collection: Collection,
     evacuated: BTreeSet<ids::AvailabilityZoneId>,
+    /// The instances by the names of their records.
+    instances: BTreeMap<String, ids::InstanceId>,
 }
 
 impl Intake {
@@ -29,6 +32,7 @@
             node,
             collection,
             evacuated: BTreeSet::new(),
+            instances: BTreeMap::new(),
         }
     }
 
@@ -56,7 +60,17 @@
                 let recorded = items.iter().filter_map(|item| item.name.parse().ok());
                 crashes::replace_recorded(&self.node, &recorded.collect());
             }
-            Collection::Configuration | Collection::Instances => {
+            Collection::Instances => {
+                self.instances.clear();
+                let records: Vec<_> = items
+                    .into_iter()
+                    .filter_map(|item| self.instance(item))
+                    .collect();
+                let members = &mut self.node.state.borrow_mut().members;
+                members.set_listed(records);
+                members.greet();
+            }
+            Collection::Configuration => {
                 for item in items {
                     self.apply(item);
                 }
@@ -96,7 +110,34 @@
                 (None, Ok(fingerprint)) => crashes::note_lifted(&self.node, fingerprint),
                 _ => {}
             },
-            Collection::Instances => {}
+            Collection::Instances => {
+                let name = event.name.clone();
+                let record = self.instance(event);
+                let members = &mut self.node.state.borrow_mut().members;
+                match record {
+                    Some(record) => members.add_listed([record]),
+                    None => {
+                        if let Some(instance) = self.instances.remove(&name) {
+                            members.remove_listed(&instance);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// The instance's record that an event holds, if it is one that can be used.
+    fn instance(&mut self, event: Event) -> Option<ListedInstance> {
+        match event.record? {
+            Record::Instance(record) => {
+                self.instances.insert(event.name, record.instance.clone());
+                Some(record)
+            }
+            Record::Unusable(why) => {
+                self.note_unusable(&event.name, &why);
+                None
+            }
+            _ => None,
         }
     }
 
--- a/crates/damaskvane-gateway/src/store/register.rs
+++ b/crates/damaskvane-gateway/src/store/register.rs
@@ -1,53 +1,47 @@
-//! The instance's own record in the store, and the records of the others.
+//! The instance's own record in the store, and its first look at those of its zone.
 
 use core::time::Duration;
 use std::rc::Rc;
 
+use damaskvane_core::ids;
 use damaskvane_routing::peers::ListedInstance;
 use hyper::StatusCode;
 
 use crate::adapter::{Collection, Record};
 use crate::node::Node;
-use crate::store::{CallError, StoreClient};
+use crate::store::{CallError, Source, StoreClient};
 
 /// How long a call may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// The pause after a failure.
 const PAUSE: Duration = Duration::from_millis(500);
-/// The pause between two lists. Instances that start send heartbeats to all that are listed, so the list
-/// only tells of those that can't be heard.
-const LIST_PAUSE: Duration = Duration::from_secs(12);
+/// The pauses between looks at the zone's records as long as nobody tells of changes: instances that start
+/// together write theirs within a few hundred milliseconds.
+const LOOK_PAUSES: [Duration; 3] = [
+    Duration::from_millis(150),
+    Duration::from_millis(350),
+    Duration::from_millis(800),
+];
 
-/// Writes the instance's record, then reads the records of all from time to time.
+/// Writes the instance's record, unless it is there from an earlier start, and finds the others of its zone.
 ///
-/// The record is written before the list is read: of two instances that start together, at least one
-/// finds the other.
+/// Everything else on the instances comes with the changes of the store, as for the other collections.
 pub async fn register(node: Rc<Node>) {
     let mut client = StoreClient::new(Rc::clone(&node), Collection::Instances);
-    let settings = node.settings();
-    let record = ListedInstance {
-        instance: settings.instance.clone(),
-        peer_address: settings.peer_address,
-        zone: Some(settings.zone.clone()),
-    };
+    let record = node.record();
+    look(&node, &mut client, &record.zone).await;
     while let Err(error) = write(&node, &mut client, &record).await {
         slog::warn!(node.log.log, "own record isn't written"; "error" => %error);
         node.store.until_up().await;
         tokio::time::sleep(PAUSE).await;
     }
-    let mut may_be_stale = false;
-    loop {
-        match list(&node, &mut client, may_be_stale).await {
-            Ok(()) => {
-                may_be_stale = true;
-                tokio::time::sleep(LIST_PAUSE).await;
-            }
-            Err(error) => {
-                slog::warn!(node.log.log, "instances aren't listed"; "error" => %error);
-                node.store.until_up().await;
-                tokio::time::sleep(PAUSE).await;
-            }
+    node.state.borrow_mut().members.set_registered();
+    for pause in LOOK_PAUSES {
+        tokio::time::sleep(pause).await;
+        if node.store.source() != Source::Undecided {
+            return;
         }
+        look(&node, &mut client, &record.zone).await;
     }
 }
 
@@ -56,6 +50,9 @@
     client: &mut StoreClient,
     record: &ListedInstance,
 ) -> Result<(), CallError> {
+    if node.state.borrow().members.is_listed_as(record) {
+        return Ok(());
+    }
     let [create, replace] = node.adapter.register(record);
     match client.call(&create, CALL_TIMEOUT).await {
         // A record of an earlier start lies there.
@@ -66,28 +63,35 @@
     }
 }
 
-async fn list(
-    node: &Rc<Node>,
-    client: &mut StoreClient,
-    may_be_stale: bool,
-) -> Result<(), CallError> {
-    let mut listed = Vec::new();
+/// Reads the records of the own zone. What fails is found later, from the changes of the store.
+async fn look(node: &Rc<Node>, client: &mut StoreClient, zone: &Option<ids::AvailabilityZoneId>) {
+    let Some(zone) = zone else {
+        return;
+    };
     let mut after: Option<String> = None;
     loop {
-        let adapter = &node.adapter;
-        let request = adapter.list(Collection::Instances, after.as_deref(), may_be_stale);
-        let body = client.call(&request, CALL_TIMEOUT).await?;
-        let page = node.adapter.page(Collection::Instances, &body);
-        let page = page.map_err(|_| CallError::Malformed)?;
-        listed.extend(page.items.into_iter().filter_map(|item| match item.record {
-            Some(Record::Instance(record)) => Some(record),
-            _ => None,
-        }));
+        let request = node.adapter.list_zone(zone, after.as_deref());
+        let Ok(body) = client.call(&request, CALL_TIMEOUT).await else {
+            return;
+        };
+        let Ok(page) = node.adapter.page(Collection::Instances, &body) else {
+            return;
+        };
+        let records: Vec<ListedInstance> = page
+            .items
+            .into_iter()
+            .filter_map(|item| match item.record {
+                Some(Record::Instance(record)) => Some(record),
+                _ => None,
+            })
+            .collect();
+        let is_of_zone = |record: &ListedInstance| record.zone.as_ref() == Some(zone);
+        let goes_on = records.last().is_some_and(is_of_zone);
+        let of_zone = records.into_iter().filter(is_of_zone);
+        node.state.borrow_mut().members.add_listed(of_zone);
         match page.continue_after {
-            Some(name) => after = Some(name),
-            None => break,
+            Some(name) if goes_on => after = Some(name),
+            _ => return,
         }
     }
-    node.state.borrow_mut().members.set_listed(listed);
-    Ok(())
 }
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -11,6 +11,7 @@
 use hyper::header;
 use tokio::sync::mpsc;
 
+use crate::costs::{Distance, Flow, Opening};
 use crate::http::{self, AnswerHead, BodyReader, ReadError};
 use crate::node::Node;
 use crate::upstream::{Answer, AnswerBody, OutgoingRequest, request};
@@ -79,7 +80,7 @@
     fn start(node: &Rc<Node>, pick: &Pick) -> Self {
         let id = node.next_exchange();
         let now = node.now();
-        if let Some(server) = node.state.borrow_mut().pool.server_mut(&pick.server) {
+        if let Some(mut server) = node.state.borrow_mut().pool.server_mut(&pick.server) {
             server.note_sent(now, id, pick.expected_ms);
         }
         Self {
@@ -94,7 +95,7 @@
         self.is_open = false;
         let now = self.node.now();
         let mut state = self.node.state.borrow_mut();
-        let server = state.pool.server_mut(&self.pick.server)?;
+        let mut server = state.pool.server_mut(&self.pick.server)?;
         server.note_end(now, self.id, end, report)
     }
 }
@@ -118,6 +119,8 @@
     pub pick: &'a Pick,
     /// When the time for the request ends.
     pub deadline: TimeMs,
+    /// Whether the request was sent elsewhere before.
+    pub is_retry: bool,
 }
 
 impl Exchange<'_> {
@@ -137,6 +140,7 @@
         let bytes = self
             .request
             .to_bytes(names, &self.pick.server, self.left().get());
+        self.carried(bytes.len());
         let was_written = if bytes.len() <= SHORT_REQUEST_BYTES {
             connection.write(&bytes).await.map(|()| true)
         } else {
@@ -149,17 +153,31 @@
         self.read(connection, is_whole, is_kept).await
     }
 
+    fn carried(&self, bytes: usize) {
+        let flow = Flow::of_pick(self.pick, self.is_retry);
+        let distance = Distance::to_zone(self.node, &self.pick.zone);
+        self.node.metrics.costs.carried(flow, distance, bytes);
+    }
+
     fn left(&self) -> SpanMs {
         self.deadline.since(self.node.now())
     }
 
     async fn connect(&self) -> io::Result<(http::Connection, bool)> {
         let now = self.node.now();
-        let kept = self.node.idle.borrow_mut().take(now, &self.pick.server);
+        let mut idle = self.node.idle.borrow_mut();
+        let had_kept = idle.has(&self.pick.server);
+        let kept = idle.take(now, &self.pick.server);
+        drop(idle);
         if let Some(connection) = kept {
             return Ok((connection, true));
         }
-        self.node.metrics.new_connections.inc();
+        let reason = if had_kept {
+            Opening::KeptClosed
+        } else {
+            Opening::NoneKept
+        };
+        self.node.metrics.costs.opened(reason);
         let timeout = CONNECT_TIMEOUT.min(self.left().to_duration());
         let opened = http::Connection::open(self.pick.address, timeout, SILENCE).await?;
         let took_ms = self.node.now().since(now).get() as f64;
@@ -225,6 +243,7 @@
         } else {
             head.body
         };
+        self.carried(head.bytes);
         let mut body = BodyReader::new(kind);
         let whole = match connection.read_body(&mut body, WHOLE_BODY_BYTES).await {
             Ok(whole) => whole,
@@ -246,6 +265,7 @@
         request::strip_connection_headers(&mut headers);
         let body = match whole {
             Ok(bytes) => {
+                self.carried(bytes.len());
                 if keeps_open && connection.is_clean() {
                     let now = self.node.now();
                     let mut idle = self.node.idle.borrow_mut();
--- a/crates/damaskvane-gateway/src/upstream/idle.rs
+++ b/crates/damaskvane-gateway/src/upstream/idle.rs
@@ -28,6 +28,12 @@
 }
 
 impl IdleConnections {
+    /// Whether any connection to a server is kept, good or not.
+    #[must_use]
+    pub fn has(&self, server: &ids::BackendServerId) -> bool {
+        self.kept.get(server).is_some_and(|kept| !kept.is_empty())
+    }
+
     /// Takes the connection that was used last, if one is still good.
     pub fn take(&mut self, now: TimeMs, server: &ids::BackendServerId) -> Option<http::Connection> {
         let kept = self.kept.get_mut(server)?;
--- a/crates/damaskvane-routing/src/limit/cold_rate.rs
+++ b/crates/damaskvane-routing/src/limit/cold_rate.rs
@@ -59,8 +59,9 @@
 
 impl ColdRate {
     /// Whether one more request stays within the share.
-    pub fn has_room(&mut self, now: TimeMs, share: usize) -> bool {
-        self.sent.count(now) < share
+    #[must_use]
+    pub fn has_room(&self, now: TimeMs, share: usize) -> bool {
+        self.sent.counted(now) < share
     }
 
     /// Notes a request that was sent.
--- a/crates/damaskvane-routing/src/limit/window.rs
+++ b/crates/damaskvane-routing/src/limit/window.rs
@@ -30,6 +30,14 @@
     }
 
     /// The events that are at most the window's length old.
+    #[must_use]
+    pub fn counted(&self, now: TimeMs) -> usize {
+        let events = self.events.iter().rev();
+        let recent = events.take_while(|at| now.since(**at).get() <= self.length_ms);
+        recent.count()
+    }
+
+    /// The same; events that are older are forgotten.
     pub fn count(&mut self, now: TimeMs) -> usize {
         while let Some(first) = self.events.front()
             && now.since(*first).get() > self.length_ms
--- a/crates/damaskvane-routing/src/peers.rs
+++ b/crates/damaskvane-routing/src/peers.rs
@@ -7,15 +7,16 @@
 //! assert!(settings.silence_ms > settings.heartbeat_ms);
 //! ```
 
-mod caller;
 mod digest;
 mod heartbeat;
 mod listed;
 mod members;
+mod relay;
 mod settings;
 
 pub use digest::{Digest, DigestEntry, StartKey};
 pub use heartbeat::{Heartbeat, Phase};
 pub use listed::ListedInstance;
 pub use members::Members;
+pub use relay::Relay;
 pub use settings::PeerSettings;
--- a/crates/damaskvane-routing/src/peers/members.rs
+++ b/crates/damaskvane-routing/src/peers/members.rs
@@ -1,13 +1,14 @@
 //! The instances that are known, with the last word from each.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net;
 
 use damaskvane_core::ids;
 use damaskvane_core::time::TimeMs;
 
-use crate::peers::caller::Caller;
-use crate::peers::{Digest, DigestEntry, Heartbeat, ListedInstance, PeerSettings, Phase, StartKey};
+use crate::peers::{
+    Digest, DigestEntry, Heartbeat, ListedInstance, PeerSettings, Phase, Relay, StartKey,
+};
 
 #[derive(Debug)]
 struct Member {
@@ -22,9 +23,23 @@
     own: ids::InstanceId,
     regions: HashMap<ids::AvailabilityZoneId, ids::RegionId>,
     members: BTreeMap<ids::InstanceId, Member>,
+    /// The members of each zone, in the order of their names.
+    by_zone: BTreeMap<ids::AvailabilityZoneId, BTreeSet<ids::InstanceId>>,
+    by_key: HashMap<StartKey, ids::InstanceId>,
+    zones_at: HashMap<net::IpAddr, ids::AvailabilityZoneId>,
+    /// Members of the own zone that other zones haven't been told of since they changed.
+    news: BTreeSet<ids::InstanceId>,
     /// Where the platform's list says that instances are.
     listed: BTreeMap<ids::InstanceId, ListedInstance>,
+    /// Listed instances that were never heard.
+    unheard: BTreeSet<ids::InstanceId>,
     is_listed: bool,
+    /// Whether the own record is in the store.
+    is_registered: bool,
+    /// Whether the next heartbeat goes to listed instances of other zones that were never heard.
+    greets_next: bool,
+    /// Instances that were heard and aren't listed, the own one too.
+    unlisted: usize,
     /// Where instances may be found before the platform's list was read.
     seeds: Vec<net::SocketAddr>,
     /// When the own process last changed its phase.
@@ -43,8 +58,16 @@
             own,
             regions: regions.into_iter().collect(),
             members: BTreeMap::new(),
+            by_zone: BTreeMap::new(),
+            by_key: HashMap::new(),
+            zones_at: HashMap::new(),
+            news: BTreeSet::new(),
             listed: BTreeMap::new(),
+            unheard: BTreeSet::new(),
             is_listed: false,
+            is_registered: false,
+            greets_next: false,
+            unlisted: 1,
             seeds: Vec::new(),
             own_phase_at: None,
         }
@@ -57,11 +80,90 @@
 
     /// Takes in the platform's list of instances.
     pub fn set_listed(&mut self, listed: impl IntoIterator<Item = ListedInstance>) {
-        self.listed = listed
-            .into_iter()
-            .map(|one| (one.instance.clone(), one))
-            .collect();
+        self.listed.clear();
+        self.unheard.clear();
+        let members = &self.members;
+        self.unlisted = members.keys().filter(|id| **id != self.own).count() + 1;
         self.is_listed = true;
+        self.add_listed(listed);
+    }
+
+    /// Takes in some instances of the platform's list.
+    pub fn add_listed(&mut self, listed: impl IntoIterator<Item = ListedInstance>) {
+        for one in listed {
+            let instance = one.instance.clone();
+            if let Some(zone) = &one.zone {
+                self.zones_at.insert(one.peer_address.ip(), zone.clone());
+            }
+            let is_known = instance == self.own || self.members.contains_key(&instance);
+            let was_listed = self.listed.insert(instance.clone(), one).is_some();
+            if is_known && !was_listed {
+                self.unlisted -= 1;
+            }
+            if !is_known {
+                self.unheard.insert(instance);
+            }
+        }
+    }
+
+    /// Takes in that the platform's list no longer names an instance.
+    pub fn remove_listed(&mut self, instance: &ids::InstanceId) {
+        self.unheard.remove(instance);
+        let was_listed = self.listed.remove(instance).is_some();
+        let is_known = *instance == self.own || self.members.contains_key(instance);
+        if was_listed && is_known {
+            self.unlisted += 1;
+        }
+    }
+
+    /// The zone of the instance at an address.
+    #[must_use]
+    pub fn zone_at(&self, address: net::IpAddr) -> Option<&ids::AvailabilityZoneId> {
+        self.zones_at.get(&address)
+    }
+
+    /// Whether the platform's list names the instance itself with this record.
+    #[must_use]
+    pub fn is_listed_as(&self, record: &ListedInstance) -> bool {
+        self.listed.get(&record.instance) == Some(record)
+    }
+
+    /// Whether the instance is the first of its zone that the platform's list names.
+    #[must_use]
+    pub fn is_first_listed(&self) -> bool {
+        let own_zone = self.own_zone();
+        let mut of_zone = self
+            .listed
+            .values()
+            .filter(|listed| listed.zone.as_ref() == own_zone);
+        of_zone
+            .next()
+            .is_some_and(|first| first.instance == self.own)
+    }
+
+    /// Whether the own zone is one of those whose first instance watches the store for the region.
+    #[must_use]
+    pub fn is_of_first_zones(&self) -> bool {
+        let Some(own) = self.own_zone() else {
+            return false;
+        };
+        let region = self.regions.get(own);
+        let before = self
+            .regions
+            .iter()
+            .filter(|(zone, of)| Some(*of) == region && *zone < own);
+        before.count() < self.settings.watchers_per_region
+    }
+
+    /// Lets the next heartbeat go to the first listed instances of other zones: those that start together with this
+    /// one hear of each other by it.
+    pub const fn greet(&mut self) {
+        self.greets_next = true;
+    }
+
+    /// Takes in that the own record is in the store.
+    pub const fn set_registered(&mut self) {
+        self.is_registered = true;
     }
 
     /// Whether others can know of this instance, or it of them, or both have taken too long.
@@ -72,18 +174,16 @@
     /// clients only until the time is over.
     #[must_use]
     pub fn is_acquainted(&self, now: TimeMs) -> bool {
-        let has_heard = self.members.keys().any(|id| *id != self.own);
-        self.is_listed || has_heard || now.get() >= self.settings.acquaintance_ms
+        let own = usize::from(self.members.contains_key(&self.own));
+        let has_heard = self.members.len() > own;
+        let is_known = self.is_listed && self.is_registered;
+        is_known || has_heard || now.get() >= self.settings.acquaintance_ms
     }
 
     /// Takes in a heartbeat; returns whether the instance is new, or back under a new start.
     pub fn note(&mut self, now: TimeMs, heartbeat: Heartbeat) -> bool {
         let Some(known) = self.members.get_mut(&heartbeat.instance) else {
-            let member = Member {
-                heartbeat: heartbeat.clone(),
-                heard_at: now,
-            };
-            self.members.insert(heartbeat.instance, member);
+            self.add(now, heartbeat);
             return true;
         };
         let is_same_start = known.heartbeat.incarnation == heartbeat.incarnation;
@@ -94,12 +194,79 @@
         if is_late || is_outlived {
             return false;
         }
-        if heartbeat.instance == self.own && known.heartbeat.phase != heartbeat.phase {
-            self.own_phase_at = Some(now);
+        if is_same_start {
+            let has_changed = known.heartbeat.phase != heartbeat.phase;
+            if has_changed && heartbeat.instance == self.own {
+                self.own_phase_at = Some(now);
+            }
+            known.heartbeat = heartbeat;
+            known.heard_at = now;
+            if has_changed {
+                let instance = known.heartbeat.instance.clone();
+                self.note_news(&instance);
+            }
+            return false;
+        }
+        self.forget(&heartbeat.instance);
+        self.add(now, heartbeat);
+        true
+    }
+
+    fn add(&mut self, now: TimeMs, heartbeat: Heartbeat) {
+        let instance = heartbeat.instance.clone();
+        let address = heartbeat.peer_address.ip();
+        self.zones_at.insert(address, heartbeat.zone.clone());
+        let of_zone = self.by_zone.entry(heartbeat.zone.clone()).or_default();
+        of_zone.insert(instance.clone());
+        self.by_key
+            .insert(StartKey::of(&heartbeat), instance.clone());
+        let member = Member {
+            heartbeat,
+            heard_at: now,
+        };
+        self.members.insert(instance.clone(), member);
+        self.unheard.remove(&instance);
+        if instance != self.own && !self.listed.contains_key(&instance) {
+            self.unlisted += 1;
+        }
+        self.note_news(&instance);
+    }
+
+    fn forget(&mut self, instance: &ids::InstanceId) {
+        let Some(member) = self.members.remove(instance) else {
+            return;
+        };
+        if *instance != self.own && !self.listed.contains_key(instance) {
+            self.unlisted -= 1;
+        }
+        self.by_key.remove(&StartKey::of(&member.heartbeat));
+        if let Some(of_zone) = self.by_zone.get_mut(&member.heartbeat.zone) {
+            of_zone.remove(instance);
+        }
+    }
+
+    fn note_news(&mut self, instance: &ids::InstanceId) {
+        let member = self.members.get(instance);
+        if member.is_some_and(|member| self.is_in_own_zone(member)) {
+            self.news.insert(instance.clone());
+        }
+    }
+
+    /// What other zones are to hear in full: members of the own zone that are new or changed their phase.
+    ///
+    /// Told to all instances of all zones by each one itself, hundreds of starts at once were most of the bytes
+    /// between zones.
+    pub fn take_news(&mut self, now: TimeMs, most: usize) -> Vec<Heartbeat> {
+        if !self.is_speaker(now) {
+            // Whoever speaks tells it. What is left here is told again if this one speaks later, and harms nobody.
+            return Vec::new();
         }
-        known.heartbeat = heartbeat;
-        known.heard_at = now;
-        !is_same_start
+        let told: Vec<_> = self.news.iter().take(most).cloned().collect();
+        for instance in &told {
+            self.news.remove(instance);
+        }
+        let members = told.iter().filter_map(|id| self.members.get(id));
+        members.map(|member| member.heartbeat.clone()).collect()
     }
 
     /// Takes in where the own process stands, which look-ups must know before its next heartbeat.
@@ -109,6 +276,7 @@
         {
             own.heartbeat.phase = phase;
             self.own_phase_at = Some(now);
+            self.news.insert(self.own.clone());
         }
     }
 
@@ -116,13 +284,9 @@
     ///
     /// Only starts that were heard before are known by their keys; a start that is unknown tells of itself.
     pub fn note_digest(&mut self, now: TimeMs, digest: &Digest) {
-        let entries: HashMap<StartKey, &DigestEntry> = digest
-            .entries
-            .iter()
-            .map(|entry| (entry.key, entry))
-            .collect();
-        for member in self.members.values_mut() {
-            let Some(entry) = entries.get(&StartKey::of(&member.heartbeat)) else {
+        for entry in &digest.entries {
+            let instance = self.by_key.get(&entry.key);
+            let Some(member) = instance.and_then(|id| self.members.get_mut(id)) else {
                 continue;
             };
             // An older count may be from before the word that the instance leaves.
@@ -163,17 +327,11 @@
         if !self.is_speaker(now) {
             return Vec::new();
         }
-        let mut of_zone: BTreeMap<&ids::AvailabilityZoneId, usize> = BTreeMap::new();
         let own_zone = self.own_zone();
-        let others = self
-            .usable(now)
-            .filter(|one| Some(&one.zone) != own_zone)
-            .filter(|one| {
-                let count = of_zone.entry(&one.zone).or_default();
-                *count += 1;
-                *count <= self.settings.digest_receivers_per_zone
-            });
-        others.map(|one| one.peer_address).collect()
+        let others = self.by_zone.keys().filter(|zone| Some(*zone) != own_zone);
+        let most = self.settings.digest_receivers_per_zone;
+        let receivers = others.flat_map(|zone| self.alive_in(now, zone, Phase::Ready).take(most));
+        receivers.map(|one| one.peer_address).collect()
     }
 
     /// Where this instance hands on a digest of another zone.
@@ -185,22 +343,35 @@
         self.neighbours(now)
     }
 
-    fn is_speaker(&self, now: TimeMs) -> bool {
+    /// Whether this instance speaks for its zone.
+    #[must_use]
+    pub fn is_speaker(&self, now: TimeMs) -> bool {
+        let mut speakers = self.speaking(now);
+        speakers.any(|member| member.heartbeat.instance == self.own)
+    }
+
+    /// Where the instances are that speak for the own zone, but for this one.
+    #[must_use]
+    pub fn speakers(&self, now: TimeMs) -> Vec<net::SocketAddr> {
+        let speaking = self.speaking(now);
+        let others = speaking.filter(|member| member.heartbeat.instance != self.own);
+        others.map(|member| member.heartbeat.peer_address).collect()
+    }
+
+    fn speaking(&self, now: TimeMs) -> impl Iterator<Item = &Member> {
         let limit = self.settings.speaker_silence_ms;
-        let speakers = self.in_own_zone().filter(|member| {
+        let speakers = self.in_own_zone().filter(move |member| {
             let is_own = member.heartbeat.instance == self.own;
             let is_heard = is_own || now.since(member.heard_at).get() < limit;
             is_heard && member.heartbeat.phase == Phase::Ready
         });
-        speakers
-            .take(self.settings.speakers_per_zone)
-            .any(|member| member.heartbeat.instance == self.own)
+        speakers.take(self.settings.speakers_per_zone)
     }
 
     fn in_own_zone(&self) -> impl Iterator<Item = &Member> {
-        self.members
-            .values()
-            .filter(|member| self.is_in_own_zone(member))
+        let zone = self.own_zone().and_then(|zone| self.by_zone.get(zone));
+        let instances = zone.into_iter().flatten();
+        instances.filter_map(|id| self.members.get(id))
     }
 
     fn is_in_own_zone(&self, member: &Member) -> bool {
@@ -212,31 +383,36 @@
         own.map(|own| &own.heartbeat.zone)
     }
 
-    /// Where a heartbeat goes: to the own zone and to who was never heard, and to all around a change of
-    /// the own phase and now and then. Other zones hear the rest from digests.
-    ///
-    /// Bytes of a calm day of 85 instances, heartbeats to all and then this: between regions 0.037 and
-    /// 0.023 GB, between zones of a region 0.007 and 0.003 GB.
+    /// Where a heartbeat goes: to the own zone, to the first instances of other zones that were never heard, and
+    /// now and then to all. Other zones hear the rest from those that speak for this one.
     #[must_use]
-    pub fn recipients(&self, now: TimeMs, serial: u64) -> Vec<net::SocketAddr> {
+    pub fn recipients(&mut self, now: TimeMs, serial: u64) -> Vec<net::SocketAddr> {
         let is_to_all = self.is_to_all(now, serial);
-        let greets = serial.is_multiple_of(self.settings.beats_between_greetings);
+        let is_greeting = serial.is_multiple_of(self.settings.beats_between_greetings);
+        let greets = core::mem::take(&mut self.greets_next) || is_greeting;
         let own_zone = self.own_zone();
-        let unheard = self.listed.values().filter(|listed| {
-            let is_near = listed.zone.is_none() || listed.zone.as_ref() == own_zone;
-            let is_unheard = !self.members.contains_key(&listed.instance);
-            is_unheard && (is_near || greets || is_to_all)
-        });
-        let heard = self.members.values().filter(|member| {
-            let is_own = member.heartbeat.instance == self.own;
-            !is_own && (is_to_all || self.is_in_own_zone(member))
+        let unheard = self.unheard.iter().filter_map(|id| self.listed.get(id));
+        let mut greeted: BTreeMap<&ids::AvailabilityZoneId, usize> = BTreeMap::new();
+        let most = self.settings.digest_receivers_per_zone;
+        let unheard = unheard.filter(|listed| match &listed.zone {
+            Some(zone) if Some(zone) != own_zone => {
+                let count = greeted.entry(zone).or_default();
+                *count += 1;
+                is_to_all || (greets && *count <= most)
+            }
+            _ => true,
         });
-        unheard
-            .filter(|listed| listed.instance != self.own)
-            .map(|listed| listed.peer_address)
-            .chain(heard.map(|member| member.heartbeat.peer_address))
-            .chain(self.seeds_to_ask())
-            .collect()
+        let mut recipients: Vec<_> = unheard.map(|listed| listed.peer_address).collect();
+        let is_other = |member: &&Member| member.heartbeat.instance != self.own;
+        if is_to_all {
+            let heard = self.members.values().filter(is_other);
+            recipients.extend(heard.map(|member| member.heartbeat.peer_address));
+        } else {
+            let heard = self.in_own_zone().filter(is_other);
+            recipients.extend(heard.map(|member| member.heartbeat.peer_address));
+        }
+        recipients.extend(self.seeds_to_ask());
+        recipients
     }
 
     /// The seeds, as long as neither the list nor a ready instance is known.
@@ -265,11 +441,12 @@
     /// The other instances of the own zone that are at work.
     #[must_use]
     pub fn neighbours(&self, now: TimeMs) -> Vec<net::SocketAddr> {
-        let own_zone = self.own_zone();
-        let in_zone = self
-            .usable(now)
-            .filter(|one| Some(&one.zone) == own_zone && one.instance != self.own);
-        in_zone.map(|one| one.peer_address).collect()
+        let Some(zone) = self.own_zone() else {
+            return Vec::new();
+        };
+        let in_zone = self.alive_in(now, zone, Phase::Ready);
+        let others = in_zone.filter(|one| one.instance != self.own);
+        others.map(|one| one.peer_address).collect()
     }
 
     /// All other instances that were ever listed or heard, for what concerns everybody.
@@ -286,21 +463,21 @@
     }
 
     fn is_to_all(&self, now: TimeMs, serial: u64) -> bool {
-        let phase = self.members.get(&self.own).map(|own| own.heartbeat.phase);
-        let told_ms = match phase {
-            // Nobody sends clients there yet.
-            Some(Phase::Starting) | None => 0,
-            Some(Phase::Ready) => self.settings.ready_told_ms,
-            // Whoever misses it goes on sending clients there.
-            Some(Phase::Leaving) => self.settings.silence_ms,
-        };
-        let changed_lately = self
-            .own_phase_at
-            .is_some_and(|at| now.since(at).get() < told_ms);
+        let own = self.members.get(&self.own).map(|own| own.heartbeat.phase);
+        // Nobody may speak for the zone any more: who is the last one of it tells everybody itself that it leaves.
+        let leaves_alone = own == Some(Phase::Leaving)
+            && self.own_phase_at.is_some_and(|at| {
+                now.since(at).get() < self.settings.silence_ms && !self.has_speaker(now)
+            });
         // One datagram a heartbeat on average, however large the fleet is.
         let fleet = u64::try_from(self.members.len()).unwrap_or(u64::MAX);
         let repairs = self.settings.beats_between_repairs.max(fleet);
-        changed_lately || serial.is_multiple_of(repairs)
+        leaves_alone || serial.is_multiple_of(repairs)
+    }
+
+    fn has_speaker(&self, now: TimeMs) -> bool {
+        let zone = self.own_zone();
+        zone.is_some_and(|zone| self.alive_in(now, zone, Phase::Ready).next().is_some())
     }
 
     /// The most instances that may be at work: the divisor of every shared limit.
@@ -309,33 +486,36 @@
     /// fell silent still count.
     #[must_use]
     pub fn most_at_work(&self) -> usize {
-        if !self.is_listed {
-            return self.settings.unknown_instances;
+        let known = self.listed.len() + self.unlisted;
+        if self.is_listed {
+            known
+        } else {
+            known.max(self.settings.unknown_instances)
         }
-        let heard = self
-            .members
-            .keys()
-            .filter(|id| !self.listed.contains_key(*id) && **id != self.own)
-            .count();
-        let own = usize::from(!self.listed.contains_key(&self.own));
-        self.listed.len() + heard + own
     }
 
     /// The instances that clients may use, with their zones.
     pub fn usable(&self, now: TimeMs) -> impl Iterator<Item = &Heartbeat> {
-        self.alive(now, Phase::Ready)
+        self.by_zone
+            .keys()
+            .flat_map(move |zone| self.alive_in(now, zone, Phase::Ready))
     }
 
-    /// The instances in a phase that are not silent.
-    fn alive(&self, now: TimeMs, phase: Phase) -> impl Iterator<Item = &Heartbeat> {
-        self.members
-            .values()
-            .filter(move |member| {
-                member.heartbeat.phase == phase
-                    && (member.heartbeat.instance == self.own
-                        || now.since(member.heard_at).get() < self.silence_ms(member))
-            })
-            .map(|member| &member.heartbeat)
+    /// The instances of a zone in a phase that are not silent, in the order of their names.
+    fn alive_in(
+        &self,
+        now: TimeMs,
+        zone: &ids::AvailabilityZoneId,
+        phase: Phase,
+    ) -> impl Iterator<Item = &Heartbeat> {
+        let instances = self.by_zone.get(zone).into_iter().flatten();
+        let members = instances.filter_map(|id| self.members.get(id));
+        let alive = members.filter(move |member| {
+            let is_own = member.heartbeat.instance == self.own;
+            let is_heard = now.since(member.heard_at).get() < self.silence_ms(member);
+            member.heartbeat.phase == phase && (is_own || is_heard)
+        });
+        alive.map(|member| &member.heartbeat)
     }
 
     fn silence_ms(&self, member: &Member) -> u64 {
@@ -346,23 +526,17 @@
         }
     }
 
-    /// The instances of a zone that watch the store for it, with their addresses.
+    /// The instances of a zone that hand changes on to the others.
     ///
     /// Every instance computes them from the heartbeats that it hears. Two that disagree cost some calls:
     /// an instance whose source is stale watches the store itself. As long as nobody in the zone is ready,
     /// which lasts until the first configuration is written, instances that are starting do it for the others.
     #[must_use]
-    pub fn relays(
-        &self,
-        now: TimeMs,
-        zone: &ids::AvailabilityZoneId,
-    ) -> Vec<(ids::InstanceId, net::SocketAddr)> {
+    pub fn relays(&self, now: TimeMs, zone: &ids::AvailabilityZoneId) -> Vec<Relay> {
         let relays_in = |phase: Phase| {
-            self.alive(now, phase)
-                .filter(|heartbeat| heartbeat.zone == *zone)
-                .take(self.settings.relays_per_zone)
-                .map(|heartbeat| (heartbeat.instance.clone(), heartbeat.peer_address))
-                .collect::<Vec<_>>()
+            let relays = self.alive_in(now, zone, phase);
+            let first = relays.take(self.settings.relays_per_zone);
+            first.map(Relay::of).collect::<Vec<_>>()
         };
         let ready = relays_in(Phase::Ready);
         if ready.is_empty() {
@@ -371,6 +545,26 @@
         ready
     }
 
+    /// The instances of a region that watch the store for it: the first one of some of its zones.
+    ///
+    /// In zones apart, so that the loss of one leaves another. Every instance computes them from the heartbeats and
+    /// digests that it hears; two that disagree cost some calls.
+    #[must_use]
+    pub fn watchers(&self, now: TimeMs, region: &ids::RegionId) -> Vec<Relay> {
+        let watchers_in = |phase: Phase| {
+            let zones = self.by_zone.keys();
+            let zones = zones.filter(|zone| self.regions.get(*zone) == Some(region));
+            let first = zones.filter_map(|zone| self.alive_in(now, zone, phase).next());
+            let watchers = first.take(self.settings.watchers_per_region);
+            watchers.map(Relay::of).collect::<Vec<_>>()
+        };
+        let ready = watchers_in(Phase::Ready);
+        if ready.is_empty() {
+            return watchers_in(Phase::Starting);
+        }
+        ready
+    }
+
     /// The client addresses for a caller: of its own zone, or else of its region, or else of the regions
     /// that may serve it, or else all.
     #[must_use]
@@ -381,12 +575,23 @@
         region: Option<&ids::RegionId>,
         allowed_regions: &[ids::RegionId],
     ) -> Vec<net::SocketAddr> {
-        let usable: Vec<&Heartbeat> = self.usable(now).collect();
-        let caller = Caller {
-            zone,
-            region,
-            allowed_regions,
+        let in_zone = |of: &ids::AvailabilityZoneId| Some(of) == zone;
+        let in_region =
+            |of: &ids::AvailabilityZoneId| region.is_some() && self.regions.get(of) == region;
+        let is_allowed = |of: &ids::AvailabilityZoneId| {
+            let region = self.regions.get(of);
+            region.is_some_and(|region| allowed_regions.contains(region))
         };
-        caller.nearest(&usable, &self.regions)
+        let tiers: [&dyn Fn(&ids::AvailabilityZoneId) -> bool; 4] =
+            [&in_zone, &in_region, &is_allowed, &|_| true];
+        for tier in tiers {
+            let zones = self.by_zone.keys().filter(|of| tier(of));
+            let usable = zones.flat_map(|of| self.alive_in(now, of, Phase::Ready));
+            let addresses: Vec<_> = usable.map(|one| one.client_address).collect();
+            if !addresses.is_empty() {
+                return addresses;
+            }
+        }
+        Vec::new()
     }
 }
--- a/crates/damaskvane-routing/src/peers/settings.rs
+++ b/crates/damaskvane-routing/src/peers/settings.rs
@@ -20,9 +20,6 @@
     /// The silence after which the next instance of a zone speaks for it: a heartbeat and a half. Two more
     /// that speak for a moment cost some bytes, none at all makes a zone look dead to all others.
     pub speaker_silence_ms: u64,
-    /// The time after it has become ready in which an instance's heartbeats go to all: two heartbeats, so
-    /// that a lost one does no harm.
-    pub ready_told_ms: u64,
     /// Every so many heartbeats one goes to listed instances of other zones that were never heard.
     pub beats_between_greetings: u64,
     /// Every so many heartbeats, or as many as there are instances if these are more, one goes to all: what an
@@ -35,8 +32,10 @@
     pub acquaintance_ms: u64,
     /// Instances to reckon with before the platform's list was read.
     pub unknown_instances: usize,
-    /// Instances of a zone that watch the store: the second one serves when the first is lost.
+    /// Instances of a zone that hand changes on in it: the second one serves when the first is lost.
     pub relays_per_zone: usize,
+    /// Instances of a region that watch the store, in zones apart: the second one serves when the first is lost.
+    pub watchers_per_region: usize,
 }
 
 impl Default for PeerSettings {
@@ -48,12 +47,12 @@
             speakers_per_zone: 2,
             digest_receivers_per_zone: 3,
             speaker_silence_ms: 1_200,
-            ready_told_ms: 1_000,
             beats_between_greetings: 8,
             beats_between_repairs: 32,
             acquaintance_ms: 1_500,
             unknown_instances: 16,
             relays_per_zone: 2,
+            watchers_per_region: 2,
         }
     }
 }
--- a/crates/damaskvane-routing/src/placement.rs
+++ b/crates/damaskvane-routing/src/placement.rs
@@ -14,21 +14,24 @@
 //! ```
 
 mod appraisal;
+mod candidates;
 mod choice;
 mod moves;
 mod placer;
 mod popularity;
 mod rank;
-mod ranking;
 mod request;
 mod round_trips;
+mod sample;
 mod settings;
 mod shares;
 mod worth;
 
 pub use choice::{Choice, PassedOver, Pick, Refusal, RefusalReason};
 pub use placer::Placer;
+pub use popularity::{AskedReport, MOST_STEPS, Verdict};
 pub use rank::object_hash;
 pub use request::{AnsweredRequest, PlacementRequest};
 pub use round_trips::RoundTrips;
+pub use sample::{ObjectSample, RouteKey};
 pub use settings::PlacementSettings;
--- a/crates/damaskvane-routing/src/placement/appraisal.rs
+++ b/crates/damaskvane-routing/src/placement/appraisal.rs
@@ -21,6 +21,8 @@
 /// From where on failures or slowness are named as the reason why a server is passed over.
 const NOTED_FAILURE_SHARE: f64 = 0.2;
 const NOTED_SLOWNESS: f64 = 1.5;
+/// How much longer a slow server takes than usual when a first run elsewhere takes no longer.
+const AS_SLOW_AS_FIRST: f64 = 3.0;
 
 /// What placement knows of a request's work, and of the way to a server.
 #[derive(Debug, Clone, Copy)]
@@ -34,12 +36,17 @@
 }
 
 /// A server as the place for a request.
-#[derive(Debug)]
+#[derive(Debug, Clone, Copy)]
 pub(super) struct Appraisal {
     /// What is won there: the worth of the expected answer, less what it takes from others.
     pub(super) gain: f64,
-    /// The server, with what was expected.
-    pub(super) pick: Pick,
+    /// The server's load for each slot.
+    pub(super) load: f64,
+    chance: f64,
+    baseline: Baseline,
+    round_trip_ms: f64,
+    work_ms: f64,
+    before_ms: f64,
 }
 
 impl Appraisal {
@@ -84,32 +91,58 @@
         if server.is_stalled(now) {
             gain -= settings.stalled_cost;
         }
+        Self {
+            gain,
+            load: load / slots,
+            chance,
+            baseline,
+            round_trip_ms,
+            work_ms,
+            before_ms,
+        }
+    }
+
+    /// The choice of this server, with what is expected of it.
+    pub(super) fn pick(
+        &self,
+        now: TimeMs,
+        server: &Server,
+        request: &PlacementRequest<'_>,
+        rank: usize,
+        passed_over: Option<PassedOver>,
+    ) -> Pick {
         // A guess is no reason to refuse: the route may be new, and faster than its objective suggests.
-        let least_work_ms = if baseline.is_measured {
-            baseline.warm_ms * LEAST_SHARE
+        let least_work_ms = if self.baseline.is_measured {
+            self.baseline.warm_ms * LEAST_SHARE
         } else {
             0.0
         };
-        let pick = Pick {
+        Pick {
             server: server.entry.id.clone(),
             address: server.entry.address,
             zone: server.entry.zone.clone(),
-            expected_ms: work_ms + before_ms,
-            least_ms: least_work_ms + before_ms,
-            first_ms: baseline.first_ms + before_ms,
-            is_warm: chance >= FIRST_REMEMBERS,
+            expected_ms: self.work_ms + self.before_ms,
+            least_ms: least_work_ms + self.before_ms,
+            first_ms: self.baseline.first_ms + self.before_ms,
+            is_warm: self.chance >= FIRST_REMEMBERS,
             was_sent: request
                 .object
                 .is_some_and(|object| server.remembers(now, object)),
-            remembered_ms: baseline.warm_ms + round_trip_ms,
-            passed_over: None,
-            load: load / slots,
+            remembered_ms: self.baseline.warm_ms + self.round_trip_ms,
+            passed_over: passed_over.filter(|_| rank > 0),
+            load: self.load,
             rank,
-        };
-        Self { gain, pick }
+        }
     }
 }
 
+/// Whether a server does no worse than another one would that doesn't remember the object.
+pub(super) fn is_well(now: TimeMs, server: &Server) -> bool {
+    !server.is_stalled(now)
+        && server.failure_share(now) <= NOTED_FAILURE_SHARE
+        && server.slowness(now) < AS_SLOW_AS_FIRST
+}
+
 /// Why a server that has room loses against another one.
 pub(super) fn why_passed_over(now: TimeMs, server: &Server) -> PassedOver {
     let slots = f64::from(server.entry.slots.max(1));
--- a/crates/damaskvane-routing/src/placement/placer.rs
+++ b/crates/damaskvane-routing/src/placement/placer.rs
@@ -5,17 +5,20 @@
 
 use crate::configuration::{Configuration, Route};
 use crate::placement::appraisal::{self, Appraisal, Expected};
+use crate::placement::candidates::{Candidates, Origin, Scope, Search, Spread};
 use crate::placement::moves::Moves;
-use crate::placement::popularity::Popularity;
-use crate::placement::ranking::{self, Spread};
+use crate::placement::popularity::{AskedReport, Popularity, Verdict};
+use crate::placement::rank;
 use crate::placement::{
     AnsweredRequest, Choice, PassedOver, Pick, PlacementRequest, PlacementSettings, Refusal,
     RefusalReason, RoundTrips,
 };
-use crate::pool::{Baselines, Reach, Server, ServerPool, ServerState};
+use crate::pool::{Baselines, Server, ServerHandle, ServerPool};
 
 /// The part of the bound on shifts by which overflow may rise; the rest is for callers that come and go.
 const SHIFT_STEP_SHARE: f64 = 0.5;
+/// Servers that are looked at for a request without an object, or whose object's own servers are cold.
+const MOST_CANDIDATES: usize = 12;
 /// The round trip to a zone that was never reached.
 const UNKNOWN_ROUND_TRIP_MS: f64 = 5.0;
 
@@ -30,6 +33,7 @@
     pub round_trips: RoundTrips,
     popularity: Popularity,
     moves: Moves,
+    candidates: Candidates,
     own_zone: ids::AvailabilityZoneId,
     own_region: ids::RegionId,
 }
@@ -48,61 +52,81 @@
             round_trips: RoundTrips::default(),
             popularity: Popularity::default(),
             moves: Moves::default(),
+            candidates: Candidates::default(),
             own_zone,
             own_region,
         }
     }
 
-    /// Notes that a client asks for an object, where `instances` are at work in all zones of the pool.
-    pub fn note_asked(
-        &mut self,
-        now: TimeMs,
-        pool: &ServerPool,
-        route: &Route,
-        object: u64,
-        instances: usize,
-    ) {
-        let zones = pool.settings().regions.len().max(1);
-        let in_zone = (instances as f64 / zones as f64).max(1.0);
-        let settings = &self.settings;
-        self.popularity
-            .note(now, &route.name, object, in_zone, settings);
+    /// Notes that a client asks for an object.
+    pub fn note_asked(&mut self, route: &Route, object: u64) {
+        self.popularity.note(&route.name, object);
+    }
+
+    /// What clients asked for since the last report, for those that speak for the zone.
+    pub fn take_asked(&mut self) -> AskedReport {
+        self.popularity.take_report()
+    }
+
+    /// Takes in what the clients of another instance of the zone asked for, or this one's own report.
+    pub fn note_report(&mut self, now: TimeMs, report: &AskedReport) {
+        self.popularity.note_report(now, report);
+    }
+
+    /// Judges by all reports which objects have a server in each zone, as an instance that speaks for its zone.
+    pub fn judge_popularity(&mut self, now: TimeMs) -> Vec<Verdict> {
+        self.popularity.judge(now, &self.settings)
+    }
+
+    /// Takes in what an instance has judged that speaks for the zone.
+    pub fn note_verdicts(&mut self, now: TimeMs, by: &ids::InstanceId, verdicts: &[Verdict]) {
+        self.popularity.note_verdicts(now, by, verdicts);
     }
 
     /// Decides where a request goes, where `instances` share the cold servers.
     pub fn choose(
         &mut self,
         now: TimeMs,
-        pool: &mut ServerPool,
+        pool: &ServerPool,
         configuration: &Configuration,
         request: &PlacementRequest<'_>,
         instances: usize,
     ) -> Choice {
-        let spread = self.spread(now, pool, request);
-        let ranked = self.ranked(pool, request, spread);
-        if ranked.is_empty() {
+        let Some(search) = self.search(now, pool, request) else {
             return self.refuse(RefusalReason::NoServer, request);
-        }
+        };
+        let mut candidates = core::mem::take(&mut self.candidates);
+        candidates.find(pool, request, search);
         let cold_share = configuration.service(request.service).map_or(0, |service| {
             let settings = pool.settings().cold_rate;
             settings.share(service.warmup_per_s, instances)
         });
-        let few = match request.object {
-            Some(_) => self.settings.servers_per_object.min(ranked.len()),
-            None => ranked.len(),
-        };
-        let home = ranked
-            .first()
-            .and_then(|first| pool.server(first)?.region().cloned());
-        let best = self.best(now, pool, request, &ranked, few, cold_share);
+        let own = own_servers(now, pool, candidates.found(), search);
+        let mut best = self.best_of(now, pool, request, own, cold_share);
+        if best == Err(RefusalReason::Cold) {
+            // Where only the cold share stands in the way, a server that doesn't know the object is better
+            // than no answer: the cold ones are few, and soon warm.
+            let looked_at = own.len();
+            let wide = Search {
+                scope: Scope::Everywhere,
+                most: MOST_CANDIDATES,
+                ..search
+            };
+            candidates.find(pool, request, wide);
+            let others = candidates.found().get(looked_at..).unwrap_or_default();
+            best = self.best_of(now, pool, request, others, cold_share);
+        }
+        let home = candidates.found().first().copied();
+        self.candidates = candidates;
         match best {
             Ok(pick) if pick.least_ms > request.left_ms as f64 => {
                 self.refuse(RefusalReason::TooLate, request)
             }
             Ok(pick) => {
+                let home = home.and_then(|home| pool.at(home)?.region());
                 let server = pool.server(&pick.server);
                 let region = server.and_then(|server| server.region());
-                self.moves.note(now, region != home.as_ref());
+                self.moves.note(now, region != home);
                 Choice::Send(pick)
             }
             Err(reason) => self.refuse(reason, request),
@@ -116,7 +140,7 @@
         pool: &mut ServerPool,
         answered: &AnsweredRequest<'_>,
     ) {
-        let Some(server) = pool.server_mut(&answered.pick.server) else {
+        let Some(mut server) = pool.server_mut(&answered.pick.server) else {
             return;
         };
         let round_trip_ms = self.round_trips.get(&answered.pick.zone);
@@ -158,108 +182,110 @@
 
     /// Popular objects have a server in each zone, as long as the region has room for the slow first runs:
     /// copies that are made while slots are short leave still fewer of them.
-    fn spread(&self, now: TimeMs, pool: &ServerPool, request: &PlacementRequest<'_>) -> Spread {
-        if !self.popularity.is_popular(&request.route.name) {
+    fn spread(
+        &self,
+        now: TimeMs,
+        pool: &ServerPool,
+        request: &PlacementRequest<'_>,
+        object: u64,
+    ) -> Spread {
+        let route = &request.route.name;
+        if !self.popularity.is_popular(now, route, object) {
             return Spread::Region;
         }
-        let (mut load, mut slots) = (0.0, 0.0);
-        for server in pool.servers() {
-            if server.entry.service == *request.service && server.region() == Some(&self.own_region)
-            {
-                load += server.load(now);
-                slots += f64::from(server.entry.slots);
-            }
-        }
-        if load < slots * self.settings.spread_load_limit {
+        let topology = pool.topology();
+        let (Some(servers), Some(own)) =
+            (pool.service(request.service), topology.zone(&self.own_zone))
+        else {
+            return Spread::Region;
+        };
+        let load = servers.load(now, topology, topology.region_of(own));
+        if load < self.settings.spread_load_limit {
             Spread::Zones
         } else {
             Spread::Region
         }
     }
 
-    /// The servers that may take the request, the object's first server first.
-    fn ranked(
-        &self,
-        pool: &ServerPool,
-        request: &PlacementRequest<'_>,
-        spread: Spread,
-    ) -> Vec<ids::BackendServerId> {
-        let origin = ranking::Origin {
-            zone: &self.own_zone,
-            region: &self.own_region,
-        };
-        let object = request.object.unwrap_or_default();
-        ranking::of_object(pool, origin, object, spread, |server| {
-            may_take(pool, server, request)
-        })
-    }
-
-    /// The server where the request wins most, of the object's own first.
-    fn best(
+    /// Which servers a request may use; none in a zone that the pool doesn't know.
+    fn search(
         &mut self,
         now: TimeMs,
-        pool: &mut ServerPool,
+        pool: &ServerPool,
         request: &PlacementRequest<'_>,
-        ranked: &[ids::BackendServerId],
-        few: usize,
-        cold_share: usize,
-    ) -> Result<Pick, RefusalReason> {
-        let (own, others) = ranked.split_at(few);
+    ) -> Option<Search> {
+        let topology = pool.topology();
+        let zone = topology.zone(&self.own_zone)?;
+        let origin = Origin {
+            zone,
+            region: topology.region_of(zone),
+        };
         let step = self.settings.shift_most * SHIFT_STEP_SHARE;
-        let best = if self.moves.may_move(now, step) {
-            self.best_of(now, pool, request, own, cold_share)
+        // What would be refused at home counts like any other: a burst that leaves by refusals alone would meet
+        // servers that remember none of its objects just as well.
+        let scope = if self.moves.may_move(now, step) {
+            Scope::Everywhere
         } else {
-            let at_home = in_region_of_first(pool, own);
-            // A request that would be refused at home may leave: what is too much there has no other place.
-            self.best_of(now, pool, request, &at_home, cold_share)
-                .or_else(|_| self.best_of(now, pool, request, own, cold_share))
+            Scope::Home
         };
-        match best {
-            // Where only the cold share stands in the way, a server that doesn't know the object is
-            // better than no answer: the cold ones are few, and soon warm.
-            Err(RefusalReason::Cold) => self.best_of(now, pool, request, others, cold_share),
-            best => best,
-        }
+        let search = match request.object {
+            Some(object) => Search {
+                origin,
+                object,
+                spread: self.spread(now, pool, request, object),
+                scope,
+                most: self.settings.servers_per_object,
+            },
+            // Any server does; each request begins somewhere else.
+            None => Search {
+                origin,
+                object: rank::of_draw(request.spread),
+                spread: Spread::Zones,
+                scope,
+                most: MOST_CANDIDATES,
+            },
+        };
+        Some(search)
     }
 
     /// The server that has room and wins most.
     fn best_of(
         &self,
         now: TimeMs,
-        pool: &mut ServerPool,
+        pool: &ServerPool,
         request: &PlacementRequest<'_>,
-        candidates: &[ids::BackendServerId],
+        candidates: &[ServerHandle],
         cold_share: usize,
     ) -> Result<Pick, RefusalReason> {
         let limit = self.settings.load_limit(request.route.priority);
-        let mut best: Option<Appraisal> = None;
-        let mut reason = RefusalReason::Cold;
+        let mut best: Option<(Appraisal, usize)> = None;
+        let mut reason = RefusalReason::NoServer;
         let mut passed_over = None;
         for (rank, candidate) in candidates.iter().enumerate() {
-            let Some(server) = pool.server_mut(candidate) else {
+            let Some(server) = pool.at(*candidate) else {
                 continue;
             };
             if !server.has_cold_room(now, cold_share) {
+                if reason == RefusalReason::NoServer {
+                    reason = RefusalReason::Cold;
+                }
                 passed_over.get_or_insert(PassedOver::Cold);
                 continue;
             }
             let appraisal = self.appraise(now, server, request, rank);
-            if appraisal.pick.load >= limit {
+            if appraisal.load >= limit {
                 reason = RefusalReason::Overloaded;
                 passed_over.get_or_insert(PassedOver::Full);
                 continue;
             }
             passed_over.get_or_insert_with(|| appraisal::why_passed_over(now, server));
-            if best.as_ref().is_none_or(|best| appraisal.gain > best.gain) {
-                best = Some(appraisal);
+            if best.is_none_or(|(best, _)| appraisal.gain > best.gain) {
+                best = Some((appraisal, rank));
             }
         }
-        let best = best.ok_or(reason)?;
-        let passed_over = passed_over.filter(|_| best.pick.rank > 0);
-        Ok(Pick {
-            passed_over,
-            ..best.pick
-        })
+        let (appraisal, rank) = best.ok_or(reason)?;
+        let server = pool.at(candidates[rank]).ok_or(reason)?;
+        Ok(appraisal.pick(now, server, request, rank, passed_over))
     }
 
     fn appraise(
@@ -297,30 +323,22 @@
     }
 }
 
-fn in_region_of_first(
+/// The servers that an object uses, of those that were found.
+///
+/// A request that may not leave its region stays with the one server that its object has there: a queue is no
+/// reason for another copy. A server that is unwell is one.
+fn own_servers<'a>(
+    now: TimeMs,
     pool: &ServerPool,
-    candidates: &[ids::BackendServerId],
-) -> Vec<ids::BackendServerId> {
-    let region_of = |id: &ids::BackendServerId| pool.server(id).and_then(Server::region);
-    let home = candidates.first().and_then(region_of);
-    let at_home = candidates.iter().filter(|id| region_of(id) == home);
-    at_home.cloned().collect()
-}
-
-/// Whether the server may take the request at all.
-fn may_take(pool: &ServerPool, server: &Server, request: &PlacementRequest<'_>) -> bool {
-    let entry = &server.entry;
-    entry.service == *request.service
-        && entry.state == ServerState::Ready
-        && matches!(server.reach, Reach::Up | Reach::Doubtful { .. })
-        && !pool.is_evacuated(&entry.zone)
-        && !request.tried.contains(&entry.id)
-        && is_region_allowed(server, request)
-}
-
-fn is_region_allowed(server: &Server, request: &PlacementRequest<'_>) -> bool {
-    request.route.allowed_regions.is_empty()
-        || server
-            .region()
-            .is_some_and(|region| request.route.allows(region))
+    found: &'a [ServerHandle],
+    search: Search,
+) -> &'a [ServerHandle] {
+    let is_confined = search.scope == Scope::Home && search.spread == Spread::Region;
+    let first = found.first().and_then(|first| pool.at(*first));
+    let is_well = first.is_some_and(|first| appraisal::is_well(now, first));
+    if is_confined && is_well {
+        &found[..1]
+    } else {
+        found
+    }
 }
--- a/crates/damaskvane-routing/src/placement/rank.rs
+++ b/crates/damaskvane-routing/src/placement/rank.rs
@@ -15,7 +15,19 @@
     xxh3::xxh3_64_with_seed(object.as_bytes(), route)
 }
 
-/// The score of a server or region for an object: the highest score is the first one.
+/// An object's place on rings of servers.
+#[must_use]
+pub(super) const fn position(object: u64) -> u32 {
+    (object >> 32) as u32
+}
+
+/// Stands for an object where a request names none, from a number between 0 and 1.
+#[must_use]
+pub(super) fn of_draw(draw: f64) -> u64 {
+    xxh3::xxh3_64(&draw.to_bits().to_le_bytes())
+}
+
+/// The score of a region for an object: the highest score is the first one.
 ///
 /// Weighted rendezvous hashing: each name is first for a part of the objects in proportion to its weight,
 /// and one that joins or leaves moves only the objects that it gains or loses.
--- a/crates/damaskvane-routing/src/pool.rs
+++ b/crates/damaskvane-routing/src/pool.rs
@@ -9,22 +9,33 @@
 
 mod entry;
 mod exchange;
+mod handle;
 mod load;
 mod probes;
 mod reach;
+mod region_load;
+mod ring;
 mod server;
 mod server_pool;
+mod server_table;
+mod service_servers;
 mod settings;
 mod speed;
 mod told;
+mod topology;
 
 pub use entry::{ServerEntry, ServerState};
 pub use exchange::{ExchangeEnd, ExchangeId, ServerReport};
+pub use handle::ServerHandle;
 pub use load::LoadReport;
 pub use probes::{DueProbe, ProbeResult};
 pub use reach::Reach;
+pub use ring::{Ring, RingPoint};
 pub use server::Server;
 pub use server_pool::{Change, ServerPool};
+pub use server_table::ServerMut;
+pub use service_servers::{ServiceServers, ZoneServers};
 pub use settings::PoolSettings;
 pub use speed::{Baseline, Baselines};
 pub use told::{ServerKey, ToldLoad};
+pub use topology::{RegionIndex, Topology, ZoneIndex};
--- a/crates/damaskvane-routing/src/pool/server.rs
+++ b/crates/damaskvane-routing/src/pool/server.rs
@@ -48,6 +48,8 @@
     others: OthersLoad,
     /// What it said last to this instance, and when.
     reported: Option<(TimeMs, LoadReport)>,
+    /// What it said last, for the load of its region.
+    fresh_load: Option<(TimeMs, f64)>,
     /// Whether the zone was told last that it has a queue.
     is_told_busy: bool,
     slowness: Slowness,
@@ -73,6 +75,7 @@
             flights: BTreeMap::new(),
             others: OthersLoad::default(),
             reported: None,
+            fresh_load: None,
             is_told_busy: false,
             slowness: Slowness::default(),
             slowness_at: now,
@@ -89,6 +92,10 @@
         self.region.as_ref()
     }
 
+    pub(super) fn set_region(&mut self, region: Option<ids::RegionId>) {
+        self.region = region;
+    }
+
     /// Marks the server cold for so long, if it isn't already for longer.
     pub fn chill(&mut self, now: TimeMs, left_ms: u64) {
         self.cold_until = self.cold_until.max(now + SpanMs::new(left_ms));
@@ -110,7 +117,8 @@
     }
 
     /// Whether one more request stays within this instance's share of a cold server.
-    pub fn has_cold_room(&mut self, now: TimeMs, share: usize) -> bool {
+    #[must_use]
+    pub fn has_cold_room(&self, now: TimeMs, share: usize) -> bool {
         !self.is_cold(now) || self.cold_rate.has_room(now, share)
     }
 
@@ -187,7 +195,7 @@
     ) -> Option<u64> {
         let flight = self.flights.remove(&exchange)?;
         if let Some(load) = report.load {
-            self.others.note(now, load, self.flights.len());
+            self.note_load(now, load);
             self.reported = Some((now, load));
         }
         self.note_reach(now, end);
@@ -210,10 +218,27 @@
     pub(super) fn note_told(&mut self, now: TimeMs, told: &ToldLoad) {
         let said_at = TimeMs::new(now.get().saturating_sub(told.age_ms));
         if said_at > self.others.noted_at() {
-            self.others.note(said_at, told.load, self.flights.len());
+            self.note_load(said_at, told.load);
         }
     }
 
+    fn note_load(&mut self, at: TimeMs, load: LoadReport) {
+        self.others.note(at, load, self.flights.len());
+        let requests = f64::from(load.running) + f64::from(load.waiting);
+        let per_slot = requests / f64::from(self.entry.slots.max(1));
+        self.fresh_load = Some((at, per_slot));
+    }
+
+    /// What it said of its load since the last call, for each of its slots.
+    pub(super) const fn take_fresh_load(&mut self) -> Option<(TimeMs, f64)> {
+        self.fresh_load.take()
+    }
+
+    /// Whether it said something that the zone wasn't told yet.
+    pub(super) const fn has_news(&self) -> bool {
+        self.reported.is_some()
+    }
+
     /// What the zone is to hear of its load: that it has a queue, or no longer has one.
     pub(super) fn tell_load(&mut self, now: TimeMs) -> Option<ToldLoad> {
         let (said_at, load) = self.reported.take()?;
--- a/crates/damaskvane-routing/src/pool/server_pool.rs
+++ b/crates/damaskvane-routing/src/pool/server_pool.rs
@@ -1,13 +1,14 @@
 //! All backend servers, as the store names them.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 
 use damaskvane_core::ids;
 use damaskvane_core::time::{SpanMs, TimeMs};
 
+use crate::pool::server_table::ServerTable;
 use crate::pool::{
-    DueProbe, PoolSettings, ProbeResult, Reach, Server, ServerEntry, ServerKey, ServerState,
-    ToldLoad,
+    DueProbe, PoolSettings, ProbeResult, Reach, Server, ServerEntry, ServerHandle, ServerMut,
+    ServerState, ServiceServers, ToldLoad, Topology, ZoneIndex,
 };
 
 /// What a piece of news changed, for the log.
@@ -55,7 +56,7 @@
 #[derive(Debug)]
 pub struct ServerPool {
     settings: PoolSettings,
-    servers: BTreeMap<ids::BackendServerId, Server>,
+    servers: ServerTable,
     evacuated: BTreeSet<ids::AvailabilityZoneId>,
     /// Until when a missing entry may have lapsed only because the store was away.
     lapses_excused_until: TimeMs,
@@ -66,9 +67,10 @@
     /// An empty pool.
     #[must_use]
     pub fn new(settings: PoolSettings) -> Self {
+        let topology = Topology::new(&settings.regions);
         Self {
             settings,
-            servers: BTreeMap::new(),
+            servers: ServerTable::new(topology),
             evacuated: BTreeSet::new(),
             lapses_excused_until: TimeMs::ZERO,
             warmup_ms: HashMap::new(),
@@ -83,29 +85,77 @@
 
     /// Takes over changed settings.
     pub fn set_settings(&mut self, settings: PoolSettings) {
+        if settings.regions != self.settings.regions {
+            self.servers.set_topology(&settings.regions);
+        }
         self.settings = settings;
     }
 
+    /// The zones and regions of the deployment.
+    #[must_use]
+    pub const fn topology(&self) -> &Topology {
+        self.servers.topology()
+    }
+
     /// All servers.
     pub fn servers(&self) -> impl Iterator<Item = &Server> {
-        self.servers.values()
+        self.servers.iter()
+    }
+
+    /// The number of servers.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Whether no server is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.servers.len() == 0
+    }
+
+    /// The servers of a service that take new work.
+    #[must_use]
+    pub fn service(&self, id: &ids::ServiceId) -> Option<&ServiceServers> {
+        self.servers.service(id)
     }
 
     /// One server.
     #[must_use]
     pub fn server(&self, id: &ids::BackendServerId) -> Option<&Server> {
-        self.servers.get(id)
+        self.servers.get(self.servers.handle(id)?)
     }
 
     /// One server, to note something of it.
-    pub fn server_mut(&mut self, id: &ids::BackendServerId) -> Option<&mut Server> {
-        self.servers.get_mut(id)
+    pub fn server_mut(&mut self, id: &ids::BackendServerId) -> Option<ServerMut<'_>> {
+        let handle = self.servers.handle(id)?;
+        self.servers.get_mut(handle)
+    }
+
+    /// A server's short name.
+    #[must_use]
+    pub fn handle(&self, id: &ids::BackendServerId) -> Option<ServerHandle> {
+        self.servers.handle(id)
+    }
+
+    /// A server by its short name.
+    #[must_use]
+    pub fn at(&self, handle: ServerHandle) -> Option<&Server> {
+        self.servers.get(handle)
+    }
+
+    /// A server by its short name, to note something of it.
+    pub fn at_mut(&mut self, handle: ServerHandle) -> Option<ServerMut<'_>> {
+        self.servers.get_mut(handle)
     }
 
     /// What the zone is to hear of busy servers, those with the longest queues first.
     pub fn tell_loads(&mut self, now: TimeMs, most: usize) -> Vec<ToldLoad> {
-        let servers = self.servers.values_mut();
-        let mut told: Vec<_> = servers.filter_map(|server| server.tell_load(now)).collect();
+        let with_news: Vec<_> = self.servers.with_news().iter().copied().collect();
+        let mut told: Vec<_> = with_news
+            .into_iter()
+            .filter_map(|handle| self.servers.get_mut(handle)?.tell_load(now))
+            .collect();
         told.sort_unstable_by_key(|told| std::cmp::Reverse(told.load.waiting));
         told.truncate(most);
         told
@@ -113,10 +163,9 @@
 
     /// Takes in what another instance of the zone tells of busy servers.
     pub fn note_told_loads(&mut self, now: TimeMs, told: &[ToldLoad]) {
-        let told: HashMap<ServerKey, &ToldLoad> =
-            told.iter().map(|told| (told.server, told)).collect();
-        for server in self.servers.values_mut() {
-            if let Some(told) = told.get(&ServerKey::of(&server.entry.id)) {
+        for told in told {
+            let handle = self.servers.handle_of_key(told.server);
+            if let Some(mut server) = handle.and_then(|handle| self.servers.get_mut(handle)) {
                 server.note_told(now, told);
             }
         }
@@ -124,8 +173,8 @@
 
     /// Whether the zone is evacuated.
     #[must_use]
-    pub fn is_evacuated(&self, zone: &ids::AvailabilityZoneId) -> bool {
-        self.evacuated.contains(zone)
+    pub fn is_evacuated(&self, zone: ZoneIndex) -> bool {
+        !self.evacuated.is_empty() && self.evacuated.contains(self.topology().zone_id(zone))
     }
 
     /// Tells how long servers of each service are cold after a start.
@@ -142,10 +191,9 @@
     pub fn apply(&mut self, now: TimeMs, entry: ServerEntry) -> Option<Change> {
         let id = entry.id.clone();
         let is_draining = entry.state == ServerState::Draining;
-        let Some(server) = self.servers.get_mut(&id) else {
+        let Some(mut server) = self.server_mut(&id) else {
             let region = self.settings.regions.get(&entry.zone).cloned();
-            self.servers
-                .insert(id.clone(), Server::new(now, entry, region));
+            self.servers.insert(Server::new(now, entry, region));
             return Some(Change::Joined(id));
         };
         if entry.is_older_than(&server.entry) {
@@ -173,12 +221,14 @@
     /// Entries lapse while the store is away. Taken at their word, such removals would empty the pool
     /// and leave clients without an answer although every server lives.
     pub fn remove(&mut self, now: TimeMs, id: &ids::BackendServerId) -> Option<Change> {
-        let server = self.servers.get_mut(id)?;
+        let excused_until = self.lapses_excused_until;
+        let mut server = self.server_mut(id)?;
         let is_draining = server.entry.state == ServerState::Draining;
-        if now < self.lapses_excused_until && !is_draining {
-            server.lapses_at.get_or_insert(self.lapses_excused_until);
+        if now < excused_until && !is_draining {
+            server.lapses_at.get_or_insert(excused_until);
             return Some(Change::Lapsing(id.clone()));
         }
+        drop(server);
         self.servers.remove(id);
         Some(Change::Gone(id.clone()))
     }
@@ -195,12 +245,8 @@
             named.insert(entry.id.clone());
             changes.extend(self.apply(now, entry));
         }
-        let missing: Vec<_> = self
-            .servers
-            .keys()
-            .filter(|id| !named.contains(*id))
-            .cloned()
-            .collect();
+        let known = self.servers().map(|server| &server.entry.id);
+        let missing: Vec<_> = known.filter(|id| !named.contains(*id)).cloned().collect();
         for id in missing {
             changes.extend(self.remove(now, &id));
         }
@@ -209,9 +255,9 @@
 
     /// Lets go the servers whose grace after an outage has ended.
     pub fn expire(&mut self, now: TimeMs) -> Vec<Change> {
-        let lapsed: Vec<_> = self
-            .servers
-            .values()
+        let lapsing = self.servers.lapsing().iter();
+        let lapsed: Vec<_> = lapsing
+            .filter_map(|handle| self.at(*handle))
             .filter(|server| server.lapses_at.is_some_and(|at| at <= now))
             .map(|server| server.entry.id.clone())
             .collect();
@@ -231,7 +277,7 @@
         zones: BTreeSet<ids::AvailabilityZoneId>,
     ) -> Vec<ids::AvailabilityZoneId> {
         let taken_back: Vec<_> = self.evacuated.difference(&zones).cloned().collect();
-        for server in self.servers.values_mut() {
+        for server in self.servers.iter_mut() {
             if taken_back.contains(&server.entry.zone) {
                 let warmup_ms = self.warmup_ms.get(&server.entry.service).copied();
                 server.chill(now, warmup_ms.unwrap_or_default());
@@ -248,7 +294,11 @@
         health_path: impl Fn(&ids::ServiceId) -> Option<String>,
     ) -> Vec<DueProbe> {
         let mut due = Vec::new();
-        for server in self.servers.values_mut() {
+        let awaiting: Vec<_> = self.servers.awaiting_probe().iter().copied().collect();
+        for handle in awaiting {
+            let Some(mut server) = self.servers.get_mut(handle) else {
+                continue;
+            };
             if server.reach.probe_at().is_none_or(|at| now < at) {
                 continue;
             }
@@ -271,7 +321,7 @@
 
     /// Takes in what a probe found.
     pub fn note_probe(&mut self, now: TimeMs, id: &ids::BackendServerId, result: ProbeResult) {
-        let Some(server) = self.servers.get_mut(id) else {
+        let Some(mut server) = self.server_mut(id) else {
             return;
         };
         match result {
--- /dev/null
+++ b/crates/damaskvane-routing/src/pool/topology.rs
@@ -0,0 +1,115 @@
+//! Availability zones and regions by number, so that decisions sum and compare without names.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use damaskvane_core::ids;
+
+/// An availability zone's number within a [`Topology`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ZoneIndex(usize);
+
+/// A region's number within a [`Topology`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RegionIndex(usize);
+
+impl ZoneIndex {
+    /// The number, for a table with an entry a zone.
+    #[must_use]
+    pub const fn get(self) -> usize {
+        self.0
+    }
+}
+
+impl RegionIndex {
+    /// The number, for a table with an entry a region.
+    #[must_use]
+    pub const fn get(self) -> usize {
+        self.0
+    }
+}
+
+#[derive(Debug)]
+struct Zone {
+    id: ids::AvailabilityZoneId,
+    region: RegionIndex,
+}
+
+#[derive(Debug)]
+struct Region {
+    id: ids::RegionId,
+    zones: usize,
+}
+
+/// The zones of a deployment and the regions that they lie in.
+#[derive(Debug, Default)]
+pub struct Topology {
+    zones: Vec<Zone>,
+    regions: Vec<Region>,
+    by_zone: HashMap<ids::AvailabilityZoneId, ZoneIndex>,
+}
+
+impl Topology {
+    /// Numbers zones and regions in the order of their names, which is the same on all instances.
+    #[must_use]
+    pub fn new(region_of: &HashMap<ids::AvailabilityZoneId, ids::RegionId>) -> Self {
+        let names: BTreeSet<&ids::RegionId> = region_of.values().collect();
+        let numbers: BTreeMap<&ids::RegionId, usize> = names.into_iter().zip(0..).collect();
+        let regions = numbers.keys().map(|id| Region {
+            id: (*id).clone(),
+            zones: region_of.values().filter(|of| of == id).count(),
+        });
+        let mut topology = Self {
+            regions: regions.collect(),
+            ..Self::default()
+        };
+        let sorted: BTreeMap<_, _> = region_of.iter().collect();
+        for (number, (id, region)) in sorted.into_iter().enumerate() {
+            topology.by_zone.insert(id.clone(), ZoneIndex(number));
+            topology.zones.push(Zone {
+                id: id.clone(),
+                region: RegionIndex(numbers[region]),
+            });
+        }
+        topology
+    }
+
+    /// All zones.
+    pub fn zones(&self) -> impl Iterator<Item = ZoneIndex> + use<> {
+        (0..self.zones.len()).map(ZoneIndex)
+    }
+
+    /// All regions.
+    pub fn regions(&self) -> impl Iterator<Item = RegionIndex> + use<> {
+        (0..self.regions.len()).map(RegionIndex)
+    }
+
+    /// A zone by its name.
+    #[must_use]
+    pub fn zone(&self, id: &ids::AvailabilityZoneId) -> Option<ZoneIndex> {
+        self.by_zone.get(id).copied()
+    }
+
+    /// A zone's name.
+    #[must_use]
+    pub fn zone_id(&self, zone: ZoneIndex) -> &ids::AvailabilityZoneId {
+        &self.zones[zone.0].id
+    }
+
+    /// The region that a zone lies in.
+    #[must_use]
+    pub fn region_of(&self, zone: ZoneIndex) -> RegionIndex {
+        self.zones[zone.0].region
+    }
+
+    /// A region's name.
+    #[must_use]
+    pub fn region_id(&self, region: RegionIndex) -> &ids::RegionId {
+        &self.regions[region.0].id
+    }
+
+    /// How many zones a region has.
+    #[must_use]
+    pub fn zones_in(&self, region: RegionIndex) -> usize {
+        self.regions[region.0].zones
+    }
+}
