--- a/crates/damaskvane-bench/src/lib.rs
+++ b/crates/damaskvane-bench/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`blocks`]: the client-block table against a binary search and a hash map.
 //! - [`steering`]: the decision code against baselines, in virtual time.
 //! - [`placement`]: the gateway's choice of servers against baselines under load, in virtual time.
+//! - [`decisions`]: the time of one placement decision, by the number of servers.
 //! - [`config`]: the same by the number of daemons.
 //! - [`config_run`]: the configuration's decision code through mixed faults, by seed.
 //! - [`requests`]: the request engine through mixed faults, by seed.
@@ -34,6 +35,7 @@
 pub mod commands;
 pub mod config;
 pub mod config_run;
+pub mod decisions;
 pub mod demo;
 pub mod error;
 pub mod fit;
--- a/crates/damaskvane-gateway/src/costs.rs
+++ b/crates/damaskvane-gateway/src/costs.rs
@@ -36,8 +36,8 @@
     News,
     /// Digests of zones.
     Digest,
-    /// Told loads of servers.
-    Loads,
+    /// What is told of servers.
+    Servers,
     /// Reports of what clients asked for.
     Asked,
     /// Verdicts on popular objects.
@@ -71,7 +71,7 @@
     (Flow::Heartbeat, "heartbeat"),
     (Flow::News, "news"),
     (Flow::Digest, "digest"),
-    (Flow::Loads, "loads"),
+    (Flow::Servers, "servers"),
     (Flow::Asked, "asked"),
     (Flow::Verdicts, "verdicts"),
     (Flow::Incident, "incident"),
--- a/crates/damaskvane-gateway/src/node.rs
+++ b/crates/damaskvane-gateway/src/node.rs
@@ -9,7 +9,7 @@
 use damaskvane_core::time::TimeMs;
 use damaskvane_routing::configuration::Configuration;
 use damaskvane_routing::limit::RetryBudget;
-use damaskvane_routing::peers::{ListedInstance, Members, Phase, Relay};
+use damaskvane_routing::peers::{ListedInstance, Members, Phase, Relay, StartKey};
 use damaskvane_routing::placement::Placer;
 use damaskvane_routing::pool::{ExchangeId, ServerPool};
 use damaskvane_routing::split::Splits;
@@ -155,6 +155,12 @@
         self.state.borrow().configuration.clone()
     }
 
+    /// Names this start of the instance.
+    #[must_use]
+    pub fn start_key(&self) -> StartKey {
+        StartKey::new(&self.settings().instance, self.incarnation)
+    }
+
     /// Which of the instances that hand changes on in the zone this one is, if it is one.
     #[must_use]
     pub fn relay_rank(&self) -> Option<usize> {
--- a/crates/damaskvane-gateway/src/peers.rs
+++ b/crates/damaskvane-gateway/src/peers.rs
@@ -21,13 +21,13 @@
 use crate::node::Node;
 use crate::stop::StopPhase;
 
-/// The pause between two words on busy servers, for each instance that hears them: what an instance sends stays the
+/// The pause between two words on servers, for each instance that hears them: what an instance sends stays the
 /// same in a zone of any size.
-const LOAD_PAUSE_PER_LISTENER: Duration = Duration::from_millis(30);
-/// The least pause between two words on busy servers.
-const LEAST_LOAD_PAUSE: Duration = Duration::from_millis(250);
-/// Servers in one word on busy ones: 8 bytes each.
-const MOST_LOADS: usize = 12;
+const TOLD_PAUSE_PER_LISTENER: Duration = Duration::from_millis(30);
+/// The least pause between two words on servers.
+const LEAST_TOLD_PAUSE: Duration = Duration::from_millis(250);
+/// Servers in one word: a dozen bytes each.
+const MOST_TOLD_SERVERS: usize = 12;
 /// The least pause between two reports of what clients asked for, and the pause for each instance of the zone: those
 /// that speak for it get as many in a zone of any size.
 const LEAST_ASKED_PAUSE: Duration = Duration::from_millis(1_000);
@@ -58,7 +58,7 @@
 pub async fn run(node: Rc<Node>) -> io::Result<()> {
     let socket = Rc::new(UdpSocket::bind(node.settings().peer_address).await?);
     tokio::task::spawn_local(receive(Rc::clone(&node), Rc::clone(&socket)));
-    tokio::task::spawn_local(tell_loads(Rc::clone(&node), Rc::clone(&socket)));
+    tokio::task::spawn_local(tell_servers(Rc::clone(&node), Rc::clone(&socket)));
     tokio::task::spawn_local(tell_incidents(Rc::clone(&node), Rc::clone(&socket)));
     tokio::task::spawn_local(tell_news(Rc::clone(&node), Rc::clone(&socket)));
     tokio::task::spawn_local(tell_asked(Rc::clone(&node), Rc::clone(&socket)));
@@ -148,21 +148,21 @@
     }
 }
 
-/// Tells the zone's other instances of busy servers, until the process ends.
-async fn tell_loads(node: Rc<Node>, socket: Rc<UdpSocket>) {
-    let mut pause = LEAST_LOAD_PAUSE;
+/// Tells the zone's other instances of busy and unwell servers, until the process ends.
+async fn tell_servers(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    let mut pause = LEAST_TOLD_PAUSE;
     loop {
         tokio::time::sleep(pause).await;
         let now = node.now();
         let (told, neighbours) = {
             let mut state = node.state.borrow_mut();
-            let told = state.pool.tell_loads(now, MOST_LOADS);
+            let told = state.pool.tell_servers(now, MOST_TOLD_SERVERS);
             (told, state.members.neighbours(now))
         };
         let listeners = u32::try_from(neighbours.len()).unwrap_or(u32::MAX);
-        pause = LEAST_LOAD_PAUSE.max(LOAD_PAUSE_PER_LISTENER.saturating_mul(listeners));
+        pause = LEAST_TOLD_PAUSE.max(TOLD_PAUSE_PER_LISTENER.saturating_mul(listeners));
         if !told.is_empty() {
-            send(&node, &socket, &Message::Loads(told), &neighbours).await;
+            send(&node, &socket, &Message::Servers(told), &neighbours).await;
         }
     }
 }
@@ -243,7 +243,9 @@
         match Message::decode(&buffer[..length]) {
             Some(Message::Heartbeat(heartbeat)) => {
                 answer(&node, &socket, &heartbeat).await;
-                take_heartbeat(&node, heartbeat);
+                if take_heartbeat(&node, heartbeat.clone()) {
+                    introduce(&node, &socket, &heartbeat).await;
+                }
             }
             Some(Message::Digest {
                 is_handed_on,
@@ -275,9 +277,9 @@
                 }
             }
             Some(Message::Incident(incident)) => crashes::take_told(&node, &incident),
-            Some(Message::Loads(told)) => {
+            Some(Message::Servers(told)) => {
                 let now = node.now();
-                node.state.borrow_mut().pool.note_told_loads(now, &told);
+                node.state.borrow_mut().pool.note_told(now, &told);
             }
             Some(Message::Asked(report)) => {
                 let now = node.now();
@@ -305,7 +307,21 @@
     }
 }
 
-fn take_heartbeat(node: &Node, heartbeat: Heartbeat) {
+/// Tells an instance of the own zone that has just started of those of other zones.
+async fn introduce(node: &Node, socket: &UdpSocket, heartbeat: &Heartbeat) {
+    let now = node.now();
+    let introduction = node.state.borrow().members.introduction(now, heartbeat);
+    for heartbeats in introduction.chunks(MOST_NEWS) {
+        let message = Message::News {
+            is_handed_on: true,
+            heartbeats: heartbeats.to_vec(),
+        };
+        send(node, socket, &message, &[heartbeat.peer_address]).await;
+    }
+}
+
+/// Takes in a heartbeat; returns whether the instance is new, or back under a new start.
+fn take_heartbeat(node: &Node, heartbeat: Heartbeat) -> bool {
     let instance = heartbeat.instance.clone();
     let phase = heartbeat.phase;
     let now = node.now();
@@ -314,6 +330,7 @@
         slog::info!(node.log.log, "instance started";
             "peer" => %instance, "phase" => ?phase);
     }
+    is_new
 }
 
 /// Tells the own zone what another one says, if this instance speaks for its zone.
--- a/crates/damaskvane-gateway/src/peers/message.rs
+++ b/crates/damaskvane-gateway/src/peers/message.rs
@@ -6,13 +6,13 @@
 use damaskvane_dispatch::quarantine::Incident;
 use damaskvane_routing::peers::{Digest, DigestEntry, Heartbeat, Phase, StartKey};
 use damaskvane_routing::placement::{AskedReport, ObjectSample, RouteKey, Verdict};
-use damaskvane_routing::pool::{LoadReport, ServerKey, ToldLoad};
+use damaskvane_routing::pool::{LoadReport, ServerKey, ToldHealth, ToldServer};
 use serde::{Deserialize, Serialize};
 
 use crate::costs::Flow;
 
 /// Tells the protocol from others on the port, and its form from other ones: it changes with the messages.
-const MAGIC: u32 = 0x6476_7032;
+const MAGIC: u32 = 0x6476_7033;
 
 /// Something that one instance tells another.
 #[derive(Debug, Clone)]
@@ -35,8 +35,8 @@
     },
     /// A server died with requests on it.
     Incident(Incident),
-    /// Servers that have a queue, or no longer have one.
-    Loads(Vec<ToldLoad>),
+    /// Servers that have a queue, are slow or fail, or no longer so.
+    Servers(Vec<ToldServer>),
     /// What the sender's clients asked for.
     Asked(AskedReport),
     /// Which objects have a server in each zone, from one that speaks for the zone.
@@ -57,7 +57,7 @@
             Self::Digest { .. } => Flow::Digest,
             Self::News { .. } => Flow::News,
             Self::Incident(_) => Flow::Incident,
-            Self::Loads(_) => Flow::Loads,
+            Self::Servers(_) => Flow::Servers,
             Self::Asked(_) => Flow::Asked,
             Self::Verdicts { .. } => Flow::Verdicts,
         }
@@ -92,7 +92,7 @@
         heartbeats: Vec<HeartbeatWire>,
     },
     Incident(Incident),
-    Loads(Vec<LoadWire>),
+    Servers(Vec<ServerWire>),
     Asked(Vec<SampleWire>),
     Verdicts {
         by: ids::InstanceId,
@@ -128,12 +128,24 @@
 }
 
 #[derive(Debug, Serialize, Deserialize)]
-struct LoadWire {
+struct ServerWire {
     server: u32,
+    load: Option<LoadWire>,
+    health: Option<HealthWire>,
+    age_ms: u64,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct LoadWire {
     running: u32,
     waiting: u32,
     slots: u32,
-    age_ms: u64,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct HealthWire {
+    slowness_percent: u16,
+    failure_percent: u8,
 }
 
 impl Wire {
@@ -155,7 +167,7 @@
                 heartbeats: heartbeats.iter().map(HeartbeatWire::of).collect(),
             },
             Message::Incident(incident) => Self::Incident(incident.clone()),
-            Message::Loads(loads) => Self::Loads(loads.iter().map(LoadWire::of).collect()),
+            Message::Servers(told) => Self::Servers(told.iter().map(ServerWire::of).collect()),
             Message::Asked(report) => Self::Asked(report.iter().map(SampleWire::of).collect()),
             Message::Verdicts { by, verdicts } => Self::Verdicts {
                 by: by.clone(),
@@ -192,8 +204,8 @@
                     .collect(),
             },
             Self::Incident(incident) => Message::Incident(incident),
-            Self::Loads(loads) => {
-                Message::Loads(loads.into_iter().map(LoadWire::into_told).collect())
+            Self::Servers(told) => {
+                Message::Servers(told.into_iter().map(ServerWire::into_told).collect())
             }
             Self::Asked(samples) => {
                 Message::Asked(samples.into_iter().map(SampleWire::into_sample).collect())
@@ -273,25 +285,35 @@
     }
 }
 
-impl LoadWire {
-    const fn of(told: &ToldLoad) -> Self {
+impl ServerWire {
+    fn of(told: &ToldServer) -> Self {
         Self {
             server: told.server.get(),
-            running: told.load.running,
-            waiting: told.load.waiting,
-            slots: told.load.slots,
+            load: told.load.map(|load| LoadWire {
+                running: load.running,
+                waiting: load.waiting,
+                slots: load.slots,
+            }),
+            health: told.health.map(|health| HealthWire {
+                slowness_percent: (health.slowness * 100.0) as u16,
+                failure_percent: (health.failure_share * 100.0) as u8,
+            }),
             age_ms: told.age_ms,
         }
     }
 
-    const fn into_told(self) -> ToldLoad {
-        ToldLoad {
+    fn into_told(self) -> ToldServer {
+        ToldServer {
             server: ServerKey::from_wire(self.server),
-            load: LoadReport {
-                running: self.running,
-                waiting: self.waiting,
-                slots: self.slots,
-            },
+            load: self.load.map(|load| LoadReport {
+                running: load.running,
+                waiting: load.waiting,
+                slots: load.slots,
+            }),
+            health: self.health.map(|health| ToldHealth {
+                slowness: f64::from(health.slowness_percent) / 100.0,
+                failure_share: f64::from(health.failure_percent) / 100.0,
+            }),
             age_ms: self.age_ms,
         }
     }
--- a/crates/damaskvane-gateway/src/store/feed/frames.rs
+++ b/crates/damaskvane-gateway/src/store/feed/frames.rs
@@ -12,7 +12,7 @@
 use crate::store::feed::SILENCE;
 
 /// Tells the protocol from others on the port, and its form from later ones.
-pub(super) const MAGIC: u32 = 0x6476_6633;
+pub(super) const MAGIC: u32 = 0x6476_6634;
 /// Largest frame: a list of changes is a megabyte at most.
 const MOST_BYTES: u32 = 8 << 20;
 
@@ -26,8 +26,12 @@
 /// What a relay says.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) enum Frame {
-    /// The store has answered so long ago.
-    Alive { store_age_ms: u64 },
+    /// The store has answered an instance so long ago.
+    Alive {
+        store_age_ms: u64,
+        /// The key of that start of the instance; none if the store never answered.
+        answered: Option<u64>,
+    },
     /// Changes of a collection.
     Changes {
         collection: u8,
--- a/crates/damaskvane-gateway/src/store/feed/listen.rs
+++ b/crates/damaskvane-gateway/src/store/feed/listen.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use core::time::Duration;
 use damaskvane_core::time::{SpanMs, TimeMs};
+use damaskvane_routing::peers::StartKey;
 use damaskvane_routing::relay::Batch;
 use tokio::net::TcpStream;
 
@@ -66,19 +67,16 @@
             read = tokio::time::timeout(SILENCE, frames::read_frame(&mut stream)) => read??,
             () = feed.restarts.notified() => return Ok(()),
         };
-        let now = node.now();
         match frames::decode(&bytes)? {
-            Frame::Alive { store_age_ms } => {
-                let store_age_ms = store_age_ms.saturating_add(HOP_AGE_MS);
-                feed.note_alive(now, SpanMs::new(store_age_ms));
-                freshness::decide(node);
-                if node.store.source() != Source::Relay {
+            Frame::Alive {
+                store_age_ms,
+                answered,
+            } => {
+                if !take_alive(node, store_age_ms, answered.map(StartKey::from_wire)) {
                     // Another one may know more; if the store is away for all, there is no hurry.
                     tokio::time::sleep(STALE_PAUSE).await;
                     return Ok(());
                 }
-                let at = TimeMs::new(now.get().saturating_sub(store_age_ms));
-                contact::note_return(node, node.store.answered(at));
             }
             Frame::Changes {
                 collection,
@@ -108,6 +106,28 @@
     }
 }
 
+/// Takes in how long ago the store answered which instance; `false` if that is not fresh.
+fn take_alive(node: &Rc<Node>, store_age_ms: u64, answered: Option<StartKey>) -> bool {
+    let now = node.now();
+    // What the source knows of the store it has from this instance: it is no news, and goes round in a ring.
+    let is_own_word = answered == Some(node.start_key());
+    let age = if is_own_word {
+        SpanMs::new(u64::MAX)
+    } else {
+        SpanMs::new(store_age_ms.saturating_add(HOP_AGE_MS))
+    };
+    node.feed.note_alive(now, age);
+    freshness::decide(node);
+    if node.store.source() != Source::Relay {
+        return false;
+    }
+    if let Some(answered) = answered {
+        let at = TimeMs::new(now.get().saturating_sub(age.get()));
+        contact::note_return(node, node.store.answered(at, answered));
+    }
+    true
+}
+
 /// Looks from time to time whether what is heard is still fresh, until the process ends.
 pub async fn watch_freshness(node: Rc<Node>) {
     loop {
--- a/crates/damaskvane-gateway/src/store/feed/serve.rs
+++ b/crates/damaskvane-gateway/src/store/feed/serve.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::rc::Rc;
 
+use damaskvane_routing::peers::StartKey;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::adapter::Collection;
@@ -54,7 +55,12 @@
         } else {
             GAP_AGE_MS
         };
-        send(node, &mut stream, &Frame::Alive { store_age_ms }).await?;
+        let answered = node.store.answered_instance();
+        let alive = Frame::Alive {
+            store_age_ms,
+            answered: answered.map(StartKey::get),
+        };
+        send(node, &mut stream, &alive).await?;
         // A change is handed on at once, and so is that the store has answered; without either, the age is told once
         // a period.
         tokio::select! {
--- a/crates/damaskvane-gateway/src/store/health.rs
+++ b/crates/damaskvane-gateway/src/store/health.rs
@@ -6,6 +6,7 @@
 use std::cell::Cell;
 
 use damaskvane_core::time::{SpanMs, TimeMs};
+use damaskvane_routing::peers::StartKey;
 use tokio::sync::{Notify, watch};
 
 /// Where changes come from.
@@ -33,6 +34,8 @@
 pub struct StoreHealth {
     reachability: watch::Sender<Reachability>,
     source: watch::Sender<Source>,
+    /// Which instance the store answered last, this one or another that it hears of.
+    answered: Cell<Option<StartKey>>,
     /// When the store answered last; none if it never has. A process that has just started without the store
     /// must not pass for one that heard from it a moment ago.
     answered_at: Cell<Option<TimeMs>>,
@@ -51,6 +54,7 @@
         Self {
             reachability: watch::Sender::new(Reachability::Up),
             source: watch::Sender::new(Source::Undecided),
+            answered: Cell::new(None),
             answered_at: Cell::new(None),
             answers: Notify::new(),
             own_answered_at: Cell::new(None),
@@ -61,11 +65,14 @@
 }
 
 impl StoreHealth {
-    /// Notes that the store answered at a time; returns how long it was away, if it was.
-    pub fn answered(&self, at: TimeMs) -> Option<SpanMs> {
+    /// Notes that the store answered an instance at a time; returns how long it was away, if it was.
+    pub fn answered(&self, at: TimeMs, instance: StartKey) -> Option<SpanMs> {
         let before = self.answered_at.get();
         let away = at.since(before.unwrap_or(TimeMs::ZERO));
-        self.answered_at.set(before.max(Some(at)));
+        if before.is_none_or(|before| before <= at) {
+            self.answered_at.set(Some(at));
+            self.answered.set(Some(instance));
+        }
         if away.get() >= TOLD_AT_ONCE_MS {
             self.answers.notify_waiters();
         }
@@ -122,6 +129,12 @@
         self.is_own_contact_lost.get()
     }
 
+    /// Which instance the store answered last.
+    #[must_use]
+    pub const fn answered_instance(&self) -> Option<StartKey> {
+        self.answered.get()
+    }
+
     /// The time since the store answered last, to this instance or to its relay; the longest span if it never
     /// has.
     #[must_use]
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -165,10 +165,8 @@
 
     async fn connect(&self) -> io::Result<(http::Connection, bool)> {
         let now = self.node.now();
-        let mut idle = self.node.idle.borrow_mut();
-        let had_kept = idle.has(&self.pick.server);
-        let kept = idle.take(now, &self.pick.server);
-        drop(idle);
+        let had_kept = self.node.idle.borrow().has(&self.pick.server);
+        let kept = self.node.idle.borrow_mut().take(now, &self.pick.server);
         if let Some(connection) = kept {
             return Ok((connection, true));
         }
--- a/crates/damaskvane-gateway/tests/datagrams.rs
+++ b/crates/damaskvane-gateway/tests/datagrams.rs
@@ -7,7 +7,8 @@
 use damaskvane_gateway::crashes;
 use damaskvane_gateway::peers::Message;
 use damaskvane_routing::peers::{Digest, DigestEntry, Heartbeat, Phase, StartKey};
-use damaskvane_routing::pool::{LoadReport, ServerKey, ToldLoad};
+use damaskvane_routing::placement::{MOST_STEPS, ObjectSample, RouteKey, Verdict};
+use damaskvane_routing::pool::{LoadReport, ServerKey, ToldHealth, ToldServer};
 use proptest::prelude::*;
 
 /// The largest datagram that an instance reads.
@@ -56,22 +57,64 @@
     })
 }
 
-fn loads() -> Message {
+fn servers() -> Message {
     let load = LoadReport {
         running: 6,
         waiting: 18,
         slots: 6,
     };
-    let told = |number| ToldLoad {
+    let told = |number| ToldServer {
         server: ServerKey::from_wire(u32::MAX - number),
-        load,
+        load: Some(load),
+        health: Some(ToldHealth {
+            slowness: 9.5,
+            failure_share: 0.5,
+        }),
         age_ms: 250,
     };
-    Message::Loads((0..12).map(told).collect())
+    Message::Servers((0..12).map(told).collect())
 }
 
-fn messages() -> [Message; 4] {
-    [heartbeat(), digest(64), incident(), loads()]
+fn news() -> Message {
+    let Message::Heartbeat(heartbeat) = heartbeat() else {
+        panic!("a heartbeat");
+    };
+    Message::News {
+        is_handed_on: true,
+        heartbeats: vec![heartbeat; 12],
+    }
+}
+
+fn asked() -> Message {
+    let objects = |route: u32| (0..12).map(move |number| (u32::MAX - number - route, 1_000));
+    let sample = |route| ObjectSample::from_wire(0, objects(route));
+    let report = (0..6).map(|route| (RouteKey::from_wire(u32::MAX - route), sample(route)));
+    Message::Asked(report.collect())
+}
+
+fn verdicts() -> Message {
+    let verdict = |route| Verdict {
+        route: RouteKey::from_wire(u32::MAX - route),
+        steps: MOST_STEPS,
+    };
+    Message::Verdicts {
+        by: "an-instance-with-a-rather-long-name-1"
+            .parse()
+            .expect("a name"),
+        verdicts: (0..64).map(verdict).collect(),
+    }
+}
+
+fn messages() -> [Message; 7] {
+    [
+        heartbeat(),
+        digest(64),
+        incident(),
+        servers(),
+        news(),
+        asked(),
+        verdicts(),
+    ]
 }
 
 #[test]
--- a/crates/damaskvane-gateway/tests/store_health.rs
+++ b/crates/damaskvane-gateway/tests/store_health.rs
@@ -4,6 +4,11 @@
 
 use damaskvane_core::time::{SpanMs, TimeMs};
 use damaskvane_gateway::store::StoreHealth;
+use damaskvane_routing::peers::StartKey;
+
+fn key() -> StartKey {
+    StartKey::from_wire(1)
+}
 
 /// An instance starts while the store is away and gets everything from others. Taken to have heard from the store
 /// at its start, it would pass for a fresh source, and its listeners would stop looking for a better one.
@@ -11,7 +16,7 @@
 fn a_store_that_never_answered_has_no_fresh_age() {
     let health = StoreHealth::default();
     assert_eq!(health.age(TimeMs::new(1_000)), SpanMs::new(u64::MAX));
-    health.answered(TimeMs::new(2_000));
+    health.answered(TimeMs::new(2_000), key());
     assert_eq!(health.age(TimeMs::new(2_500)), SpanMs::new(500));
 }
 
@@ -25,11 +30,11 @@
         .expect("a runtime");
     runtime.block_on(async {
         let health = StoreHealth::default();
-        health.answered(TimeMs::new(1_000));
+        health.answered(TimeMs::new(1_000), key());
         let watching = health.until_left_open();
         let asking = async {
             tokio::task::yield_now().await;
-            health.answered(TimeMs::new(1_200));
+            health.answered(TimeMs::new(1_200), key());
             health.left_open();
         };
         let both = async { tokio::join!(watching, asking) };
--- a/crates/damaskvane-routing/src/peers.rs
+++ b/crates/damaskvane-routing/src/peers.rs
@@ -10,8 +10,10 @@
 mod digest;
 mod heartbeat;
 mod listed;
+mod listing;
 mod members;
 mod relay;
+mod roster;
 mod settings;
 
 pub use digest::{Digest, DigestEntry, StartKey};
--- a/crates/damaskvane-routing/src/peers/members.rs
+++ b/crates/damaskvane-routing/src/peers/members.rs
@@ -6,40 +6,27 @@
 use damaskvane_core::ids;
 use damaskvane_core::time::TimeMs;
 
+use crate::peers::listing::Listing;
+use crate::peers::roster::{Member, Roster};
 use crate::peers::{
     Digest, DigestEntry, Heartbeat, ListedInstance, PeerSettings, Phase, Relay, StartKey,
 };
 
-#[derive(Debug)]
-struct Member {
-    heartbeat: Heartbeat,
-    heard_at: TimeMs,
-}
-
 /// The entry instances, as this one sees them.
 #[derive(Debug)]
 pub struct Members {
     settings: PeerSettings,
     own: ids::InstanceId,
     regions: HashMap<ids::AvailabilityZoneId, ids::RegionId>,
-    members: BTreeMap<ids::InstanceId, Member>,
-    /// The members of each zone, in the order of their names.
-    by_zone: BTreeMap<ids::AvailabilityZoneId, BTreeSet<ids::InstanceId>>,
-    by_key: HashMap<StartKey, ids::InstanceId>,
+    roster: Roster,
+    listing: Listing,
     zones_at: HashMap<net::IpAddr, ids::AvailabilityZoneId>,
     /// Members of the own zone that other zones haven't been told of since they changed.
     news: BTreeSet<ids::InstanceId>,
-    /// Where the platform's list says that instances are.
-    listed: BTreeMap<ids::InstanceId, ListedInstance>,
-    /// Listed instances that were never heard.
-    unheard: BTreeSet<ids::InstanceId>,
-    is_listed: bool,
     /// Whether the own record is in the store.
     is_registered: bool,
     /// Whether the next heartbeat goes to listed instances of other zones that were never heard.
     greets_next: bool,
-    /// Instances that were heard and aren't listed, the own one too.
-    unlisted: usize,
     /// Where instances may be found before the platform's list was read.
     seeds: Vec<net::SocketAddr>,
     /// When the own process last changed its phase.
@@ -53,21 +40,18 @@
         own: ids::InstanceId,
         regions: impl IntoIterator<Item = (ids::AvailabilityZoneId, ids::RegionId)>,
     ) -> Self {
+        let mut listing = Listing::default();
+        listing.note_heard(&own);
         Self {
             settings,
             own,
             regions: regions.into_iter().collect(),
-            members: BTreeMap::new(),
-            by_zone: BTreeMap::new(),
-            by_key: HashMap::new(),
+            roster: Roster::default(),
+            listing,
             zones_at: HashMap::new(),
             news: BTreeSet::new(),
-            listed: BTreeMap::new(),
-            unheard: BTreeSet::new(),
-            is_listed: false,
             is_registered: false,
             greets_next: false,
-            unlisted: 1,
             seeds: Vec::new(),
             own_phase_at: None,
         }
@@ -80,40 +64,30 @@
 
     /// Takes in the platform's list of instances.
     pub fn set_listed(&mut self, listed: impl IntoIterator<Item = ListedInstance>) {
-        self.listed.clear();
-        self.unheard.clear();
-        let members = &self.members;
-        self.unlisted = members.keys().filter(|id| **id != self.own).count() + 1;
-        self.is_listed = true;
+        let heard = self.roster.instances().cloned();
+        self.listing.clear(heard.chain([self.own.clone()]));
         self.add_listed(listed);
     }
 
     /// Takes in some instances of the platform's list.
     pub fn add_listed(&mut self, listed: impl IntoIterator<Item = ListedInstance>) {
         for one in listed {
-            let instance = one.instance.clone();
             if let Some(zone) = &one.zone {
                 self.zones_at.insert(one.peer_address.ip(), zone.clone());
             }
-            let is_known = instance == self.own || self.members.contains_key(&instance);
-            let was_listed = self.listed.insert(instance.clone(), one).is_some();
-            if is_known && !was_listed {
-                self.unlisted -= 1;
-            }
-            if !is_known {
-                self.unheard.insert(instance);
-            }
+            let is_heard = self.is_heard(&one.instance);
+            self.listing.add(one, is_heard);
         }
     }
 
     /// Takes in that the platform's list no longer names an instance.
     pub fn remove_listed(&mut self, instance: &ids::InstanceId) {
-        self.unheard.remove(instance);
-        let was_listed = self.listed.remove(instance).is_some();
-        let is_known = *instance == self.own || self.members.contains_key(instance);
-        if was_listed && is_known {
-            self.unlisted += 1;
-        }
+        let is_heard = self.is_heard(instance);
+        self.listing.remove(instance, is_heard);
+    }
+
+    fn is_heard(&self, instance: &ids::InstanceId) -> bool {
+        *instance == self.own || self.roster.contains(instance)
     }
 
     /// The zone of the instance at an address.
@@ -125,17 +99,15 @@
     /// Whether the platform's list names the instance itself with this record.
     #[must_use]
     pub fn is_listed_as(&self, record: &ListedInstance) -> bool {
-        self.listed.get(&record.instance) == Some(record)
+        self.listing.get(&record.instance) == Some(record)
     }
 
     /// Whether the instance is the first of its zone that the platform's list names.
     #[must_use]
     pub fn is_first_listed(&self) -> bool {
         let own_zone = self.own_zone();
-        let mut of_zone = self
-            .listed
-            .values()
-            .filter(|listed| listed.zone.as_ref() == own_zone);
+        let listed = self.listing.listed();
+        let mut of_zone = listed.filter(|listed| listed.zone.as_ref() == own_zone);
         of_zone
             .next()
             .is_some_and(|first| first.instance == self.own)
@@ -174,15 +146,15 @@
     /// clients only until the time is over.
     #[must_use]
     pub fn is_acquainted(&self, now: TimeMs) -> bool {
-        let own = usize::from(self.members.contains_key(&self.own));
-        let has_heard = self.members.len() > own;
-        let is_known = self.is_listed && self.is_registered;
+        let own = usize::from(self.roster.contains(&self.own));
+        let has_heard = self.roster.len() > own;
+        let is_known = self.listing.is_whole() && self.is_registered;
         is_known || has_heard || now.get() >= self.settings.acquaintance_ms
     }
 
     /// Takes in a heartbeat; returns whether the instance is new, or back under a new start.
     pub fn note(&mut self, now: TimeMs, heartbeat: Heartbeat) -> bool {
-        let Some(known) = self.members.get_mut(&heartbeat.instance) else {
+        let Some(known) = self.roster.get_mut(&heartbeat.instance) else {
             self.add(now, heartbeat);
             return true;
         };
@@ -207,7 +179,6 @@
             }
             return false;
         }
-        self.forget(&heartbeat.instance);
         self.add(now, heartbeat);
         true
     }
@@ -216,37 +187,13 @@
         let instance = heartbeat.instance.clone();
         let address = heartbeat.peer_address.ip();
         self.zones_at.insert(address, heartbeat.zone.clone());
-        let of_zone = self.by_zone.entry(heartbeat.zone.clone()).or_default();
-        of_zone.insert(instance.clone());
-        self.by_key
-            .insert(StartKey::of(&heartbeat), instance.clone());
-        let member = Member {
-            heartbeat,
-            heard_at: now,
-        };
-        self.members.insert(instance.clone(), member);
-        self.unheard.remove(&instance);
-        if instance != self.own && !self.listed.contains_key(&instance) {
-            self.unlisted += 1;
-        }
+        self.listing.note_heard(&instance);
+        self.roster.add(now, heartbeat);
         self.note_news(&instance);
     }
 
-    fn forget(&mut self, instance: &ids::InstanceId) {
-        let Some(member) = self.members.remove(instance) else {
-            return;
-        };
-        if *instance != self.own && !self.listed.contains_key(instance) {
-            self.unlisted -= 1;
-        }
-        self.by_key.remove(&StartKey::of(&member.heartbeat));
-        if let Some(of_zone) = self.by_zone.get_mut(&member.heartbeat.zone) {
-            of_zone.remove(instance);
-        }
-    }
-
     fn note_news(&mut self, instance: &ids::InstanceId) {
-        let member = self.members.get(instance);
+        let member = self.roster.get(instance);
         if member.is_some_and(|member| self.is_in_own_zone(member)) {
             self.news.insert(instance.clone());
         }
@@ -254,8 +201,8 @@
 
     /// What other zones are to hear in full: members of the own zone that are new or changed their phase.
     ///
-    /// Told to all instances of all zones by each one itself, hundreds of starts at once were most of the bytes
-    /// between zones.
+    /// Were each instance to tell all instances of all zones itself, starts of hundreds at once would be most of the
+    /// bytes between zones.
     pub fn take_news(&mut self, now: TimeMs, most: usize) -> Vec<Heartbeat> {
         if !self.is_speaker(now) {
             // Whoever speaks tells it. What is left here is told again if this one speaks later, and harms nobody.
@@ -265,13 +212,26 @@
         for instance in &told {
             self.news.remove(instance);
         }
-        let members = told.iter().filter_map(|id| self.members.get(id));
+        let members = told.iter().filter_map(|id| self.roster.get(id));
         members.map(|member| member.heartbeat.clone()).collect()
     }
 
+    /// What an instance of the own zone that has just started is to hear of other zones, from one that speaks for
+    /// its own: nobody else tells it of instances that neither start nor change.
+    #[must_use]
+    pub fn introduction(&self, now: TimeMs, heartbeat: &Heartbeat) -> Vec<Heartbeat> {
+        let is_near = self.own_zone() == Some(&heartbeat.zone);
+        if !is_near || heartbeat.instance == self.own || !self.is_speaker(now) {
+            return Vec::new();
+        }
+        let zones = self.roster.zones().filter(|zone| **zone != heartbeat.zone);
+        let ready = zones.flat_map(|zone| self.alive_in(now, zone, Phase::Ready));
+        ready.cloned().collect()
+    }
+
     /// Takes in where the own process stands, which look-ups must know before its next heartbeat.
     pub fn set_own_phase(&mut self, now: TimeMs, phase: Phase) {
-        if let Some(own) = self.members.get_mut(&self.own)
+        if let Some(own) = self.roster.get_mut(&self.own)
             && own.heartbeat.phase != phase
         {
             own.heartbeat.phase = phase;
@@ -285,8 +245,7 @@
     /// Only starts that were heard before are known by their keys; a start that is unknown tells of itself.
     pub fn note_digest(&mut self, now: TimeMs, digest: &Digest) {
         for entry in &digest.entries {
-            let instance = self.by_key.get(&entry.key);
-            let Some(member) = instance.and_then(|id| self.members.get_mut(id)) else {
+            let Some(member) = self.roster.by_key_mut(entry.key) else {
                 continue;
             };
             // An older count may be from before the word that the instance leaves.
@@ -320,15 +279,15 @@
 
     /// Where digests go: the first instances of each other zone, which hand them on within it.
     ///
-    /// Sent to all instances, the digests of 300 in 6 zones were most of the bytes between regions, and a
-    /// speaker's share of them grew with the fleet.
+    /// Sent to all instances, digests would be most of the bytes between the regions of a large fleet, and a
+    /// speaker's share of them would grow with it.
     #[must_use]
     pub fn digest_recipients(&self, now: TimeMs) -> Vec<net::SocketAddr> {
         if !self.is_speaker(now) {
             return Vec::new();
         }
         let own_zone = self.own_zone();
-        let others = self.by_zone.keys().filter(|zone| Some(*zone) != own_zone);
+        let others = self.roster.zones().filter(|zone| Some(*zone) != own_zone);
         let most = self.settings.digest_receivers_per_zone;
         let receivers = others.flat_map(|zone| self.alive_in(now, zone, Phase::Ready).take(most));
         receivers.map(|one| one.peer_address).collect()
@@ -369,9 +328,8 @@
     }
 
     fn in_own_zone(&self) -> impl Iterator<Item = &Member> {
-        let zone = self.own_zone().and_then(|zone| self.by_zone.get(zone));
-        let instances = zone.into_iter().flatten();
-        instances.filter_map(|id| self.members.get(id))
+        let zone = self.own_zone().into_iter();
+        zone.flat_map(|zone| self.roster.of_zone(zone))
     }
 
     fn is_in_own_zone(&self, member: &Member) -> bool {
@@ -379,7 +337,7 @@
     }
 
     fn own_zone(&self) -> Option<&ids::AvailabilityZoneId> {
-        let own = self.members.get(&self.own);
+        let own = self.roster.get(&self.own);
         own.map(|own| &own.heartbeat.zone)
     }
 
@@ -391,10 +349,9 @@
         let is_greeting = serial.is_multiple_of(self.settings.beats_between_greetings);
         let greets = core::mem::take(&mut self.greets_next) || is_greeting;
         let own_zone = self.own_zone();
-        let unheard = self.unheard.iter().filter_map(|id| self.listed.get(id));
         let mut greeted: BTreeMap<&ids::AvailabilityZoneId, usize> = BTreeMap::new();
         let most = self.settings.digest_receivers_per_zone;
-        let unheard = unheard.filter(|listed| match &listed.zone {
+        let unheard = self.listing.unheard().filter(|listed| match &listed.zone {
             Some(zone) if Some(zone) != own_zone => {
                 let count = greeted.entry(zone).or_default();
                 *count += 1;
@@ -405,7 +362,7 @@
         let mut recipients: Vec<_> = unheard.map(|listed| listed.peer_address).collect();
         let is_other = |member: &&Member| member.heartbeat.instance != self.own;
         if is_to_all {
-            let heard = self.members.values().filter(is_other);
+            let heard = self.roster.members().filter(is_other);
             recipients.extend(heard.map(|member| member.heartbeat.peer_address));
         } else {
             let heard = self.in_own_zone().filter(is_other);
@@ -417,12 +374,12 @@
 
     /// The seeds, as long as neither the list nor a ready instance is known.
     fn seeds_to_ask(&self) -> impl Iterator<Item = net::SocketAddr> {
-        let knows_ready = self.members.values().any(|member| {
+        let knows_ready = self.roster.members().any(|member| {
             member.heartbeat.instance != self.own && member.heartbeat.phase == Phase::Ready
         });
-        let own = self.members.get(&self.own);
+        let own = self.roster.get(&self.own);
         let own_address = own.map(|own| own.heartbeat.peer_address);
-        let is_asking = !self.is_listed && !knows_ready;
+        let is_asking = !self.listing.is_whole() && !knows_ready;
         let seeds = self.seeds.iter().copied().filter(move |_| is_asking);
         seeds.filter(move |seed| Some(*seed) != own_address)
     }
@@ -430,10 +387,10 @@
     /// The own heartbeat that answers one of another instance, if that one is looking for others.
     ///
     /// An instance that starts while the store doesn't answer it knows nobody. Without an answer it would wait
-    /// for the next heartbeat to all: 4.2 s without service after a planned restart in an outage of the store.
+    /// for the next heartbeat to all, and serve nobody until then.
     #[must_use]
     pub fn answer_to(&self, heartbeat: &Heartbeat) -> Option<&Heartbeat> {
-        let own = self.members.get(&self.own).map(|own| &own.heartbeat)?;
+        let own = self.roster.get(&self.own).map(|own| &own.heartbeat)?;
         let is_useful = own.phase == Phase::Ready && heartbeat.phase == Phase::Starting;
         is_useful.then_some(own)
     }
@@ -452,9 +409,9 @@
     /// All other instances that were ever listed or heard, for what concerns everybody.
     #[must_use]
     pub fn others(&self) -> Vec<net::SocketAddr> {
-        let heard = self.members.values().map(|member| &member.heartbeat);
+        let heard = self.roster.members().map(|member| &member.heartbeat);
         let heard = heard.map(|heartbeat| (&heartbeat.instance, heartbeat.peer_address));
-        let listed = self.listed.values();
+        let listed = self.listing.listed();
         let listed = listed.map(|listed| (&listed.instance, listed.peer_address));
         // What an instance says of itself is newer than the list.
         let addresses: BTreeMap<_, _> = listed.chain(heard).collect();
@@ -463,14 +420,14 @@
     }
 
     fn is_to_all(&self, now: TimeMs, serial: u64) -> bool {
-        let own = self.members.get(&self.own).map(|own| own.heartbeat.phase);
+        let own = self.roster.get(&self.own).map(|own| own.heartbeat.phase);
         // Nobody may speak for the zone any more: who is the last one of it tells everybody itself that it leaves.
         let leaves_alone = own == Some(Phase::Leaving)
             && self.own_phase_at.is_some_and(|at| {
                 now.since(at).get() < self.settings.silence_ms && !self.has_speaker(now)
             });
         // One datagram a heartbeat on average, however large the fleet is.
-        let fleet = u64::try_from(self.members.len()).unwrap_or(u64::MAX);
+        let fleet = u64::try_from(self.roster.len()).unwrap_or(u64::MAX);
         let repairs = self.settings.beats_between_repairs.max(fleet);
         leaves_alone || serial.is_multiple_of(repairs)
     }
@@ -486,8 +443,8 @@
     /// fell silent still count.
     #[must_use]
     pub fn most_at_work(&self) -> usize {
-        let known = self.listed.len() + self.unlisted;
-        if self.is_listed {
+        let known = self.listing.known();
+        if self.listing.is_whole() {
             known
         } else {
             known.max(self.settings.unknown_instances)
@@ -496,9 +453,8 @@
 
     /// The instances that clients may use, with their zones.
     pub fn usable(&self, now: TimeMs) -> impl Iterator<Item = &Heartbeat> {
-        self.by_zone
-            .keys()
-            .flat_map(move |zone| self.alive_in(now, zone, Phase::Ready))
+        let zones = self.roster.zones();
+        zones.flat_map(move |zone| self.alive_in(now, zone, Phase::Ready))
     }
 
     /// The instances of a zone in a phase that are not silent, in the order of their names.
@@ -508,9 +464,7 @@
         zone: &ids::AvailabilityZoneId,
         phase: Phase,
     ) -> impl Iterator<Item = &Heartbeat> {
-        let instances = self.by_zone.get(zone).into_iter().flatten();
-        let members = instances.filter_map(|id| self.members.get(id));
-        let alive = members.filter(move |member| {
+        let alive = self.roster.of_zone(zone).filter(move |member| {
             let is_own = member.heartbeat.instance == self.own;
             let is_heard = now.since(member.heard_at).get() < self.silence_ms(member);
             member.heartbeat.phase == phase && (is_own || is_heard)
@@ -552,7 +506,7 @@
     #[must_use]
     pub fn watchers(&self, now: TimeMs, region: &ids::RegionId) -> Vec<Relay> {
         let watchers_in = |phase: Phase| {
-            let zones = self.by_zone.keys();
+            let zones = self.roster.zones();
             let zones = zones.filter(|zone| self.regions.get(*zone) == Some(region));
             let first = zones.filter_map(|zone| self.alive_in(now, zone, phase).next());
             let watchers = first.take(self.settings.watchers_per_region);
@@ -585,7 +539,7 @@
         let tiers: [&dyn Fn(&ids::AvailabilityZoneId) -> bool; 4] =
             [&in_zone, &in_region, &is_allowed, &|_| true];
         for tier in tiers {
-            let zones = self.by_zone.keys().filter(|of| tier(of));
+            let zones = self.roster.zones().filter(|of| tier(of));
             let usable = zones.flat_map(|of| self.alive_in(now, of, Phase::Ready));
             let addresses: Vec<_> = usable.map(|one| one.client_address).collect();
             if !addresses.is_empty() {
--- a/crates/damaskvane-routing/src/placement/popularity.rs
+++ b/crates/damaskvane-routing/src/placement/popularity.rs
@@ -5,7 +5,7 @@
 //! sees too little of a zone's requests to tell, and instances that disagree use different servers for an object. So
 //! all report a sample of what they are asked for to those that speak for the zone, which judge and tell the others.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use damaskvane_core::ids;
 use damaskvane_core::time::TimeMs;
@@ -18,6 +18,8 @@
 const MOST_JUDGED_OBJECTS: usize = 512;
 /// Routes in a report.
 const MOST_REPORTED_ROUTES: usize = 6;
+/// Routes that are judged: what is told of them fits a datagram.
+const MOST_VERDICTS: usize = 64;
 /// Requests that are enough to judge by, and the time after which fewer must do.
 const ENOUGH_REQUESTS: u32 = 128;
 const LONGEST_WINDOW_MS: u64 = 4_000;
@@ -102,7 +104,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Popularity {
     asked: HashMap<RouteKey, ObjectSample>,
-    tallies: HashMap<RouteKey, Tally>,
+    tallies: BTreeMap<RouteKey, Tally>,
     told: Option<Told>,
 }
 
@@ -140,6 +142,7 @@
             .retain(|_, tally| tally.steps > 0 || !tally.sample.is_empty());
         let tallies = self.tallies.iter();
         tallies
+            .take(MOST_VERDICTS)
             .map(|(route, tally)| Verdict {
                 route: *route,
                 steps: tally.steps,
--- a/crates/damaskvane-routing/src/placement/sample.rs
+++ b/crates/damaskvane-routing/src/placement/sample.rs
@@ -1,6 +1,6 @@
 //! A sample of the objects that are asked for, which instances can put together.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use xxhash_rust::xxh3;
 
@@ -37,7 +37,7 @@
 pub struct ObjectSample {
     /// How often the part was halved.
     halvings: u8,
-    requests: HashMap<u32, u32>,
+    requests: BTreeMap<u32, u32>,
 }
 
 /// Most halvings: a part of one object in a billion holds none any more.
--- a/crates/damaskvane-routing/src/pool/server.rs
+++ b/crates/damaskvane-routing/src/pool/server.rs
@@ -9,7 +9,8 @@
 use crate::pool::load::OthersLoad;
 use crate::pool::speed::Slowness;
 use crate::pool::{
-    ExchangeEnd, ExchangeId, LoadReport, Reach, ServerEntry, ServerKey, ServerReport, ToldLoad,
+    ExchangeEnd, ExchangeId, LoadReport, Reach, ServerEntry, ServerKey, ServerReport, ToldHealth,
+    ToldServer,
 };
 
 /// How long a server is taken to remember an object that this instance sent there.
@@ -24,6 +25,9 @@
 const FAILURE_WEIGHT: f64 = 0.2;
 /// The time in which a share of failures fades to a third.
 const FAILURE_FADES_MS: f64 = 4_000.0;
+/// From where on the zone is told that a server is slow, or fails: well above what one odd answer makes.
+const TOLD_SLOWNESS: f64 = 2.0;
+const TOLD_FAILURE_SHARE: f64 = 0.2;
 
 #[derive(Debug, Clone, Copy)]
 struct Flight {
@@ -56,6 +60,12 @@
     slowness_at: TimeMs,
     failure_share: f64,
     failures_at: TimeMs,
+    /// What another instance found, and when.
+    told: Option<(TimeMs, ToldHealth)>,
+    /// Whether this instance has found out something of its health that the zone wasn't told.
+    has_finding: bool,
+    /// Whether the zone was told last that it is slow or fails.
+    is_told_unwell: bool,
     objects: HashMap<u64, TimeMs>,
     answered_at: TimeMs,
 }
@@ -81,6 +91,9 @@
             slowness_at: now,
             failure_share: 0.0,
             failures_at: now,
+            told: None,
+            has_finding: false,
+            is_told_unwell: false,
             objects: HashMap::new(),
             answered_at: TimeMs::ZERO,
         }
@@ -107,6 +120,7 @@
         self.slowness = Slowness::default();
         self.failure_share = 0.0;
         self.failures_at = now;
+        self.told = None;
         self.reach = Reach::Up;
     }
 
@@ -134,19 +148,40 @@
         self.others.estimate(now) + self.flights.len() as f64
     }
 
-    /// How much longer than usual it takes.
+    /// How much longer than usual it takes, as this instance or another one of the zone has found.
     #[must_use]
     pub fn slowness(&self, now: TimeMs) -> f64 {
+        let own = self.own_slowness(now);
+        match self.told {
+            Some((at, told)) if at > self.slowness_at => {
+                let mut faded = Slowness::of(told.slowness);
+                faded.fade(now.since(at).get());
+                own.max(faded.ratio())
+            }
+            _ => own,
+        }
+    }
+
+    /// The share of its exchanges that failed lately, as this instance or another one of the zone has found.
+    #[must_use]
+    pub fn failure_share(&self, now: TimeMs) -> f64 {
+        let own = self.own_failure_share(now);
+        match self.told {
+            Some((at, told)) if at > self.failures_at => {
+                own.max(faded_share(told.failure_share, now.since(at).get()))
+            }
+            _ => own,
+        }
+    }
+
+    fn own_slowness(&self, now: TimeMs) -> f64 {
         let mut faded = self.slowness;
         faded.fade(now.since(self.slowness_at).get());
         faded.ratio()
     }
 
-    /// The share of its exchanges that failed lately.
-    #[must_use]
-    pub fn failure_share(&self, now: TimeMs) -> f64 {
-        let age_ms = now.since(self.failures_at).get() as f64;
-        self.failure_share * (-age_ms / FAILURE_FADES_MS).exp()
+    fn own_failure_share(&self, now: TimeMs) -> f64 {
+        faded_share(self.failure_share, now.since(self.failures_at).get())
     }
 
     /// Whether an exchange of this instance has lasted far longer than usual.
@@ -155,10 +190,17 @@
     /// that haven't ended shows it within a few hundred milliseconds.
     #[must_use]
     pub fn is_stalled(&self, now: TimeMs) -> bool {
-        self.flights.values().any(|flight| {
+        self.stalled(now).is_some()
+    }
+
+    /// How many times the usual time its slowest exchange has lasted, if that shows a stalled server.
+    fn stalled(&self, now: TimeMs) -> Option<f64> {
+        let ratios = self.flights.values().filter_map(|flight| {
             let bound_ms = (flight.expected_ms * STALLED_FACTOR).max(STALLED_LEAST_MS);
-            now.since(flight.sent_at).get() as f64 > bound_ms
-        })
+            let lasted_ms = now.since(flight.sent_at).get() as f64;
+            (lasted_ms > bound_ms).then(|| lasted_ms / flight.expected_ms.max(1.0))
+        });
+        ratios.max_by(f64::total_cmp)
     }
 
     /// When it last answered this instance.
@@ -206,19 +248,27 @@
             self.answered_at = now;
         }
         if let Some(failed) = self.verdict(end, report) {
-            let share = self.failure_share(now);
+            let share = self.own_failure_share(now);
             let sample = if failed { 1.0 } else { 0.0 };
             self.failure_share = share + (sample - share) * FAILURE_WEIGHT;
             self.failures_at = now;
+            self.has_finding |= failed;
         }
         Some(now.since(flight.sent_at).get())
     }
 
-    /// Takes in what it said of its load to another instance, if that is newer.
-    pub(super) fn note_told(&mut self, now: TimeMs, told: &ToldLoad) {
+    /// Takes in what another instance tells of it, as far as that is newer.
+    pub(super) fn note_told(&mut self, now: TimeMs, told: &ToldServer) {
         let said_at = TimeMs::new(now.get().saturating_sub(told.age_ms));
-        if said_at > self.others.noted_at() {
-            self.note_load(said_at, told.load);
+        if let Some(load) = told.load
+            && said_at > self.others.noted_at()
+        {
+            self.note_load(said_at, load);
+        }
+        if let Some(health) = told.health
+            && self.told.is_none_or(|(at, _)| said_at >= at)
+        {
+            self.told = Some((said_at, health));
         }
     }
 
@@ -236,26 +286,51 @@
 
     /// Whether it said something that the zone wasn't told yet.
     pub(super) const fn has_news(&self) -> bool {
-        self.reported.is_some()
+        self.reported.is_some() || self.has_finding
     }
 
-    /// What the zone is to hear of its load: that it has a queue, or no longer has one.
-    pub(super) fn tell_load(&mut self, now: TimeMs) -> Option<ToldLoad> {
-        let (said_at, load) = self.reported.take()?;
-        let is_busy = load.waiting > 0;
-        let was_busy = core::mem::replace(&mut self.is_told_busy, is_busy);
-        (is_busy || was_busy).then(|| ToldLoad {
+    /// What the zone is to hear of it: that it has a queue, is slow or fails, or no longer so.
+    pub(super) fn tell(&mut self, now: TimeMs) -> Option<ToldServer> {
+        let (load, age_ms) = self.tell_load(now).unzip();
+        let health = self.tell_health(now);
+        let is_told = load.is_some() || health.is_some();
+        is_told.then(|| ToldServer {
             server: ServerKey::of(&self.entry.id),
             load,
-            age_ms: now.since(said_at).get(),
+            health,
+            age_ms: age_ms.unwrap_or_default(),
         })
     }
 
+    fn tell_load(&mut self, now: TimeMs) -> Option<(LoadReport, u64)> {
+        let (said_at, load) = self.reported.take()?;
+        let is_busy = load.waiting > 0;
+        let was_busy = core::mem::replace(&mut self.is_told_busy, is_busy);
+        (is_busy || was_busy).then(|| (load, now.since(said_at).get()))
+    }
+
+    fn tell_health(&mut self, now: TimeMs) -> Option<ToldHealth> {
+        let stalled = self.stalled(now);
+        let has_finding = core::mem::take(&mut self.has_finding) || stalled.is_some();
+        if !has_finding {
+            return None;
+        }
+        let health = ToldHealth {
+            slowness: self.own_slowness(now).max(stalled.unwrap_or(1.0)),
+            failure_share: self.own_failure_share(now),
+        };
+        let is_unwell =
+            health.slowness >= TOLD_SLOWNESS || health.failure_share >= TOLD_FAILURE_SHARE;
+        let was_unwell = core::mem::replace(&mut self.is_told_unwell, is_unwell);
+        (is_unwell || was_unwell).then_some(health)
+    }
+
     /// Notes how long an answered request took, without the way there and back.
     pub fn note_time(&mut self, now: TimeMs, took_ms: f64, expected_ms: f64) {
         self.slowness.fade(now.since(self.slowness_at).get());
         self.slowness.note(took_ms, expected_ms);
         self.slowness_at = now;
+        self.has_finding |= self.is_told_unwell || self.slowness.ratio() >= TOLD_SLOWNESS;
     }
 
     /// Notes that the server has handled an object.
@@ -316,3 +391,7 @@
         }
     }
 }
+
+fn faded_share(share: f64, age_ms: u64) -> f64 {
+    share * (-(age_ms as f64) / FAILURE_FADES_MS).exp()
+}
--- a/crates/damaskvane-routing/src/pool/server_pool.rs
+++ b/crates/damaskvane-routing/src/pool/server_pool.rs
@@ -8,7 +8,7 @@
 use crate::pool::server_table::ServerTable;
 use crate::pool::{
     DueProbe, PoolSettings, ProbeResult, Reach, Server, ServerEntry, ServerHandle, ServerMut,
-    ServerState, ServiceServers, ToldLoad, Topology, ZoneIndex,
+    ServerState, ServiceServers, ToldServer, Topology, ZoneIndex,
 };
 
 /// What a piece of news changed, for the log.
@@ -149,20 +149,26 @@
         self.servers.get_mut(handle)
     }
 
-    /// What the zone is to hear of busy servers, those with the longest queues first.
-    pub fn tell_loads(&mut self, now: TimeMs, most: usize) -> Vec<ToldLoad> {
-        let with_news: Vec<_> = self.servers.with_news().iter().copied().collect();
-        let mut told: Vec<_> = with_news
-            .into_iter()
-            .filter_map(|handle| self.servers.get_mut(handle)?.tell_load(now))
+    /// What the zone is to hear of busy and unwell servers, those with the longest queues first.
+    pub fn tell_servers(&mut self, now: TimeMs, most: usize) -> Vec<ToldServer> {
+        let with_news = self.servers.with_news().iter();
+        // An exchange that hangs shows nothing new until it ends, so servers in use are looked at too.
+        let in_use = self.servers.in_use().iter();
+        let looked_at: BTreeSet<ServerHandle> = with_news.chain(in_use).copied().collect();
+        let looked_at = looked_at.into_iter();
+        let mut told: Vec<_> = looked_at
+            .filter_map(|handle| self.servers.get_mut(handle)?.tell(now))
             .collect();
-        told.sort_unstable_by_key(|told| std::cmp::Reverse(told.load.waiting));
+        told.sort_by_key(|told| {
+            let waiting = told.load.map_or(0, |load| load.waiting);
+            std::cmp::Reverse((told.health.is_some(), waiting))
+        });
         told.truncate(most);
         told
     }
 
-    /// Takes in what another instance of the zone tells of busy servers.
-    pub fn note_told_loads(&mut self, now: TimeMs, told: &[ToldLoad]) {
+    /// Takes in what another instance of the zone tells of servers.
+    pub fn note_told(&mut self, now: TimeMs, told: &[ToldServer]) {
         for told in told {
             let handle = self.servers.handle_of_key(told.server);
             if let Some(mut server) = handle.and_then(|handle| self.servers.get_mut(handle)) {
--- a/crates/damaskvane-routing/src/pool/speed.rs
+++ b/crates/damaskvane-routing/src/pool/speed.rs
@@ -82,16 +82,25 @@
     }
 }
 
+/// The highest ratio that is told apart.
+const MOST_RATIO: f64 = 10.0;
 /// The weight of a new sample in a server's ratio: three slow answers show a slow server.
 const RATIO_WEIGHT: f64 = 0.3;
 
 impl Slowness {
     /// Notes a request that took `took_ms` where `expected_ms` is usual.
     pub(super) fn note(&mut self, took_ms: f64, expected_ms: f64) {
-        let ratio = (took_ms / expected_ms.max(1.0)).clamp(0.3, 10.0);
+        let ratio = (took_ms / expected_ms.max(1.0)).clamp(0.3, MOST_RATIO);
         self.ratio += (ratio - self.ratio) * RATIO_WEIGHT;
     }
 
+    /// A finding that was told.
+    pub(super) const fn of(ratio: f64) -> Self {
+        Self {
+            ratio: ratio.clamp(1.0, MOST_RATIO),
+        }
+    }
+
     /// Lets an old finding fade, so that a server which is well again gets work again.
     pub(super) fn fade(&mut self, elapsed_ms: u64) {
         let keep = (-(elapsed_ms as f64) / 6_000.0).exp();
--- a/crates/damaskvane-routing/src/pool/told.rs
+++ b/crates/damaskvane-routing/src/pool/told.rs
@@ -1,8 +1,9 @@
-//! What instances of a zone tell each other of busy servers.
+//! What instances of a zone tell each other of busy and unwell servers.
 //!
 //! A server names its load in each answer. With many instances each of them hears of it about once a second,
 //! and a queue grows and shrinks within half of that. Instances of a zone use the same servers first, so they
-//! hand on what they hear of those that have a queue.
+//! hand on what they hear of those that have a queue. In a large fleet one instance sends a server a request every
+//! few seconds, too few to find out by itself that it turned slow or fails, so they hand that on too.
 
 use damaskvane_core::ids;
 use xxhash_rust::xxh3;
@@ -36,13 +37,25 @@
     }
 }
 
-/// One server's word on its load, as one instance tells another.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ToldLoad {
+/// What one instance tells another of a server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ToldServer {
     /// The server.
     pub server: ServerKey,
-    /// What it said.
-    pub load: LoadReport,
-    /// How long ago, in milliseconds.
+    /// What it said of its load, where it has a queue or no longer has one.
+    pub load: Option<LoadReport>,
+    /// How much longer than usual it takes, and the share of its exchanges that failed, where the teller has found it
+    /// slow or failing, or no longer so.
+    pub health: Option<ToldHealth>,
+    /// How long ago that was, in milliseconds.
     pub age_ms: u64,
 }
+
+/// How a server does, by what one instance saw of it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ToldHealth {
+    /// How much longer than usual it takes; 1 is usual.
+    pub slowness: f64,
+    /// The share of its exchanges that failed.
+    pub failure_share: f64,
+}
--- a/crates/damaskvane-routing/tests/digests.rs
+++ b/crates/damaskvane-routing/tests/digests.rs
@@ -270,3 +270,25 @@
     let to_all = 60 * 59;
     assert!(total < to_all / 2, "{total} of {to_all}");
 }
+
+/// Guards against an instance that starts in a running fleet and knows but a few instances of other zones: callers of a
+/// lost zone that ask it would all be sent to those.
+#[test]
+fn who_speaks_for_a_zone_introduces_a_new_instance_of_it_to_the_other_zones() {
+    let mut speaker = members("east-1", "east-a");
+    for number in 0..20 {
+        speaker.note(at(0), heartbeat(&format!("west-{number}"), "west-a", 1));
+    }
+    let mut new = members("east-2", "east-a");
+    let starting = Heartbeat {
+        phase: Phase::Starting,
+        ..heartbeat("east-2", "east-a", 1)
+    };
+    speaker.note(at(100), starting.clone());
+    for heartbeat in speaker.introduction(at(100), &starting) {
+        new.note(at(110), heartbeat);
+    }
+    assert!((0..20).all(|number| is_usable(&new, 200, &format!("west-{number}"))));
+    let far = heartbeat("west-21", "west-a", 1);
+    assert!(speaker.introduction(at(100), &far).is_empty());
+}
--- a/crates/damaskvane-routing/tests/pool.rs
+++ b/crates/damaskvane-routing/tests/pool.rs
@@ -6,7 +6,7 @@
 
 use damaskvane_routing::pool::{
     Change, ExchangeEnd, ExchangeId, LoadReport, ProbeResult, Reach, ServerEntry, ServerKey,
-    ServerReport, ServerState, ToldLoad,
+    ServerPool, ServerReport, ServerState, ToldServer,
 };
 use support::{at, entry, pool, pool_of, server_id, zone};
 
@@ -138,7 +138,7 @@
     assert!(!is_cold("west-a-0"));
 }
 
-fn end(pool: &mut damaskvane_routing::pool::ServerPool, now_ms: u64, end: ExchangeEnd) {
+fn end(pool: &mut ServerPool, now_ms: u64, end: ExchangeEnd) {
     let mut server = pool
         .server_mut(&server_id("east-a-0"))
         .expect("a known server");
@@ -250,10 +250,10 @@
     server.note_sent(at(800), ExchangeId(1), 100.0);
     server.note_end(at(1_000), ExchangeId(1), ExchangeEnd::Answered, report);
     drop(server);
-    let told = seeing.tell_loads(at(1_100), 8);
+    let told = seeing.tell_servers(at(1_100), 8);
     assert_eq!(told.len(), 1);
-    assert!(seeing.tell_loads(at(1_200), 8).is_empty());
-    hearing.note_told_loads(at(1_100), &told);
+    assert!(seeing.tell_servers(at(1_200), 8).is_empty());
+    hearing.note_told(at(1_100), &told);
     let load_of = |name| {
         hearing
             .server(&server_id(name))
@@ -275,12 +275,13 @@
     server.note_sent(at(800), ExchangeId(1), 100.0);
     server.note_end(at(1_000), ExchangeId(1), ExchangeEnd::Answered, free);
     drop(server);
-    let told = ToldLoad {
+    let told = ToldServer {
         server: ServerKey::of(&server_id("east-a-0")),
-        load: load(6, 9),
+        load: Some(load(6, 9)),
+        health: None,
         age_ms: 300,
     };
-    pool.note_told_loads(at(1_200), &[told]);
+    pool.note_told(at(1_200), &[told]);
     let server = pool.server(&server_id("east-a-0")).expect("a server");
     assert!(server.load(at(1_200)) < 2.0);
 }
@@ -296,6 +297,81 @@
         server.note_sent(now, ExchangeId(number), 100.0);
         server.note_end(now, ExchangeId(number), ExchangeEnd::Answered, report);
         drop(server);
-        assert_eq!(pool.tell_loads(now, 8).len(), usize::from(number < 3));
+        assert_eq!(pool.tell_servers(now, 8).len(), usize::from(number < 3));
+    }
+}
+
+/// A server whose exchanges with one instance all take several times as long as usual.
+fn slow(pool: &mut ServerPool) {
+    let mut server = pool.server_mut(&server_id("east-a-0")).expect("a server");
+    for number in 0..4 {
+        let now = at(1_000 + number * 100);
+        server.note_sent(now, ExchangeId(number), 100.0);
+        server.note_end(
+            now,
+            ExchangeId(number),
+            ExchangeEnd::Answered,
+            ServerReport::default(),
+        );
+        server.note_time(now, 900.0, 100.0);
+    }
+}
+
+/// Guards against a slow server that each instance of a large zone has to find out by itself, with late answers.
+#[test]
+fn a_slow_server_is_told_and_so_is_that_it_is_well_again() {
+    let mut seeing = pool_of(&[("east-a", 1)]);
+    let mut hearing = pool_of(&[("east-a", 1)]);
+    slow(&mut seeing);
+    let slowness = |pool: &ServerPool, now_ms| {
+        let server = pool.server(&server_id("east-a-0")).expect("a server");
+        server.slowness(at(now_ms))
+    };
+    let told = seeing.tell_servers(at(1_400), 8);
+    hearing.note_told(at(1_400), &told);
+    assert!(slowness(&hearing, 1_500) > 3.0);
+    assert!(seeing.tell_servers(at(1_600), 8).is_empty(), "told once");
+    assert!(
+        hearing.tell_servers(at(1_600), 8).is_empty(),
+        "not its own finding"
+    );
+    let mut server = seeing.server_mut(&server_id("east-a-0")).expect("a server");
+    for number in 0..20 {
+        server.note_time(at(2_000 + number), 100.0, 100.0);
     }
+    drop(server);
+    let told = seeing.tell_servers(at(2_100), 8);
+    hearing.note_told(at(2_100), &told);
+    assert!(slowness(&hearing, 2_200) < 1.5);
+}
+
+/// Guards against a word on a server that goes before what the instance itself has seen since.
+#[test]
+fn own_evidence_that_is_newer_goes_before_what_is_told() {
+    let mut seeing = pool_of(&[("east-a", 1)]);
+    let mut hearing = pool_of(&[("east-a", 1)]);
+    slow(&mut seeing);
+    let told = seeing.tell_servers(at(1_400), 8);
+    hearing.note_told(at(1_400), &told);
+    let mut server = hearing
+        .server_mut(&server_id("east-a-0"))
+        .expect("a server");
+    server.note_time(at(1_500), 100.0, 100.0);
+    assert!(server.slowness(at(1_600)) < 1.2);
+}
+
+/// Guards against a server whose exchanges hang, of which nobody hears before one of them ends.
+#[test]
+fn a_server_whose_exchanges_hang_is_told() {
+    let mut pool = pool_of(&[("east-a", 1)]);
+    let mut server = pool.server_mut(&server_id("east-a-0")).expect("a server");
+    server.note_sent(at(1_000), ExchangeId(1), 100.0);
+    drop(server);
+    assert!(pool.tell_servers(at(1_200), 8).is_empty());
+    let told = pool.tell_servers(at(1_600), 8);
+    let health = told.first().and_then(|told| told.health);
+    assert!(
+        health.is_some_and(|health| health.slowness > 5.0),
+        "{told:?}"
+    );
 }
