--- a/crates/damaskvane-routing/src/pool/ring.rs
+++ b/crates/damaskvane-routing/src/pool/ring.rs
@@ -8,10 +8,11 @@
 
 use crate::pool::ServerHandle;
 
-/// Points of a server for each slot that it has: shares of equal servers differ by an eighth or so.
-const POINTS_PER_SLOT: u32 = 24;
+/// Points of a server for each slot that it has: shares of servers with six slots differ by a seventh or so, less than
+/// the number of objects on each by itself, and a thousand servers are taken in quickly on a small machine.
+const POINTS_PER_SLOT: u32 = 8;
 /// Most points of one server; bounds what an odd entry can cost.
-const MOST_POINTS: u32 = 8192;
+const MOST_POINTS: u32 = 1_024;
 
 /// A point of a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
