Rates of popular objects are averaged in their logarithms

Cause: after a tenfold fall of the rate (360 to 12 requests a second for 600 objects) the arithmetic mean of old and new kept objects popular for over 20 s; found by the new test.

Change: the geometric mean, which counts a tenfold rise and fall alike.

Tests: 30 instances that each see six requests a second judge alike what is popular; rare objects stay rare; a tenfold change is followed in steps within ten seconds (upwards) and twenty; speakers' order; samples add up.

--- a/crates/damaskvane-routing/src/placement/popularity.rs
+++ b/crates/damaskvane-routing/src/placement/popularity.rs
@@ -30,6 +30,8 @@
 const VERDICT_LASTS_MS: u64 = 10_000;
 /// How long the first speaker's word goes before another one's.
 const SPEAKER_LASTS_MS: u64 = 4_000;
+/// A rate below which it makes no difference.
+const LEAST_RATE_PER_S: f64 = 0.001;
 /// Steps of the search for a rate; each halves the error.
 const SEARCH_STEPS: u32 = 40;
 /// More requests an object and window than any route sees.
@@ -72,8 +74,10 @@
             let span_s = (span_ms as f64 / 1_000.0).max(0.001);
             let (requests, different) = (self.sample.requests(), self.sample.different());
             let found = requests_an_object(requests, different) / span_s;
+            let found = found.max(LEAST_RATE_PER_S);
             let known = self.per_object_s.unwrap_or(found);
-            let per_object_s = f64::midpoint(known, found);
+            // Rates are met over several powers of ten; in their logarithms a tenfold change counts the same up and down.
+            let per_object_s = (known * found).sqrt();
             // Two limits, so that a rate near one of them doesn't move objects to and fro.
             let limit_per_s = if self.is_popular {
                 settings.rare_per_s
--- /dev/null
+++ b/crates/damaskvane-routing/tests/popularity.rs
@@ -0,0 +1,200 @@
+//! Which objects have a server in each zone, as the instances of a zone judge together.
+
+mod support;
+
+use damaskvane_core::ids;
+use damaskvane_routing::placement::{
+    self, AskedReport, Choice, MOST_STEPS, ObjectSample, Placer, Verdict,
+};
+use damaskvane_routing::pool::ServerPool;
+use rand::{RngExt, SeedableRng};
+use support::{at, configuration, placer, pool_of, route, service_id};
+
+const INSTANCES: usize = 30;
+
+fn speaker() -> ids::InstanceId {
+    "east-a-1".parse().expect("a name")
+}
+
+fn object(number: u64) -> u64 {
+    placement::object_hash(&service_id(), "look", &number.to_string())
+}
+
+/// The instances of a zone, of which the first one judges.
+struct Zone {
+    placers: Vec<Placer>,
+    random: rand_pcg::Pcg32,
+    now_ms: u64,
+}
+
+impl Zone {
+    fn new(seed: u64) -> Self {
+        Self {
+            placers: (0..INSTANCES).map(|_| placer("east-a")).collect(),
+            random: rand_pcg::Pcg32::seed_from_u64(seed),
+            now_ms: 0,
+        }
+    }
+
+    /// A second in which clients of the zone ask so often for one of so many objects; what is judged then.
+    fn second(&mut self, requests: usize, objects: u64) -> Vec<Verdict> {
+        for _ in 0..requests {
+            let instance = self.random.random_range(0..INSTANCES);
+            let number = self.random.random_range(0..objects);
+            self.placers[instance].note_asked(&route(), object(number));
+        }
+        self.now_ms += 1_000;
+        let now = at(self.now_ms);
+        let reports: Vec<AskedReport> = self.placers.iter_mut().map(Placer::take_asked).collect();
+        for report in &reports {
+            self.placers[0].note_report(now, report);
+        }
+        let verdicts = self.placers[0].judge_popularity(now);
+        for placer in &mut self.placers {
+            placer.note_verdicts(now, &speaker(), &verdicts);
+        }
+        verdicts
+    }
+
+    /// The zone where each instance sends an object of its own zone's servers, which only popular ones have.
+    fn zones_of(&mut self, pool: &ServerPool, number: u64) -> Vec<String> {
+        let (route, service) = (route(), service_id());
+        let request = support::request(&route, &service, object(number));
+        let now = at(self.now_ms);
+        let choices = self
+            .placers
+            .iter_mut()
+            .map(|placer| placer.choose(now, pool, &configuration(), &request, INSTANCES));
+        choices
+            .map(|choice| match choice {
+                Choice::Send(pick) => pick.zone.to_string(),
+                Choice::Refuse(refusal) => panic!("refused: {:?}", refusal.reason),
+            })
+            .collect()
+    }
+}
+
+fn steps(verdicts: &[Verdict]) -> u8 {
+    verdicts.first().map_or(0, |verdict| verdict.steps)
+}
+
+/// Guards against instances of a large zone that each see a few requests a second, and judge differently what is
+/// popular: each disagreement is a first run on one more server.
+#[test]
+fn instances_that_see_little_each_find_together_what_is_popular() {
+    let pool = pool_of(&[("east-a", 6), ("east-b", 6), ("west-a", 6)]);
+    for seed in 0..10 {
+        let mut zone = Zone::new(seed);
+        for _ in 0..12 {
+            zone.second(180, 600);
+        }
+        let local = (0..100).filter(|number| {
+            let zones = zone.zones_of(&pool, *number);
+            assert!(zones.iter().all(|one| *one == zones[0]), "seed {seed}");
+            zones[0] == "east-a"
+        });
+        assert!(local.count() >= 70, "seed {seed}");
+    }
+}
+
+/// Guards against further servers for objects that are asked for once in half a minute: each copy is a slow run.
+#[test]
+fn objects_that_are_asked_for_rarely_get_no_further_servers() {
+    for seed in 0..10 {
+        let mut zone = Zone::new(seed);
+        for _ in 0..20 {
+            assert_eq!(steps(&zone.second(9, 600)), 0, "seed {seed}");
+        }
+    }
+}
+
+/// Guards against a verdict that lags behind callers by more than seconds, and against one that comes at once for all
+/// objects: their first runs would fill the servers together.
+#[test]
+fn a_rate_that_changes_tenfold_is_followed_in_steps_within_ten_seconds() {
+    for seed in 0..10 {
+        let mut zone = Zone::new(seed);
+        for _ in 0..8 {
+            zone.second(36, 600);
+        }
+        let mut before = 0;
+        for _ in 0..10 {
+            let now = steps(&zone.second(360, 600));
+            assert!(now <= before + 1, "seed {seed}");
+            before = now;
+        }
+        assert_eq!(before, MOST_STEPS, "seed {seed}");
+        for _ in 0..20 {
+            before = steps(&zone.second(12, 600));
+        }
+        assert_eq!(before, 0, "seed {seed}");
+    }
+}
+
+/// Guards against instances that follow different speakers of their zone.
+#[test]
+fn of_two_that_speak_the_first_one_counts_and_the_second_after_its_silence() {
+    let mut zone = Zone::new(1);
+    let mut verdicts = Vec::new();
+    for _ in 0..8 {
+        verdicts = zone.second(360, 600);
+    }
+    let pool = pool_of(&[("east-a", 6), ("east-b", 6)]);
+    let other = "east-a-2".parse().expect("a name");
+    let rare: Vec<Verdict> = verdicts
+        .iter()
+        .map(|verdict| Verdict {
+            steps: 0,
+            ..*verdict
+        })
+        .collect();
+    let in_zone = |zone: &mut Zone| {
+        let numbers = 0..40;
+        numbers
+            .filter(|number| zone.zones_of(&pool, *number)[0] == "east-a")
+            .count()
+    };
+    let popular = in_zone(&mut zone);
+    let now_ms = zone.now_ms;
+    zone.placers[0].note_verdicts(at(now_ms + 500), &other, &rare);
+    assert_eq!(in_zone(&mut zone), popular);
+    zone.placers[0].note_verdicts(at(now_ms + 6_000), &other, &rare);
+    assert!(in_zone(&mut zone) < popular);
+}
+
+/// Guards against samples that don't add up since each instance left out other objects.
+#[test]
+fn samples_of_instances_add_up_to_the_sample_of_all_they_saw() {
+    let mut random = rand_pcg::Pcg32::seed_from_u64(3);
+    let requests: Vec<(usize, u64)> = (0..2_000)
+        .map(|_| {
+            (
+                random.random_range(0..10),
+                object(random.random_range(0..400)),
+            )
+        })
+        .collect();
+    let sample_of = |wanted: Option<usize>| {
+        let mut placer = placer("east-a");
+        for (instance, object) in &requests {
+            if wanted.is_none_or(|wanted| wanted == *instance) {
+                placer.note_asked(&route(), *object);
+            }
+        }
+        let report = placer.take_asked();
+        report.into_iter().next().expect("a route").1
+    };
+    let samples: Vec<ObjectSample> = (0..10).map(|instance| sample_of(Some(instance))).collect();
+    let all = sample_of(None);
+    let in_all: Vec<u32> = all.objects().map(|(object, _)| object).collect();
+    let halvings = samples.iter().map(ObjectSample::halvings).max();
+    assert!(halvings <= Some(all.halvings()), "{halvings:?}");
+    let mut added = 0;
+    for sample in &samples {
+        let counted = sample
+            .objects()
+            .filter(|(object, _)| in_all.contains(object));
+        added += counted.map(|(_, count)| count).sum::<u32>();
+    }
+    assert_eq!(added, all.requests());
+}
