Who stands in for an object's cold servers isn't taken to remember it

Cause: read: the servers looked at after an object's own counted their places from nought again, and the first of them passed for the object's first server, which is taken to remember it with 0.9.

Change: places go on. choose is split. Test: fails before by the place.

--- a/crates/damaskvane-routing/src/placement/placer.rs
+++ b/crates/damaskvane-routing/src/placement/placer.rs
@@ -102,7 +102,7 @@
             settings.share(service.warmup_per_s, instances)
         });
         let own = own_servers(now, pool, candidates.found(), search);
-        let mut best = self.best_of(now, pool, request, own, cold_share);
+        let mut best = self.best_of(now, pool, request, own, 0, cold_share);
         if best == Err(RefusalReason::Cold) {
             // Where only the cold share stands in the way, a server that doesn't know the object is better
             // than no answer: the cold ones are few, and soon warm.
@@ -114,25 +114,34 @@
             };
             candidates.find(pool, request, wide);
             let others = candidates.found().get(looked_at..).unwrap_or_default();
-            best = self.best_of(now, pool, request, others, cold_share);
+            best = self.best_of(now, pool, request, others, looked_at, cold_share);
         }
         let home = candidates.found().first().copied();
         self.candidates = candidates;
         match best {
-            Ok(pick) if pick.least_ms > request.left_ms as f64 => {
-                self.refuse(RefusalReason::TooLate, request)
-            }
-            Ok(pick) => {
-                let home = home.and_then(|home| pool.at(home)?.region());
-                let server = pool.server(&pick.server);
-                let region = server.and_then(|server| server.region());
-                self.moves.note(now, region != home);
-                Choice::Send(pick)
-            }
+            Ok(pick) => self.send(now, pool, request, home, pick),
             Err(reason) => self.refuse(reason, request),
         }
     }
 
+    /// Sends a request, whose object's first server is `home`, if it can be answered in the time that is left.
+    fn send(
+        &mut self,
+        now: TimeMs,
+        pool: &ServerPool,
+        request: &PlacementRequest<'_>,
+        home: Option<ServerHandle>,
+        pick: Pick,
+    ) -> Choice {
+        if pick.least_ms > request.left_ms as f64 {
+            return self.refuse(RefusalReason::TooLate, request);
+        }
+        let home = home.and_then(|home| pool.at(home)?.region());
+        let region = pool.server(&pick.server).and_then(Server::region);
+        self.moves.note(now, region != home);
+        Choice::Send(pick)
+    }
+
     /// Takes in an answered request: how long its work takes, on this server and everywhere.
     pub fn note_answered(
         &mut self,
@@ -248,20 +257,21 @@
         Some(search)
     }
 
-    /// The server that has room and wins most.
+    /// The server that has room and wins most, of those from this place in the object's order on.
     fn best_of(
         &self,
         now: TimeMs,
         pool: &ServerPool,
         request: &PlacementRequest<'_>,
         candidates: &[ServerHandle],
+        first_rank: usize,
         cold_share: usize,
     ) -> Result<Pick, RefusalReason> {
         let limit = self.settings.load_limit(request.route.priority);
-        let mut best: Option<(Appraisal, usize)> = None;
+        let mut best: Option<(Appraisal, usize, &Server)> = None;
         let mut reason = RefusalReason::NoServer;
         let mut passed_over = None;
-        for (rank, candidate) in candidates.iter().enumerate() {
+        for (rank, candidate) in (first_rank..).zip(candidates) {
             let Some(server) = pool.at(*candidate) else {
                 continue;
             };
@@ -279,12 +289,11 @@
                 continue;
             }
             passed_over.get_or_insert_with(|| appraisal::why_passed_over(now, server));
-            if best.is_none_or(|(best, _)| appraisal.gain > best.gain) {
-                best = Some((appraisal, rank));
+            if best.is_none_or(|(best, _, _)| appraisal.gain > best.gain) {
+                best = Some((appraisal, rank, server));
             }
         }
-        let (appraisal, rank) = best.ok_or(reason)?;
-        let server = pool.at(candidates[rank]).ok_or(reason)?;
+        let (appraisal, rank, server) = best.ok_or(reason)?;
         Ok(appraisal.pick(now, server, request, rank, passed_over))
     }
 
--- a/crates/damaskvane-routing/tests/placement.rs
+++ b/crates/damaskvane-routing/tests/placement.rs
@@ -387,3 +387,36 @@
     let choice = placer("east-a").choose(at(1_000), &pool, &configuration(), &request, 1);
     assert!(matches!(choice, Choice::Refuse(refusal) if refusal.reason == RefusalReason::NoServer));
 }
+
+/// Guards against a server that is taken to remember an object which it never had, since the object's own servers are
+/// cold: usual times would be learned wrong from its slow first run.
+#[test]
+fn who_stands_in_for_cold_servers_is_not_taken_to_remember_the_object() {
+    let mut pool = pool_of(&[("east-a", 4), ("west-a", 4)]);
+    for server in 0..4 {
+        for zone in ["east-a", "west-a"] {
+            let id = server_id(&format!("{zone}-{server}"));
+            pool.server_mut(&id).expect("a server").chill(at(0), 60_000);
+        }
+    }
+    let object = 3 << 32;
+    let own: Vec<_> = (0..2)
+        .map(|_| {
+            let first = pick(&mut pool, "east-a", object).server;
+            let mut server = pool.server_mut(&first).expect("a server");
+            for number in 0..40 {
+                server.note_sent(at(999), ExchangeId(number), 100.0);
+                server.note_end(
+                    at(999),
+                    ExchangeId(number),
+                    ExchangeEnd::Abandoned,
+                    ServerReport::default(),
+                );
+            }
+            first
+        })
+        .collect();
+    let stand_in = pick(&mut pool, "east-a", object);
+    assert!(!own.contains(&stand_in.server));
+    assert!(stand_in.rank >= 2 && !stand_in.is_warm, "{stand_in:?}");
+}
