--- a/crates/damaskvane-routing/src/pool/server.rs
+++ b/crates/damaskvane-routing/src/pool/server.rs
@@ -52,7 +52,7 @@
     others: OthersLoad,
     /// What it said last to this instance, and when.
     reported: Option<(TimeMs, LoadReport)>,
-    /// What it said last, for the load of its region.
+    /// What it said last to this instance, for the load of its region: words that are told concern busy servers only.
     fresh_load: Option<(TimeMs, f64)>,
     /// Whether the zone was told last that it has a queue.
     is_told_busy: bool,
@@ -237,8 +237,9 @@
     ) -> Option<u64> {
         let flight = self.flights.remove(&exchange)?;
         if let Some(load) = report.load {
-            self.note_load(now, load);
+            self.others.note(now, load, self.flights.len());
             self.reported = Some((now, load));
+            self.fresh_load = Some((now, self.load_beside_one(load)));
         }
         self.note_reach(now, end);
         if matches!(
@@ -263,7 +264,7 @@
         if let Some(load) = told.load
             && said_at > self.others.noted_at()
         {
-            self.note_load(said_at, load);
+            self.others.note(said_at, load, self.flights.len());
         }
         if let Some(health) = told.health
             && self.told.is_none_or(|(at, _)| said_at >= at)
@@ -272,11 +273,13 @@
         }
     }
 
-    fn note_load(&mut self, at: TimeMs, load: LoadReport) {
-        self.others.note(at, load, self.flights.len());
+    /// Its load for each slot without the request that was answered.
+    ///
+    /// Requests meet busy servers more often than idle ones, so the mean of what they meet is above the mean of all
+    /// servers, by one request where requests come independently of each other.
+    fn load_beside_one(&self, load: LoadReport) -> f64 {
         let requests = f64::from(load.running) + f64::from(load.waiting);
-        let per_slot = requests / f64::from(self.entry.slots.max(1));
-        self.fresh_load = Some((at, per_slot));
+        (requests - 1.0).max(0.0) / f64::from(self.entry.slots.max(1))
     }
 
     /// What it said of its load since the last call, for each of its slots.
--- a/crates/damaskvane-routing/tests/pool.rs
+++ b/crates/damaskvane-routing/tests/pool.rs
@@ -8,6 +8,7 @@
     Change, ExchangeEnd, ExchangeId, LoadReport, ProbeResult, Reach, ServerEntry, ServerKey,
     ServerPool, ServerReport, ServerState, ToldServer,
 };
+use rand::{RngExt, SeedableRng};
 use support::{at, entry, pool, pool_of, server_id, zone};
 
 /// While the store is away, servers can't renew their entries and lapse. A pool that believed the first
@@ -375,3 +376,47 @@
         "{told:?}"
     );
 }
+
+/// Guards against a region that seems full since busy servers are met more often, and are the only ones told of: its
+/// popular objects would lose their servers in each zone, and cross zones.
+#[test]
+fn a_region_is_as_busy_as_its_servers_are_in_the_mean() {
+    const SERVERS: usize = 100;
+    let mut random = rand_pcg::Pcg32::seed_from_u64(9);
+    let mut pool = pool_of(&[("east-a", SERVERS)]);
+    // Requests on each server, half of its slots in the mean; they come independently of each other.
+    let mut loads = [0_u32; SERVERS];
+    for _ in 0..SERVERS * 3 {
+        loads[random.random_range(0..SERVERS)] += 1;
+    }
+    let all: Vec<usize> = (0..SERVERS)
+        .flat_map(|server| core::iter::repeat_n(server, loads[server] as usize))
+        .collect();
+    for number in 0..2_000 {
+        let met = all[random.random_range(0..all.len())];
+        let now = at(1_000 + number * 10);
+        let id = server_id(&format!("east-a-{met}"));
+        let report = LoadReport {
+            running: loads[met].min(6),
+            waiting: loads[met].saturating_sub(6),
+            slots: 6,
+        };
+        let mut server = pool.server_mut(&id).expect("a server");
+        server.note_sent(now, ExchangeId(number), 100.0);
+        let report = ServerReport { load: Some(report) };
+        server.note_end(now, ExchangeId(number), ExchangeEnd::Answered, report);
+        drop(server);
+        let busy = ToldServer {
+            server: ServerKey::of(&server_id("east-a-0")),
+            load: Some(load(6, 18)),
+            health: None,
+            age_ms: 0,
+        };
+        pool.note_told(now, &[busy]);
+    }
+    let topology = pool.topology();
+    let zone = topology.zone(&zone("east-a")).expect("a zone");
+    let servers = pool.service(&support::service_id()).expect("servers");
+    let load = servers.load(at(21_000), topology, topology.region_of(zone));
+    assert!((0.4..0.6).contains(&load), "{load}");
+}
