--- a/crates/damaskvane-gateway/src/store/feed/listen.rs
+++ b/crates/damaskvane-gateway/src/store/feed/listen.rs
@@ -22,6 +22,9 @@
 const HOP_AGE_MS: u64 = 25;
 /// The pause before another source is tried in place of one that knows nothing fresh.
 const STALE_PAUSE: Duration = Duration::from_millis(150);
+/// The same for an instance that the store doesn't answer, which depends on finding one that it answers, and between two
+/// tries of such an instance.
+const LOST_PAUSE: Duration = Duration::from_millis(30);
 /// How long an instance hears from a source that isn't its best one before it tries that again.
 const SECOND_BEST_SPAN: Duration = Duration::from_secs(10);
 
@@ -47,7 +50,16 @@
                 turn += 1;
             }
         }
-        tokio::time::sleep(LOOK_PAUSE).await;
+        tokio::time::sleep(pause(&node, LOOK_PAUSE)).await;
+    }
+}
+
+/// This pause, or a short one where the store doesn't answer the instance.
+fn pause(node: &Rc<Node>, usual: Duration) -> Duration {
+    if node.store.is_own_contact_lost() {
+        LOST_PAUSE
+    } else {
+        usual
     }
 }
 
@@ -74,7 +86,7 @@
             } => {
                 if !take_alive(node, store_age_ms, answered.map(StartKey::from_wire)) {
                     // Another one may know more; if the store is away for all, there is no hurry.
-                    tokio::time::sleep(STALE_PAUSE).await;
+                    tokio::time::sleep(pause(node, STALE_PAUSE)).await;
                     return Ok(());
                 }
             }
--- a/crates/damaskvane-gateway/src/store/freshness.rs
+++ b/crates/damaskvane-gateway/src/store/freshness.rs
@@ -22,8 +22,8 @@
 /// The same for an instance that hears from a relay which itself hears from another one.
 const STORE_STALE_BEHIND_RELAY_MS: u64 = 1_400;
 /// How long an instance waits for its source before it watches the store: a relay, and one that no other relies on.
-const PATIENCE_RELAY_MS: u64 = 300;
-const PATIENCE_MS: u64 = 600;
+const PATIENCE_RELAY_MS: u64 = 200;
+const PATIENCE_MS: u64 = 400;
 /// How long a new process listens for heartbeats before it takes itself for a watcher: instances that start together
 /// have heard each other by then, and only the first of them watch the store.
 const SETTLED_MS: u64 = 450;
@@ -120,7 +120,11 @@
     if is_lost {
         let usable = state.members.usable(now);
         let others = usable.filter(|one| one.instance != settings.instance);
-        addresses.extend(others.map(|one| one.peer_address));
+        let mut others: Vec<_> = others.map(|one| one.peer_address).collect();
+        // Those that lose the store together don't all ask the same ones first.
+        let first = spread % others.len().max(1);
+        others.rotate_left(first);
+        addresses.extend(others);
     }
     addresses.dedup();
     match (watch, rank) {
