Members are split: roster, outreach, caller, relays

Ruled out: several impl blocks of one type over files. Change: the roster knows who is alive and makes and takes digests, Outreach says where heartbeats go, Caller answers look-ups, relay.rs picks relays and watchers; logic moved unchanged.

--- a/crates/damaskvane-routing/src/peers.rs
+++ b/crates/damaskvane-routing/src/peers.rs
@@ -7,11 +7,13 @@
 //! assert!(settings.silence_ms > settings.heartbeat_ms);
 //! ```
 
+mod caller;
 mod digest;
 mod heartbeat;
 mod listed;
 mod listing;
 mod members;
+mod outreach;
 mod relay;
 mod roster;
 mod settings;
--- a/crates/damaskvane-routing/src/peers/members.rs
+++ b/crates/damaskvane-routing/src/peers/members.rs
@@ -6,11 +6,12 @@
 use damaskvane_core::ids;
 use damaskvane_core::time::TimeMs;
 
+use crate::peers::caller::Caller;
 use crate::peers::listing::Listing;
-use crate::peers::roster::{Member, Roster};
-use crate::peers::{
-    Digest, DigestEntry, Heartbeat, ListedInstance, PeerSettings, Phase, Relay, StartKey,
-};
+use crate::peers::outreach::Outreach;
+use crate::peers::relay;
+use crate::peers::roster::Roster;
+use crate::peers::{Digest, Heartbeat, ListedInstance, PeerSettings, Phase, Relay};
 
 /// The entry instances, as this one sees them.
 #[derive(Debug)]
@@ -25,12 +26,7 @@
     news: BTreeSet<ids::InstanceId>,
     /// Whether the own record is in the store.
     is_registered: bool,
-    /// Whether the next heartbeat goes to listed instances of other zones that were never heard.
-    greets_next: bool,
-    /// Where instances may be found before the platform's list was read.
-    seeds: Vec<net::SocketAddr>,
-    /// When the own process last changed its phase.
-    own_phase_at: Option<TimeMs>,
+    outreach: Outreach,
 }
 
 impl Members {
@@ -44,22 +40,20 @@
         listing.note_heard(&own);
         Self {
             settings,
-            own,
             regions: regions.into_iter().collect(),
-            roster: Roster::default(),
+            roster: Roster::new(settings, own.clone()),
+            own,
             listing,
             zones_at: HashMap::new(),
             news: BTreeSet::new(),
             is_registered: false,
-            greets_next: false,
-            seeds: Vec::new(),
-            own_phase_at: None,
+            outreach: Outreach::new(settings),
         }
     }
 
     /// Tells where instances may be found before the platform's list was read.
     pub fn set_seeds(&mut self, seeds: impl IntoIterator<Item = net::SocketAddr>) {
-        self.seeds = seeds.into_iter().collect();
+        self.outreach.set_seeds(seeds);
     }
 
     /// Takes in the platform's list of instances.
@@ -105,7 +99,7 @@
     /// Whether the instance is the first of its zone that the platform's list names.
     #[must_use]
     pub fn is_first_listed(&self) -> bool {
-        let own_zone = self.own_zone();
+        let own_zone = self.roster.own_zone();
         let listed = self.listing.listed();
         let mut of_zone = listed.filter(|listed| listed.zone.as_ref() == own_zone);
         of_zone
@@ -116,7 +110,7 @@
     /// Whether the own zone is one of those whose first instance watches the store for the region.
     #[must_use]
     pub fn is_of_first_zones(&self) -> bool {
-        let Some(own) = self.own_zone() else {
+        let Some(own) = self.roster.own_zone() else {
             return false;
         };
         let region = self.regions.get(own);
@@ -130,7 +124,7 @@
     /// Lets the next heartbeat go to the first listed instances of other zones: those that start together with this
     /// one hear of each other by it.
     pub const fn greet(&mut self) {
-        self.greets_next = true;
+        self.outreach.greet();
     }
 
     /// Takes in that the own record is in the store.
@@ -169,7 +163,7 @@
         if is_same_start {
             let has_changed = known.heartbeat.phase != heartbeat.phase;
             if has_changed && heartbeat.instance == self.own {
-                self.own_phase_at = Some(now);
+                self.outreach.note_own_phase(now);
             }
             known.heartbeat = heartbeat;
             known.heard_at = now;
@@ -194,7 +188,7 @@
 
     fn note_news(&mut self, instance: &ids::InstanceId) {
         let member = self.roster.get(instance);
-        if member.is_some_and(|member| self.is_in_own_zone(member)) {
+        if member.is_some_and(|member| self.roster.is_in_own_zone(member)) {
             self.news.insert(instance.clone());
         }
     }
@@ -220,12 +214,12 @@
     /// its own: nobody else tells it of instances that neither start nor change.
     #[must_use]
     pub fn introduction(&self, now: TimeMs, heartbeat: &Heartbeat) -> Vec<Heartbeat> {
-        let is_near = self.own_zone() == Some(&heartbeat.zone);
+        let is_near = self.roster.own_zone() == Some(&heartbeat.zone);
         if !is_near || heartbeat.instance == self.own || !self.is_speaker(now) {
             return Vec::new();
         }
         let zones = self.roster.zones().filter(|zone| **zone != heartbeat.zone);
-        let ready = zones.flat_map(|zone| self.alive_in(now, zone, Phase::Ready));
+        let ready = zones.flat_map(|zone| self.roster.alive_in(now, zone, Phase::Ready));
         ready.cloned().collect()
     }
 
@@ -235,7 +229,7 @@
             && own.heartbeat.phase != phase
         {
             own.heartbeat.phase = phase;
-            self.own_phase_at = Some(now);
+            self.outreach.note_own_phase(now);
             self.news.insert(self.own.clone());
         }
     }
@@ -244,37 +238,13 @@
     ///
     /// Only starts that were heard before are known by their keys; a start that is unknown tells of itself.
     pub fn note_digest(&mut self, now: TimeMs, digest: &Digest) {
-        for entry in &digest.entries {
-            let Some(member) = self.roster.by_key_mut(entry.key) else {
-                continue;
-            };
-            // An older count may be from before the word that the instance leaves.
-            if entry.serial < member.heartbeat.serial {
-                continue;
-            }
-            let heard_at = TimeMs::new(now.get().saturating_sub(entry.age_ms));
-            member.heartbeat.serial = entry.serial;
-            member.heartbeat.phase = entry.phase;
-            member.heard_at = member.heard_at.max(heard_at);
-        }
+        self.roster.note_digest(now, digest);
     }
 
     /// What the other zones are to hear of this one, if this instance speaks for it.
     #[must_use]
     pub fn digest(&self, now: TimeMs) -> Option<Digest> {
-        if !self.is_speaker(now) {
-            return None;
-        }
-        let entries = self.in_own_zone().map(|member| DigestEntry {
-            key: StartKey::of(&member.heartbeat),
-            serial: member.heartbeat.serial,
-            phase: member.heartbeat.phase,
-            age_ms: now.since(member.heard_at).get(),
-        });
-        let entries = entries
-            .filter(|entry| entry.age_ms < self.settings.silence_ms)
-            .collect();
-        Some(Digest { entries })
+        self.is_speaker(now).then(|| self.roster.digest(now))
     }
 
     /// Where digests go: the first instances of each other zone, which hand them on within it.
@@ -286,10 +256,11 @@
         if !self.is_speaker(now) {
             return Vec::new();
         }
-        let own_zone = self.own_zone();
+        let own_zone = self.roster.own_zone();
         let others = self.roster.zones().filter(|zone| Some(*zone) != own_zone);
         let most = self.settings.digest_receivers_per_zone;
-        let receivers = others.flat_map(|zone| self.alive_in(now, zone, Phase::Ready).take(most));
+        let receivers =
+            others.flat_map(|zone| self.roster.alive_in(now, zone, Phase::Ready).take(most));
         receivers.map(|one| one.peer_address).collect()
     }
 
@@ -305,83 +276,23 @@
     /// Whether this instance speaks for its zone.
     #[must_use]
     pub fn is_speaker(&self, now: TimeMs) -> bool {
-        let mut speakers = self.speaking(now);
-        speakers.any(|member| member.heartbeat.instance == self.own)
+        self.roster.is_speaker(now)
     }
 
     /// Where the instances are that speak for the own zone, but for this one.
     #[must_use]
     pub fn speakers(&self, now: TimeMs) -> Vec<net::SocketAddr> {
-        let speaking = self.speaking(now);
+        let speaking = self.roster.speaking(now);
         let others = speaking.filter(|member| member.heartbeat.instance != self.own);
         others.map(|member| member.heartbeat.peer_address).collect()
     }
 
-    fn speaking(&self, now: TimeMs) -> impl Iterator<Item = &Member> {
-        let limit = self.settings.speaker_silence_ms;
-        let speakers = self.in_own_zone().filter(move |member| {
-            let is_own = member.heartbeat.instance == self.own;
-            let is_heard = is_own || now.since(member.heard_at).get() < limit;
-            is_heard && member.heartbeat.phase == Phase::Ready
-        });
-        speakers.take(self.settings.speakers_per_zone)
-    }
-
-    fn in_own_zone(&self) -> impl Iterator<Item = &Member> {
-        let zone = self.own_zone().into_iter();
-        zone.flat_map(|zone| self.roster.of_zone(zone))
-    }
-
-    fn is_in_own_zone(&self, member: &Member) -> bool {
-        self.own_zone() == Some(&member.heartbeat.zone)
-    }
-
-    fn own_zone(&self) -> Option<&ids::AvailabilityZoneId> {
-        let own = self.roster.get(&self.own);
-        own.map(|own| &own.heartbeat.zone)
-    }
-
     /// Where a heartbeat goes: to the own zone, to the first instances of other zones that were never heard, and
     /// now and then to all. Other zones hear the rest from those that speak for this one.
     #[must_use]
     pub fn recipients(&mut self, now: TimeMs, serial: u64) -> Vec<net::SocketAddr> {
-        let is_to_all = self.is_to_all(now, serial);
-        let is_greeting = serial.is_multiple_of(self.settings.beats_between_greetings);
-        let greets = core::mem::take(&mut self.greets_next) || is_greeting;
-        let own_zone = self.own_zone();
-        let mut greeted: BTreeMap<&ids::AvailabilityZoneId, usize> = BTreeMap::new();
-        let most = self.settings.digest_receivers_per_zone;
-        let unheard = self.listing.unheard().filter(|listed| match &listed.zone {
-            Some(zone) if Some(zone) != own_zone => {
-                let count = greeted.entry(zone).or_default();
-                *count += 1;
-                is_to_all || (greets && *count <= most)
-            }
-            _ => true,
-        });
-        let mut recipients: Vec<_> = unheard.map(|listed| listed.peer_address).collect();
-        let is_other = |member: &&Member| member.heartbeat.instance != self.own;
-        if is_to_all {
-            let heard = self.roster.members().filter(is_other);
-            recipients.extend(heard.map(|member| member.heartbeat.peer_address));
-        } else {
-            let heard = self.in_own_zone().filter(is_other);
-            recipients.extend(heard.map(|member| member.heartbeat.peer_address));
-        }
-        recipients.extend(self.seeds_to_ask());
-        recipients
-    }
-
-    /// The seeds, as long as neither the list nor a ready instance is known.
-    fn seeds_to_ask(&self) -> impl Iterator<Item = net::SocketAddr> {
-        let knows_ready = self.roster.members().any(|member| {
-            member.heartbeat.instance != self.own && member.heartbeat.phase == Phase::Ready
-        });
-        let own = self.roster.get(&self.own);
-        let own_address = own.map(|own| own.heartbeat.peer_address);
-        let is_asking = !self.listing.is_whole() && !knows_ready;
-        let seeds = self.seeds.iter().copied().filter(move |_| is_asking);
-        seeds.filter(move |seed| Some(*seed) != own_address)
+        self.outreach
+            .recipients(&self.roster, &self.listing, now, serial)
     }
 
     /// The own heartbeat that answers one of another instance, if that one is looking for others.
@@ -390,7 +301,7 @@
     /// for the next heartbeat to all, and serve nobody until then.
     #[must_use]
     pub fn answer_to(&self, heartbeat: &Heartbeat) -> Option<&Heartbeat> {
-        let own = self.roster.get(&self.own).map(|own| &own.heartbeat)?;
+        let own = self.roster.own_member().map(|own| &own.heartbeat)?;
         let is_useful = own.phase == Phase::Ready && heartbeat.phase == Phase::Starting;
         is_useful.then_some(own)
     }
@@ -398,10 +309,10 @@
     /// The other instances of the own zone that are at work.
     #[must_use]
     pub fn neighbours(&self, now: TimeMs) -> Vec<net::SocketAddr> {
-        let Some(zone) = self.own_zone() else {
+        let Some(zone) = self.roster.own_zone() else {
             return Vec::new();
         };
-        let in_zone = self.alive_in(now, zone, Phase::Ready);
+        let in_zone = self.roster.alive_in(now, zone, Phase::Ready);
         let others = in_zone.filter(|one| one.instance != self.own);
         others.map(|one| one.peer_address).collect()
     }
@@ -419,24 +330,6 @@
         others.map(|(_, address)| address).collect()
     }
 
-    fn is_to_all(&self, now: TimeMs, serial: u64) -> bool {
-        let own = self.roster.get(&self.own).map(|own| own.heartbeat.phase);
-        // Nobody may speak for the zone any more: who is the last one of it tells everybody itself that it leaves.
-        let leaves_alone = own == Some(Phase::Leaving)
-            && self.own_phase_at.is_some_and(|at| {
-                now.since(at).get() < self.settings.silence_ms && !self.has_speaker(now)
-            });
-        // One datagram a heartbeat on average, however large the fleet is.
-        let fleet = u64::try_from(self.roster.len()).unwrap_or(u64::MAX);
-        let repairs = self.settings.beats_between_repairs.max(fleet);
-        leaves_alone || serial.is_multiple_of(repairs)
-    }
-
-    fn has_speaker(&self, now: TimeMs) -> bool {
-        let zone = self.own_zone();
-        zone.is_some_and(|zone| self.alive_in(now, zone, Phase::Ready).next().is_some())
-    }
-
     /// The most instances that may be at work: the divisor of every shared limit.
     ///
     /// Too small a divisor would break a limit, too large a one only wastes some of it, so instances that
@@ -454,30 +347,7 @@
     /// The instances that clients may use, with their zones.
     pub fn usable(&self, now: TimeMs) -> impl Iterator<Item = &Heartbeat> {
         let zones = self.roster.zones();
-        zones.flat_map(move |zone| self.alive_in(now, zone, Phase::Ready))
-    }
-
-    /// The instances of a zone in a phase that are not silent, in the order of their names.
-    fn alive_in(
-        &self,
-        now: TimeMs,
-        zone: &ids::AvailabilityZoneId,
-        phase: Phase,
-    ) -> impl Iterator<Item = &Heartbeat> {
-        let alive = self.roster.of_zone(zone).filter(move |member| {
-            let is_own = member.heartbeat.instance == self.own;
-            let is_heard = now.since(member.heard_at).get() < self.silence_ms(member);
-            member.heartbeat.phase == phase && (is_own || is_heard)
-        });
-        alive.map(|member| &member.heartbeat)
-    }
-
-    fn silence_ms(&self, member: &Member) -> u64 {
-        if self.is_in_own_zone(member) {
-            self.settings.silence_ms
-        } else {
-            self.settings.other_zone_silence_ms
-        }
+        zones.flat_map(move |zone| self.roster.alive_in(now, zone, Phase::Ready))
     }
 
     /// The instances of a zone that hand changes on to the others.
@@ -487,16 +357,7 @@
     /// which lasts until the first configuration is written, instances that are starting do it for the others.
     #[must_use]
     pub fn relays(&self, now: TimeMs, zone: &ids::AvailabilityZoneId) -> Vec<Relay> {
-        let relays_in = |phase: Phase| {
-            let relays = self.alive_in(now, zone, phase);
-            let first = relays.take(self.settings.relays_per_zone);
-            first.map(Relay::of).collect::<Vec<_>>()
-        };
-        let ready = relays_in(Phase::Ready);
-        if ready.is_empty() {
-            return relays_in(Phase::Starting);
-        }
-        ready
+        relay::of_zone(&self.roster, now, zone, self.settings.relays_per_zone)
     }
 
     /// The instances of a region that watch the store for it: the first one of some of its zones.
@@ -505,18 +366,14 @@
     /// digests that it hears; two that disagree cost some calls.
     #[must_use]
     pub fn watchers(&self, now: TimeMs, region: &ids::RegionId) -> Vec<Relay> {
-        let watchers_in = |phase: Phase| {
-            let zones = self.roster.zones();
-            let zones = zones.filter(|zone| self.regions.get(*zone) == Some(region));
-            let first = zones.filter_map(|zone| self.alive_in(now, zone, phase).next());
-            let watchers = first.take(self.settings.watchers_per_region);
-            watchers.map(Relay::of).collect::<Vec<_>>()
-        };
-        let ready = watchers_in(Phase::Ready);
-        if ready.is_empty() {
-            return watchers_in(Phase::Starting);
-        }
-        ready
+        let zones = self.roster.zones();
+        let of_region = zones.filter(|zone| self.regions.get(*zone) == Some(region));
+        relay::of_first_zones(
+            &self.roster,
+            now,
+            of_region,
+            self.settings.watchers_per_region,
+        )
     }
 
     /// The client addresses for a caller: of its own zone, or else of its region, or else of the regions
@@ -529,23 +386,11 @@
         region: Option<&ids::RegionId>,
         allowed_regions: &[ids::RegionId],
     ) -> Vec<net::SocketAddr> {
-        let in_zone = |of: &ids::AvailabilityZoneId| Some(of) == zone;
-        let in_region =
-            |of: &ids::AvailabilityZoneId| region.is_some() && self.regions.get(of) == region;
-        let is_allowed = |of: &ids::AvailabilityZoneId| {
-            let region = self.regions.get(of);
-            region.is_some_and(|region| allowed_regions.contains(region))
+        let caller = Caller {
+            zone,
+            region,
+            allowed_regions,
         };
-        let tiers: [&dyn Fn(&ids::AvailabilityZoneId) -> bool; 4] =
-            [&in_zone, &in_region, &is_allowed, &|_| true];
-        for tier in tiers {
-            let zones = self.roster.zones().filter(|of| tier(of));
-            let usable = zones.flat_map(|of| self.alive_in(now, of, Phase::Ready));
-            let addresses: Vec<_> = usable.map(|one| one.client_address).collect();
-            if !addresses.is_empty() {
-                return addresses;
-            }
-        }
-        Vec::new()
+        caller.nearest(&self.roster, &self.regions, now)
     }
 }
