--- a/crates/damaskvane-routing/tests/support/mod.rs
+++ b/crates/damaskvane-routing/tests/support/mod.rs
@@ -8,8 +8,8 @@
 use damaskvane_routing::configuration::{
     Configuration, Destination, Limits, Route, RouteKind, Service,
 };
-use damaskvane_routing::placement::{PlacementRequest, PlacementSettings, Placer};
-use damaskvane_routing::pool::{PoolSettings, ServerEntry, ServerPool, ServerState};
+use damaskvane_routing::placement::{Choice, Pick, PlacementRequest, PlacementSettings, Placer};
+use damaskvane_routing::pool::{ExchangeId, PoolSettings, ServerEntry, ServerPool, ServerState};
 
 pub const SERVICE: &str = "desk";
 
@@ -124,3 +124,23 @@
         spread: 0.5,
     }
 }
+
+pub fn choose(pool: &mut ServerPool, own_zone: &str, object: u64) -> Choice {
+    let (route, service) = (route(), service_id());
+    let request = request(&route, &service, object);
+    placer(own_zone).choose(at(1_000), pool, &configuration(), &request, 1)
+}
+
+pub fn pick(pool: &mut ServerPool, own_zone: &str, object: u64) -> Pick {
+    match choose(pool, own_zone, object) {
+        Choice::Send(pick) => pick,
+        Choice::Refuse(refusal) => panic!("refused: {:?}", refusal.reason),
+    }
+}
+
+pub fn fill(pool: &mut ServerPool, name: &str, count: u64) {
+    let mut server = pool.server_mut(&server_id(name)).expect("a known server");
+    for number in 0..count {
+        server.note_sent(at(999), ExchangeId(number), 100.0);
+    }
+}
