--- a/crates/damaskvane-routing/src/pool/server_pool.rs
+++ b/crates/damaskvane-routing/src/pool/server_pool.rs
@@ -144,11 +144,6 @@
         self.servers.get(handle)
     }
 
-    /// A server by its short name, to note something of it.
-    pub fn at_mut(&mut self, handle: ServerHandle) -> Option<ServerMut<'_>> {
-        self.servers.get_mut(handle)
-    }
-
     /// What the zone is to hear of busy and unwell servers, those with the longest queues first.
     pub fn tell_servers(&mut self, now: TimeMs, most: usize) -> Vec<ToldServer> {
         let with_news = self.servers.with_news().iter();
