Tell why an instance grants no slots of a server

An operator saw the phase of a server, but neither why an instance that runs grants nothing, nor for whom it waits, nor until when.

SlotExchange::status now has `blocked`: the reason (exchange::BlockedBy), the instances waited for, and the end of the wait. The end of a wait carries what set it: leases of earlier owners, a fenced or delisted instance, the report of another instance, or fences before this instance's start. SlotCounters::blocked_ms holds the time of each reason, counted at ticks.

Nothing that is sent or waited for changes.

--- a/crates/damaskvane-slots/src/claim.rs
+++ b/crates/damaskvane-slots/src/claim.rs
@@ -32,6 +32,7 @@
     consents: BTreeMap<ids::InstanceId, ids::Incarnation>,
     reports: BTreeMap<GrantKey, Grant>,
     not_before: time::TimeMs,
+    delayed_by: Option<ids::InstanceId>,
 }
 
 impl Claim {
@@ -44,6 +45,7 @@
             consents: BTreeMap::new(),
             reports: BTreeMap::new(),
             not_before: time::TimeMs::ZERO,
+            delayed_by: None,
         }
     }
 
@@ -69,11 +71,20 @@
         self.consents.contains_key(instance)
     }
 
-    /// Postpones the first grant of the new owner to `not_before`.
+    /// Postpones the first grant of the new owner to `not_before`, as instance `by` reported.
     ///
     /// Until then an instance that was fenced (lost the right to own servers) may still grant or use slots.
-    pub fn delay(&mut self, not_before: time::TimeMs) {
-        self.not_before = self.not_before.max(not_before);
+    pub fn delay(&mut self, not_before: time::TimeMs, by: &ids::InstanceId) {
+        if not_before > self.not_before {
+            self.not_before = not_before;
+            self.delayed_by = Some(by.clone());
+        }
+    }
+
+    /// Returns the instance whose report set [`Self::not_before`]; `None` if none was reported.
+    #[must_use]
+    pub const fn delayed_by(&self) -> Option<&ids::InstanceId> {
+        self.delayed_by.as_ref()
     }
 
     /// Returns until when a fenced instance may still grant or use slots; zero if none was reported.
--- a/crates/damaskvane-slots/src/counters.rs
+++ b/crates/damaskvane-slots/src/counters.rs
@@ -11,6 +11,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::exchange::BlockedBy;
 use crate::message::RefusalReason;
 
 /// Counters of one instance since its start, over all backend servers.
@@ -43,4 +44,9 @@
     /// proven to have stopped or lost its rights, or is an earlier incarnation (start of its process), or
     /// because they are for another incarnation of this instance.
     pub old_messages: u64,
+    /// Time in milliseconds, summed over the backend servers, during which this instance was to grant slots
+    /// as the assigned instance, the claimant or the owner, and granted none, by reason.
+    ///
+    /// The time between two ticks counts in full for the reason that holds at the later one.
+    pub blocked_ms: BTreeMap<BlockedBy, u64>,
 }
--- a/crates/damaskvane-slots/src/exchange.rs
+++ b/crates/damaskvane-slots/src/exchange.rs
@@ -39,13 +39,18 @@
 
 mod acquiring;
 mod assignment;
+mod blocked;
+mod blocked_by;
 mod claiming;
 mod event;
 mod granting;
 mod server;
 mod slot_exchange;
 mod status;
+mod wait;
 
+pub use blocked::Blocked;
+pub use blocked_by::BlockedBy;
 pub use event::{Action, Event, ServerSlots};
 pub use slot_exchange::{Finish, SlotExchange, Unavailable};
 pub use status::{OwnerPhase, ServerStatus};
--- a/crates/damaskvane-slots/src/exchange/acquiring.rs
+++ b/crates/damaskvane-slots/src/exchange/acquiring.rs
@@ -53,6 +53,7 @@
             self.counters.dropped_owner_messages += 1;
             return;
         }
+        server.owner_refuses = refuses_slots(message).unwrap_or(server.owner_refuses);
         match *message {
             SlotMessage::Granted {
                 number,
@@ -176,3 +177,17 @@
         }
     }
 }
+
+/// Returns whether the message shows that its sender grants no slots; `None` if it shows neither.
+///
+/// An owner that waits for leases of earlier owners renews those that it knows, but grants none.
+const fn refuses_slots(message: &SlotMessage) -> Option<bool> {
+    match message {
+        SlotMessage::Granted { .. } | SlotMessage::Recall { .. } => Some(false),
+        SlotMessage::Refused {
+            reason: RefusalReason::NotOwner | RefusalReason::Waiting | RefusalReason::NoAuthority,
+            ..
+        } => Some(true),
+        _ => None,
+    }
+}
--- a/crates/damaskvane-slots/src/exchange/claiming.rs
+++ b/crates/damaskvane-slots/src/exchange/claiming.rs
@@ -10,8 +10,10 @@
 use damaskvane_membership::view;
 
 use crate::claim::Claim;
+use crate::exchange::blocked_by::BlockedBy;
 use crate::exchange::server::{InstanceIncarnation, Ownership};
 use crate::exchange::slot_exchange::SlotExchange;
+use crate::exchange::wait::Wait;
 use crate::ledger::{Grant, SlotLedger};
 use crate::message::{HeldLease, LedgerHandover, SlotMessage};
 
@@ -132,7 +134,7 @@
 
     /// Returns all other instances of the zone that are not proven gone, including those that send no
     /// heartbeats.
-    fn others(&self) -> impl Iterator<Item = &view::RosterMember> {
+    pub(super) fn others(&self) -> impl Iterator<Item = &view::RosterMember> {
         self.roster
             .members
             .iter()
@@ -150,35 +152,45 @@
         if !has_all_consents || !self.has_authority() || !self.roster.may_take_over {
             return;
         }
-        let until = self.last_possible_use(name) + self.settings.expiry_ms();
+        let wait = self.last_possible_use(name);
+        let wait = wait.extended(self.settings.expiry_ms());
         self.counters.waited_out += 1;
         let consented = self.claim(name).map(Claim::consents);
         if let Some(server) = self.servers.get_mut(name) {
             server.consented = consented;
         }
-        self.complete(name, Vec::new(), until);
+        self.complete(name, Vec::new(), wait);
     }
 
-    /// Returns the time after which no gone instance can still grant or use slots.
+    /// Returns the time after which no gone instance can still grant or use slots, and what sets it.
     ///
     /// A new instance does not know which instances were fenced before it started; the consents report them.
     /// A gone instance can't report the fenced ones that it knew of. If any instance is gone, this instance
     /// therefore also waits until `unknown_fence_ms` after its start.
-    fn last_possible_use(&self, name: &ids::BackendServerId) -> time::TimeMs {
-        let reported = self.claim(name).map(Claim::not_before);
-        let gone = self.roster.members.iter().filter_map(|member| member.gone);
-        let gone_from = gone.map(|gone| gone.from).max();
-        let unknown = self
-            .started_at
-            .filter(|_| gone_from.is_some())
-            .map(|started_at| started_at + self.settings.unknown_fence_ms);
-        let last = gone_from.max(reported).max(unknown);
-        last.unwrap_or(self.now).max(self.now)
+    fn last_possible_use(&self, name: &ids::BackendServerId) -> Wait {
+        let gone = self.roster.members.iter().filter_map(|member| {
+            let instance = Some(member.instance.clone());
+            let gone = member.gone?;
+            Some(Wait::new(BlockedBy::StoppingInstance, instance, gone.from))
+        });
+        let gone = gone.reduce(Wait::max);
+        let reported = self.claim(name).map(|claim| {
+            let reporter = claim.delayed_by().cloned();
+            Wait::new(BlockedBy::ReportedStop, reporter, claim.not_before())
+        });
+        let started_at = self.started_at.filter(|_| gone.is_some());
+        let unknown = started_at.map(|started_at| {
+            let until = started_at + self.settings.unknown_fence_ms;
+            Wait::new(BlockedBy::UnknownFences, None, until)
+        });
+        let leases = Wait::new(BlockedBy::EarlierLeases, None, self.now);
+        let waits = gone.into_iter().chain(reported).chain(unknown);
+        waits.fold(leases, Wait::max)
     }
 
     /// Makes this instance the owner, with the grants of the previous owner's ledger and the leases that
-    /// holders reported. Slots are granted from `until` on.
-    fn complete(&mut self, name: &ids::BackendServerId, handed: Vec<Grant>, until: time::TimeMs) {
+    /// holders reported. Slots are granted from the end of `wait` on.
+    fn complete(&mut self, name: &ids::BackendServerId, handed: Vec<Grant>, wait: Wait) {
         let (now, own) = (self.now, self.own.clone());
         let margin = self.settings.margin_ms;
         let Some(server) = self.servers.get_mut(name) else {
@@ -198,7 +210,8 @@
         }
         server.set_owner(Some(own.instance));
         server.queue.clear();
-        let ledger = SlotLedger::waiting(server.slots, known.into_values(), until);
+        let ledger = SlotLedger::waiting(server.slots, known.into_values(), wait.until);
+        server.wait = Some(wait);
         server.ownership = Ownership::Waiting(ledger);
         self.tick_claim(name);
     }
@@ -217,7 +230,7 @@
                 ledger,
                 wait_ms,
             } => {
-                self.delay_claim(&server, claim, wait_ms);
+                self.delay_claim(from, &server, claim, wait_ms);
                 self.apply_consent(from, &server, claim, leases, ledger);
             }
             SlotMessage::Decline { .. } => self.counters.declined += 1,
@@ -290,7 +303,13 @@
         })
     }
 
-    fn delay_claim(&mut self, name: &ids::BackendServerId, number: u64, wait: time::SpanMs) {
+    fn delay_claim(
+        &mut self,
+        from: &InstanceIncarnation,
+        name: &ids::BackendServerId,
+        number: u64,
+        wait: time::SpanMs,
+    ) {
         let not_before = self.now + wait;
         let ownership = self
             .servers
@@ -299,7 +318,7 @@
         if let Some(Ownership::Claiming(claim)) = ownership
             && claim.number() == number
         {
-            claim.delay(not_before);
+            claim.delay(not_before, &from.instance);
         }
     }
 
@@ -325,13 +344,18 @@
         claim.record_consent(now, instance, from.incarnation, leases, margin);
         match ledger {
             None => self.complete_if_consented(name),
-            Some(ledger) => self.apply_handover(name, ledger),
+            Some(ledger) => self.apply_handover(from, name, ledger),
         }
     }
 
     /// Completes a claim with the previous owner's ledger; the ledger has all grants, so no further consent
     /// is needed.
-    fn apply_handover(&mut self, name: &ids::BackendServerId, ledger: LedgerHandover) {
+    fn apply_handover(
+        &mut self,
+        from: &InstanceIncarnation,
+        name: &ids::BackendServerId,
+        ledger: LedgerHandover,
+    ) {
         let now = self.now;
         let grants = ledger.entries.into_iter().map(|entry| Grant {
             key: entry.key,
@@ -342,6 +366,8 @@
         if let Some(server) = self.servers.get_mut(name) {
             server.consented = None;
         }
-        self.complete(name, grants.collect(), now + ledger.wait_ms);
+        let until = now + ledger.wait_ms;
+        let wait = Wait::new(BlockedBy::EarlierLeases, Some(from.instance.clone()), until);
+        self.complete(name, grants.collect(), wait);
     }
 }
--- a/crates/damaskvane-slots/src/exchange/server.rs
+++ b/crates/damaskvane-slots/src/exchange/server.rs
@@ -8,6 +8,7 @@
 use damaskvane_core::{ids, time, units};
 
 use crate::claim::Claim;
+use crate::exchange::wait::Wait;
 use crate::holder::LeasePool;
 use crate::ledger::{Serving, SlotLedger, Waiting};
 use crate::message::GrantKey;
@@ -51,6 +52,10 @@
     /// The owner, to which acquire requests are sent; after this instance consented to a claim, the claimant.
     pub(super) owner: Option<ids::InstanceId>,
     pub(super) recalled_at: Option<time::TimeMs>,
+    /// Whether the owner has refused this instance slots since it last granted or recalled some.
+    pub(super) owner_refuses: bool,
+    /// The wait with which this instance last became the owner; `None` if it never did.
+    pub(super) wait: Option<Wait>,
     /// The instances whose consents made this instance the owner; `None` if it never became the owner, or did
     /// so by the previous owner's ledger.
     pub(super) consented: Option<BTreeMap<ids::InstanceId, ids::Incarnation>>,
@@ -65,6 +70,8 @@
             queue: VecDeque::new(),
             owner: None,
             recalled_at: None,
+            owner_refuses: false,
+            wait: None,
             consented: None,
         }
     }
@@ -82,6 +89,7 @@
     pub(super) fn set_owner(&mut self, owner: Option<ids::InstanceId>) {
         if self.owner != owner {
             self.owner = owner;
+            self.owner_refuses = false;
             self.pool.discard_pending_acquires();
         }
     }
--- a/crates/damaskvane-slots/src/exchange/slot_exchange.rs
+++ b/crates/damaskvane-slots/src/exchange/slot_exchange.rs
@@ -46,6 +46,8 @@
     pub(super) last_claim: u64,
     /// When this instance handled its first event; `None` before.
     pub(super) started_at: Option<time::TimeMs>,
+    /// When this instance handled its last tick; `None` before.
+    pub(super) last_tick: Option<time::TimeMs>,
     pub(super) actions: Vec<Action>,
     /// Messages from this instance to itself, such as its acquire requests for a server that it owns.
     local: VecDeque<SlotMessage>,
@@ -85,10 +87,12 @@
                 waited_out: 0,
                 declined: 0,
                 old_messages: 0,
+                blocked_ms: BTreeMap::new(),
             },
             now: time::TimeMs::ZERO,
             last_claim: 0,
             started_at: None,
+            last_tick: None,
             actions: Vec::new(),
             local: VecDeque::new(),
         }
@@ -273,6 +277,7 @@
     }
 
     fn tick(&mut self) {
+        self.count_blocked();
         let names: Vec<ids::BackendServerId> = self.servers.keys().cloned().collect();
         for name in names {
             self.tick_claim(&name);
--- a/crates/damaskvane-slots/src/exchange/status.rs
+++ b/crates/damaskvane-slots/src/exchange/status.rs
@@ -5,6 +5,7 @@
 
 use damaskvane_core::{ids, time, units};
 
+use crate::exchange::blocked::Blocked;
 use crate::exchange::server::Ownership;
 use crate::exchange::slot_exchange::SlotExchange;
 
@@ -30,6 +31,9 @@
     pub owner: Option<&'a ids::InstanceId>,
     /// The phase of this instance in the ownership of the backend server.
     pub phase: OwnerPhase,
+    /// Why this instance grants no slots; `None` if it grants them, or if another instance is to grant them
+    /// and has not refused to.
+    pub blocked: Option<Blocked>,
     /// Slots that this instance has granted as the owner, to itself included.
     pub granted: units::Slots,
     /// Slots that the owner has granted to this instance and whose lease has not expired.
@@ -52,6 +56,7 @@
                 server: name,
                 owner: server.owner.as_ref(),
                 phase,
+                blocked: self.blocked(name, server),
                 granted,
                 held: server.pool.held(now),
                 busy: server.pool.busy(now),
