Force the order of events in slots: histories that no draw decides

Scripted histories for cases that none had forced: a fence record that is lost or deleted early, two fences in series, a restart during a renewal, a fence that is written or learned late, clocks that drift by up to 60 permille of a lease, a list from a neighbour. Tests and their model only; a histories' generator is drawn as before.

--- a/crates/damaskvane-slots/tests/common/messages.rs
+++ b/crates/damaskvane-slots/tests/common/messages.rs
@@ -66,10 +66,11 @@
     }
 
     pub(crate) fn membership(&mut self, name: &ids::InstanceId, event: view::Event) {
+        let now = self.local_time(name);
         let Some(instance) = self.instances.get_mut(name) else {
             return;
         };
-        let actions = instance.membership.handle(self.now, event);
+        let actions = instance.membership.handle(now, event);
         let roster = instance.membership.roster();
         self.slots(name, exchange::Event::Roster(roster));
         for action in actions {
@@ -160,24 +161,11 @@
         incarnation: ids::Incarnation,
         goes_on_alone: bool,
     ) {
+        if self.delay_fence(name, &instance, incarnation, goes_on_alone) {
+            return;
+        }
         let is_reached = !self.without_platform.contains(name);
-        let is_same = self
-            .list
-            .get(&instance)
-            .is_some_and(|entry| entry.incarnation == incarnation);
-        let event = if is_reached && is_same {
-            if self.deletes_fenced_entries {
-                self.list.remove(&instance);
-            } else if let Some(entry) = self.list.get_mut(&instance) {
-                entry.fenced = true;
-                entry.goes_on_alone |= goes_on_alone;
-            }
-            let fenced = trace::TraceEvent::Fenced {
-                by: name.clone(),
-                instance: instance.clone(),
-                incarnation,
-            };
-            self.trace.record_event(self.now, fenced);
+        let event = if is_reached && self.write_fence(name, &instance, incarnation, goes_on_alone) {
             view::Event::Fenced {
                 instance,
                 incarnation,
@@ -189,10 +177,11 @@
     }
 
     pub(crate) fn slots(&mut self, name: &ids::InstanceId, event: exchange::Event) {
+        let now = self.local_time(name);
         let Some(instance) = self.instances.get_mut(name) else {
             return;
         };
-        let actions = instance.slots.handle(self.now, event);
+        let actions = instance.slots.handle(now, event);
         self.perform_slots(name, actions);
     }
 
--- a/crates/damaskvane-slots/tests/common/mod.rs
+++ b/crates/damaskvane-slots/tests/common/mod.rs
@@ -7,8 +7,11 @@
 
 mod digest;
 pub(crate) mod disturbance;
+pub(crate) mod faults;
 mod messages;
+pub(crate) mod outage;
 mod requests;
+pub(crate) mod script;
 mod setup;
 pub(crate) mod trace;
 
@@ -104,6 +107,7 @@
     /// Whether a cut also holds between two instances of which one can't reach the platform and does not know the
     /// other.
     pub(crate) allows_cuts_before_discovery: bool,
+    pub(crate) faults: faults::Faults,
 }
 
 impl SimulatedZone {
@@ -137,6 +141,7 @@
             tolerates_excess: false,
             checked_from: time::TimeMs::ZERO,
             allows_cuts_before_discovery: true,
+            faults: faults::Faults::default(),
         };
         for name in instances {
             zone.start(&id(name));
@@ -167,11 +172,12 @@
             "a".parse().expect("a valid zone"),
             ids::Incarnation::new(incarnation),
         );
+        let local = self.local_time(name);
         let mut slots = exchange::SlotExchange::new(name.clone(), own.incarnation, slot_settings());
-        slots.handle(self.now, exchange::Event::Servers(self.limits()));
+        slots.handle(local, exchange::Event::Servers(self.limits()));
         let instance = Instance {
             incarnation,
-            membership: view::Membership::new(own, setup::membership_settings(), self.now),
+            membership: view::Membership::new(own, setup::membership_settings(), local),
             slots,
             paused_until: self.now,
             left_at: None,
@@ -188,7 +194,8 @@
         let Some(instance) = self.instances.get_mut(name) else {
             return;
         };
-        if instance.is_announced || self.without_platform.contains(name) {
+        let is_cut_off = self.without_platform.contains(name);
+        if instance.is_announced || is_cut_off || self.faults.unregistered.contains(name) {
             return;
         }
         instance.is_announced = true;
@@ -262,6 +269,7 @@
             self.visible_list = self.list.values().cloned().collect();
         }
         self.deliver();
+        self.run_pending_fences();
         self.deliver_responses();
         let names: Vec<ids::InstanceId> = self.instances.keys().cloned().collect();
         for name in names {
@@ -282,6 +290,9 @@
     fn tick(&mut self, name: &ids::InstanceId) {
         let has_platform = !self.without_platform.contains(name);
         self.announce(name);
+        if self.now.get().is_multiple_of(500) {
+            self.read_list_from_seeds(name);
+        }
         if self.now.get().is_multiple_of(500) && has_platform {
             let event = view::Event::List {
                 records: self.visible_list.clone(),
@@ -304,7 +315,7 @@
     }
 
     fn stop_if_drained(&mut self, name: &ids::InstanceId) {
-        let now = self.now;
+        let now = self.local_time(name);
         let is_over = self
             .instances
             .get(name)
--- a/crates/damaskvane-slots/tests/common/requests.rs
+++ b/crates/damaskvane-slots/tests/common/requests.rs
@@ -10,7 +10,7 @@
 
 impl SimulatedZone {
     pub(super) fn request(&mut self, name: &ids::InstanceId, server: &ids::BackendServerId) {
-        let now = self.now;
+        let (now, local) = (self.now, self.local_time(name));
         let requested_ms = self.random.random_range(50..1_200);
         let requested = ms(if self.uses_full_deadline {
             5_000
@@ -24,7 +24,7 @@
         if left_at.is_some_and(|left_at| now.since(left_at).get() >= LOOKUP_TTL_MS) {
             return;
         }
-        let Ok(ready) = instance.slots.begin(now, server, requested, ms(20)) else {
+        let Ok(ready) = instance.slots.begin(local, server, requested, ms(20)) else {
             let demand = exchange::Event::Demand {
                 server: server.clone(),
                 waiting: units::Slots::new(1),
@@ -33,9 +33,9 @@
             return;
         };
         let incarnation = instance.incarnation;
-        let sending = ready.send(now).expect("checked at the same time");
+        let sending = ready.send(local).expect("checked at the same time");
         let deadline = sending.deadline_ms();
-        let running = sending.sent(now).expect("sent at the same time");
+        let running = sending.sent(local).expect("sent at the same time");
         // The server counts the deadline from the arrival of the request. The time until then is shorter than the
         // margin by which a lease expires earlier for its holder than for the owner.
         let starts_at = now + ms(self.random.random_range(0..100));
@@ -98,10 +98,11 @@
         permit: Option<permit::ReleasedPermit>,
         how: exchange::Finish,
     ) {
+        let now = self.local_time(name);
         let (Some(instance), Some(permit)) = (self.instances.get_mut(name), permit) else {
             return;
         };
-        let actions = instance.slots.finish(self.now, &permit, how);
+        let actions = instance.slots.finish(now, &permit, how);
         self.perform_slots(name, actions);
     }
 }
