A waiting owner's ledger completes no claim

What callers saw: a server with three slots gets four requests and sheds one that had been promised a place, for up to a lease at a time, after an owner was fenced beside two instances that had just started. No message need be lost, only one list read late. Cause, from forced histories (handovers.rs): a successor that still waits handed its ledger on, and the claim was complete with it. The new owner forgot which instances had consented, asked no other, and dropped a ledger that came later, while a newcomer served with the ledger of the fenced owner. Change: the ledger of an owner that waits counts as a consent, with its grants and its wait; the claim still needs everybody's. Conclusion: only an owner that grants knows all grants.

--- a/crates/damaskvane-slots/src/claim.rs
+++ b/crates/damaskvane-slots/src/claim.rs
@@ -22,7 +22,7 @@
 use damaskvane_core::{ids, time, units};
 
 use crate::ledger::Grant;
-use crate::message::{GrantKey, HeldLease};
+use crate::message::{GrantKey, HeldLease, LedgerEntry};
 
 /// A claim that is not complete yet.
 #[derive(Debug)]
@@ -118,6 +118,23 @@
         self.consents.insert(from, incarnation);
     }
 
+    /// Records the grants in the ledger of an owner that still waits itself.
+    pub fn record_ledger(
+        &mut self,
+        now: time::TimeMs,
+        entries: impl IntoIterator<Item = LedgerEntry>,
+    ) {
+        for entry in entries {
+            let until = now + entry.remaining_ms;
+            let grant = self.reports.entry(entry.key.clone()).or_insert(Grant {
+                key: entry.key,
+                slots: entry.slots,
+                until,
+            });
+            grant.until = grant.until.max(until);
+        }
+    }
+
     /// Reduces a reported lease to `remaining` slots after its holder returned slots.
     pub fn return_slots(&mut self, key: &GrantKey, remaining: units::Slots) {
         if remaining == units::Slots::ZERO {
--- a/crates/damaskvane-slots/src/exchange/claiming.rs
+++ b/crates/damaskvane-slots/src/exchange/claiming.rs
@@ -17,6 +17,9 @@
 use crate::ledger::{Grant, SlotLedger};
 use crate::message::{HeldLease, LedgerHandover, SlotMessage};
 
+/// Shortest wait that the ledger of an owner which still waits reports.
+const MIN_WAIT: time::SpanMs = time::SpanMs::new(1);
+
 impl SlotExchange {
     /// Returns whether this instance may claim the backend servers that the hash assigns to it.
     ///
@@ -274,7 +277,7 @@
             Ownership::None | Ownership::Claiming(_) => None,
             Ownership::Waiting(ledger) => Some(LedgerHandover {
                 entries: ledger.entries(now),
-                wait_ms: ledger.until().since(now),
+                wait_ms: ledger.until().since(now).max(MIN_WAIT),
             }),
             Ownership::Serving(ledger) => Some(LedgerHandover {
                 entries: ledger.entries(now),
@@ -343,19 +346,23 @@
         let instance = from.instance.clone();
         claim.record_consent(now, instance, from.incarnation, leases, margin);
         match ledger {
+            Some(ledger) if ledger.wait_ms == time::SpanMs::ZERO => {
+                self.apply_handover(name, ledger);
+            }
+            // The sender became an owner by consents that say nothing of instances that started since. One of
+            // these may be an owner too, with the ledger of an instance that does not know of its fence.
+            Some(ledger) => {
+                claim.record_ledger(now, ledger.entries);
+                claim.delay(now + ledger.wait_ms, &from.instance);
+                self.complete_if_consented(name);
+            }
             None => self.complete_if_consented(name),
-            Some(ledger) => self.apply_handover(from, name, ledger),
         }
     }
 
-    /// Completes a claim with the previous owner's ledger; the ledger has all grants, so no further consent
-    /// is needed.
-    fn apply_handover(
-        &mut self,
-        from: &InstanceIncarnation,
-        name: &ids::BackendServerId,
-        ledger: LedgerHandover,
-    ) {
+    /// Completes a claim with the ledger of an owner that grants slots; the ledger has all grants, so no further
+    /// consent is needed.
+    fn apply_handover(&mut self, name: &ids::BackendServerId, ledger: LedgerHandover) {
         let now = self.now;
         let grants = ledger.entries.into_iter().map(|entry| Grant {
             key: entry.key,
@@ -366,8 +373,7 @@
         if let Some(server) = self.servers.get_mut(name) {
             server.consented = None;
         }
-        let until = now + ledger.wait_ms;
-        let wait = Wait::new(BlockedBy::EarlierLeases, Some(from.instance.clone()), until);
+        let wait = Wait::new(BlockedBy::EarlierLeases, None, now);
         self.complete(name, grants.collect(), wait);
     }
 }
--- a/crates/damaskvane-slots/src/message.rs
+++ b/crates/damaskvane-slots/src/message.rs
@@ -93,6 +93,9 @@
     /// The grants that have not expired.
     pub entries: Vec<LedgerEntry>,
     /// How long grants of an earlier owner that are not in the ledger may be in use; zero if there are none.
+    ///
+    /// Not zero if the sender still waits. Such a ledger is incomplete, and the sender has not had all others'
+    /// consent to grant slots, so that another instance may be an owner as well.
     pub wait_ms: time::SpanMs,
 }
 
