Account for the time in which a simulated zone grants no slots

The accounting reads the zone after each step, draws nothing and sends nothing; read-only accessors of the slot exchange tell waits and missing consents apart.

--- a/crates/damaskvane-slots/src/exchange/assignment.rs
+++ b/crates/damaskvane-slots/src/exchange/assignment.rs
@@ -90,7 +90,9 @@
             .map(|member| &member.instance)
     }
 
-    pub(super) fn assigned_owner(&self, server: &ids::BackendServerId) -> Option<ids::InstanceId> {
+    /// Returns the instance to which the hash assigns the backend server; `None` if none may own it.
+    #[must_use]
+    pub fn assigned_owner(&self, server: &ids::BackendServerId) -> Option<ids::InstanceId> {
         ownership::owner(server.as_str(), self.candidates())
     }
 }
--- a/crates/damaskvane-slots/tests/common/messages.rs
+++ b/crates/damaskvane-slots/tests/common/messages.rs
@@ -133,7 +133,7 @@
         }
     }
 
-    fn is_cut(&self, from: &ids::InstanceId, to: &ids::InstanceId) -> bool {
+    pub(super) fn is_cut(&self, from: &ids::InstanceId, to: &ids::InstanceId) -> bool {
         self.cuts.contains(&(from.clone(), to.clone()))
             && (self.allows_cuts_before_discovery
                 || !(self.cannot_discover(from, to) || self.cannot_discover(to, from)))
--- a/crates/damaskvane-slots/tests/common/mod.rs
+++ b/crates/damaskvane-slots/tests/common/mod.rs
@@ -5,12 +5,15 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub(crate) mod availability;
 mod digest;
 pub(crate) mod disturbance;
 pub(crate) mod faults;
 mod messages;
+pub(crate) mod obstacle;
 pub(crate) mod outage;
 mod requests;
+pub(crate) mod runs;
 pub(crate) mod script;
 mod setup;
 pub(crate) mod trace;
@@ -108,6 +111,8 @@
     /// other.
     pub(crate) allows_cuts_before_discovery: bool,
     pub(crate) faults: faults::Faults,
+    /// Accounting of the time in which slots are granted; `None` if a test does not need it.
+    pub(crate) availability: Option<availability::Availability>,
 }
 
 impl SimulatedZone {
@@ -142,6 +147,7 @@
             checked_from: time::TimeMs::ZERO,
             allows_cuts_before_discovery: true,
             faults: faults::Faults::default(),
+            availability: None,
         };
         for name in instances {
             zone.start(&id(name));
@@ -279,6 +285,14 @@
         }
         self.trace_phases();
         self.check();
+        self.observe_availability();
+    }
+
+    fn observe_availability(&mut self) {
+        if let Some(mut availability) = self.availability.take() {
+            availability.observe(self);
+            self.availability = Some(availability);
+        }
     }
 
     fn is_running(&self, name: &ids::InstanceId) -> bool {
--- a/crates/damaskvane-slots/tests/common/trace.rs
+++ b/crates/damaskvane-slots/tests/common/trace.rs
@@ -52,6 +52,18 @@
         self.events.push((now, event));
     }
 
+    /// Returns the time at which an incarnation of an instance started.
+    pub(super) fn started_at(
+        &self,
+        name: &ids::InstanceId,
+        incarnation: u64,
+    ) -> Option<time::TimeMs> {
+        let started = TraceEvent::Started(name.clone(), incarnation);
+        let mut events = self.events.iter();
+        let event = events.find(|(_, event)| *event == started);
+        event.map(|(at, _)| *at)
+    }
+
     /// Returns the number of events for which `matches_kind` returns true.
     pub(crate) fn count(&self, matches_kind: impl Fn(&TraceEvent) -> bool) -> usize {
         let events = self.events.iter();
@@ -105,7 +117,7 @@
 
     /// Describes all events so far, the requests on a backend server, the instances that each instance knows, and
     /// the platform's list.
-    pub(super) fn describe(&self, server: &ids::BackendServerId) -> String {
+    pub(crate) fn describe(&self, server: &ids::BackendServerId) -> String {
         let events = self.trace.events.iter();
         let mut lines: Vec<String> = events
             .map(|(at, event)| format!("{:>6} {event}", at.get()))
