Show why no slots are granted in log, counters and status

The daemon showed operators a phase and a count of refusals, but not why an instance that is to grant slots grants none, for whom it waits or how long.

The engine's thread now looks at the servers every 50 ms and writes one line at each change of phase or reason. The status has, for each server under `slots`, `blocked` with reason, meaning, instances and remaining_ms; the counters slots_blocked_ms.{reason} go to statsd and the status each second.

The ownership itself is untouched: this commit only reads it.

--- a/crates/damaskvane-engine/src/engine.rs
+++ b/crates/damaskvane-engine/src/engine.rs
@@ -153,6 +153,13 @@
         self.servers.slot_refusals()
     }
 
+    /// Returns for how long this instance was to grant slots and granted none, in milliseconds summed over the
+    /// backend servers, by reason.
+    #[must_use]
+    pub const fn slots_blocked_ms(&self) -> &BTreeMap<exchange::BlockedBy, u64> {
+        self.servers.slots_blocked_ms()
+    }
+
     /// Returns the number of idempotency keys in the key table.
     #[must_use]
     pub fn keys(&self) -> usize {
--- a/crates/damaskvane-engine/src/engine/servers/status.rs
+++ b/crates/damaskvane-engine/src/engine/servers/status.rs
@@ -54,6 +54,12 @@
             .collect()
     }
 
+    /// Returns for how long this instance was to grant slots and granted none, in milliseconds summed over the
+    /// backend servers, by reason.
+    pub(in crate::engine) const fn slots_blocked_ms(&self) -> &BTreeMap<exchange::BlockedBy, u64> {
+        &self.slots.counters().blocked_ms
+    }
+
     /// Returns whether slots are granted in this zone: another instance owns a backend server, or this instance
     /// has begun to grant slots. The result is also `true` in a zone without backend servers, where there is
     /// nothing to wait for.
--- a/crates/damaskvane-entry/src/engine_thread.rs
+++ b/crates/damaskvane-entry/src/engine_thread.rs
@@ -24,6 +24,7 @@
 use crate::operator_api::status;
 use crate::peers;
 use crate::serving;
+use crate::slot_watch;
 
 /// Time between two tick events to the engine while requests or exchanges are in progress.
 pub const TICK: Duration = Duration::from_millis(10);
@@ -43,6 +44,7 @@
     peers: Arc<peers::Peers>,
     status: status::Source,
     replies: HashMap<event::RequestNumber, inbox::Reply>,
+    slot_watch: slot_watch::SlotWatch,
     logger: slog::Logger,
 }
 
@@ -66,6 +68,7 @@
             peers,
             status,
             replies: HashMap::new(),
+            slot_watch: slot_watch::SlotWatch::default(),
             logger,
         }
     }
@@ -96,6 +99,10 @@
                 next_tick = now + time::SpanMs::new(tick_period.as_millis() as u64);
                 self.handle(event::Event::Tick);
             }
+            if self.slot_watch.is_due(now) {
+                self.slot_watch
+                    .log_changes(now, self.engine.slots(now), &self.logger);
+            }
         }
     }
 
@@ -107,7 +114,9 @@
         }
     }
 
-    fn publish(&self, now: time::TimeMs) {
+    fn publish(&mut self, now: time::TimeMs) {
+        let blocked_ms = self.engine.slots_blocked_ms();
+        self.slot_watch.count(blocked_ms, &self.serving.counters);
         let quarantined: Vec<_> = self
             .engine
             .quarantined(now)
@@ -146,16 +155,7 @@
         let slots: Vec<_> = self
             .engine
             .slots(now)
-            .map(|server| {
-                json!({
-                    "backend_server": server.server,
-                    "owner": server.owner,
-                    "phase": format!("{:?}", server.phase).to_lowercase(),
-                    "lent": server.granted,
-                    "held": server.held,
-                    "busy": server.busy,
-                })
-            })
+            .map(|server| slot_watch::to_json(now, &server))
             .collect();
         self.status.publish("slots", json!(slots));
         self.status
--- a/crates/damaskvane-entry/src/lib.rs
+++ b/crates/damaskvane-entry/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`load`]: traffic measurements of this instance, from which each zone's load digest is summed.
 //! - [`peers`], [`wire`]: connections to other entry instances, and the messages sent over them.
 //! - [`http_listener`]: limits on HTTP connections of clients and operators.
+//! - [`slot_watch`]: why no slots of a backend server are granted, for the log, counters and status.
 //! - [`operator_api`]: state of the instance for operators.
 //! - [`process`]: starts the threads and connects them.
 
@@ -33,6 +34,7 @@
 pub mod process;
 pub mod serving;
 pub mod settings;
+pub mod slot_watch;
 pub mod store;
 pub mod translate;
 pub mod wire;
--- a/crates/damaskvane-slots/src/exchange/blocked_by.rs
+++ b/crates/damaskvane-slots/src/exchange/blocked_by.rs
@@ -17,7 +17,7 @@
     OwnerRefuses,
     /// instances have not consented to the claim of this instance
     MissingConsent,
-    /// this instance has lost contact to the platform and to the other instances, and with it its authority
+    /// neither the platform nor every neighbour confirms this instance, so that its authority has ended
     NoAuthority,
     /// this instance lost contact to an instance that may have fenced it, and must not take servers over
     LostNeighbour,
--- a/crates/damaskvane-slots/src/exchange/status.rs
+++ b/crates/damaskvane-slots/src/exchange/status.rs
@@ -22,6 +22,19 @@
     Serving,
 }
 
+impl OwnerPhase {
+    /// Returns the word for log lines and the status page.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Claiming => "claiming",
+            Self::Waiting => "waiting",
+            Self::Serving => "serving",
+        }
+    }
+}
+
 /// The state of one backend server as this instance has it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerStatus<'a> {
