--- a/crates/damaskvane-entry/tests/reference_pages.rs
+++ b/crates/damaskvane-entry/tests/reference_pages.rs
@@ -1,9 +1,11 @@
-//! The reference pages list exactly the settings, refusal reasons and retry reasons of the code.
+//! The reference pages list exactly the settings, refusal reasons, retry reasons and reasons without grants of the
+//! code.
 
 use std::fs;
 
 use damaskvane_dispatch::{refusal, retry};
 use damaskvane_entry::settings::EntrySettings;
+use damaskvane_slots::exchange::BlockedBy;
 use damaskvane_telemetry::settings::Settings;
 
 fn page(name: &str) -> String {
@@ -65,3 +67,28 @@
         "docs/COUNTERS.md has rows for unknown reasons"
     );
 }
+
+#[test]
+fn every_reason_without_grants_has_its_counter_and_its_remedy() {
+    let (counters, remedies) = (page("COUNTERS.md"), page("operations/membership.md"));
+    let counted = BlockedBy::ALL.into_iter().filter(|by| by.is_of_owner());
+    for by in counted.clone() {
+        let line = format!("| `slots_blocked_ms.{}` | {by} |", by.as_str());
+        assert!(counters.contains(&line), "docs/COUNTERS.md lacks: {line}");
+    }
+    for by in BlockedBy::ALL {
+        let line = format!("| `{}` | ", by.as_str());
+        assert!(
+            remedies.contains(&line),
+            "docs/operations/membership.md lacks: {line}"
+        );
+    }
+    let rows = counters
+        .lines()
+        .filter(|line| line.starts_with("| `slots_blocked_ms."));
+    assert_eq!(
+        rows.count(),
+        counted.count(),
+        "docs/COUNTERS.md has rows for unknown reasons"
+    );
+}
