Count the messages of the simulated zone

Messages a second are one of the three figures by which a change of slots is judged, beside overfills and requests started. Ruled out: a count by kind, which no judgement needs. Only a counter in the tests' model; no history changes.

--- a/crates/damaskvane-slots/tests/common/messages.rs
+++ b/crates/damaskvane-slots/tests/common/messages.rs
@@ -56,6 +56,7 @@
         let Some(instance) = self.instances.get(from) else {
             return;
         };
+        self.sent_messages += 1;
         self.in_flight.push(InFlightMessage {
             due: self.now + ms(self.random.random_range(0..=self.max_delay_ms)),
             from: from.clone(),
--- a/crates/damaskvane-slots/tests/common/mod.rs
+++ b/crates/damaskvane-slots/tests/common/mod.rs
@@ -95,6 +95,8 @@
     requests: Vec<BackendRequest>,
     /// Number of requests that were sent to backend servers.
     pub(crate) started: u64,
+    /// Number of messages that instances sent to each other and that were not lost.
+    pub(crate) sent_messages: u64,
     /// Number of broken invariants that the slot exchanges reported.
     pub(crate) broken: u64,
     pub(crate) trace: trace::Trace,
@@ -139,6 +141,7 @@
             in_flight: Vec::new(),
             requests: Vec::new(),
             started: 0,
+            sent_messages: 0,
             broken: 0,
             trace: trace::Trace::default(),
             list_every_ms: 300,
