A proof that a process has ended shortens its successor's wait

Cause, found by two traces apart from each other: the end of the wait was computed once, when the claim was complete; a first proof (Fenced, Delisted) was never improved by a later one; a fenced member was never probed again; reports in consents and ledgers said how long to wait but not for whom. Change: a wait is kept by incarnation, and so is what consents and ledgers report; fenced and delisted members are probed until they have stopped; a refused connection or a later incarnation ends the wait for an incarnation, a lease and a margin later. Ruled out: taking the shorter of two reports, since each may lack what the other knows. Conclusion: what is proven is not waited out; where nothing is proven the wait stays as it was.

--- a/crates/damaskvane-membership/src/state.rs
+++ b/crates/damaskvane-membership/src/state.rs
@@ -82,4 +82,6 @@
     pub proof: GoneProof,
     /// Time from which the incarnation certainly acts no more as an owner; may lie in the future.
     pub from: time::TimeMs,
+    /// Whether the process is proven to have ended, and not only to have lost its right to own servers.
+    pub has_ended: bool,
 }
--- a/crates/damaskvane-membership/src/view/member.rs
+++ b/crates/damaskvane-membership/src/view/member.rs
@@ -114,6 +114,19 @@
         self.gone = self.gone.filter(|gone| gone.proof != GoneProof::Delisted);
     }
 
+    /// Records a proof about a member that is gone already: a refused connection shows that its process has
+    /// ended, so that what it granted expires earlier.
+    ///
+    /// The first proof stays, because the member may have fenced this instance before it ended.
+    pub(super) fn record_end(&mut self, proof: GoneProof, now: time::TimeMs) {
+        if let Some(gone) = &mut self.gone
+            && proof == GoneProof::Refused
+        {
+            gone.from = gone.from.min(now);
+            gone.has_ended = true;
+        }
+    }
+
     pub(super) fn receive_heartbeat(
         &mut self,
         incarnation: ids::Incarnation,
@@ -142,6 +155,13 @@
         self.echoed_sent_at = self.echoed_sent_at.max(Some(sent_at));
     }
 
+    /// Returns whether the member is gone but may still act as an owner at `now`, so that a proof of its end
+    /// would shorten the wait of its successors.
+    pub(super) fn may_still_act(&self, now: time::TimeMs) -> bool {
+        self.gone
+            .is_some_and(|gone| !gone.has_ended && gone.from > now)
+    }
+
     /// Excludes a pause of this process from the time without heartbeats of the member.
     ///
     /// Otherwise a process that resumes would consider all other instances dead at once, and its lookup
--- a/crates/damaskvane-membership/src/view/membership.rs
+++ b/crates/damaskvane-membership/src/view/membership.rs
@@ -256,7 +256,11 @@
         let Some(member) = self.members.get_mut(instance) else {
             return;
         };
-        if member.incarnation > incarnation || member.is_gone() {
+        if member.incarnation > incarnation {
+            return;
+        }
+        if member.is_gone() {
+            member.record_end(proof, now);
             return;
         }
         let from = match proof {
@@ -270,6 +274,7 @@
             incarnation,
             proof,
             from,
+            has_ended: proof == GoneProof::Refused,
         });
         if may_have_fenced_own && could_fence {
             self.require_newer_list();
--- a/crates/damaskvane-membership/src/view/silence.rs
+++ b/crates/damaskvane-membership/src/view/silence.rs
@@ -43,12 +43,35 @@
                 });
             }
         }
+        self.probe_stopping_members(actions);
         for instance in retried {
             self.counters.reconnects += 1;
             self.record_retry(&instance, actions);
         }
     }
 
+    /// Adds probes of members that were fenced or left the list, until they have certainly stopped.
+    ///
+    /// Their backend servers pass to another instance only after that time, or as soon as a refused
+    /// connection proves that the process has ended.
+    fn probe_stopping_members(&mut self, actions: &mut Vec<Action>) {
+        let (now, retry) = (self.now, self.settings.retry_ms);
+        let zone = &self.own.zone;
+        let stopping = self.members.values_mut().filter(|member| {
+            member.record.zone == *zone
+                && member.may_still_act(now)
+                && now.since(member.retried_at) >= retry
+        });
+        for member in stopping {
+            member.retried_at = now;
+            actions.push(Action::Probe {
+                instance: member.record.instance.clone(),
+                incarnation: member.incarnation,
+                address: member.record.peer_address,
+            });
+        }
+    }
+
     /// Returns whether a neighbour has recently echoed a heartbeat of this instance.
     fn echoes_heartbeats(&self, member: &Member) -> bool {
         let echo_limit = self.settings.authority_ms.get() / 2;
--- a/crates/damaskvane-slots/src/claim.rs
+++ b/crates/damaskvane-slots/src/claim.rs
@@ -21,6 +21,7 @@
 
 use damaskvane_core::{ids, time, units};
 
+use crate::exchange::TakeoverWait;
 use crate::ledger::Grant;
 use crate::message::{GrantKey, HeldLease, LedgerEntry};
 
@@ -31,21 +32,19 @@
     requested_at: time::TimeMs,
     consents: BTreeMap<ids::InstanceId, ids::Incarnation>,
     reports: BTreeMap<GrantKey, Grant>,
-    not_before: time::TimeMs,
-    delayed_by: Option<ids::InstanceId>,
+    wait: TakeoverWait,
 }
 
 impl Claim {
     /// Creates a claim without consents; the first requests for consent are sent at `now`.
     #[must_use]
-    pub const fn new(number: u64, now: time::TimeMs) -> Self {
+    pub fn new(number: u64, now: time::TimeMs) -> Self {
         Self {
             number,
             requested_at: now,
             consents: BTreeMap::new(),
             reports: BTreeMap::new(),
-            not_before: time::TimeMs::ZERO,
-            delayed_by: None,
+            wait: TakeoverWait::default(),
         }
     }
 
@@ -71,26 +70,14 @@
         self.consents.contains_key(instance)
     }
 
-    /// Postpones the first grant of the new owner to `not_before`, as instance `by` reported.
-    ///
-    /// Until then an instance that was fenced (lost the right to own servers) may still grant or use slots.
-    pub fn delay(&mut self, not_before: time::TimeMs, by: &ids::InstanceId) {
-        if not_before > self.not_before {
-            self.not_before = not_before;
-            self.delayed_by = Some(by.clone());
-        }
-    }
-
-    /// Returns the instance whose report set [`Self::not_before`]; `None` if none was reported.
-    #[must_use]
-    pub const fn delayed_by(&self) -> Option<&ids::InstanceId> {
-        self.delayed_by.as_ref()
+    /// Adds what the new owner has to wait for, as another instance reported it.
+    pub(crate) fn delay(&mut self, wait: TakeoverWait) {
+        self.wait.merge(wait);
     }
 
-    /// Returns until when a fenced instance may still grant or use slots; zero if none was reported.
-    #[must_use]
-    pub const fn not_before(&self) -> time::TimeMs {
-        self.not_before
+    /// Returns what the new owner has to wait for, as far as it was reported.
+    pub(crate) const fn wait(&self) -> &TakeoverWait {
+        &self.wait
     }
 
     /// Records the consent of an instance and the leases that it holds.
--- a/crates/damaskvane-slots/src/exchange.rs
+++ b/crates/damaskvane-slots/src/exchange.rs
@@ -48,6 +48,7 @@
 mod server;
 mod slot_exchange;
 mod status;
+mod takeover;
 mod wait;
 
 pub use blocked::Blocked;
@@ -55,3 +56,4 @@
 pub use event::{Action, Event, ServerSlots};
 pub use slot_exchange::{Finish, SlotExchange, Unavailable};
 pub use status::{OwnerPhase, ServerStatus};
+pub(crate) use takeover::TakeoverWait;
--- a/crates/damaskvane-slots/src/exchange/blocked.rs
+++ b/crates/damaskvane-slots/src/exchange/blocked.rs
@@ -18,9 +18,8 @@
 pub struct Blocked {
     /// The reason.
     pub by: BlockedBy,
-    /// The instances that are waited for, in the order of their ids; for [`BlockedBy::ReportedStop`] the one
-    /// that reported the wait, and for [`BlockedBy::EarlierLeases`] the one that handed its own wait over, if
-    /// any.
+    /// The instances that are waited for, in the order of their ids; for [`BlockedBy::EarlierLeases`] the one
+    /// that reported the wait, if any.
     ///
     /// Empty if the reason names none, and for [`BlockedBy::MissingConsent`] once all have consented: then
     /// the claim is completed at its next retry.
@@ -56,7 +55,10 @@
         match &server.ownership {
             Ownership::None => self.blocked_without_claim(name, server),
             Ownership::Claiming(claim) => Some(self.blocked_claim(claim)),
-            Ownership::Waiting(_) => server.wait.as_ref().map(Blocked::from),
+            Ownership::Waiting(_) => {
+                let wait = server.wait.last(self.settings.expiry_ms());
+                wait.as_ref().map(Blocked::from)
+            }
             Ownership::Serving(_) if self.has_authority() => None,
             Ownership::Serving(_) => Some(Blocked::until_event(BlockedBy::NoAuthority, Vec::new())),
         }
--- a/crates/damaskvane-slots/src/exchange/claiming.rs
+++ b/crates/damaskvane-slots/src/exchange/claiming.rs
@@ -13,9 +13,10 @@
 use crate::exchange::blocked_by::BlockedBy;
 use crate::exchange::server::{InstanceIncarnation, Ownership};
 use crate::exchange::slot_exchange::SlotExchange;
+use crate::exchange::takeover::TakeoverWait;
 use crate::exchange::wait::Wait;
 use crate::ledger::{Grant, SlotLedger};
-use crate::message::{HeldLease, LedgerHandover, SlotMessage};
+use crate::message::{HeldLease, LedgerHandover, SlotMessage, WaitReport};
 
 /// Shortest wait that the ledger of an owner which still waits reports.
 const MIN_WAIT: time::SpanMs = time::SpanMs::new(1);
@@ -155,8 +156,7 @@
         if !has_all_consents || !self.has_authority() || !self.roster.may_take_over {
             return;
         }
-        let wait = self.last_possible_use(name);
-        let wait = wait.extended(self.settings.expiry_ms());
+        let wait = self.unaccounted(name);
         self.counters.waited_out += 1;
         let consented = self.claim(name).map(Claim::consents);
         if let Some(server) = self.servers.get_mut(name) {
@@ -165,37 +165,52 @@
         self.complete(name, Vec::new(), wait);
     }
 
-    /// Returns the time after which no gone instance can still grant or use slots, and what sets it.
+    /// Returns what this instance has to wait for as the owner, with the consent of all others.
     ///
     /// A new instance does not know which instances were fenced before it started; the consents report them.
     /// A gone instance can't report the fenced ones that it knew of. If any instance is gone, this instance
     /// therefore also waits until `unknown_fence_ms` after its start.
-    fn last_possible_use(&self, name: &ids::BackendServerId) -> Wait {
-        let gone = self.roster.members.iter().filter_map(|member| {
-            let instance = Some(member.instance.clone());
-            let gone = member.gone?;
-            Some(Wait::new(BlockedBy::StoppingInstance, instance, gone.from))
-        });
-        let gone = gone.reduce(Wait::max);
-        let reported = self.claim(name).map(|claim| {
-            let reporter = claim.delayed_by().cloned();
-            Wait::new(BlockedBy::ReportedStop, reporter, claim.not_before())
-        });
-        let started_at = self.started_at.filter(|_| gone.is_some());
-        let unknown = started_at.map(|started_at| {
-            let until = started_at + self.settings.unknown_fence_ms;
-            Wait::new(BlockedBy::UnknownFences, None, until)
-        });
-        let leases = Wait::new(BlockedBy::EarlierLeases, None, self.now);
-        let waits = gone.into_iter().chain(reported).chain(unknown);
-        waits.fold(leases, Wait::max)
+    fn unaccounted(&self, name: &ids::BackendServerId) -> TakeoverWait {
+        let expiry = self.settings.expiry_ms();
+        let leases = Wait::new(BlockedBy::EarlierLeases, None, self.now + expiry);
+        let mut wait = TakeoverWait::new(leases);
+        if let Some(claim) = self.claim(name) {
+            wait.merge(claim.wait().clone());
+        }
+        for member in &self.roster.members {
+            if let Some(gone) = member.gone {
+                let reason = BlockedBy::StoppingInstance;
+                wait.add(member.instance.clone(), gone.incarnation, gone.from, reason);
+                let started_at = self.started_at.unwrap_or(self.now);
+                let until = started_at + self.settings.unknown_fence_ms + expiry;
+                wait.postpone(Wait::new(BlockedBy::UnknownFences, None, until));
+            }
+        }
+        wait
+    }
+
+    /// Shortens the waits of this instance by proofs that others stopped earlier than was certain before.
+    pub(super) fn shorten_waits(&mut self) {
+        let (now, expiry) = (self.now, self.settings.expiry_ms());
+        for server in self.servers.values_mut() {
+            if let Ownership::Waiting(ledger) = &mut server.ownership {
+                server.wait.apply_proofs(now, &self.roster);
+                let last = server.wait.last(expiry);
+                ledger.shorten(last.map_or(now, |last| last.until));
+            }
+        }
     }
 
     /// Makes this instance the owner, with the grants of the previous owner's ledger and the leases that
     /// holders reported. Slots are granted from the end of `wait` on.
-    fn complete(&mut self, name: &ids::BackendServerId, handed: Vec<Grant>, wait: Wait) {
+    fn complete(
+        &mut self,
+        name: &ids::BackendServerId,
+        handed: Vec<Grant>,
+        mut wait: TakeoverWait,
+    ) {
         let (now, own) = (self.now, self.own.clone());
-        let margin = self.settings.margin_ms;
+        let (margin, expiry) = (self.settings.margin_ms, self.settings.expiry_ms());
         let Some(server) = self.servers.get_mut(name) else {
             return;
         };
@@ -213,8 +228,10 @@
         }
         server.set_owner(Some(own.instance));
         server.queue.clear();
-        let ledger = SlotLedger::waiting(server.slots, known.into_values(), wait.until);
-        server.wait = Some(wait);
+        wait.apply_proofs(now, &self.roster);
+        let until = wait.last(expiry).map_or(now, |last| last.until);
+        let ledger = SlotLedger::waiting(server.slots, known.into_values(), until);
+        server.wait = wait;
         server.ownership = Ownership::Waiting(ledger);
         self.tick_claim(name);
     }
@@ -232,8 +249,9 @@
                 leases,
                 ledger,
                 wait_ms,
+                wait,
             } => {
-                self.delay_claim(from, &server, claim, wait_ms);
+                self.delay_claim(from, &server, claim, wait_ms, wait);
                 self.apply_consent(from, &server, claim, leases, ledger);
             }
             SlotMessage::Decline { .. } => self.counters.declined += 1,
@@ -272,16 +290,19 @@
     ) -> Option<SlotMessage> {
         let now = self.now;
         let has_authority = self.has_authority();
+        let wait = self.known_stops();
         let server = self.servers.get_mut(name)?;
         let ledger = match core::mem::take(&mut server.ownership) {
             Ownership::None | Ownership::Claiming(_) => None,
             Ownership::Waiting(ledger) => Some(LedgerHandover {
                 entries: ledger.entries(now),
                 wait_ms: ledger.until().since(now).max(MIN_WAIT),
+                wait: Some(server.wait.report(now)),
             }),
             Ownership::Serving(ledger) => Some(LedgerHandover {
                 entries: ledger.entries(now),
                 wait_ms: time::SpanMs::ZERO,
+                wait: None,
             }),
         };
         // Another instance may have granted slots since this one's authority expired, so the ledger may be
@@ -291,29 +312,45 @@
         server.set_owner(Some(owner.clone()));
         server.pool.discard_pending_acquires();
         let leases = server.pool.held_leases(now);
-        // The claimant's roster may lack instances that are gone or were dropped from the list.
-        let stopped = self.roster.members.iter().filter_map(|member| {
-            let gone_from = member.gone.map(|gone| gone.from);
-            gone_from.or(member.stopped_by)
-        });
-        let wait_ms = stopped.map(|stopped_at| stopped_at.since(now)).max();
         Some(SlotMessage::Consent {
             server: name.clone(),
             claim,
             leases,
             ledger,
-            wait_ms: wait_ms.unwrap_or_default(),
+            wait_ms: wait.last_stop().since(now),
+            wait: Some(wait.report(now)),
         })
     }
 
+    /// Returns the instances that have stopped or will stop, as far as this instance knows.
+    ///
+    /// The roster of a claimant may lack instances that are gone or were dropped from the list.
+    fn known_stops(&self) -> TakeoverWait {
+        let mut wait = TakeoverWait::default();
+        for member in &self.roster.members {
+            let gone_from = member.gone.map(|gone| gone.from);
+            if let Some(stopped_by) = gone_from.or(member.stopped_by) {
+                let reason = BlockedBy::StoppingInstance;
+                wait.add(
+                    member.instance.clone(),
+                    member.incarnation,
+                    stopped_by,
+                    reason,
+                );
+            }
+        }
+        wait
+    }
+
     fn delay_claim(
         &mut self,
         from: &InstanceIncarnation,
         name: &ids::BackendServerId,
         number: u64,
-        wait: time::SpanMs,
+        wait_ms: time::SpanMs,
+        report: Option<WaitReport>,
     ) {
-        let not_before = self.now + wait;
+        let wait = self.reported_wait(&from.instance, wait_ms, report);
         let ownership = self
             .servers
             .get_mut(name)
@@ -321,8 +358,24 @@
         if let Some(Ownership::Claiming(claim)) = ownership
             && claim.number() == number
         {
-            claim.delay(not_before, &from.instance);
+            claim.delay(wait);
+        }
+    }
+
+    /// Returns the wait that another instance reported; leases are granted until the end of `wait_ms` if its
+    /// parts are not reported.
+    fn reported_wait(
+        &self,
+        reporter: &ids::InstanceId,
+        wait_ms: time::SpanMs,
+        report: Option<WaitReport>,
+    ) -> TakeoverWait {
+        if let Some(report) = report {
+            return TakeoverWait::from_report(self.now, reporter, report);
         }
+        let until = self.now + wait_ms + self.settings.expiry_ms();
+        let reporter = Some(reporter.clone());
+        TakeoverWait::new(Wait::new(BlockedBy::ReportedStop, reporter, until))
     }
 
     fn apply_consent(
@@ -334,6 +387,9 @@
         ledger: Option<LedgerHandover>,
     ) {
         let (now, margin) = (self.now, self.settings.margin_ms);
+        let waiting = ledger
+            .as_ref()
+            .map(|ledger| self.reported_wait(&from.instance, ledger.wait_ms, ledger.wait.clone()));
         let Some(server) = self.servers.get_mut(name) else {
             return;
         };
@@ -353,7 +409,7 @@
             // these may be an owner too, with the ledger of an instance that does not know of its fence.
             Some(ledger) => {
                 claim.record_ledger(now, ledger.entries);
-                claim.delay(now + ledger.wait_ms, &from.instance);
+                claim.delay(waiting.unwrap_or_default());
                 self.complete_if_consented(name);
             }
             None => self.complete_if_consented(name),
@@ -373,7 +429,6 @@
         if let Some(server) = self.servers.get_mut(name) {
             server.consented = None;
         }
-        let wait = Wait::new(BlockedBy::EarlierLeases, None, now);
-        self.complete(name, grants.collect(), wait);
+        self.complete(name, grants.collect(), TakeoverWait::default());
     }
 }
--- a/crates/damaskvane-slots/src/exchange/server.rs
+++ b/crates/damaskvane-slots/src/exchange/server.rs
@@ -8,7 +8,7 @@
 use damaskvane_core::{ids, time, units};
 
 use crate::claim::Claim;
-use crate::exchange::wait::Wait;
+use crate::exchange::takeover::TakeoverWait;
 use crate::holder::LeasePool;
 use crate::ledger::{Serving, SlotLedger, Waiting};
 use crate::message::GrantKey;
@@ -54,8 +54,8 @@
     pub(super) recalled_at: Option<time::TimeMs>,
     /// Whether the owner has refused this instance slots since it last granted or recalled some.
     pub(super) owner_refuses: bool,
-    /// The wait with which this instance last became the owner; `None` if it never did.
-    pub(super) wait: Option<Wait>,
+    /// What this instance has waited for since it last became the owner.
+    pub(super) wait: TakeoverWait,
     /// The instances whose consents made this instance the owner; `None` if it never became the owner, or did
     /// so by the previous owner's ledger.
     pub(super) consented: Option<BTreeMap<ids::InstanceId, ids::Incarnation>>,
@@ -71,7 +71,7 @@
             owner: None,
             recalled_at: None,
             owner_refuses: false,
-            wait: None,
+            wait: TakeoverWait::default(),
             consented: None,
         }
     }
--- a/crates/damaskvane-slots/src/exchange/slot_exchange.rs
+++ b/crates/damaskvane-slots/src/exchange/slot_exchange.rs
@@ -228,6 +228,7 @@
             && self.roster.may_take_over == roster.may_take_over;
         self.roster = roster;
         if !is_same {
+            self.shorten_waits();
             self.apply_assignments();
         }
     }
--- a/crates/damaskvane-slots/src/exchange/wait.rs
+++ b/crates/damaskvane-slots/src/exchange/wait.rs
@@ -8,16 +8,16 @@
 use crate::exchange::blocked_by::BlockedBy;
 
 /// A time before which a new owner grants nothing, and the reason for it.
-#[derive(Debug)]
-pub(super) struct Wait {
-    pub(super) by: BlockedBy,
+#[derive(Debug, Clone)]
+pub(crate) struct Wait {
+    pub(crate) by: BlockedBy,
     /// The instance that is waited for, or that reported or handed over the wait.
-    pub(super) instance: Option<ids::InstanceId>,
-    pub(super) until: time::TimeMs,
+    pub(crate) instance: Option<ids::InstanceId>,
+    pub(crate) until: time::TimeMs,
 }
 
 impl Wait {
-    pub(super) const fn new(
+    pub(crate) const fn new(
         by: BlockedBy,
         instance: Option<ids::InstanceId>,
         until: time::TimeMs,
@@ -30,19 +30,11 @@
     }
 
     /// Returns the wait that ends later; of two that end at the same time, `self`.
-    pub(super) fn max(self, other: Self) -> Self {
+    pub(crate) fn max(self, other: Self) -> Self {
         if other.until > self.until {
             other
         } else {
             self
         }
     }
-
-    /// Returns the wait with its end `span` later.
-    pub(super) fn extended(self, span: time::SpanMs) -> Self {
-        Self {
-            until: self.until + span,
-            ..self
-        }
-    }
 }
--- a/crates/damaskvane-slots/src/ledger/slot_ledger.rs
+++ b/crates/damaskvane-slots/src/ledger/slot_ledger.rs
@@ -50,6 +50,11 @@
         self.phase.until
     }
 
+    /// Ends the wait at `until` if that is earlier than its end so far.
+    pub fn shorten(&mut self, until: time::TimeMs) {
+        self.phase.until = self.phase.until.min(until);
+    }
+
     /// Moves the ledger to the phase in which the owner grants slots.
     ///
     /// # Errors
--- a/crates/damaskvane-slots/src/message.rs
+++ b/crates/damaskvane-slots/src/message.rs
@@ -87,6 +87,31 @@
     pub remaining_ms: time::SpanMs,
 }
 
+/// An incarnation that may not know of its replacement, as an instance reports it to a claimant.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StopReport {
+    /// The instance.
+    #[serde(rename = "i")]
+    pub instance: ids::InstanceId,
+    /// The incarnation that was fenced or dropped from the platform's list, or that has ended.
+    #[serde(rename = "n")]
+    pub incarnation: ids::Incarnation,
+    /// Time until the incarnation has certainly stopped; zero if it has.
+    #[serde(rename = "w")]
+    pub wait_ms: time::SpanMs,
+}
+
+/// What the next owner of a backend server has to wait for, as far as the sender knows.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaitReport {
+    /// Time for which grants and requests that the sender does not report may be in use.
+    #[serde(rename = "w")]
+    pub wait_ms: time::SpanMs,
+    /// Incarnations whose grants and requests expire only after they have stopped.
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+    pub stops: Vec<StopReport>,
+}
+
 /// The ledger of an owner, which it sends to the next owner in its consent to the claim.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LedgerHandover {
@@ -97,6 +122,9 @@
     /// Not zero if the sender still waits. Such a ledger is incomplete, and the sender has not had all others'
     /// consent to grant slots, so that another instance may be an owner as well.
     pub wait_ms: time::SpanMs,
+    /// The parts of that wait, which proofs can shorten; `None` from a sender that knows only its length.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub wait: Option<WaitReport>,
 }
 
 /// Why an instance refuses to grant or renew slots.
@@ -223,6 +251,9 @@
         /// authority) or dropped from the platform's list.
         #[serde(default)]
         wait_ms: time::SpanMs,
+        /// The parts of that wait; `None` from a sender that knows only its length.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        wait: Option<WaitReport>,
     },
     /// Declines a claim, because by the sender's list of instances another one than the claimant is to own
     /// the server.
--- a/crates/damaskvane-slots/tests/blocked.rs
+++ b/crates/damaskvane-slots/tests/blocked.rs
@@ -220,6 +220,7 @@
         leases: Vec::new(),
         ledger: None,
         wait_ms: ms(9_000),
+        wait: None,
     };
     let consent = Event::Message {
         from: reporter.clone(),
