A successor waits only for leases that nobody reports

What callers saw: a server that nobody uses for a lease and a margin after each claim (5.3 s by default), though every instance that may hold a lease runs and has said which it holds; and for one more after each restart of a claim. What consents don't name was not told apart. Change: an instance reports with its consent until when grants and requests that it can't name may be in use: those of its earlier incarnations and those that it granted as an owner. The successor waits for these, for instances that have stopped, and for the margin. While it waits, and once all earlier owners have stopped, it grants slots in place of known grants, and holders renew at once. Ruled out: no wait at all, since a request may be on its way for the margin. Conclusion: grants that can be accounted for need no wait.

--- a/crates/damaskvane-slots/src/exchange/claiming.rs
+++ b/crates/damaskvane-slots/src/exchange/claiming.rs
@@ -56,6 +56,7 @@
 
     pub(super) fn tick_claim(&mut self, name: &ids::BackendServerId) {
         let (now, every) = (self.now, self.settings.claim_retry_ms);
+        let expiry = self.settings.expiry_ms();
         let has_new_instances = self.has_new_instances(name);
         let Some(server) = self.servers.get_mut(name) else {
             return;
@@ -72,7 +73,8 @@
             Ownership::Waiting(ledger) if has_new_instances && ledger.until() <= now => {
                 self.restart_claim(name);
             }
-            Ownership::Waiting(ledger) => {
+            Ownership::Waiting(mut ledger) => {
+                ledger.open(now, expiry);
                 server.ownership = match ledger.start(now) {
                     Ok(serving) => Ownership::Serving(serving),
                     Err(waiting) => Ownership::Waiting(waiting),
@@ -167,13 +169,19 @@
 
     /// Returns what this instance has to wait for as the owner, with the consent of all others.
     ///
+    /// The leases that the others hold are known from their consents. Only those are waited for that nobody
+    /// reports: leases of instances that have ended, and grants that were made while the consents arrived.
+    ///
     /// A new instance does not know which instances were fenced before it started; the consents report them.
     /// A gone instance can't report the fenced ones that it knew of. If any instance is gone, this instance
     /// therefore also waits until `unknown_fence_ms` after its start.
     fn unaccounted(&self, name: &ids::BackendServerId) -> TakeoverWait {
         let expiry = self.settings.expiry_ms();
-        let leases = Wait::new(BlockedBy::EarlierLeases, None, self.now + expiry);
-        let mut wait = TakeoverWait::new(leases);
+        let own = self.servers.get(name);
+        let unreported_until = own.map_or(self.now, |server| server.unreported_until);
+        // A request under a lease that expired just before its holder consented may be on its way.
+        let until = unreported_until.max(self.now + self.settings.margin_ms);
+        let mut wait = TakeoverWait::new(Wait::new(BlockedBy::EarlierLeases, None, until));
         if let Some(claim) = self.claim(name) {
             wait.merge(claim.wait().clone());
         }
@@ -227,6 +235,7 @@
                 .or_insert(grant);
         }
         server.set_owner(Some(own.instance));
+        server.pool.discard_pending_requests();
         server.queue.clear();
         wait.apply_proofs(now, &self.roster);
         let until = wait.last(expiry).map_or(now, |last| last.until);
@@ -234,6 +243,7 @@
         server.wait = wait;
         server.ownership = Ownership::Waiting(ledger);
         self.tick_claim(name);
+        self.tick_acquiring(name);
     }
 
     pub(super) fn handle_claim_message(
@@ -275,7 +285,11 @@
             server: name.clone(),
             claim,
         };
+        let is_given = consent.is_some();
         self.reply(from, consent.unwrap_or(declined));
+        if is_given {
+            self.tick_acquiring(name);
+        }
     }
 
     /// Ends this instance's ownership or claim of a backend server, and returns the consent to `owner`.
@@ -290,27 +304,37 @@
     ) -> Option<SlotMessage> {
         let now = self.now;
         let has_authority = self.has_authority();
-        let wait = self.known_stops();
+        let mut wait = self.known_stops();
         let server = self.servers.get_mut(name)?;
-        let ledger = match core::mem::take(&mut server.ownership) {
-            Ownership::None | Ownership::Claiming(_) => None,
-            Ownership::Waiting(ledger) => Some(LedgerHandover {
-                entries: ledger.entries(now),
-                wait_ms: ledger.until().since(now).max(MIN_WAIT),
-                wait: Some(server.wait.report(now)),
-            }),
-            Ownership::Serving(ledger) => Some(LedgerHandover {
-                entries: ledger.entries(now),
-                wait_ms: time::SpanMs::ZERO,
-                wait: None,
-            }),
+        let (ledger, last_expiry) = match core::mem::take(&mut server.ownership) {
+            Ownership::None | Ownership::Claiming(_) => (None, None),
+            Ownership::Waiting(ledger) => {
+                let handover = LedgerHandover {
+                    entries: ledger.entries(now),
+                    wait_ms: ledger.until().since(now).max(MIN_WAIT),
+                    wait: Some(server.wait.report(now)),
+                };
+                (Some(handover), ledger.last_expiry())
+            }
+            Ownership::Serving(ledger) => {
+                let handover = LedgerHandover {
+                    entries: ledger.entries(now),
+                    wait_ms: time::SpanMs::ZERO,
+                    wait: None,
+                };
+                (Some(handover), ledger.last_expiry())
+            }
         };
+        let granted_until = last_expiry.unwrap_or_default();
+        server.unreported_until = server.unreported_until.max(granted_until);
+        let leases = Wait::new(BlockedBy::EarlierLeases, None, server.unreported_until);
+        wait.postpone(leases);
         // Another instance may have granted slots since this one's authority expired, so the ledger may be
         // incomplete.
         let ledger = ledger.filter(|_| has_authority);
         server.queue.clear();
         server.set_owner(Some(owner.clone()));
-        server.pool.discard_pending_acquires();
+        server.pool.discard_pending_requests();
         let leases = server.pool.held_leases(now);
         Some(SlotMessage::Consent {
             server: name.clone(),
--- a/crates/damaskvane-slots/src/exchange/granting.rs
+++ b/crates/damaskvane-slots/src/exchange/granting.rs
@@ -3,10 +3,13 @@
 //! A slot is the right to run one request on a backend server. The server's owner grants slots to the zone's
 //! instances, the holders, for a limited time, and records the grants in its ledger.
 
+use std::collections::VecDeque;
+
 use damaskvane_core::{ids, time, units};
 
 use crate::exchange::server::{InstanceIncarnation, Ownership, QueuedAcquire, Server};
 use crate::exchange::slot_exchange::SlotExchange;
+use crate::ledger::{Phase, SlotLedger};
 use crate::message::{GrantKey, GrantNumber, RefusalReason, SlotMessage};
 
 /// A grant that is in the ledger and has to be sent to its holder.
@@ -94,6 +97,9 @@
         match self.servers.get(name).map(|server| &server.ownership) {
             Some(Ownership::Serving(_)) if self.has_authority() => Ok(()),
             Some(Ownership::Serving(_)) => Err((RefusalReason::NoAuthority, retry_after)),
+            Some(Ownership::Waiting(ledger)) if ledger.grants_slots() && self.has_authority() => {
+                Ok(())
+            }
             Some(Ownership::Waiting(ledger)) => {
                 let wait = ledger.until().since(self.now);
                 Err((RefusalReason::Waiting, wait.min(retry_after)))
@@ -130,19 +136,12 @@
         let Some(server) = self.servers.get_mut(name) else {
             return;
         };
-        let Ownership::Serving(ledger) = &mut server.ownership else {
-            return;
+        let queue = &mut server.queue;
+        let (new_grants, is_within_slots) = match &mut server.ownership {
+            Ownership::Serving(ledger) => grant_queued(queue, ledger, now, until),
+            Ownership::Waiting(ledger) => grant_queued(queue, ledger, now, until),
+            Ownership::None | Ownership::Claiming(_) => return,
         };
-        let mut new_grants = Vec::new();
-        while let Some(next) = server.queue.front() {
-            let Ok(slots) = ledger.grant(now, next.key.clone(), next.slots, until) else {
-                break;
-            };
-            let key = next.key.clone();
-            server.queue.pop_front();
-            new_grants.push(NewGrant { key, slots });
-        }
-        let is_within_slots = new_grants.is_empty() || ledger.is_within_slots();
         if !is_within_slots {
             // The new grants stay in the ledger until they expire, and are not sent to their holders.
             self.report_broken_invariant("slots lent above the backend server's limit");
@@ -268,6 +267,27 @@
     }
 }
 
+/// Grants slots to the acquire requests at the front of a queue, and returns the grants, and whether all grants
+/// of the ledger are within the server's slots.
+fn grant_queued<P: Phase>(
+    queue: &mut VecDeque<QueuedAcquire>,
+    ledger: &mut SlotLedger<P>,
+    now: time::TimeMs,
+    until: time::TimeMs,
+) -> (Vec<NewGrant>, bool) {
+    let mut new_grants = Vec::new();
+    while let Some(next) = queue.front() {
+        let Ok(slots) = ledger.grant(now, next.key.clone(), next.slots, until) else {
+            break;
+        };
+        let key = next.key.clone();
+        queue.pop_front();
+        new_grants.push(NewGrant { key, slots });
+    }
+    let is_within_slots = new_grants.is_empty() || ledger.is_within_slots();
+    (new_grants, is_within_slots)
+}
+
 fn key_of(holder: &InstanceIncarnation, number: GrantNumber) -> GrantKey {
     GrantKey {
         holder: holder.instance.clone(),
--- a/crates/damaskvane-slots/src/exchange/server.rs
+++ b/crates/damaskvane-slots/src/exchange/server.rs
@@ -59,10 +59,15 @@
     /// The instances whose consents made this instance the owner; `None` if it never became the owner, or did
     /// so by the previous owner's ledger.
     pub(super) consented: Option<BTreeMap<ids::InstanceId, ids::Incarnation>>,
+    /// Time by which grants and requests of this instance that its consents do not report have expired: those
+    /// of its earlier incarnations, and grants that it made as an owner.
+    pub(super) unreported_until: time::TimeMs,
 }
 
 impl Server {
-    pub(super) fn new(slots: units::Slots) -> Self {
+    /// Creates the state of a backend server, whose slots may have been used until `unreported_until` in a way
+    /// that is not recorded.
+    pub(super) fn new(slots: units::Slots, unreported_until: time::TimeMs) -> Self {
         Self {
             slots,
             ownership: Ownership::None,
@@ -73,6 +78,7 @@
             owner_refuses: false,
             wait: TakeoverWait::default(),
             consented: None,
+            unreported_until,
         }
     }
 
@@ -90,7 +96,7 @@
         if self.owner != owner {
             self.owner = owner;
             self.owner_refuses = false;
-            self.pool.discard_pending_acquires();
+            self.pool.discard_pending_requests();
         }
     }
 }
--- a/crates/damaskvane-slots/src/exchange/slot_exchange.rs
+++ b/crates/damaskvane-slots/src/exchange/slot_exchange.rs
@@ -212,10 +212,13 @@
 
     fn set_servers(&mut self, servers: Vec<ServerSlots>) {
         let mut kept = core::mem::take(&mut self.servers);
+        // An earlier incarnation of this instance, or this one before the server was removed from the
+        // configuration, may have used or granted slots.
+        let unreported_until = self.now + self.settings.expiry_ms();
         for limit in servers {
             let mut server = kept
                 .remove(&limit.server)
-                .unwrap_or_else(|| Server::new(limit.slots));
+                .unwrap_or_else(|| Server::new(limit.slots, unreported_until));
             server.set_slots(limit.slots);
             self.servers.insert(limit.server, server);
         }
--- a/crates/damaskvane-slots/src/holder/held_grant.rs
+++ b/crates/damaskvane-slots/src/holder/held_grant.rs
@@ -135,6 +135,11 @@
         self.attempts
     }
 
+    /// Forgets the pending renewal request, which was sent to an instance that is no longer the owner.
+    pub(super) fn discard_renewal(&mut self) {
+        self.renewal = None;
+    }
+
     /// Extends the lease to the time `usable` after the renewal request was sent.
     ///
     /// A response to an attempt before the latest one is ignored.
--- a/crates/damaskvane-slots/src/holder/pool.rs
+++ b/crates/damaskvane-slots/src/holder/pool.rs
@@ -207,9 +207,15 @@
         }
     }
 
-    /// Discards pending acquire requests, because they were sent to an instance that is no longer the owner.
-    pub fn discard_pending_acquires(&mut self) {
+    /// Discards pending requests, because they were sent to an instance that is no longer the owner.
+    ///
+    /// Renewals are then due at once: leases that wait for the response of a dead owner would expire, although
+    /// the new owner renews them.
+    pub fn discard_pending_requests(&mut self) {
         self.pending_acquires.clear();
+        for grant in &mut self.grants {
+            grant.discard_renewal();
+        }
         self.acquire_after = time::TimeMs::ZERO;
     }
 
--- a/crates/damaskvane-slots/src/ledger.rs
+++ b/crates/damaskvane-slots/src/ledger.rs
@@ -1,8 +1,8 @@
 //! The ledger of a backend server's owner: the grants that the owner has made.
 //!
 //! The owner is the instance that grants the server's slots; a slot is the right to run one request on the
-//! server. A new owner that did not receive the previous owner's ledger waits first: all grants of the
-//! previous owner must have expired before the new owner grants slots.
+//! server. A new owner that did not receive the previous owner's ledger waits first, until all grants of the
+//! previous owner have expired. Meanwhile it grants at most the slots of the grants that their holders reported.
 //!
 //! ```
 //! use damaskvane_core::{ids, time, units};
@@ -26,4 +26,4 @@
 mod slot_ledger;
 
 pub use grant::{Full, Grant};
-pub use slot_ledger::{Serving, SlotLedger, Waiting};
+pub use slot_ledger::{Phase, Serving, SlotLedger, Waiting};
--- a/crates/damaskvane-slots/src/ledger/slot_ledger.rs
+++ b/crates/damaskvane-slots/src/ledger/slot_ledger.rs
@@ -10,16 +10,36 @@
 use crate::ledger::grant::{Full, Grant};
 use crate::message::{GrantKey, GrantNumber, LedgerEntry};
 
-/// Phase of a ledger whose owner grants nothing, but waits for grants of earlier owners to expire.
+/// Phase of a ledger, which decides how many slots its owner may grant.
+pub trait Phase {
+    /// Returns how many of a server's `slots` may be granted at once.
+    fn limit(&self, slots: units::Slots) -> units::Slots;
+}
+
+/// Phase of a ledger whose owner waits for grants of earlier owners to expire.
 #[derive(Debug)]
 pub struct Waiting {
     until: time::TimeMs,
+    /// Slots of the known grants at the time at which the last earlier owner had stopped; `None` before.
+    accounted: Option<units::Slots>,
+}
+
+impl Phase for Waiting {
+    fn limit(&self, slots: units::Slots) -> units::Slots {
+        self.accounted.unwrap_or_default().min(slots)
+    }
 }
 
 /// Phase of a ledger whose owner grants slots.
 #[derive(Debug)]
 pub struct Serving;
 
+impl Phase for Serving {
+    fn limit(&self, slots: units::Slots) -> units::Slots {
+        slots
+    }
+}
+
 /// The grants that the owner of one backend server has made, in the ledger's phase `P`.
 #[derive(Debug)]
 pub struct SlotLedger<P> {
@@ -29,7 +49,7 @@
 }
 
 impl SlotLedger<Waiting> {
-    /// Creates a ledger with the `known` grants of earlier owners; no slot is granted before `until`.
+    /// Creates a ledger with the `known` grants of earlier owners; until `until` other grants may be in use.
     #[must_use]
     pub fn waiting(
         slots: units::Slots,
@@ -40,11 +60,14 @@
         Self {
             slots,
             grants: grants.collect(),
-            phase: Waiting { until },
+            phase: Waiting {
+                until,
+                accounted: None,
+            },
         }
     }
 
-    /// Returns the time from which the owner may grant slots.
+    /// Returns the time from which the owner may grant all slots.
     #[must_use]
     pub const fn until(&self) -> time::TimeMs {
         self.phase.until
@@ -55,6 +78,25 @@
         self.phase.until = self.phase.until.min(until);
     }
 
+    /// Returns whether the owner may grant slots before the end of the wait.
+    #[must_use]
+    pub fn grants_slots(&self) -> bool {
+        self.phase.limit(self.slots) > units::Slots::ZERO
+    }
+
+    /// Allows grants in place of the known ones, once the earlier owners have stopped: by then all grants
+    /// together were within the server's slots, and those that are not known stay as they are or expire.
+    ///
+    /// Grants that are made or used until the end of the wait expire within `expiry`, so that the earlier
+    /// owners have stopped that much before it. Before that they may grant the slots of a known grant anew,
+    /// which they take for expired.
+    pub fn open(&mut self, now: time::TimeMs, expiry: time::SpanMs) {
+        if self.phase.accounted.is_none() && self.phase.until <= now + expiry {
+            self.expire(now);
+            self.phase.accounted = Some(self.granted());
+        }
+    }
+
     /// Moves the ledger to the phase in which the owner grants slots.
     ///
     /// # Errors
@@ -72,7 +114,7 @@
     }
 }
 
-impl SlotLedger<Serving> {
+impl<P: Phase> SlotLedger<P> {
     /// Records a grant of up to `requested` slots that expires at `until`; returns the number of slots.
     ///
     /// # Errors
@@ -91,7 +133,8 @@
             // under the same key.
             return Err(self.full(now));
         }
-        let slots = requested.min(self.free());
+        let limit = self.phase.limit(self.slots);
+        let slots = requested.min(limit.saturating_sub(self.granted()));
         if slots == units::Slots::ZERO {
             return Err(self.full(now));
         }
@@ -197,6 +240,12 @@
         held
     }
 
+    /// Returns when the last grant expires; `None` if there is none.
+    #[must_use]
+    pub fn last_expiry(&self) -> Option<time::TimeMs> {
+        self.grants.values().map(|grant| grant.until).max()
+    }
+
     /// Returns the grants that have not expired, as they are sent to the next owner.
     #[must_use]
     pub fn entries(&self, now: time::TimeMs) -> Vec<LedgerEntry> {
