A neighbour's reading of the list gives an owner authority

Callers saw a server without requests for as long as its owner could not reach the platform, after the owner paused or once any instance of the zone had been fenced, although a neighbour read on the list that the owner was not fenced.

Cause: only an own read counted. Now a neighbour that reads the list names the incarnation that its last copy lists, beside an echo, to an instance whose own read is older than half of authority_ms. It read that copy platform_age_ms before it sent this, and it sent this after the echoed round. So the read was not before sent_at - platform_age_ms, and the instance has the authority of an own read at that time. With drift the span from the read to the end is at most authority_ms of the slower of both clocks, as for an own read.

Ruled out: every echo beside platform_age_ms as a list. delisted_at is also unset for an incarnation known by heartbeats alone, for one whose earlier incarnation is listed, and after another instance's copy. Hence a positive report with the incarnation; old versions send none. Also ruled out: ending needs_list_from or a lost neighbour's limit by a report, which names no instance that started since.

--- a/crates/damaskvane-entry/src/control/notices.rs
+++ b/crates/damaskvane-entry/src/control/notices.rs
@@ -49,6 +49,7 @@
             config_version: self.relay.applier().version(),
             leaving,
             platform_age_ms: None,
+            listed_incarnation: None,
             load: heartbeat::LoadSummary::default(),
         });
         let others = self
--- a/crates/damaskvane-membership/src/heartbeat.rs
+++ b/crates/damaskvane-membership/src/heartbeat.rs
@@ -54,6 +54,13 @@
     /// Time since the sender last reached the platform; absent if it never reached the platform.
     #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
     pub platform_age_ms: Option<time::SpanMs>,
+    /// Incarnation (start of the process) of the neighbour that the platform's list named as not fenced
+    /// when the sender last read it, `platform_age_ms` ago.
+    ///
+    /// Absent unless the neighbour reported that it may be cut off from the platform, to keep heartbeats
+    /// small, and unless this heartbeat has an echo.
+    #[serde(rename = "n", default, skip_serializing_if = "Option::is_none")]
+    pub listed_incarnation: Option<ids::Incarnation>,
     /// Load of the sender.
     #[serde(rename = "w", default)]
     pub load: LoadSummary,
--- a/crates/damaskvane-membership/src/view.rs
+++ b/crates/damaskvane-membership/src/view.rs
@@ -33,6 +33,7 @@
 mod listing;
 mod member;
 mod membership;
+mod relayed_list;
 mod roster;
 mod rounds;
 mod silence;
--- a/crates/damaskvane-membership/src/view/authority.rs
+++ b/crates/damaskvane-membership/src/view/authority.rs
@@ -8,6 +8,12 @@
 //! heartbeats) can have fenced it: each neighbour has echoed (confirmed) a recently sent heartbeat, or
 //! the platform lists the instance.
 //!
+//! To an instance that may be cut off from the platform, a neighbour that reads the list reports beside an
+//! echo that the list names the instance, and how long ago it read the list. It sent that report after the
+//! echoed heartbeat. Counted back from the time at which the echoed heartbeat was sent, the age therefore
+//! gives a time no later than that of the neighbour's read, and the instance has the authority of a read of
+//! its own at that time.
+//!
 //! One case is not covered: an instance is cut off from the platform, and from a new instance that
 //! started after the cut, while both reach the backend servers and the new instance reaches the
 //! platform. The old instance has no record of the new one. A zone that is cut off as a whole is not
@@ -42,6 +48,7 @@
         }
         let by_platform = self
             .platform_seen_at
+            .max(self.listed_by_neighbour_at)
             .filter(|_| self.is_listed)
             .map(|seen_at| seen_at + self.settings.authority_ms);
         let until = by_platform.max(self.authority_from_neighbours());
--- a/crates/damaskvane-membership/src/view/listing.rs
+++ b/crates/damaskvane-membership/src/view/listing.rs
@@ -38,8 +38,9 @@
         let own = listed.remove(&self.own.instance);
         self.apply_own_record(own, source, made_at, actions);
         self.record_delisted(&listed);
+        let listed_at = Some(made_at).filter(|_| source == ListSource::Platform);
         for (instance, record) in listed {
-            self.apply_record(instance, record);
+            self.apply_record(instance, record, listed_at);
         }
         self.apply_fence_records(fence_records);
         self.plan_neighbours();
@@ -179,12 +180,17 @@
         others.all(|member| self.own.instance < member.record.instance)
     }
 
-    fn apply_record(&mut self, instance: ids::InstanceId, record: InstanceRecord) {
+    fn apply_record(
+        &mut self,
+        instance: ids::InstanceId,
+        record: InstanceRecord,
+        listed_at: Option<time::TimeMs>,
+    ) {
         let now = self.now;
-        let Some(member) = self.members.get_mut(&instance) else {
-            self.members.insert(instance, Member::new(record, now));
-            return;
-        };
+        let member = self
+            .members
+            .entry(instance)
+            .or_insert_with(|| Member::new(record.clone(), now));
         if record.incarnation < member.incarnation {
             return;
         }
@@ -192,6 +198,7 @@
             member.reset_for_incarnation(record.incarnation, now);
         }
         member.leaving |= record.leaving;
+        member.listed_at = listed_at.or(member.listed_at);
         member.record = record;
     }
 
--- a/crates/damaskvane-membership/src/view/member.rs
+++ b/crates/damaskvane-membership/src/view/member.rs
@@ -31,6 +31,9 @@
     pub(super) incarnation: ids::Incarnation,
     pub(super) leaving: bool,
     pub(super) delisted_at: Option<time::TimeMs>,
+    /// Time at which the latest copy of the platform's list was requested that named this incarnation,
+    /// read by this instance itself.
+    pub(super) listed_at: Option<time::TimeMs>,
     /// Time since which each copy of the platform's list has contained a fence record of this
     /// incarnation.
     pub(super) fence_record_since: Option<time::TimeMs>,
@@ -63,6 +66,7 @@
             leaving: record.leaving,
             record,
             delisted_at: None,
+            listed_at: None,
             fence_record_since: None,
             is_neighbour: false,
             expected_from: now,
@@ -90,6 +94,7 @@
         self.record.goes_on_alone = false;
         self.leaving = false;
         self.delisted_at = None;
+        self.listed_at = None;
         self.fence_record_since = None;
         self.expected_from = now;
         self.last_received = None;
--- a/crates/damaskvane-membership/src/view/membership.rs
+++ b/crates/damaskvane-membership/src/view/membership.rs
@@ -69,6 +69,9 @@
     pub(super) lost_neighbour: Option<LostNeighbour>,
     /// Time at which this instance sent its last successful request for the list to the platform.
     pub(super) platform_seen_at: Option<time::TimeMs>,
+    /// Time at which the platform's list certainly still named this instance, by the latest heartbeat of
+    /// a neighbour that says so.
+    pub(super) listed_by_neighbour_at: Option<time::TimeMs>,
     /// Last round of heartbeats which reported that this instance could not reach the platform.
     pub(super) last_cut_off_round: Option<CutOffRound>,
     pub(super) counters: MembershipCounters,
@@ -96,6 +99,7 @@
             needs_list_from: None,
             lost_neighbour: None,
             platform_seen_at: None,
+            listed_by_neighbour_at: None,
             last_cut_off_round: None,
             counters: MembershipCounters::default(),
             now,
@@ -197,6 +201,7 @@
             return;
         }
         let echo = heartbeat.echo;
+        let list_age = self.list_age_by_neighbour(&heartbeat);
         let now = self.now;
         let known = self.members.get(from).map(|member| member.incarnation);
         let received = match self.members.get_mut(from) {
@@ -210,17 +215,23 @@
                     // The later incarnation may be a restart of a member that was gone.
                     self.plan_neighbours();
                 }
-                self.apply_echo(from, echo);
+                self.apply_echo(from, echo, list_age);
             }
         }
     }
 
-    fn apply_echo(&mut self, from: &ids::InstanceId, echo: Option<u64>) {
+    fn apply_echo(
+        &mut self,
+        from: &ids::InstanceId,
+        echo: Option<u64>,
+        list_age: Option<time::SpanMs>,
+    ) {
         let sent_at = echo.and_then(|sequence| self.rounds.sent_at(sequence));
         let sent_at = sent_at.filter(|sent_at| *sent_at >= self.resumed_at);
         if let (Some(sent_at), Some(member)) = (sent_at, self.members.get_mut(from)) {
             member.record_echo(sent_at);
             member.echoed_sequence = member.echoed_sequence.max(echo);
+            self.record_list_of_neighbour(sent_at, list_age);
         }
     }
 
@@ -337,6 +348,7 @@
                 config_version: self.config_version,
                 leaving: self.leaving,
                 platform_age_ms,
+                listed_incarnation: self.listed_incarnation(member),
                 load: self.load,
             };
             actions.push(Action::Send {
--- a/crates/damaskvane-membership/tests/common/mod.rs
+++ b/crates/damaskvane-membership/tests/common/mod.rs
@@ -46,6 +46,7 @@
         config_version: ids::ConfigVersion::new(1),
         leaving: false,
         platform_age_ms: Some(ms(0)),
+        listed_incarnation: None,
         load: heartbeat::LoadSummary::default(),
     }
 }
