A fence record proves an instance gone that can't read it

Callers saw a server without requests for a minute after a short cut, since its fenced owner, without the platform, still sent heartbeats but could not act, and counted as live until delisted_grace_ms.

Cause: an instance that left the list counts as live while it is heard, also when its fence record is on the list. Now a record of exactly this incarnation, in the last copy that an instance read itself at the platform, proves it gone if its last heartbeat reported a lost platform; from the same time as for the fencer (list_lag_ms and the longest authority later).

--- a/crates/damaskvane-membership/src/view/listing.rs
+++ b/crates/damaskvane-membership/src/view/listing.rs
@@ -42,7 +42,7 @@
         for (instance, record) in listed {
             self.apply_record(instance, record, listed_at);
         }
-        self.apply_fence_records(fence_records);
+        self.apply_fence_records(fence_records, source);
         self.plan_neighbours();
         self.allow_peers(actions);
     }
@@ -98,7 +98,7 @@
     /// A fenced incarnation may act as an owner until its authority (right to do so) expires. Without
     /// its fence record, an instance that restarts and finds no other instance would own at once the
     /// backend servers whose slots the fenced incarnation still grants.
-    fn apply_fence_records(&mut self, fence_records: Vec<InstanceRecord>) {
+    fn apply_fence_records(&mut self, fence_records: Vec<InstanceRecord>, source: ListSource) {
         let fence_records: BTreeMap<ids::InstanceId, InstanceRecord> = fence_records
             .into_iter()
             .filter(|record| record.instance != self.own.instance)
@@ -108,14 +108,15 @@
             let fence_record = fence_records.get(instance);
             if fence_record.is_none_or(|record| record.incarnation < member.incarnation) {
                 member.fence_record_since = None;
+                member.is_fenced_at_platform = false;
             }
         }
         for record in fence_records.into_values() {
-            self.apply_fence_record(record);
+            self.apply_fence_record(record, source);
         }
     }
 
-    fn apply_fence_record(&mut self, record: InstanceRecord) {
+    fn apply_fence_record(&mut self, record: InstanceRecord, source: ListSource) {
         let now = self.now;
         let (instance, incarnation) = (record.instance.clone(), record.incarnation);
         let known = self.members.get(&instance).map(|member| member.incarnation);
@@ -134,6 +135,7 @@
             member.record = record;
         }
         member.fence_record_since.get_or_insert(now);
+        member.is_fenced_at_platform |= source == ListSource::Platform;
         member.fence_record_goes_on_alone |= goes_on_alone;
         // If the incarnation was known before its fence record, it is handled like any that left the
         // list.
@@ -203,7 +205,11 @@
     }
 
     /// Removes gone members that have been missing from the list for `delisted_grace_ms`, and records
-    /// other members as gone that have been missing for that time, or are missing and count as dead.
+    /// other members as gone that have been missing for that time, are missing and count as dead, or have
+    /// a fence record and can't read it.
+    ///
+    /// A fenced member that can't read the list may send heartbeats for as long as it runs. One that reads
+    /// it is started again soon.
     pub(super) fn forget_delisted(&mut self, actions: &mut Vec<Action>) {
         let grace = self.settings.delisted_grace_ms;
         let mut proven = Vec::new();
@@ -216,6 +222,8 @@
             // The list may have dropped an earlier incarnation, and not contain a later one yet that
             // sends heartbeats.
             let was_listed = member.record.incarnation == member.incarnation;
+            let is_fenced_unaware =
+                member.is_fenced_at_platform && !member.could_fence(&self.settings);
             let is_silent = was_listed && self.state_of(member) == InstanceState::Dead;
             if member
                 .gone
@@ -223,7 +231,7 @@
                 && member.fence_record_since.is_none()
             {
                 forgotten.push(instance.clone());
-            } else if is_over || is_silent {
+            } else if is_over || is_silent || is_fenced_unaware {
                 proven.push((instance.clone(), member.incarnation));
             }
         }
--- a/crates/damaskvane-membership/src/view/member.rs
+++ b/crates/damaskvane-membership/src/view/member.rs
@@ -37,6 +37,9 @@
     /// Time since which each copy of the platform's list has contained a fence record of this
     /// incarnation.
     pub(super) fence_record_since: Option<time::TimeMs>,
+    /// Whether the last copy of the list that this instance itself read from the platform has a fence
+    /// record of this incarnation.
+    pub(super) is_fenced_at_platform: bool,
     pub(super) is_neighbour: bool,
     /// Time from which this instance expects heartbeats of the member.
     pub(super) expected_from: time::TimeMs,
@@ -68,6 +71,7 @@
             delisted_at: None,
             listed_at: None,
             fence_record_since: None,
+            is_fenced_at_platform: false,
             is_neighbour: false,
             expected_from: now,
             last_received: None,
@@ -96,6 +100,7 @@
         self.delisted_at = None;
         self.listed_at = None;
         self.fence_record_since = None;
+        self.is_fenced_at_platform = false;
         self.expected_from = now;
         self.last_received = None;
         self.echoed_sent_at = None;
