Stop an instance whose first list shows its own fence

What callers saw: nothing yet; a server could have run more requests than its slots. Cause: an instance noticed its fence only if its entry was missing after it had been listed once. One that was fenced before it read its first list took the mark, by its own name, for nobody's. Evidence: an_instance_whose_first_list_shows_its_own_fence_stops failed before, for a list of the platform and for one of a peer; the_fence_of_an_earlier_incarnation_stops_no_later_one passed before and after. Ruled out: stopping at any own mark, which would stop each restart after a fence. Conclusion: a mark of the own incarnation, or of a later one, stops the instance whatever list shows it.

--- a/crates/damaskvane-membership/src/view/listing.rs
+++ b/crates/damaskvane-membership/src/view/listing.rs
@@ -36,6 +36,9 @@
             .map(|record| (record.instance.clone(), record))
             .collect();
         let own = listed.remove(&self.own.instance);
+        if self.is_own_fence_record(&fence_records) {
+            self.fence_own(actions);
+        }
         self.apply_own_record(own, source, made_at, actions);
         self.record_delisted(&listed);
         for (instance, record) in listed {
@@ -46,6 +49,16 @@
         self.allow_peers(actions);
     }
 
+    /// Returns whether one of the fence records is that of this incarnation, or of a later one.
+    ///
+    /// An instance that was fenced before it read its first list was never listed for itself, so that a
+    /// missing entry does not show it the fence.
+    fn is_own_fence_record(&self, fence_records: &[InstanceRecord]) -> bool {
+        fence_records.iter().any(|record| {
+            record.instance == self.own.instance && record.incarnation >= self.own.incarnation
+        })
+    }
+
     /// Applies this instance's entry, which shows whether this instance was fenced.
     ///
     /// This instance was fenced if its entry was listed before and is now missing or marked as fenced,
