Conclude nothing from an own entry in a list that a peer made up

What callers saw: nothing yet; two instances could have granted the slots of one server. Cause: is_listed means that the list contains all instances that started before. A seed answers with what it knows of others, incarnations known by heartbeat included. Such a list may name a restarted instance and lack one that started before the restart; the restarted one would claim without the other's consent. Evidence: a_list_with_an_incarnation_known_by_heartbeat_is_no_proof_of_completeness failed before (is_listed was true after a list that lacked z-a-3), and passes now. Ruled out: refusing such lists; an instance needs them to reach peers and the configuration at all. Conclusion: lists of peers are of two sources, what a peer knows (Peer) and a copy as read (PeerCopy, marked on the wire by a field that old programs ignore).

--- a/crates/damaskvane-entry/src/control/seeding.rs
+++ b/crates/damaskvane-entry/src/control/seeding.rs
@@ -7,7 +7,7 @@
 //! ```
 
 use damaskvane_core::ids;
-use damaskvane_membership::{record, view};
+use damaskvane_membership::view;
 use damaskvane_peer::address;
 
 use crate::control::{Control, fleet};
@@ -37,12 +37,20 @@
     pub(super) fn handle_fleet(&mut self, message: wire::FleetMessage) {
         match message {
             wire::FleetMessage::GetList { reply_to } => self.send_list(&reply_to),
-            wire::FleetMessage::List { records, age_ms } => {
+            wire::FleetMessage::List {
+                records,
+                age_ms,
+                is_copy,
+            } => {
                 if self.membership.list_age().is_none() {
                     self.drive_membership(view::Event::List {
                         records,
                         age: age_ms,
-                        source: view::ListSource::Peer,
+                        source: if is_copy {
+                            view::ListSource::PeerCopy
+                        } else {
+                            view::ListSource::Peer
+                        },
                     });
                 }
             }
@@ -50,19 +58,19 @@
     }
 
     fn send_list(&self, reply_to: &address::PeerAddress) {
-        let Some(age_ms) = self.membership.list_age() else {
+        let Some(list) = self.membership.list_to_pass() else {
             return;
         };
-        let mut records: Vec<record::InstanceRecord> = self
-            .membership
-            .instances()
-            .map(|instance| record::InstanceRecord {
-                incarnation: instance.incarnation,
-                ..instance.record.clone()
-            })
-            .collect();
-        records.push(fleet::to_membership_record(self.record.clone()));
-        let list = wire::FleetMessage::List { records, age_ms };
+        let is_copy = list.source == view::ListSource::PeerCopy;
+        let mut records = list.records;
+        if !is_copy {
+            records.push(fleet::to_membership_record(self.record.clone()));
+        }
+        let list = wire::FleetMessage::List {
+            records,
+            age_ms: list.age,
+            is_copy,
+        };
         self.peers
             .send_to(reply_to, &wire::WireMessage::Fleet(list));
     }
--- a/crates/damaskvane-entry/src/wire/fleet.rs
+++ b/crates/damaskvane-entry/src/wire/fleet.rs
@@ -32,6 +32,9 @@
         /// Age of the list in milliseconds.
         #[serde(rename = "a")]
         age_ms: time::SpanMs,
+        /// Whether the list is a copy as read from the platform, and not what the sender knows of others.
+        #[serde(rename = "c", default, skip_serializing_if = "core::ops::Not::not")]
+        is_copy: bool,
     },
 }
 
--- a/crates/damaskvane-membership/src/view/event.rs
+++ b/crates/damaskvane-membership/src/view/event.rs
@@ -17,9 +17,14 @@
 pub enum ListSource {
     /// The platform itself.
     Platform,
-    /// Another instance, which passed its copy on to an instance that started while the platform was
-    /// down.
+    /// Another instance, which passed on the instances that it knows of.
+    ///
+    /// They may include incarnations that it knows by their heartbeats only, and lack instances that
+    /// started before them. So this instance's own entry does not show that the list contains all
+    /// instances that started before this one.
     Peer,
+    /// Another instance, which passed on a copy of the list exactly as it was read from the platform.
+    PeerCopy,
 }
 
 /// Result of a probe, which tries to connect to the address of an instance.
--- a/crates/damaskvane-membership/src/view/listing.rs
+++ b/crates/damaskvane-membership/src/view/listing.rs
@@ -80,7 +80,7 @@
         if is_replaced || is_dropped {
             self.fence_own(actions);
         }
-        self.is_listed |= is_current;
+        self.is_listed |= is_current && source != ListSource::Peer;
         if own.is_some() {
             self.own_record = own;
         }
--- a/crates/damaskvane-membership/tests/passed_lists.rs
+++ b/crates/damaskvane-membership/tests/passed_lists.rs
@@ -6,6 +6,8 @@
 
 mod common;
 
+use common::id;
+use damaskvane_core::ids;
 use damaskvane_membership::{record, view};
 
 fn fence_record(name: &str, incarnation: u64) -> record::InstanceRecord {
@@ -23,6 +25,43 @@
     }
 }
 
+/// Lets `b` apply the list that `a` passes on, and returns whether there was one.
+fn pass_on(a: &view::Membership, b: &mut view::Membership, now_ms: u64) -> bool {
+    let Some(list) = a.list_to_pass() else {
+        return false;
+    };
+    let event = view::Event::List {
+        records: list.records,
+        age: list.age,
+        source: list.source,
+    };
+    b.handle(common::at(now_ms), event);
+    true
+}
+
+fn heartbeat_of(name: &str, incarnation: u64) -> view::Event {
+    view::Event::Heartbeat {
+        from: id(name),
+        incarnation: ids::Incarnation::new(incarnation),
+        heartbeat: common::new_heartbeat(1),
+    }
+}
+
+/// Guards against two owners of a server. `z-a-2` restarts; its neighbour knows the new incarnation by a heartbeat
+/// only, and not `z-a-3`, which started before the restart. What the neighbour passes on names `z-a-2`, and must not
+/// count as a list that contains all instances that started before.
+#[test]
+fn a_list_with_an_incarnation_known_by_heartbeat_is_no_proof_of_completeness() {
+    let mut a = common::member("z-a-1", 1);
+    let records = [common::record("z-a-1", 1), common::record("z-a-2", 1)];
+    a.handle(common::at(100), common::list(&records));
+    a.handle(common::at(200), heartbeat_of("z-a-2", 2));
+    let mut b = common::member("z-a-2", 2);
+    assert!(pass_on(&a, &mut b, 300));
+    let roster = b.roster();
+    assert!(!roster.is_listed, "z-a-3 may be missing: {roster:?}");
+}
+
 /// Guards against a fenced instance that goes on as the owner because it read no list before its fence: the first
 /// list that it sees, from a peer or the platform, shows its own entry with the mark.
 #[test]
