Pass the platform's list on as it was read, fence records included

What callers saw: an instance that starts while the platform is down and learns of others from a seed waits without end for an instance that was fenced long ago, and serves nothing. Cause: a seed sent what it knows of others. An instance that it knew before the fence was sent without the mark, and the flag goes_on_alone was lost in any case. Evidence: fence_records_are_passed_on failed before (no proof that z-a-3 is gone at the receiver); passes now. The same for a list that reached the sender by a peer. Ruled out: a copy that lacks the sender itself, since the receiver would not know the one that it hears; then what the sender knows is sent, and is_listed is not concluded from it. Conclusion: the copy as read is kept and sent with its age; it shows that the receiver is listed, and no contact of the receiver to the platform.

--- a/crates/damaskvane-membership/src/view/listing.rs
+++ b/crates/damaskvane-membership/src/view/listing.rs
@@ -13,6 +13,7 @@
 use crate::view::event::{Action, ListSource};
 use crate::view::member::Member;
 use crate::view::membership::Membership;
+use crate::view::passing::PlatformCopy;
 
 impl Membership {
     pub(super) fn apply_list(
@@ -29,6 +30,10 @@
         }
         self.list = Some((self.now, age));
         let made_at = time::TimeMs::new(self.now.get().saturating_sub(age.get()));
+        self.platform_copy = (source != ListSource::Peer).then(|| PlatformCopy {
+            records: records.clone(),
+            made_at,
+        });
         let (fence_records, records): (Vec<InstanceRecord>, Vec<InstanceRecord>) =
             records.into_iter().partition(|record| record.fenced);
         let mut listed: BTreeMap<ids::InstanceId, InstanceRecord> = records
--- a/crates/damaskvane-membership/src/view/member.rs
+++ b/crates/damaskvane-membership/src/view/member.rs
@@ -102,6 +102,16 @@
         self.fence_requested_at = None;
     }
 
+    /// Returns the member's entry with what is known of its latest incarnation.
+    pub(super) fn known_record(&self) -> InstanceRecord {
+        InstanceRecord {
+            incarnation: self.incarnation,
+            fenced: self.fence_record_since.is_some(),
+            goes_on_alone: self.fence_record_goes_on_alone,
+            ..self.record.clone()
+        }
+    }
+
     pub(super) fn is_gone(&self) -> bool {
         self.gone.is_some()
     }
--- a/crates/damaskvane-membership/src/view/membership.rs
+++ b/crates/damaskvane-membership/src/view/membership.rs
@@ -18,6 +18,7 @@
 use crate::view::counters::{HeartbeatRefusal, MembershipCounters};
 use crate::view::event::{Action, Event, ProbeOutcome};
 use crate::view::member::Member;
+use crate::view::passing::PlatformCopy;
 use crate::view::rounds::{CutOffRound, Rounds};
 
 /// Identity of this instance.
@@ -59,6 +60,9 @@
     pub(super) leaving: bool,
     /// Arrival time of the copy of the platform's list in use, and the copy's age at that time.
     pub(super) list: Option<(time::TimeMs, time::SpanMs)>,
+    /// Copy of the platform's list in use, as it was read from the platform; `None` if the list in use
+    /// is what a peer knew.
+    pub(super) platform_copy: Option<PlatformCopy>,
     /// Time at which this process last resumed after a pause, or started.
     pub(super) resumed_at: time::TimeMs,
     /// Set while this instance may have been fenced without notice; a list created at this time or
@@ -92,6 +96,7 @@
             is_fenced: false,
             leaving: false,
             list: None,
+            platform_copy: None,
             resumed_at: now,
             needs_list_from: None,
             lost_neighbour: None,
--- a/crates/damaskvane-membership/tests/passed_lists.rs
+++ b/crates/damaskvane-membership/tests/passed_lists.rs
@@ -8,7 +8,7 @@
 
 use common::id;
 use damaskvane_core::ids;
-use damaskvane_membership::{record, view};
+use damaskvane_membership::{record, state, view};
 
 fn fence_record(name: &str, incarnation: u64) -> record::InstanceRecord {
     record::InstanceRecord {
@@ -47,6 +47,11 @@
     }
 }
 
+fn gone(membership: &view::Membership, name: &str) -> Option<state::Gone> {
+    let mut members = membership.roster().members.into_iter();
+    members.find(|member| member.instance == id(name))?.gone
+}
+
 /// Guards against two owners of a server. `z-a-2` restarts; its neighbour knows the new incarnation by a heartbeat
 /// only, and not `z-a-3`, which started before the restart. What the neighbour passes on names `z-a-2`, and must not
 /// count as a list that contains all instances that started before.
@@ -62,6 +67,72 @@
     assert!(!roster.is_listed, "z-a-3 may be missing: {roster:?}");
 }
 
+/// Guards against a fence record that is lost on the way: a new instance that learns the list from a neighbour waits
+/// without end for an instance that was fenced long ago, or does not wait as long as that one may go on alone.
+#[test]
+fn fence_records_are_passed_on() {
+    for records in [
+        [common::record("z-a-1", 1), common::record("z-a-3", 1)],
+        [common::record("z-a-1", 1), fence_record("z-a-3", 1)],
+    ] {
+        let mut a = common::member("z-a-1", 1);
+        a.handle(common::at(100), common::list(&records));
+        let fenced = record::InstanceRecord {
+            goes_on_alone: true,
+            ..fence_record("z-a-3", 1)
+        };
+        let records = [
+            common::record("z-a-1", 1),
+            common::record("z-a-2", 1),
+            fenced,
+        ];
+        a.handle(common::at(200), common::list(&records));
+        let mut b = common::member("z-a-2", 1);
+        assert!(pass_on(&a, &mut b, 300));
+        let gone = gone(&b, "z-a-3").expect("its fence record was passed on");
+        assert!(
+            gone.from >= common::at(900_300),
+            "it goes on alone: {gone:?}"
+        );
+    }
+}
+
+/// Guards against a fence record that is lost because the instance that passes it on was given its list by another
+/// one and has no copy of the platform's.
+#[test]
+fn fence_records_of_a_list_that_was_passed_on_are_passed_on() {
+    let mut a = common::member("z-a-1", 1);
+    let records = [common::record("z-a-2", 1), fence_record("z-a-3", 1)];
+    a.handle(
+        common::at(100),
+        passed_list(&records, view::ListSource::Peer),
+    );
+    let list = a.list_to_pass().expect("it has a list");
+    assert_eq!(list.source, view::ListSource::Peer);
+    let mut b = common::member("z-a-2", 1);
+    assert!(pass_on(&a, &mut b, 300));
+    assert!(gone(&b, "z-a-3").is_some());
+}
+
+/// Guards against a new instance that owns nothing although its neighbour's copy of the platform's list contains it,
+/// and against contact to the platform that is concluded from such a copy.
+#[test]
+fn a_copy_of_the_platforms_list_shows_that_an_instance_is_listed_and_no_contact() {
+    let mut a = common::member("z-a-1", 1);
+    let records = [common::record("z-a-1", 1), common::record("z-a-2", 1)];
+    a.handle(common::at(100), common::list(&records));
+    a.handle(common::at(200), view::Event::Tick);
+    let mut b = common::member("z-a-2", 1);
+    assert!(pass_on(&a, &mut b, 200));
+    assert!(b.roster().is_listed);
+    assert_eq!(
+        b.authority_until(),
+        None,
+        "neither the platform nor z-a-1 has confirmed anything to it"
+    );
+    assert_eq!(b.list_age(), Some(common::ms(100)));
+}
+
 /// Guards against a fenced instance that goes on as the owner because it read no list before its fence: the first
 /// list that it sees, from a peer or the platform, shows its own entry with the mark.
 #[test]
