Pass the list to an instance that never read one

What callers saw: an instance that lost the platform before its first read of the list refuses every look-up, also after its neighbours have stopped; while they run, none of them can claim a server beside it. Cause: only the platform and the seeds give a list, the seeds once. Heartbeats of unknown senders carry no address and are dropped by the transport, so that the newcomer can't ask; its neighbours know it and told it nothing. Change: a neighbour pushes its copy of the list as read to a listed instance that it never heard, after retry_ms and then with doubled pauses. An instance without its own entry on a copy admits unknown senders at the rate of one, and uses only a list that names its sender. One whose list lacks it asks its neighbours again. Ruled out: a request to the sender of a refused heartbeat (no address); the members' view as content (no proof). Not covered: a listed instance without the platform that does not know a later one.

--- a/crates/damaskvane-bench/src/cluster/entry.rs
+++ b/crates/damaskvane-bench/src/cluster/entry.rs
@@ -61,7 +61,7 @@
     }
 
     /// Names the instances that it asks while the platform is down, from its next start on.
-    pub(crate) fn set_seeds(&mut self, seeds: &str) {
+    pub fn set_seeds(&mut self, seeds: &str) {
         self.seeds = seeds.to_owned();
     }
 
--- a/crates/damaskvane-entry/src/control.rs
+++ b/crates/damaskvane-entry/src/control.rs
@@ -208,6 +208,10 @@
 
     fn handle_peer(&mut self, received: transport::Received<wire::WireMessage>) {
         let from = received.from;
+        if !self.peers.knows(&from) && !received.message.names(&from, received.incarnation) {
+            self.serving.counters.increment("peers", "unknown_sender");
+            return;
+        }
         match received.message {
             wire::WireMessage::Heartbeat(heartbeat) => {
                 self.handle_heartbeat(from, received.incarnation, heartbeat);
--- a/crates/damaskvane-entry/src/control/fleet.rs
+++ b/crates/damaskvane-entry/src/control/fleet.rs
@@ -58,6 +58,7 @@
     pub(super) seeds: peers::Seeds,
     pub(super) seeds_requested_at: time::TimeMs,
     pub(super) start_notice_sent: bool,
+    pub(super) admits_unlisted: bool,
 }
 
 impl InstanceListState {
@@ -72,6 +73,7 @@
             seeds,
             seeds_requested_at: time::TimeMs::ZERO,
             start_notice_sent: false,
+            admits_unlisted: false,
         }
     }
 
@@ -102,6 +104,7 @@
             self.publish_membership();
             self.send_start_notice();
         }
+        self.admit_unlisted();
     }
 
     /// Carries out an action of the membership. Returns whether the address book and the directory have to
@@ -141,6 +144,18 @@
                 instance,
                 incarnation,
             }),
+            view::Action::PassList { to, list, .. } => {
+                info!(self.logger, "passing the list of instances on"; "peer" => %to);
+                self.serving.counters.increment("membership", "list_passed");
+                let message = self.list_message(list);
+                self.peers.send(&to, &message);
+            }
+            view::Action::RequestList { to, .. } => {
+                info!(self.logger, "asking for a list with this instance"; "peer" => %to);
+                let reply_to = *self.peers.local_address();
+                let request = wire::FleetMessage::GetList { reply_to };
+                self.peers.send(&to, &wire::WireMessage::Fleet(request));
+            }
             view::Action::AllowPeers(_) => return self.update_listed_instances(),
             view::Action::Changed { instance, state } => {
                 info!(self.logger, "instance state changed"; "peer" => %instance,
--- a/crates/damaskvane-entry/src/peers.rs
+++ b/crates/damaskvane-entry/src/peers.rs
@@ -53,6 +53,17 @@
         *self.book() = book;
     }
 
+    /// Sets whether messages of instances that are not in the book are accepted too.
+    pub fn set_admits_unlisted(&self, admits_unlisted: bool) {
+        self.transport.set_admits_unlisted(admits_unlisted);
+    }
+
+    /// Returns whether an instance is in the address book.
+    #[must_use]
+    pub fn knows(&self, instance: &ids::InstanceId) -> bool {
+        self.book().get(instance).is_some()
+    }
+
     /// Sends a message. Returns false if the instance is not in the address book or the transport dropped the
     /// message; the transport counts its drops by reason.
     pub fn send(&self, to: &ids::InstanceId, message: &wire::WireMessage) -> bool {
--- a/crates/damaskvane-entry/src/wire/message.rs
+++ b/crates/damaskvane-entry/src/wire/message.rs
@@ -8,6 +8,7 @@
 //! assert_eq!(request.kind(), "ask_head");
 //! ```
 
+use damaskvane_core::ids;
 use damaskvane_engine::peer;
 use damaskvane_membership::{digest, heartbeat};
 use damaskvane_peer::transport;
@@ -39,6 +40,22 @@
     Engine(Box<peer::PeerMessage>),
 }
 
+impl WireMessage {
+    /// Returns whether the message is a list of instances that has the entry of this incarnation.
+    ///
+    /// Of all messages, only such a list of its sender is of use to an instance that does not know the
+    /// sender.
+    #[must_use]
+    pub fn names(&self, instance: &ids::InstanceId, incarnation: ids::Incarnation) -> bool {
+        let Self::Fleet(fleet::FleetMessage::List { records, .. }) = self else {
+            return false;
+        };
+        records
+            .iter()
+            .any(|record| record.instance == *instance && record.incarnation == incarnation)
+    }
+}
+
 impl transport::MessageKind for WireMessage {
     fn kind(&self) -> &'static str {
         match self {
--- a/crates/damaskvane-membership/src/view/event.rs
+++ b/crates/damaskvane-membership/src/view/event.rs
@@ -11,6 +11,7 @@
 use crate::heartbeat::{Heartbeat, LoadSummary};
 use crate::record::InstanceRecord;
 use crate::state::InstanceState;
+use crate::view::passing::PassedList;
 
 /// Source of a copy of the platform's list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -147,6 +148,24 @@
         /// The fenced incarnation.
         incarnation: ids::Incarnation,
     },
+    /// Send the copy of the platform's list to a neighbour that may never have read one; it arrives
+    /// there as [`Event::List`].
+    PassList {
+        /// Neighbour that receives the list.
+        to: ids::InstanceId,
+        /// Peer address of the neighbour.
+        address: net::SocketAddr,
+        /// List to send.
+        list: PassedList,
+    },
+    /// Ask a neighbour for its list, which it answers with
+    /// [`Membership::list_to_pass`](crate::view::Membership::list_to_pass).
+    RequestList {
+        /// Neighbour to ask.
+        to: ids::InstanceId,
+        /// Peer address of the neighbour.
+        address: net::SocketAddr,
+    },
     /// From now on, accept messages from these instances only.
     AllowPeers(Vec<ids::InstanceId>),
     /// The state of an instance changed.
--- a/crates/damaskvane-membership/src/view/listing.rs
+++ b/crates/damaskvane-membership/src/view/listing.rs
@@ -28,6 +28,9 @@
             self.counters.old_lists += 1;
             return;
         }
+        if !self.is_usable(&records, source) {
+            return;
+        }
         self.list = Some((self.now, age));
         let made_at = time::TimeMs::new(self.now.get().saturating_sub(age.get()));
         self.platform_copy = (source != ListSource::Peer).then(|| PlatformCopy {
--- a/crates/damaskvane-membership/src/view/member.rs
+++ b/crates/damaskvane-membership/src/view/member.rs
@@ -11,6 +11,7 @@
 use crate::settings::MembershipSettings;
 use crate::state::{Gone, InstanceState};
 use crate::view::counters::HeartbeatRefusal;
+use crate::view::passing::Attempts;
 
 const SUSPECT_HALF_PERIODS: u64 = 5;
 const DEAD_PERIODS: u64 = 4;
@@ -53,6 +54,8 @@
     /// Time of the last request to fence the member; `None` if there was none or its outcome is known.
     pub(super) fence_requested_at: Option<time::TimeMs>,
     pub(super) retried_at: time::TimeMs,
+    /// Lists that were passed on to this incarnation.
+    pub(super) list_passes: Attempts,
     pub(super) last_state: InstanceState,
 }
 
@@ -75,6 +78,7 @@
             gone: None,
             fence_requested_at: None,
             retried_at: now,
+            list_passes: Attempts::default(),
             last_state: InstanceState::Live,
         }
     }
@@ -100,6 +104,7 @@
         self.answers_probes = true;
         self.gone = None;
         self.fence_requested_at = None;
+        self.list_passes = Attempts::default();
     }
 
     /// Returns the member's entry with what is known of its latest incarnation.
--- a/crates/damaskvane-membership/src/view/membership.rs
+++ b/crates/damaskvane-membership/src/view/membership.rs
@@ -18,7 +18,7 @@
 use crate::view::counters::{HeartbeatRefusal, MembershipCounters};
 use crate::view::event::{Action, Event, ProbeOutcome};
 use crate::view::member::Member;
-use crate::view::passing::PlatformCopy;
+use crate::view::passing::{Attempts, PlatformCopy};
 use crate::view::rounds::{CutOffRound, Rounds};
 
 /// Identity of this instance.
@@ -63,6 +63,7 @@
     /// Copy of the platform's list in use, as it was read from the platform; `None` if the list in use
     /// is what a peer knew.
     pub(super) platform_copy: Option<PlatformCopy>,
+    pub(super) list_requests: Attempts,
     /// Time at which this process last resumed after a pause, or started.
     pub(super) resumed_at: time::TimeMs,
     /// Set while this instance may have been fenced without notice; a list created at this time or
@@ -97,6 +98,7 @@
             leaving: false,
             list: None,
             platform_copy: None,
+            list_requests: Attempts::default(),
             resumed_at: now,
             needs_list_from: None,
             lost_neighbour: None,
@@ -309,6 +311,8 @@
         self.forget_delisted(actions);
         self.remove_old_fence_records(actions);
         self.check_silent_neighbours(actions);
+        self.pass_list_to_newcomers(actions);
+        self.request_missing_list(actions);
         if self.now >= self.next_round_at {
             self.send_round(actions);
         }
--- a/crates/damaskvane-membership/tests/passed_lists.rs
+++ b/crates/damaskvane-membership/tests/passed_lists.rs
@@ -155,3 +155,88 @@
     a.handle(common::at(100), common::list(&records));
     assert!(!a.is_fenced());
 }
+
+fn passes(actions: &[view::Action], name: &str) -> usize {
+    let passed = |action: &&view::Action| matches!(action, view::Action::PassList { to, .. } if *to == id(name));
+    actions.iter().filter(passed).count()
+}
+
+fn tick_all(a: &mut view::Membership, from_ms: u64, to_ms: u64) -> Vec<view::Action> {
+    (from_ms..to_ms)
+        .step_by(100)
+        .flat_map(|now_ms| a.handle(common::at(now_ms), view::Event::Tick))
+        .collect()
+}
+
+/// Guards against a zone that serves nothing because one instance never read a list: its neighbours know it, and have
+/// to send it theirs. Guards against a flood as well: the messages become rarer, and end with its first heartbeat.
+#[test]
+fn a_neighbour_that_was_never_heard_gets_the_list() {
+    let mut a = common::member("z-a-1", 1);
+    let records = [common::record("z-a-1", 1), common::record("z-a-2", 1)];
+    a.handle(common::at(0), common::list(&records));
+    assert_eq!(passes(&tick_all(&mut a, 0, 1_000), "z-a-2"), 0);
+    assert_eq!(passes(&tick_all(&mut a, 1_000, 2_000), "z-a-2"), 1);
+    assert_eq!(passes(&tick_all(&mut a, 2_000, 60_000), "z-a-2"), 5);
+    a.handle(common::at(60_000), heartbeat_of("z-a-2", 1));
+    assert_eq!(passes(&tick_all(&mut a, 60_000, 200_000), "z-a-2"), 0);
+}
+
+/// Guards against a list that is sent to an instance which it does not name: a restart that never reached the platform.
+#[test]
+fn a_list_is_not_passed_to_an_instance_that_it_does_not_name() {
+    let mut a = common::member("z-a-1", 1);
+    let records = [common::record("z-a-1", 1), fence_record("z-a-2", 1)];
+    a.handle(common::at(0), common::list(&records));
+    assert_eq!(passes(&tick_all(&mut a, 0, 40_000), "z-a-2"), 0);
+}
+
+/// Guards against an instance that stays unlisted for good: its first list, from a seed, lacked it, and the platform
+/// can't be reached. It asks its neighbours for a later list, and less often the longer none names it.
+#[test]
+fn an_instance_that_its_list_lacks_asks_a_neighbour_for_a_later_one() {
+    let mut a = common::member("z-a-1", 1);
+    let mut b = common::member("z-a-2", 1);
+    a.handle(common::at(0), common::list(&[common::record("z-a-1", 1)]));
+    assert!(pass_on(&a, &mut b, 0));
+    assert!(!b.roster().is_listed);
+    b.handle(common::at(0), heartbeat_of("z-a-1", 1));
+    let is_request = |action: &view::Action| matches!(action, view::Action::RequestList { to, .. } if *to == id("z-a-1"));
+    let requests =
+        |actions: Vec<view::Action>| actions.iter().filter(|action| is_request(action)).count();
+    assert_eq!(requests(tick_all(&mut b, 0, 2_000)), 1);
+    assert_eq!(requests(tick_all(&mut b, 2_000, 60_000)), 5);
+    let records = [common::record("z-a-1", 1), common::record("z-a-2", 1)];
+    a.handle(common::at(60_000), common::list(&records));
+    assert!(pass_on(&a, &mut b, 60_000));
+    assert!(b.roster().is_listed);
+    assert_eq!(requests(tick_all(&mut b, 60_000, 200_000)), 0);
+}
+
+/// Guards against a list that replaces a later one: an instance that is listed, or whose copy does not name it, takes
+/// no list of a neighbour in its place.
+#[test]
+fn a_passed_list_replaces_no_list_of_a_listed_instance() {
+    let mut a = common::member("z-a-1", 1);
+    let records = [common::record("z-a-1", 1), common::record("z-a-2", 1)];
+    a.handle(common::at(0), common::list(&records));
+    a.handle(common::at(5_000), view::Event::Tick);
+    let fewer = passed_list(&[common::record("z-a-2", 1)], view::ListSource::PeerCopy);
+    a.handle(common::at(5_000), fewer);
+    assert!(!a.is_fenced());
+    assert_eq!(a.list_age(), Some(common::ms(5_000)));
+    let mut b = common::member("z-a-2", 1);
+    b.handle(
+        common::at(0),
+        passed_list(&[common::record("z-a-1", 1)], view::ListSource::Peer),
+    );
+    b.handle(
+        common::at(5_000),
+        passed_list(&[common::record("z-a-3", 1)], view::ListSource::PeerCopy),
+    );
+    assert_eq!(
+        b.list_age(),
+        Some(common::ms(5_500)),
+        "a copy without it may be the older one"
+    );
+}
--- a/crates/damaskvane-peer/src/inbound.rs
+++ b/crates/damaskvane-peer/src/inbound.rs
@@ -92,6 +92,14 @@
             .unwrap_or_else(PoisonError::into_inner)
             .set_allowed_senders(allowed, now);
     }
+
+    pub(crate) fn set_admits_unlisted(&self, admits_unlisted: bool) {
+        let now = elapsed(self.started);
+        self.filter
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .set_admits_unlisted(admits_unlisted, now);
+    }
 }
 
 impl Drop for Inbound {
--- a/crates/damaskvane-peer/src/sender_filter.rs
+++ b/crates/damaskvane-peer/src/sender_filter.rs
@@ -39,11 +39,13 @@
 /// Admits messages of allowed senders up to their maximum rate.
 ///
 /// The filter has state for allowed senders only, so that messages under invented names can't fill the
-/// memory.
+/// memory. If unlisted senders are admitted, all of them together have the rate of one sender.
 #[derive(Debug)]
 pub(crate) struct SenderFilter {
     per_second: u32,
     buckets: BTreeMap<ids::InstanceId, TokenBucket>,
+    /// The common bucket of all unlisted senders; `None` if they are not admitted.
+    unlisted: Option<TokenBucket>,
 }
 
 impl SenderFilter {
@@ -51,6 +53,7 @@
         Self {
             per_second,
             buckets: BTreeMap::new(),
+            unlisted: None,
         }
     }
 
@@ -59,10 +62,7 @@
         allowed: impl IntoIterator<Item = ids::InstanceId>,
         now: time::TimeMs,
     ) {
-        let full = TokenBucket {
-            tokens: u64::from(self.per_second) * TOKENS_PER_MESSAGE,
-            refilled_at: now,
-        };
+        let full = self.full_bucket(now);
         let previous = core::mem::take(&mut self.buckets);
         self.buckets = allowed
             .into_iter()
@@ -73,12 +73,27 @@
             .collect();
     }
 
+    pub(crate) fn set_admits_unlisted(&mut self, admits_unlisted: bool, now: time::TimeMs) {
+        let bucket = self.unlisted.unwrap_or_else(|| self.full_bucket(now));
+        self.unlisted = admits_unlisted.then_some(bucket);
+    }
+
+    fn full_bucket(&self, now: time::TimeMs) -> TokenBucket {
+        TokenBucket {
+            tokens: u64::from(self.per_second) * TOKENS_PER_MESSAGE,
+            refilled_at: now,
+        }
+    }
+
     pub(crate) fn admit(
         &mut self,
         from: &ids::InstanceId,
         now: time::TimeMs,
     ) -> Result<(), DropReason> {
-        let bucket = self.buckets.get_mut(from).ok_or(DropReason::Unlisted)?;
+        let listed = self.buckets.get_mut(from);
+        let bucket = listed
+            .or(self.unlisted.as_mut())
+            .ok_or(DropReason::Unlisted)?;
         if bucket.take(now, self.per_second) {
             Ok(())
         } else {
--- a/crates/damaskvane-peer/src/transport.rs
+++ b/crates/damaskvane-peer/src/transport.rs
@@ -103,6 +103,12 @@
         self.inbound.set_allowed_senders(allowed);
     }
 
+    /// Sets whether messages of instances that are not on the list are accepted too; at first they are
+    /// not. All such senders together have the maximum rate of one sender.
+    pub fn set_admits_unlisted(&self, admits_unlisted: bool) {
+        self.inbound.set_admits_unlisted(admits_unlisted);
+    }
+
     /// Queues a message for a peer and returns at once; opens a connection if there is none.
     ///
     /// # Errors
--- a/crates/damaskvane-peer/tests/transport.rs
+++ b/crates/damaskvane-peer/tests/transport.rs
@@ -97,6 +97,29 @@
     assert!(received.is_empty());
 }
 
+/// An instance that has never read the list of instances knows no sender. If unlisted senders stayed locked out, no
+/// peer could tell it the list; if they were let in without a limit, anyone could keep it busy.
+#[test]
+fn unlisted_senders_are_admitted_on_request_up_to_a_rate() {
+    let (unlisted, _) = listen::<Message>(settings("unlisted"));
+    let (b, received) = listen::<Message>(settings::PeerSettings {
+        max_messages_per_second: 1,
+        ..settings("b")
+    });
+    b.set_admits_unlisted(true);
+    for value in 0..20 {
+        let _ = unlisted.send(b.local_address(), &Message::Number { value });
+    }
+    wait_until(|| b.counters().dropped.contains_key("rate-exceeded"));
+    assert!(!received.is_empty());
+    assert!(received.len() < 20);
+    b.set_admits_unlisted(false);
+    wait_until(|| {
+        let _ = unlisted.send(b.local_address(), &Message::Number { value: 20 });
+        b.counters().dropped.contains_key("unlisted")
+    });
+}
+
 /// A faulty peer sends in a tight loop. Without a limit, its messages would take processor time from
 /// requests and slow down the responses to all clients.
 #[test]
--- a/crates/damaskvane-scenario/src/world.rs
+++ b/crates/damaskvane-scenario/src/world.rs
@@ -19,6 +19,7 @@
 mod entry;
 mod exchanges;
 mod faults;
+mod lists;
 mod network;
 mod platform;
 mod request_counts;
--- a/crates/damaskvane-scenario/src/world/delivery.rs
+++ b/crates/damaskvane-scenario/src/world/delivery.rs
@@ -21,6 +21,8 @@
     Configure,
     Engine(Box<event::Event>),
     Membership(Box<view::Event>),
+    /// Another instance asks for the list.
+    ListRequest(ids::InstanceId),
     Submit(ids::RequestId),
     /// The thread of an exchange is ready to send the request.
     SendExchange(Box<event::Exchange>),
@@ -126,6 +128,7 @@
             Input::Configure => self.configure(to),
             Input::Engine(event) => self.pass_to_engine(to, *event),
             Input::Membership(event) => self.pass_to_membership(to, *event),
+            Input::ListRequest(from) => self.answer_list_request(to, &from),
             Input::Submit(request) => self.submit(to, &request),
             Input::SendExchange(exchange) => self.send_exchange(to, *exchange),
         }
--- a/crates/damaskvane-scenario/src/world/entry.rs
+++ b/crates/damaskvane-scenario/src/world/entry.rs
@@ -191,6 +191,8 @@
                 instance,
                 incarnation,
             } => self.remove_fence_record(&me.instance, &instance, incarnation),
+            view::Action::PassList { to, list, .. } => self.send_list(&me.instance, &to, &list),
+            view::Action::RequestList { to, .. } => self.request_list(&me.instance, &to),
             view::Action::AllowPeers(_) | view::Action::Changed { .. } => return true,
             view::Action::OwnFenced => {
                 self.kill(&me.instance);
--- a/crates/damaskvane-slots/tests/common/messages.rs
+++ b/crates/damaskvane-slots/tests/common/messages.rs
@@ -40,6 +40,21 @@
                     };
                     self.slots(&message.to, event);
                 }
+                Payload::List(list) => {
+                    let event = view::Event::List {
+                        records: list.records,
+                        age: list.age,
+                        source: list.source,
+                    };
+                    self.membership(&message.to, event);
+                }
+                Payload::ListRequest => {
+                    let asked = self.instances.get(&message.to);
+                    let list = asked.and_then(|asked| asked.membership.list_to_pass());
+                    if let Some(list) = list {
+                        self.send_message(&message.to, from, Payload::List(list));
+                    }
+                }
             }
         }
     }
@@ -121,6 +136,12 @@
                     self.trace.record_event(self.now, removed);
                 }
             }
+            view::Action::PassList { to, list, .. } => {
+                self.send_message(name, to, Payload::List(list));
+            }
+            view::Action::RequestList { to, .. } => {
+                self.send_message(name, to, Payload::ListRequest);
+            }
             // The process of a fenced instance exits; its supervisor restarts the process.
             view::Action::OwnFenced => {
                 let detected = trace::TraceEvent::FenceDetected(name.clone());
--- a/crates/damaskvane-slots/tests/common/mod.rs
+++ b/crates/damaskvane-slots/tests/common/mod.rs
@@ -30,6 +30,8 @@
 enum Payload {
     Heartbeat(heartbeat::Heartbeat),
     Slots(message::AddressedMessage),
+    List(view::PassedList),
+    ListRequest,
 }
 
 #[derive(Debug)]
