--- a/crates/damaskvane-membership/src/view/event.rs
+++ b/crates/damaskvane-membership/src/view/event.rs
@@ -11,15 +11,21 @@
 use crate::heartbeat::{Heartbeat, LoadSummary};
 use crate::record::InstanceRecord;
 use crate::state::InstanceState;
+use crate::view::passing::PassedList;
 
 /// Source of a copy of the platform's list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ListSource {
     /// The platform itself.
     Platform,
-    /// Another instance, which passed its copy on to an instance that started while the platform was
-    /// down.
+    /// Another instance, which passed on the instances that it knows of.
+    ///
+    /// They may include incarnations that it knows by their heartbeats only, and lack instances that
+    /// started before them. So this instance's own entry does not show that the list contains all
+    /// instances that started before this one.
     Peer,
+    /// Another instance, which passed on a copy of the list exactly as it was read from the platform.
+    PeerCopy,
 }
 
 /// Result of a probe, which tries to connect to the address of an instance.
@@ -142,6 +148,24 @@
         /// The fenced incarnation.
         incarnation: ids::Incarnation,
     },
+    /// Send the copy of the platform's list to a neighbour that may never have read one; it arrives
+    /// there as [`Event::List`].
+    PassList {
+        /// Neighbour that receives the list.
+        to: ids::InstanceId,
+        /// Peer address of the neighbour.
+        address: net::SocketAddr,
+        /// List to send.
+        list: PassedList,
+    },
+    /// Ask a neighbour for its list, which it answers with
+    /// [`Membership::list_to_pass`](crate::view::Membership::list_to_pass).
+    RequestList {
+        /// Neighbour to ask.
+        to: ids::InstanceId,
+        /// Peer address of the neighbour.
+        address: net::SocketAddr,
+    },
     /// From now on, accept messages from these instances only.
     AllowPeers(Vec<ids::InstanceId>),
     /// The state of an instance changed.
--- a/crates/damaskvane-membership/src/view/listing.rs
+++ b/crates/damaskvane-membership/src/view/listing.rs
@@ -13,6 +13,7 @@
 use crate::view::event::{Action, ListSource};
 use crate::view::member::Member;
 use crate::view::membership::Membership;
+use crate::view::passing::PlatformCopy;
 
 impl Membership {
     pub(super) fn apply_list(
@@ -27,8 +28,15 @@
             self.counters.old_lists += 1;
             return;
         }
+        if !self.is_usable(&records, source) {
+            return;
+        }
         self.list = Some((self.now, age));
         let made_at = time::TimeMs::new(self.now.get().saturating_sub(age.get()));
+        self.platform_copy = (source != ListSource::Peer).then(|| PlatformCopy {
+            records: records.clone(),
+            made_at,
+        });
         let (fence_records, records): (Vec<InstanceRecord>, Vec<InstanceRecord>) =
             records.into_iter().partition(|record| record.fenced);
         let mut listed: BTreeMap<ids::InstanceId, InstanceRecord> = records
@@ -36,6 +44,9 @@
             .map(|record| (record.instance.clone(), record))
             .collect();
         let own = listed.remove(&self.own.instance);
+        if self.is_own_fence_record(&fence_records) {
+            self.fence_own(actions);
+        }
         self.apply_own_record(own, source, made_at, actions);
         self.record_delisted(&listed);
         let listed_at = Some(made_at).filter(|_| source == ListSource::Platform);
@@ -47,6 +58,16 @@
         self.allow_peers(actions);
     }
 
+    /// Returns whether one of the fence records is that of this incarnation, or of a later one.
+    ///
+    /// An instance that was fenced before it read its first list was never listed for itself, so that a
+    /// missing entry does not show it the fence.
+    fn is_own_fence_record(&self, fence_records: &[InstanceRecord]) -> bool {
+        fence_records.iter().any(|record| {
+            record.instance == self.own.instance && record.incarnation >= self.own.incarnation
+        })
+    }
+
     /// Applies this instance's entry, which shows whether this instance was fenced.
     ///
     /// This instance was fenced if its entry was listed before and is now missing or marked as fenced,
@@ -68,7 +89,7 @@
         if is_replaced || is_dropped {
             self.fence_own(actions);
         }
-        self.is_listed |= is_current;
+        self.is_listed |= is_current && source != ListSource::Peer;
         if own.is_some() {
             self.own_record = own;
         }
--- a/crates/damaskvane-membership/src/view/member.rs
+++ b/crates/damaskvane-membership/src/view/member.rs
@@ -11,6 +11,7 @@
 use crate::settings::MembershipSettings;
 use crate::state::{Gone, GoneProof, InstanceState};
 use crate::view::counters::HeartbeatRefusal;
+use crate::view::passing::Attempts;
 
 const SUSPECT_HALF_PERIODS: u64 = 5;
 const DEAD_PERIODS: u64 = 4;
@@ -59,6 +60,8 @@
     /// Time of the last request to fence the member; `None` if there was none or its outcome is known.
     pub(super) fence_requested_at: Option<time::TimeMs>,
     pub(super) retried_at: time::TimeMs,
+    /// Lists that were passed on to this incarnation.
+    pub(super) list_passes: Attempts,
     pub(super) last_state: InstanceState,
 }
 
@@ -83,6 +86,7 @@
             gone: None,
             fence_requested_at: None,
             retried_at: now,
+            list_passes: Attempts::default(),
             last_state: InstanceState::Live,
         }
     }
@@ -110,6 +114,17 @@
         self.answers_probes = true;
         self.gone = None;
         self.fence_requested_at = None;
+        self.list_passes = Attempts::default();
+    }
+
+    /// Returns the member's entry with what is known of its latest incarnation.
+    pub(super) fn known_record(&self) -> InstanceRecord {
+        InstanceRecord {
+            incarnation: self.incarnation,
+            fenced: self.fence_record_since.is_some(),
+            goes_on_alone: self.fence_record_goes_on_alone,
+            ..self.record.clone()
+        }
     }
 
     pub(super) fn is_gone(&self) -> bool {
--- a/crates/damaskvane-membership/src/view/membership.rs
+++ b/crates/damaskvane-membership/src/view/membership.rs
@@ -18,6 +18,7 @@
 use crate::view::counters::{HeartbeatRefusal, MembershipCounters};
 use crate::view::event::{Action, Event, ProbeOutcome};
 use crate::view::member::Member;
+use crate::view::passing::{Attempts, PlatformCopy};
 use crate::view::rounds::{CutOffRound, Rounds};
 
 /// Identity of this instance.
@@ -59,6 +60,10 @@
     pub(super) leaving: bool,
     /// Arrival time of the copy of the platform's list in use, and the copy's age at that time.
     pub(super) list: Option<(time::TimeMs, time::SpanMs)>,
+    /// Copy of the platform's list in use, as it was read from the platform; `None` if the list in use
+    /// is what a peer knew.
+    pub(super) platform_copy: Option<PlatformCopy>,
+    pub(super) list_requests: Attempts,
     /// Time at which this process last resumed after a pause, or started.
     pub(super) resumed_at: time::TimeMs,
     /// Set while this instance may have been fenced without notice; a list created at this time or
@@ -95,6 +100,8 @@
             is_fenced: false,
             leaving: false,
             list: None,
+            platform_copy: None,
+            list_requests: Attempts::default(),
             resumed_at: now,
             needs_list_from: None,
             lost_neighbour: None,
@@ -320,6 +327,8 @@
         self.forget_delisted(actions);
         self.remove_old_fence_records(actions);
         self.check_silent_neighbours(actions);
+        self.pass_list_to_newcomers(actions);
+        self.request_missing_list(actions);
         if self.now >= self.next_round_at {
             self.send_round(actions);
         }
