--- a/crates/damaskvane-membership/src/view.rs
+++ b/crates/damaskvane-membership/src/view.rs
@@ -34,6 +34,7 @@
 mod member;
 mod membership;
 mod passing;
+mod proofs;
 mod relayed_list;
 mod roster;
 mod rounds;
--- a/crates/damaskvane-slots/src/exchange.rs
+++ b/crates/damaskvane-slots/src/exchange.rs
@@ -42,6 +42,7 @@
 mod blocked;
 mod blocked_by;
 mod claiming;
+mod consenting;
 mod diagnosis;
 mod event;
 mod granting;
--- a/crates/damaskvane-slots/src/exchange/claiming.rs
+++ b/crates/damaskvane-slots/src/exchange/claiming.rs
@@ -18,9 +18,6 @@
 use crate::ledger::{Grant, SlotLedger};
 use crate::message::{HeldLease, LedgerHandover, SlotMessage, WaitReport};
 
-/// Shortest wait that the ledger of an owner which still waits reports.
-const MIN_WAIT: time::SpanMs = time::SpanMs::new(1);
-
 impl SlotExchange {
     /// Returns whether this instance may claim the backend servers that the hash assigns to it.
     ///
@@ -269,103 +266,6 @@
         }
     }
 
-    fn handle_claim(
-        &mut self,
-        from: &InstanceIncarnation,
-        name: &ids::BackendServerId,
-        claim: u64,
-    ) {
-        let is_assigned = self.assigned_owner(name).as_ref() == Some(&from.instance);
-        let consent = if is_assigned {
-            self.give_consent(name, claim, &from.instance)
-        } else {
-            None
-        };
-        let declined = SlotMessage::Decline {
-            server: name.clone(),
-            claim,
-        };
-        let is_given = consent.is_some();
-        self.reply(from, consent.unwrap_or(declined));
-        if is_given {
-            self.tick_acquiring(name);
-        }
-    }
-
-    /// Ends this instance's ownership or claim of a backend server, and returns the consent to `owner`.
-    ///
-    /// An owner's consent carries its ledger. If that message is lost, the next consent has no ledger, and
-    /// the new owner waits until all grants have expired.
-    fn give_consent(
-        &mut self,
-        name: &ids::BackendServerId,
-        claim: u64,
-        owner: &ids::InstanceId,
-    ) -> Option<SlotMessage> {
-        let now = self.now;
-        let has_authority = self.has_authority();
-        let mut wait = self.known_stops();
-        let server = self.servers.get_mut(name)?;
-        let (ledger, last_expiry) = match core::mem::take(&mut server.ownership) {
-            Ownership::None | Ownership::Claiming(_) => (None, None),
-            Ownership::Waiting(ledger) => {
-                let handover = LedgerHandover {
-                    entries: ledger.entries(now),
-                    wait_ms: ledger.until().since(now).max(MIN_WAIT),
-                    wait: Some(server.wait.report(now)),
-                };
-                (Some(handover), ledger.last_expiry())
-            }
-            Ownership::Serving(ledger) => {
-                let handover = LedgerHandover {
-                    entries: ledger.entries(now),
-                    wait_ms: time::SpanMs::ZERO,
-                    wait: None,
-                };
-                (Some(handover), ledger.last_expiry())
-            }
-        };
-        let granted_until = last_expiry.unwrap_or_default();
-        server.unreported_until = server.unreported_until.max(granted_until);
-        let leases = Wait::new(BlockedBy::EarlierLeases, None, server.unreported_until);
-        wait.postpone(leases);
-        // Another instance may have granted slots since this one's authority expired, so the ledger may be
-        // incomplete.
-        let ledger = ledger.filter(|_| has_authority);
-        server.queue.clear();
-        server.set_owner(Some(owner.clone()));
-        server.pool.discard_pending_requests();
-        let leases = server.pool.held_leases(now);
-        Some(SlotMessage::Consent {
-            server: name.clone(),
-            claim,
-            leases,
-            ledger,
-            wait_ms: wait.last_stop().since(now),
-            wait: Some(wait.report(now)),
-        })
-    }
-
-    /// Returns the instances that have stopped or will stop, as far as this instance knows.
-    ///
-    /// The roster of a claimant may lack instances that are gone or were dropped from the list.
-    fn known_stops(&self) -> TakeoverWait {
-        let mut wait = TakeoverWait::default();
-        for member in &self.roster.members {
-            let gone_from = member.gone.map(|gone| gone.from);
-            if let Some(stopped_by) = gone_from.or(member.stopped_by) {
-                let reason = BlockedBy::StoppingInstance;
-                wait.add(
-                    member.instance.clone(),
-                    member.incarnation,
-                    stopped_by,
-                    reason,
-                );
-            }
-        }
-        wait
-    }
-
     fn delay_claim(
         &mut self,
         from: &InstanceIncarnation,
