--- a/crates/damaskvane-membership/src/view/silence.rs
+++ b/crates/damaskvane-membership/src/view/silence.rs
@@ -60,6 +60,7 @@
         let stopping = self.members.values_mut().filter(|member| {
             member.record.zone == *zone
                 && member.may_still_act(now)
+                && member.record.incarnation == member.incarnation
                 && now.since(member.retried_at) >= retry
         });
         for member in stopping {
--- a/crates/damaskvane-slots/src/claim.rs
+++ b/crates/damaskvane-slots/src/claim.rs
@@ -32,6 +32,9 @@
     requested_at: time::TimeMs,
     consents: BTreeMap<ids::InstanceId, ids::Incarnation>,
     reports: BTreeMap<GrantKey, Grant>,
+    /// Until when at least the earlier owner counts each lease that its holder reported.
+    certain_until: BTreeMap<GrantKey, time::TimeMs>,
+    started_at: time::TimeMs,
     wait: TakeoverWait,
 }
 
@@ -44,6 +47,8 @@
             requested_at: now,
             consents: BTreeMap::new(),
             reports: BTreeMap::new(),
+            certain_until: BTreeMap::new(),
+            started_at: now,
             wait: TakeoverWait::default(),
         }
     }
@@ -98,6 +103,9 @@
                 number: lease.number,
             };
             let until = now + lease.remaining_ms + margin;
+            // The holder measured the lease after this claim began, however long its message took.
+            let certain_until = self.started_at + lease.remaining_ms + margin;
+            self.certain_until.insert(key.clone(), certain_until);
             let slots = lease.slots;
             self.reports
                 .insert(key.clone(), Grant { key, slots, until });
@@ -137,6 +145,11 @@
         self.consents.clone()
     }
 
+    /// Returns until when at least the earlier owner counts each reported lease as granted.
+    pub(crate) fn take_certain_until(&mut self) -> BTreeMap<GrantKey, time::TimeMs> {
+        core::mem::take(&mut self.certain_until)
+    }
+
     /// Returns the leases that were reported with the consents.
     #[must_use]
     pub fn into_reports(self) -> BTreeMap<GrantKey, Grant> {
--- a/crates/damaskvane-slots/src/exchange/claiming.rs
+++ b/crates/damaskvane-slots/src/exchange/claiming.rs
@@ -39,14 +39,18 @@
         let Some(server) = self.servers.get_mut(name) else {
             return;
         };
-        match server.ownership {
+        match &server.ownership {
             Ownership::None if may_claim => {
                 self.last_claim += 1;
                 server.ownership = Ownership::Claiming(Claim::new(self.last_claim, now));
                 self.request_consent(name);
                 self.complete_if_consented(name);
             }
-            Ownership::Claiming(_) if !is_own => server.ownership = Ownership::None,
+            Ownership::Claiming(_) if !is_own => {
+                if let Ownership::Claiming(claim) = core::mem::take(&mut server.ownership) {
+                    server.wait.merge(claim.wait().clone());
+                }
+            }
             // Instances whose consent is missing may have been proven gone since the claim was sent.
             Ownership::Claiming(_) => self.complete_if_consented(name),
             _ => {}
@@ -75,7 +79,10 @@
             Ownership::Waiting(mut ledger) => {
                 ledger.open(now, expiry);
                 server.ownership = match ledger.start(now) {
-                    Ok(serving) => Ownership::Serving(serving),
+                    Ok(serving) => {
+                        server.wait = TakeoverWait::default();
+                        Ownership::Serving(serving)
+                    }
                     Err(waiting) => Ownership::Waiting(waiting),
                 };
             }
@@ -185,6 +192,9 @@
         if let Some(claim) = self.claim(name) {
             wait.merge(claim.wait().clone());
         }
+        if let Some(own) = own {
+            wait.merge(own.wait.clone());
+        }
         // An instance that was not asked may hold leases of an earlier owner whose ledger was lost.
         if let Some(newcomer) = self.others().find(|member| member.is_unheard_newcomer) {
             let instance = Some(newcomer.instance.clone());
@@ -233,6 +243,7 @@
         };
         let leases = server.pool.held_leases(now);
         claim.record_consent(now, own.instance.clone(), own.incarnation, leases, margin);
+        let certain_until = claim.take_certain_until();
         let mut known = claim.into_reports();
         for grant in handed {
             known
@@ -245,7 +256,8 @@
         server.queue.clear();
         wait.apply_proofs(now, &self.roster);
         let until = wait.last(expiry).map_or(now, |last| last.until);
-        let ledger = SlotLedger::waiting(server.slots, known.into_values(), until);
+        let mut ledger = SlotLedger::waiting(server.slots, known.into_values(), until);
+        ledger.account(certain_until);
         server.wait = wait;
         server.ownership = Ownership::Waiting(ledger);
         self.tick_claim(name);
--- a/crates/damaskvane-slots/src/exchange/consenting.rs
+++ b/crates/damaskvane-slots/src/exchange/consenting.rs
@@ -52,9 +52,16 @@
     ) -> Option<SlotMessage> {
         let now = self.now;
         let has_authority = self.has_authority();
+        let expiry = self.settings.expiry_ms();
         let mut wait = self.known_stops();
         let server = self.servers.get_mut(name)?;
+        if let Ownership::Claiming(claim) = &server.ownership {
+            server.wait.merge(claim.wait().clone());
+        }
         let (ledger, last_expiry) = take_ledger(server, now);
+        // A consent may be lost, and whoever told this instance of a stop may have ended since.
+        server.wait.expire(now, expiry);
+        wait.merge(server.wait.clone());
         let granted_until = last_expiry.unwrap_or_default();
         server.unreported_until = server.unreported_until.max(granted_until);
         let leases = Wait::new(BlockedBy::EarlierLeases, None, server.unreported_until);
--- a/crates/damaskvane-slots/src/exchange/server.rs
+++ b/crates/damaskvane-slots/src/exchange/server.rs
@@ -11,7 +11,7 @@
 use crate::exchange::takeover::TakeoverWait;
 use crate::holder::LeasePool;
 use crate::ledger::{Serving, SlotLedger, Waiting};
-use crate::message::GrantKey;
+use crate::message::{GrantKey, GrantNumber};
 
 /// The phase of this instance in the ownership of a backend server.
 #[derive(Debug, Default)]
@@ -54,7 +54,8 @@
     pub(super) recalled_at: Option<time::TimeMs>,
     /// Whether the owner has refused this instance slots since it last granted or recalled some.
     pub(super) owner_refuses: bool,
-    /// What this instance has waited for since it last became the owner.
+    /// What an owner has to wait for, as far as this instance was told of it; kept after a consent, because the
+    /// consent may be lost and others that knew of it may have ended.
     pub(super) wait: TakeoverWait,
     /// The instances whose consents made this instance the owner; `None` if it never became the owner, or did
     /// so by the previous owner's ledger.
@@ -67,11 +68,15 @@
 impl Server {
     /// Creates the state of a backend server, whose slots may have been used until `unreported_until` in a way
     /// that is not recorded.
-    pub(super) fn new(slots: units::Slots, unreported_until: time::TimeMs) -> Self {
+    pub(super) fn new(
+        slots: units::Slots,
+        last_number: GrantNumber,
+        unreported_until: time::TimeMs,
+    ) -> Self {
         Self {
             slots,
             ownership: Ownership::None,
-            pool: LeasePool::default(),
+            pool: LeasePool::after(last_number),
             queue: VecDeque::new(),
             owner: None,
             recalled_at: None,
--- a/crates/damaskvane-slots/src/exchange/slot_exchange.rs
+++ b/crates/damaskvane-slots/src/exchange/slot_exchange.rs
@@ -12,7 +12,7 @@
 use crate::counters::SlotCounters;
 use crate::exchange::event::{Action, Event, ServerSlots};
 use crate::exchange::server::{InstanceIncarnation, Ownership, Server};
-use crate::message::{AddressedMessage, SlotMessage};
+use crate::message::{AddressedMessage, GrantNumber, SlotMessage};
 use crate::permit::{Permit, Ready, ReleasedPermit};
 use crate::settings::SlotSettings;
 
@@ -48,6 +48,10 @@
     pub(super) started_at: Option<time::TimeMs>,
     /// When this instance handled its last tick; `None` before.
     pub(super) last_tick: Option<time::TimeMs>,
+    /// The latest number of an acquire request for each server that was removed from the configuration.
+    ///
+    /// A grant for an earlier request may still arrive after the server was added again.
+    last_numbers: BTreeMap<ids::BackendServerId, GrantNumber>,
     pub(super) actions: Vec<Action>,
     /// Messages from this instance to itself, such as its acquire requests for a server that it owns.
     local: VecDeque<SlotMessage>,
@@ -93,6 +97,7 @@
             last_claim: 0,
             started_at: None,
             last_tick: None,
+            last_numbers: BTreeMap::new(),
             actions: Vec::new(),
             local: VecDeque::new(),
         }
@@ -217,12 +222,20 @@
         // configuration, may have used or granted slots.
         let unreported_until = self.now + self.settings.expiry_ms();
         for limit in servers {
-            let mut server = kept
-                .remove(&limit.server)
-                .unwrap_or_else(|| Server::new(limit.slots, unreported_until));
+            let last_number = self.last_numbers.get(&limit.server).copied();
+            let mut server = kept.remove(&limit.server).unwrap_or_else(|| {
+                Server::new(
+                    limit.slots,
+                    last_number.unwrap_or_default(),
+                    unreported_until,
+                )
+            });
             server.set_slots(limit.slots);
             self.servers.insert(limit.server, server);
         }
+        let removed = kept.into_iter();
+        let numbers = removed.map(|(name, server)| (name, server.pool.last_number()));
+        self.last_numbers.extend(numbers);
         self.apply_assignments();
     }
 
--- a/crates/damaskvane-slots/src/exchange/takeover.rs
+++ b/crates/damaskvane-slots/src/exchange/takeover.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Forgets the incarnations whose grants and requests have expired by `now`.
+    pub(crate) fn expire(&mut self, now: time::TimeMs, expiry: time::SpanMs) {
+        self.stops.retain(|_, stop| stop.stopped_by + expiry > now);
+    }
+
     /// Shortens the wait by what the roster proves at `now`: the process of an incarnation has ended if a
     /// later incarnation runs, or if its machine refused a connection.
     pub(crate) fn apply_proofs(&mut self, now: time::TimeMs, roster: &view::Roster) {
--- a/crates/damaskvane-slots/src/holder/pool.rs
+++ b/crates/damaskvane-slots/src/holder/pool.rs
@@ -102,6 +102,21 @@
             .saturating_sub(pending_slots)
     }
 
+    /// Returns the number of the latest acquire request.
+    #[must_use]
+    pub const fn last_number(&self) -> GrantNumber {
+        self.last_number
+    }
+
+    /// Returns an empty pool whose acquire requests are numbered from the one after `last_number`.
+    #[must_use]
+    pub fn after(last_number: GrantNumber) -> Self {
+        Self {
+            last_number,
+            ..Self::default()
+        }
+    }
+
     /// Records an acquire request that is sent at `now` and returns its number.
     pub fn record_acquire(&mut self, now: time::TimeMs, slots: units::Slots) -> GrantNumber {
         self.last_number = self.last_number.next();
--- a/crates/damaskvane-slots/src/ledger/slot_ledger.rs
+++ b/crates/damaskvane-slots/src/ledger/slot_ledger.rs
@@ -1,7 +1,8 @@
 //! The ledger of one backend server: the grants that the server's owner has made.
 //!
 //! The owner is the instance that grants the server's slots; a slot is the right to run one request on the
-//! server. A ledger is first [`Waiting`], while the owner may grant nothing, and then [`Serving`].
+//! server. A ledger is first [`Waiting`], while the owner grants at most in place of known grants, and then
+//! [`Serving`].
 
 use std::collections::BTreeMap;
 
@@ -22,6 +23,8 @@
     until: time::TimeMs,
     /// Slots of the known grants at the time at which the last earlier owner had stopped; `None` before.
     accounted: Option<units::Slots>,
+    /// Until when at least the earlier owner counts a known grant.
+    certain_until: BTreeMap<GrantKey, time::TimeMs>,
 }
 
 impl Phase for Waiting {
@@ -63,6 +66,7 @@
             phase: Waiting {
                 until,
                 accounted: None,
+                certain_until: BTreeMap::new(),
             },
         }
     }
@@ -78,6 +82,13 @@
         self.phase.until = self.phase.until.min(until);
     }
 
+    /// Sets until when at least the earlier owner counts each of the known grants as granted.
+    ///
+    /// A report may have been on its way for so long that the earlier owner has granted the slots anew.
+    pub fn account(&mut self, certain_until: BTreeMap<GrantKey, time::TimeMs>) {
+        self.phase.certain_until = certain_until;
+    }
+
     /// Returns whether the owner may grant slots before the end of the wait.
     #[must_use]
     pub fn grants_slots(&self) -> bool {
@@ -93,7 +104,11 @@
     pub fn open(&mut self, now: time::TimeMs, expiry: time::SpanMs) {
         if self.phase.accounted.is_none() && self.phase.until <= now + expiry {
             self.expire(now);
-            self.phase.accounted = Some(self.granted());
+            let certain = self.grants.values().filter(|grant| {
+                let until = self.phase.certain_until.get(&grant.key);
+                until.is_some_and(|until| *until > now)
+            });
+            self.phase.accounted = Some(certain.map(|grant| grant.slots).sum());
         }
     }
 
--- a/crates/damaskvane-slots/tests/waiting.rs
+++ b/crates/damaskvane-slots/tests/waiting.rs
@@ -33,7 +33,10 @@
 #[test]
 fn a_waiting_ledger_grants_only_in_place_of_known_grants() {
     let known = vec![grant("a-1", 2, 2_000), grant("a-2", 1, 9_000)];
+    let certain_until = known.iter().map(|grant| (grant.key.clone(), grant.until));
+    let certain_until = certain_until.collect();
     let mut ledger = SlotLedger::waiting(units::Slots::new(6), known, at(3_000));
+    ledger.account(certain_until);
     ledger.open(at(1_500), ms(1_700));
     assert!(ledger.grants_slots());
     let one = units::Slots::new(1);
@@ -58,6 +61,7 @@
 fn a_waiting_ledger_grants_nothing_before_the_earlier_owners_have_stopped() {
     let known = vec![grant("a-1", 2, 2_000)];
     let mut ledger = SlotLedger::waiting(units::Slots::new(6), known, at(9_000));
+    ledger.account([(key("a-1", 1), at(2_000))].into());
     ledger.open(at(1_500), ms(1_700));
     assert!(!ledger.grants_slots());
     let one = units::Slots::new(1);
