--- a/crates/damaskvane-slots/tests/common/mod.rs
+++ b/crates/damaskvane-slots/tests/common/mod.rs
@@ -104,8 +104,7 @@
     pub(crate) trace: trace::Trace,
     /// Time between two updates of the list that the platform returns to readers.
     pub(crate) list_every_ms: u64,
-    /// Whether an instance reads its own record before it fences another one, as the daemon does; two instances can
-    /// then fence each other only if both read before either one writes.
+    /// Whether an instance reads its own record before it fences another one, as the daemon does.
     pub(crate) reads_own_record: bool,
     /// Whether a fence deletes the entry of the fenced instance and leaves no fence record.
     pub(crate) deletes_fenced_entries: bool,
