Probe an address only for the incarnation whose entry names it

Callers would have seen a server with up to twice its work. Cause: a silent neighbour was probed at the address of its entry also when the entry was that of an earlier incarnation; a refused connection there counted as proof that the later one had ended. The probes of fenced members compared incarnations, those of silent neighbours did not; both now use one check.

Ruled out: forgetting the address when a heartbeat shows a later incarnation. The entry is still needed for reconnecting, which proves nothing.

--- a/crates/damaskvane-membership/src/view/member.rs
+++ b/crates/damaskvane-membership/src/view/member.rs
@@ -131,6 +131,14 @@
         }
     }
 
+    /// Returns whether the address of the member's entry is that of its latest incarnation.
+    ///
+    /// A later incarnation that is known by its heartbeats alone may listen elsewhere, so that a refused connection to
+    /// the address of the entry proves nothing about it.
+    pub(super) fn is_address_current(&self) -> bool {
+        self.record.incarnation == self.incarnation
+    }
+
     pub(super) fn is_gone(&self) -> bool {
         self.gone.is_some()
     }
--- a/crates/damaskvane-membership/src/view/silence.rs
+++ b/crates/damaskvane-membership/src/view/silence.rs
@@ -35,7 +35,7 @@
                 to: member.record.instance.clone(),
                 address: member.record.peer_address,
             });
-            if is_silent {
+            if is_silent && member.is_address_current() {
                 actions.push(Action::Probe {
                     instance: member.record.instance.clone(),
                     incarnation: member.incarnation,
@@ -60,7 +60,7 @@
         let stopping = self.members.values_mut().filter(|member| {
             member.record.zone == *zone
                 && member.may_still_act(now)
-                && member.record.incarnation == member.incarnation
+                && member.is_address_current()
                 && now.since(member.retried_at) >= retry
         });
         for member in stopping {
