Teams, keys, evidence and quotas as pure decisions

Nothing in the program knew a key, a team or a quota. New folders of damaskvane-routing: teams/ (key digests, the table of keys, teams of a configuration, proof that the configuration is current, the bound on revocations) and quota/ (pools of tokens, their share of the bound, who holds them). Placement takes the team into account: both its regions and the route's must allow a server, and its priority precedes the route's.

Quotas: a team's bound is divided among pools, one a zone; tokens are a conserved quantity that instances take, borrow and return. Nothing has to be agreed on: a lost or late message loses its tokens, a new process begins with none, room is reserved for loans on their way. Ruled out: equal shares by instances (for the usual team a share is 1.7 requests in 5 s on 74 instances, so that chance alone would refuse some), a holder elected in the store (calls, and nobody grants while it is elected).

--- a/crates/damaskvane-bench/src/decisions/measure.rs
+++ b/crates/damaskvane-bench/src/decisions/measure.rs
@@ -96,6 +96,7 @@
     let started = Instant::now();
     for object in objects {
         let request = PlacementRequest {
+            team: None,
             route: &route,
             service: &service,
             object: Some(*object),
@@ -189,6 +190,7 @@
         attempts: 2,
         has_affinity: true,
         allowed_regions: Vec::new(),
+        is_open: false,
         destinations: vec![Destination {
             service: id("desk"),
             weight: 1,
--- a/crates/damaskvane-bench/src/placement/deployment.rs
+++ b/crates/damaskvane-bench/src/placement/deployment.rs
@@ -249,6 +249,7 @@
         attempts: 2,
         has_affinity: true,
         allowed_regions: Vec::new(),
+        is_open: false,
         destinations: Vec::new(),
     }
 }
--- a/crates/damaskvane-bench/src/placement/world.rs
+++ b/crates/damaskvane-bench/src/placement/world.rs
@@ -295,6 +295,7 @@
         let Flight { call, load, .. } = self.flights[flight];
         let one = &self.calls[call];
         let request = PlacementRequest {
+            team: None,
             route: &self.deployment.kinds[one.wanted.kind].route,
             service: &self.deployment.service_id(one.service),
             object: Some(one.object),
--- a/crates/damaskvane-bench/src/placement/world/asking.rs
+++ b/crates/damaskvane-bench/src/placement/world/asking.rs
@@ -68,6 +68,7 @@
         let now = self.now();
         let one = &self.calls[call];
         let request = PlacementRequest {
+            team: None,
             route: &self.deployment.kinds[one.wanted.kind].route,
             service: &self.deployment.service_id(one.service),
             object: Some(one.object),
--- a/crates/damaskvane-routing/src/configuration/route.rs
+++ b/crates/damaskvane-routing/src/configuration/route.rs
@@ -52,6 +52,8 @@
     pub has_affinity: bool,
     /// Regions whose servers may run the requests; an empty list allows all regions.
     pub allowed_regions: Vec<ids::RegionId>,
+    /// Whether requests need no API key.
+    pub is_open: bool,
     /// Services among which the requests are split by weight.
     pub destinations: Vec<Destination>,
 }
--- a/crates/damaskvane-routing/src/configuration/table.rs
+++ b/crates/damaskvane-routing/src/configuration/table.rs
@@ -6,6 +6,7 @@
 use damaskvane_core::ids;
 
 use crate::configuration::{Limits, Route, Service};
+use crate::teams::Teams;
 
 /// One version of the configuration. A new version replaces the whole value.
 #[derive(Debug, Clone, Default)]
@@ -15,6 +16,7 @@
     routes: HashMap<String, Vec<Rc<Route>>>,
     services: HashMap<ids::ServiceId, Service>,
     limits: Limits,
+    teams: Option<Teams>,
 }
 
 impl Configuration {
@@ -43,9 +45,25 @@
                 .map(|service| (service.id.clone(), service))
                 .collect(),
             limits,
+            teams: None,
         }
     }
 
+    /// Returns the configuration with teams: requests on routes that aren't open then need a key.
+    #[must_use]
+    pub fn with_teams(self, teams: Teams) -> Self {
+        Self {
+            teams: Some(teams),
+            ..self
+        }
+    }
+
+    /// Returns the teams, or `None` if requests need no key.
+    #[must_use]
+    pub const fn teams(&self) -> Option<&Teams> {
+        self.teams.as_ref()
+    }
+
     /// Returns the version of this configuration.
     #[must_use]
     pub const fn version(&self) -> ids::ConfigVersion {
--- a/crates/damaskvane-routing/src/lib.rs
+++ b/crates/damaskvane-routing/src/lib.rs
@@ -13,6 +13,8 @@
 //! - [`limit`]: limits that hold over all instances without coordination between them.
 //! - [`retry`]: decides whether a request is sent to another server after an exchange with a backend server.
 //! - [`relay`]: a log of changes in the platform's store that instances of a zone relay to each other.
+//! - [`teams`]: the teams to which API keys belong, and proof that the configuration is current.
+//! - [`quota`]: quotas of teams that hold over all instances.
 //! - [`peers`]: the entry instances that are alive, and those whose addresses a lookup returns to a client.
 //!
 //! ```
@@ -26,6 +28,8 @@
 pub mod peers;
 pub mod placement;
 pub mod pool;
+pub mod quota;
 pub mod relay;
 pub mod retry;
 pub mod split;
+pub mod teams;
--- a/crates/damaskvane-routing/src/peers/members.rs
+++ b/crates/damaskvane-routing/src/peers/members.rs
@@ -91,10 +91,16 @@
         self.zones_at.get(&address)
     }
 
+    /// Returns all instances of the platform's list.
+    pub fn listed(&self) -> impl Iterator<Item = &ListedInstance> {
+        self.list.listed()
+    }
+
     /// Returns whether the platform's list holds exactly this record for the record's instance.
     #[must_use]
     pub fn is_listed_as(&self, record: &ListedInstance) -> bool {
-        self.list.get(&record.instance) == Some(record)
+        let listed = self.list.get(&record.instance);
+        listed.is_some_and(|listed| listed.describes_same(record))
     }
 
     /// Returns whether this instance is the first of its zone in the platform's list.
--- a/crates/damaskvane-routing/src/placement/candidates.rs
+++ b/crates/damaskvane-routing/src/placement/candidates.rs
@@ -151,7 +151,7 @@
         for zone in topology.zones() {
             let region = topology.region_of(zone);
             let of_zone = servers.zone(zone);
-            let is_allowed = request.route.allows(topology.region_id(region));
+            let is_allowed = request.allows(topology.region_id(region));
             if of_zone.servers == 0 || !is_allowed || pool.is_evacuated(zone) {
                 continue;
             }
--- a/crates/damaskvane-routing/src/placement/placer.rs
+++ b/crates/damaskvane-routing/src/placement/placer.rs
@@ -290,7 +290,7 @@
         first_rank: usize,
         cold_share: usize,
     ) -> Result<Pick, RefusalReason> {
-        let limit = self.settings.load_limit(request.route.priority);
+        let limit = self.settings.load_limit(request.priority());
         let mut best: Option<(ServerScore, usize, &Server)> = None;
         let mut reason = RefusalReason::NoServer;
         let mut passed_over = None;
--- a/crates/damaskvane-routing/src/placement/request.rs
+++ b/crates/damaskvane-routing/src/placement/request.rs
@@ -4,12 +4,15 @@
 
 use crate::configuration::Route;
 use crate::placement::Pick;
+use crate::teams::Team;
 
 /// A request for which a backend server is to be selected.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementRequest<'a> {
     /// Route of the request, with its objective, priority and allowed regions.
     pub route: &'a Route,
+    /// Team that sends the request, or `None` if the request has no key.
+    pub team: Option<&'a Team>,
     /// Service whose servers may take the request.
     pub service: &'a ids::ServiceId,
     /// Hash of the object, the item that the request names, or `None` if the request names no object or if servers of
@@ -24,6 +27,21 @@
     pub spread: f64,
 }
 
+impl PlacementRequest<'_> {
+    /// Returns whether servers of the region may run the request: both its route and its team must allow the region.
+    #[must_use]
+    pub fn allows(&self, region: &ids::RegionId) -> bool {
+        self.route.allows(region) && self.team.is_none_or(|team| team.allows(region))
+    }
+
+    /// Returns the priority of the request: the team's precedes the route's.
+    #[must_use]
+    pub fn priority(&self) -> u32 {
+        let of_team = self.team.and_then(|team| team.priority);
+        of_team.unwrap_or(self.route.priority)
+    }
+}
+
 /// A request that a server has answered.
 #[derive(Debug, Clone, Copy)]
 pub struct AnsweredRequest<'a> {
--- a/crates/damaskvane-routing/src/pool/exchange.rs
+++ b/crates/damaskvane-routing/src/pool/exchange.rs
@@ -30,6 +30,8 @@
     Broken,
     /// The response was malformed or incomplete, or belonged to another request.
     Malformed,
+    /// The request may not be sent any more, so no part of it was written.
+    Withheld,
     /// No connection was established, so no part of the request was written.
     Unreachable,
     /// No response arrived, and the server's host didn't acknowledge the bytes that were sent.
@@ -49,6 +51,7 @@
             Self::Misdirected => "misdirected",
             Self::Broken => "broken",
             Self::Malformed => "malformed",
+            Self::Withheld => "withheld",
             Self::Unreachable => "unreachable",
             Self::Silent => "silent",
             Self::Abandoned => "abandoned",
--- a/crates/damaskvane-routing/src/pool/server.rs
+++ b/crates/damaskvane-routing/src/pool/server.rs
@@ -373,6 +373,7 @@
             | ExchangeEnd::Failed
             | ExchangeEnd::Shed
             | ExchangeEnd::Malformed
+            | ExchangeEnd::Withheld
             | ExchangeEnd::Abandoned => {}
         }
     }
@@ -390,6 +391,7 @@
             ExchangeEnd::Misdirected
             | ExchangeEnd::Unreachable
             | ExchangeEnd::Silent
+            | ExchangeEnd::Withheld
             | ExchangeEnd::Abandoned => None,
         }
     }
--- /dev/null
+++ b/crates/damaskvane-routing/src/quota/holders.rs
@@ -0,0 +1,78 @@
+//! Which instance holds the pool of a team in each availability zone.
+//!
+//! The pools of a zone belong to the instances that were listed first there, so that an instance that joins later takes
+//! no pool from another one. Whether they run doesn't matter: while one is down, its zone uses the pools of others.
+
+use std::collections::BTreeMap;
+use std::net;
+
+use damaskvane_core::ids;
+
+use crate::peers::ListedInstance;
+use crate::teams::TeamKey;
+
+/// Number of instances of a zone among which its pools are divided.
+const HOLDERS_PER_ZONE: usize = 8;
+
+/// An instance that holds pools.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Holder {
+    /// The instance.
+    pub instance: ids::InstanceId,
+    /// Address at which the instance receives messages of other instances.
+    pub peer_address: net::SocketAddr,
+    /// Revision of the store at which the instance was first listed.
+    created: u64,
+}
+
+/// The instances that hold pools, by availability zone.
+#[derive(Debug, Clone, Default)]
+pub struct HolderTable {
+    zones: BTreeMap<ids::AvailabilityZoneId, Vec<Holder>>,
+}
+
+impl HolderTable {
+    /// Builds the table from the platform's list of instances.
+    pub fn new<'a>(listed: impl IntoIterator<Item = &'a ListedInstance>) -> Self {
+        let mut zones: BTreeMap<_, Vec<Holder>> = BTreeMap::new();
+        for one in listed {
+            let Some(zone) = &one.zone else {
+                continue;
+            };
+            zones.entry(zone.clone()).or_default().push(Holder {
+                instance: one.instance.clone(),
+                peer_address: one.peer_address,
+                created: one.created,
+            });
+        }
+        for holders in zones.values_mut() {
+            holders.sort_by(|one, other| {
+                let by_age = one.created.cmp(&other.created);
+                by_age.then_with(|| one.instance.cmp(&other.instance))
+            });
+            holders.truncate(HOLDERS_PER_ZONE);
+        }
+        Self { zones }
+    }
+
+    /// Returns the holder of a team's pool in a zone, or `None` if the zone has no listed instance.
+    #[must_use]
+    pub fn holder(&self, zone: &ids::AvailabilityZoneId, team: TeamKey) -> Option<&Holder> {
+        of_team(self.zones.get(zone)?, team)
+    }
+
+    /// Returns the holders of a team's pools in all zones.
+    pub fn holders(
+        &self,
+        team: TeamKey,
+    ) -> impl Iterator<Item = (&ids::AvailabilityZoneId, &Holder)> {
+        let zones = self.zones.iter();
+        zones.filter_map(move |(zone, holders)| Some((zone, of_team(holders, team)?)))
+    }
+}
+
+fn of_team(holders: &[Holder], team: TeamKey) -> Option<&Holder> {
+    let shard = team.0 % HOLDERS_PER_ZONE as u64;
+    let rank = (shard as usize).checked_rem(holders.len())?;
+    holders.get(rank)
+}
--- a/crates/damaskvane-routing/tests/digests.rs
+++ b/crates/damaskvane-routing/tests/digests.rs
@@ -67,6 +67,7 @@
         instance: name.parse().expect("a name"),
         peer_address: heartbeat(name, zone_name, 1).peer_address,
         zone: Some(zone(zone_name)),
+        created: 0,
     }
 }
 
--- a/crates/damaskvane-routing/tests/limits.rs
+++ b/crates/damaskvane-routing/tests/limits.rs
@@ -74,6 +74,7 @@
         instance: name.parse().expect("a name"),
         peer_address: "10.0.0.1:7000".parse().expect("an address"),
         zone: None,
+        created: 0,
     });
     members.set_listed(listed);
     assert_eq!(members.max_running_instances(), 3);
--- a/crates/damaskvane-routing/tests/peers.rs
+++ b/crates/damaskvane-routing/tests/peers.rs
@@ -158,6 +158,7 @@
         instance: name.parse().expect("a name"),
         peer_address: heartbeat(name, "east-a", 1, 1).peer_address,
         zone: Some(zone("east-a")),
+        created: 0,
     };
     let mut members = members();
     members.set_listed([listed("own"), listed("one"), listed("two")]);
--- a/crates/damaskvane-routing/tests/support/mod.rs
+++ b/crates/damaskvane-routing/tests/support/mod.rs
@@ -48,6 +48,7 @@
         attempts: 2,
         has_affinity: true,
         allowed_regions: Vec::new(),
+        is_open: false,
         destinations: vec![Destination {
             service: service_id(),
             weight: 1,
@@ -116,6 +117,7 @@
     object: u64,
 ) -> PlacementRequest<'a> {
     PlacementRequest {
+        team: None,
         route,
         service,
         object: Some(object),
