--- a/crates/damaskvane-gateway/src/adapter.rs
+++ b/crates/damaskvane-gateway/src/adapter.rs
@@ -34,6 +34,10 @@
     /// Header with the milliseconds until the warm-up of the backend server that responds ends; until then it gets few
     /// requests.
     pub warmup_remaining_ms: HeaderName,
+    /// Header with the name of the team that sends a request; only instances set it.
+    pub team: HeaderName,
+    /// Name of the authorization scheme by which a request carries its API key.
+    pub key_scheme: String,
     /// Name of the cookie that holds the object of a request, the item that the request concerns.
     pub object_cookie: String,
 }
@@ -139,6 +143,8 @@
     Watch,
     /// Checks with the cheapest call whether the store responds.
     Ping,
+    /// Reads the store's current revision.
+    Revision,
     /// Creates, replaces or removes an object.
     Write,
 }
@@ -152,6 +158,7 @@
             Self::ListZone => "look",
             Self::Watch => "watch",
             Self::Ping => "contact",
+            Self::Revision => "revision",
             Self::Write => "write",
         }
     }
@@ -201,6 +208,19 @@
     /// Builds the cheapest call that checks whether the store responds.
     fn ping(&self, record: &peers::ListedInstance) -> StoreRequest;
 
+    /// Builds the call that reads the store's current revision, which may not be stale, as a page of the configuration
+    /// without objects.
+    fn revision_check(&self) -> StoreRequest;
+
+    /// Replaces the API keys in a response of the store by their digests. Other bodies are returned unchanged.
+    ///
+    /// Every response is passed through this method before it is decoded, stored or sent to another instance.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body can't be decoded.
+    fn digest_keys(&self, collection: Collection, body: Bytes) -> Result<Bytes, DecodeError>;
+
     /// Builds the calls that write an instance's record: the first call creates the record, the second replaces an
     /// existing record.
     fn register(&self, record: &peers::ListedInstance) -> [StoreRequest; 2];
--- a/crates/damaskvane-gateway/src/clients.rs
+++ b/crates/damaskvane-gateway/src/clients.rs
@@ -1,6 +1,8 @@
 //! Clients' connections, and the handling of their requests from the first byte to the response.
 
+mod authorization;
 mod body;
+mod caller;
 mod dispatch;
 mod head;
 mod head_timer;
@@ -8,5 +10,8 @@
 mod pending;
 mod reply;
 mod routed_request;
+mod send_right;
+
+pub(crate) use send_right::{SendRight, Withheld};
 
 pub use listener::{ListenerKind, listen};
--- a/crates/damaskvane-gateway/src/clients/dispatch.rs
+++ b/crates/damaskvane-gateway/src/clients/dispatch.rs
@@ -17,9 +17,11 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 
+use crate::clients::authorization::authorize;
 use crate::clients::body::{self, BodyError};
 use crate::clients::pending::PendingRequest;
-use crate::clients::{head, reply, routed_request};
+use crate::clients::send_right::SendRight;
+use crate::clients::{caller, head, reply, routed_request};
 use crate::crashes;
 use crate::decision_log::RequestOutcome;
 use crate::node::Node;
@@ -47,7 +49,7 @@
     let took_s = node.now().since(started).get() as f64 / 1_000.0;
     let outcome = match status.as_u16() {
         200..300 => "served",
-        503 => "refused",
+        429 | 503 => "refused",
         _ => "failed",
     };
     node.metrics
@@ -69,7 +71,7 @@
         pending.record_rejection("starting");
         return reply::not_run("no configuration is known yet\n", STARTING_RETRY_AFTER_MS);
     };
-    let (parts, incoming) = request.into_parts();
+    let (mut parts, incoming) = request.into_parts();
     let host = head::host_of(&parts.headers, &parts.uri);
     let route = configuration.route(&host, parts.uri.path()).cloned();
     let Some(route) = route else {
@@ -77,6 +79,14 @@
         return reply::from_instance(StatusCode::NOT_FOUND, "no route takes this host and path\n");
     };
     let names = node.adapter.headers();
+    let identity = caller::identify(&configuration, &route, names, &mut parts.headers);
+    let caller = match authorize(node, &route, identity) {
+        Ok(caller) => caller,
+        Err(unauthorized) => {
+            pending.record_rejection(unauthorized.as_str());
+            return unauthorized.response();
+        }
+    };
     let requested_ms = head::number(&parts.headers, &names.deadline_ms).unwrap_or(route.timeout_ms);
     let deadline = started + SpanMs::new(requested_ms.min(route.timeout_ms));
     let max_bytes = configuration.limits().body_bytes;
@@ -119,6 +129,7 @@
         headers,
         body,
         request_id: pending.request_id.clone(),
+        team: caller.as_ref().map(|caller| caller.team.name.clone()),
         client_address,
     };
     if let Some(remaining) = remaining_quarantine(pending, &outgoing).await {
@@ -140,6 +151,7 @@
         .filter(|_| route.has_affinity)
         .map(|object| placement::object_hash(&service, &route.name, &object));
     record_request(node, &service, &route, object);
+    let right = SendRight::new(node, caller);
     routed_request::RoutedRequest {
         node,
         pending,
@@ -151,6 +163,7 @@
         deadline,
         progress: Progress::new(route.kind, route.attempts.max(1)),
         tried: Vec::new(),
+        right: &right,
         reserved: None,
         failed_response: None,
     }
--- a/crates/damaskvane-gateway/src/clients/reply.rs
+++ b/crates/damaskvane-gateway/src/clients/reply.rs
@@ -5,10 +5,14 @@
 use bytes::Bytes;
 use hyper::header::{self, HeaderValue};
 use hyper::{Response, StatusCode};
+use rand::RngExt;
 
 use crate::node::Node;
 use crate::upstream::{BackendResponse, ResponseBody};
 
+/// Retry delay sent to clients whose keys can't be checked, in milliseconds: a new proof arrives about once a second.
+const OUTDATED_RETRY_AFTER_MS: u64 = 500;
+
 /// Returns a response that this instance creates.
 pub(super) fn from_instance(status: StatusCode, text: &'static str) -> Response<ResponseBody> {
     let body = ResponseBody::whole(Bytes::from_static(text.as_bytes()));
@@ -28,6 +32,29 @@
     response
 }
 
+/// Returns the response to a request whose key may have been revoked, as far as this instance knows.
+pub(super) fn configuration_outdated() -> Response<ResponseBody> {
+    not_run(
+        "this instance can't check the key now\n",
+        spread_retry_ms(OUTDATED_RETRY_AFTER_MS),
+    )
+}
+
+/// Returns a 429 response with a `Retry-After` header: the team has used its quota, and the request has not run.
+pub(super) fn over_quota(retry_after_ms: u64) -> Response<ResponseBody> {
+    let mut response = not_run(
+        "the team has used its quota\n",
+        spread_retry_ms(retry_after_ms),
+    );
+    *response.status_mut() = StatusCode::TOO_MANY_REQUESTS;
+    response
+}
+
+/// Adds a random time, so that clients that were refused together don't return together.
+fn spread_retry_ms(retry_after_ms: u64) -> u64 {
+    retry_after_ms + rand::rng().random_range(0..=retry_after_ms / 2)
+}
+
 /// Converts a backend server's response without changing its status, headers or body.
 pub(super) fn from_server(backend_response: BackendResponse) -> Response<ResponseBody> {
     let mut response = Response::new(backend_response.body);
--- a/crates/damaskvane-gateway/src/clients/routed_request.rs
+++ b/crates/damaskvane-gateway/src/clients/routed_request.rs
@@ -8,18 +8,20 @@
 use std::rc::Rc;
 
 use damaskvane_core::ids;
-use damaskvane_core::time::TimeMs;
+use damaskvane_core::time::{SpanMs, TimeMs};
 use damaskvane_routing::configuration::{Configuration, Route};
 use damaskvane_routing::placement::{
     AnsweredRequest, Choice, Pick, PlacementRequest, Refusal, SkipReason,
 };
 use damaskvane_routing::pool::ExchangeEnd;
 use damaskvane_routing::retry::{self, Progress};
+use damaskvane_routing::teams::Quota;
 use hyper::{Response, StatusCode};
 use rand::RngExt;
 
 use crate::clients::pending::PendingRequest;
-use crate::clients::reply;
+use crate::clients::send_right::{SendRight, Withheld};
+use crate::clients::{reply, send_right};
 use crate::crashes;
 use crate::decision_log::RequestOutcome;
 use crate::node::Node;
@@ -47,6 +49,8 @@
     /// The next server, if it was selected and charged to the retry budget before the last exchange was
     /// abandoned.
     pub(super) reserved: Option<Pick>,
+    /// The right to send the request: its key and its token of the quota.
+    pub(super) right: &'a SendRight<'a>,
     /// The response of the last server that failed; the client gets it if no other server succeeds.
     pub(super) failed_response: Option<BackendResponse>,
 }
@@ -56,6 +60,9 @@
     pub(super) async fn run(mut self) -> Response<ResponseBody> {
         let mut last: Option<ExchangeOutcome> = None;
         loop {
+            if let Err(withheld) = self.right.acquire().await {
+                return self.withhold(last, withheld);
+            }
             let pick = match self.reserved.take() {
                 Some(pick) => pick,
                 None => match self.choose() {
@@ -72,6 +79,9 @@
                 self.tried.push(pick.server);
                 return self.respond_timeout();
             };
+            if let Some(withheld) = outcome.withheld {
+                return self.withhold(last, withheld);
+            }
             self.progress.record(outcome.end);
             self.record_exchange(&pick, &outcome);
             if outcome.end == ExchangeEnd::Failed {
@@ -95,6 +105,7 @@
         let instances = state.members.max_running_instances();
         let request = PlacementRequest {
             route: self.route,
+            team: self.right.caller().map(|caller| &*caller.team),
             service: &self.service,
             object: self.object,
             tried: &self.tried,
@@ -145,6 +156,7 @@
             pick,
             deadline: self.deadline,
             is_retry: self.progress.was_sent(),
+            right: self.right,
         };
         let mut running = pin!(exchange.run());
         let remaining_time = remaining(self.node, self.deadline);
@@ -215,6 +227,7 @@
             slog::info!(log, "exchange ended";
                 "request_id" => self.outgoing.request_id.as_deref(),
                 "route" => &self.route.name, "backend_server" => %pick.server, "server_zone" => %pick.zone, "object" => self.object,
+                "team" => self.outgoing.team.as_ref().map(ToString::to_string),
                 "outcome" => end, "status" => outcome.response.as_ref().map(|response| response.status),
                 "load" => pick.load, "rank" => pick.rank, "expected_ms" => pick.expected_ms,
                 "took_ms" => outcome.took_ms, "after_ms" => after_ms, "objective_ms" => self.route.objective_ms,
@@ -316,6 +329,40 @@
         )
     }
 
+    /// Returns the response if the request may not be sent, or not once more.
+    fn withhold(
+        &mut self,
+        last: Option<ExchangeOutcome>,
+        withheld: Withheld,
+    ) -> Response<ResponseBody> {
+        if last.is_some() && !self.progress.is_proven_not_run() {
+            return self.final_response(last);
+        }
+        let reason = withheld.as_str();
+        reply::count_refusal(self.node, reason);
+        let retry_after_ms = match withheld {
+            Withheld::OverQuota { retry_after_ms } => Some(retry_after_ms),
+            _ => None,
+        };
+        self.log_not_served(reason, retry_after_ms);
+        match withheld {
+            Withheld::KeyRevoked => reply::from_instance(
+                StatusCode::UNAUTHORIZED,
+                "the team no longer holds the request's key\n",
+            ),
+            Withheld::ConfigurationOutdated => reply::configuration_outdated(),
+            Withheld::OverQuota { retry_after_ms } => reply::over_quota(retry_after_ms),
+            Withheld::QuotaUnknown => reply::not_run(
+                "no instance that holds the team's quota responds\n",
+                REJECTED_RETRY_AFTER_MS,
+            ),
+        }
+    }
+
+    fn quota(&self) -> Option<Quota> {
+        self.right.caller()?.team.quota
+    }
+
     fn reject(&self, retry_after_ms: u64) -> Response<ResponseBody> {
         reply::count_refusal(self.node, "turned_away");
         self.log_not_served("turned_away", Some(retry_after_ms));
@@ -335,6 +382,10 @@
                 slog::info!(log, "request not served";
                 "request_id" => self.outgoing.request_id.as_deref(),
                 "route" => &self.route.name, "service" => %self.service, "object" => self.object, "reason" => reason,
+                "team" => self.outgoing.team.as_ref().map(ToString::to_string),
+                "quota_per_s" => self.quota().map(|quota| quota.rate_per_s),
+                "quota_burst" => self.quota().map(|quota| quota.burst),
+                "evidence_age_ms" => send_right::evidence_age(self.node).map(SpanMs::get),
                 "retry_after_ms" => retry_after_ms, "tried" => self.tried.len(),
                 "backend_server" => self.tried.last().map(ToString::to_string),
                 "left_ms" => self.deadline.since(now).get(),
--- a/crates/damaskvane-gateway/src/costs.rs
+++ b/crates/damaskvane-gateway/src/costs.rs
@@ -48,6 +48,8 @@
     Incident,
     /// Changes of the store that are sent to other instances.
     Feed,
+    /// Tokens of teams' quotas, and requests for them.
+    Quota,
 }
 
 /// Reason for which a connection to a backend server was opened.
@@ -66,7 +68,7 @@
     (Distance::SameRegion, "region"),
     (Distance::OtherRegion, "far"),
 ];
-const FLOWS: [(Flow, &str); 11] = [
+const FLOWS: [(Flow, &str); 12] = [
     (Flow::Placed, "placed"),
     (Flow::Overflow, "overflow"),
     (Flow::Retry, "retry"),
@@ -78,6 +80,7 @@
     (Flow::PopularityDecisions, "verdicts"),
     (Flow::Incident, "incident"),
     (Flow::Feed, "feed"),
+    (Flow::Quota, "quota"),
 ];
 const OPEN_REASONS: [(OpenReason, &str); 3] = [
     (OpenReason::NoIdleConnection, "none_kept"),
--- a/crates/damaskvane-gateway/src/lib.rs
+++ b/crates/damaskvane-gateway/src/lib.rs
@@ -9,6 +9,8 @@
 //!
 //! - [`adapter`]: the trait that a platform implements, and the types of its methods.
 //! - [`settings`]: the settings file.
+//! - [`evidence`]: the proof that the configuration is current, which requests with API keys need.
+//! - [`quota`]: tokens of teams' quotas, taken from and served to other instances.
 //! - [`node`]: state that all tasks share.
 //! - [`clients`]: clients' connections, and the processing of their requests.
 //! - [`lookups`]: responses to lookups and readiness checks.
@@ -26,9 +28,11 @@
 
 pub mod adapter;
 pub mod clients;
+mod clock;
 pub mod costs;
 pub mod crashes;
 pub mod decision_log;
+pub mod evidence;
 pub mod http;
 pub mod lookups;
 pub mod metrics;
@@ -36,6 +40,7 @@
 pub mod peers;
 pub mod probes;
 pub mod process;
+pub mod quota;
 pub mod settings;
 pub mod stop;
 pub mod store;
--- a/crates/damaskvane-gateway/src/node.rs
+++ b/crates/damaskvane-gateway/src/node.rs
@@ -19,9 +19,12 @@
 use tokio::sync::Notify;
 
 use crate::adapter::Adapter;
+use crate::clock::ContinuousClock;
 use crate::crashes::CrashTracker;
 use crate::decision_log::DecisionLog;
+use crate::evidence::Evidence;
 use crate::metrics::Metrics;
+use crate::quota::Quotas;
 use crate::settings::GatewaySettings;
 use crate::stop::Stop;
 use crate::store::{Feed, Journal, StoreHealth};
@@ -60,6 +63,10 @@
     pub stop: Stop,
     /// Availability of the platform's store, and the source of its changes: the store itself or a relay.
     pub store: StoreHealth,
+    /// Proof that the configuration of this instance is the newest one.
+    pub evidence: Evidence,
+    /// Tokens of teams' quotas.
+    pub quotas: Quotas,
     /// Recent changes of the store, to be sent to other instances of the zone.
     pub journal: Journal,
     /// Changes of the store that were received from a relay and not yet applied.
@@ -77,6 +84,8 @@
     /// Bytes of request bodies that are buffered now.
     pub buffered_body_bytes: Cell<usize>,
     started: Instant,
+    /// Clock that also runs while the machine is suspended.
+    continuous_clock: ContinuousClock,
     last_exchange: Cell<u64>,
 }
 
@@ -118,6 +127,7 @@
             budgets: HashMap::new(),
             members,
         };
+        let quotas = Quotas::new(settings.quota());
         let log = DecisionLog::new(log, settings.decision_log);
         Self {
             adapter,
@@ -126,6 +136,8 @@
             idle: RefCell::new(IdleConnections::default()),
             stop: Stop::default(),
             store: StoreHealth::default(),
+            evidence: Evidence::default(),
+            quotas,
             journal: Journal::default(),
             feed: Feed::default(),
             crashes: CrashTracker::default(),
@@ -135,6 +147,7 @@
             log,
             buffered_body_bytes: Cell::new(0),
             started: Instant::now(),
+            continuous_clock: ContinuousClock::start(),
             last_exchange: Cell::new(0),
         }
     }
@@ -146,6 +159,16 @@
         TimeMs::new(u64::try_from(elapsed_ms).unwrap_or(u64::MAX))
     }
 
+    /// Returns the time since the node was created, in milliseconds, on a clock that also runs while the machine is
+    /// suspended.
+    ///
+    /// What another process may rely on is counted by this clock: a machine that was suspended must not take an old
+    /// proof for a new one.
+    #[must_use]
+    pub fn continuous_now(&self) -> TimeMs {
+        self.continuous_clock.now()
+    }
+
     /// Returns the active settings.
     #[must_use]
     pub fn settings(&self) -> Rc<GatewaySettings> {
@@ -182,6 +205,7 @@
             instance: settings.instance.clone(),
             peer_address: settings.peer_address,
             zone: Some(settings.zone.clone()),
+            created: 0,
         }
     }
 
--- a/crates/damaskvane-gateway/src/peers.rs
+++ b/crates/damaskvane-gateway/src/peers.rs
@@ -20,6 +20,7 @@
 use crate::costs::Distance;
 use crate::crashes;
 use crate::node::Node;
+use crate::quota;
 use crate::stop::StopPhase;
 
 /// Interval between two server reports, multiplied by the number of recipients: an instance sends at the same rate in
@@ -69,6 +70,7 @@
         Rc::clone(&node),
         Rc::clone(&socket),
     ));
+    tokio::task::spawn_local(send_quota_messages(Rc::clone(&node), Rc::clone(&socket)));
     tokio::task::spawn_local(exchange_popularity(Rc::clone(&node), Rc::clone(&socket)));
     let period = Duration::from_millis(node.settings().peers().heartbeat_ms);
     let mut phases = node.stop.subscribe();
@@ -223,6 +225,13 @@
     }
 }
 
+/// Sends requests for tokens of quotas and the replies to them, until the process ends.
+async fn send_quota_messages(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    while let Ok(outgoing) = node.quotas.outgoing().recv_async().await {
+        send(&node, &socket, &outgoing.message, &[outgoing.recipient]).await;
+    }
+}
+
 /// Sends each incident that this instance detects to all other instances, until the process ends.
 async fn send_incidents(node: Rc<Node>, socket: Rc<UdpSocket>) {
     while let Ok(incident) = node.crashes.notices().recv_async().await {
@@ -266,7 +275,7 @@
 async fn receive(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
     loop {
-        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
             // The error means that an earlier datagram had no receiver; the socket remains usable.
             continue;
         };
@@ -329,6 +338,9 @@
                 let placer = &mut node.state.borrow_mut().placer;
                 placer.apply_popularity_decisions(now, &aggregator, &decisions);
             }
+            Some(Message::QuotaRequest(request)) => quota::handle_request(&node, from, request),
+            Some(Message::QuotaReply(reply)) => quota::handle_reply(&node, reply),
+            Some(Message::QuotaReturn(team)) => quota::handle_return(&node, team),
             None => node.metrics.invalid_datagrams.inc(),
         }
     }
--- /dev/null
+++ b/crates/damaskvane-gateway/src/quota.rs
@@ -0,0 +1,89 @@
+//! Tokens of teams' quotas: takes them from the pools of this and other instances, and serves those that this instance
+//! holds.
+//!
+//! `damaskvane_routing::quota` decides; this module sends the messages and waits for the replies. A token that a lost
+//! or late message carries is lost.
+
+mod client;
+mod lending;
+mod round;
+mod service;
+mod token;
+
+pub use client::{QuotaRefusal, acquire, give_back};
+pub use service::{handle_reply, handle_request, handle_return};
+pub use token::{QuotaReply, QuotaRequest, Token, TokenUse};
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net;
+use std::rc::Rc;
+
+use damaskvane_core::ids;
+use damaskvane_core::time::TimeMs;
+use damaskvane_routing::quota::{HolderTable, QuotaSettings, TokenPools};
+use damaskvane_routing::teams::TeamKey;
+use tokio::sync::oneshot;
+
+use crate::peers::Message;
+use crate::quota::round::Round;
+
+/// A message to another instance.
+#[derive(Debug)]
+pub struct Outgoing {
+    /// The message.
+    pub message: Message,
+    /// Address at which the recipient receives messages of other instances.
+    pub recipient: net::SocketAddr,
+}
+
+/// The pools of this instance, and its pending requests for tokens of other instances.
+#[derive(Debug)]
+pub struct Quotas {
+    /// Pools that this instance holds.
+    pub pools: RefCell<TokenPools>,
+    /// Which instance holds the pools of each zone.
+    pub holders: RefCell<Rc<HolderTable>>,
+    sender: flume::Sender<Outgoing>,
+    outgoing: flume::Receiver<Outgoing>,
+    last_id: Cell<u32>,
+    pending: RefCell<HashMap<u32, oneshot::Sender<QuotaReply>>>,
+    /// Instances that didn't reply in time, each with the time until which they are not asked again.
+    unresponsive: RefCell<HashMap<ids::InstanceId, TimeMs>>,
+    rounds: RefCell<HashMap<TeamKey, Rc<Round>>>,
+}
+
+impl Quotas {
+    /// Creates empty pools that earn tokens from the start of the clock on.
+    #[must_use]
+    pub fn new(settings: QuotaSettings) -> Self {
+        let (sender, outgoing) = flume::unbounded();
+        Self {
+            pools: RefCell::new(TokenPools::new(settings, TimeMs::ZERO)),
+            holders: RefCell::default(),
+            sender,
+            outgoing,
+            // A late reply to an earlier process must not pass for a reply to this one.
+            last_id: Cell::new(rand::random()),
+            pending: RefCell::default(),
+            unresponsive: RefCell::default(),
+            rounds: RefCell::default(),
+        }
+    }
+
+    /// Returns the messages to other instances.
+    pub const fn outgoing(&self) -> &flume::Receiver<Outgoing> {
+        &self.outgoing
+    }
+
+    fn send(&self, message: Message, recipient: net::SocketAddr) {
+        // The receiver lives as long as this value.
+        let _ = self.sender.send(Outgoing { message, recipient });
+    }
+
+    fn next_id(&self) -> u32 {
+        let id = self.last_id.get().wrapping_add(1);
+        self.last_id.set(id);
+        id
+    }
+}
--- /dev/null
+++ b/crates/damaskvane-gateway/src/quota/client.rs
@@ -0,0 +1,189 @@
+//! Acquires tokens for this instance's requests.
+
+use core::time::Duration;
+use std::rc::Rc;
+
+use damaskvane_core::time::{SpanMs, TimeMs};
+use damaskvane_routing::quota::{Denial, Holder};
+use damaskvane_routing::teams::{Quota, TeamKey};
+use rand::seq::SliceRandom;
+use tokio::sync::oneshot;
+
+use crate::node::Node;
+use crate::peers::Message;
+use crate::quota::token::{QuotaReply, QuotaRequest, Token, TokenUse};
+use crate::quota::{lending, service};
+
+/// Time for a reply of the holder in this instance's zone, which may first borrow from other zones.
+const OWN_ZONE_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time for a reply of a holder in another zone.
+const OTHER_ZONE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time for which a holder that didn't reply is not asked.
+const UNRESPONSIVE: SpanMs = SpanMs::new(1_000);
+/// Largest number of holders that are asked for one token.
+const MAX_HOLDERS: usize = 3;
+
+/// Reason why no token was acquired.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QuotaRefusal {
+    /// The team has used its quota.
+    Used {
+        /// Time after which the caller should retry.
+        retry_after_ms: u64,
+    },
+    /// No holder of a pool of the team replied.
+    Unreachable,
+}
+
+/// Acquires a token for one request of a team: from the pool of this instance's zone, or if its holder doesn't reply,
+/// from the pool of another zone.
+///
+/// # Errors
+///
+/// Returns the reason if there is no token.
+pub async fn acquire(node: &Rc<Node>, team: TeamKey, quota: Quota) -> Result<Token, QuotaRefusal> {
+    let settings = node.settings();
+    let ttl = SpanMs::new(settings.quota().token_ttl_ms);
+    for (holder, is_own_zone) in holders(node, team) {
+        let expires_at = node.continuous_now() + ttl;
+        let taken = if holder.instance == settings.instance {
+            Some(lending::take_or_borrow(node, team, quota).await)
+        } else {
+            let timeout = if is_own_zone {
+                OWN_ZONE_TIMEOUT
+            } else {
+                OTHER_ZONE_TIMEOUT
+            };
+            request_token(node, &holder, team, timeout).await
+        };
+        let token = Token {
+            team,
+            holder: holder.instance,
+            expires_at,
+        };
+        match taken {
+            Some(Ok(())) if token.is_usable(node.continuous_now()) => return Ok(token),
+            Some(Err(denial)) => {
+                return Err(QuotaRefusal::Used {
+                    retry_after_ms: denial.retry_after_ms,
+                });
+            }
+            Some(Ok(())) | None => {}
+        }
+    }
+    Err(QuotaRefusal::Unreachable)
+}
+
+/// Puts back a token whose request was certainly not run.
+pub fn give_back(node: &Rc<Node>, token: &Token) {
+    if !token.is_usable(node.continuous_now()) {
+        return;
+    }
+    if token.holder == node.settings().instance {
+        service::handle_return(node, token.team);
+        return;
+    }
+    let holders = Rc::clone(&node.quotas.holders.borrow());
+    let mut of_team = holders.holders(token.team);
+    if let Some((_, holder)) = of_team.find(|(_, holder)| holder.instance == token.holder) {
+        let message = Message::QuotaReturn(token.team);
+        node.quotas.send(message, holder.peer_address);
+    }
+}
+
+/// Returns the holders to ask in order, each with whether it is in this instance's zone: the own zone's first, then
+/// those of the own region.
+fn holders(node: &Rc<Node>, team: TeamKey) -> Vec<(Holder, bool)> {
+    let settings = node.settings();
+    let now = node.continuous_now();
+    let table = Rc::clone(&node.quotas.holders.borrow());
+    let unresponsive = node.quotas.unresponsive.borrow();
+    let is_usable = |holder: &Holder| {
+        let until = unresponsive.get(&holder.instance);
+        until.is_none_or(|until| *until <= now)
+    };
+    if let Some(own) = table
+        .holder(&settings.zone, team)
+        .filter(|one| is_usable(one))
+        && own.instance == settings.instance
+    {
+        return vec![(own.clone(), true)];
+    }
+    let mut found: Vec<_> = table
+        .holders(team)
+        .filter(|(_, holder)| is_usable(holder))
+        .map(|(zone, holder)| {
+            let is_other_region = settings.regions.get(zone) != Some(&settings.region);
+            (*zone != settings.zone, is_other_region, holder.clone())
+        })
+        .collect();
+    // Instances that lose the same holder use different ones in its place.
+    found.shuffle(&mut rand::rng());
+    found.sort_by_key(|(is_other_zone, is_other_region, _)| (*is_other_zone, *is_other_region));
+    found.truncate(MAX_HOLDERS);
+    let found = found.into_iter();
+    found
+        .map(|(is_other_zone, _, holder)| (holder, !is_other_zone))
+        .collect()
+}
+
+/// Requests a token; returns `None` if the holder doesn't reply in time or holds no pool of the team.
+async fn request_token(
+    node: &Rc<Node>,
+    holder: &Holder,
+    team: TeamKey,
+    timeout: Duration,
+) -> Option<Result<(), Denial>> {
+    let (id, reply) = send_request(node, holder, team, 1_000, TokenUse::Request);
+    let Some(reply) = await_reply(node, holder, id, reply, timeout).await else {
+        let until: TimeMs = node.continuous_now() + UNRESPONSIVE;
+        let mut unresponsive = node.quotas.unresponsive.borrow_mut();
+        unresponsive.insert(holder.instance.clone(), until);
+        return None;
+    };
+    if reply.millitokens > 0 {
+        return Some(Ok(()));
+    }
+    let retry_after_ms = u64::from(reply.retry_after_ms);
+    (retry_after_ms > 0).then_some(Err(Denial { retry_after_ms }))
+}
+
+/// Sends a request for tokens; returns its number and the receiver of its reply.
+pub(super) fn send_request(
+    node: &Rc<Node>,
+    holder: &Holder,
+    team: TeamKey,
+    millitokens: u32,
+    token_use: TokenUse,
+) -> (u32, oneshot::Receiver<QuotaReply>) {
+    let id = node.quotas.next_id();
+    let (sender, receiver) = oneshot::channel();
+    node.quotas.pending.borrow_mut().insert(id, sender);
+    let request = QuotaRequest {
+        id,
+        team,
+        millitokens,
+        token_use,
+    };
+    let message = Message::QuotaRequest(request);
+    node.quotas.send(message, holder.peer_address);
+    (id, receiver)
+}
+
+/// Waits for a reply. After the timeout a reply is ignored, and so are the tokens in it.
+pub(super) async fn await_reply(
+    node: &Rc<Node>,
+    holder: &Holder,
+    id: u32,
+    reply: oneshot::Receiver<QuotaReply>,
+    timeout: Duration,
+) -> Option<QuotaReply> {
+    let received = tokio::time::timeout(timeout, reply).await;
+    node.quotas.pending.borrow_mut().remove(&id);
+    let reply = received.ok()?.ok();
+    if reply.is_some() {
+        let mut unresponsive = node.quotas.unresponsive.borrow_mut();
+        unresponsive.remove(&holder.instance);
+    }
+    reply
+}
--- a/crates/damaskvane-gateway/src/settings.rs
+++ b/crates/damaskvane-gateway/src/settings.rs
@@ -7,7 +7,8 @@
 use std::path;
 
 use damaskvane_core::ids;
-use damaskvane_routing::{limit, peers, placement, pool};
+use damaskvane_core::time::SpanMs;
+use damaskvane_routing::{limit, peers, placement, pool, quota, teams};
 use damaskvane_telemetry::settings::{SettingsError, WrongValue};
 use serde::Deserialize;
 
@@ -59,6 +60,22 @@
     pub cold_factor: f64,
     /// Limit on cold servers: requests a second that are allowed in addition to the multiplied rate.
     pub cold_slack: f64,
+    /// Whether a request with a revoked key must be refused everywhere within `revoke_ms`, by instances that are cut off
+    /// from the platform too.
+    #[serde(default)]
+    pub strict_revocation: bool,
+    /// Milliseconds from the revocation of a key until no instance may run its requests.
+    #[serde(default)]
+    pub revoke_ms: f64,
+    /// Bound on teams' requests: length in seconds of the window in which they are counted.
+    #[serde(default = "default_quota_window_s")]
+    pub quota_window_s: f64,
+    /// Bound on teams' requests: share by which their quotas may be exceeded.
+    #[serde(default)]
+    pub quota_over: f64,
+    /// Bound on teams' requests: number in a window by which their quotas may be exceeded in addition.
+    #[serde(default)]
+    pub quota_slack: f64,
     /// Longest time to live of a lookup's response, in seconds.
     pub lookup_ttl_max_s: f64,
     /// Largest number of open file descriptors of the process.
@@ -76,12 +93,20 @@
     pub placement: placement::PlacementSettings,
 }
 
+/// Shortest bound on revocations, in milliseconds: a proof takes a part of a second from the store to all instances.
+const MIN_REVOKE_MS: f64 = 1_000.0;
+
 /// Returns the time in seconds for which the store is assumed to retain its changes if the settings have no
 /// `store_history_s`.
 const fn default_store_history_s() -> f64 {
     20.0
 }
 
+/// Returns the window in seconds in which a team's requests are counted if the settings have no `quota_window_s`.
+const fn default_quota_window_s() -> f64 {
+    5.0
+}
+
 const NUMBERS_REMEDY: &str = "write a number of at least 0";
 
 impl GatewaySettings {
@@ -125,12 +150,27 @@
             ("retry_window_s", self.retry_window_s),
             ("cold_factor", self.cold_factor),
             ("cold_slack", self.cold_slack),
+            ("revoke_ms", self.revoke_ms),
+            ("quota_window_s", self.quota_window_s),
+            ("quota_over", self.quota_over),
+            ("quota_slack", self.quota_slack),
             ("lookup_ttl_max_s", self.lookup_ttl_max_s),
         ];
         let wrong = numbers
             .iter()
             .find(|(_, value)| !value.is_finite() || *value < 0.0);
         match wrong {
+            None if self.strict_revocation && self.revoke_ms < MIN_REVOKE_MS => {
+                Err(SettingsError::Wrong {
+                    file: file.to_owned(),
+                    wrong: WrongValue::new(
+                        "revoke_ms",
+                        self.revoke_ms.to_string(),
+                        "too short for strict_revocation",
+                        "write the platform's bound, 1000 or more",
+                    ),
+                })
+            }
             None => Ok(()),
             Some((key, value)) => Err(SettingsError::Wrong {
                 file: file.to_owned(),
@@ -164,6 +204,26 @@
         }
     }
 
+    /// Returns the bound on the revocation of keys, or `None` if an instance that is cut off may use old keys.
+    #[must_use]
+    pub fn revocation_bound(&self) -> Option<teams::RevocationBound> {
+        let bound = SpanMs::new(self.revoke_ms as u64);
+        self.strict_revocation
+            .then_some(teams::RevocationBound::new(bound))
+    }
+
+    /// Returns the settings of teams' quotas.
+    #[must_use]
+    pub fn quota(&self) -> quota::QuotaSettings {
+        quota::QuotaSettings {
+            window_ms: (self.quota_window_s * 1_000.0) as u64,
+            over: self.quota_over,
+            slack: self.quota_slack,
+            pools: self.regions.len(),
+            ..quota::QuotaSettings::default()
+        }
+    }
+
     /// Returns the maximum time in milliseconds that a watch, a call that waits for changes of the store, may wait.
     ///
     /// A watch that waits longer than the store retains its history may miss changes. This instance would then have to
--- a/crates/damaskvane-gateway/src/store.rs
+++ b/crates/damaskvane-gateway/src/store.rs
@@ -4,6 +4,7 @@
 
 mod applier;
 mod client;
+mod evidence;
 mod feed;
 mod follow;
 mod freshness;
@@ -13,6 +14,7 @@
 mod register;
 
 pub use client::{CallError, StoreClient};
+pub use evidence::prove_configuration;
 pub use feed::{Feed, serve as serve_feed, subscribe as subscribe_to_relay, watch_freshness};
 pub use follow::follow;
 pub use health::{Source, StoreHealth};
--- a/crates/damaskvane-gateway/src/store/applier.rs
+++ b/crates/damaskvane-gateway/src/store/applier.rs
@@ -10,6 +10,7 @@
 use damaskvane_routing::configuration::Configuration;
 use damaskvane_routing::peers::ListedInstance;
 use damaskvane_routing::pool::{Change, ServerEntry};
+use damaskvane_routing::quota::HolderTable;
 
 use crate::adapter::{Collection, Event, Record};
 use crate::crashes;
@@ -69,9 +70,11 @@
                     .into_iter()
                     .filter_map(|item| self.instance_record(item))
                     .collect();
-                let members = &mut self.node.state.borrow_mut().members;
-                members.set_listed(records);
-                members.announce_to_other_zones();
+                let mut state = self.node.state.borrow_mut();
+                state.members.set_listed(records);
+                state.members.announce_to_other_zones();
+                drop(state);
+                self.update_holders();
             }
             Collection::Configuration => {
                 for item in items {
@@ -116,19 +119,27 @@
             Collection::Instances => {
                 let name = event.name.clone();
                 let record = self.instance_record(event);
-                let members = &mut self.node.state.borrow_mut().members;
+                let mut state = self.node.state.borrow_mut();
                 match record {
-                    Some(record) => members.add_listed([record]),
+                    Some(record) => state.members.add_listed([record]),
                     None => {
                         if let Some(instance) = self.instances.remove(&name) {
-                            members.remove_listed(&instance);
+                            state.members.remove_listed(&instance);
                         }
                     }
                 }
+                drop(state);
+                self.update_holders();
             }
         }
     }
 
+    /// Derives from the list of instances which of them hold the pools of quotas.
+    fn update_holders(&self) {
+        let holders = HolderTable::new(self.node.state.borrow().members.listed());
+        self.node.quotas.holders.replace(Rc::new(holders));
+    }
+
     /// Returns the instance record of an event, and stores the instance's id by the name of the record. Logs an invalid
     /// record and returns `None`.
     fn instance_record(&mut self, event: Event) -> Option<ListedInstance> {
--- a/crates/damaskvane-gateway/src/store/feed.rs
+++ b/crates/damaskvane-gateway/src/store/feed.rs
@@ -86,6 +86,14 @@
         }
     }
 
+    /// Returns the revision up to which a collection has been applied, or 0 if it has not been read.
+    pub(super) fn revision(&self, collection: Collection) -> u64 {
+        let index = FOLLOWED_COLLECTIONS
+            .iter()
+            .position(|one| *one == collection);
+        index.map_or(0, |index| self.revisions.borrow()[index])
+    }
+
     /// Waits for the next item of a collection and removes it from the buffer.
     pub async fn next(&self, collection: Collection) -> FeedItem {
         loop {
--- a/crates/damaskvane-gateway/src/store/feed/frames.rs
+++ b/crates/damaskvane-gateway/src/store/feed/frames.rs
@@ -7,15 +7,14 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
 use crate::adapter::Collection;
 use crate::store::FOLLOWED_COLLECTIONS;
 use crate::store::feed::IDLE_TIMEOUT;
 
 /// Identifies the protocol and its version in the first message of a stream.
-pub(super) const MAGIC: u32 = 0x6476_6635;
+pub(super) const MAGIC: u32 = 0x6476_6636;
 /// Maximum size of a frame in bytes, before and after compression. A list of changes is at most 1 MB.
 const MAX_FRAME_BYTES: u32 = 32 << 20;
 /// Minimum size in bytes of a frame that is compressed. Server lists are most of the relay traffic between zones and
@@ -29,6 +28,22 @@
 pub(super) struct Hello {
     pub(super) magic: u32,
     pub(super) revisions: [u64; FOLLOWED_COLLECTIONS.len()],
+    /// First number that the source echoes, as in [`Echo`].
+    pub(super) echo: Echo,
+}
+
+/// A number that a subscriber sends, and that its source returns with the next report of an age.
+///
+/// The subscriber counts the age from the moment at which it sent the number: how long a report was on its way can't be
+/// known otherwise.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Echo(pub(super) u32);
+
+/// Proof that the sender's configuration was the newest one, as far as the recipient has received it.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(super) struct EvidenceFrame {
+    pub(super) revision: u64,
+    pub(super) age_ms: u64,
 }
 
 /// A message from a relay to a subscriber.
@@ -40,6 +55,10 @@
         /// Key of the incarnation (one start of an instance's process) that received this response; `None` if no
         /// response is known.
         answered: Option<u64>,
+        /// The last number that the subscriber sent.
+        echo: Echo,
+        /// Proof that the configuration is the newest one; `None` if the sender has none.
+        evidence: Option<EvidenceFrame>,
     },
     /// Changes of a collection.
     Changes {
@@ -78,7 +97,7 @@
     postcard::from_bytes(bytes).map_err(|_| io::ErrorKind::InvalidData.into())
 }
 
-pub(super) async fn read_frame(stream: &mut TcpStream) -> io::Result<Vec<u8>> {
+pub(super) async fn read_frame(stream: &mut (impl AsyncRead + Unpin)) -> io::Result<Vec<u8>> {
     let head = stream.read_u32().await?;
     let length = head & !COMPRESSED_FLAG;
     if length > MAX_FRAME_BYTES {
@@ -105,7 +124,10 @@
 }
 
 /// Sends a message as one frame and returns the number of bytes sent.
-pub(super) async fn send(stream: &mut TcpStream, message: &impl Serialize) -> io::Result<usize> {
+pub(super) async fn send(
+    stream: &mut (impl AsyncWrite + Unpin),
+    message: &impl Serialize,
+) -> io::Result<usize> {
     let body = postcard::to_allocvec(message).map_err(io::Error::other)?;
     let (body, flag) = if body.len() < MIN_COMPRESSED_BYTES {
         (body, 0)
--- a/crates/damaskvane-gateway/src/store/feed/serve.rs
+++ b/crates/damaskvane-gateway/src/store/feed/serve.rs
@@ -1,16 +1,19 @@
 //! The relay's side of the stream: sends subscribers, which are other instances, the store's changes that they lack.
 
+use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
 
 use damaskvane_routing::peers::IncarnationKey;
+use tokio::io::AsyncRead;
+use tokio::net::tcp::WriteHalf;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::adapter::Collection;
 use crate::costs::{Distance, Flow};
 use crate::node::Node;
 use crate::store::FOLLOWED_COLLECTIONS;
-use crate::store::feed::frames::{self, Frame, Hello};
+use crate::store::feed::frames::{self, Echo, EvidenceFrame, Frame, Hello};
 use crate::store::feed::{AGE_INTERVAL, IDLE_TIMEOUT, POLL_INTERVAL};
 use crate::store::journal::JournalRead;
 
@@ -45,78 +48,130 @@
     if hello.magic != frames::MAGIC {
         return Err(io::ErrorKind::InvalidData.into());
     }
-    let mut revisions = hello.revisions;
-    let mut additions = node.journal.subscribe();
+    let distance = stream
+        .peer_addr()
+        .ok()
+        .map(|address| Distance::to_instance(node, address.ip()));
+    let (mut reader, writer) = stream.split();
+    let echo = Cell::new(hello.echo);
+    let sending = Subscription {
+        node,
+        writer,
+        distance,
+        revisions: hello.revisions,
+        echo: &echo,
+    };
+    tokio::select! {
+        sent = sending.run() => sent,
+        read = read_echoes(&mut reader, &echo) => read,
+    }
+}
+
+/// Reads the numbers that the subscriber sends, until the stream ends.
+async fn read_echoes(reader: &mut (impl AsyncRead + Unpin), echo: &Cell<Echo>) -> io::Result<()> {
     loop {
-        for (index, collection) in FOLLOWED_COLLECTIONS.into_iter().enumerate() {
-            send_missing(node, &mut stream, index, collection, &mut revisions[index]).await?;
+        let bytes = frames::read_frame(reader).await?;
+        echo.set(frames::decode(&bytes)?);
+    }
+}
+
+/// The sending half of a stream to a subscriber.
+struct Subscription<'a> {
+    node: &'a Rc<Node>,
+    writer: WriteHalf<'a>,
+    /// Distance to the subscriber, for the counters of bytes.
+    distance: Option<Distance>,
+    /// Revision of each collection up to which the subscriber has the changes.
+    revisions: [u64; FOLLOWED_COLLECTIONS.len()],
+    /// The last number that the subscriber sent.
+    echo: &'a Cell<Echo>,
+}
+
+impl Subscription<'_> {
+    async fn run(mut self) -> io::Result<()> {
+        let mut additions = self.node.journal.subscribe();
+        loop {
+            for (index, collection) in FOLLOWED_COLLECTIONS.into_iter().enumerate() {
+                self.send_missing(index, collection).await?;
+            }
+            // The echo is read first: the ages that follow are those at a later moment.
+            let echo = self.echo.get();
+            let alive = self.alive(echo);
+            self.send(&alive).await?;
+            let node = self.node;
+            // Changes are sent at once, and so is the age after a response of the store that ends a gap. Otherwise the age
+            // is sent at each interval.
+            tokio::select! {
+                _ = additions.changed() => {}
+                () = node.store.until_answered() => {}
+                () = node.evidence.until_newer() => {}
+                () = tokio::time::sleep(AGE_INTERVAL) => {}
+            }
         }
+    }
+
+    /// Returns the report on the ages of this instance's data.
+    fn alive(&self, echo: Echo) -> Frame {
+        let node = self.node;
         let store_age_ms = if node.journal.is_complete() {
             node.store.age(node.now()).get()
         } else {
             GAP_AGE_MS
         };
+        let now = node.continuous_now();
+        let evidence = node.evidence.newest().map(|newest| EvidenceFrame {
+            revision: newest.revision,
+            age_ms: now.since(newest.current_at).get(),
+        });
         let answered = node.store.answered_instance();
-        let alive = Frame::Alive {
+        Frame::Alive {
             store_age_ms,
             answered: answered.map(IncarnationKey::get),
-        };
-        send(node, &mut stream, &alive).await?;
-        // Changes are sent at once, and so is the age after a response of the store that ends a gap. Otherwise the age
-        // is sent at each interval.
-        tokio::select! {
-            _ = additions.changed() => {}
-            () = node.store.until_answered() => {}
-            () = tokio::time::sleep(AGE_INTERVAL) => {}
+            echo,
+            evidence,
         }
     }
-}
 
-async fn send_missing(
-    node: &Rc<Node>,
-    stream: &mut TcpStream,
-    index: usize,
-    collection: Collection,
-    revision: &mut u64,
-) -> io::Result<()> {
-    let number = u8::try_from(index).unwrap_or(u8::MAX);
-    loop {
-        match node.journal.since(collection, *revision) {
-            JournalRead::UpToDate => return Ok(()),
-            JournalRead::Listing(listing) => {
-                *revision = listing.revision;
-                let frame = Frame::Listing {
-                    collection: number,
-                    revision: listing.revision,
-                    pages: frames::to_wire(&listing.pages),
-                    changes: frames::to_wire(&listing.changes),
-                };
-                send(node, stream, &frame).await?;
-            }
-            JournalRead::HistoryGone { resume_at } => {
-                *revision = resume_at;
-                let frame = Frame::Gone { collection: number };
-                return send(node, stream, &frame).await;
-            }
-            JournalRead::Batch(batch) => {
-                *revision = batch.to;
-                let frame = Frame::Changes {
-                    collection: number,
-                    from: batch.from,
-                    to: batch.to,
-                    body: batch.body.to_vec(),
-                };
-                send(node, stream, &frame).await?;
+    async fn send_missing(&mut self, index: usize, collection: Collection) -> io::Result<()> {
+        let number = u8::try_from(index).unwrap_or(u8::MAX);
+        loop {
+            match self.node.journal.since(collection, self.revisions[index]) {
+                JournalRead::UpToDate => return Ok(()),
+                JournalRead::Listing(listing) => {
+                    self.revisions[index] = listing.revision;
+                    let frame = Frame::Listing {
+                        collection: number,
+                        revision: listing.revision,
+                        pages: frames::to_wire(&listing.pages),
+                        changes: frames::to_wire(&listing.changes),
+                    };
+                    self.send(&frame).await?;
+                }
+                JournalRead::HistoryGone { resume_at } => {
+                    self.revisions[index] = resume_at;
+                    let frame = Frame::Gone { collection: number };
+                    return self.send(&frame).await;
+                }
+                JournalRead::Batch(batch) => {
+                    self.revisions[index] = batch.to;
+                    let frame = Frame::Changes {
+                        collection: number,
+                        from: batch.from,
+                        to: batch.to,
+                        body: batch.body.to_vec(),
+                    };
+                    self.send(&frame).await?;
+                }
             }
         }
     }
-}
 
-async fn send(node: &Rc<Node>, stream: &mut TcpStream, frame: &Frame) -> io::Result<()> {
-    let bytes = frames::send(stream, frame).await?;
-    if let Ok(address) = stream.peer_addr() {
-        let distance = Distance::to_instance(node, address.ip());
-        node.metrics.costs.record_bytes(Flow::Feed, distance, bytes);
+    async fn send(&mut self, frame: &Frame) -> io::Result<()> {
+        let bytes = frames::send(&mut self.writer, frame).await?;
+        if let Some(distance) = self.distance {
+            let costs = &self.node.metrics.costs;
+            costs.record_bytes(Flow::Feed, distance, bytes);
+        }
+        Ok(())
     }
-    Ok(())
 }
--- a/crates/damaskvane-gateway/src/store/feed/subscribe.rs
+++ b/crates/damaskvane-gateway/src/store/feed/subscribe.rs
@@ -10,10 +10,11 @@
 use damaskvane_core::time::{SpanMs, TimeMs};
 use damaskvane_routing::peers::IncarnationKey;
 use damaskvane_routing::relay::Batch;
+use damaskvane_routing::teams::ConfigEvidence;
 use tokio::net::TcpStream;
 
 use crate::node::Node;
-use crate::store::feed::frames::{self, Frame, Hello};
+use crate::store::feed::frames::{self, Echo, Frame, Hello};
 use crate::store::feed::{FeedItem, IDLE_TIMEOUT, POLL_INTERVAL};
 use crate::store::journal::Listing;
 use crate::store::{Source, freshness, health_check};
@@ -72,9 +73,11 @@
     stream.set_nodelay(true)?;
     let feed = &node.feed;
     feed.clear();
+    let mut echoes = EchoTimes::new(node);
     let hello = Hello {
         magic: frames::MAGIC,
         revisions: *feed.revisions.borrow(),
+        echo: echoes.next(),
     };
     frames::send(&mut stream, &hello).await?;
     loop {
@@ -86,7 +89,19 @@
             Frame::Alive {
                 store_age_ms,
                 answered,
+                echo,
+                evidence,
             } => {
+                if let (Some(evidence), Some(sent_at)) = (evidence, echoes.sent_at(echo)) {
+                    let current_at = TimeMs::new(sent_at.get().saturating_sub(evidence.age_ms));
+                    node.evidence.add(ConfigEvidence {
+                        revision: evidence.revision,
+                        current_at,
+                    });
+                }
+                if echoes.is_needed() && echoes.has_returned(echo) {
+                    frames::send(&mut stream, &echoes.next()).await?;
+                }
                 if !handle_store_age(node, store_age_ms, answered.map(IncarnationKey::from_wire)) {
                     // Another source may have fresher data. If the store is down for all instances, the delay does no
                     // harm.
@@ -124,6 +139,44 @@
     }
 }
 
+/// The times at which this subscriber sent the numbers that its source echoes.
+struct EchoTimes<'a> {
+    node: &'a Rc<Node>,
+    last: Echo,
+    last_sent_at: TimeMs,
+}
+
+impl<'a> EchoTimes<'a> {
+    fn new(node: &'a Rc<Node>) -> Self {
+        Self {
+            node,
+            last: Echo::default(),
+            last_sent_at: node.continuous_now(),
+        }
+    }
+
+    /// Returns the number to send now.
+    fn next(&mut self) -> Echo {
+        self.last = Echo(self.last.0.wrapping_add(1));
+        self.last_sent_at = self.node.continuous_now();
+        self.last
+    }
+
+    /// Returns the time at which an echoed number was sent; `None` unless it is the last one.
+    fn sent_at(&self, echo: Echo) -> Option<TimeMs> {
+        self.has_returned(echo).then_some(self.last_sent_at)
+    }
+
+    fn has_returned(&self, echo: Echo) -> bool {
+        echo == self.last
+    }
+
+    /// Returns whether this instance needs ages that it can rely on.
+    fn is_needed(&self) -> bool {
+        self.node.settings().revocation_bound().is_some()
+    }
+}
+
 /// Records the source's report that the store's last response, to the incarnation `answered`, was `store_age_ms` ago.
 /// Returns `false` if the source's data is not fresh.
 fn handle_store_age(node: &Rc<Node>, store_age_ms: u64, answered: Option<IncarnationKey>) -> bool {
--- a/crates/damaskvane-gateway/src/store/follow.rs
+++ b/crates/damaskvane-gateway/src/store/follow.rs
@@ -152,6 +152,7 @@
             let request = adapter.list(self.collection, after.as_deref(), may_be_stale);
             let started = self.node.now();
             let body = self.client.call(&request, CALL_TIMEOUT).await?;
+            let body = self.digest_keys(body)?;
             let took_ms = self.node.now().since(started).get();
             self.node.metrics.store_s.observe(took_ms as f64 / 1_000.0);
             let page = self.node.adapter.page(self.collection, &body);
@@ -208,6 +209,7 @@
         self.applier.replace(items.into_values().collect());
         let revision = listing.revision;
         self.node.feed.set_revision(self.collection, revision);
+        self.record_applied(revision);
         Ok(())
     }
 
@@ -237,6 +239,7 @@
                     for event in changes.events {
                         self.applier.apply(event);
                     }
+                    self.record_applied(to);
                     if self.node.store.source() == Source::Store {
                         tokio::time::sleep(batch_delay(self.collection)).await;
                     }
@@ -289,7 +292,7 @@
         let request: StoreRequest = node.adapter.watch(self.collection, revision, wait_ms);
         let timeout = Duration::from_millis(wait_ms) + WATCH_SLACK;
         let body = tokio::select! {
-            body = self.client.call(&request, timeout) => body?,
+            body = self.client.call(&request, timeout) => self.digest_keys(body?)?,
             () = node.store.until_failed_call() => return Err(CallError::Timeout),
         };
         let changes = self.node.adapter.changes(self.collection, &body);
@@ -297,6 +300,18 @@
         Ok((changes.revision, body))
     }
 
+    fn digest_keys(&self, body: Bytes) -> Result<Bytes, CallError> {
+        let digested = self.node.adapter.digest_keys(self.collection, body);
+        digested.map_err(|error| self.log_malformed(&error))
+    }
+
+    /// Records that the collection is applied up to a revision, for the proofs that the configuration is current.
+    fn record_applied(&self, revision: u64) {
+        if self.collection == Collection::Configuration {
+            self.node.evidence.record_applied(revision);
+        }
+    }
+
     fn log_malformed(&self, error: &DecodeError) -> CallError {
         slog::warn!(self.node.log.log, "cannot decode the response of the store";
             "collection" => self.collection.as_str(), "error" => %error);
--- a/crates/damaskvane-gateway/src/store/register.rs
+++ b/crates/damaskvane-gateway/src/store/register.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use damaskvane_core::ids;
+use damaskvane_core::time::SpanMs;
 use damaskvane_routing::peers::ListedInstance;
 use hyper::StatusCode;
 
@@ -13,6 +14,8 @@
 
 /// Timeout of a call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time after its first listing from which an instance holds pools of quotas.
+const NEW_HOLDER_WAIT: SpanMs = SpanMs::new(5_000);
 /// Delay after a failed write.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Delays between reads of the zone's records while this instance has no source of the store's changes. Instances that
@@ -57,11 +60,17 @@
     }
     let [create, replace] = node.adapter.register(record);
     match client.call(&create, CALL_TIMEOUT).await {
+        Ok(_) => {
+            // Until all others know of this instance, one of them may still hold its pools.
+            let from = node.continuous_now() + NEW_HOLDER_WAIT;
+            node.quotas.pools.borrow_mut().earn_from(from);
+            Ok(())
+        }
         // The store has a record from an earlier start of this instance's process.
         Err(CallError::Status(StatusCode::CONFLICT)) => {
             client.call(&replace, CALL_TIMEOUT).await.map(drop)
         }
-        other => other.map(drop),
+        Err(error) => Err(error),
     }
 }
 
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -11,6 +11,7 @@
 use hyper::header;
 use tokio::sync::mpsc;
 
+use crate::clients::{SendRight, Withheld};
 use crate::costs::{Distance, Flow, OpenReason};
 use crate::http::{self, BodyReader, ReadError, ResponseHead};
 use crate::node::Node;
@@ -48,6 +49,8 @@
     /// The duration of the exchange in milliseconds; `None` if the server has been removed from the pool, the
     /// list of known servers.
     pub took_ms: Option<u64>,
+    /// The reason why the request was not sent; `None` unless the exchange was withheld.
+    pub(crate) withheld: Option<Withheld>,
 }
 
 impl ExchangeOutcome {
@@ -64,6 +67,7 @@
             response: None,
             retry_after_ms: None,
             took_ms: None,
+            withheld: None,
         }
     }
 }
@@ -126,6 +130,8 @@
     pub deadline: TimeMs,
     /// Whether an earlier exchange has sent the request to any server.
     pub is_retry: bool,
+    /// The right to send the request, which is checked at the moment of sending.
+    pub(crate) right: &'a SendRight<'a>,
 }
 
 impl Exchange<'_> {
@@ -138,9 +144,29 @@
     }
 
     async fn exchange(&self) -> ExchangeOutcome {
-        let Ok((mut connection, is_reused)) = self.connect().await else {
+        let Ok((connection, is_reused)) = self.connect().await else {
             return ExchangeOutcome::no_response(ExchangeEnd::Unreachable);
         };
+        let token = match self.right.redeem().await {
+            Ok(token) => token,
+            Err(withheld) => {
+                if !is_reused {
+                    self.keep_unused(connection);
+                }
+                return ExchangeOutcome {
+                    withheld: Some(withheld),
+                    ..ExchangeOutcome::no_response(ExchangeEnd::Withheld)
+                };
+            }
+        };
+        let outcome = self.send(connection, is_reused).await;
+        if matches!(outcome.end, ExchangeEnd::Shed | ExchangeEnd::Misdirected) {
+            self.right.restore(token);
+        }
+        outcome
+    }
+
+    async fn send(&self, mut connection: http::Connection, is_reused: bool) -> ExchangeOutcome {
         let names = self.node.adapter.headers();
         let bytes = self
             .request
@@ -158,6 +184,15 @@
         self.read_response(connection, is_written, is_reused).await
     }
 
+    /// Keeps a new connection on which nothing was sent.
+    fn keep_unused(&self, connection: http::Connection) {
+        if connection.is_reusable() {
+            let now = self.node.now();
+            let mut idle = self.node.idle.borrow_mut();
+            idle.keep(now, &self.pick.server, connection, None);
+        }
+    }
+
     fn count_bytes(&self, bytes: usize) {
         let flow = Flow::for_pick(self.pick, self.is_retry);
         let distance = Distance::to_zone(self.node, &self.pick.zone);
@@ -295,6 +330,7 @@
             response: Some(response),
             retry_after_ms,
             took_ms: None,
+            withheld: None,
         }
     }
 
--- a/crates/damaskvane-gateway/src/upstream/request.rs
+++ b/crates/damaskvane-gateway/src/upstream/request.rs
@@ -6,6 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use damaskvane_core::ids;
 use damaskvane_dispatch::fingerprint::Fingerprint;
+use damaskvane_routing::teams::TeamName;
 use hyper::header::{self, HeaderMap, HeaderName};
 
 use crate::adapter::HeaderNames;
@@ -54,6 +55,8 @@
     pub body: Option<Bytes>,
     /// The client's identifier for this attempt, if the request has one; servers repeat it in the response.
     pub request_id: Option<String>,
+    /// The team that sends the request; servers receive its name, and never the client's key.
+    pub team: Option<TeamName>,
     /// The IP address from which the client connected.
     pub client_address: net::IpAddr,
 }
@@ -100,6 +103,9 @@
             &mut bytes,
             format_args!("{}: {server}\r\n", names.expected_server),
         );
+        if let Some(team) = &self.team {
+            append(&mut bytes, format_args!("{}: {team}\r\n", names.team));
+        }
         if let Some(body) = &self.body {
             append(
                 &mut bytes,
