Name no instance of a region that a service's routes don't share

Cause: lookups took routes without a common region for unrestricted ones, and sent callers without an instance in their own region anywhere. RegionSet keeps 'any' and 'none' apart, for routes, teams and both together; a service without a common region has only the caller's own region left, to which a body may always be sent. A request whose team and route share no region is refused at once. Readiness checks fail while no request with a key could be served.

Ruled out: refusing such lookups altogether, since each route alone has regions.

Test: callers_of_a_service_without_a_common_region_receive_only_instances_of_their_region (on the old code an empty list means any, so the case couldn't be written).

--- a/crates/damaskvane-gateway/src/clients.rs
+++ b/crates/damaskvane-gateway/src/clients.rs
@@ -12,6 +12,6 @@
 mod routed_request;
 mod send_right;
 
-pub(crate) use send_right::{SendRight, Withheld};
+pub(crate) use send_right::{SendRight, Withheld, may_serve_keys};
 
 pub use listener::{ListenerKind, listen};
--- a/crates/damaskvane-gateway/src/clients/authorization.rs
+++ b/crates/damaskvane-gateway/src/clients/authorization.rs
@@ -84,13 +84,9 @@
             Err(Unauthorized::ConfigurationOutdated)
         };
     }
-    let regions = &caller.team.allowed_regions;
-    let has_region = regions.is_empty()
-        || route.allowed_regions.is_empty()
-        || regions.iter().any(|region| route.allows(region));
-    if has_region {
-        Ok(Some(caller))
-    } else {
-        Err(Unauthorized::NoCommonRegion)
+    let regions = route.regions().intersection(caller.team.regions());
+    if regions.is_empty() {
+        return Err(Unauthorized::NoCommonRegion);
     }
+    Ok(Some(caller))
 }
--- a/crates/damaskvane-gateway/src/clients/pending.rs
+++ b/crates/damaskvane-gateway/src/clients/pending.rs
@@ -4,9 +4,9 @@
 use std::rc::Rc;
 
 use damaskvane_core::ids;
-use damaskvane_core::time::TimeMs;
+use damaskvane_core::time::{SpanMs, TimeMs};
 
-use crate::clients::reply;
+use crate::clients::{reply, send_right};
 use crate::decision_log::RequestOutcome;
 use crate::node::Node;
 
@@ -65,6 +65,7 @@
                     "request_id" => self.request_id.as_deref(), "reason" => reason,
                     "backend_server" => self.sent_to.borrow().as_ref().map(ToString::to_string),
                     "after_ms" => now.since(self.started).get(), "config_version" => version,
+                    "evidence_age_ms" => send_right::evidence_age(self.node).map(SpanMs::get),
                     "store_age_ms" => self.node.store.age(now).get(), "lines_left_out" => left_out);
             });
     }
--- a/crates/damaskvane-gateway/src/clients/send_right.rs
+++ b/crates/damaskvane-gateway/src/clients/send_right.rs
@@ -147,6 +147,13 @@
     bound.permits(evidence_age(node))
 }
 
+/// Returns whether requests with keys can be served now: the configuration has no teams, or is proven to be recent.
+pub(crate) fn may_serve_keys(node: &Node) -> bool {
+    let configuration = node.configuration();
+    let has_teams = configuration.is_some_and(|one| one.teams().is_some());
+    !has_teams || is_configuration_current(node)
+}
+
 /// Returns the age of the proof that the configuration is current, or `None` if there is none.
 pub(crate) fn evidence_age(node: &Node) -> Option<SpanMs> {
     node.evidence.age(node.continuous_now())
--- a/crates/damaskvane-gateway/src/lookups.rs
+++ b/crates/damaskvane-gateway/src/lookups.rs
@@ -5,13 +5,14 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use damaskvane_core::ids;
+use damaskvane_routing::configuration::RegionSet;
 use damaskvane_routing::peers::Phase;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use rand::seq::SliceRandom;
 
+use crate::clients;
 use crate::node::Node;
 use crate::upstream::ResponseBody;
 
@@ -30,6 +31,10 @@
         return empty_response(StatusCode::NOT_FOUND);
     }
     match node.phase() {
+        // Nearly all requests would be refused.
+        Phase::Ready if !clients::may_serve_keys(node) => {
+            empty_response(StatusCode::SERVICE_UNAVAILABLE)
+        }
         Phase::Ready => empty_response(StatusCode::OK),
         Phase::Starting | Phase::Leaving => empty_response(StatusCode::SERVICE_UNAVAILABLE),
     }
@@ -68,23 +73,13 @@
     response
 }
 
-/// Returns the regions that may serve all routes of a host; empty if every region may serve them, or if no region may
-/// serve all of them.
-fn allowed_regions(node: &Rc<Node>, host: &str) -> Vec<ids::RegionId> {
+/// Returns the regions that may serve all routes of a host.
+fn allowed_regions(node: &Rc<Node>, host: &str) -> RegionSet {
     let Some(configuration) = node.configuration() else {
-        return Vec::new();
+        return RegionSet::Any;
     };
-    let mut restricted = configuration
-        .routes_of(host)
-        .filter(|route| !route.allowed_regions.is_empty());
-    let Some(first) = restricted.next() else {
-        return Vec::new();
-    };
-    let mut allowed = first.allowed_regions.clone();
-    for route in restricted {
-        allowed.retain(|region| route.allows(region));
-    }
-    allowed
+    let of_routes = configuration.routes_of(host).map(|route| route.regions());
+    of_routes.fold(RegionSet::Any, RegionSet::intersection)
 }
 
 fn empty_response(code: StatusCode) -> Response<ResponseBody> {
--- a/crates/damaskvane-routing/src/configuration.rs
+++ b/crates/damaskvane-routing/src/configuration.rs
@@ -8,11 +8,13 @@
 //! ```
 
 mod limits;
+mod region_set;
 mod route;
 mod service;
 mod table;
 
 pub use limits::Limits;
+pub use region_set::RegionSet;
 pub use route::{Destination, Route, RouteKind};
 pub use service::Service;
 pub use table::Configuration;
--- a/crates/damaskvane-routing/src/configuration/route.rs
+++ b/crates/damaskvane-routing/src/configuration/route.rs
@@ -2,6 +2,8 @@
 
 use damaskvane_core::ids;
 
+use crate::configuration::RegionSet;
+
 /// Whether a request may run more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RouteKind {
@@ -59,6 +61,12 @@
 }
 
 impl Route {
+    /// Returns the regions whose servers may run requests of this route.
+    #[must_use]
+    pub fn regions(&self) -> RegionSet {
+        RegionSet::declared(&self.allowed_regions)
+    }
+
     /// Returns whether servers of the region may run requests of this route.
     #[must_use]
     pub fn allows(&self, region: &ids::RegionId) -> bool {
--- a/crates/damaskvane-routing/src/peers/caller.rs
+++ b/crates/damaskvane-routing/src/peers/caller.rs
@@ -9,6 +9,7 @@
 use damaskvane_core::ids;
 use damaskvane_core::time::TimeMs;
 
+use crate::configuration::RegionSet;
 use crate::peers::Phase;
 use crate::peers::member_table::MemberTable;
 
@@ -19,12 +20,13 @@
     pub(super) zone: Option<&'a ids::AvailabilityZoneId>,
     /// Region of the caller, or `None` if the region is unknown.
     pub(super) region: Option<&'a ids::RegionId>,
-    pub(super) allowed_regions: &'a [ids::RegionId],
+    pub(super) allowed_regions: &'a RegionSet,
 }
 
 impl Caller<'_> {
     /// Returns the addresses at which the nearest ready instances accept clients: all instances of the first of these
-    /// areas that has any: the caller's zone, the caller's region, the allowed regions, all regions.
+    /// areas that has any: the caller's zone, the caller's region, the allowed regions, all regions unless none is
+    /// allowed.
     pub(super) fn nearest(
         &self,
         members: &MemberTable,
@@ -38,8 +40,11 @@
             let region = regions.get(of);
             region.is_some_and(|region| self.allowed_regions.contains(region))
         };
+        // A request's body may always be sent to the caller's own region. No other region is right for a service whose
+        // routes have none in common.
+        let is_any = |_: &ids::AvailabilityZoneId| !self.allowed_regions.is_empty();
         let tiers: [&dyn Fn(&ids::AvailabilityZoneId) -> bool; 4] =
-            [&in_zone, &in_region, &is_allowed, &|_| true];
+            [&in_zone, &in_region, &is_allowed, &is_any];
         for tier in tiers {
             let zones = members.zones().filter(|of| tier(of));
             let usable = zones.flat_map(|of| members.alive_in(now, of, Phase::Ready));
--- a/crates/damaskvane-routing/src/peers/members.rs
+++ b/crates/damaskvane-routing/src/peers/members.rs
@@ -7,6 +7,7 @@
 use damaskvane_core::ids;
 use damaskvane_core::time::TimeMs;
 
+use crate::configuration::RegionSet;
 use crate::peers::caller::Caller;
 use crate::peers::heartbeat_targets::HeartbeatTargets;
 use crate::peers::instance_list::InstanceList;
@@ -387,14 +388,14 @@
     }
 
     /// Returns the client addresses of the ready instances nearest to a caller: those of the caller's zone, otherwise
-    /// of its region, otherwise of the allowed regions, otherwise of all regions.
+    /// of its region, otherwise of the allowed regions, otherwise of all regions unless none is allowed.
     #[must_use]
     pub fn look_up(
         &self,
         now: TimeMs,
         zone: Option<&ids::AvailabilityZoneId>,
         region: Option<&ids::RegionId>,
-        allowed_regions: &[ids::RegionId],
+        allowed_regions: &RegionSet,
     ) -> Vec<net::SocketAddr> {
         let caller = Caller {
             zone,
--- a/crates/damaskvane-routing/src/teams/team.rs
+++ b/crates/damaskvane-routing/src/teams/team.rs
@@ -3,6 +3,7 @@
 use damaskvane_core::ids;
 use xxhash_rust::xxh3;
 
+use crate::configuration::RegionSet;
 use crate::teams::{Quota, TeamName};
 
 /// Hash of a team's name, by which messages between instances name the team.
@@ -31,6 +32,12 @@
 }
 
 impl Team {
+    /// Returns the regions whose servers may run the team's requests.
+    #[must_use]
+    pub fn regions(&self) -> RegionSet {
+        RegionSet::declared(&self.allowed_regions)
+    }
+
     /// Returns whether servers of the region may run the team's requests.
     #[must_use]
     pub fn allows(&self, region: &ids::RegionId) -> bool {
--- a/crates/damaskvane-routing/tests/peers.rs
+++ b/crates/damaskvane-routing/tests/peers.rs
@@ -6,6 +6,7 @@
 mod support;
 
 use damaskvane_core::ids;
+use damaskvane_routing::configuration::RegionSet;
 use damaskvane_routing::peers::{Heartbeat, ListedInstance, Members, PeerSettings, Phase};
 use support::{at, regions, zone};
 
@@ -32,7 +33,7 @@
 fn looked_up_ports(members: &Members, now_ms: u64, zone_name: &str) -> Vec<u16> {
     let region = regions()[&zone(zone_name)].clone();
     let zone = zone(zone_name);
-    let addresses = members.look_up(at(now_ms), Some(&zone), Some(&region), &[]);
+    let addresses = members.look_up(at(now_ms), Some(&zone), Some(&region), &RegionSet::Any);
     addresses.iter().map(std::net::SocketAddr::port).collect()
 }
 
@@ -121,13 +122,29 @@
 fn callers_without_nearby_instances_receive_those_of_allowed_regions() {
     let mut members = members();
     members.apply_heartbeat(at(0), heartbeat("west", "west-a", 1, 1));
-    let allowed = ["west".parse().expect("a name")];
+    let allowed = RegionSet::Only(vec!["west".parse().expect("a name")]);
     let (zone, region) = (zone("north-a"), "north".parse().expect("a name"));
     let addresses = members.look_up(at(100), Some(&zone), Some(&region), &allowed);
     let ports: Vec<u16> = addresses.iter().map(std::net::SocketAddr::port).collect();
     assert_eq!(ports, [port("west")]);
 }
 
+/// Guards against request bodies in a region that no route of the service allows, because its routes have no region in
+/// common.
+#[test]
+fn callers_of_a_service_without_a_common_region_receive_only_instances_of_their_region() {
+    let mut members = members();
+    members.apply_heartbeat(at(0), heartbeat("west", "west-a", 1, 1));
+    let none = RegionSet::Only(Vec::new());
+    let ports = |zone_name: &str, region: &str| -> Vec<u16> {
+        let (zone, region) = (zone(zone_name), region.parse().expect("a name"));
+        let addresses = members.look_up(at(100), Some(&zone), Some(&region), &none);
+        addresses.iter().map(std::net::SocketAddr::port).collect()
+    };
+    assert_eq!(ports("west-b", "west"), [port("west")]);
+    assert_eq!(ports("north-a", "north"), Vec::<u16>::new());
+}
+
 fn watchers(members: &Members, now_ms: u64) -> Vec<String> {
     let region = regions()[&zone("east-a")].clone();
     let watchers = members.watchers(at(now_ms), &region);
