A list that the store gave is a proof that it is the newest configuration

Cause: an instance that started had to wait for its first separate proof, some 150 ms and two calls, before it served a request with a key. The list itself was read without stale data, so it proves the configuration from the moment at which its first page was requested, once it is applied.

--- a/crates/damaskvane-gateway/src/store/follow.rs
+++ b/crates/damaskvane-gateway/src/store/follow.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use damaskvane_routing::teams::ConfigEvidence;
 use rand::RngExt;
 
 use crate::adapter::{Collection, DecodeError, Event, StoreRequest};
@@ -143,6 +144,7 @@
 
     async fn read_list(&mut self) -> Result<Listing, CallError> {
         let mut pages = Vec::new();
+        let current_at = self.node.continuous_now();
         let mut after: Option<String> = None;
         let mut first_revision = None;
         loop {
@@ -164,6 +166,13 @@
             match page.continue_after {
                 Some(name) => after = Some(name),
                 None => {
+                    if self.collection == Collection::Configuration {
+                        // Holds once the list is applied.
+                        self.node.evidence.add(ConfigEvidence {
+                            revision,
+                            current_at,
+                        });
+                    }
                     return Ok(Listing {
                         revision,
                         pages,
