--- a/crates/damaskvane-explain/src/losses/cause.rs
+++ b/crates/damaskvane-explain/src/losses/cause.rs
@@ -53,6 +53,16 @@
     Starting,
     /// No route matches the request's host and path.
     NoRoute,
+    /// No team holds the request's key, or no longer.
+    UnknownKey,
+    /// The instance could not exclude that the key was revoked.
+    StaleConfiguration,
+    /// The team had used its quota.
+    OverQuota,
+    /// No instance that holds a part of the team's quota responded.
+    QuotaUnknown,
+    /// No region is allowed both to the route and to the team.
+    NoCommonRegion,
     /// The request is quarantined because it crashes servers.
     Quarantined,
     /// The client's deadline or the route's timeout passed.
@@ -96,6 +106,11 @@
             "turned_away" => Self::RejectedByServer,
             "starting" => Self::Starting,
             "no_route" => Self::NoRoute,
+            "unknown_key" | "key_revoked" => Self::UnknownKey,
+            "stale_configuration" => Self::StaleConfiguration,
+            "over_quota" => Self::OverQuota,
+            "quota_unknown" => Self::QuotaUnknown,
+            "no_common_region" => Self::NoCommonRegion,
             "quarantined" => Self::Quarantined,
             "timeout" => Self::Timeout,
             "unknown" => Self::ResponseLost,
@@ -113,6 +128,11 @@
             Self::RejectedByServer => "turned_away",
             Self::Starting => "starting",
             Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
+            Self::StaleConfiguration => "stale_configuration",
+            Self::OverQuota => "over_quota",
+            Self::QuotaUnknown => "quota_unknown",
+            Self::NoCommonRegion => "no_common_region",
             Self::Quarantined => "quarantined",
             Self::Timeout => "timeout",
             Self::ResponseLost => "answer_lost",
