--- a/crates/damaskvane-bench/src/commands.rs
+++ b/crates/damaskvane-bench/src/commands.rs
@@ -11,7 +11,7 @@
 use crate::error::BenchError;
 use crate::{
     blocks, capacity, checker, cluster, config, config_run, decisions, demo, load, placement,
-    requests, slots, speed, steering,
+    quotas, requests, slots, speed, steering,
 };
 
 /// One sub-command.
@@ -52,6 +52,11 @@
         summary: "the decision code against baselines, in virtual time",
         run: steering::command::run,
     },
+    Command {
+        name: "quotas",
+        summary: "ways to keep quotas over all instances, in virtual time",
+        run: quotas::command::run,
+    },
     Command {
         name: "decisions",
         summary: "the time of one placement decision, by the number of servers",
--- a/crates/damaskvane-bench/src/lib.rs
+++ b/crates/damaskvane-bench/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`blocks`]: the client-block table against a binary search and a hash map.
 //! - [`steering`]: the decision code against baselines, in virtual time.
 //! - [`placement`]: the gateway's choice of servers against baselines under load, in virtual time.
+//! - [`quotas`]: ways to keep quotas over all instances, in virtual time.
 //! - [`decisions`]: the time of one placement decision, by the number of servers.
 //! - [`config`]: the same by the number of daemons.
 //! - [`config_run`]: the configuration's decision code through mixed faults, by seed.
@@ -44,6 +45,7 @@
 pub mod in_force;
 pub mod load;
 pub mod placement;
+pub mod quotas;
 pub mod requests;
 pub mod slots;
 pub mod speed;
