A request waits for a token that will be there soon

A request now waits up to half of its objective where the pool expects a token in that time, which is never so for a team far beyond its quota; a hot team is still refused at once.

--- a/crates/damaskvane-gateway/src/clients/dispatch.rs
+++ b/crates/damaskvane-gateway/src/clients/dispatch.rs
@@ -152,7 +152,7 @@
         .filter(|_| route.has_affinity)
         .map(|object| placement::object_hash(&service, &route.name, &object));
     record_request(node, &service, &route, object);
-    let right = SendRight::new(node, caller);
+    let right = SendRight::new(node, caller, token_patience(&route));
     routed_request::RoutedRequest {
         node,
         pending,
@@ -172,6 +172,11 @@
     .await
 }
 
+/// Returns how long a request may wait for a token of its team's quota: afterwards its response would be late.
+fn token_patience(route: &Route) -> SpanMs {
+    SpanMs::new(route.objective_ms / 2)
+}
+
 /// Returns how much longer this instance refuses the request because the request has crashed backend servers;
 /// `None` if the request may run.
 async fn remaining_quarantine(
--- a/crates/damaskvane-gateway/src/clients/reply.rs
+++ b/crates/damaskvane-gateway/src/clients/reply.rs
@@ -13,6 +13,9 @@
 /// Retry delay sent to clients whose keys can't be checked, in milliseconds: a new proof arrives about once a second.
 const OUTDATED_RETRY_AFTER_MS: u64 = 500;
 
+/// Shortest retry delay sent to clients whose team has used its quota, in milliseconds.
+const MIN_QUOTA_RETRY_MS: u64 = 150;
+
 /// Returns a response that this instance creates.
 pub(super) fn from_instance(status: StatusCode, text: &'static str) -> Response<ResponseBody> {
     let body = ResponseBody::whole(Bytes::from_static(text.as_bytes()));
@@ -44,7 +47,7 @@
 pub(super) fn over_quota(retry_after_ms: u64) -> Response<ResponseBody> {
     let mut response = not_run(
         "the team has used its quota\n",
-        spread_retry_ms(retry_after_ms),
+        spread_retry_ms(retry_after_ms.max(MIN_QUOTA_RETRY_MS)),
     );
     *response.status_mut() = StatusCode::TOO_MANY_REQUESTS;
     response
--- a/crates/damaskvane-gateway/src/clients/send_right.rs
+++ b/crates/damaskvane-gateway/src/clients/send_right.rs
@@ -1,6 +1,6 @@
 //! The right to send a request to a backend server: a valid key, a current configuration and a token of the quota.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use damaskvane_core::time::SpanMs;
@@ -10,6 +10,9 @@
 use crate::node::Node;
 use crate::quota::{self, QuotaRefusal, Token};
 
+/// Time after which holders of quotas that are starting are asked again, in milliseconds.
+const HOLDERS_START_MS: u64 = 40;
+
 /// Reason why a request may not be sent now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Withheld {
@@ -44,15 +47,21 @@
     node: &'a Rc<Node>,
     caller: Option<Caller>,
     token: RefCell<Option<Token>>,
+    /// How long the request may wait for a token.
+    patience: SpanMs,
+    /// How long it has waited.
+    waited: Cell<SpanMs>,
 }
 
 impl<'a> SendRight<'a> {
     /// Creates the right of a request of `caller`, which holds no token yet; `None` for a request without a team.
-    pub(super) const fn new(node: &'a Rc<Node>, caller: Option<Caller>) -> Self {
+    pub(super) const fn new(node: &'a Rc<Node>, caller: Option<Caller>, patience: SpanMs) -> Self {
         Self {
             node,
             caller,
             token: RefCell::new(None),
+            patience,
+            waited: Cell::new(SpanMs::new(0)),
         }
     }
 
@@ -77,11 +86,35 @@
         if self.has_usable_token() {
             return Ok(());
         }
-        let token = take_token(self.node, caller, quota).await?;
+        let token = self.take_token(caller, quota).await?;
         self.token.replace(Some(token));
         Ok(())
     }
 
+    /// Takes a token, and waits for one if it will be there soon: a team within its quota may have sent a few requests at
+    /// the same moment, or its pools may have just begun to fill.
+    async fn take_token(&self, caller: &Caller, quota: Quota) -> Result<Token, Withheld> {
+        loop {
+            let acquired = quota::acquire(self.node, caller.team.key(), quota).await;
+            let (withheld, wait_ms) = match acquired {
+                Ok(token) => return Ok(token),
+                Err(QuotaRefusal::Used { retry_after_ms }) => {
+                    (Withheld::OverQuota { retry_after_ms }, retry_after_ms)
+                }
+                Err(QuotaRefusal::Unreachable) if self.node.is_starting_up() => {
+                    (Withheld::QuotaUnknown, HOLDERS_START_MS)
+                }
+                Err(QuotaRefusal::Unreachable) => return Err(Withheld::QuotaUnknown),
+            };
+            let waited = SpanMs::new(self.waited.get().get() + wait_ms);
+            if waited > self.patience {
+                return Err(withheld);
+            }
+            self.waited.set(waited);
+            tokio::time::sleep(SpanMs::new(wait_ms).to_duration()).await;
+        }
+    }
+
     /// Checks at the moment of sending that the request may be sent, and uses its token up.
     ///
     /// # Errors
@@ -118,14 +151,6 @@
     }
 }
 
-async fn take_token(node: &Rc<Node>, caller: &Caller, quota: Quota) -> Result<Token, Withheld> {
-    let acquired = quota::acquire(node, caller.team.key(), quota).await;
-    acquired.map_err(|refusal| match refusal {
-        QuotaRefusal::Used { retry_after_ms } => Withheld::OverQuota { retry_after_ms },
-        QuotaRefusal::Unreachable => Withheld::QuotaUnknown,
-    })
-}
-
 fn check_key(node: &Node, caller: &Caller) -> Result<(), Withheld> {
     if !is_configuration_current(node) {
         return Err(Withheld::ConfigurationOutdated);
--- a/crates/damaskvane-gateway/src/clients/startup.rs
+++ b/crates/damaskvane-gateway/src/clients/startup.rs
@@ -4,16 +4,12 @@
 use std::rc::Rc;
 
 use crate::clients::send_right;
-use crate::node::Node;
-
-/// Age of the process up to which requests wait, in milliseconds. After a restart, other instances or the store send
-/// everything within a part of this time; a client that is refused instead comes back later than that.
-const HOLD_UNTIL_MS: u64 = 800;
+use crate::node::{Node, STARTUP_MS};
 
 /// Waits until this instance can serve requests, or its start takes too long.
 pub(super) async fn until_able(node: &Rc<Node>) {
     while !is_able(node) {
-        let remaining_ms = HOLD_UNTIL_MS.saturating_sub(node.now().get());
+        let remaining_ms = STARTUP_MS.saturating_sub(node.now().get());
         if remaining_ms == 0 {
             return;
         }
@@ -27,7 +23,7 @@
 
 /// Returns whether this instance has all that it needs to serve requests.
 fn is_able(node: &Rc<Node>) -> bool {
-    if node.now().get() >= HOLD_UNTIL_MS {
+    if !node.is_starting_up() {
         // Whatever is missing then, waiting for it doesn't help.
         return true;
     }
--- a/crates/damaskvane-gateway/src/node.rs
+++ b/crates/damaskvane-gateway/src/node.rs
@@ -30,6 +30,10 @@
 use crate::store::{Feed, Journal, StoreHealth};
 use crate::upstream::IdleConnections;
 
+/// Age of the process up to which requests wait for what is missing, in milliseconds. After a restart, other instances
+/// or the store send everything within a part of this time; a client that is refused instead comes back later than that.
+pub(crate) const STARTUP_MS: u64 = 800;
+
 /// The configuration, servers and instances that this instance knows, and the state of its routing decisions.
 #[derive(Debug)]
 pub struct State {
@@ -190,6 +194,12 @@
         IncarnationKey::new(&self.settings().instance, self.incarnation)
     }
 
+    /// Returns whether the process is in its first moments, in which it receives what it needs to serve requests.
+    #[must_use]
+    pub fn is_starting_up(&self) -> bool {
+        self.now().get() < STARTUP_MS
+    }
+
     /// Returns this instance's rank among the relays of its zone, from 0; `None` if this instance is not a relay.
     #[must_use]
     pub fn relay_rank(&self) -> Option<usize> {
--- a/crates/damaskvane-routing/src/quota/pool.rs
+++ b/crates/damaskvane-routing/src/quota/pool.rs
@@ -6,8 +6,8 @@
 
 /// Time over which a pool's demand is averaged, and for which a pool keeps tokens for its own zone when it lends.
 const DEMAND_MS: f64 = 300.0;
-/// Shortest and longest time after which a refused caller is told to come back.
-const MIN_RETRY_MS: f64 = 150.0;
+/// Shortest and longest time after which a caller should ask again.
+const MIN_RETRY_MS: f64 = 10.0;
 const MAX_RETRY_MS: f64 = 2_000.0;
 
 /// A pool of tokens. A pool begins empty, so that a process that starts anew can't spend a burst twice.
