--- a/crates/damaskvane-gateway/src/clients.rs
+++ b/crates/damaskvane-gateway/src/clients.rs
@@ -12,6 +12,7 @@
 mod routed_request;
 mod send_right;
 mod startup;
+mod unserved;
 
 pub(crate) use send_right::{SendRight, Withheld, may_serve_keys};
 
--- a/crates/damaskvane-gateway/src/peers.rs
+++ b/crates/damaskvane-gateway/src/peers.rs
@@ -5,13 +5,14 @@
 //! that reads slowly can't block the sender.
 
 mod message;
+mod outgoing;
+mod quota_wire;
 
 use core::time::Duration;
 use std::io;
 use std::net;
 use std::rc::Rc;
 
-use damaskvane_dispatch::quarantine::Incident;
 use damaskvane_routing::peers::{Digest, Heartbeat, Phase};
 use tokio::net::UdpSocket;
 
@@ -35,11 +36,6 @@
 /// Interval between two popularity reports, multiplied by the number of other instances in the zone: the aggregators
 /// receive reports at the same rate in a zone of any size.
 const POPULARITY_INTERVAL_PER_RECIPIENT: Duration = Duration::from_millis(30);
-/// How many times an incident (the crash of a server with requests) is sent: a datagram may be lost, and a recipient
-/// may be paused for a moment.
-const INCIDENT_SEND_COUNT: u32 = 3;
-/// Interval between two transmissions of the same incident.
-const INCIDENT_RESEND_INTERVAL: Duration = Duration::from_millis(400);
 /// Largest number of digest entries in one datagram, so that the datagram is not fragmented: 13 bytes each.
 const MAX_DIGEST_ENTRIES: usize = 64;
 /// Number of heartbeats between two digests of an aggregator; the zone's other aggregator sends a digest in between.
@@ -65,12 +61,18 @@
     let socket = Rc::new(UdpSocket::bind(node.settings().peer_address).await?);
     tokio::task::spawn_local(receive(Rc::clone(&node), Rc::clone(&socket)));
     tokio::task::spawn_local(send_server_reports(Rc::clone(&node), Rc::clone(&socket)));
-    tokio::task::spawn_local(send_incidents(Rc::clone(&node), Rc::clone(&socket)));
+    tokio::task::spawn_local(outgoing::send_incidents(
+        Rc::clone(&node),
+        Rc::clone(&socket),
+    ));
     tokio::task::spawn_local(send_membership_updates(
         Rc::clone(&node),
         Rc::clone(&socket),
     ));
-    tokio::task::spawn_local(send_quota_messages(Rc::clone(&node), Rc::clone(&socket)));
+    tokio::task::spawn_local(outgoing::send_quota_messages(
+        Rc::clone(&node),
+        Rc::clone(&socket),
+    ));
     tokio::task::spawn_local(exchange_popularity(Rc::clone(&node), Rc::clone(&socket)));
     let period = Duration::from_millis(node.settings().peers().heartbeat_ms);
     let mut phases = node.stop.subscribe();
@@ -225,36 +227,6 @@
     }
 }
 
-/// Sends requests for tokens of quotas and the replies to them, until the process ends.
-async fn send_quota_messages(node: Rc<Node>, socket: Rc<UdpSocket>) {
-    while let Ok(outgoing) = node.quotas.outgoing().recv_async().await {
-        send(&node, &socket, &outgoing.message, &[outgoing.recipient]).await;
-    }
-}
-
-/// Sends each incident that this instance detects to all other instances, until the process ends.
-async fn send_incidents(node: Rc<Node>, socket: Rc<UdpSocket>) {
-    while let Ok(incident) = node.crashes.notices().recv_async().await {
-        let sending = send_incident(Rc::clone(&node), Rc::clone(&socket), incident);
-        tokio::task::spawn_local(sending);
-    }
-}
-
-async fn send_incident(node: Rc<Node>, socket: Rc<UdpSocket>, incident: Incident) {
-    let detected_at = node.now();
-    for attempt in 0..INCIDENT_SEND_COUNT {
-        if attempt > 0 {
-            tokio::time::sleep(INCIDENT_RESEND_INTERVAL).await;
-        }
-        let incident = Incident {
-            age: node.now().since(detected_at),
-            ..incident.clone()
-        };
-        let recipients = node.state.borrow().members.others();
-        send(&node, &socket, &Message::Incident(incident), &recipients).await;
-    }
-}
-
 async fn send(node: &Node, socket: &UdpSocket, message: &Message, recipients: &[net::SocketAddr]) {
     let bytes = match message.encode() {
         Ok(bytes) => bytes,
@@ -338,9 +310,7 @@
                 let placer = &mut node.state.borrow_mut().placer;
                 placer.apply_popularity_decisions(now, &aggregator, &decisions);
             }
-            Some(Message::QuotaRequest(request)) => quota::handle_request(&node, from, request),
-            Some(Message::QuotaReply(reply)) => quota::handle_reply(&node, reply),
-            Some(Message::QuotaReturn(team)) => quota::handle_return(&node, team),
+            Some(Message::Quota(message)) => quota::handle_message(&node, from, message),
             None => node.metrics.invalid_datagrams.inc(),
         }
     }
--- a/crates/damaskvane-gateway/src/peers/message.rs
+++ b/crates/damaskvane-gateway/src/peers/message.rs
@@ -13,11 +13,11 @@
 use damaskvane_routing::peers::{Digest, DigestEntry, Heartbeat, IncarnationKey, Phase};
 use damaskvane_routing::placement::{ObjectSample, PopularityDecision, PopularityReport, RouteKey};
 use damaskvane_routing::pool::{LoadReport, PeerHealthReport, PeerServerReport, ServerKey};
-use damaskvane_routing::teams::TeamKey;
 use serde::{Deserialize, Serialize};
 
 use crate::costs::Flow;
-use crate::quota::{QuotaReply, QuotaRequest, TokenUse};
+use crate::peers::quota_wire::QuotaWire;
+use crate::quota::QuotaMessage;
 
 /// First field of each datagram; identifies the protocol and its version, and changes whenever a message changes.
 const MAGIC: u32 = 0x6476_7034;
@@ -55,12 +55,8 @@
         /// For each route, the share of its objects that have a server in each zone.
         decisions: Vec<PopularityDecision>,
     },
-    /// A request for tokens of a team's quota.
-    QuotaRequest(QuotaRequest),
-    /// The reply to a request for tokens.
-    QuotaReply(QuotaReply),
-    /// A token that was not used and returns to its pool.
-    QuotaReturn(TeamKey),
+    /// Tokens of a team's quota, or a request for them.
+    Quota(QuotaMessage),
 }
 
 impl Message {
@@ -75,7 +71,7 @@
             Self::ServerReports(_) => Flow::ServerReports,
             Self::PopularityReport(_) => Flow::PopularityReport,
             Self::PopularityDecisions { .. } => Flow::PopularityDecisions,
-            Self::QuotaRequest(_) | Self::QuotaReply(_) | Self::QuotaReturn(_) => Flow::Quota,
+            Self::Quota(_) => Flow::Quota,
         }
     }
 
@@ -122,18 +118,7 @@
         #[serde(rename = "verdicts")]
         decisions: Vec<(u32, u8)>,
     },
-    QuotaRequest {
-        id: u32,
-        team: u64,
-        millitokens: u32,
-        is_for_pool: bool,
-    },
-    QuotaReply {
-        id: u32,
-        millitokens: u32,
-        retry_after_ms: u32,
-    },
-    QuotaReturn(u64),
+    Quota(QuotaWire),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -219,18 +204,7 @@
                     .map(|one| (one.route.get(), one.steps))
                     .collect(),
             },
-            Message::QuotaRequest(request) => Self::QuotaRequest {
-                id: request.id,
-                team: request.team.0,
-                millitokens: request.millitokens,
-                is_for_pool: request.token_use == TokenUse::Pool,
-            },
-            Message::QuotaReply(reply) => Self::QuotaReply {
-                id: reply.id,
-                millitokens: reply.millitokens,
-                retry_after_ms: reply.retry_after_ms,
-            },
-            Message::QuotaReturn(team) => Self::QuotaReturn(team.0),
+            Message::Quota(message) => Self::Quota(QuotaWire::of(message)),
         }
     }
 
@@ -278,31 +252,7 @@
                     })
                     .collect(),
             },
-            Self::QuotaRequest {
-                id,
-                team,
-                millitokens,
-                is_for_pool,
-            } => Message::QuotaRequest(QuotaRequest {
-                id,
-                team: TeamKey(team),
-                millitokens,
-                token_use: if is_for_pool {
-                    TokenUse::Pool
-                } else {
-                    TokenUse::Request
-                },
-            }),
-            Self::QuotaReply {
-                id,
-                millitokens,
-                retry_after_ms,
-            } => Message::QuotaReply(QuotaReply {
-                id,
-                millitokens,
-                retry_after_ms,
-            }),
-            Self::QuotaReturn(team) => Message::QuotaReturn(TeamKey(team)),
+            Self::Quota(message) => Message::Quota(message.into_message()),
         })
     }
 }
--- a/crates/damaskvane-gateway/src/quota.rs
+++ b/crates/damaskvane-gateway/src/quota.rs
@@ -11,8 +11,8 @@
 mod token;
 
 pub use client::{QuotaRefusal, acquire, give_back};
-pub use service::{handle_reply, handle_request, handle_return};
-pub use token::{QuotaReply, QuotaRequest, Token, TokenUse};
+pub use service::handle_message;
+pub use token::{QuotaMessage, QuotaReply, QuotaRequest, Token, TokenUse};
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -25,14 +25,13 @@
 use damaskvane_routing::teams::TeamKey;
 use tokio::sync::oneshot;
 
-use crate::peers::Message;
 use crate::quota::round::Round;
 
 /// A message to another instance.
 #[derive(Debug)]
 pub struct Outgoing {
     /// The message.
-    pub message: Message,
+    pub message: QuotaMessage,
     /// Address at which the recipient receives messages of other instances.
     pub recipient: net::SocketAddr,
 }
@@ -76,7 +75,7 @@
         &self.outgoing
     }
 
-    fn send(&self, message: Message, recipient: net::SocketAddr) {
+    fn send(&self, message: QuotaMessage, recipient: net::SocketAddr) {
         // The receiver lives as long as this value.
         let _ = self.sender.send(Outgoing { message, recipient });
     }
--- a/crates/damaskvane-gateway/src/quota/client.rs
+++ b/crates/damaskvane-gateway/src/quota/client.rs
@@ -10,8 +10,7 @@
 use tokio::sync::oneshot;
 
 use crate::node::Node;
-use crate::peers::Message;
-use crate::quota::token::{QuotaReply, QuotaRequest, Token, TokenUse};
+use crate::quota::token::{QuotaMessage, QuotaReply, QuotaRequest, Token, TokenUse};
 use crate::quota::{lending, service};
 
 /// Time for a reply of the holder in this instance's zone, which may first borrow from other zones.
@@ -86,7 +85,7 @@
     let holders = Rc::clone(&node.quotas.holders.borrow());
     let mut of_team = holders.holders(token.team);
     if let Some((_, holder)) = of_team.find(|(_, holder)| holder.instance == token.holder) {
-        let message = Message::QuotaReturn(token.team);
+        let message = QuotaMessage::Return(token.team);
         node.quotas.send(message, holder.peer_address);
     }
 }
@@ -165,7 +164,7 @@
         millitokens,
         token_use,
     };
-    let message = Message::QuotaRequest(request);
+    let message = QuotaMessage::Request(request);
     node.quotas.send(message, holder.peer_address);
     (id, receiver)
 }
--- a/crates/damaskvane-gateway/src/quota/service.rs
+++ b/crates/damaskvane-gateway/src/quota/service.rs
@@ -7,12 +7,20 @@
 use damaskvane_routing::teams::{Quota, TeamKey};
 
 use crate::node::Node;
-use crate::peers::Message;
 use crate::quota::lending;
-use crate::quota::token::{QuotaReply, QuotaRequest, TokenUse};
+use crate::quota::token::{QuotaMessage, QuotaReply, QuotaRequest, TokenUse};
+
+/// Handles a message of the instance at the address `from`.
+pub fn handle_message(node: &Rc<Node>, from: net::SocketAddr, message: QuotaMessage) {
+    match message {
+        QuotaMessage::Request(request) => handle_request(node, from, request),
+        QuotaMessage::Reply(reply) => handle_reply(node, reply),
+        QuotaMessage::Return(team) => handle_return(node, team),
+    }
+}
 
 /// Handles a request for tokens of another instance.
-pub fn handle_request(node: &Rc<Node>, from: net::SocketAddr, request: QuotaRequest) {
+fn handle_request(node: &Rc<Node>, from: net::SocketAddr, request: QuotaRequest) {
     let Some(quota) = held_quota(node, request.team) else {
         reply(node, from, request.id, 0, 0);
         return;
@@ -43,7 +51,7 @@
 }
 
 /// Passes a reply to the task that waits for it.
-pub fn handle_reply(node: &Rc<Node>, reply: QuotaReply) {
+fn handle_reply(node: &Rc<Node>, reply: QuotaReply) {
     let waiting = node.quotas.pending.borrow_mut().remove(&reply.id);
     if let Some(waiting) = waiting {
         // The task may have stopped waiting; the tokens are lost then.
@@ -52,7 +60,7 @@
 }
 
 /// Puts a token back into a pool of this instance.
-pub fn handle_return(node: &Rc<Node>, team: TeamKey) {
+pub(super) fn handle_return(node: &Rc<Node>, team: TeamKey) {
     if let Some(quota) = held_quota(node, team) {
         let now = node.continuous_now();
         let mut pools = node.quotas.pools.borrow_mut();
@@ -78,5 +86,5 @@
         millitokens,
         retry_after_ms,
     };
-    node.quotas.send(Message::QuotaReply(reply), to);
+    node.quotas.send(QuotaMessage::Reply(reply), to);
 }
--- a/crates/damaskvane-gateway/src/quota/token.rs
+++ b/crates/damaskvane-gateway/src/quota/token.rs
@@ -54,3 +54,14 @@
     /// Time after which a caller should retry if there was no token; 0 if the sender holds no pool of the team.
     pub retry_after_ms: u32,
 }
+
+/// A message between two instances about tokens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QuotaMessage {
+    /// A request for tokens.
+    Request(QuotaRequest),
+    /// The reply to a request for tokens.
+    Reply(QuotaReply),
+    /// A token of the team that was not used and returns to its pool.
+    Return(TeamKey),
+}
--- a/crates/damaskvane-gateway/src/upstream.rs
+++ b/crates/damaskvane-gateway/src/upstream.rs
@@ -2,10 +2,12 @@
 
 mod exchange;
 mod idle;
+mod outcome;
 mod request;
 mod response;
 
-pub use exchange::{Exchange, ExchangeOutcome};
+pub use exchange::Exchange;
 pub use idle::IdleConnections;
+pub use outcome::ExchangeOutcome;
 pub use request::{OutgoingRequest, strip_connection_headers};
 pub use response::{BackendResponse, ResponseBody};
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -11,11 +11,11 @@
 use hyper::header;
 use tokio::sync::mpsc;
 
-use crate::clients::{SendRight, Withheld};
+use crate::clients::SendRight;
 use crate::costs::{Distance, Flow, OpenReason};
 use crate::http::{self, BodyReader, ReadError, ResponseHead};
 use crate::node::Node;
-use crate::upstream::{BackendResponse, OutgoingRequest, ResponseBody, request};
+use crate::upstream::{BackendResponse, ExchangeOutcome, OutgoingRequest, ResponseBody, request};
 
 /// Timeout for opening a connection. The kernel retransmits a lost SYN packet only after a second, and within
 /// this second another server can respond.
@@ -34,44 +34,6 @@
 /// Maximum number of pieces of a long response body that are queued for the client.
 const MAX_QUEUED_PIECES: usize = 4;
 
-/// How an exchange ended, with the server's response if it was received.
-#[derive(Debug)]
-pub struct ExchangeOutcome {
-    /// How the exchange ended; determines the server's health rating and whether a retry is allowed.
-    pub end: ExchangeEnd,
-    /// The load that the server reported with its response.
-    pub report: ServerReport,
-    /// The server's response; the caller decides whether the client gets it.
-    pub response: Option<BackendResponse>,
-    /// The delay from the response's `Retry-After` header, in milliseconds. Servers set it when they reject a
-    /// request.
-    pub retry_after_ms: Option<u64>,
-    /// The duration of the exchange in milliseconds; `None` if the server has been removed from the pool, the
-    /// list of known servers.
-    pub took_ms: Option<u64>,
-    /// The reason why the request was not sent; `None` unless the exchange was withheld.
-    pub(crate) withheld: Option<Withheld>,
-}
-
-impl ExchangeOutcome {
-    /// Returns the outcome of an exchange that was abandoned before the server responded.
-    #[must_use]
-    pub fn abandoned() -> Self {
-        Self::no_response(ExchangeEnd::Abandoned)
-    }
-
-    fn no_response(end: ExchangeEnd) -> Self {
-        Self {
-            end,
-            report: ServerReport::default(),
-            response: None,
-            retry_after_ms: None,
-            took_ms: None,
-            withheld: None,
-        }
-    }
-}
-
 /// Guard that removes an exchange from the requests counted as running on its server when the exchange ends
 /// or is dropped.
 ///
--- /dev/null
+++ b/crates/damaskvane-gateway/src/upstream/outcome.rs
@@ -0,0 +1,44 @@
+//! How an exchange with a backend server ended.
+
+use damaskvane_routing::pool::{ExchangeEnd, ServerReport};
+
+use crate::clients::Withheld;
+use crate::upstream::BackendResponse;
+
+/// How an exchange ended, with the server's response if it was received.
+#[derive(Debug)]
+pub struct ExchangeOutcome {
+    /// How the exchange ended; determines the server's health rating and whether a retry is allowed.
+    pub end: ExchangeEnd,
+    /// The load that the server reported with its response.
+    pub report: ServerReport,
+    /// The server's response; the caller decides whether the client gets it.
+    pub response: Option<BackendResponse>,
+    /// The delay from the response's `Retry-After` header, in milliseconds. Servers set it when they reject a
+    /// request.
+    pub retry_after_ms: Option<u64>,
+    /// The duration of the exchange in milliseconds; `None` if the server has been removed from the pool, the
+    /// list of known servers.
+    pub took_ms: Option<u64>,
+    /// The reason why the request was not sent; `None` unless the exchange was withheld.
+    pub(crate) withheld: Option<Withheld>,
+}
+
+impl ExchangeOutcome {
+    /// Returns the outcome of an exchange that was abandoned before the server responded.
+    #[must_use]
+    pub fn abandoned() -> Self {
+        Self::no_response(ExchangeEnd::Abandoned)
+    }
+
+    pub(super) fn no_response(end: ExchangeEnd) -> Self {
+        Self {
+            end,
+            report: ServerReport::default(),
+            response: None,
+            retry_after_ms: None,
+            took_ms: None,
+            withheld: None,
+        }
+    }
+}
--- a/crates/damaskvane-routing/src/peers/instance_list.rs
+++ b/crates/damaskvane-routing/src/peers/instance_list.rs
@@ -30,8 +30,10 @@
         self.listed.len() + self.unlisted.len()
     }
 
-    pub(super) fn get(&self, instance: &ids::InstanceId) -> Option<&ListedInstance> {
-        self.listed.get(instance)
+    /// Returns whether the list describes the record's instance as the record does.
+    pub(super) fn is_listed_as(&self, record: &ListedInstance) -> bool {
+        let listed = self.listed.get(&record.instance);
+        listed.is_some_and(|listed| listed.describes_same(record))
     }
 
     /// Returns all listed instances in the order of their names.
--- a/crates/damaskvane-routing/src/peers/members.rs
+++ b/crates/damaskvane-routing/src/peers/members.rs
@@ -100,8 +100,7 @@
     /// Returns whether the platform's list holds exactly this record for the record's instance.
     #[must_use]
     pub fn is_listed_as(&self, record: &ListedInstance) -> bool {
-        let listed = self.list.get(&record.instance);
-        listed.is_some_and(|listed| listed.describes_same(record))
+        self.list.is_listed_as(record)
     }
 
     /// Returns whether this instance is the first of its zone in the platform's list.
@@ -118,15 +117,9 @@
     /// Returns whether the first instance of this instance's zone watches the store for the region.
     #[must_use]
     pub fn is_in_watcher_zone(&self) -> bool {
-        let Some(own) = self.members.own_zone() else {
-            return false;
-        };
-        let region = self.regions.get(own);
-        let before = self
-            .regions
-            .iter()
-            .filter(|(zone, of)| Some(*of) == region && *zone < own);
-        before.count() < self.settings.watchers_per_region
+        let own = self.members.own_zone();
+        let first = own.map(|own| relay::zones_before(&self.regions, own));
+        first.is_some_and(|before| before < self.settings.watchers_per_region)
     }
 
     /// Sends the next heartbeat to other zones too, so that instances that start at the same time find each other.
--- a/crates/damaskvane-routing/src/peers/relay.rs
+++ b/crates/damaskvane-routing/src/peers/relay.rs
@@ -2,6 +2,7 @@
 //!
 //! An instance is ready if it accepts clients, and starting before that.
 
+use std::collections::HashMap;
 use std::net;
 
 use damaskvane_core::ids;
@@ -68,3 +69,15 @@
     }
     ready
 }
+
+/// Returns how many zones of the region of `own` precede it in the order of their names.
+pub(super) fn zones_before(
+    regions: &HashMap<ids::AvailabilityZoneId, ids::RegionId>,
+    own: &ids::AvailabilityZoneId,
+) -> usize {
+    let region = regions.get(own);
+    let before = regions
+        .iter()
+        .filter(|(zone, of)| Some(*of) == region && *zone < own);
+    before.count()
+}
--- a/crates/damaskvane-routing/src/pool/server.rs
+++ b/crates/damaskvane-routing/src/pool/server.rs
@@ -7,7 +7,7 @@
 
 use crate::limit::ColdRate;
 use crate::pool::load::PeerLoad;
-use crate::pool::speed::Slowness;
+use crate::pool::speed::{Slowness, decayed_share};
 use crate::pool::{
     ExchangeEnd, ExchangeId, Liveness, LoadReport, PeerHealthReport, PeerServerReport, ServerEntry,
     ServerKey, ServerReport,
@@ -23,8 +23,6 @@
 const MIN_STALLED_MS: f64 = 350.0;
 /// Weight of a new exchange in the moving average of failures.
 const FAILURE_WEIGHT: f64 = 0.2;
-/// Time in which the share of failures decays to about a third if no exchange ends.
-const FAILURE_DECAY_MS: f64 = 4_000.0;
 /// Slowness and share of failures from which a server is reported to the zone; well above the effect of one outlier.
 const MIN_REPORTED_SLOWNESS: f64 = 2.0;
 const MIN_REPORTED_FAILURE_SHARE: f64 = 0.2;
@@ -396,7 +394,3 @@
         }
     }
 }
-
-fn decayed_share(share: f64, age_ms: u64) -> f64 {
-    share * (-(age_ms as f64) / FAILURE_DECAY_MS).exp()
-}
--- a/crates/damaskvane-routing/src/pool/speed.rs
+++ b/crates/damaskvane-routing/src/pool/speed.rs
@@ -117,3 +117,11 @@
         self.ratio
     }
 }
+
+/// Time in which the share of failures decays to about a third if no exchange ends.
+const FAILURE_DECAY_MS: f64 = 4_000.0;
+
+/// Returns a share of failures that was observed `age_ms` ago, decayed since then.
+pub(super) fn decayed_share(share: f64, age_ms: u64) -> f64 {
+    share * (-(age_ms as f64) / FAILURE_DECAY_MS).exp()
+}
--- a/crates/damaskvane-routing/tests/digests.rs
+++ b/crates/damaskvane-routing/tests/digests.rs
@@ -1,7 +1,7 @@
 //! Tests of the digests, membership updates and heartbeats from which instances learn of other zones' instances.
 //!
-//! An aggregator is one of the first live instances of a zone; it sends the zone's digests (lists of live instances)
-//! and membership updates (heartbeats that report a start or a change of phase) to other zones.
+//! An aggregator, one of a zone's first live instances, sends the zone's digests (lists of live instances) and updates
+//! (heartbeats that report a start or a change of phase) to other zones.
 
 mod support;
 
@@ -28,16 +28,18 @@
 }
 
 fn members(name: &str, zone_name: &str) -> Members {
-    let own = name.parse().expect("a name");
-    let mut members = Members::new(PeerSettings::default(), own, regions());
+    let mut members = Members::new(
+        PeerSettings::default(),
+        name.parse().expect("a name"),
+        regions(),
+    );
     members.apply_heartbeat(at(0), heartbeat(name, zone_name, 1));
     members
 }
 
 fn is_usable(members: &Members, now_ms: u64, name: &str) -> bool {
-    let name: ids::InstanceId = name.parse().expect("a name");
     let mut usable = members.usable(at(now_ms));
-    usable.any(|heartbeat| heartbeat.instance == name)
+    usable.any(|heartbeat| heartbeat.instance.as_str() == name)
 }
 
 /// Guards against heartbeats between all instances, which would be most of the traffic between zones in a large fleet.
@@ -63,10 +65,11 @@
 }
 
 fn listed(name: &str, zone_name: &str) -> ListedInstance {
+    let heartbeat = heartbeat(name, zone_name, 1);
     ListedInstance {
-        instance: name.parse().expect("a name"),
-        peer_address: heartbeat(name, zone_name, 1).peer_address,
-        zone: Some(zone(zone_name)),
+        instance: heartbeat.instance,
+        peer_address: heartbeat.peer_address,
+        zone: Some(heartbeat.zone),
         created: 0,
     }
 }
