--- a/crates/damaskvane-routing/src/quota.rs
+++ b/crates/damaskvane-routing/src/quota.rs
@@ -9,7 +9,7 @@
 //! ```
 //! use damaskvane_routing::{quota, teams};
 //!
-//! let settings = quota::QuotaSettings { pools: 2, ..quota::QuotaSettings::default() };
+//! let settings = quota::QuotaSettings { over: 0.1, pools: 2, ..quota::QuotaSettings::default() };
 //! let limit = settings.pool_limit(teams::Quota { rate_per_s: 10.0, burst: 10.0 });
 //! assert!(limit.rate_per_s >= 5.0);
 //! ```
