--- a/crates/damaskvane-gateway/src/clients/unserved.rs
+++ b/crates/damaskvane-gateway/src/clients/unserved.rs
@@ -109,6 +109,9 @@
     }
 
     fn log_not_served(&self, reason: &str, retry_after_ms: Option<u64>) {
+        if let Some(team) = &self.outgoing.team {
+            self.node.metrics.team_refusals.record(team);
+        }
         let now = self.node.now();
         self.node
             .log
--- a/crates/damaskvane-gateway/src/lib.rs
+++ b/crates/damaskvane-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 //! - [`stop`]: the planned stop.
 //! - [`costs`]: counters of transferred bytes and opened connections.
 //! - [`metrics`]: metrics, and the response that exports them.
+//! - [`team_counts`]: refused requests by team.
 //! - [`decision_log`]: rate-limited log lines on requests.
 //! - [`process`]: starts, reconfigures and stops an instance.
 
@@ -44,4 +45,5 @@
 pub mod settings;
 pub mod stop;
 pub mod store;
+pub mod team_counts;
 pub mod upstream;
--- a/crates/damaskvane-gateway/src/metrics.rs
+++ b/crates/damaskvane-gateway/src/metrics.rs
@@ -6,13 +6,14 @@
 use hyper::Response;
 use prometheus::core::Collector;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 use crate::costs::Costs;
 use crate::node::Node;
 use crate::store::Source;
+use crate::team_counts::TeamCounts;
 use crate::upstream::ResponseBody;
 
 /// Upper bounds of the latency histograms, in seconds: from a hop within a zone to the longest deadline.
@@ -28,6 +29,11 @@
     pub responses: IntCounterVec,
     /// Requests that this instance refused, by reason.
     pub refusals: IntCounterVec,
+    /// Requests with a key that this instance refused, by team.
+    pub team_refusals: TeamCounts,
+    shown_team_refusals: IntGaugeVec,
+    /// Milliseconds since the configuration was proven to be the newest one; -1 if it was not.
+    pub evidence_age_ms: IntGauge,
     /// Retries, by how the previous attempt of the request ended.
     pub retries: IntCounterVec,
     /// Retries that were not sent because the retry budget was used up.
@@ -82,6 +88,16 @@
         Ok(Self {
             responses: factory.counters("answers_total", "Answers to clients", &["status"])?,
             refusals: factory.counters("refusals_total", "Requests refused", &["reason"])?,
+            team_refusals: TeamCounts::default(),
+            shown_team_refusals: factory.gauges(
+                "team_refusals",
+                "Requests refused, of the teams with the most",
+                &["team"],
+            )?,
+            evidence_age_ms: factory.gauge(
+                "evidence_age_milliseconds",
+                "Since the configuration was proven to be the newest",
+            )?,
             retries: factory.counters("retries_total", "Further tries", &["after"])?,
             retries_denied: factory.counter("retries_denied_total", "Tries without budget")?,
             exchanges: factory.counters("exchanges_total", "Exchanges with servers", &["end"])?,
@@ -139,6 +155,20 @@
         totals.join(" ")
     }
 
+    /// Shows the teams with the most refusals by name, and the sum of all others.
+    fn update_team_refusals(&self) {
+        // No team can have this name, which holds spaces.
+        const ALL_OTHERS: &str = "all others";
+        let gauges = &self.shown_team_refusals;
+        gauges.reset();
+        let (highest, others) = self.team_refusals.highest();
+        let named = highest.iter().map(|(team, count)| (team.as_str(), *count));
+        for (team, count) in named.chain([(ALL_OTHERS, others)]) {
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            gauges.with_label_values(&[team]).set(count);
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     #[must_use]
     pub fn text(&self) -> Vec<u8> {
@@ -171,6 +201,17 @@
         Ok(counter)
     }
 
+    fn gauges(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+    ) -> Result<IntGaugeVec, prometheus::Error> {
+        let gauges = IntGaugeVec::new(Opts::new(name, help), labels)?;
+        self.registry.register(Box::new(gauges.clone()))?;
+        Ok(gauges)
+    }
+
     fn gauge(&self, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
         let gauge = IntGauge::new(name, help)?;
         self.registry.register(Box::new(gauge.clone()))?;
@@ -210,6 +251,10 @@
         metrics
             .instances
             .set(state.members.usable(now).count() as i64);
+        metrics.update_team_refusals();
+        let evidence_age = node.evidence.age(node.continuous_now());
+        let evidence_age_ms = evidence_age.map_or(-1, |age| age.get() as i64);
+        metrics.evidence_age_ms.set(evidence_age_ms);
         let age_ms = node.store.age(now).get();
         metrics
             .store_age_ms
