--- a/crates/damaskvane-bench/src/commands.rs
+++ b/crates/damaskvane-bench/src/commands.rs
@@ -10,7 +10,7 @@
 
 use crate::error::BenchError;
 use crate::{
-    blocks, capacity, checker, cluster, config, config_run, decisions, demo, load, placement,
+    blocks, capacity, checker, cluster, config, config_run, decisions, demo, keys, load, placement,
     quotas, requests, slots, speed, steering,
 };
 
@@ -52,6 +52,11 @@
         summary: "the decision code against baselines, in virtual time",
         run: steering::command::run,
     },
+    Command {
+        name: "keys",
+        summary: "the time to find the team that holds a key",
+        run: keys::command::run,
+    },
     Command {
         name: "quotas",
         summary: "ways to keep quotas over all instances, in virtual time",
--- a/crates/damaskvane-bench/src/lib.rs
+++ b/crates/damaskvane-bench/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`blocks`]: the client-block table against a binary search and a hash map.
 //! - [`steering`]: the decision code against baselines, in virtual time.
 //! - [`placement`]: the gateway's choice of servers against baselines under load, in virtual time.
+//! - [`keys`]: the time to find the team that holds a key.
 //! - [`quotas`]: ways to keep quotas over all instances, in virtual time.
 //! - [`decisions`]: the time of one placement decision, by the number of servers.
 //! - [`config`]: the same by the number of daemons.
@@ -43,6 +44,7 @@
 pub mod histogram;
 pub mod http;
 pub mod in_force;
+pub mod keys;
 pub mod load;
 pub mod placement;
 pub mod quotas;
