--- a/crates/damaskvane-routing/src/quota/pools.rs
+++ b/crates/damaskvane-routing/src/quota/pools.rs
@@ -15,7 +15,7 @@
 }
 
 /// The pools that this instance holds, one for each team of which requests arrived.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct TokenPools {
     settings: QuotaSettings,
     earns_from: TimeMs,
