A request for tokens that is given up leaves nothing behind; settings of quotas reload

Found by reading the diff: the future of a request is dropped when its client leaves, and the entry of its pending reply stayed for good if the reply was lost. A guard removes it now. A changed bound in the settings reached no pool until the next start; it is applied at the reload.

--- a/crates/damaskvane-gateway/src/process.rs
+++ b/crates/damaskvane-gateway/src/process.rs
@@ -223,6 +223,10 @@
     state.pool.set_settings(settings.pool());
     state.placer.settings = settings.placement.clone();
     drop(state);
+    node.quotas
+        .pools
+        .borrow_mut()
+        .set_settings(settings.quota());
     node.log.set_settings(settings.decision_log);
     *node.settings.borrow_mut() = Rc::new(settings);
 }
--- a/crates/damaskvane-gateway/src/quota/client.rs
+++ b/crates/damaskvane-gateway/src/quota/client.rs
@@ -3,6 +3,7 @@
 use core::time::Duration;
 use std::rc::Rc;
 
+use damaskvane_core::ids;
 use damaskvane_core::time::{SpanMs, TimeMs};
 use damaskvane_routing::quota::{Denial, Holder};
 use damaskvane_routing::teams::{Quota, TeamKey};
@@ -133,8 +134,8 @@
     team: TeamKey,
     timeout: Duration,
 ) -> Option<Result<(), Denial>> {
-    let (id, reply) = send_request(node, holder, team, 1_000, TokenUse::Request);
-    let Some(reply) = await_reply(node, holder, id, reply, timeout).await else {
+    let pending = PendingReply::request(node, holder, team, 1_000, TokenUse::Request);
+    let Some(reply) = pending.receive(timeout).await else {
         let until: TimeMs = node.continuous_now() + UNRESPONSIVE;
         let mut unresponsive = node.quotas.unresponsive.borrow_mut();
         unresponsive.insert(holder.instance.clone(), until);
@@ -147,42 +148,56 @@
     (retry_after_ms > 0).then_some(Err(Denial { retry_after_ms }))
 }
 
-/// Sends a request for tokens; returns its number and the receiver of its reply.
-pub(super) fn send_request(
-    node: &Rc<Node>,
-    holder: &Holder,
-    team: TeamKey,
-    millitokens: u32,
-    token_use: TokenUse,
-) -> (u32, oneshot::Receiver<QuotaReply>) {
-    let id = node.quotas.next_id();
-    let (sender, receiver) = oneshot::channel();
-    node.quotas.pending.borrow_mut().insert(id, sender);
-    let request = QuotaRequest {
-        id,
-        team,
-        millitokens,
-        token_use,
-    };
-    let message = QuotaMessage::Request(request);
-    node.quotas.send(message, holder.peer_address);
-    (id, receiver)
+/// A request for tokens whose reply has not arrived. Dropping it gives the reply up, and the tokens in it.
+pub(super) struct PendingReply {
+    node: Rc<Node>,
+    holder: ids::InstanceId,
+    id: u32,
+    receiver: oneshot::Receiver<QuotaReply>,
 }
 
-/// Waits for a reply. After the timeout a reply is ignored, and so are the tokens in it.
-pub(super) async fn await_reply(
-    node: &Rc<Node>,
-    holder: &Holder,
-    id: u32,
-    reply: oneshot::Receiver<QuotaReply>,
-    timeout: Duration,
-) -> Option<QuotaReply> {
-    let received = tokio::time::timeout(timeout, reply).await;
-    node.quotas.pending.borrow_mut().remove(&id);
-    let reply = received.ok()?.ok();
-    if reply.is_some() {
-        let mut unresponsive = node.quotas.unresponsive.borrow_mut();
-        unresponsive.remove(&holder.instance);
+impl PendingReply {
+    /// Sends a request for tokens.
+    pub(super) fn request(
+        node: &Rc<Node>,
+        holder: &Holder,
+        team: TeamKey,
+        millitokens: u32,
+        token_use: TokenUse,
+    ) -> Self {
+        let id = node.quotas.next_id();
+        let (sender, receiver) = oneshot::channel();
+        node.quotas.pending.borrow_mut().insert(id, sender);
+        let request = QuotaRequest {
+            id,
+            team,
+            millitokens,
+            token_use,
+        };
+        let message = QuotaMessage::Request(request);
+        node.quotas.send(message, holder.peer_address);
+        Self {
+            node: Rc::clone(node),
+            holder: holder.instance.clone(),
+            id,
+            receiver,
+        }
+    }
+
+    /// Waits for the reply.
+    pub(super) async fn receive(mut self, timeout: Duration) -> Option<QuotaReply> {
+        let received = tokio::time::timeout(timeout, &mut self.receiver).await;
+        let reply = received.ok()?.ok();
+        if reply.is_some() {
+            let mut unresponsive = self.node.quotas.unresponsive.borrow_mut();
+            unresponsive.remove(&self.holder);
+        }
+        reply
+    }
+}
+
+impl Drop for PendingReply {
+    fn drop(&mut self) {
+        self.node.quotas.pending.borrow_mut().remove(&self.id);
     }
-    reply
 }
--- a/crates/damaskvane-gateway/src/quota/lending.rs
+++ b/crates/damaskvane-gateway/src/quota/lending.rs
@@ -8,7 +8,7 @@
 use damaskvane_routing::teams::{Quota, TeamKey};
 
 use crate::node::Node;
-use crate::quota::client::{await_reply, send_request};
+use crate::quota::client::PendingReply;
 use crate::quota::round::Round;
 use crate::quota::token::TokenUse;
 
@@ -112,8 +112,9 @@
         for lender in lenders {
             let (node, lent) = (Rc::clone(&node), lent.clone());
             tokio::task::spawn_local(async move {
-                let (id, reply) = send_request(&node, &lender, team, millitokens, TokenUse::Pool);
-                let reply = await_reply(&node, &lender, id, reply, ROUND_TIMEOUT).await;
+                let pending =
+                    PendingReply::request(&node, &lender, team, millitokens, TokenUse::Pool);
+                let reply = pending.receive(ROUND_TIMEOUT).await;
                 let millitokens = reply.map_or(0, |reply| reply.millitokens);
                 let _ = lent.send(f64::from(millitokens) / 1_000.0);
             });
--- a/crates/damaskvane-routing/src/quota/pools.rs
+++ b/crates/damaskvane-routing/src/quota/pools.rs
@@ -33,6 +33,11 @@
         }
     }
 
+    /// Replaces the bound; pools that hold more than it allows lose the rest.
+    pub const fn set_settings(&mut self, settings: QuotaSettings) {
+        self.settings = settings;
+    }
+
     /// Lets the pools earn nothing before a point in time; those that exist are emptied.
     pub fn earn_from(&mut self, from: TimeMs) {
         self.earns_from = from;
