--- a/crates/damaskvane-routing/tests/quota_exhaustive.rs
+++ b/crates/damaskvane-routing/tests/quota_exhaustive.rs
@@ -7,19 +7,20 @@
 
 const TEAM: TeamKey = TeamKey(1);
 const QUOTA: Quota = Quota {
-    rate_per_s: 2.0,
-    burst: 4.0,
+    rate_per_s: 0.2,
+    burst: 8.0,
 };
 const SETTINGS: QuotaSettings = QuotaSettings {
     window_ms: 1_000,
     over: 0.0,
-    slack: 2.0,
+    slack: 0.0,
     pools: 2,
     token_ttl_ms: 100,
 };
 /// Number of events of a history, each followed by a pause.
 const DEPTH: usize = 8;
-const PAUSES_MS: [u64; 2] = [99, 700];
+/// The first pause keeps events in one window, the second one lets pools fill up.
+const PAUSES_MS: [u64; 2] = [99, 60_000];
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Event {
@@ -71,7 +72,7 @@
     fn new() -> Self {
         let pool = || TokenPools::new(SETTINGS, TimeMs::ZERO);
         Self {
-            now_ms: 5_000,
+            now_ms: 60_000,
             pools: [pool(), pool()],
             incarnations: [0; 2],
             loans: Vec::new(),
