--- a/crates/damaskvane-routing/tests/digests.rs
+++ b/crates/damaskvane-routing/tests/digests.rs
@@ -28,11 +28,8 @@
 }
 
 fn members(name: &str, zone_name: &str) -> Members {
-    let mut members = Members::new(
-        PeerSettings::default(),
-        name.parse().expect("a name"),
-        regions(),
-    );
+    let own = name.parse().expect("a name");
+    let mut members = Members::new(PeerSettings::default(), own, regions());
     members.apply_heartbeat(at(0), heartbeat(name, zone_name, 1));
     members
 }
@@ -65,13 +62,7 @@
 }
 
 fn listed(name: &str, zone_name: &str) -> ListedInstance {
-    let heartbeat = heartbeat(name, zone_name, 1);
-    ListedInstance {
-        instance: heartbeat.instance,
-        peer_address: heartbeat.peer_address,
-        zone: Some(heartbeat.zone),
-        created: 0,
-    }
+    support::listed(&heartbeat(name, zone_name, 1))
 }
 
 /// Guards against an instance that stays unknown because it is listed and no heartbeat from it was received. Its own
--- a/crates/damaskvane-routing/tests/support/mod.rs
+++ b/crates/damaskvane-routing/tests/support/mod.rs
@@ -8,6 +8,7 @@
 use damaskvane_routing::configuration::{
     Configuration, Destination, Limits, Route, RouteKind, Service,
 };
+use damaskvane_routing::peers::{Heartbeat, ListedInstance};
 use damaskvane_routing::placement::{Choice, Pick, PlacementRequest, PlacementSettings, Placer};
 use damaskvane_routing::pool::{ExchangeId, PoolSettings, ServerEntry, ServerPool, ServerState};
 
@@ -147,3 +148,13 @@
         server.record_sent(at(999), ExchangeId(number), 100.0);
     }
 }
+
+/// Returns the record by which the platform lists the instance that sent a heartbeat.
+pub fn listed(heartbeat: &Heartbeat) -> ListedInstance {
+    ListedInstance {
+        instance: heartbeat.instance.clone(),
+        peer_address: heartbeat.peer_address,
+        zone: Some(heartbeat.zone.clone()),
+        created: 0,
+    }
+}
