--- a/crates/damaskvane-routing/src/pool/ring.rs
+++ b/crates/damaskvane-routing/src/pool/ring.rs
@@ -11,10 +11,10 @@
 
 use crate::pool::ServerHandle;
 
-/// Number of ring points for each slot of a server. With this number, the shares of the ring of servers with four slots
-/// differ by about an eighth, less than the numbers of objects on them differ anyway, and adding a thousand servers is
+/// Number of ring points for each slot of a server. With this number, the shares of the ring of servers with six slots
+/// differ by about a seventh, less than the numbers of objects on them differ anyway, and adding a thousand servers is
 /// fast on a small machine.
-const POINTS_PER_SLOT: u32 = 16;
+const POINTS_PER_SLOT: u32 = 8;
 /// Maximum number of points of one server; limits the cost of a server that reports an implausible number of slots.
 const MAX_POINTS: u32 = 1_024;
 
