After an outage of the store, instances wait for their source before they watch it themselves

Callers: nothing at eight instances; at hundreds, a store that has just come back gets five calls of each instance.

Cause: an instance with stale data leaves its source 200 or 400 ms to find the store again, counted from when the data became stale. After an outage that is long past, so each instance whose health check came before its source's (every 300 ms) watched the store at once. Ruled out: the revocation proofs (not asked for in this test), the start (the calls are counted after it).

The time now begins with the first answered check plus one interval of checks. An instance whose store never failed waits as before.

--- a/crates/damaskvane-gateway/src/store/freshness.rs
+++ b/crates/damaskvane-gateway/src/store/freshness.rs
@@ -18,7 +18,7 @@
 use damaskvane_routing::peers::Relay;
 
 use crate::node::Node;
-use crate::store::Source;
+use crate::store::{Source, health_check};
 
 /// Time in milliseconds without a message from a source after which the source's data counts as stale.
 const SILENT_MS: u64 = 900;
@@ -39,6 +39,9 @@
 const RELAY_STARTUP_TIMEOUT_MS: u64 = 1_500;
 const STARTUP_TIMEOUT_MS: u64 = 2_200;
 
+/// Time within which a source that has lost the store checks it again.
+const CHECK_INTERVAL: SpanMs = SpanMs::new(health_check::CHECK_INTERVAL_MS);
+
 /// Role of this instance in the relay of changes. The addresses are those of this instance's possible sources, best one
 /// first.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -220,9 +223,15 @@
 
 /// Returns whether an instance with stale data may watch the store itself. The store must have answered this instance
 /// since the data became stale, and this instance's source must have had time to find another path to the store.
+///
+/// After an outage this time begins when the source too has checked the store again. Otherwise all instances whose
+/// checks come before their source's would watch the store at the moment at which it returns.
 fn may_watch_store(node: &Rc<Node>, now: TimeMs, since: TimeMs, relay_role: &RelayRole) -> bool {
     let answered_at = node.store.directly_answered_at();
     let has_answered = answered_at.is_some_and(|at| at >= since);
-    let has_waited = now.since(since).get() >= relay_role.source_timeout_ms();
+    let regained_at = node.store.directly_regained_at();
+    let source_checked_at = regained_at.map(|at| at + CHECK_INTERVAL);
+    let waiting_since = source_checked_at.map_or(since, |at| at.max(since));
+    let has_waited = now.since(waiting_since).get() >= relay_role.source_timeout_ms();
     has_answered && has_waited && now.get() >= relay_role.startup_timeout_ms()
 }
--- a/crates/damaskvane-gateway/src/store/health.rs
+++ b/crates/damaskvane-gateway/src/store/health.rs
@@ -46,6 +46,8 @@
     answers: Notify,
     /// Time of the store's last response to a health check of this instance.
     directly_answered_at: Cell<Option<TimeMs>>,
+    /// Time of the first such response after a health check that the store did not answer.
+    directly_regained_at: Cell<Option<TimeMs>>,
     /// Number of calls of this instance that the store did not answer.
     failed_calls: watch::Sender<u64>,
     /// Whether the store did not answer the last health check of this instance, even if a relay reports its responses.
@@ -61,6 +63,7 @@
             answered_at: Cell::new(None),
             answers: Notify::new(),
             directly_answered_at: Cell::new(None),
+            directly_regained_at: Cell::new(None),
             failed_calls: watch::Sender::new(0),
             is_direct_access_lost: Cell::new(false),
         }
@@ -114,7 +117,9 @@
     /// Records that the store answered a health check of this instance at the time `at`.
     pub fn record_direct_answer(&self, at: TimeMs) {
         self.directly_answered_at.set(Some(at));
-        self.is_direct_access_lost.set(false);
+        if self.is_direct_access_lost.replace(false) {
+            self.directly_regained_at.set(Some(at));
+        }
     }
 
     /// Records that the store did not answer a health check of this instance.
@@ -129,6 +134,13 @@
         self.directly_answered_at.get()
     }
 
+    /// Returns the time at which the store last answered a health check of this instance after it had not answered one,
+    /// or `None` if that never happened.
+    #[must_use]
+    pub const fn directly_regained_at(&self) -> Option<TimeMs> {
+        self.directly_regained_at.get()
+    }
+
     /// Returns whether the store did not answer the last health check of this instance.
     #[must_use]
     pub const fn is_direct_access_lost(&self) -> bool {
--- a/crates/damaskvane-gateway/src/store/health_check.rs
+++ b/crates/damaskvane-gateway/src/store/health_check.rs
@@ -18,7 +18,7 @@
 /// Interval between two checks. The subscribers, which receive the store's changes from this instance, must detect
 /// within about a second that this instance can't reach the store. They then learn in time from another source that a
 /// server drains.
-const CHECK_INTERVAL_MS: u64 = 300;
+pub(super) const CHECK_INTERVAL_MS: u64 = 300;
 /// Interval while a relay, another instance, sends changes because the store does not answer this instance.
 const RELAYED_CHECK_INTERVAL_MS: u64 = 800;
 /// Average interval during an outage for an instance that has no subscribers and no source of changes, because all
