Look-ups prefer instances that serve keys over nearer ones that don't

Callers: while an instance can't prove that its configuration is current it refuses nearly all requests, and only readiness checks said so; look-ups went on naming it beside instances of other zones that serve.

A ready instance without a recent proof now has the phase Limited, which heartbeats and digests carry. Look-ups return ready instances of the caller's zone, region or allowed regions first, and limited ones only if there are none. It stays relay, aggregator and watcher: what ends the state reaches its zone through it. Its peers get the new phase as soon as a proof arrives.

Ruled out: the phase Starting for such instances (a zone whose instances all lack a proof would have no relays, and open routes none to serve them); an earlier change of phase, some time before the proof is too old (proofs of regions differ by up to a second in age, and callers would move and come back).

Three tests of look-ups, relays and encoding; seen to fail: the first with limited instances treated as ready, the third with ready ones alone as aggregators.

--- a/crates/damaskvane-gateway/src/lookups.rs
+++ b/crates/damaskvane-gateway/src/lookups.rs
@@ -36,7 +36,9 @@
             empty_response(StatusCode::SERVICE_UNAVAILABLE)
         }
         Phase::Ready => empty_response(StatusCode::OK),
-        Phase::Starting | Phase::Leaving => empty_response(StatusCode::SERVICE_UNAVAILABLE),
+        Phase::Starting | Phase::Limited | Phase::Leaving => {
+            empty_response(StatusCode::SERVICE_UNAVAILABLE)
+        }
     }
 }
 
--- a/crates/damaskvane-gateway/src/node.rs
+++ b/crates/damaskvane-gateway/src/node.rs
@@ -19,6 +19,7 @@
 use tokio::sync::Notify;
 
 use crate::adapter::Adapter;
+use crate::clients;
 use crate::clock::ContinuousClock;
 use crate::crashes::CrashTracker;
 use crate::decision_log::DecisionLog;
@@ -229,7 +230,7 @@
         ExchangeId(id)
     }
 
-    /// Returns the phase of this instance: starting, ready or leaving.
+    /// Returns the phase of this instance.
     #[must_use]
     pub fn phase(&self) -> Phase {
         if self.stop.is_leaving() {
@@ -237,10 +238,15 @@
         }
         let state = self.state.borrow();
         let has_joined = state.members.has_joined(self.now());
-        if state.configuration.is_some() && state.are_servers_listed && has_joined {
+        let is_complete = state.configuration.is_some() && state.are_servers_listed && has_joined;
+        drop(state);
+        if !is_complete {
+            Phase::Starting
+        } else if self.is_starting_up() || clients::may_serve_keys(self) {
+            // The proof that keys are valid follows in the first moments of a process; requests wait for it until then.
             Phase::Ready
         } else {
-            Phase::Starting
+            Phase::Limited
         }
     }
 }
--- a/crates/damaskvane-gateway/src/peers.rs
+++ b/crates/damaskvane-gateway/src/peers.rs
@@ -98,6 +98,8 @@
         }
         tokio::select! {
             () = tokio::time::sleep(if phase == Phase::Starting { STARTUP_HEARTBEAT_INTERVAL } else { period }) => {}
+            // Peers' lookup responses send no clients to this instance until they receive its new phase.
+            () = node.evidence.until_newer(), if phase == Phase::Limited => {}
             // Peers must be notified of a stop at once: until then their lookup responses send clients to this
             // instance.
             _ = phases.wait_for(|stop| *stop != StopPhase::Serving && phase != Phase::Leaving) => {}
--- a/crates/damaskvane-gateway/src/peers/message.rs
+++ b/crates/damaskvane-gateway/src/peers/message.rs
@@ -357,6 +357,7 @@
         Phase::Starting => 0,
         Phase::Ready => 1,
         Phase::Leaving => 2,
+        Phase::Limited => 3,
     }
 }
 
@@ -365,6 +366,7 @@
         0 => Some(Phase::Starting),
         1 => Some(Phase::Ready),
         2 => Some(Phase::Leaving),
+        3 => Some(Phase::Limited),
         _ => None,
     }
 }
--- a/crates/damaskvane-gateway/tests/datagrams.rs
+++ b/crates/damaskvane-gateway/tests/datagrams.rs
@@ -128,6 +128,24 @@
     }
 }
 
+/// Guards against an instance that seems silent to all others because they can't decode its phase.
+#[test]
+fn each_phase_survives_encoding_and_decoding() {
+    for phase in [
+        Phase::Starting,
+        Phase::Ready,
+        Phase::Limited,
+        Phase::Leaving,
+    ] {
+        let Message::Heartbeat(sent) = heartbeat() else {
+            panic!("a heartbeat");
+        };
+        let bytes = Message::Heartbeat(Heartbeat { phase, ..sent }).encode();
+        let read = Message::decode(&bytes.expect("bytes"));
+        assert!(matches!(read, Some(Message::Heartbeat(heartbeat)) if heartbeat.phase == phase));
+    }
+}
+
 /// A message longer than the largest datagram is truncated by the receiver and can't be decoded: if a large zone's
 /// messages became that long, all instances of the zone would appear dead to the other instances.
 #[test]
--- a/crates/damaskvane-routing/src/peers/caller.rs
+++ b/crates/damaskvane-routing/src/peers/caller.rs
@@ -24,9 +24,9 @@
 }
 
 impl Caller<'_> {
-    /// Returns the addresses at which the nearest ready instances accept clients: all instances of the first of these
-    /// areas that has any: the caller's zone, the caller's region, the allowed regions, all regions unless none is
-    /// allowed.
+    /// Returns the addresses at which the nearest instances accept clients: all ready instances of the first of these
+    /// areas that has any: the caller's zone, the caller's region, the allowed regions. If there are none, all that
+    /// accept clients in the first of these areas, or else in all regions unless none is allowed.
     pub(super) fn nearest(
         &self,
         members: &MemberTable,
@@ -45,14 +45,21 @@
         let is_any = |_: &ids::AvailabilityZoneId| !self.allowed_regions.is_empty();
         let tiers: [&dyn Fn(&ids::AvailabilityZoneId) -> bool; 4] =
             [&in_zone, &in_region, &is_allowed, &is_any];
-        for tier in tiers {
+        let addresses_in = |tier: &dyn Fn(&ids::AvailabilityZoneId) -> bool,
+                            has_phase: fn(Phase) -> bool| {
             let zones = members.zones().filter(|of| tier(of));
-            let usable = zones.flat_map(|of| members.alive_in(now, of, Phase::Ready));
+            let usable = zones.flat_map(|of| members.alive_in(now, of, has_phase));
             let addresses: Vec<_> = usable.map(|one| one.client_address).collect();
-            if !addresses.is_empty() {
-                return addresses;
-            }
-        }
-        Vec::new()
+            (!addresses.is_empty()).then_some(addresses)
+        };
+        let [near @ .., _] = tiers;
+        let ready = near
+            .into_iter()
+            .find_map(|tier| addresses_in(tier, Phase::is_ready));
+        let accepting = || {
+            let mut tiers = tiers.into_iter();
+            tiers.find_map(|tier| addresses_in(tier, Phase::accepts_clients))
+        };
+        ready.or_else(accepting).unwrap_or_default()
     }
 }
--- a/crates/damaskvane-routing/src/peers/heartbeat.rs
+++ b/crates/damaskvane-routing/src/peers/heartbeat.rs
@@ -11,10 +11,33 @@
     Starting,
     /// The instance accepts clients.
     Ready,
+    /// The instance accepts clients but refuses requests with keys, since its configuration may be outdated. Lookups
+    /// return it only if no instance near the client is ready.
+    Limited,
     /// The instance is stopping, and lookups no longer return it to clients.
     Leaving,
 }
 
+impl Phase {
+    /// Returns whether an instance in this phase accepts clients.
+    #[must_use]
+    pub const fn accepts_clients(self) -> bool {
+        matches!(self, Self::Ready | Self::Limited)
+    }
+
+    /// Returns whether this is the phase [`Phase::Ready`].
+    #[must_use]
+    pub const fn is_ready(self) -> bool {
+        matches!(self, Self::Ready)
+    }
+
+    /// Returns whether this is the phase [`Phase::Starting`].
+    #[must_use]
+    pub const fn is_starting(self) -> bool {
+        matches!(self, Self::Starting)
+    }
+}
+
 /// A message by which an instance reports periodically that it is alive, with its zone, addresses and phase.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Heartbeat {
--- a/crates/damaskvane-routing/src/peers/heartbeat_targets.rs
+++ b/crates/damaskvane-routing/src/peers/heartbeat_targets.rs
@@ -96,7 +96,7 @@
         list: &InstanceList,
     ) -> impl Iterator<Item = net::SocketAddr> {
         let has_ready_peer = members.members().any(|member| {
-            member.heartbeat.instance != *members.own() && member.heartbeat.phase == Phase::Ready
+            member.heartbeat.instance != *members.own() && member.heartbeat.phase.accepts_clients()
         });
         let own_address = members.own_member().map(|own| own.heartbeat.peer_address);
         let needs_seeds = !list.is_complete() && !has_ready_peer;
@@ -122,5 +122,10 @@
 /// Returns whether this instance's zone has a live instance in the phase ready.
 fn has_ready(members: &MemberTable, now: TimeMs) -> bool {
     let zone = members.own_zone();
-    zone.is_some_and(|zone| members.alive_in(now, zone, Phase::Ready).next().is_some())
+    zone.is_some_and(|zone| {
+        members
+            .alive_in(now, zone, Phase::accepts_clients)
+            .next()
+            .is_some()
+    })
 }
--- a/crates/damaskvane-routing/src/peers/member_table.rs
+++ b/crates/damaskvane-routing/src/peers/member_table.rs
@@ -63,7 +63,7 @@
         zone.flat_map(|zone| self.of_zone(zone))
     }
 
-    /// Returns the live instances of a zone in the given phase, in the order of their names.
+    /// Returns the live instances of a zone whose phase has the given property, in the order of their names.
     ///
     /// An instance is alive while its last heartbeat is newer than the heartbeat timeout of its zone. This instance is
     /// always alive.
@@ -71,12 +71,12 @@
         &self,
         now: TimeMs,
         zone: &ids::AvailabilityZoneId,
-        phase: Phase,
+        has_phase: impl Fn(Phase) -> bool,
     ) -> impl Iterator<Item = &Heartbeat> {
         let alive = self.of_zone(zone).filter(move |member| {
             let is_own = member.heartbeat.instance == self.own;
             let is_alive = now.since(member.received_at).get() < self.heartbeat_timeout_ms(member);
-            member.heartbeat.phase == phase && (is_own || is_alive)
+            has_phase(member.heartbeat.phase) && (is_own || is_alive)
         });
         alive.map(|member| &member.heartbeat)
     }
@@ -96,7 +96,7 @@
         let aggregators = self.in_own_zone().filter(move |member| {
             let is_own = member.heartbeat.instance == self.own;
             let is_alive = is_own || now.since(member.received_at).get() < limit;
-            is_alive && member.heartbeat.phase == Phase::Ready
+            is_alive && member.heartbeat.phase.accepts_clients()
         });
         aggregators.take(self.settings.aggregators_per_zone)
     }
--- a/crates/damaskvane-routing/src/peers/members.rs
+++ b/crates/damaskvane-routing/src/peers/members.rs
@@ -223,7 +223,7 @@
             return Vec::new();
         }
         let zones = self.members.zones().filter(|zone| **zone != heartbeat.zone);
-        let ready = zones.flat_map(|zone| self.members.alive_in(now, zone, Phase::Ready));
+        let ready = zones.flat_map(|zone| self.members.alive_in(now, zone, Phase::accepts_clients));
         ready.cloned().collect()
     }
 
@@ -263,8 +263,11 @@
         let own_zone = self.members.own_zone();
         let others = self.members.zones().filter(|zone| Some(*zone) != own_zone);
         let max = self.settings.digest_receivers_per_zone;
-        let receivers =
-            others.flat_map(|zone| self.members.alive_in(now, zone, Phase::Ready).take(max));
+        let receivers = others.flat_map(|zone| {
+            self.members
+                .alive_in(now, zone, Phase::accepts_clients)
+                .take(max)
+        });
         receivers.map(|one| one.peer_address).collect()
     }
 
@@ -306,7 +309,7 @@
     #[must_use]
     pub fn reply_to_heartbeat(&self, heartbeat: &Heartbeat) -> Option<&Heartbeat> {
         let own = self.members.own_member().map(|own| &own.heartbeat)?;
-        let is_useful = own.phase == Phase::Ready && heartbeat.phase == Phase::Starting;
+        let is_useful = own.phase.accepts_clients() && heartbeat.phase.is_starting();
         is_useful.then_some(own)
     }
 
@@ -316,7 +319,7 @@
         let Some(zone) = self.members.own_zone() else {
             return Vec::new();
         };
-        let in_zone = self.members.alive_in(now, zone, Phase::Ready);
+        let in_zone = self.members.alive_in(now, zone, Phase::accepts_clients);
         let others = in_zone.filter(|one| one.instance != self.own);
         others.map(|one| one.peer_address).collect()
     }
@@ -351,7 +354,7 @@
     /// Returns the last heartbeats of the ready instances of all zones, to which clients may connect.
     pub fn usable(&self, now: TimeMs) -> impl Iterator<Item = &Heartbeat> {
         let zones = self.members.zones();
-        zones.flat_map(move |zone| self.members.alive_in(now, zone, Phase::Ready))
+        zones.flat_map(move |zone| self.members.alive_in(now, zone, Phase::accepts_clients))
     }
 
     /// Returns the instances of a zone that forward changes of the store to the zone's other instances.
--- a/crates/damaskvane-routing/src/peers/relay.rs
+++ b/crates/damaskvane-routing/src/peers/relay.rs
@@ -39,8 +39,8 @@
     zone: &ids::AvailabilityZoneId,
     max_relays: usize,
 ) -> Vec<Relay> {
-    ready_or_starting(|phase| {
-        let first = members.alive_in(now, zone, phase).take(max_relays);
+    ready_or_starting(|has_phase| {
+        let first = members.alive_in(now, zone, has_phase).take(max_relays);
         first.map(Relay::of).collect()
     })
 }
@@ -55,17 +55,17 @@
     max_relays: usize,
 ) -> Vec<Relay> {
     let zones: Vec<_> = zones.collect();
-    ready_or_starting(|phase| {
+    ready_or_starting(|has_phase| {
         let zones = zones.iter();
-        let first = zones.filter_map(|zone| members.alive_in(now, zone, phase).next());
+        let first = zones.filter_map(|zone| members.alive_in(now, zone, has_phase).next());
         first.take(max_relays).map(Relay::of).collect()
     })
 }
 
-fn ready_or_starting(relays_in: impl Fn(Phase) -> Vec<Relay>) -> Vec<Relay> {
-    let ready = relays_in(Phase::Ready);
+fn ready_or_starting(relays_in: impl Fn(fn(Phase) -> bool) -> Vec<Relay>) -> Vec<Relay> {
+    let ready = relays_in(Phase::accepts_clients);
     if ready.is_empty() {
-        return relays_in(Phase::Starting);
+        return relays_in(Phase::is_starting);
     }
     ready
 }
--- a/crates/damaskvane-routing/tests/peers.rs
+++ b/crates/damaskvane-routing/tests/peers.rs
@@ -145,6 +145,49 @@
     assert_eq!(ports("north-a", "north"), Vec::<u16>::new());
 }
 
+/// Adds an instance that refuses requests with keys, as it does without a recent proof that its configuration is current.
+fn add_limited(members: &mut Members, name: &str, zone_name: &str) {
+    let limited = Heartbeat {
+        phase: Phase::Limited,
+        ..heartbeat(name, zone_name, 1, 1)
+    };
+    members.apply_heartbeat(at(0), limited);
+}
+
+/// Guards against callers who are sent to the nearest instances while these refuse nearly all requests, although others
+/// serve them.
+#[test]
+fn callers_receive_instances_that_serve_keys_before_nearer_ones_that_do_not() {
+    let mut members = members();
+    add_limited(&mut members, "west", "west-a");
+    add_limited(&mut members, "b-1", "east-b");
+    assert_eq!(looked_up_ports(&members, 100, "east-b"), [port("own")]);
+    assert_eq!(looked_up_ports(&members, 100, "west-a"), [port("own")]);
+}
+
+/// Guards against lookups without an address when the store is down for all instances: some routes need no key.
+#[test]
+fn callers_receive_the_nearest_instances_if_none_serves_keys() {
+    let mut members = members();
+    members.set_own_phase(at(1), Phase::Limited);
+    add_limited(&mut members, "west", "west-a");
+    assert_eq!(looked_up_ports(&members, 100, "west-a"), [port("west")]);
+    assert_eq!(looked_up_ports(&members, 100, "east-a"), [port("own")]);
+}
+
+/// Guards against a zone without relays and aggregators when none of its instances serves keys: the changes that end
+/// this state reach the zone through them.
+#[test]
+fn instances_that_do_not_serve_keys_remain_relays_and_aggregators() {
+    let mut members = members();
+    members.set_own_phase(at(1), Phase::Limited);
+    add_limited(&mut members, "zz", "east-a");
+    assert!(members.is_aggregator(at(100)));
+    let relays = members.relays(at(100), &zone("east-a"));
+    assert_eq!(relays.len(), 2);
+    assert_eq!(watchers(&members, 100), ["own"]);
+}
+
 fn watchers(members: &Members, now_ms: u64) -> Vec<String> {
     let region = regions()[&zone("east-a")].clone();
     let watchers = members.watchers(at(now_ms), &region);
