Distance between zones costs by the size of a route's requests, measured live

Cause: a request to another zone cost 0.09 of a response on every route and deployment, and objects gained a server in each zone from 0.18 requests a second on.

Each instance now averages the bytes of a route's requests and responses, heads included; other_zone_cost_per_kb (0.045) replaces other_zone_cost, and an object gains a server in each zone by what its requests between zones cost a second (0.016, back at 0.011: the old limits at 2 kB). Nothing names a deployment.

The test replays 0.15 requests a second and object: with messages of 200 bytes no object gains servers, with 20,000 all do; one number for all can't pass both.

--- a/crates/damaskvane-bench/src/placement/instance.rs
+++ b/crates/damaskvane-bench/src/placement/instance.rs
@@ -12,6 +12,9 @@
 use crate::placement::deployment::Deployment;
 use crate::placement::policy::Policy;
 
+/// Size of a request and its response in the model, in bytes.
+const EXCHANGE_BYTES: usize = 2_000;
+
 /// An instance, with its own view of the servers.
 #[derive(Debug)]
 pub(super) struct Instance {
@@ -164,6 +167,7 @@
                 route: request.route,
                 pick,
                 object: request.object,
+                bytes: EXCHANGE_BYTES,
                 took_ms,
                 has_waited: load.is_some_and(|load| load.waiting > 0),
             };
--- a/crates/damaskvane-bench/src/placement/mechanism.rs
+++ b/crates/damaskvane-bench/src/placement/mechanism.rs
@@ -65,7 +65,7 @@
                 ..current
             },
             Self::DistanceCost => PlacementSettings {
-                other_zone_cost: 0.0,
+                other_zone_cost_per_kb: 0.0,
                 other_region_cost: 0.0,
                 ..current
             },
@@ -79,7 +79,7 @@
                 ..current
             },
             Self::Popularity => PlacementSettings {
-                popular_per_s: NEVER,
+                popular_cost_per_s: NEVER,
                 ..current
             },
             Self::ShiftStep => PlacementSettings {
--- a/crates/damaskvane-gateway/src/clients/routed_request.rs
+++ b/crates/damaskvane-gateway/src/clients/routed_request.rs
@@ -272,6 +272,7 @@
             route: self.route,
             pick,
             object: self.object,
+            bytes: outcome.bytes,
             took_ms,
             has_waited: outcome.report.load.is_some_and(|load| load.waiting > 0),
         };
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -133,7 +133,8 @@
         let bytes = self
             .request
             .to_bytes(names, &self.pick.server, self.remaining().get());
-        self.count_bytes(bytes.len());
+        let sent_bytes = bytes.len();
+        self.count_bytes(sent_bytes);
         let written = if bytes.len() <= SHORT_REQUEST_BYTES {
             connection.write(&bytes).await.map(|()| true)
         } else {
@@ -143,7 +144,9 @@
             Ok(is_written) => is_written,
             Err(error) => return ExchangeOutcome::no_response(classify_io_error(&error)),
         };
-        self.read_response(connection, is_written, is_reused).await
+        let mut outcome = self.read_response(connection, is_written, is_reused).await;
+        outcome.bytes += sent_bytes;
+        outcome
     }
 
     /// Keeps a new connection on which nothing was sent.
@@ -247,6 +250,7 @@
             head.body
         };
         self.count_bytes(head.bytes);
+        let mut read_bytes = head.bytes;
         let mut body = BodyReader::new(kind);
         let whole = match connection
             .read_body(&mut body, MAX_BUFFERED_BODY_BYTES)
@@ -272,6 +276,7 @@
         let body = match whole {
             Ok(bytes) => {
                 self.count_bytes(bytes.len());
+                read_bytes += bytes.len();
                 if is_keep_alive && connection.is_reusable() {
                     let now = self.node.now();
                     let mut idle = self.node.idle.borrow_mut();
@@ -292,6 +297,7 @@
             response: Some(response),
             retry_after_ms,
             took_ms: None,
+            bytes: read_bytes,
             withheld: None,
         }
     }
--- a/crates/damaskvane-gateway/src/upstream/outcome.rs
+++ b/crates/damaskvane-gateway/src/upstream/outcome.rs
@@ -20,6 +20,8 @@
     /// The duration of the exchange in milliseconds; `None` if the server has been removed from the pool, the
     /// list of known servers.
     pub took_ms: Option<u64>,
+    /// The size of the request and its response, as far as it was read at once, in bytes.
+    pub bytes: usize,
     /// The reason why the request was not sent; `None` unless the exchange was withheld.
     pub(crate) withheld: Option<Withheld>,
 }
@@ -38,6 +40,7 @@
             response: None,
             retry_after_ms: None,
             took_ms: None,
+            bytes: 0,
             withheld: None,
         }
     }
--- a/crates/damaskvane-routing/src/placement.rs
+++ b/crates/damaskvane-routing/src/placement.rs
@@ -24,6 +24,7 @@
 mod region_shifts;
 mod request;
 mod round_trips;
+mod route_sizes;
 mod sample;
 mod server_score;
 mod settings;
--- a/crates/damaskvane-routing/src/placement/placer.rs
+++ b/crates/damaskvane-routing/src/placement/placer.rs
@@ -9,10 +9,11 @@
 use crate::placement::popularity::{Popularity, PopularityDecision, PopularityReport};
 use crate::placement::rank;
 use crate::placement::region_shifts::RegionShifts;
+use crate::placement::route_sizes::RouteSizes;
 use crate::placement::server_score::{self, Estimates, ServerScore};
 use crate::placement::{
     AnsweredRequest, Choice, Pick, PlacementRequest, PlacementSettings, Refusal, RefusalReason,
-    RoundTrips, SkipReason,
+    RoundTrips, RouteKey, SkipReason,
 };
 use crate::pool::{Baselines, Server, ServerHandle, ServerPool};
 
@@ -34,6 +35,7 @@
     pub baselines: Baselines,
     /// Network round trip to each availability zone, measured when connections are opened.
     pub round_trips: RoundTrips,
+    route_sizes: RouteSizes,
     popularity: Popularity,
     region_shifts: RegionShifts,
     candidates: Candidates,
@@ -53,6 +55,7 @@
             settings,
             baselines: Baselines::default(),
             round_trips: RoundTrips::default(),
+            route_sizes: RouteSizes::default(),
             popularity: Popularity::default(),
             region_shifts: RegionShifts::default(),
             candidates: Candidates::default(),
@@ -82,7 +85,8 @@
     ///
     /// Only an aggregator calls this. Each call changes a route's share by at most one step.
     pub fn decide_popularity(&mut self, now: TimeMs) -> Vec<PopularityDecision> {
-        self.popularity.decide(now, &self.settings)
+        self.popularity
+            .decide(now, &self.settings, &self.route_sizes)
     }
 
     /// Applies the popularity decisions of the aggregator `by`, which may be this instance.
@@ -167,6 +171,8 @@
         pool: &mut ServerPool,
         answered: &AnsweredRequest<'_>,
     ) {
+        let route_key = RouteKey::of(&answered.route.name);
+        self.route_sizes.record(route_key, answered.bytes);
         let Some(mut server) = pool.server_mut(&answered.pick.server) else {
             return;
         };
@@ -331,7 +337,7 @@
         let round_trip_ms = self.round_trips.get(&server.entry.zone);
         // The order of servers already accounts for the distance of the first server.
         let distance_cost = if rank > 0 {
-            self.distance_cost(server)
+            self.distance_cost(server, RouteKey::of(&route.name))
         } else {
             0.0
         };
@@ -343,12 +349,13 @@
         ServerScore::of(now, &self.settings, server, request, rank, estimates)
     }
 
-    fn distance_cost(&self, server: &Server) -> f64 {
+    fn distance_cost(&self, server: &Server, route: RouteKey) -> f64 {
         if server.entry.zone == self.own_zone {
             return 0.0;
         }
         if server.region() == Some(&self.own_region) {
-            self.settings.other_zone_cost
+            let kilobytes = self.route_sizes.kilobytes(route);
+            self.settings.other_zone_cost(kilobytes)
         } else {
             self.settings.other_region_cost
         }
--- a/crates/damaskvane-routing/src/placement/popularity.rs
+++ b/crates/damaskvane-routing/src/placement/popularity.rs
@@ -15,6 +15,7 @@
 use damaskvane_core::time::TimeMs;
 
 use crate::placement::PlacementSettings;
+use crate::placement::route_sizes::RouteSizes;
 use crate::placement::sample::{ObjectSample, RouteKey};
 
 /// Maximum number of objects of one route in the report of an instance.
@@ -74,7 +75,7 @@
     }
 
     /// Updates the decision if the merged sample is large or old enough. Each call changes `steps` by at most one.
-    fn decide(&mut self, now: TimeMs, settings: &PlacementSettings) {
+    fn decide(&mut self, now: TimeMs, settings: &PlacementSettings, other_zone_cost: f64) {
         let span_ms = now.since(self.window_start).get();
         if self.sample.requests() >= MIN_WINDOW_REQUESTS || span_ms >= MAX_WINDOW_MS {
             let span_s = (span_ms as f64 / 1_000.0).max(0.001);
@@ -86,12 +87,12 @@
             let requests_per_object_s = (previous_per_s * measured_per_s).sqrt();
             // Hysteresis: with one limit, a rate close to it would move objects back and forth.
             let limit_per_s = if self.is_popular {
-                settings.rare_per_s
+                settings.rare_cost_per_s
             } else {
-                settings.popular_per_s
+                settings.popular_cost_per_s
             };
             self.requests_per_object_s = Some(requests_per_object_s);
-            self.is_popular = requests_per_object_s > limit_per_s;
+            self.is_popular = requests_per_object_s * other_zone_cost > limit_per_s;
             self.window_start = now;
             self.sample = ObjectSample::default();
         }
@@ -149,9 +150,11 @@
         &mut self,
         now: TimeMs,
         settings: &PlacementSettings,
+        sizes: &RouteSizes,
     ) -> Vec<PopularityDecision> {
-        for state in self.routes.values_mut() {
-            state.decide(now, settings);
+        for (route, state) in &mut self.routes {
+            let other_zone_cost = settings.other_zone_cost(sizes.kilobytes(*route));
+            state.decide(now, settings, other_zone_cost);
         }
         self.routes
             .retain(|_, state| state.steps > 0 || !state.sample.is_empty());
--- a/crates/damaskvane-routing/src/placement/request.rs
+++ b/crates/damaskvane-routing/src/placement/request.rs
@@ -51,6 +51,8 @@
     pub pick: &'a Pick,
     /// Hash of the object, or `None` if the request was placed without an object.
     pub object: Option<u64>,
+    /// Size of the request and its response, heads included.
+    pub bytes: usize,
     /// Time from sending the request to receiving the response.
     pub took_ms: u64,
     /// Whether the request may have waited in the server's queue; its time is then not used as a measurement.
--- a/crates/damaskvane-routing/src/placement/settings.rs
+++ b/crates/damaskvane-routing/src/placement/settings.rs
@@ -21,8 +21,8 @@
     pub load_limit_floor: f64,
     /// Score of a response after the route's objective and before the request's deadline.
     pub late_worth: f64,
-    /// Cost of a server in another availability zone of the region.
-    pub other_zone_cost: f64,
+    /// Cost of each kilobyte of a request and its response to a server in another availability zone of the region.
+    pub other_zone_cost_per_kb: f64,
     /// Cost of a server in another region.
     pub other_region_cost: f64,
     /// Cost of using a slot of a server without other requests for as long as the route's objective.
@@ -33,11 +33,11 @@
     pub failure_cost: f64,
     /// Cost of a server from which a request has been waiting for its response far longer than usual.
     pub stalled_cost: f64,
-    /// Requests per second and object from one zone above which a route's objects gain a server in each zone of the
-    /// region.
-    pub popular_per_s: f64,
-    /// Requests per second and object from one zone below which a route's objects lose these servers again.
-    pub rare_per_s: f64,
+    /// Cost per second and object of requests from one zone to another above which a route's objects gain a server in
+    /// each zone of the region.
+    pub popular_cost_per_s: f64,
+    /// The same cost below which a route's objects lose these servers again.
+    pub rare_cost_per_s: f64,
     /// Maximum increase, within two seconds, of the share of a region's requests that are sent to another region.
     pub shift_most: f64,
     /// Load per slot of a region from which popular objects use only one server there.
@@ -56,14 +56,14 @@
             load_limit_step: 0.3,
             load_limit_floor: 1.0,
             late_worth: 0.2,
-            other_zone_cost: 0.09,
+            other_zone_cost_per_kb: 0.045,
             other_region_cost: 0.01,
             slot_cost: 0.2,
             busy_cost: 0.1,
             failure_cost: 2.0,
             stalled_cost: 1.0,
-            popular_per_s: 0.18,
-            rare_per_s: 0.12,
+            popular_cost_per_s: 0.016,
+            rare_cost_per_s: 0.011,
             shift_most: 0.15,
             spread_load_limit: 0.7,
             retry_after_ms: 150,
@@ -73,6 +73,12 @@
 }
 
 impl PlacementSettings {
+    /// Returns the cost of a request to another zone of the region, by the usual size of its route.
+    #[must_use]
+    pub fn other_zone_cost(&self, kilobytes: f64) -> f64 {
+        self.other_zone_cost_per_kb * kilobytes
+    }
+
     /// Returns the load per slot below which a server accepts requests of this priority; 0 is the highest priority.
     #[must_use]
     pub fn load_limit(&self, priority: u32) -> f64 {
--- a/crates/damaskvane-routing/tests/popularity.rs
+++ b/crates/damaskvane-routing/tests/popularity.rs
@@ -7,7 +7,8 @@
 
 use damaskvane_core::ids;
 use damaskvane_routing::placement::{
-    self, Choice, ObjectSample, POPULARITY_STEPS, Placer, PopularityDecision, PopularityReport,
+    self, AnsweredRequest, Choice, ObjectSample, POPULARITY_STEPS, Placer, PopularityDecision,
+    PopularityReport,
 };
 use damaskvane_routing::pool::ServerPool;
 use rand::{RngExt, SeedableRng};
@@ -64,6 +65,27 @@
         decisions
     }
 
+    /// Records answered requests of a size at the aggregator.
+    fn answer_requests(&mut self, mut pool: ServerPool, bytes: usize) {
+        let (route, service) = (route(), service_id());
+        for number in 0..100 {
+            let request = support::request(&route, &service, object(number));
+            let choice = self.placers[0].choose(at(0), &pool, &configuration(), &request, 1);
+            let Choice::Send(pick) = choice else {
+                panic!("refused");
+            };
+            let answered = AnsweredRequest {
+                route: &route,
+                pick: &pick,
+                object: None,
+                bytes,
+                took_ms: 100,
+                has_waited: false,
+            };
+            self.placers[0].record_answer(at(0), &mut pool, &answered);
+        }
+    }
+
     /// Returns for each instance the zone to which the instance sends a request for the object `number`. For popular
     /// objects, this is always the zone of the instances.
     fn zones_of(&mut self, pool: &ServerPool, number: u64) -> Vec<String> {
@@ -118,6 +140,22 @@
     }
 }
 
+/// Replays requests at a rate at which a server in each zone pays for large messages and not for small ones. Guards
+/// against slow first runs that save next to nothing, and against bytes between zones that one first run would save.
+#[test]
+fn objects_gain_a_server_in_each_zone_by_the_size_of_their_requests() {
+    for (bytes, expected) in [(200, 0), (20_000, POPULARITY_STEPS)] {
+        let pool = pool_of(&[("east-a", 6), ("east-b", 6)]);
+        let mut zone = Zone::new(1);
+        zone.answer_requests(pool, bytes);
+        let mut decisions = Vec::new();
+        for _ in 0..12 {
+            decisions = zone.run_second(90, 600);
+        }
+        assert_eq!(steps(&decisions), expected, "{bytes} bytes");
+    }
+}
+
 /// Guards against decisions that follow a change of the request rate more than ten seconds late, and against decisions
 /// that make all objects popular at once, because the first runs of all objects would fill the servers.
 #[test]
