Popular objects spread evenly over a zone's servers

The aggregator of a zone now remembers the objects of the reports, and moves single objects from servers with more than one above the average to the least used of the next three of their ring, twelve a second at most. The moves go to the zone with the decisions on popular objects; reports carry whole hashes. A new aggregator continues with the moves it received.

Objects of other regions' callers aren't balanced: they are half of those in the larger regions.

Seen to fail without their guard: an even spread (no balancing; no new moves), the successor's moves (not taken over). The condition that a move lowers the difference is noticed by no test: 4 to 119 servers come to rest without it too.

--- a/crates/damaskvane-bench/src/placement/instance.rs
+++ b/crates/damaskvane-bench/src/placement/instance.rs
@@ -4,7 +4,8 @@
 use damaskvane_core::time::TimeMs;
 use damaskvane_routing::configuration::Configuration;
 use damaskvane_routing::placement::{
-    AnsweredRequest, Choice, Pick, PlacementRequest, Placer, PopularityDecision, PopularityReport,
+    AnsweredRequest, Choice, ObjectMove, Pick, PlacementRequest, Placer, PopularityDecision,
+    PopularityReport,
 };
 use damaskvane_routing::pool::{ExchangeEnd, ExchangeId, LoadReport, ServerPool, ServerReport};
 use rand::seq::IndexedRandom;
@@ -75,11 +76,16 @@
         &mut self,
         now: TimeMs,
         reports: &[PopularityReport],
-    ) -> Vec<PopularityDecision> {
+        configuration: &Configuration,
+    ) -> (Vec<PopularityDecision>, Vec<ObjectMove>) {
         for report in reports {
             self.placer.apply_popularity_report(now, report);
         }
-        self.placer.decide_popularity(now)
+        let decisions = self.placer.decide_popularity(now);
+        let moves = self
+            .placer
+            .decide_object_moves(now, &self.pool, configuration);
+        (decisions, moves)
     }
 
     pub(super) fn told(
@@ -87,8 +93,10 @@
         now: TimeMs,
         by: &ids::InstanceId,
         verdicts: &[PopularityDecision],
+        moves: &[ObjectMove],
     ) {
-        self.placer.apply_popularity_decisions(now, by, verdicts);
+        self.placer
+            .apply_popularity_decisions(now, by, verdicts, moves);
     }
 
     fn baseline(&mut self, request: &PlacementRequest<'_>, random: &mut impl rand::Rng) -> Pick {
--- a/crates/damaskvane-bench/src/placement/world.rs
+++ b/crates/damaskvane-bench/src/placement/world.rs
@@ -191,10 +191,10 @@
                 .iter_mut()
                 .map(Instance::take_popularity_report)
                 .collect();
-            let verdicts = of_zone[0].judge(now, &reports);
+            let (verdicts, moves) = of_zone[0].judge(now, &reports, &self.configuration);
             let by = deployment::id("speaker");
             for instance in of_zone {
-                instance.told(now, &by, &verdicts);
+                instance.told(now, &by, &verdicts, &moves);
             }
         }
     }
--- a/crates/damaskvane-gateway/src/peers.rs
+++ b/crates/damaskvane-gateway/src/peers.rs
@@ -13,14 +13,16 @@
 use std::net;
 use std::rc::Rc;
 
+use damaskvane_core::time::TimeMs;
 use damaskvane_routing::peers::{Digest, Heartbeat, Phase};
+use damaskvane_routing::placement::ObjectMove;
 use tokio::net::UdpSocket;
 
 pub use message::Message;
 
 use crate::costs::Distance;
 use crate::crashes;
-use crate::node::Node;
+use crate::node::{Node, State};
 use crate::quota;
 use crate::stop::StopPhase;
 
@@ -199,6 +201,7 @@
         let now = node.now();
         let (message, recipients) = {
             let mut state = node.state.borrow_mut();
+            let state = &mut *state;
             let report = state.placer.take_popularity_report();
             let neighbours = state.members.neighbours(now);
             let recipient_count = u32::try_from(neighbours.len()).unwrap_or(u32::MAX);
@@ -207,14 +210,16 @@
             if state.members.is_aggregator(now) {
                 state.placer.apply_popularity_report(now, &report);
                 let decisions = state.placer.decide_popularity(now);
+                let moves = decide_object_moves(now, state);
                 let aggregator = node.settings().instance.clone();
                 state
                     .placer
-                    .apply_popularity_decisions(now, &aggregator, &decisions);
+                    .apply_popularity_decisions(now, &aggregator, &decisions, &moves);
                 (
                     Message::PopularityDecisions {
                         aggregator,
                         decisions,
+                        moves,
                     },
                     neighbours,
                 )
@@ -229,6 +234,15 @@
     }
 }
 
+fn decide_object_moves(now: TimeMs, state: &mut State) -> Vec<ObjectMove> {
+    let Some(configuration) = &state.configuration else {
+        return Vec::new();
+    };
+    state
+        .placer
+        .decide_object_moves(now, &state.pool, configuration)
+}
+
 async fn send(node: &Node, socket: &UdpSocket, message: &Message, recipients: &[net::SocketAddr]) {
     let bytes = match message.encode() {
         Ok(bytes) => bytes,
@@ -307,10 +321,11 @@
             Some(Message::PopularityDecisions {
                 aggregator,
                 decisions,
+                moves,
             }) => {
                 let now = node.now();
                 let placer = &mut node.state.borrow_mut().placer;
-                placer.apply_popularity_decisions(now, &aggregator, &decisions);
+                placer.apply_popularity_decisions(now, &aggregator, &decisions, &moves);
             }
             Some(Message::Quota(message)) => quota::handle_message(&node, from, message),
             None => node.metrics.invalid_datagrams.inc(),
--- a/crates/damaskvane-gateway/src/peers/message.rs
+++ b/crates/damaskvane-gateway/src/peers/message.rs
@@ -11,7 +11,9 @@
 use damaskvane_core::ids;
 use damaskvane_dispatch::quarantine::Incident;
 use damaskvane_routing::peers::{Digest, DigestEntry, Heartbeat, IncarnationKey, Phase};
-use damaskvane_routing::placement::{ObjectSample, PopularityDecision, PopularityReport, RouteKey};
+use damaskvane_routing::placement::{
+    ObjectMove, ObjectSample, PopularityDecision, PopularityReport, RouteKey,
+};
 use damaskvane_routing::pool::{LoadReport, PeerHealthReport, PeerServerReport, ServerKey};
 use serde::{Deserialize, Serialize};
 
@@ -20,7 +22,7 @@
 use crate::quota::QuotaMessage;
 
 /// First field of each datagram; identifies the protocol and its version, and changes whenever a message changes.
-const MAGIC: u32 = 0x6476_7034;
+const MAGIC: u32 = 0x6476_7035;
 
 /// A message from one entry instance to another.
 #[derive(Debug, Clone)]
@@ -54,6 +56,8 @@
         aggregator: ids::InstanceId,
         /// For each route, the share of its objects that have a server in each zone.
         decisions: Vec<PopularityDecision>,
+        /// Popular objects that use another server than the first one of their ring.
+        moves: Vec<ObjectMove>,
     },
     /// Tokens of a team's quota, or a request for them.
     Quota(QuotaMessage),
@@ -117,6 +121,7 @@
         aggregator: ids::InstanceId,
         #[serde(rename = "verdicts")]
         decisions: Vec<(u32, u8)>,
+        moves: Vec<(u32, u8)>,
     },
     Quota(QuotaWire),
 }
@@ -125,7 +130,7 @@
 struct SampleWire {
     route: u32,
     halvings: u8,
-    objects: Vec<(u32, u32)>,
+    objects: Vec<(u64, u32)>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -197,12 +202,14 @@
             Message::PopularityDecisions {
                 aggregator,
                 decisions,
+                moves,
             } => Self::PopularityDecisions {
                 aggregator: aggregator.clone(),
                 decisions: decisions
                     .iter()
                     .map(|one| (one.route.get(), one.steps))
                     .collect(),
+                moves: moves.iter().map(|one| (one.object, one.steps)).collect(),
             },
             Message::Quota(message) => Self::Quota(QuotaWire::of(message)),
         }
@@ -242,7 +249,12 @@
             Self::PopularityDecisions {
                 aggregator,
                 decisions,
+                moves,
             } => Message::PopularityDecisions {
+                moves: moves
+                    .into_iter()
+                    .map(|(object, steps)| ObjectMove { object, steps })
+                    .collect(),
                 aggregator,
                 decisions: decisions
                     .into_iter()
--- a/crates/damaskvane-gateway/tests/datagrams.rs
+++ b/crates/damaskvane-gateway/tests/datagrams.rs
@@ -7,7 +7,9 @@
 use damaskvane_gateway::crashes;
 use damaskvane_gateway::peers::Message;
 use damaskvane_routing::peers::{Digest, DigestEntry, Heartbeat, IncarnationKey, Phase};
-use damaskvane_routing::placement::{ObjectSample, POPULARITY_STEPS, PopularityDecision, RouteKey};
+use damaskvane_routing::placement::{
+    ObjectMove, ObjectSample, POPULARITY_STEPS, PopularityDecision, RouteKey,
+};
 use damaskvane_routing::pool::{LoadReport, PeerHealthReport, PeerServerReport, ServerKey};
 use proptest::prelude::*;
 
@@ -88,7 +90,8 @@
 }
 
 fn popularity_report() -> Message {
-    let objects = |route: u32| (0..12).map(move |number| (u32::MAX - number - route, 1_000));
+    let objects =
+        |route: u32| (0..12).map(move |number| (u64::MAX - u64::from(number + route), 1_000));
     let sample = |route| ObjectSample::from_wire(0, objects(route));
     let report = (0..6).map(|route| (RouteKey::from_wire(u32::MAX - route), sample(route)));
     Message::PopularityReport(report.collect())
@@ -99,11 +102,16 @@
         route: RouteKey::from_wire(u32::MAX - route),
         steps: POPULARITY_STEPS,
     };
+    let object_move = |number| ObjectMove {
+        object: u32::MAX - number,
+        steps: 3,
+    };
     Message::PopularityDecisions {
         aggregator: "an-instance-with-a-rather-long-name-1"
             .parse()
             .expect("a name"),
         decisions: (0..64).map(decision).collect(),
+        moves: (0..128).map(object_move).collect(),
     }
 }
 
--- a/crates/damaskvane-routing/src/configuration/table.rs
+++ b/crates/damaskvane-routing/src/configuration/table.rs
@@ -90,6 +90,11 @@
         self.routes.get(host).into_iter().flatten()
     }
 
+    /// Returns the routes of all hosts, in no particular order.
+    pub fn routes(&self) -> impl Iterator<Item = &Rc<Route>> {
+        self.routes.values().flatten()
+    }
+
     /// Returns the service with the given name, or `None` if the configuration has no such service.
     #[must_use]
     pub fn service(&self, id: &ids::ServiceId) -> Option<&Service> {
--- a/crates/damaskvane-routing/src/placement.rs
+++ b/crates/damaskvane-routing/src/placement.rs
@@ -18,6 +18,7 @@
 mod candidates;
 mod choice;
 mod latency_score;
+mod object_moves;
 mod placer;
 mod popularity;
 mod rank;
@@ -31,6 +32,7 @@
 mod shares;
 
 pub use choice::{Choice, Pick, Refusal, RefusalReason, SkipReason};
+pub use object_moves::ObjectMove;
 pub use placer::Placer;
 pub use popularity::{POPULARITY_STEPS, PopularityDecision, PopularityReport};
 pub use rank::object_hash;
--- a/crates/damaskvane-routing/src/placement/candidates.rs
+++ b/crates/damaskvane-routing/src/placement/candidates.rs
@@ -60,6 +60,8 @@
     pub(super) scope: Scope,
     /// Maximum number of servers to find.
     pub(super) max_servers: usize,
+    /// Number of servers of the own zone's ring by which the object is moved.
+    pub(super) moved_steps: usize,
 }
 
 /// Position of the search on the ring of one zone.
@@ -121,7 +123,13 @@
                     let is_later = is_own_zone_first != (cursor.zone == search.origin.zone);
                     (cursor.selected, is_later)
                 };
-                self.select(servers, position, max_servers, is_home, order);
+                let zones = pool.topology().zones_in(home);
+                let with_moved = max_servers + search.moved_steps * zones;
+                self.select(servers, position, with_moved, is_home, order);
+                if search.moved_steps > 0 && is_own_zone_first {
+                    self.move_along_ring(pool, search);
+                    self.found.truncate(max_servers);
+                }
             }
             Spread::Zones => self.select(servers, position, max_servers, is_home, |_| ()),
             Spread::Region => {
@@ -136,6 +144,19 @@
         }
     }
 
+    /// Puts the server to which the object is moved first, and the other servers of its zone last.
+    fn move_along_ring(&mut self, pool: &ServerPool, search: Search) {
+        let own = pool.topology().zone_id(search.origin.zone);
+        let is_own = |handle: &ServerHandle| {
+            let server = pool.at(*handle);
+            server.is_some_and(|server| server.entry.zone == *own)
+        };
+        let of_zone = self.found.iter().copied().filter(|one| is_own(one));
+        if let Some(server) = of_zone.clone().nth(search.moved_steps) {
+            self.found.sort_by_key(|one| (*one != server, is_own(one)));
+        }
+    }
+
     /// Creates one cursor for each zone whose servers may take the request, at the zone's first server for the object.
     fn reset_cursors(
         &mut self,
--- a/crates/damaskvane-routing/src/placement/placer.rs
+++ b/crates/damaskvane-routing/src/placement/placer.rs
@@ -1,11 +1,14 @@
 //! Selects the backend server for each request, and records the times of the responses. An object is the item that a
 //! request names; a first run is the first request for an object on a server. A cold server has started recently.
 
+use std::collections::HashMap;
+
 use damaskvane_core::ids;
 use damaskvane_core::time::TimeMs;
 
 use crate::configuration::{Configuration, Route};
 use crate::placement::candidates::{Candidates, Origin, Scope, Search, Spread};
+use crate::placement::object_moves::{self, ObjectMove, ObjectMoves, ObjectServers};
 use crate::placement::popularity::{Popularity, PopularityDecision, PopularityReport};
 use crate::placement::rank;
 use crate::placement::region_shifts::RegionShifts;
@@ -37,6 +40,7 @@
     pub round_trips: RoundTrips,
     route_sizes: RouteSizes,
     popularity: Popularity,
+    object_moves: ObjectMoves,
     region_shifts: RegionShifts,
     candidates: Candidates,
     own_zone: ids::AvailabilityZoneId,
@@ -57,6 +61,7 @@
             round_trips: RoundTrips::default(),
             route_sizes: RouteSizes::default(),
             popularity: Popularity::default(),
+            object_moves: ObjectMoves::default(),
             region_shifts: RegionShifts::default(),
             candidates: Candidates::default(),
             own_zone,
@@ -79,6 +84,80 @@
     /// Only an aggregator calls this.
     pub fn apply_popularity_report(&mut self, now: TimeMs, report: &PopularityReport) {
         self.popularity.apply_popularity_report(now, report);
+        self.object_moves.record(now, report);
+    }
+
+    /// Decides which popular objects of this instance's zone use another server than the first one of their ring.
+    ///
+    /// Only an aggregator calls this.
+    pub fn decide_object_moves(
+        &mut self,
+        now: TimeMs,
+        pool: &ServerPool,
+        configuration: &Configuration,
+    ) -> Vec<ObjectMove> {
+        let mut object_moves = core::mem::take(&mut self.object_moves);
+        let routes = configuration.routes();
+        let routes: HashMap<RouteKey, &Route> = routes
+            .map(|route| (RouteKey::of(&route.name), &**route))
+            .collect();
+        let moves = object_moves.decide(now, |route, object| {
+            self.servers_of(now, pool, routes.get(&route)?, object)
+        });
+        self.object_moves = object_moves;
+        moves
+    }
+
+    /// Returns the servers in this instance's zone that take the requests for an object; `None` unless the zone has a
+    /// server of its own for the object.
+    fn servers_of(
+        &mut self,
+        now: TimeMs,
+        pool: &ServerPool,
+        route: &Route,
+        object: u64,
+    ) -> Option<ObjectServers> {
+        // The hashes of objects differ between the services of a route.
+        let [destination] = route.destinations.as_slice() else {
+            return None;
+        };
+        let request = PlacementRequest {
+            route,
+            team: None,
+            service: &destination.service,
+            object: Some(object),
+            tried: &[],
+            remaining_ms: route.timeout_ms,
+            spread: 0.0,
+        };
+        let search = self.search(now, pool, &request)?;
+        if search.spread != Spread::Zones {
+            return None;
+        }
+        let zone = search.origin.zone;
+        let zones = pool.topology().zones_in(search.origin.region);
+        self.candidates.find(
+            pool,
+            &request,
+            Search {
+                moved_steps: 0,
+                max_servers: (object_moves::MAX_STEPS + 1) * zones,
+                ..search
+            },
+        );
+        let is_own = |handle: &ServerHandle| {
+            let server = pool.at(*handle);
+            server.is_some_and(|server| server.entry.zone == self.own_zone)
+        };
+        let found = self.candidates.found().iter().copied();
+        if !found.clone().next().is_some_and(|first| is_own(&first)) {
+            return None;
+        }
+        Some(ObjectServers {
+            service: destination.service.clone(),
+            ring: found.filter(is_own).collect(),
+            servers_in_zone: pool.service(request.service)?.zone(zone).servers,
+        })
     }
 
     /// Decides from all reports which share of each route's objects has a server in each zone of the region.
@@ -95,9 +174,12 @@
         now: TimeMs,
         by: &ids::InstanceId,
         decisions: &[PopularityDecision],
+        moves: &[ObjectMove],
     ) {
-        self.popularity
-            .apply_popularity_decisions(now, by, decisions);
+        let popularity = &mut self.popularity;
+        if popularity.apply_popularity_decisions(now, by, decisions, moves) {
+            self.object_moves.adopt(now, moves);
+        }
     }
 
     /// Selects the server for a request, or refuses the request.
@@ -271,6 +353,7 @@
                 spread: self.spread(now, pool, request, object),
                 scope,
                 max_servers: self.settings.servers_per_object,
+                moved_steps: self.popularity.moved_steps(now, object),
             },
             // Any server is suitable; a random start spreads such requests over all servers.
             None => Search {
@@ -279,6 +362,7 @@
                 spread: Spread::Zones,
                 scope,
                 max_servers: MAX_CANDIDATES,
+                moved_steps: 0,
             },
         };
         Some(search)
--- a/crates/damaskvane-routing/src/placement/popularity.rs
+++ b/crates/damaskvane-routing/src/placement/popularity.rs
@@ -15,6 +15,7 @@
 use damaskvane_core::time::TimeMs;
 
 use crate::placement::PlacementSettings;
+use crate::placement::object_moves::{MovesByObject, ObjectMove};
 use crate::placement::route_sizes::RouteSizes;
 use crate::placement::sample::{ObjectSample, RouteKey};
 
@@ -110,6 +111,7 @@
     by: ids::InstanceId,
     at: TimeMs,
     steps: HashMap<RouteKey, u8>,
+    moves: MovesByObject,
 }
 
 /// Request counts of this instance, the zone's merged samples if this instance is an aggregator, and active decisions.
@@ -171,12 +173,14 @@
     /// Applies the decisions of the aggregator `by`.
     ///
     /// Of several aggregators, the decisions of the first aggregator by name apply, so that all instances agree.
+    /// Returns whether they apply.
     pub(super) fn apply_popularity_decisions(
         &mut self,
         now: TimeMs,
         by: &ids::InstanceId,
         decisions: &[PopularityDecision],
-    ) {
+        moves: &[ObjectMove],
+    ) -> bool {
         let is_first = self
             .received
             .as_ref()
@@ -189,8 +193,22 @@
                 by: by.clone(),
                 at: now,
                 steps: steps.collect(),
+                moves: moves.iter().map(|one| (one.object, one.steps)).collect(),
             });
         }
+        is_first
+    }
+
+    /// Returns by how many servers of its ring an object is moved according to the active decisions.
+    pub(super) fn moved_steps(&self, now: TimeMs, object: u64) -> usize {
+        let Some(received) = &self.received else {
+            return 0;
+        };
+        if now.since(received.at).get() >= DECISION_LIFETIME_MS {
+            return 0;
+        }
+        let steps = received.moves.get(&(object as u32));
+        steps.copied().map_or(0, usize::from)
     }
 
     /// Returns whether an object has a server in each zone according to the active decisions.
--- a/crates/damaskvane-routing/src/placement/sample.rs
+++ b/crates/damaskvane-routing/src/placement/sample.rs
@@ -39,8 +39,8 @@
 pub struct ObjectSample {
     /// Number of times that the sampled share was halved.
     halvings: u8,
-    /// Number of requests for each object, by the lower half of the object's hash.
-    requests: BTreeMap<u32, u32>,
+    /// Number of requests for each object, by the object's hash.
+    requests: BTreeMap<u64, u32>,
 }
 
 /// Maximum number of halvings: after it, a sample covers one object in a billion and is empty in practice.
@@ -49,7 +49,7 @@
 impl ObjectSample {
     /// Returns the sample whose fields were received in a message. Objects outside the sampled share are omitted.
     #[must_use]
-    pub fn from_wire(halvings: u8, objects: impl IntoIterator<Item = (u32, u32)>) -> Self {
+    pub fn from_wire(halvings: u8, objects: impl IntoIterator<Item = (u64, u32)>) -> Self {
         let halvings = halvings.min(MAX_HALVINGS);
         let objects = objects.into_iter();
         let sampled = objects.filter(|(object, _)| is_sampled(*object, halvings));
@@ -65,8 +65,8 @@
         self.halvings
     }
 
-    /// Returns the sampled objects, each as the lower half of its hash with its number of requests.
-    pub fn objects(&self) -> impl Iterator<Item = (u32, u32)> {
+    /// Returns the sampled objects, each as its hash with its number of requests.
+    pub fn objects(&self) -> impl Iterator<Item = (u64, u32)> {
         self.requests
             .iter()
             .map(|(object, count)| (*object, *count))
@@ -92,8 +92,7 @@
 
     /// Counts a request, and halves the sample while it holds more than `max_objects` objects.
     pub(super) fn record(&mut self, object: u64, max_objects: usize) {
-        // The upper half of the hash places objects on servers. The lower half is independent of it.
-        self.add(object as u32, 1);
+        self.add(object, 1);
         self.shrink(max_objects);
     }
 
@@ -108,7 +107,7 @@
         self.shrink(max_objects);
     }
 
-    fn add(&mut self, object: u32, count: u32) {
+    fn add(&mut self, object: u64, count: u32) {
         if is_sampled(object, self.halvings) {
             let requests = self.requests.entry(object).or_default();
             *requests = requests.saturating_add(count);
@@ -129,6 +128,8 @@
     }
 }
 
-fn is_sampled(object: u32, halvings: u8) -> bool {
-    object.trailing_zeros() >= u32::from(halvings)
+/// Returns whether an object is among the sampled ones, by the lower half of its hash: the upper half places objects on
+/// servers, and the lower half is independent of it.
+fn is_sampled(object: u64, halvings: u8) -> bool {
+    (object as u32).trailing_zeros() >= u32::from(halvings)
 }
--- a/crates/damaskvane-routing/tests/popularity.rs
+++ b/crates/damaskvane-routing/tests/popularity.rs
@@ -60,7 +60,7 @@
         }
         let decisions = self.placers[0].decide_popularity(now);
         for placer in &mut self.placers {
-            placer.apply_popularity_decisions(now, &aggregator(), &decisions);
+            placer.apply_popularity_decisions(now, &aggregator(), &decisions, &[]);
         }
         decisions
     }
@@ -204,9 +204,9 @@
     };
     let popular = in_zone(&mut zone);
     let now_ms = zone.now_ms;
-    zone.placers[0].apply_popularity_decisions(at(now_ms + 500), &other, &unpopular);
+    zone.placers[0].apply_popularity_decisions(at(now_ms + 500), &other, &unpopular, &[]);
     assert_eq!(in_zone(&mut zone), popular);
-    zone.placers[0].apply_popularity_decisions(at(now_ms + 6_000), &other, &unpopular);
+    zone.placers[0].apply_popularity_decisions(at(now_ms + 6_000), &other, &unpopular, &[]);
     assert!(in_zone(&mut zone) < popular);
 }
 
@@ -234,7 +234,7 @@
     };
     let samples: Vec<ObjectSample> = (0..10).map(|instance| sample_of(Some(instance))).collect();
     let all = sample_of(None);
-    let in_all: Vec<u32> = all.objects().map(|(object, _)| object).collect();
+    let in_all: Vec<u64> = all.objects().map(|(object, _)| object).collect();
     let halvings = samples.iter().map(ObjectSample::halvings).max();
     assert!(halvings <= Some(all.halvings()), "{halvings:?}");
     let mut added = 0;
