--- a/crates/damaskvane-routing/src/peers/heartbeat_targets.rs
+++ b/crates/damaskvane-routing/src/peers/heartbeat_targets.rs
@@ -122,10 +122,5 @@
 /// Returns whether this instance's zone has a live instance in the phase ready.
 fn has_ready(members: &MemberTable, now: TimeMs) -> bool {
     let zone = members.own_zone();
-    zone.is_some_and(|zone| {
-        members
-            .alive_in(now, zone, Phase::accepts_clients)
-            .next()
-            .is_some()
-    })
+    zone.is_some_and(|zone| members.accepting_in(now, zone).next().is_some())
 }
--- a/crates/damaskvane-routing/src/peers/member_table.rs
+++ b/crates/damaskvane-routing/src/peers/member_table.rs
@@ -81,6 +81,15 @@
         alive.map(|member| &member.heartbeat)
     }
 
+    /// Returns the live instances of a zone that accept clients, in the order of their names.
+    pub(super) fn accepting_in(
+        &self,
+        now: TimeMs,
+        zone: &ids::AvailabilityZoneId,
+    ) -> impl Iterator<Item = &Heartbeat> {
+        self.alive_in(now, zone, Phase::accepts_clients)
+    }
+
     fn heartbeat_timeout_ms(&self, member: &Member) -> u64 {
         if self.is_in_own_zone(member) {
             self.settings.heartbeat_timeout_ms
--- a/crates/damaskvane-routing/src/peers/members.rs
+++ b/crates/damaskvane-routing/src/peers/members.rs
@@ -223,7 +223,7 @@
             return Vec::new();
         }
         let zones = self.members.zones().filter(|zone| **zone != heartbeat.zone);
-        let ready = zones.flat_map(|zone| self.members.alive_in(now, zone, Phase::accepts_clients));
+        let ready = zones.flat_map(|zone| self.members.accepting_in(now, zone));
         ready.cloned().collect()
     }
 
@@ -263,11 +263,7 @@
         let own_zone = self.members.own_zone();
         let others = self.members.zones().filter(|zone| Some(*zone) != own_zone);
         let max = self.settings.digest_receivers_per_zone;
-        let receivers = others.flat_map(|zone| {
-            self.members
-                .alive_in(now, zone, Phase::accepts_clients)
-                .take(max)
-        });
+        let receivers = others.flat_map(|zone| self.members.accepting_in(now, zone).take(max));
         receivers.map(|one| one.peer_address).collect()
     }
 
@@ -319,7 +315,7 @@
         let Some(zone) = self.members.own_zone() else {
             return Vec::new();
         };
-        let in_zone = self.members.alive_in(now, zone, Phase::accepts_clients);
+        let in_zone = self.members.accepting_in(now, zone);
         let others = in_zone.filter(|one| one.instance != self.own);
         others.map(|one| one.peer_address).collect()
     }
@@ -354,7 +350,7 @@
     /// Returns the last heartbeats of the ready instances of all zones, to which clients may connect.
     pub fn usable(&self, now: TimeMs) -> impl Iterator<Item = &Heartbeat> {
         let zones = self.members.zones();
-        zones.flat_map(move |zone| self.members.alive_in(now, zone, Phase::accepts_clients))
+        zones.flat_map(move |zone| self.members.accepting_in(now, zone))
     }
 
     /// Returns the instances of a zone that forward changes of the store to the zone's other instances.
--- a/crates/damaskvane-routing/src/placement.rs
+++ b/crates/damaskvane-routing/src/placement.rs
@@ -27,6 +27,7 @@
 mod round_trips;
 mod route_sizes;
 mod sample;
+mod selection;
 mod server_score;
 mod settings;
 mod shares;
--- a/crates/damaskvane-routing/src/placement/candidates.rs
+++ b/crates/damaskvane-routing/src/placement/candidates.rs
@@ -11,9 +11,11 @@
 //! take the requests beyond its capacity.
 
 use damaskvane_core::ids;
+use damaskvane_core::time::TimeMs;
 
 use crate::placement::PlacementRequest;
 use crate::placement::rank;
+use crate::placement::server_score;
 use crate::placement::shares::Shares;
 use crate::pool::{RegionIndex, RingPoint, ServerHandle, ServerPool, ServiceServers, ZoneIndex};
 
@@ -90,6 +92,22 @@
         &self.found
     }
 
+    /// Returns those of the found servers that the request may use.
+    ///
+    /// An object that is restricted to its home region and has one server there uses only that server while it is
+    /// healthy, even if it has a queue: a queue does not justify a slow first run on another server, an unhealthy server
+    /// does.
+    pub(super) fn usable(&self, now: TimeMs, pool: &ServerPool, search: Search) -> &[ServerHandle] {
+        let is_home_only = search.scope == Scope::Home && search.spread == Spread::Region;
+        let first = self.found.first().and_then(|first| pool.at(*first));
+        let is_healthy = first.is_some_and(|first| server_score::is_healthy(now, first));
+        if is_home_only && is_healthy {
+            &self.found[..1]
+        } else {
+            &self.found
+        }
+    }
+
     /// Finds the first servers of an object to which the request may be sent.
     pub(super) fn find(
         &mut self,
--- a/crates/damaskvane-routing/src/placement/placer.rs
+++ b/crates/damaskvane-routing/src/placement/placer.rs
@@ -13,10 +13,10 @@
 use crate::placement::rank;
 use crate::placement::region_shifts::RegionShifts;
 use crate::placement::route_sizes::RouteSizes;
-use crate::placement::server_score::{self, Estimates, ServerScore};
+use crate::placement::selection::Selection;
 use crate::placement::{
     AnsweredRequest, Choice, Pick, PlacementRequest, PlacementSettings, Refusal, RefusalReason,
-    RoundTrips, RouteKey, SkipReason,
+    RoundTrips, RouteKey,
 };
 use crate::pool::{Baselines, Server, ServerHandle, ServerPool};
 
@@ -26,8 +26,6 @@
 /// Maximum number of candidates for a request without an object, or for a request whose usual servers have no capacity
 /// because they are cold.
 const MAX_CANDIDATES: usize = 12;
-/// Assumed network round trip to a zone to which no connection was opened yet.
-const DEFAULT_ROUND_TRIP_MS: f64 = 5.0;
 
 /// Selects a backend server of the pool for each request of this instance.
 #[derive(Debug)]
@@ -202,8 +200,9 @@
             let settings = pool.settings().cold_rate;
             settings.share(service.warmup_per_s, instances)
         });
-        let usable = usable_servers(now, pool, candidates.found(), search);
-        let mut best = self.best_of(now, pool, request, usable, 0, cold_share);
+        let usable = candidates.usable(now, pool, search);
+        let selection = self.selection(now, pool, request, cold_share);
+        let mut best = selection.best_of(usable, 0);
         if best == Err(RefusalReason::Cold) {
             // If only the rate limit of cold servers excludes the usual servers, a server that has not handled the
             // object recently is better than no response: few servers are cold, and only for a short time.
@@ -215,7 +214,7 @@
             };
             candidates.find(pool, request, wide_search);
             let others = candidates.found().get(considered..).unwrap_or_default();
-            best = self.best_of(now, pool, request, others, considered, cold_share);
+            best = selection.best_of(others, considered);
         }
         let home = candidates.found().first().copied();
         self.candidates = candidates;
@@ -368,101 +367,27 @@
         Some(search)
     }
 
-    /// Returns the candidate with the highest score among those with capacity, or the reason why none has capacity.
-    ///
-    /// `first_rank` is the rank of the first candidate in the object's order of servers.
-    fn best_of(
-        &self,
+    /// Returns the selection among the candidates of a request.
+    fn selection<'a>(
+        &'a self,
         now: TimeMs,
-        pool: &ServerPool,
-        request: &PlacementRequest<'_>,
-        candidates: &[ServerHandle],
-        first_rank: usize,
+        pool: &'a ServerPool,
+        request: &'a PlacementRequest<'a>,
         cold_share: usize,
-    ) -> Result<Pick, RefusalReason> {
-        let limit = self.settings.load_limit(request.priority());
-        let mut best: Option<(ServerScore, usize, &Server)> = None;
-        let mut reason = RefusalReason::NoServer;
-        let mut passed_over = None;
-        for (rank, candidate) in (first_rank..).zip(candidates) {
-            let Some(server) = pool.at(*candidate) else {
-                continue;
-            };
-            if !server.has_cold_capacity(now, cold_share) {
-                if reason == RefusalReason::NoServer {
-                    reason = RefusalReason::Cold;
-                }
-                passed_over.get_or_insert(SkipReason::Cold);
-                continue;
-            }
-            let scored = self.score_server(now, server, request, rank);
-            if scored.load >= limit {
-                reason = RefusalReason::Overloaded;
-                passed_over.get_or_insert(SkipReason::Full);
-                continue;
-            }
-            passed_over.get_or_insert_with(|| server_score::passed_over_reason(now, server));
-            if best.is_none_or(|(best, _, _)| scored.score > best.score) {
-                best = Some((scored, rank, server));
-            }
-        }
-        let (scored, rank, server) = best.ok_or(reason)?;
-        Ok(scored.pick(now, server, request, rank, passed_over))
-    }
-
-    fn score_server(
-        &self,
-        now: TimeMs,
-        server: &Server,
-        request: &PlacementRequest<'_>,
-        rank: usize,
-    ) -> ServerScore {
+    ) -> Selection<'a> {
         let route = request.route;
-        let round_trip_ms = self.round_trips.get(&server.entry.zone);
-        // The order of servers already accounts for the distance of the first server.
-        let distance_cost = if rank > 0 {
-            self.distance_cost(server, RouteKey::of(&route.name))
-        } else {
-            0.0
-        };
-        let estimates = Estimates {
+        let route_kb = self.route_sizes.kilobytes(RouteKey::of(&route.name));
+        Selection {
+            now,
+            pool,
+            request,
+            settings: &self.settings,
+            round_trips: &self.round_trips,
             baseline: self.baselines.of(&route.name, route.objective_ms),
-            round_trip_ms: round_trip_ms.unwrap_or(DEFAULT_ROUND_TRIP_MS),
-            distance_cost,
-        };
-        ServerScore::of(now, &self.settings, server, request, rank, estimates)
-    }
-
-    fn distance_cost(&self, server: &Server, route: RouteKey) -> f64 {
-        if server.entry.zone == self.own_zone {
-            return 0.0;
+            other_zone_cost: self.settings.other_zone_cost(route_kb),
+            own_zone: &self.own_zone,
+            own_region: &self.own_region,
+            cold_share,
         }
-        if server.region() == Some(&self.own_region) {
-            let kilobytes = self.route_sizes.kilobytes(route);
-            self.settings.other_zone_cost(kilobytes)
-        } else {
-            self.settings.other_region_cost
-        }
-    }
-}
-
-/// Returns those of the found servers that the request may use.
-///
-/// An object that is restricted to its home region and has one server there uses only that server while it is
-/// healthy, even if it has a queue: a queue does not justify a slow first run on another server, an unhealthy server
-/// does.
-fn usable_servers<'a>(
-    now: TimeMs,
-    pool: &ServerPool,
-    found: &'a [ServerHandle],
-    search: Search,
-) -> &'a [ServerHandle] {
-    let is_home_only = search.scope == Scope::Home && search.spread == Spread::Region;
-    let first = found.first().and_then(|first| pool.at(*first));
-    let is_healthy = first.is_some_and(|first| server_score::is_healthy(now, first));
-    if is_home_only && is_healthy {
-        &found[..1]
-    } else {
-        found
     }
 }
