An instance that has no proof yet counts as ready, not as limited

Suspected cause, not traced line by line: in a large zone that starts, proofs take longer than 0.8 s to reach all, so most instances announced the phase Limited for a moment, and look-ups named the few others, or those of the region's other zone.

--- a/crates/damaskvane-gateway/src/node.rs
+++ b/crates/damaskvane-gateway/src/node.rs
@@ -242,11 +242,12 @@
         drop(state);
         if !is_complete {
             Phase::Starting
-        } else if self.is_starting_up() || clients::may_serve_keys(self) {
-            // The proof that keys are valid follows in the first moments of a process; requests wait for it until then.
-            Phase::Ready
-        } else {
+        } else if self.evidence.newest().is_some() && !clients::may_serve_keys(self) {
             Phase::Limited
+        } else {
+            // A process that has no proof yet receives one soon. If it announced that it has none, all callers of a zone
+            // that starts would be sent to its first instances with one, or to other zones.
+            Phase::Ready
         }
     }
 }
