Moved objects keep to two servers while their zone is evacuated

Found by reading the change: an object with a move got one or more further candidates whenever its own zone wasn't first among them, as while the zone is evacuated; its requests then ran on up to four servers, each time slowly at first. The further servers are now searched only if the move applies. The test failed before (four servers of east-b for one object).

--- a/crates/damaskvane-routing/src/placement/candidates.rs
+++ b/crates/damaskvane-routing/src/placement/candidates.rs
@@ -141,10 +141,14 @@
                     let is_later = is_own_zone_first != (cursor.zone == search.origin.zone);
                     (cursor.selected, is_later)
                 };
-                let zones = pool.topology().zones_in(home);
-                let with_moved = max_servers + search.moved_steps * zones;
-                self.select(servers, position, with_moved, is_home, order);
-                if search.moved_steps > 0 && is_own_zone_first {
+                let is_moved = search.moved_steps > 0 && is_own_zone_first;
+                let further = if is_moved {
+                    search.moved_steps * pool.topology().zones_in(home)
+                } else {
+                    0
+                };
+                self.select(servers, position, max_servers + further, is_home, order);
+                if is_moved {
                     self.move_along_ring(pool, search);
                     self.found.truncate(max_servers);
                 }
--- a/crates/damaskvane-routing/tests/object_moves.rs
+++ b/crates/damaskvane-routing/tests/object_moves.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use damaskvane_core::ids;
 use damaskvane_routing::placement::{self, Choice, ObjectMove, Placer};
@@ -155,3 +155,32 @@
     zone.run_second();
     assert_eq!(zone.servers(), before);
 }
+
+/// Guards against objects that use more than their two servers while their zone is evacuated: each further server costs a
+/// slow request.
+#[test]
+fn moved_objects_use_two_servers_while_their_zone_is_evacuated() {
+    let mut zone = Zone::new();
+    zone.run();
+    let moves = zone.run_second();
+    assert!(!moves.is_empty());
+    let now = at(zone.now_ms);
+    let evacuated = BTreeSet::from([support::zone("east-a")]);
+    zone.pool.set_evacuated(now, evacuated);
+    let (route, service) = (route(), service_id());
+    for number in 0..OBJECTS {
+        let request = support::request(&route, &service, hash_of(number));
+        let mut used = Vec::new();
+        while let Choice::Send(pick) =
+            zone.other
+                .choose(now, &zone.pool, &configuration(), &request, 1)
+        {
+            support::fill(&mut zone.pool, pick.server.as_str(), 20);
+            used.push(pick.server);
+        }
+        assert!(used.len() <= 2, "{used:?}");
+        for server in used {
+            support::release(&mut zone.pool, server.as_str(), 20);
+        }
+    }
+}
--- a/crates/damaskvane-routing/tests/placement.rs
+++ b/crates/damaskvane-routing/tests/placement.rs
@@ -13,7 +13,8 @@
     ExchangeEnd, ExchangeId, LoadReport, ServerPool, ServerReport, ServerState,
 };
 use support::{
-    at, configuration, entry, fill, pick, placer, pool_of, request, route, server_id, service_id,
+    at, configuration, entry, fill, pick, placer, pool_of, release, request, route, server_id,
+    service_id,
 };
 
 /// Returns a placer of a zone whose clients request each of 50 objects every second.
@@ -47,20 +48,6 @@
     }
 }
 
-/// Ends the exchanges with a server that [`fill`] has recorded.
-fn release(pool: &mut ServerPool, name: &str, count: u64) {
-    let mut server = pool.server_mut(&server_id(name)).expect("a known server");
-    for number in 0..count {
-        let report = ServerReport::default();
-        server.record_end(
-            at(1_000),
-            ExchangeId(number),
-            ExchangeEnd::Abandoned,
-            report,
-        );
-    }
-}
-
 /// Guards against instances of a zone that select different servers for an object: each further server costs a first
 /// run, which takes several times as long as a later run.
 #[test]
--- a/crates/damaskvane-routing/tests/support/mod.rs
+++ b/crates/damaskvane-routing/tests/support/mod.rs
@@ -10,7 +10,9 @@
 };
 use damaskvane_routing::peers::{Heartbeat, ListedInstance};
 use damaskvane_routing::placement::{Choice, Pick, PlacementRequest, PlacementSettings, Placer};
-use damaskvane_routing::pool::{ExchangeId, PoolSettings, ServerEntry, ServerPool, ServerState};
+use damaskvane_routing::pool::{
+    ExchangeEnd, ExchangeId, PoolSettings, ServerEntry, ServerPool, ServerReport, ServerState,
+};
 
 pub const SERVICE: &str = "desk";
 
@@ -149,6 +151,20 @@
     }
 }
 
+/// Ends the exchanges with a server that [`fill`] has recorded.
+pub fn release(pool: &mut ServerPool, name: &str, count: u64) {
+    let mut server = pool.server_mut(&server_id(name)).expect("a known server");
+    for number in 0..count {
+        let report = ServerReport::default();
+        server.record_end(
+            at(1_000),
+            ExchangeId(number),
+            ExchangeEnd::Abandoned,
+            report,
+        );
+    }
+}
+
 /// Returns the record by which the platform lists the instance that sent a heartbeat.
 pub fn listed(heartbeat: &Heartbeat) -> ListedInstance {
     ListedInstance {
