The log names what the fingerprint of a broken exchange covers

Why: the logs of the incident showed twenty fingerprints and not by what they differ, and exchange ended names none. The line exchange broke has address, host, method, path, hashes of query and body, and the fingerprint; 20 lines a second at most, an own budget, since that of failures was used up in each wave. Query and body may hold a secret and appear as hashes only. No decision changed.

--- a/crates/damaskvane-gateway/src/clients/routed_request.rs
+++ b/crates/damaskvane-gateway/src/clients/routed_request.rs
@@ -241,11 +241,7 @@
         let crashes = &self.node.crashes;
         match end {
             ExchangeEnd::Broken => {
-                crashes::record_broken_exchange(
-                    self.node,
-                    &pick.server,
-                    self.outgoing.fingerprint(),
-                );
+                crashes::record_broken_exchange(self.node, &pick.server, self.outgoing);
             }
             ExchangeEnd::Answered | ExchangeEnd::Failed if !crashes.is_empty() => {
                 crashes::record_completed(self.node, self.outgoing.fingerprint());
--- a/crates/damaskvane-gateway/src/crashes.rs
+++ b/crates/damaskvane-gateway/src/crashes.rs
@@ -12,8 +12,9 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 
+use damaskvane_core::hash::ContentHash;
 use damaskvane_core::ids;
-use damaskvane_core::time::SpanMs;
+use damaskvane_core::time::{SpanMs, TimeMs};
 use damaskvane_dispatch::fingerprint::Fingerprint;
 use damaskvane_dispatch::home::Home;
 use damaskvane_dispatch::quarantine::{
@@ -21,7 +22,9 @@
 };
 use tokio::sync::Notify;
 
+use crate::decision_log::RequestOutcome;
 use crate::node::Node;
+use crate::upstream::OutgoingRequest;
 
 pub use record::maintain as maintain_records;
 
@@ -32,6 +35,10 @@
 const PROBE_RESULT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Largest number of suspects in one incident, so that the message fits a datagram: 66 bytes each.
 pub const MAX_SUSPECTS_PER_INCIDENT: usize = 16;
+/// Number of hexadecimal digits of a hash in a log line.
+const SHORT_HASH_DIGITS: usize = 12;
+/// Largest number of characters of a path in a log line.
+const MAX_LOGGED_PATH_CHARS: usize = 128;
 
 /// A refused request whose quarantine record is to be written to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -118,11 +125,43 @@
 pub fn record_broken_exchange(
     node: &Node,
     server: &ids::BackendServerId,
-    fingerprint: Fingerprint,
+    request: &OutgoingRequest,
 ) {
+    let now = node.now();
+    let fingerprint = request.fingerprint();
     let mut broken = node.crashes.broken.borrow_mut();
-    broken.record(node.now(), server, fingerprint);
+    broken.record(now, server, fingerprint);
     node.probe_requested.notify_one();
+    log_broken_exchange(node, now, server, request);
+}
+
+/// Logs the parts of a request that its fingerprint covers, so that requests with different fingerprints can be
+/// compared.
+///
+/// Query and body may hold a secret, so the line has only their hashes.
+fn log_broken_exchange(
+    node: &Node,
+    now: TimeMs,
+    server: &ids::BackendServerId,
+    request: &OutgoingRequest,
+) {
+    let outcome = RequestOutcome::BrokenExchange;
+    node.log.log_request(now, outcome, |log, left_out| {
+        let body = request.body.as_deref().unwrap_or_default();
+        slog::info!(log, "exchange broke";
+            "request_id" => request.request_id.as_deref(), "backend_server" => %server,
+            "fingerprint" => %request.fingerprint(), "client_address" => %request.client_address,
+            "host" => request.host(), "method" => %request.method, "path" => request.path().chars().take(MAX_LOGGED_PATH_CHARS).collect::<String>(),
+            "query_hash" => request.query().map(|query| short_hash(query.as_bytes())),
+            "body_hash" => short_hash(body), "body_bytes" => body.len(),
+            "lines_left_out" => left_out);
+    });
+}
+
+fn short_hash(bytes: &[u8]) -> String {
+    let mut text = ContentHash::of(bytes).to_string();
+    text.truncate(SHORT_HASH_DIGITS);
+    text
 }
 
 /// Records that a server is alive, so that earlier broken exchanges with the server were no crash.
--- a/crates/damaskvane-gateway/src/decision_log.rs
+++ b/crates/damaskvane-gateway/src/decision_log.rs
@@ -18,6 +18,8 @@
     pub failures_per_s: u32,
     /// Maximum number of lines in each second about requests that were served in time.
     pub successes_per_s: u32,
+    /// Maximum number of lines in each second about connections to servers that broke with a request on them.
+    pub broken_exchanges_per_s: u32,
 }
 
 impl Default for DecisionLogSettings {
@@ -25,6 +27,7 @@
         Self {
             failures_per_s: 40,
             successes_per_s: 2,
+            broken_exchanges_per_s: 20,
         }
     }
 }
@@ -61,6 +64,8 @@
     Failure,
     /// The request was served in time.
     Success,
+    /// The connection to the server broke after the request was written.
+    BrokenExchange,
 }
 
 /// The log of a process, with the budgets for lines about requests.
@@ -71,6 +76,7 @@
     settings: Cell<DecisionLogSettings>,
     failures: RefCell<LineBudget>,
     successes: RefCell<LineBudget>,
+    broken_exchanges: RefCell<LineBudget>,
 }
 
 impl DecisionLog {
@@ -82,6 +88,7 @@
             settings: Cell::new(settings),
             failures: RefCell::default(),
             successes: RefCell::default(),
+            broken_exchanges: RefCell::default(),
         }
     }
 
@@ -101,6 +108,9 @@
         let (budget, per_s) = match outcome {
             RequestOutcome::Failure => (&self.failures, settings.failures_per_s),
             RequestOutcome::Success => (&self.successes, settings.successes_per_s),
+            RequestOutcome::BrokenExchange => {
+                (&self.broken_exchanges, settings.broken_exchanges_per_s)
+            }
         };
         let omitted = budget.borrow_mut().take(now, per_s);
         if let Some(omitted) = omitted {
--- a/crates/damaskvane-gateway/src/upstream/request.rs
+++ b/crates/damaskvane-gateway/src/upstream/request.rs
@@ -66,12 +66,36 @@
     #[must_use]
     pub fn fingerprint(&self) -> Fingerprint {
         let client_address = self.client_address.to_string();
-        let host = self.headers.get(header::HOST);
-        let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
-        let fields = [&client_address, host, self.method.as_str(), &self.target];
+        let fields = [
+            &client_address,
+            self.host(),
+            self.method.as_str(),
+            &self.target,
+        ];
         Fingerprint::of_fields(fields, self.body.as_deref().unwrap_or_default())
     }
 
+    /// Returns the value of the `Host` header; empty if it is missing or not text.
+    #[must_use]
+    pub fn host(&self) -> &str {
+        let host = self.headers.get(header::HOST);
+        host.and_then(|host| host.to_str().ok()).unwrap_or_default()
+    }
+
+    /// Returns the path of the target, without the query.
+    #[must_use]
+    pub fn path(&self) -> &str {
+        self.target
+            .split_once('?')
+            .map_or(&self.target, |(path, _)| path)
+    }
+
+    /// Returns the query of the target, if it has one.
+    #[must_use]
+    pub fn query(&self) -> Option<&str> {
+        self.target.split_once('?').map(|(_, query)| query)
+    }
+
     /// Serializes the request for `server`, with `remaining_ms` as the deadline header.
     #[must_use]
     pub fn to_bytes(
