A request that crashes servers is recognized whoever sends it

Cause: the fingerprint covered the caller's address, so each address paid two crashes before its request was refused. Change: a request has two fingerprints, with its caller and without (with its team, so that one team can't get another's requests refused). With the caller two crashes refuse it, as before. Without, crashes within 500 ms count once, and a run that completes anywhere clears it, which instances now tell each other (the gateway threw that away). A retry waits for the probe if one more crash would refuse it. Ruled out: only to drop the address (two crashes, any time). Why it works: the rule needs a second crash at a time when a harmless request has completed elsewhere.

--- a/crates/damaskvane-dispatch/src/quarantine.rs
+++ b/crates/damaskvane-dispatch/src/quarantine.rs
@@ -2,7 +2,8 @@
 //!
 //! An incident is one crash of a backend server. Every request in flight on the server's connections
 //! becomes a suspect, although only one of them may have caused the crash. A request is quarantined after
-//! two incidents, on any backend servers, with no completed run after the first. Suspects run one at a
+//! two incidents, on any backend servers, with no completed run after the first. A request may also be suspected
+//! whoever sends it ([`Scope::AnyCaller`]); crashes at the same moment then count once. Suspects run one at a
 //! time ([`QuarantineDecision::RunAlone`]), so that a second incident has no other suspects. A completed
 //! run clears a suspect. Reports of incidents go to every instance of the region. Merging them is
 //! idempotent, since each incident has an id of its own.
@@ -30,6 +31,7 @@
 mod decision;
 mod incident;
 mod list;
+mod scope;
 mod settings;
 mod suspect;
 
@@ -37,4 +39,5 @@
 pub use decision::{QuarantineDecision, QuarantineEntry};
 pub use incident::{Incident, IncidentId};
 pub use list::Quarantine;
+pub use scope::{RequestIdentity, Scope};
 pub use settings::QuarantineSettings;
--- a/crates/damaskvane-dispatch/src/quarantine/broken.rs
+++ b/crates/damaskvane-dispatch/src/quarantine/broken.rs
@@ -30,44 +30,42 @@
 const MAX_PER_SERVER: usize = 64;
 
 #[derive(Debug, Clone, Copy)]
-struct Broken {
+struct Broken<R> {
     at: time::TimeMs,
-    fingerprint: fingerprint::Fingerprint,
+    request: R,
 }
 
 /// Broken exchanges, whose connection broke recently after the request was written, by backend server.
-#[derive(Debug, Default)]
-pub struct BrokenExchanges {
-    by_server: collections::BTreeMap<ids::BackendServerId, Vec<Broken>>,
+///
+/// `R` identifies a request.
+#[derive(Debug)]
+pub struct BrokenExchanges<R = fingerprint::Fingerprint> {
+    by_server: collections::BTreeMap<ids::BackendServerId, Vec<Broken<R>>>,
 }
 
-impl BrokenExchanges {
+impl<R> Default for BrokenExchanges<R> {
+    fn default() -> Self {
+        Self {
+            by_server: collections::BTreeMap::new(),
+        }
+    }
+}
+
+impl<R: Copy + Ord> BrokenExchanges<R> {
     /// Records that the connection of an exchange broke after its request was written.
-    pub fn record(
-        &mut self,
-        now: time::TimeMs,
-        server: &ids::BackendServerId,
-        fingerprint: fingerprint::Fingerprint,
-    ) {
+    pub fn record(&mut self, now: time::TimeMs, server: &ids::BackendServerId, request: R) {
         self.expire(now);
         let of_server = self.by_server.entry(server.clone()).or_default();
         if of_server.len() < MAX_PER_SERVER {
-            of_server.push(Broken {
-                at: now,
-                fingerprint,
-            });
+            of_server.push(Broken { at: now, request });
         }
     }
 
-    /// Returns how many broken exchanges of a request wait for confirmation that their server crashed.
+    /// Returns how many broken exchanges of requests that match wait for confirmation that their server crashed.
     #[must_use]
-    pub fn unconfirmed_count(
-        &self,
-        now: time::TimeMs,
-        fingerprint: fingerprint::Fingerprint,
-    ) -> usize {
+    pub fn unconfirmed_count(&self, now: time::TimeMs, matches: impl Fn(&R) -> bool) -> usize {
         let all = self.by_server.values().flatten();
-        let of_request = all.filter(|broken| broken.fingerprint == fingerprint);
+        let of_request = all.filter(|broken| matches(&broken.request));
         of_request
             .filter(|broken| now.since(broken.at) < CONFIRMATION_WINDOW)
             .count()
@@ -93,16 +91,12 @@
     }
 
     /// Removes the broken exchanges of a server that has crashed, and returns their requests, each once.
-    pub fn take_suspects(
-        &mut self,
-        now: time::TimeMs,
-        server: &ids::BackendServerId,
-    ) -> Vec<fingerprint::Fingerprint> {
+    pub fn take_suspects(&mut self, now: time::TimeMs, server: &ids::BackendServerId) -> Vec<R> {
         let of_server = self.by_server.remove(server).unwrap_or_default();
         let mut suspects: Vec<_> = of_server
             .into_iter()
             .filter(|broken| now.since(broken.at) < CONFIRMATION_WINDOW)
-            .map(|broken| broken.fingerprint)
+            .map(|broken| broken.request)
             .collect();
         suspects.sort_unstable();
         suspects.dedup();
--- a/crates/damaskvane-dispatch/src/quarantine/list.rs
+++ b/crates/damaskvane-dispatch/src/quarantine/list.rs
@@ -15,7 +15,7 @@
 use damaskvane_core::{ids, time};
 
 use crate::fingerprint;
-use crate::quarantine::{decision, incident, settings, suspect};
+use crate::quarantine::{decision, incident, scope, settings, suspect};
 
 /// The suspects and quarantined requests, by fingerprint.
 #[derive(Debug)]
@@ -48,6 +48,16 @@
         &mut self,
         now: time::TimeMs,
         incident: &incident::Incident,
+    ) -> Vec<fingerprint::Fingerprint> {
+        self.record_scoped_incident(now, scope::Scope::Caller, incident)
+    }
+
+    /// Merges an incident whose suspects are fingerprints in the given scope; see [`Quarantine::record_incident`].
+    pub fn record_scoped_incident(
+        &mut self,
+        now: time::TimeMs,
+        scope: scope::Scope,
+        incident: &incident::Incident,
     ) -> Vec<fingerprint::Fingerprint> {
         self.expire(now);
         let mut refused = Vec::new();
@@ -59,7 +69,7 @@
                 continue;
             }
             let was_refused = self.refused_for(now, *fingerprint).is_some();
-            self.add_incident(now, *fingerprint, incident);
+            self.add_incident(now, scope, *fingerprint, incident);
             if !was_refused && self.refused_for(now, *fingerprint).is_some() {
                 refused.push(*fingerprint);
             }
@@ -93,7 +103,7 @@
         fingerprint: fingerprint::Fingerprint,
     ) -> Option<time::SpanMs> {
         let suspect = self.suspects.get(&fingerprint)?;
-        let is_refused = now < suspect.until && suspect.is_refused(self.settings.incidents);
+        let is_refused = now < suspect.until && suspect.is_refused(&self.settings);
         is_refused.then(|| suspect.until.since(now))
     }
 
@@ -102,14 +112,14 @@
     #[must_use]
     pub fn may_be_refused(
         &self,
+        now: time::TimeMs,
+        scope: scope::Scope,
         fingerprint: fingerprint::Fingerprint,
         unconfirmed: usize,
     ) -> bool {
-        let confirmed = self
-            .suspects
-            .get(&fingerprint)
-            .map_or(0, suspect::Suspect::len);
-        unconfirmed > 0 && confirmed + unconfirmed >= self.settings.incidents
+        let unknown = suspect::Suspect::new(scope);
+        let suspect = self.suspects.get(&fingerprint).unwrap_or(&unknown);
+        unconfirmed > 0 && suspect.would_be_refused(&self.settings, now, unconfirmed)
     }
 
     /// Returns whether there are no suspects, so that every request may run.
@@ -169,6 +179,23 @@
         suspect.into_iter().flat_map(suspect::Suspect::servers)
     }
 
+    /// Applies another instance's message that a request completed at `completed_at`.
+    ///
+    /// Crashes after that moment still count. Returns whether the request is no suspect any longer.
+    pub fn apply_completed(
+        &mut self,
+        completed_at: time::TimeMs,
+        fingerprint: fingerprint::Fingerprint,
+    ) -> bool {
+        let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
+            return false;
+        };
+        if suspect.remove_crashes_until(completed_at) {
+            return false;
+        }
+        self.clear(completed_at, fingerprint)
+    }
+
     /// Removes a request from the list, on an operator's command or after a completed run on any instance.
     ///
     /// Returns `false` if the request was not listed.
@@ -185,7 +212,7 @@
             decision::QuarantineEntry {
                 fingerprint: *fingerprint,
                 incidents: suspect.len(),
-                is_refused: suspect.is_refused(self.settings.incidents),
+                is_refused: suspect.is_refused(&self.settings),
                 time_left: suspect.until.since(now),
             }
         };
@@ -219,15 +246,17 @@
     fn add_incident(
         &mut self,
         now: time::TimeMs,
+        scope: scope::Scope,
         fingerprint: fingerprint::Fingerprint,
         incident: &incident::Incident,
     ) {
         self.evict_for(fingerprint);
         let suspect = self.suspects.entry(fingerprint).or_default();
+        suspect.scope = scope;
         if !suspect.add(now, incident) {
             return;
         }
-        let is_refused = suspect.is_refused(self.settings.incidents);
+        let is_refused = suspect.is_refused(&self.settings);
         let duration_ms = if is_refused {
             self.settings.expiry_ms
         } else {
--- a/crates/damaskvane-dispatch/src/quarantine/settings.rs
+++ b/crates/damaskvane-dispatch/src/quarantine/settings.rs
@@ -22,6 +22,10 @@
     pub expiry_ms: u64,
     /// The time in milliseconds within which broken connections to one backend server count as one incident.
     pub gather_ms: u64,
+    /// The time in milliseconds after a crash in which further crashes are the same wave. One wave counts as one
+    /// incident for a request that is suspected whoever sends it. Longer than a harmless request takes to complete
+    /// on another backend server.
+    pub wave_ms: u64,
     /// The maximum number of suspects; when it is reached, the suspect that expires first is removed.
     pub max_suspects: usize,
 }
@@ -33,6 +37,7 @@
             suspicion_ms: 300_000,
             expiry_ms: 600_000,
             gather_ms: 200,
+            wave_ms: 500,
             max_suspects: 4_096,
         }
     }
--- a/crates/damaskvane-dispatch/src/quarantine/suspect.rs
+++ b/crates/damaskvane-dispatch/src/quarantine/suspect.rs
@@ -4,7 +4,7 @@
 
 use damaskvane_core::{ids, time};
 
-use crate::quarantine::incident;
+use crate::quarantine::{incident, scope, settings};
 
 /// Reports of one crash of a backend server differ in time by less than this span, whichever instance
 /// observed the crash and however late its report arrived.
@@ -17,6 +17,7 @@
     /// Whether another instance has recorded the request as quarantined.
     pub(super) is_recorded: bool,
     pub(super) until: time::TimeMs,
+    pub(super) scope: scope::Scope,
 }
 
 #[derive(Debug)]
@@ -26,6 +27,14 @@
 }
 
 impl Suspect {
+    /// Returns a suspect without incidents.
+    pub(super) fn new(scope: scope::Scope) -> Self {
+        Self {
+            scope,
+            ..Self::default()
+        }
+    }
+
     /// Adds an incident.
     ///
     /// Returns `false` if the incident is known, or is another instance's report of the same crash. Each
@@ -46,9 +55,44 @@
         true
     }
 
-    /// Returns whether the request is refused, given the number of incidents that a refusal needs.
-    pub(super) fn is_refused(&self, incidents: usize) -> bool {
-        self.is_recorded || self.len() >= incidents
+    /// Removes the crashes until `at`, when the request completed; returns whether any crash is left.
+    pub(super) fn remove_crashes_until(&mut self, at: time::TimeMs) -> bool {
+        self.incidents.retain(|_, crash| crash.at > at);
+        !self.incidents.is_empty()
+    }
+
+    /// Returns whether the request is refused.
+    pub(super) fn is_refused(&self, settings: &settings::QuarantineSettings) -> bool {
+        self.is_recorded || self.has_enough_crashes(settings, self.crash_times())
+    }
+
+    /// Returns whether the request would be refused after `unconfirmed` more crashes at `now`.
+    pub(super) fn would_be_refused(
+        &self,
+        settings: &settings::QuarantineSettings,
+        now: time::TimeMs,
+        unconfirmed: usize,
+    ) -> bool {
+        let further = core::iter::repeat_n(now, unconfirmed);
+        self.is_recorded || self.has_enough_crashes(settings, self.crash_times().chain(further))
+    }
+
+    fn has_enough_crashes(
+        &self,
+        settings: &settings::QuarantineSettings,
+        crash_times: impl Iterator<Item = time::TimeMs>,
+    ) -> bool {
+        let count = match self.scope {
+            scope::Scope::Caller => crash_times.count(),
+            scope::Scope::AnyCaller => {
+                count_waves(crash_times, time::SpanMs::new(settings.wave_ms))
+            }
+        };
+        count >= settings.incidents
+    }
+
+    fn crash_times(&self) -> impl Iterator<Item = time::TimeMs> {
+        self.incidents.values().map(|crash| crash.at)
     }
 
     pub(super) fn len(&self) -> usize {
@@ -59,3 +103,18 @@
         self.incidents.values().map(|crash| &crash.server)
     }
 }
+
+/// Returns the number of waves: a wave lasts for `length` from its first crash.
+fn count_waves(crash_times: impl Iterator<Item = time::TimeMs>, length: time::SpanMs) -> usize {
+    let mut crash_times: Vec<_> = crash_times.collect();
+    crash_times.sort_unstable();
+    let mut waves = 0;
+    let mut wave_end = None;
+    for at in crash_times {
+        if wave_end.is_none_or(|end| at >= end) {
+            waves += 1;
+            wave_end = Some(at + length);
+        }
+    }
+    waves
+}
--- /dev/null
+++ b/crates/damaskvane-dispatch/tests/quarantine_scopes.rs
@@ -0,0 +1,112 @@
+//! Tests of suspects whose fingerprint doesn't cover the caller, so that a refusal affects every caller.
+
+mod support;
+
+use damaskvane_core::time;
+use damaskvane_dispatch::quarantine;
+use damaskvane_dispatch::quarantine::Scope;
+
+use support::keys::{at, fingerprint_of, home_of};
+
+fn new_quarantine() -> quarantine::Quarantine {
+    quarantine::Quarantine::new(quarantine::QuarantineSettings::default())
+}
+
+/// Returns the report of a crash while the request `bad` was running; `serial` also names the server.
+fn crash(serial: u64) -> quarantine::Incident {
+    quarantine::Incident {
+        id: quarantine::IncidentId {
+            reporter: home_of("a/1"),
+            serial,
+        },
+        server: format!("desk-{serial}").parse().expect("a server id"),
+        suspects: vec![fingerprint_of("bad")],
+        age: time::SpanMs::ZERO,
+    }
+}
+
+fn record(quarantine: &mut quarantine::Quarantine, now_ms: u64, scope: Scope, serial: u64) {
+    let _ = quarantine.record_scoped_incident(at(now_ms), scope, &crash(serial));
+}
+
+fn is_refused(quarantine: &quarantine::Quarantine, now_ms: u64) -> bool {
+    let refused_for = quarantine.refused_for(at(now_ms), fingerprint_of("bad"));
+    refused_for.is_some()
+}
+
+/// A rack of servers fails while a request that many callers send runs on several of them. Without waves the request
+/// would be refused to every caller.
+#[test]
+fn servers_that_crash_at_once_refuse_no_request_to_all_callers() {
+    let mut quarantine = new_quarantine();
+    for serial in 0..6 {
+        record(
+            &mut quarantine,
+            1_000 + serial * 60,
+            Scope::AnyCaller,
+            serial,
+        );
+    }
+    assert!(!is_refused(&quarantine, 1_400));
+}
+
+/// A request crashes servers again and again, each time sent by another caller.
+#[test]
+fn a_second_wave_of_crashes_refuses_a_request_to_all_callers() {
+    let mut quarantine = new_quarantine();
+    record(&mut quarantine, 1_000, Scope::AnyCaller, 1);
+    record(&mut quarantine, 1_100, Scope::AnyCaller, 2);
+    record(&mut quarantine, 1_600, Scope::AnyCaller, 3);
+    assert!(is_refused(&quarantine, 1_601));
+}
+
+/// The report of the first wave arrives after that of the second; the order of reports must not matter.
+#[test]
+fn waves_are_counted_by_the_time_of_the_crashes() {
+    let mut quarantine = new_quarantine();
+    record(&mut quarantine, 1_600, Scope::AnyCaller, 3);
+    let late = quarantine::Incident {
+        age: time::SpanMs::new(700),
+        ..crash(1)
+    };
+    let _ = quarantine.record_scoped_incident(at(1_700), Scope::AnyCaller, &late);
+    assert!(is_refused(&quarantine, 1_701));
+}
+
+/// A harmless request is in flight at two failures of servers, and completes at another instance in between. Without
+/// the other instance's message it would be refused here.
+#[test]
+fn a_request_that_completed_at_another_instance_is_no_suspect() {
+    let mut quarantine = new_quarantine();
+    record(&mut quarantine, 1_000, Scope::AnyCaller, 1);
+    assert!(quarantine.apply_completed(at(1_200), fingerprint_of("bad")));
+    record(&mut quarantine, 2_000, Scope::AnyCaller, 2);
+    assert!(!is_refused(&quarantine, 2_001));
+}
+
+/// The message that a request completed arrives after the report of a later crash; the later crash must count.
+#[test]
+fn a_crash_after_the_completed_run_still_counts() {
+    let mut quarantine = new_quarantine();
+    record(&mut quarantine, 1_000, Scope::AnyCaller, 1);
+    record(&mut quarantine, 2_000, Scope::AnyCaller, 2);
+    assert!(is_refused(&quarantine, 2_001));
+    assert!(!quarantine.apply_completed(at(1_500), fingerprint_of("bad")));
+    assert!(!is_refused(&quarantine, 2_002));
+    record(&mut quarantine, 3_000, Scope::AnyCaller, 3);
+    assert!(is_refused(&quarantine, 3_001));
+}
+
+/// A connection breaks in a second wave. The retry must wait for the probe of the server, or it crashes another server
+/// before the first crash is confirmed; in the first wave it must not wait, since most broken connections are harmless.
+#[test]
+fn a_retry_waits_for_a_probe_only_if_a_crash_would_refuse_it() {
+    let mut quarantine = new_quarantine();
+    let bad = fingerprint_of("bad");
+    assert!(!quarantine.may_be_refused(at(1_000), Scope::AnyCaller, bad, 2));
+    assert!(quarantine.may_be_refused(at(1_000), Scope::Caller, bad, 2));
+    record(&mut quarantine, 1_000, Scope::AnyCaller, 1);
+    assert!(!quarantine.may_be_refused(at(1_100), Scope::AnyCaller, bad, 1));
+    assert!(quarantine.may_be_refused(at(1_600), Scope::AnyCaller, bad, 1));
+    assert!(!quarantine.may_be_refused(at(1_600), Scope::AnyCaller, bad, 0));
+}
--- a/crates/damaskvane-gateway/src/clients/dispatch.rs
+++ b/crates/damaskvane-gateway/src/clients/dispatch.rs
@@ -187,8 +187,8 @@
     if node.crashes.is_empty() {
         return None;
     }
-    let fingerprint = outgoing.fingerprint();
-    let remaining = crashes::resolve_refusal(node, fingerprint).await?;
+    let identity = outgoing.identity();
+    let (fingerprint, remaining) = crashes::resolve_refusal(node, &identity).await?;
     node.log
         .log_request(node.now(), RequestOutcome::Failure, |log, left_out| {
             slog::info!(log, "request is known to crash servers";
--- a/crates/damaskvane-gateway/src/clients/routed_request.rs
+++ b/crates/damaskvane-gateway/src/clients/routed_request.rs
@@ -244,7 +244,7 @@
                 crashes::record_broken_exchange(self.node, &pick.server, self.outgoing);
             }
             ExchangeEnd::Answered | ExchangeEnd::Failed if !crashes.is_empty() => {
-                crashes::record_completed(self.node, self.outgoing.fingerprint());
+                crashes::record_completed(self.node, &self.outgoing.identity());
             }
             _ => {}
         }
@@ -254,7 +254,8 @@
         if self.node.crashes.is_empty() {
             return false;
         }
-        let refusal = crashes::resolve_refusal(self.node, self.outgoing.fingerprint());
+        let identity = self.outgoing.identity();
+        let refusal = crashes::resolve_refusal(self.node, &identity);
         refusal.await.is_some()
     }
 
--- a/crates/damaskvane-gateway/src/crashes.rs
+++ b/crates/damaskvane-gateway/src/crashes.rs
@@ -2,15 +2,15 @@
 //!
 //! A request whose connection broke becomes a suspect when its server is found to have crashed. After two such crashes
 //! all instances refuse the request. An incident is one crash with its suspects; instances notify each other of
-//! incidents by datagram. An exchange is one request to a server with its response; a fingerprint is a hash of a
-//! request's client address, host, method, path and body. The store keeps a record of each refused request, so that
+//! incidents by datagram. An exchange is one request to a server with its response. A request has two fingerprints
+//! (hashes): of its team, host, method, path and body, and of these with the client's address. The store keeps a record of each refused request, so that
 //! instances that were partitioned or restarted refuse it too.
 
 mod record;
 
 use core::time::Duration;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use damaskvane_core::hash::ContentHash;
 use damaskvane_core::ids;
@@ -18,7 +18,7 @@
 use damaskvane_dispatch::fingerprint::Fingerprint;
 use damaskvane_dispatch::home::Home;
 use damaskvane_dispatch::quarantine::{
-    BrokenExchanges, Incident, IncidentId, Quarantine, QuarantineSettings,
+    BrokenExchanges, Incident, IncidentId, Quarantine, QuarantineSettings, RequestIdentity, Scope,
 };
 use tokio::sync::Notify;
 
@@ -35,6 +35,8 @@
 const PROBE_RESULT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Largest number of suspects in one incident, so that the message fits a datagram: 66 bytes each.
 pub const MAX_SUSPECTS_PER_INCIDENT: usize = 16;
+/// Time for which a report that a suspect completed suppresses this instance's own report.
+const COMPLETION_RETENTION: SpanMs = SpanMs::new(1_000);
 /// Number of hexadecimal digits of a hash in a log line.
 const SHORT_HASH_DIGITS: usize = 12;
 /// Largest number of characters of a path in a log line.
@@ -49,17 +51,38 @@
     is_own: bool,
 }
 
+/// What this instance has to send to the other instances.
+#[derive(Debug, Clone)]
+pub enum CrashNotice {
+    /// This instance detected a crash.
+    Incident {
+        /// The scope of the suspects' fingerprints.
+        scope: Scope,
+        /// The crash with its suspects.
+        incident: Incident,
+    },
+    /// A suspect request completed at this instance.
+    Completed {
+        /// The fingerprint of the suspect.
+        fingerprint: Fingerprint,
+        /// When the request completed.
+        at: TimeMs,
+    },
+}
+
 /// Refused requests, exchanges whose connection broke, and incidents that this instance has not sent to others yet.
 #[derive(Debug)]
 pub struct CrashTracker {
     list: RefCell<Quarantine>,
-    broken: RefCell<BrokenExchanges>,
+    broken: RefCell<BrokenExchanges<RequestIdentity>>,
     /// Requests that have a quarantine record in the store.
     stored: RefCell<BTreeSet<Fingerprint>>,
     last_serial: Cell<u64>,
     /// Notifies waiting requests that a server was found to have crashed or to be alive.
     server_state_known: Notify,
-    notices: (flume::Sender<Incident>, flume::Receiver<Incident>),
+    /// Suspects that other instances reported as completed, with the time of the report.
+    completed_at_peers: RefCell<BTreeMap<Fingerprint, TimeMs>>,
+    notices: (flume::Sender<CrashNotice>, flume::Receiver<CrashNotice>),
     pending_records: (flume::Sender<PendingRecord>, flume::Receiver<PendingRecord>),
 }
 
@@ -71,6 +94,7 @@
             stored: RefCell::default(),
             last_serial: Cell::new(0),
             server_state_known: Notify::new(),
+            completed_at_peers: RefCell::default(),
             notices: flume::unbounded(),
             pending_records: flume::unbounded(),
         }
@@ -84,34 +108,50 @@
         self.list.borrow().is_empty() && self.broken.borrow().is_empty()
     }
 
-    /// Returns the queue of incidents that this instance has to send to the other instances.
+    /// Returns the queue of notices that this instance has to send to the other instances.
     #[must_use]
-    pub const fn notices(&self) -> &flume::Receiver<Incident> {
+    pub const fn notices(&self) -> &flume::Receiver<CrashNotice> {
         &self.notices.1
     }
 }
 
-/// Waits for the probes of the servers to which a request's connection broke; returns the time for which the request is
-/// refused from now.
+/// Waits for the probes of the servers to which a request's connection broke; returns the fingerprint under which the
+/// request is refused, and for how long from now.
 ///
-/// Returns `None` if the request may run. A request whose connection broke twice waits for the result of a probe.
-/// Otherwise a client that retries at once would crash one server after the other before the first crash is confirmed.
-pub async fn resolve_refusal(node: &Node, fingerprint: Fingerprint) -> Option<SpanMs> {
+/// Returns `None` if the request may run. A request that would be refused if one more crash is confirmed waits for the
+/// result of a probe. Otherwise a client that retries at once would crash one server after the other before the first
+/// crash is confirmed.
+pub async fn resolve_refusal(
+    node: &Node,
+    identity: &RequestIdentity,
+) -> Option<(Fingerprint, SpanMs)> {
     let probed = async {
-        while awaits_probe(node, fingerprint) {
+        while awaits_probe(node, identity) {
             node.crashes.server_state_known.notified().await;
         }
     };
     // If no probe result arrives in time, the request runs: most broken connections have harmless causes.
     let _ = tokio::time::timeout(PROBE_RESULT_TIMEOUT, probed).await;
-    refusal(node, fingerprint)
+    let refusals = Scope::ALL.map(|scope| {
+        let fingerprint = identity.fingerprint(scope);
+        refusal(node, fingerprint).map(|remaining| (fingerprint, remaining))
+    });
+    refusals
+        .into_iter()
+        .flatten()
+        .max_by_key(|(_, remaining)| *remaining)
 }
 
-fn awaits_probe(node: &Node, fingerprint: Fingerprint) -> bool {
+fn awaits_probe(node: &Node, identity: &RequestIdentity) -> bool {
+    let now = node.now();
     let broken = node.crashes.broken.borrow();
-    let unprobed = broken.unconfirmed_count(node.now(), fingerprint);
     let list = node.crashes.list.borrow();
-    list.may_be_refused(fingerprint, unprobed)
+    Scope::ALL.into_iter().any(|scope| {
+        let fingerprint = identity.fingerprint(scope);
+        let has_fingerprint = |one: &RequestIdentity| one.has(fingerprint);
+        let unprobed = broken.unconfirmed_count(now, has_fingerprint);
+        list.may_be_refused(now, scope, fingerprint, unprobed)
+    })
 }
 
 /// Returns the time for which a request is refused from now; `None` if the request may run.
@@ -128,11 +168,11 @@
     request: &OutgoingRequest,
 ) {
     let now = node.now();
-    let fingerprint = request.fingerprint();
+    let identity = request.identity();
     let mut broken = node.crashes.broken.borrow_mut();
-    broken.record(now, server, fingerprint);
+    broken.record(now, server, identity);
     node.probe_requested.notify_one();
-    log_broken_exchange(node, now, server, request);
+    log_broken_exchange(node, now, server, request, &identity);
 }
 
 /// Logs the parts of a request that its fingerprint covers, so that requests with different fingerprints can be
@@ -144,13 +184,15 @@
     now: TimeMs,
     server: &ids::BackendServerId,
     request: &OutgoingRequest,
+    identity: &RequestIdentity,
 ) {
     let outcome = RequestOutcome::BrokenExchange;
     node.log.log_request(now, outcome, |log, left_out| {
         let body = request.body.as_deref().unwrap_or_default();
         slog::info!(log, "exchange broke";
             "request_id" => request.request_id.as_deref(), "backend_server" => %server,
-            "fingerprint" => %request.fingerprint(), "client_address" => %request.client_address,
+            "fingerprint" => %identity.fingerprint(Scope::AnyCaller),
+            "caller_fingerprint" => %identity.fingerprint(Scope::Caller), "client_address" => %request.client_address,
             "host" => request.host(), "method" => %request.method, "path" => request.path().chars().take(MAX_LOGGED_PATH_CHARS).collect::<String>(),
             "query_hash" => request.query().map(|query| short_hash(query.as_bytes())),
             "body_hash" => short_hash(body), "body_bytes" => body.len(),
@@ -170,10 +212,41 @@
     node.crashes.server_state_known.notify_waiters();
 }
 
-/// Records that a server completed a request, so that the request is no longer suspect.
-pub fn record_completed(node: &Node, fingerprint: Fingerprint) {
+/// Records that a server completed a request, so that the request is no longer suspect, at any instance.
+pub fn record_completed(node: &Node, identity: &RequestIdentity) {
+    let now = node.now();
+    for scope in Scope::ALL {
+        let fingerprint = identity.fingerprint(scope);
+        let was_suspect = {
+            let mut list = node.crashes.list.borrow_mut();
+            list.record_completed(now, fingerprint)
+        };
+        if was_suspect {
+            let notice = CrashNotice::Completed {
+                fingerprint,
+                at: now,
+            };
+            let _ = node.crashes.notices.0.send(notice);
+        }
+    }
+}
+
+/// Applies another instance's report that a suspect request completed `age` ago.
+pub fn apply_peer_completion(node: &Node, fingerprint: Fingerprint, age: SpanMs) {
+    let now = node.now();
+    let completed_at = TimeMs::new(now.get().saturating_sub(age.get()));
     let mut list = node.crashes.list.borrow_mut();
-    list.record_completed(node.now(), fingerprint);
+    list.apply_completed(completed_at, fingerprint);
+    let mut completed = node.crashes.completed_at_peers.borrow_mut();
+    completed.insert(fingerprint, now);
+}
+
+/// Returns whether another instance reported since `at` that the request completed.
+pub fn is_completion_known(node: &Node, fingerprint: Fingerprint, at: TimeMs) -> bool {
+    let completed = node.crashes.completed_at_peers.borrow();
+    completed
+        .get(&fingerprint)
+        .is_some_and(|reported| *reported >= at)
 }
 
 /// Records that a server has crashed; each request whose connection to the server broke a moment ago becomes a suspect.
@@ -182,7 +255,27 @@
 pub fn record_server_death(node: &Node, server: &ids::BackendServerId, proof: &str) {
     let now = node.now();
     let suspects = node.crashes.broken.borrow_mut().take_suspects(now, server);
-    for suspects in suspects.chunks(MAX_SUSPECTS_PER_INCIDENT) {
+    if !suspects.is_empty() {
+        node.metrics.crash_incidents.inc();
+    }
+    for scope in Scope::ALL {
+        report_suspects(node, server, proof, scope, &suspects);
+    }
+    node.crashes.server_state_known.notify_waiters();
+}
+
+/// Makes the requests suspects at this instance, and queues notices of them for the other instances.
+fn report_suspects(
+    node: &Node,
+    server: &ids::BackendServerId,
+    proof: &str,
+    scope: Scope,
+    suspects: &[RequestIdentity],
+) {
+    let fingerprints = suspects.iter().map(|one| one.fingerprint(scope));
+    let fingerprints: BTreeSet<Fingerprint> = fingerprints.collect();
+    let fingerprints: Vec<Fingerprint> = fingerprints.into_iter().collect();
+    for suspects in fingerprints.chunks(MAX_SUSPECTS_PER_INCIDENT) {
         let serial = node.crashes.last_serial.get() + 1;
         node.crashes.last_serial.set(serial);
         let reporter = Home::new(node.settings().instance.clone(), node.incarnation);
@@ -192,14 +285,14 @@
             suspects: suspects.to_vec(),
             age: SpanMs::ZERO,
         };
-        node.metrics.crash_incidents.inc();
         slog::warn!(node.log.log, "backend server died while running requests";
-            "backend_server" => %server, "proof" => proof, "suspects" => join_fingerprints(suspects));
-        apply_incident(node, &incident, true);
+            "backend_server" => %server, "proof" => proof, "scope" => ?scope,
+            "suspects" => join_fingerprints(suspects));
+        apply_incident(node, scope, &incident, true);
         // The receiver lives as long as the node.
-        let _ = node.crashes.notices.0.send(incident);
+        let notice = CrashNotice::Incident { scope, incident };
+        let _ = node.crashes.notices.0.send(notice);
     }
-    node.crashes.server_state_known.notify_waiters();
 }
 
 /// Removes expired refusals and broken exchanges. While any of them is stored, each request has to be checked against
@@ -208,20 +301,22 @@
     let now = node.now();
     node.crashes.list.borrow_mut().expire(now);
     node.crashes.broken.borrow_mut().expire(now);
+    let mut completed = node.crashes.completed_at_peers.borrow_mut();
+    completed.retain(|_, reported| now.since(*reported) < COMPLETION_RETENTION);
 }
 
 /// Applies an incident that another instance has detected and sent.
-pub fn apply_peer_incident(node: &Node, incident: &Incident) {
-    apply_incident(node, incident, false);
+pub fn apply_peer_incident(node: &Node, scope: Scope, incident: &Incident) {
+    apply_incident(node, scope, incident, false);
 }
 
-fn apply_incident(node: &Node, incident: &Incident, is_own: bool) {
+fn apply_incident(node: &Node, scope: Scope, incident: &Incident, is_own: bool) {
     let mut list = node.crashes.list.borrow_mut();
-    let refused = list.record_incident(node.now(), incident);
+    let refused = list.record_scoped_incident(node.now(), scope, incident);
     drop(list);
     for fingerprint in refused {
         slog::warn!(node.log.log, "request is quarantined";
-            "fingerprint" => %fingerprint, "last_server" => %incident.server,
+            "fingerprint" => %fingerprint, "scope" => ?scope, "last_server" => %incident.server,
             "told_by" => %incident.id.reporter);
         let pending = PendingRecord {
             fingerprint,
--- a/crates/damaskvane-gateway/src/peers.rs
+++ b/crates/damaskvane-gateway/src/peers.rs
@@ -63,7 +63,7 @@
     let socket = Rc::new(UdpSocket::bind(node.settings().peer_address).await?);
     tokio::task::spawn_local(receive(Rc::clone(&node), Rc::clone(&socket)));
     tokio::task::spawn_local(send_server_reports(Rc::clone(&node), Rc::clone(&socket)));
-    tokio::task::spawn_local(outgoing::send_incidents(
+    tokio::task::spawn_local(outgoing::send_crash_notices(
         Rc::clone(&node),
         Rc::clone(&socket),
     ));
@@ -303,7 +303,12 @@
                     apply_heartbeat(&node, heartbeat);
                 }
             }
-            Some(Message::Incident(incident)) => crashes::apply_peer_incident(&node, &incident),
+            Some(Message::Incident { scope, incident }) => {
+                crashes::apply_peer_incident(&node, scope, &incident);
+            }
+            Some(Message::Completed { fingerprint, age }) => {
+                crashes::apply_peer_completion(&node, fingerprint, age);
+            }
             Some(Message::ServerReports(reports)) => {
                 let now = node.now();
                 node.state
--- a/crates/damaskvane-gateway/src/peers/message.rs
+++ b/crates/damaskvane-gateway/src/peers/message.rs
@@ -9,7 +9,9 @@
 use std::net;
 
 use damaskvane_core::ids;
-use damaskvane_dispatch::quarantine::Incident;
+use damaskvane_core::time::SpanMs;
+use damaskvane_dispatch::fingerprint::Fingerprint;
+use damaskvane_dispatch::quarantine::{Incident, Scope};
 use damaskvane_routing::peers::{Digest, DigestEntry, Heartbeat, IncarnationKey, Phase};
 use damaskvane_routing::placement::{
     ObjectMove, ObjectSample, PopularityDecision, PopularityReport, RouteKey,
@@ -22,7 +24,7 @@
 use crate::quota::QuotaMessage;
 
 /// First field of each datagram; identifies the protocol and its version, and changes whenever a message changes.
-const MAGIC: u32 = 0x6476_7035;
+const MAGIC: u32 = 0x6476_7036;
 
 /// A message from one entry instance to another.
 #[derive(Debug, Clone)]
@@ -45,7 +47,19 @@
         heartbeats: Vec<Heartbeat>,
     },
     /// The crash of a backend server that was running requests.
-    Incident(Incident),
+    Incident {
+        /// The scope of the suspects' fingerprints.
+        scope: Scope,
+        /// The crash with its suspects.
+        incident: Incident,
+    },
+    /// A request that was a suspect completed at the sender.
+    Completed {
+        /// The fingerprint of the request.
+        fingerprint: Fingerprint,
+        /// The time since the request completed.
+        age: SpanMs,
+    },
     /// Reports of backend servers that have a queue, are slow or failing, or have recovered.
     ServerReports(Vec<PeerServerReport>),
     /// Samples of the objects (the items that requests name) that the sender's clients request, by route.
@@ -71,7 +85,7 @@
             Self::Heartbeat(_) => Flow::Heartbeat,
             Self::Digest { .. } => Flow::Digest,
             Self::MembershipUpdate { .. } => Flow::MembershipUpdate,
-            Self::Incident(_) => Flow::Incident,
+            Self::Incident { .. } | Self::Completed { .. } => Flow::Incident,
             Self::ServerReports(_) => Flow::ServerReports,
             Self::PopularityReport(_) => Flow::PopularityReport,
             Self::PopularityDecisions { .. } => Flow::PopularityDecisions,
@@ -110,7 +124,14 @@
         is_forwarded: bool,
         heartbeats: Vec<HeartbeatWire>,
     },
-    Incident(Incident),
+    Incident {
+        scope: Scope,
+        incident: Incident,
+    },
+    Completed {
+        fingerprint: Fingerprint,
+        age: SpanMs,
+    },
     #[serde(rename = "Servers")]
     ServerReports(Vec<ServerWire>),
     #[serde(rename = "Asked")]
@@ -192,7 +213,14 @@
                 is_forwarded: *is_forwarded,
                 heartbeats: heartbeats.iter().map(HeartbeatWire::of).collect(),
             },
-            Message::Incident(incident) => Self::Incident(incident.clone()),
+            Message::Incident { scope, incident } => Self::Incident {
+                scope: *scope,
+                incident: incident.clone(),
+            },
+            Message::Completed { fingerprint, age } => Self::Completed {
+                fingerprint: *fingerprint,
+                age: *age,
+            },
             Message::ServerReports(reports) => {
                 Self::ServerReports(reports.iter().map(ServerWire::of).collect())
             }
@@ -239,7 +267,8 @@
                     .filter_map(HeartbeatWire::into_heartbeat)
                     .collect(),
             },
-            Self::Incident(incident) => Message::Incident(incident),
+            Self::Incident { scope, incident } => Message::Incident { scope, incident },
+            Self::Completed { fingerprint, age } => Message::Completed { fingerprint, age },
             Self::ServerReports(reports) => {
                 Message::ServerReports(reports.into_iter().map(ServerWire::into_report).collect())
             }
--- a/crates/damaskvane-gateway/src/peers/outgoing.rs
+++ b/crates/damaskvane-gateway/src/peers/outgoing.rs
@@ -1,11 +1,15 @@
-//! Sends the messages that other modules hand over: incidents, and tokens of quotas.
+//! Sends the messages that other modules hand over: notices about crashes, and tokens of quotas.
 
 use core::time::Duration;
 use std::rc::Rc;
 
-use damaskvane_dispatch::quarantine::Incident;
+use damaskvane_core::time::TimeMs;
+use damaskvane_dispatch::fingerprint::Fingerprint;
+use damaskvane_dispatch::quarantine::{Incident, Scope};
+use rand::RngExt;
 use tokio::net::UdpSocket;
 
+use crate::crashes::{self, CrashNotice};
 use crate::node::Node;
 use crate::peers::{self, Message};
 
@@ -14,6 +18,8 @@
 const INCIDENT_SEND_COUNT: u32 = 3;
 /// Interval between two transmissions of the same incident.
 const INCIDENT_RESEND_INTERVAL: Duration = Duration::from_millis(400);
+/// Largest delay of the message that a suspect completed, in milliseconds; well below the length of a wave of crashes.
+const MAX_COMPLETION_DELAY_MS: u64 = 100;
 
 /// Sends requests for tokens of quotas and the replies to them, until the process ends.
 pub(super) async fn send_quota_messages(node: Rc<Node>, socket: Rc<UdpSocket>) {
@@ -23,15 +29,24 @@
     }
 }
 
-/// Sends each incident that this instance detects to all other instances, until the process ends.
-pub(super) async fn send_incidents(node: Rc<Node>, socket: Rc<UdpSocket>) {
-    while let Ok(incident) = node.crashes.notices().recv_async().await {
-        let sending = send_incident(Rc::clone(&node), Rc::clone(&socket), incident);
-        tokio::task::spawn_local(sending);
+/// Sends each notice about crashes to all other instances, until the process ends.
+pub(super) async fn send_crash_notices(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    while let Ok(notice) = node.crashes.notices().recv_async().await {
+        let (node, socket) = (Rc::clone(&node), Rc::clone(&socket));
+        tokio::task::spawn_local(async move {
+            match notice {
+                CrashNotice::Incident { scope, incident } => {
+                    send_incident(&node, &socket, scope, incident).await;
+                }
+                CrashNotice::Completed { fingerprint, at } => {
+                    send_completion(&node, &socket, fingerprint, at).await;
+                }
+            }
+        });
     }
 }
 
-async fn send_incident(node: Rc<Node>, socket: Rc<UdpSocket>, incident: Incident) {
+async fn send_incident(node: &Node, socket: &UdpSocket, scope: Scope, incident: Incident) {
     let detected_at = node.now();
     for attempt in 0..INCIDENT_SEND_COUNT {
         if attempt > 0 {
@@ -42,6 +57,23 @@
             ..incident.clone()
         };
         let recipients = node.state.borrow().members.others();
-        peers::send(&node, &socket, &Message::Incident(incident), &recipients).await;
+        let message = Message::Incident { scope, incident };
+        peers::send(node, socket, &message, &recipients).await;
     }
 }
+
+/// Reports that a suspect completed, unless another instance reports it first.
+///
+/// A request that many callers send completes at every instance within a moment; without the random delay each
+/// instance would send a message to each other one.
+async fn send_completion(node: &Node, socket: &UdpSocket, fingerprint: Fingerprint, at: TimeMs) {
+    let delay_ms = rand::rng().random_range(0..=MAX_COMPLETION_DELAY_MS);
+    tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+    if crashes::is_completion_known(node, fingerprint, at) {
+        return;
+    }
+    let age = node.now().since(at);
+    let recipients = node.state.borrow().members.others();
+    let message = Message::Completed { fingerprint, age };
+    peers::send(node, socket, &message, &recipients).await;
+}
--- a/crates/damaskvane-gateway/src/upstream/request.rs
+++ b/crates/damaskvane-gateway/src/upstream/request.rs
@@ -6,6 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use damaskvane_core::ids;
 use damaskvane_dispatch::fingerprint::Fingerprint;
+use damaskvane_dispatch::quarantine::RequestIdentity;
 use damaskvane_routing::teams::TeamName;
 use hyper::header::{self, HeaderMap, HeaderName};
 
@@ -62,17 +63,22 @@
 }
 
 impl OutgoingRequest {
-    /// Returns a hash by which a request is recognized when the client sends it again with another request ID.
+    /// Returns the fingerprints by which a request is recognized when it is sent again with another request ID.
+    ///
+    /// The caller is the client's address. A request's team is part of both fingerprints, so that a team can't get
+    /// another team's requests refused.
     #[must_use]
-    pub fn fingerprint(&self) -> Fingerprint {
-        let client_address = self.client_address.to_string();
+    pub fn identity(&self) -> RequestIdentity {
+        let team = self.team.as_ref().map(ToString::to_string);
         let fields = [
-            &client_address,
+            team.as_deref().unwrap_or_default(),
             self.host(),
             self.method.as_str(),
             &self.target,
         ];
-        Fingerprint::of_fields(fields, self.body.as_deref().unwrap_or_default())
+        let body = self.body.as_deref().unwrap_or_default();
+        let request = Fingerprint::of_fields(fields, body);
+        RequestIdentity::new(request, &self.client_address.to_string())
     }
 
     /// Returns the value of the `Host` header; empty if it is missing or not text.
--- a/crates/damaskvane-gateway/tests/datagrams.rs
+++ b/crates/damaskvane-gateway/tests/datagrams.rs
@@ -3,7 +3,7 @@
 use damaskvane_core::ids;
 use damaskvane_core::time::SpanMs;
 use damaskvane_dispatch::fingerprint::Fingerprint;
-use damaskvane_dispatch::quarantine::{Incident, IncidentId};
+use damaskvane_dispatch::quarantine::{Incident, IncidentId, Scope};
 use damaskvane_gateway::crashes;
 use damaskvane_gateway::peers::Message;
 use damaskvane_routing::peers::{Digest, DigestEntry, Heartbeat, IncarnationKey, Phase};
@@ -46,7 +46,7 @@
 fn incident() -> Message {
     let service = "desk".parse().expect("a name");
     let suspect = |number: usize| Fingerprint::of(&service, "GET", &number.to_string(), b"");
-    Message::Incident(Incident {
+    let incident = Incident {
         id: IncidentId {
             reporter: "an-instance-with-a-rather-long-name-1/1796272099402"
                 .parse()
@@ -58,7 +58,19 @@
             .map(suspect)
             .collect(),
         age: SpanMs::new(800),
-    })
+    };
+    Message::Incident {
+        scope: Scope::AnyCaller,
+        incident,
+    }
+}
+
+fn completed() -> Message {
+    let service = "desk".parse().expect("a name");
+    Message::Completed {
+        fingerprint: Fingerprint::of(&service, "GET", "/look", b""),
+        age: SpanMs::new(u64::MAX),
+    }
 }
 
 fn server_reports() -> Message {
@@ -115,11 +127,12 @@
     }
 }
 
-fn messages() -> [Message; 7] {
+fn messages() -> [Message; 8] {
     [
         heartbeat(),
         digest(64),
         incident(),
+        completed(),
         server_reports(),
         membership_update(),
         popularity_report(),
@@ -183,11 +196,12 @@
 
     #[test]
     fn arbitrary_bytes_are_decoded_without_a_panic(
-        which in 0_usize..4,
+        which in any::<prop::sample::Index>(),
         changes in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 0..6),
         tail in prop::collection::vec(any::<u8>(), 0..8),
     ) {
-        let mut bytes = messages()[which].encode().expect("bytes");
+        let messages = messages();
+        let mut bytes = messages[which.index(messages.len())].encode().expect("bytes");
         for (at, value) in changes {
             let at = at.index(bytes.len());
             bytes[at] = value;
