The record of a quarantine waits for no other record

What callers would see: a request that crashes servers runs again at an instance that is started within seconds of its quarantine. Cause: records were written one after the other, and each that another instance should write cost a second before the next one was looked at. Change: a queue by due time. Ruled out: the store (its calls took 10 to 60 ms). Same class: evidence that arrives too late.

--- a/crates/damaskvane-gateway/src/crashes.rs
+++ b/crates/damaskvane-gateway/src/crashes.rs
@@ -7,6 +7,7 @@
 //! instances that were partitioned or restarted refuse it too.
 
 mod record;
+mod write_queue;
 
 use core::time::Duration;
 use std::cell::{Cell, RefCell};
@@ -27,6 +28,7 @@
 use crate::upstream::OutgoingRequest;
 
 pub use record::maintain as maintain_records;
+pub use write_queue::WriteQueue;
 
 /// Maximum time for which a request whose connection broke twice waits for the results of the servers' health probes.
 ///
--- a/crates/damaskvane-gateway/src/crashes/record.rs
+++ b/crates/damaskvane-gateway/src/crashes/record.rs
@@ -6,23 +6,25 @@
 use core::time::Duration;
 use std::rc::Rc;
 
+use damaskvane_core::time::{SpanMs, TimeMs};
 use damaskvane_dispatch::fingerprint::Fingerprint;
 use hyper::StatusCode;
+use tokio::time::MissedTickBehavior;
 
 use crate::adapter::Collection;
-use crate::crashes::{self, PendingRecord};
+use crate::crashes::{self, PendingRecord, WriteQueue};
 use crate::node::Node;
 use crate::store::{CallError, Source, StoreClient};
 
 /// Timeout of a call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Delay before a failed write is retried.
-const RETRY_DELAY: Duration = Duration::from_millis(500);
+const RETRY_DELAY: SpanMs = SpanMs::new(500);
 /// Delay before an instance writes a record if another instance detected the last incident (a crash caused by the
 /// request). That instance should write the record.
 ///
 /// The record of that instance normally arrives within 0.1 s: one call to the store and the forwarded change.
-const PEER_WRITE_DELAY: Duration = Duration::from_millis(1_000);
+const PEER_WRITE_DELAY: SpanMs = SpanMs::new(1_000);
 /// Interval between two checks for expired quarantine records.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -30,15 +32,26 @@
 pub async fn maintain(node: Rc<Node>) {
     let mut client = StoreClient::new(Rc::clone(&node), Collection::Quarantine);
     let pending_records = node.crashes.pending_records.1.clone();
+    let mut queue = WriteQueue::default();
+    let mut expiry = tokio::time::interval(EXPIRY_INTERVAL);
+    expiry.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             pending = pending_records.recv_async() => {
                 let Ok(pending) = pending else {
                     return;
                 };
-                record(&node, &mut client, pending).await;
+                queue.push(due_at(&node, pending), pending.fingerprint);
             }
-            () = tokio::time::sleep(EXPIRY_INTERVAL) => {
+            () = until_due(&node, &queue) => {
+                while let Some(fingerprint) = queue.take_due(node.now()) {
+                    if !write(&node, &mut client, fingerprint).await {
+                        queue.push(node.now() + RETRY_DELAY, fingerprint);
+                        break;
+                    }
+                }
+            }
+            _ = expiry.tick() => {
                 crashes::expire(&node);
                 remove_expired(&node, &mut client).await;
             }
@@ -46,23 +59,39 @@
     }
 }
 
-async fn record(node: &Rc<Node>, client: &mut StoreClient, pending: PendingRecord) {
-    if !pending.is_own {
-        tokio::time::sleep(PEER_WRITE_DELAY).await;
+fn due_at(node: &Node, pending: PendingRecord) -> TimeMs {
+    if pending.is_own {
+        node.now()
+    } else {
+        node.now() + PEER_WRITE_DELAY
     }
-    let request = node.adapter.record_quarantine(&pending.fingerprint);
-    while !is_stored(node, pending.fingerprint) {
-        match client.call(&request, CALL_TIMEOUT).await {
-            // A conflict means that another instance has written the record.
-            Ok(_) | Err(CallError::Status(StatusCode::CONFLICT)) => {
-                crashes::apply_stored_quarantine(node, pending.fingerprint);
-            }
-            Err(error) => {
-                slog::warn!(node.log.log, "quarantine record can't be written";
-                    "fingerprint" => %pending.fingerprint, "error" => %error);
-                node.store.until_up().await;
-                tokio::time::sleep(RETRY_DELAY).await;
-            }
+}
+
+/// Waits until a record is due and the store answers; forever if the queue is empty.
+async fn until_due(node: &Node, queue: &WriteQueue) {
+    let Some(at) = queue.next_due() else {
+        return core::future::pending().await;
+    };
+    tokio::time::sleep(at.since(node.now()).to_duration()).await;
+    node.store.until_up().await;
+}
+
+/// Writes the record of a refused request, unless the store has it; returns whether the store has it now.
+async fn write(node: &Node, client: &mut StoreClient, fingerprint: Fingerprint) -> bool {
+    if is_stored(node, fingerprint) || crashes::refusal(node, fingerprint).is_none() {
+        return true;
+    }
+    let request = node.adapter.record_quarantine(&fingerprint);
+    match client.call(&request, CALL_TIMEOUT).await {
+        // A conflict means that another instance has written the record.
+        Ok(_) | Err(CallError::Status(StatusCode::CONFLICT)) => {
+            crashes::apply_stored_quarantine(node, fingerprint);
+            true
+        }
+        Err(error) => {
+            slog::warn!(node.log.log, "quarantine record can't be written";
+                "fingerprint" => %fingerprint, "error" => %error);
+            false
         }
     }
 }
