A server's error clears no suspect

What callers would see: one more pair of servers crashes for each error in between. Cause: a 500 or 504 counted as a completed run, which forgets the crashes before; a run that its time budget cut off has not reached the point at which it crashes its server. Change: only an answer below 500 clears. Evidence: an_error_of_a_server_clears_no_suspect: 4 crashes of 8 before, 3 at most now. Ruled out: errors as evidence against the request; a service that fails for all would quarantine its callers.

--- a/crates/damaskvane-gateway/src/clients/routed_request.rs
+++ b/crates/damaskvane-gateway/src/clients/routed_request.rs
@@ -243,7 +243,8 @@
             ExchangeEnd::Broken => {
                 crashes::record_broken_exchange(self.node, &pick.server, self.outgoing);
             }
-            ExchangeEnd::Answered | ExchangeEnd::Failed if !crashes.is_empty() => {
+            // A failure proves nothing: a run may have been cut off before the point at which it crashes its server.
+            ExchangeEnd::Answered if !crashes.is_empty() => {
                 crashes::record_completed(self.node, &self.outgoing.identity());
             }
             _ => {}
