Servers that fall silent under a request are evidence against it

What callers would see: a request under which machines go dark takes two servers an attempt, for ever: no connection breaks, no port refuses. Cause: only broken connections were kept as evidence, for 2.5 s; a silent server's end is proven seconds later, and nothing looked. Change: exchanges without an answer from a server that answered nobody else meanwhile wait 10 s for a proof and delay no request. New proofs: another process answers at the address (421), another server registers there, also after the old entry is gone. The crash counts for the time at which the exchange broke, not at which it is proven. A request that completes withdraws its own evidence. Ruled out: silence as proof (a machine that is cut off sees all servers silent). The module is split by job.

--- a/crates/damaskvane-gateway/src/clients/routed_request.rs
+++ b/crates/damaskvane-gateway/src/clients/routed_request.rs
@@ -241,7 +241,10 @@
         let crashes = &self.node.crashes;
         match end {
             ExchangeEnd::Broken => {
-                crashes::record_broken_exchange(self.node, &pick.server, self.outgoing);
+                crashes::record_broken_exchange(self.node, pick, self.outgoing);
+            }
+            ExchangeEnd::Misdirected => {
+                crashes::record_server_death(self.node, &pick.server, "address");
             }
             // A failure proves nothing: a run may have been cut off before the point at which it crashes its server.
             ExchangeEnd::Answered if !crashes.is_empty() => {
--- a/crates/damaskvane-gateway/src/crashes.rs
+++ b/crates/damaskvane-gateway/src/crashes.rs
@@ -3,17 +3,19 @@
 //! A request whose connection broke becomes a suspect when its server is found to have crashed. After two such crashes
 //! all instances refuse the request. An incident is one crash with its suspects; instances notify each other of
 //! incidents by datagram. An exchange is one request to a server with its response. A request has two fingerprints
-//! (hashes): of its team, host, method, path and body, and of these with the client's address. The store keeps a record of each refused request, so that
-//! instances that were partitioned or restarted refuse it too.
+//! (hashes): of its team, host, method, path and body, and of these with the client's address. The store keeps a record
+//! of each refused request, so that instances that were partitioned or restarted refuse it too.
 
+mod evidence;
+mod notice;
 mod record;
 mod write_queue;
 
 use core::time::Duration;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net;
 
-use damaskvane_core::hash::ContentHash;
 use damaskvane_core::ids;
 use damaskvane_core::time::{SpanMs, TimeMs};
 use damaskvane_dispatch::fingerprint::Fingerprint;
@@ -23,10 +25,13 @@
 };
 use tokio::sync::Notify;
 
-use crate::decision_log::RequestOutcome;
 use crate::node::Node;
-use crate::upstream::OutgoingRequest;
 
+pub use evidence::{
+    record_broken_exchange, record_server_alive, record_server_joined, record_server_silent,
+    record_unanswered_exchange,
+};
+pub use notice::CrashNotice;
 pub use record::maintain as maintain_records;
 pub use write_queue::WriteQueue;
 
@@ -39,10 +44,6 @@
 pub const MAX_SUSPECTS_PER_INCIDENT: usize = 16;
 /// Time for which a report that a suspect completed suppresses this instance's own report.
 const COMPLETION_RETENTION: SpanMs = SpanMs::new(1_000);
-/// Number of hexadecimal digits of a hash in a log line.
-const SHORT_HASH_DIGITS: usize = 12;
-/// Largest number of characters of a path in a log line.
-const MAX_LOGGED_PATH_CHARS: usize = 128;
 
 /// A refused request whose quarantine record is to be written to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -53,30 +54,13 @@
     is_own: bool,
 }
 
-/// What this instance has to send to the other instances.
-#[derive(Debug, Clone)]
-pub enum CrashNotice {
-    /// This instance detected a crash.
-    Incident {
-        /// The scope of the suspects' fingerprints.
-        scope: Scope,
-        /// The crash with its suspects.
-        incident: Incident,
-    },
-    /// A suspect request completed at this instance.
-    Completed {
-        /// The fingerprint of the suspect.
-        fingerprint: Fingerprint,
-        /// When the request completed.
-        at: TimeMs,
-    },
-}
-
 /// Refused requests, exchanges whose connection broke, and incidents that this instance has not sent to others yet.
 #[derive(Debug)]
 pub struct CrashTracker {
     list: RefCell<Quarantine>,
     broken: RefCell<BrokenExchanges<RequestIdentity>>,
+    /// Addresses of the servers in `broken`; a server's entry may be removed before the proof of its crash comes.
+    addresses: RefCell<BTreeMap<ids::BackendServerId, net::SocketAddr>>,
     /// Requests that have a quarantine record in the store.
     stored: RefCell<BTreeSet<Fingerprint>>,
     last_serial: Cell<u64>,
@@ -93,6 +77,7 @@
         Self {
             list: RefCell::new(Quarantine::new(QuarantineSettings::default())),
             broken: RefCell::default(),
+            addresses: RefCell::default(),
             stored: RefCell::default(),
             last_serial: Cell::new(0),
             server_state_known: Notify::new(),
@@ -163,60 +148,10 @@
     list.refused_for(node.now(), fingerprint)
 }
 
-/// Records that a connection broke after the request was written, and requests a probe of the server.
-pub fn record_broken_exchange(
-    node: &Node,
-    server: &ids::BackendServerId,
-    request: &OutgoingRequest,
-) {
-    let now = node.now();
-    let identity = request.identity();
-    let mut broken = node.crashes.broken.borrow_mut();
-    broken.record(now, server, identity);
-    node.probe_requested.notify_one();
-    log_broken_exchange(node, now, server, request, &identity);
-}
-
-/// Logs the parts of a request that its fingerprint covers, so that requests with different fingerprints can be
-/// compared.
-///
-/// Query and body may hold a secret, so the line has only their hashes.
-fn log_broken_exchange(
-    node: &Node,
-    now: TimeMs,
-    server: &ids::BackendServerId,
-    request: &OutgoingRequest,
-    identity: &RequestIdentity,
-) {
-    let outcome = RequestOutcome::BrokenExchange;
-    node.log.log_request(now, outcome, |log, left_out| {
-        let body = request.body.as_deref().unwrap_or_default();
-        slog::info!(log, "exchange broke";
-            "request_id" => request.request_id.as_deref(), "backend_server" => %server,
-            "fingerprint" => %identity.fingerprint(Scope::AnyCaller),
-            "caller_fingerprint" => %identity.fingerprint(Scope::Caller), "client_address" => %request.client_address,
-            "host" => request.host(), "method" => %request.method, "path" => request.path().chars().take(MAX_LOGGED_PATH_CHARS).collect::<String>(),
-            "query_hash" => request.query().map(|query| short_hash(query.as_bytes())),
-            "body_hash" => short_hash(body), "body_bytes" => body.len(),
-            "lines_left_out" => left_out);
-    });
-}
-
-fn short_hash(bytes: &[u8]) -> String {
-    let mut text = ContentHash::of(bytes).to_string();
-    text.truncate(SHORT_HASH_DIGITS);
-    text
-}
-
-/// Records that a server is alive, so that earlier broken exchanges with the server were no crash.
-pub fn record_server_alive(node: &Node, server: &ids::BackendServerId) {
-    node.crashes.broken.borrow_mut().record_alive(server);
-    node.crashes.server_state_known.notify_waiters();
-}
-
 /// Records that a server completed a request, so that the request is no longer suspect, at any instance.
 pub fn record_completed(node: &Node, identity: &RequestIdentity) {
     let now = node.now();
+    node.crashes.broken.borrow_mut().record_completed(*identity);
     for scope in Scope::ALL {
         let fingerprint = identity.fingerprint(scope);
         let was_suspect = {
@@ -256,12 +191,15 @@
 /// `proof` is the value in the log that names how the crash was detected.
 pub fn record_server_death(node: &Node, server: &ids::BackendServerId, proof: &str) {
     let now = node.now();
-    let suspects = node.crashes.broken.borrow_mut().take_suspects(now, server);
+    let mut broken = node.crashes.broken.borrow_mut();
+    let crashed_at = broken.first_broken_at(now, server).unwrap_or(now);
+    let suspects = broken.take_suspects(now, server);
+    drop(broken);
     if !suspects.is_empty() {
         node.metrics.crash_incidents.inc();
     }
     for scope in Scope::ALL {
-        report_suspects(node, server, proof, scope, &suspects);
+        report_suspects(node, server, proof, crashed_at, scope, &suspects);
     }
     node.crashes.server_state_known.notify_waiters();
 }
@@ -271,6 +209,7 @@
     node: &Node,
     server: &ids::BackendServerId,
     proof: &str,
+    crashed_at: TimeMs,
     scope: Scope,
     suspects: &[RequestIdentity],
 ) {
@@ -285,7 +224,7 @@
             id: IncidentId { reporter, serial },
             server: server.clone(),
             suspects: suspects.to_vec(),
-            age: SpanMs::ZERO,
+            age: node.now().since(crashed_at),
         };
         slog::warn!(node.log.log, "backend server died while running requests";
             "backend_server" => %server, "proof" => proof, "scope" => ?scope,
@@ -302,7 +241,11 @@
 fn expire(node: &Node) {
     let now = node.now();
     node.crashes.list.borrow_mut().expire(now);
-    node.crashes.broken.borrow_mut().expire(now);
+    let mut broken = node.crashes.broken.borrow_mut();
+    broken.expire(now);
+    let pending: BTreeSet<_> = broken.servers().cloned().collect();
+    let mut addresses = node.crashes.addresses.borrow_mut();
+    addresses.retain(|server, _| pending.contains(server));
     let mut completed = node.crashes.completed_at_peers.borrow_mut();
     completed.retain(|_, reported| now.since(*reported) < COMPLETION_RETENTION);
 }
--- a/crates/damaskvane-gateway/src/peers/outgoing.rs
+++ b/crates/damaskvane-gateway/src/peers/outgoing.rs
@@ -47,13 +47,13 @@
 }
 
 async fn send_incident(node: &Node, socket: &UdpSocket, scope: Scope, incident: Incident) {
-    let detected_at = node.now();
+    let crashed_at = TimeMs::new(node.now().get().saturating_sub(incident.age.get()));
     for attempt in 0..INCIDENT_SEND_COUNT {
         if attempt > 0 {
             tokio::time::sleep(INCIDENT_RESEND_INTERVAL).await;
         }
         let incident = Incident {
-            age: node.now().since(detected_at),
+            age: node.now().since(crashed_at),
             ..incident.clone()
         };
         let recipients = node.state.borrow().members.others();
--- a/crates/damaskvane-gateway/src/probes.rs
+++ b/crates/damaskvane-gateway/src/probes.rs
@@ -58,7 +58,7 @@
         ProbeResult::Healthy { .. } | ProbeResult::Unhealthy => {
             crashes::record_server_alive(&node, &probe.server);
         }
-        ProbeResult::NoAnswer => {}
+        ProbeResult::NoAnswer => crashes::record_server_silent(&node, &probe.server),
     }
     node.state
         .borrow_mut()
--- a/crates/damaskvane-gateway/src/store/applier.rs
+++ b/crates/damaskvane-gateway/src/store/applier.rs
@@ -198,8 +198,12 @@
             if let Change::Gone(id) | Change::Restarted(id) = change {
                 self.node.idle.borrow_mut().drop_server(id);
             }
-            if let Change::Restarted(id) = change {
-                crashes::record_server_death(&self.node, id, "restart");
+            match change {
+                Change::Restarted(id) => {
+                    crashes::record_server_death(&self.node, id, "restart");
+                }
+                Change::Joined(id) => crashes::record_server_joined(&self.node, id),
+                _ => {}
             }
             slog::info!(self.node.log.log, "backend server";
                 "backend_server" => %change.server(), "change" => change.as_str(),
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -13,6 +13,7 @@
 
 use crate::clients::SendRight;
 use crate::costs::{Distance, Flow, OpenReason};
+use crate::crashes;
 use crate::http::{self, BodyReader, ReadError, ResponseHead};
 use crate::node::Node;
 use crate::upstream::{BackendResponse, ExchangeOutcome, OutgoingRequest, ResponseBody, request};
@@ -40,15 +41,17 @@
 /// When a client disconnects, the future that handles its request is dropped. Without this guard the request
 /// would count as running at the server permanently, and the server would appear full.
 #[derive(Debug)]
-struct RunningExchange {
+struct RunningExchange<'a> {
     node: Rc<Node>,
     pick: Pick,
+    request: &'a OutgoingRequest,
     id: ExchangeId,
+    started: TimeMs,
     is_open: bool,
 }
 
-impl RunningExchange {
-    fn start(node: &Rc<Node>, pick: &Pick) -> Self {
+impl<'a> RunningExchange<'a> {
+    fn start(node: &Rc<Node>, pick: &Pick, request: &'a OutgoingRequest) -> Self {
         let id = node.next_exchange_id();
         let now = node.now();
         if let Some(mut server) = node.state.borrow_mut().pool.server_mut(&pick.server) {
@@ -57,13 +60,19 @@
         Self {
             node: Rc::clone(node),
             pick: pick.clone(),
+            request,
             id,
+            started: now,
             is_open: true,
         }
     }
 
     fn end(&mut self, end: ExchangeEnd, report: ServerReport) -> Option<u64> {
         self.is_open = false;
+        if matches!(end, ExchangeEnd::Silent | ExchangeEnd::Abandoned) {
+            let (pick, request) = (&self.pick, self.request);
+            crashes::record_unanswered_exchange(&self.node, pick, request, self.started);
+        }
         let now = self.node.now();
         let mut state = self.node.state.borrow_mut();
         let mut server = state.pool.server_mut(&self.pick.server)?;
@@ -71,7 +80,7 @@
     }
 }
 
-impl Drop for RunningExchange {
+impl Drop for RunningExchange<'_> {
     fn drop(&mut self) {
         if self.is_open {
             self.end(ExchangeEnd::Abandoned, ServerReport::default());
@@ -99,7 +108,7 @@
 impl Exchange<'_> {
     /// Sends the request and waits for the response.
     pub async fn run(self) -> ExchangeOutcome {
-        let mut running = RunningExchange::start(self.node, self.pick);
+        let mut running = RunningExchange::start(self.node, self.pick, self.request);
         let mut outcome = self.exchange().await;
         outcome.took_ms = running.end(outcome.end, outcome.report);
         outcome
