Late records are removed by any instance that knows better; a refused connection is proof at once

What callers would see: after servers failed together and one instance was cut off, a harmless request gets 503 for up to ten minutes. A refused connection is the proof itself and is used as such. The unit test of waves now fails without the order by time.

--- a/crates/damaskvane-dispatch/src/quarantine/list.rs
+++ b/crates/damaskvane-dispatch/src/quarantine/list.rs
@@ -24,7 +24,7 @@
     suspects: collections::BTreeMap<fingerprint::Fingerprint, suspect::Suspect>,
     /// When each request last completed or was cleared; incidents before this time are ignored.
     cleared: collections::BTreeMap<fingerprint::Fingerprint, time::TimeMs>,
-    /// Those of `cleared` that completed; a late record of their quarantine is ignored.
+    /// Those of `cleared` that completed and crashed no server since; a late record of their quarantine is ignored.
     completed: collections::BTreeSet<fingerprint::Fingerprint>,
     /// The suspect that this instance runs; no other suspect may run until its run ends.
     running_alone: Option<fingerprint::Fingerprint>,
@@ -233,7 +233,6 @@
     pub fn clear(&mut self, now: time::TimeMs, fingerprint: fingerprint::Fingerprint) -> bool {
         let was_listed = self.suspects.remove(&fingerprint).is_some();
         self.cleared.insert(fingerprint, now);
-        self.completed.remove(&fingerprint);
         was_listed
     }
 
@@ -290,6 +289,7 @@
         if !suspect.add(now, incident) {
             return;
         }
+        self.completed.remove(&fingerprint);
         let is_refused = suspect.is_refused(&self.settings);
         let duration_ms = if is_refused {
             self.settings.expiry_ms
--- a/crates/damaskvane-dispatch/tests/quarantine_scopes.rs
+++ b/crates/damaskvane-dispatch/tests/quarantine_scopes.rs
@@ -68,10 +68,10 @@
 #[test]
 fn waves_are_counted_by_the_time_of_the_crashes() {
     let mut quarantine = new_quarantine();
-    record(&mut quarantine, 1_600, Scope::AnyCaller, 3);
+    record(&mut quarantine, 1_600, Scope::AnyCaller, 1);
     let late = quarantine::Incident {
         age: time::SpanMs::new(700),
-        ..crash(1)
+        ..crash(2)
     };
     let _ = quarantine.record_scoped_incident(at(1_700), Scope::AnyCaller, &late);
     assert!(is_refused(&quarantine, 1_701));
--- a/crates/damaskvane-dispatch/tests/support/crash_world.rs
+++ b/crates/damaskvane-dispatch/tests/support/crash_world.rs
@@ -26,7 +26,7 @@
 const PROBE_POLL_MS: u64 = 10;
 /// Time after a crash within which a harmless request that many callers send has completed and every instance knows.
 const CLEARED_WITHIN_MS: u64 = 1_000;
-const EXPIRY_INTERVAL_MS: u64 = 10_000;
+const REMOVAL_MS: u64 = 250;
 const CALLER_RETRY_MS: u64 = 400;
 
 /// Which fingerprints of a request are suspected, and by which rule.
@@ -108,7 +108,6 @@
     },
     Disturb,
     Heal,
-    RemoveExpired,
     RemoveOutdated,
     FailTogether,
 }
@@ -126,6 +125,8 @@
     disturbed_until_ms: u64,
     incarnation: u64,
     last_serial: u64,
+    /// The store's records that the instance has read.
+    records: BTreeSet<Fingerprint>,
 }
 
 struct Server {
@@ -173,6 +174,7 @@
             disturbed_until_ms: 0,
             incarnation: 1,
             last_serial: 0,
+            records: BTreeSet::new(),
         };
         let server = || Server {
             incarnation: 1,
@@ -198,7 +200,6 @@
         world.schedule(10, Event::Arrive { is_crashing: false });
         world.schedule(2_000, Event::Disturb);
         world.schedule(5_000, Event::FailTogether);
-        world.schedule(EXPIRY_INTERVAL_MS, Event::RemoveExpired);
         world
     }
 
@@ -222,11 +223,7 @@
             } => self.record(instance, fingerprint),
             Event::Disturb => self.disturb(),
             Event::Heal => (0..INSTANCES).for_each(|instance| self.read_store(instance)),
-            Event::RemoveExpired => {
-                self.remove_expired();
-                self.schedule(EXPIRY_INTERVAL_MS, Event::RemoveExpired);
-            }
-            Event::RemoveOutdated => self.remove_expired(),
+            Event::RemoveOutdated => self.remove_outdated(),
             Event::FailTogether => self.fail_together(),
         }
     }
@@ -340,7 +337,7 @@
         instance.broken.record_completed(request);
         if self.design == Design::Waves {
             if instance.list.record_request_completed(now, &request) {
-                self.schedule(20, Event::RemoveOutdated);
+                self.schedule(REMOVAL_MS, Event::RemoveOutdated);
                 let delay_ms = self.rng.random_range(0..=100);
                 let notice = Notice::Completed(request, self.now_ms);
                 self.broadcast(run.instance, &notice, &[delay_ms]);
@@ -458,7 +455,7 @@
             Notice::Completed(request, completed_ms) => {
                 let list = &mut self.instances[instance].list;
                 if list.record_request_completed(at(completed_ms), &request) {
-                    self.schedule(20, Event::RemoveOutdated);
+                    self.schedule(REMOVAL_MS, Event::RemoveOutdated);
                 }
             }
         }
@@ -497,25 +494,35 @@
         self.stored.insert(fingerprint);
         for instance in &mut self.instances {
             if instance.cut_until_ms <= self.now_ms {
+                instance.records.insert(fingerprint);
                 instance.list.apply_quarantine_record(now, fingerprint);
             }
         }
-        self.schedule(20, Event::RemoveOutdated);
+        self.schedule(REMOVAL_MS, Event::RemoveOutdated);
     }
 
-    /// Removes the records of requests that the first instance, which watches the store, does not refuse any longer.
-    fn remove_expired(&mut self) {
+    /// Removes the records of requests that an instance lets run although it has read the record.
+    fn remove_outdated(&mut self) {
         let now = at(self.now_ms);
-        let watcher = &self.instances[0];
-        if watcher.cut_until_ms > self.now_ms || self.store_down_until_ms > self.now_ms {
+        if self.store_down_until_ms > self.now_ms {
             return;
         }
-        let is_over = |one: &Fingerprint| watcher.list.refused_for(now, *one).is_none();
-        let removed: Vec<_> = self.stored.iter().copied().filter(is_over).collect();
+        let reached = self
+            .instances
+            .iter()
+            .filter(|one| one.cut_until_ms <= self.now_ms);
+        let removed: BTreeSet<Fingerprint> = reached
+            .flat_map(|one| {
+                let read = one.records.intersection(&self.stored).copied();
+                read.filter(|record| one.list.refused_for(now, *record).is_none())
+            })
+            .collect();
         for fingerprint in removed {
             self.stored.remove(&fingerprint);
             for instance in &mut self.instances {
-                instance.list.clear(now, fingerprint);
+                if instance.cut_until_ms <= self.now_ms && instance.records.remove(&fingerprint) {
+                    instance.list.clear(now, fingerprint);
+                }
             }
         }
     }
@@ -525,11 +532,18 @@
         if reader.cut_until_ms > self.now_ms || self.store_down_until_ms > self.now_ms {
             return;
         }
+        let released: Vec<_> = reader.records.difference(&self.stored).copied().collect();
+        for fingerprint in released {
+            reader.records.remove(&fingerprint);
+            reader.list.clear(at(self.now_ms), fingerprint);
+        }
         for fingerprint in &self.stored {
+            reader.records.insert(*fingerprint);
             reader
                 .list
                 .apply_quarantine_record(at(self.now_ms), *fingerprint);
         }
+        self.schedule(REMOVAL_MS, Event::RemoveOutdated);
     }
 
     fn disturb(&mut self) {
@@ -548,6 +562,7 @@
                 started.broken = quarantine::BrokenExchanges::default();
                 started.incarnation += 1;
                 started.last_serial = 0;
+                started.records.clear();
                 let until_ms = self.now_ms + CONTACT_MS;
                 started.disturbed_until_ms = started.disturbed_until_ms.max(until_ms);
                 self.read_store(instance);
--- a/crates/damaskvane-gateway/src/crashes/record.rs
+++ b/crates/damaskvane-gateway/src/crashes/record.rs
@@ -9,6 +9,7 @@
 use damaskvane_core::time::{SpanMs, TimeMs};
 use damaskvane_dispatch::fingerprint::Fingerprint;
 use hyper::StatusCode;
+use rand::RngExt;
 use tokio::time::MissedTickBehavior;
 
 use crate::adapter::Collection;
@@ -25,6 +26,8 @@
 ///
 /// The record of that instance normally arrives within 0.1 s: one call to the store and the forwarded change.
 const PEER_WRITE_DELAY: SpanMs = SpanMs::new(1_000);
+/// Largest delay of the removal of a record that this instance knows to be outdated, in milliseconds.
+const MAX_REMOVAL_DELAY_MS: u64 = 500;
 /// Interval between two checks for expired quarantine records.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -33,6 +36,7 @@
     let mut client = StoreClient::new(Rc::clone(&node), Collection::Quarantine);
     let pending_records = node.crashes.pending_records.1.clone();
     let mut queue = WriteQueue::default();
+    let mut outdated = WriteQueue::default();
     let mut expiry = tokio::time::interval(EXPIRY_INTERVAL);
     expiry.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -51,8 +55,11 @@
                     }
                 }
             }
-            () = node.crashes.record_outdated.notified() => {
-                remove_expired(&node, &mut client).await;
+            () = node.crashes.record_outdated.notified() => queue_outdated(&node, &mut outdated),
+            () = until_due(&node, &outdated) => {
+                while let Some(fingerprint) = outdated.take_due(node.now()) {
+                    remove_if_released(&node, &mut client, fingerprint).await;
+                }
             }
             _ = expiry.tick() => {
                 crashes::expire(&node);
@@ -110,19 +117,42 @@
     if node.store.source() != Source::Store {
         return;
     }
-    let stored = node.crashes.stored.borrow().clone();
-    for fingerprint in stored {
-        if crashes::refusal(node, fingerprint).is_some() {
-            continue;
-        }
-        let request = node.adapter.remove_quarantine(&fingerprint);
-        match client.call(&request, CALL_TIMEOUT).await {
-            Ok(_) | Err(CallError::Status(StatusCode::NOT_FOUND)) => {
-                crashes::release_quarantine(node, fingerprint);
-            }
-            // The removal is tried again after `EXPIRY_INTERVAL`.
-            Err(error) => slog::warn!(node.log.log, "quarantine record can't be removed";
-                "fingerprint" => %fingerprint, "error" => %error),
+    for fingerprint in released_records(node) {
+        remove_if_released(node, client, fingerprint).await;
+    }
+}
+
+/// Queues the removal of records of requests that may run again, whoever watches the store.
+///
+/// Only instances that know that a request completed let it run in spite of its record, and the instance that watches
+/// the store may not know. With the random delay, one removal usually reaches all others before their own is due.
+fn queue_outdated(node: &Node, outdated: &mut WriteQueue) {
+    for fingerprint in released_records(node) {
+        let delay_ms = rand::rng().random_range(0..=MAX_REMOVAL_DELAY_MS);
+        outdated.push(node.now() + SpanMs::new(delay_ms), fingerprint);
+    }
+}
+
+/// Returns the requests that may run although the store has a record of them.
+fn released_records(node: &Node) -> Vec<Fingerprint> {
+    let stored = node.crashes.stored.borrow();
+    let released = stored
+        .iter()
+        .filter(|one| crashes::refusal(node, **one).is_none());
+    released.copied().collect()
+}
+
+async fn remove_if_released(node: &Node, client: &mut StoreClient, fingerprint: Fingerprint) {
+    if !is_stored(node, fingerprint) || crashes::refusal(node, fingerprint).is_some() {
+        return;
+    }
+    let request = node.adapter.remove_quarantine(&fingerprint);
+    match client.call(&request, CALL_TIMEOUT).await {
+        Ok(_) | Err(CallError::Status(StatusCode::NOT_FOUND)) => {
+            crashes::release_quarantine(node, fingerprint);
         }
+        // The removal is tried again after `EXPIRY_INTERVAL`.
+        Err(error) => slog::warn!(node.log.log, "quarantine record can't be removed";
+            "fingerprint" => %fingerprint, "error" => %error),
     }
 }
--- a/crates/damaskvane-gateway/src/upstream.rs
+++ b/crates/damaskvane-gateway/src/upstream.rs
@@ -5,6 +5,7 @@
 mod outcome;
 mod request;
 mod response;
+mod streaming;
 
 pub use exchange::Exchange;
 pub use idle::IdleConnections;
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -4,19 +4,19 @@
 use std::io;
 use std::rc::Rc;
 
-use bytes::Bytes;
 use damaskvane_core::time::{SpanMs, TimeMs};
 use damaskvane_routing::placement::Pick;
 use damaskvane_routing::pool::{self, ExchangeEnd, ExchangeId, ServerReport};
 use hyper::header;
-use tokio::sync::mpsc;
 
 use crate::clients::SendRight;
 use crate::costs::{Distance, Flow, OpenReason};
 use crate::crashes;
 use crate::http::{self, BodyReader, ReadError, ResponseHead};
 use crate::node::Node;
-use crate::upstream::{BackendResponse, ExchangeOutcome, OutgoingRequest, ResponseBody, request};
+use crate::upstream::{
+    BackendResponse, ExchangeOutcome, OutgoingRequest, ResponseBody, request, streaming,
+};
 
 /// Timeout for opening a connection. The kernel retransmits a lost SYN packet only after a second, and within
 /// this second another server can respond.
@@ -32,8 +32,6 @@
 /// Maximum number of responses to other requests that are skipped on a connection before the expected
 /// response.
 const MAX_SKIPPED_RESPONSES: usize = 3;
-/// Maximum number of pieces of a long response body that are queued for the client.
-const MAX_QUEUED_PIECES: usize = 4;
 
 /// Guard that removes an exchange from the requests counted as running on its server when the exchange ends
 /// or is dropped.
@@ -115,8 +113,14 @@
     }
 
     async fn exchange(&self) -> ExchangeOutcome {
-        let Ok((connection, is_reused)) = self.connect().await else {
-            return ExchangeOutcome::no_response(ExchangeEnd::Unreachable);
+        let (connection, is_reused) = match self.connect().await {
+            Ok(connected) => connected,
+            Err(error) => {
+                if error.kind() == io::ErrorKind::ConnectionRefused {
+                    crashes::record_server_death(self.node, &self.pick.server, "refused");
+                }
+                return ExchangeOutcome::no_response(ExchangeEnd::Unreachable);
+            }
         };
         let token = match self.right.redeem().await {
             Ok(token) => token,
@@ -293,7 +297,7 @@
                 }
                 ResponseBody::whole(bytes)
             }
-            Err(first) => ResponseBody::Streaming(stream_body(connection, body, first)),
+            Err(first) => ResponseBody::Streaming(streaming::stream_body(connection, body, first)),
         };
         let response = BackendResponse {
             status: head.status,
@@ -369,31 +373,3 @@
         ReadError::Malformed => ExchangeEnd::Malformed,
     }
 }
-
-/// Streams a long body to the client piece by piece; the connection is closed afterwards.
-fn stream_body(
-    mut connection: http::Connection,
-    mut body: BodyReader,
-    first: Bytes,
-) -> mpsc::Receiver<io::Result<Bytes>> {
-    let (sender, receiver) = mpsc::channel(MAX_QUEUED_PIECES);
-    tokio::task::spawn_local(async move {
-        let mut next = Some(first);
-        while let Some(piece) = next {
-            // The client has disconnected: returning drops the connection, so that the server can stop the
-            // request.
-            if sender.send(Ok(piece)).await.is_err() {
-                return;
-            }
-            next = match connection.read_piece(&mut body).await {
-                Ok(piece) => piece,
-                Err(_) => {
-                    let cut = io::Error::from(io::ErrorKind::UnexpectedEof);
-                    let _ = sender.send(Err(cut)).await;
-                    return;
-                }
-            };
-        }
-    });
-    receiver
-}
