--- a/crates/damaskvane-dispatch/tests/quarantine.rs
+++ b/crates/damaskvane-dispatch/tests/quarantine.rs
@@ -151,6 +151,41 @@
     assert!(broken.is_empty());
 }
 
+/// Servers fall silent with requests on them, and the proof comes when they are started again seconds later. Meanwhile
+/// the exchanges must delay no request: a machine that is cut off sees all its servers silent.
+#[test]
+fn an_exchange_with_a_silent_server_waits_long_for_the_proof_and_delays_nothing() {
+    let mut broken = quarantine::BrokenExchanges::default();
+    let (unanswered, unprobed) = ("desk-1", "desk-2");
+    let [unanswered, unprobed] = [unanswered, unprobed].map(|id| id.parse().expect("a server id"));
+    broken.record_unanswered(at(0), &unanswered, fingerprint_of("bad"));
+    broken.record(at(0), &unprobed, fingerprint_of("bad"));
+    broken.record_silence(&unprobed);
+    let is_bad = |one: &_| *one == fingerprint_of("bad");
+    assert_eq!(broken.unconfirmed_count(at(1), is_bad), 0);
+    broken.expire(at(9_000));
+    for server in [unanswered, unprobed] {
+        assert_eq!(broken.first_broken_at(at(9_000), &server), Some(at(0)));
+        let suspects = broken.take_suspects(at(9_000), &server);
+        assert_eq!(suspects, [fingerprint_of("bad")]);
+    }
+}
+
+/// A connection breaks under a harmless request, which then completes on another server. When the first server is found
+/// crashed later, the request must not be suspected.
+#[test]
+fn a_request_that_completes_withdraws_its_own_evidence() {
+    let mut broken = quarantine::BrokenExchanges::default();
+    let server = "desk-1".parse().expect("a server id");
+    broken.record(at(0), &server, fingerprint_of("good"));
+    broken.record(at(0), &server, fingerprint_of("bad"));
+    broken.record_completed(fingerprint_of("good"));
+    assert_eq!(
+        broken.take_suspects(at(10), &server),
+        [fingerprint_of("bad")]
+    );
+}
+
 /// All instances are killed at once, and a client repeats a request that crashed two servers. The restarted
 /// instances have no incidents; the record of the quarantine in the store must keep the request from a third
 /// server.
