A caller keeps its crashes when its record is removed

What callers would see: a request that crashes servers only with what one caller sends takes two servers again after each completed run of others. Cause, found on reading the change again: an outdated record is removed by whichever instance knows better, and every instance took the removal for an operator's and forgot the crashes. Change: the removal clears a request that is refused; one that may run keeps its crashes.

--- a/crates/damaskvane-dispatch/src/quarantine/list.rs
+++ b/crates/damaskvane-dispatch/src/quarantine/list.rs
@@ -103,6 +103,25 @@
         !was_refused && self.refused_for(now, fingerprint).is_some()
     }
 
+    /// Applies the removal of a request's record.
+    ///
+    /// A refused request is cleared. One that may run keeps its crashes: its record was removed because the request
+    /// completed for other callers, and a later crash counts together with the earlier ones. Returns whether the request
+    /// was refused.
+    pub fn release_record(
+        &mut self,
+        now: time::TimeMs,
+        fingerprint: fingerprint::Fingerprint,
+    ) -> bool {
+        if self.refused_for(now, fingerprint).is_some() {
+            return self.clear(now, fingerprint);
+        }
+        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+            suspect.is_recorded = false;
+        }
+        false
+    }
+
     /// Returns for how much longer a request is refused, or `None` if it may run.
     #[must_use]
     pub fn refused_for(
--- a/crates/damaskvane-dispatch/tests/quarantine_scopes.rs
+++ b/crates/damaskvane-dispatch/tests/quarantine_scopes.rs
@@ -156,6 +156,23 @@
     assert!(!is_caller_refused(&quarantine, 1_801));
 }
 
+/// The record of a caller that others' completed runs excuse is removed. If that forgot the caller's crashes, its request
+/// would take down two servers again each time.
+#[test]
+fn a_caller_keeps_its_crashes_when_its_record_is_removed() {
+    let mut quarantine = new_quarantine();
+    let of_a = of_caller("a").fingerprint(Scope::Caller);
+    record_of_caller(&mut quarantine, 1_000, 1);
+    record_of_caller(&mut quarantine, 1_100, 2);
+    let _ = quarantine.apply_quarantine_record(at(1_150), of_a);
+    assert!(quarantine.record_request_completed(at(1_200), &of_caller("b")));
+    assert!(!quarantine.release_record(at(1_300), of_a));
+    record_of_caller(&mut quarantine, 1_700, 3);
+    assert!(is_caller_refused(&quarantine, 1_701));
+    assert!(quarantine.release_record(at(1_800), of_a));
+    assert!(!is_caller_refused(&quarantine, 1_801));
+}
+
 /// An instance that was cut off writes the record of a quarantine late, after the request has completed elsewhere. The
 /// record must not refuse it for minutes; one of a request that crashes servers again must.
 #[test]
--- a/crates/damaskvane-dispatch/tests/support/crash_world.rs
+++ b/crates/damaskvane-dispatch/tests/support/crash_world.rs
@@ -521,7 +521,7 @@
             self.stored.remove(&fingerprint);
             for instance in &mut self.instances {
                 if instance.cut_until_ms <= self.now_ms && instance.records.remove(&fingerprint) {
-                    instance.list.clear(now, fingerprint);
+                    instance.list.release_record(now, fingerprint);
                 }
             }
         }
@@ -535,7 +535,7 @@
         let released: Vec<_> = reader.records.difference(&self.stored).copied().collect();
         for fingerprint in released {
             reader.records.remove(&fingerprint);
-            reader.list.clear(at(self.now_ms), fingerprint);
+            reader.list.release_record(at(self.now_ms), fingerprint);
         }
         for fingerprint in &self.stored {
             reader.records.insert(*fingerprint);
--- a/crates/damaskvane-gateway/src/crashes.rs
+++ b/crates/damaskvane-gateway/src/crashes.rs
@@ -286,9 +286,11 @@
 
 /// Applies the removal of a quarantine record from the store, because the record expired or an operator removed it.
 pub fn release_quarantine(node: &Node, fingerprint: Fingerprint) {
-    if node.crashes.stored.borrow_mut().remove(&fingerprint) {
-        let mut list = node.crashes.list.borrow_mut();
-        list.clear(node.now(), fingerprint);
+    if !node.crashes.stored.borrow_mut().remove(&fingerprint) {
+        return;
+    }
+    let mut list = node.crashes.list.borrow_mut();
+    if list.release_record(node.now(), fingerprint) {
         slog::info!(node.log.log, "request is released from quarantine"; "fingerprint" => %fingerprint);
     }
 }
