--- a/crates/damaskvane-gateway/src/crashes.rs
+++ b/crates/damaskvane-gateway/src/crashes.rs
@@ -1,10 +1,11 @@
 //! Quarantine of requests that crash backend servers: instances refuse such requests for a limited time.
 //!
-//! A request whose connection broke becomes a suspect when its server is found to have crashed. After two such crashes
-//! all instances refuse the request. An incident is one crash with its suspects; instances notify each other of
-//! incidents by datagram. An exchange is one request to a server with its response. A request has two fingerprints
-//! (hashes): of its team, host, method, path and body, and of these with the client's address. The store keeps a record
-//! of each refused request, so that instances that were partitioned or restarted refuse it too.
+//! A request whose connection broke, or that got no answer, becomes a suspect when its server is found to have crashed.
+//! After two such crashes all instances refuse the request to its caller, and after two waves of crashes to everyone.
+//! An incident is one crash with its suspects; instances notify each other of incidents by datagram. An exchange is one
+//! request to a server with its response. A request has two fingerprints (hashes): of its team, host, method, path and
+//! body, and of these with the client's address. The store keeps a record of each refused request, so that instances
+//! that were partitioned or restarted refuse it too.
 
 mod evidence;
 mod notice;
@@ -35,7 +36,7 @@
 pub use record::maintain as maintain_records;
 pub use write_queue::WriteQueue;
 
-/// Maximum time for which a request whose connection broke twice waits for the results of the servers' health probes.
+/// Maximum time for which a request that would be refused after one more crash waits for the results of health probes.
 ///
 /// A connection within a region is refused in 30 ms. The timeout of a probe, 0.8 s, would be too long for this wait:
 /// most clients have disconnected by then.
