Calls about quarantine records are spread over the fleet

Cause: with the queue of records every instance wrote every record after the same second, and all of them at the moment of the store's return; before, a second's pause for each record hid that. Class: all at its return. Change: random delay of up to 100 ms for each instance of the fleet before writes of other instances' records, retries and removals; no call while the store is down.

--- a/crates/damaskvane-gateway/src/crashes/record.rs
+++ b/crates/damaskvane-gateway/src/crashes/record.rs
@@ -26,8 +26,9 @@
 ///
 /// The record of that instance normally arrives within 0.1 s: one call to the store and the forwarded change.
 const PEER_WRITE_DELAY: SpanMs = SpanMs::new(1_000);
-/// Largest delay of the removal of a record that this instance knows to be outdated, in milliseconds.
-const MAX_REMOVAL_DELAY_MS: u64 = 500;
+/// Largest random delay of a call that any instance may make, in milliseconds for each instance: about the time in which
+/// a change of the store reaches all of them.
+const DELAY_MS_PER_INSTANCE: u64 = 100;
 /// Interval between two checks for expired quarantine records.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -48,16 +49,15 @@
                 queue.push(due_at(&node, pending), pending.fingerprint);
             }
             () = until_due(&node, &queue) => {
-                while let Some(fingerprint) = queue.take_due(node.now()) {
-                    if !write(&node, &mut client, fingerprint).await {
-                        queue.push(node.now() + RETRY_DELAY, fingerprint);
-                        break;
-                    }
+                if let Some(fingerprint) = queue.take_due(node.now())
+                    && !write(&node, &mut client, fingerprint).await
+                {
+                    queue.push(node.now() + RETRY_DELAY + fleet_delay(&node), fingerprint);
                 }
             }
             () = node.crashes.record_outdated.notified() => queue_outdated(&node, &mut outdated),
             () = until_due(&node, &outdated) => {
-                while let Some(fingerprint) = outdated.take_due(node.now()) {
+                if let Some(fingerprint) = outdated.take_due(node.now()) {
                     remove_if_released(&node, &mut client, fingerprint).await;
                 }
             }
@@ -73,17 +73,25 @@
     if pending.is_own {
         node.now()
     } else {
-        node.now() + PEER_WRITE_DELAY
+        node.now() + PEER_WRITE_DELAY + fleet_delay(node)
     }
 }
 
-/// Waits until a record is due and the store answers; forever if the queue is empty.
+/// Returns a random delay, longer in a large fleet.
+///
+/// What one instance writes or removes reaches the others before their own calls are due. Without the delay all instances
+/// would make the same calls at the same moment, such as the return of the store after an outage.
+fn fleet_delay(node: &Node) -> SpanMs {
+    let instances = node.state.borrow().members.max_running_instances() as u64;
+    SpanMs::new(rand::rng().random_range(0..=DELAY_MS_PER_INSTANCE * instances))
+}
+
+/// Waits until a record is due; forever if the queue is empty.
 async fn until_due(node: &Node, queue: &WriteQueue) {
     let Some(at) = queue.next_due() else {
         return core::future::pending().await;
     };
     tokio::time::sleep(at.since(node.now()).to_duration()).await;
-    node.store.until_up().await;
 }
 
 /// Writes the record of a refused request, unless the store has it; returns whether the store has it now.
@@ -91,6 +99,9 @@
     if is_stored(node, fingerprint) || crashes::refusal(node, fingerprint).is_none() {
         return true;
     }
+    if !node.store.is_up() {
+        return false;
+    }
     let request = node.adapter.record_quarantine(&fingerprint);
     match client.call(&request, CALL_TIMEOUT).await {
         // A conflict means that another instance has written the record.
@@ -128,8 +139,7 @@
 /// the store may not know. With the random delay, one removal usually reaches all others before their own is due.
 fn queue_outdated(node: &Node, outdated: &mut WriteQueue) {
     for fingerprint in released_records(node) {
-        let delay_ms = rand::rng().random_range(0..=MAX_REMOVAL_DELAY_MS);
-        outdated.push(node.now() + SpanMs::new(delay_ms), fingerprint);
+        outdated.push(node.now() + fleet_delay(node), fingerprint);
     }
 }
 
--- a/crates/damaskvane-gateway/src/store/health.rs
+++ b/crates/damaskvane-gateway/src/store/health.rs
@@ -194,6 +194,12 @@
         self.answers.notified().await;
     }
 
+    /// Returns whether the store is marked as up.
+    #[must_use]
+    pub fn is_up(&self) -> bool {
+        *self.reachability.borrow() == Reachability::Up
+    }
+
     /// Waits until the store is marked as up.
     pub async fn until_up(&self) {
         self.until_reachability(Reachability::Up).await;
