One notice for both fingerprints of a crash's suspects

Change: the fingerprint of any caller is the first half of a caller's, so that receivers derive it and one notice is enough. Ruled out: fewer repetitions of notices (a lost notice costs servers).

--- a/crates/damaskvane-dispatch/src/fingerprint.rs
+++ b/crates/damaskvane-dispatch/src/fingerprint.rs
@@ -78,6 +78,12 @@
         Self(hash::ContentHash::from_bytes(bytes))
     }
 
+    /// Returns the fingerprint of the same request whoever sends it; its second half is zero.
+    #[must_use]
+    pub fn any_caller(&self) -> Self {
+        *self.callers().start()
+    }
+
     /// Returns the range of the fingerprints of the same request of all callers.
     #[must_use]
     pub fn callers(&self) -> ops::RangeInclusive<Self> {
--- a/crates/damaskvane-dispatch/src/quarantine/incident.rs
+++ b/crates/damaskvane-dispatch/src/quarantine/incident.rs
@@ -38,3 +38,21 @@
     /// The time in milliseconds between the incident and the sending of this report.
     pub age: time::SpanMs,
 }
+
+impl Incident {
+    /// Returns the same incident with the suspects' fingerprints without their callers.
+    #[must_use]
+    pub fn without_callers(&self) -> Self {
+        let mut suspects: Vec<_> = self
+            .suspects
+            .iter()
+            .map(fingerprint::Fingerprint::any_caller)
+            .collect();
+        suspects.sort_unstable();
+        suspects.dedup();
+        Self {
+            suspects,
+            ..self.clone()
+        }
+    }
+}
--- a/crates/damaskvane-dispatch/src/quarantine/scope.rs
+++ b/crates/damaskvane-dispatch/src/quarantine/scope.rs
@@ -47,7 +47,7 @@
     pub fn new(request: fingerprint::Fingerprint, caller: &str) -> Self {
         Self {
             with_caller: request.with_caller(caller),
-            without_caller: request,
+            without_caller: request.any_caller(),
         }
     }
 
--- a/crates/damaskvane-dispatch/tests/quarantine_scopes.rs
+++ b/crates/damaskvane-dispatch/tests/quarantine_scopes.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use damaskvane_core::time;
+use damaskvane_dispatch::fingerprint::Fingerprint;
 use damaskvane_dispatch::quarantine;
 use damaskvane_dispatch::quarantine::Scope;
 
@@ -12,6 +13,11 @@
     quarantine::Quarantine::new(quarantine::QuarantineSettings::default())
 }
 
+/// Returns the fingerprint of the request of any caller.
+fn bad() -> Fingerprint {
+    fingerprint_of("bad").any_caller()
+}
+
 /// Returns the report of a crash while the request `bad` was running; `serial` also names the server.
 fn crash(serial: u64) -> quarantine::Incident {
     quarantine::Incident {
@@ -20,7 +26,7 @@
             serial,
         },
         server: format!("desk-{serial}").parse().expect("a server id"),
-        suspects: vec![fingerprint_of("bad")],
+        suspects: vec![bad()],
         age: time::SpanMs::ZERO,
     }
 }
@@ -34,7 +40,7 @@
 }
 
 fn is_refused(quarantine: &quarantine::Quarantine, now_ms: u64) -> bool {
-    let refused_for = quarantine.refused_for(at(now_ms), fingerprint_of("bad"));
+    let refused_for = quarantine.refused_for(at(now_ms), bad());
     refused_for.is_some()
 }
 
@@ -106,7 +112,7 @@
 #[test]
 fn a_retry_waits_for_a_probe_only_if_a_crash_would_refuse_it() {
     let mut quarantine = new_quarantine();
-    let bad = fingerprint_of("bad");
+    let bad = bad();
     assert!(!quarantine.may_be_refused(at(1_000), Scope::AnyCaller, bad, 2));
     assert!(quarantine.may_be_refused(at(1_000), Scope::Caller, bad, 2));
     record(&mut quarantine, 1_000, Scope::AnyCaller, 1);
--- a/crates/damaskvane-gateway/src/crashes.rs
+++ b/crates/damaskvane-gateway/src/crashes.rs
@@ -206,9 +206,7 @@
     if !suspects.is_empty() {
         node.metrics.crash_incidents.inc();
     }
-    for scope in Scope::ALL {
-        report_suspects(node, server, proof, crashed_at, scope, &suspects);
-    }
+    report_suspects(node, server, proof, crashed_at, &suspects);
     node.crashes.server_state_known.notify_waiters();
 }
 
@@ -218,10 +216,9 @@
     server: &ids::BackendServerId,
     proof: &str,
     crashed_at: TimeMs,
-    scope: Scope,
     suspects: &[RequestIdentity],
 ) {
-    let fingerprints = suspects.iter().map(|one| one.fingerprint(scope));
+    let fingerprints = suspects.iter().map(|one| one.fingerprint(Scope::Caller));
     let fingerprints: BTreeSet<Fingerprint> = fingerprints.collect();
     let fingerprints: Vec<Fingerprint> = fingerprints.into_iter().collect();
     for suspects in fingerprints.chunks(MAX_SUSPECTS_PER_INCIDENT) {
@@ -235,12 +232,10 @@
             age: node.now().since(crashed_at),
         };
         slog::warn!(node.log.log, "backend server died while running requests";
-            "backend_server" => %server, "proof" => proof, "scope" => ?scope,
-            "suspects" => join_fingerprints(suspects));
-        apply_incident(node, scope, &incident, true);
+            "backend_server" => %server, "proof" => proof, "suspects" => join_fingerprints(suspects));
+        apply_incident(node, &incident, true);
         // The receiver lives as long as the node.
-        let notice = CrashNotice::Incident { scope, incident };
-        let _ = node.crashes.notices.0.send(notice);
+        let _ = node.crashes.notices.0.send(CrashNotice::Incident(incident));
     }
 }
 
@@ -259,11 +254,16 @@
 }
 
 /// Applies an incident that another instance has detected and sent.
-pub fn apply_peer_incident(node: &Node, scope: Scope, incident: &Incident) {
-    apply_incident(node, scope, incident, false);
+pub fn apply_peer_incident(node: &Node, incident: &Incident) {
+    apply_incident(node, incident, false);
+}
+
+fn apply_incident(node: &Node, incident: &Incident, is_own: bool) {
+    apply_scoped_incident(node, Scope::Caller, incident, is_own);
+    apply_scoped_incident(node, Scope::AnyCaller, &incident.without_callers(), is_own);
 }
 
-fn apply_incident(node: &Node, scope: Scope, incident: &Incident, is_own: bool) {
+fn apply_scoped_incident(node: &Node, scope: Scope, incident: &Incident, is_own: bool) {
     let mut list = node.crashes.list.borrow_mut();
     let refused = list.record_scoped_incident(node.now(), scope, incident);
     drop(list);
--- a/crates/damaskvane-gateway/src/crashes/notice.rs
+++ b/crates/damaskvane-gateway/src/crashes/notice.rs
@@ -1,18 +1,13 @@
 //! What an instance tells the other instances about requests that crash servers.
 
 use damaskvane_core::time::TimeMs;
-use damaskvane_dispatch::quarantine::{Incident, RequestIdentity, Scope};
+use damaskvane_dispatch::quarantine::{Incident, RequestIdentity};
 
 /// What this instance has to send to the other instances.
 #[derive(Debug, Clone)]
 pub enum CrashNotice {
     /// This instance detected a crash.
-    Incident {
-        /// The scope of the suspects' fingerprints.
-        scope: Scope,
-        /// The crash with its suspects.
-        incident: Incident,
-    },
+    Incident(Incident),
     /// A suspect request completed at this instance.
     Completed {
         /// The suspect.
--- a/crates/damaskvane-gateway/src/peers.rs
+++ b/crates/damaskvane-gateway/src/peers.rs
@@ -303,9 +303,7 @@
                     apply_heartbeat(&node, heartbeat);
                 }
             }
-            Some(Message::Incident { scope, incident }) => {
-                crashes::apply_peer_incident(&node, scope, &incident);
-            }
+            Some(Message::Incident(incident)) => crashes::apply_peer_incident(&node, &incident),
             Some(Message::Completed { request, age }) => {
                 crashes::apply_peer_completion(&node, &request, age);
             }
--- a/crates/damaskvane-gateway/src/peers/message.rs
+++ b/crates/damaskvane-gateway/src/peers/message.rs
@@ -10,7 +10,7 @@
 
 use damaskvane_core::ids;
 use damaskvane_core::time::SpanMs;
-use damaskvane_dispatch::quarantine::{Incident, RequestIdentity, Scope};
+use damaskvane_dispatch::quarantine::{Incident, RequestIdentity};
 use damaskvane_routing::peers::{Digest, DigestEntry, Heartbeat, IncarnationKey, Phase};
 use damaskvane_routing::placement::{
     ObjectMove, ObjectSample, PopularityDecision, PopularityReport, RouteKey,
@@ -46,12 +46,7 @@
         heartbeats: Vec<Heartbeat>,
     },
     /// The crash of a backend server that was running requests.
-    Incident {
-        /// The scope of the suspects' fingerprints.
-        scope: Scope,
-        /// The crash with its suspects.
-        incident: Incident,
-    },
+    Incident(Incident),
     /// A request that was a suspect completed at the sender.
     Completed {
         /// The request.
@@ -84,7 +79,7 @@
             Self::Heartbeat(_) => Flow::Heartbeat,
             Self::Digest { .. } => Flow::Digest,
             Self::MembershipUpdate { .. } => Flow::MembershipUpdate,
-            Self::Incident { .. } | Self::Completed { .. } => Flow::Incident,
+            Self::Incident(_) | Self::Completed { .. } => Flow::Incident,
             Self::ServerReports(_) => Flow::ServerReports,
             Self::PopularityReport(_) => Flow::PopularityReport,
             Self::PopularityDecisions { .. } => Flow::PopularityDecisions,
@@ -123,10 +118,7 @@
         is_forwarded: bool,
         heartbeats: Vec<HeartbeatWire>,
     },
-    Incident {
-        scope: Scope,
-        incident: Incident,
-    },
+    Incident(Incident),
     Completed {
         request: RequestIdentity,
         age: SpanMs,
@@ -212,10 +204,7 @@
                 is_forwarded: *is_forwarded,
                 heartbeats: heartbeats.iter().map(HeartbeatWire::of).collect(),
             },
-            Message::Incident { scope, incident } => Self::Incident {
-                scope: *scope,
-                incident: incident.clone(),
-            },
+            Message::Incident(incident) => Self::Incident(incident.clone()),
             Message::Completed { request, age } => Self::Completed {
                 request: *request,
                 age: *age,
@@ -266,7 +255,7 @@
                     .filter_map(HeartbeatWire::into_heartbeat)
                     .collect(),
             },
-            Self::Incident { scope, incident } => Message::Incident { scope, incident },
+            Self::Incident(incident) => Message::Incident(incident),
             Self::Completed { request, age } => Message::Completed { request, age },
             Self::ServerReports(reports) => {
                 Message::ServerReports(reports.into_iter().map(ServerWire::into_report).collect())
--- a/crates/damaskvane-gateway/src/peers/outgoing.rs
+++ b/crates/damaskvane-gateway/src/peers/outgoing.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use damaskvane_core::time::TimeMs;
-use damaskvane_dispatch::quarantine::{Incident, RequestIdentity, Scope};
+use damaskvane_dispatch::quarantine::{Incident, RequestIdentity};
 use rand::RngExt;
 use tokio::net::UdpSocket;
 
@@ -34,9 +34,7 @@
         let (node, socket) = (Rc::clone(&node), Rc::clone(&socket));
         tokio::task::spawn_local(async move {
             match notice {
-                CrashNotice::Incident { scope, incident } => {
-                    send_incident(&node, &socket, scope, incident).await;
-                }
+                CrashNotice::Incident(incident) => send_incident(&node, &socket, incident).await,
                 CrashNotice::Completed { request, at } => {
                     send_completion(&node, &socket, &request, at).await;
                 }
@@ -45,7 +43,7 @@
     }
 }
 
-async fn send_incident(node: &Node, socket: &UdpSocket, scope: Scope, incident: Incident) {
+async fn send_incident(node: &Node, socket: &UdpSocket, incident: Incident) {
     let crashed_at = TimeMs::new(node.now().get().saturating_sub(incident.age.get()));
     for attempt in 0..INCIDENT_SEND_COUNT {
         if attempt > 0 {
@@ -56,7 +54,7 @@
             ..incident.clone()
         };
         let recipients = node.state.borrow().members.others();
-        let message = Message::Incident { scope, incident };
+        let message = Message::Incident(incident);
         peers::send(node, socket, &message, &recipients).await;
     }
 }
--- a/crates/damaskvane-gateway/tests/datagrams.rs
+++ b/crates/damaskvane-gateway/tests/datagrams.rs
@@ -3,7 +3,7 @@
 use damaskvane_core::ids;
 use damaskvane_core::time::SpanMs;
 use damaskvane_dispatch::fingerprint::Fingerprint;
-use damaskvane_dispatch::quarantine::{Incident, IncidentId, RequestIdentity, Scope};
+use damaskvane_dispatch::quarantine::{Incident, IncidentId, RequestIdentity};
 use damaskvane_gateway::crashes;
 use damaskvane_gateway::peers::Message;
 use damaskvane_routing::peers::{Digest, DigestEntry, Heartbeat, IncarnationKey, Phase};
@@ -59,10 +59,7 @@
             .collect(),
         age: SpanMs::new(800),
     };
-    Message::Incident {
-        scope: Scope::AnyCaller,
-        incident,
-    }
+    Message::Incident(incident)
 }
 
 fn completed() -> Message {
