Slots stay in use while their owner is lost: standing leases

What callers saw (modelled zone): the owner of a server is lost, and a lease later no request runs on the server, beside instances that are well and had slots of it.

Cause: all slots of a server hung on one owner at a time, by leases that end with its silence. Change: with its first renewal a lease loses its end; its holder uses it as long as it has authority, as an owner its servers. Ledgers, consents and waits cover it; no claim with the holder's consent may be open when one is granted; owners audit their holders. A recall leaves a holder the slots that its own waiting requests use. Why it works: what a new owner does for an earlier owner it does for each holder.

--- a/crates/damaskvane-slots/src/claim.rs
+++ b/crates/damaskvane-slots/src/claim.rs
@@ -106,14 +106,20 @@
             // The holder measured the lease after this claim began, however long its message took.
             let certain_until = self.started_at + lease.remaining_ms + margin;
             self.certain_until.insert(key.clone(), certain_until);
-            let slots = lease.slots;
-            self.reports
-                .insert(key.clone(), Grant { key, slots, until });
+            let grant = Grant {
+                key: key.clone(),
+                slots: lease.slots,
+                until,
+                is_standing: lease.is_standing,
+            };
+            self.reports.insert(key, grant);
         }
         self.consents.insert(from, incarnation);
     }
 
     /// Records the grants in the ledger of an owner that still waits itself.
+    ///
+    /// The holders of standing leases have to consent, too, and report them.
     pub fn record_ledger(
         &mut self,
         now: time::TimeMs,
@@ -125,6 +131,7 @@
                 key: entry.key,
                 slots: entry.slots,
                 until,
+                is_standing: false,
             });
             grant.until = grant.until.max(until);
         }
--- a/crates/damaskvane-slots/src/exchange/acquiring.rs
+++ b/crates/damaskvane-slots/src/exchange/acquiring.rs
@@ -23,6 +23,7 @@
         // An instance that is about to stop owns no servers but still acquires slots: clients send it
         // requests until their lookup responses expire, and those requests would otherwise wait and never get
         // a slot.
+        server.pool.record_waiting(now, waiting);
         let slots = server.pool.slots_to_acquire(now, waiting, timeout);
         if slots == units::Slots::ZERO {
             return;
@@ -76,10 +77,18 @@
                 number,
                 attempt,
                 lease_ms,
+                is_standing,
                 ..
-            } => server
-                .pool
-                .apply_renewal(number, attempt, lease_ms, &settings),
+            } => {
+                let is_applied =
+                    server
+                        .pool
+                        .apply_renewal(number, attempt, lease_ms, is_standing, &settings);
+                // A consent that was given since the renewal was requested would have discarded the request.
+                if is_applied && is_standing {
+                    server.promises.keep_only(from);
+                }
+            }
             SlotMessage::Recall { keep, .. } => {
                 server.pool.apply_recall(now, keep, &settings);
                 self.return_excess(&name);
@@ -142,6 +151,7 @@
         let Some(owner) = owner else {
             return;
         };
+        let standing = self.standing_request(name);
         for request in requests {
             match request {
                 LeaseOp::Return { number, remaining } => self.send_return(name, number, remaining),
@@ -150,6 +160,7 @@
                         server: name.clone(),
                         number,
                         attempt,
+                        standing: standing.clone(),
                     };
                     self.send(&owner, message);
                 }
--- a/crates/damaskvane-slots/src/exchange/claiming.rs
+++ b/crates/damaskvane-slots/src/exchange/claiming.rs
@@ -49,6 +49,7 @@
             Ownership::Claiming(_) if !is_own => {
                 if let Ownership::Claiming(claim) = core::mem::take(&mut server.ownership) {
                     server.wait.merge(claim.wait().clone());
+                    self.send_release(name);
                 }
             }
             // Instances whose consent is missing may have been proven gone since the claim was sent.
@@ -133,6 +134,7 @@
             let message = SlotMessage::Claim {
                 server,
                 claim: number,
+                keeps_standing: true,
             };
             self.send(&to, message);
         }
@@ -241,7 +243,7 @@
         let Ownership::Claiming(mut claim) = core::mem::take(&mut server.ownership) else {
             return;
         };
-        let leases = server.pool.held_leases(now);
+        let leases = server.pool.held_leases(now, &self.settings);
         claim.record_consent(now, own.instance.clone(), own.incarnation, leases, margin);
         let certain_until = claim.take_certain_until();
         let mut known = claim.into_reports();
@@ -270,7 +272,11 @@
         message: SlotMessage,
     ) {
         match message {
-            SlotMessage::Claim { server, claim } => self.handle_claim(from, &server, claim),
+            SlotMessage::Claim {
+                server,
+                claim,
+                keeps_standing,
+            } => self.handle_claim(from, &server, claim, keeps_standing),
             SlotMessage::Consent {
                 server,
                 claim,
@@ -278,10 +284,15 @@
                 ledger,
                 wait_ms,
                 wait,
+                last_claim,
             } => {
+                self.record_release(from, &server, last_claim);
                 self.delay_claim(from, &server, claim, wait_ms, wait);
                 self.apply_consent(from, &server, claim, leases, ledger);
             }
+            SlotMessage::Release { server, last_claim } => {
+                self.record_release(from, &server, last_claim);
+            }
             SlotMessage::Decline { .. } => self.counters.declined += 1,
             _ => {}
         }
@@ -369,6 +380,7 @@
             key: entry.key,
             slots: entry.slots,
             until: now + entry.remaining_ms,
+            is_standing: entry.is_standing,
         });
         self.counters.handed_over += 1;
         if let Some(server) = self.servers.get_mut(name) {
--- a/crates/damaskvane-slots/src/exchange/consenting.rs
+++ b/crates/damaskvane-slots/src/exchange/consenting.rs
@@ -22,10 +22,11 @@
         from: &InstanceIncarnation,
         name: &ids::BackendServerId,
         claim: u64,
+        keeps_standing: bool,
     ) {
         let is_assigned = self.assigned_owner(name).as_ref() == Some(&from.instance);
         let consent = if is_assigned {
-            self.give_consent(name, claim, &from.instance)
+            self.give_consent(name, claim, from, keeps_standing)
         } else {
             None
         };
@@ -48,7 +49,8 @@
         &mut self,
         name: &ids::BackendServerId,
         claim: u64,
-        owner: &ids::InstanceId,
+        claimant: &InstanceIncarnation,
+        keeps_standing: bool,
     ) -> Option<SlotMessage> {
         let now = self.now;
         let has_authority = self.has_authority();
@@ -68,11 +70,18 @@
         wait.postpone(leases);
         // Another instance may have granted slots since this one's authority expired, so the ledger may be
         // incomplete.
-        let ledger = ledger.filter(|_| has_authority);
+        let ledger = ledger.filter(|ledger| {
+            has_authority
+                && (keeps_standing || !ledger.entries.iter().any(|entry| entry.is_standing))
+        });
+        if !keeps_standing {
+            server.pool.end_standing(now, &self.settings);
+        }
         server.queue.clear();
-        server.set_owner(Some(owner.clone()));
+        server.set_owner(Some(claimant.instance.clone()));
+        server.promises.record(claimant, claim);
         server.pool.discard_pending_requests();
-        let leases = server.pool.held_leases(now);
+        let leases = server.pool.held_leases(now, &self.settings);
         Some(SlotMessage::Consent {
             server: name.clone(),
             claim,
@@ -80,6 +89,7 @@
             ledger,
             wait_ms: wait.last_stop().since(now),
             wait: Some(wait.report(now)),
+            last_claim: self.last_claim,
         })
     }
 
--- a/crates/damaskvane-slots/src/exchange/granting.rs
+++ b/crates/damaskvane-slots/src/exchange/granting.rs
@@ -35,12 +35,22 @@
                 server,
                 number,
                 attempt,
-            } => self.handle_renew(from, &server, number, attempt),
+                standing,
+            } => {
+                let is_standing =
+                    standing.is_some_and(|claims| self.may_grant_standing(&server, &claims));
+                self.handle_renew(from, &server, number, attempt, is_standing);
+            }
             SlotMessage::Return {
                 server,
                 number,
                 remaining,
             } => self.handle_return(from, &server, number, remaining),
+            SlotMessage::Held {
+                server,
+                last_number,
+                grants,
+            } => self.handle_held(from, &server, last_number, &grants),
             _ => {}
         }
     }
@@ -199,6 +209,7 @@
         name: &ids::BackendServerId,
         number: GrantNumber,
         attempt: u32,
+        is_standing: bool,
     ) {
         let (now, lease_ms) = (self.now, self.settings.lease_ms);
         let has_authority = self.has_authority();
@@ -211,14 +222,14 @@
             .map(|server| &mut server.ownership);
         let renewed = match ownership {
             _ if !has_authority => Err(RefusalReason::NoAuthority),
-            Some(Ownership::Serving(ledger)) => Ok(ledger.renew(now, &key, until)),
+            Some(Ownership::Serving(ledger)) => Ok(renew(ledger, now, &key, until, is_standing)),
             // A fenced instance is one that lost its ownership but may not have noticed. As long as it may
             // act, it may grant the slots of leases that have expired by its ledger.
             Some(Ownership::Waiting(ledger)) if ledger.until() > all_expired_at => {
                 Err(RefusalReason::Waiting)
             }
             // Grants in the ledger may be renewed while this owner waits for unknown grants to expire.
-            Some(Ownership::Waiting(ledger)) => Ok(ledger.renew(now, &key, until)),
+            Some(Ownership::Waiting(ledger)) => Ok(renew(ledger, now, &key, until, is_standing)),
             Some(Ownership::Claiming(_)) => Err(RefusalReason::Waiting),
             Some(Ownership::None) | None => Err(RefusalReason::NotOwner),
         };
@@ -229,6 +240,7 @@
                     number,
                     attempt,
                     lease_ms,
+                    is_standing,
                 };
                 self.reply(from, message);
                 return;
@@ -267,6 +279,21 @@
     }
 }
 
+/// Renews a grant, as a standing lease if `is_standing`; returns whether the ledger has it within its limit.
+fn renew<P>(
+    ledger: &mut SlotLedger<P>,
+    now: time::TimeMs,
+    key: &GrantKey,
+    until: time::TimeMs,
+    is_standing: bool,
+) -> bool {
+    let is_renewed = ledger.renew(now, key, until);
+    if is_renewed && is_standing {
+        ledger.make_standing(key);
+    }
+    is_renewed
+}
+
 /// Grants slots to the acquire requests at the front of a queue, and returns the grants, and whether all grants
 /// of the ledger are within the server's slots.
 fn grant_queued<P: Phase>(
--- a/crates/damaskvane-slots/src/exchange/server.rs
+++ b/crates/damaskvane-slots/src/exchange/server.rs
@@ -8,6 +8,7 @@
 use damaskvane_core::{ids, time, units};
 
 use crate::claim::Claim;
+use crate::exchange::promises::Promises;
 use crate::exchange::takeover::TakeoverWait;
 use crate::holder::LeasePool;
 use crate::ledger::{Serving, SlotLedger, Waiting};
@@ -36,7 +37,7 @@
 }
 
 /// One incarnation of an instance: the sender or the recipient of a message.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct InstanceIncarnation {
     pub(super) instance: ids::InstanceId,
     pub(super) incarnation: ids::Incarnation,
@@ -63,6 +64,10 @@
     /// Time by which grants and requests of this instance that its consents do not report have expired: those
     /// of its earlier incarnations, and grants that it made as an owner.
     pub(super) unreported_until: time::TimeMs,
+    /// The claims that this instance has consented to, and those of others that are over.
+    pub(super) promises: Promises,
+    /// When this instance last asked the holders of standing leases for their grants.
+    pub(super) audited_at: time::TimeMs,
 }
 
 impl Server {
@@ -84,6 +89,8 @@
             wait: TakeoverWait::default(),
             consented: None,
             unreported_until,
+            promises: Promises::default(),
+            audited_at: time::TimeMs::ZERO,
         }
     }
 
--- a/crates/damaskvane-slots/src/exchange/slot_exchange.rs
+++ b/crates/damaskvane-slots/src/exchange/slot_exchange.rs
@@ -51,7 +51,7 @@
     /// The latest number of an acquire request for each server that was removed from the configuration.
     ///
     /// A grant for an earlier request may still arrive after the server was added again.
-    last_numbers: BTreeMap<ids::BackendServerId, GrantNumber>,
+    pub(super) last_numbers: BTreeMap<ids::BackendServerId, GrantNumber>,
     pub(super) actions: Vec<Action>,
     /// Messages from this instance to itself, such as its acquire requests for a server that it owns.
     local: VecDeque<SlotMessage>,
@@ -150,7 +150,7 @@
             .ok_or(Unavailable::UnknownServer)?;
         let (number, expires_at) = known
             .pool
-            .begin(now, min_run_ms)
+            .begin(now, min_run_ms, &self.settings)
             .ok_or(Unavailable::NoSlot)?;
         Ok(Permit::new(
             server.clone(),
@@ -230,6 +230,9 @@
                     unreported_until,
                 )
             });
+            if limit.slots < server.slots {
+                server.pool.end_standing(self.now, &self.settings);
+            }
             server.set_slots(limit.slots);
             self.servers.insert(limit.server, server);
         }
@@ -243,8 +246,10 @@
         let is_same = self.roster.members == roster.members
             && self.roster.is_listed == roster.is_listed
             && self.roster.may_take_over == roster.may_take_over;
-        self.roster = roster;
+        let earlier = core::mem::replace(&mut self.roster, roster);
+        self.apply_authority();
         if !is_same {
+            self.apply_forgotten(&earlier);
             self.shorten_waits();
             self.apply_assignments();
         }
@@ -283,13 +288,16 @@
         match message {
             SlotMessage::Acquire { .. }
             | SlotMessage::Renew { .. }
-            | SlotMessage::Return { .. } => self.handle_holder_message(from, message),
+            | SlotMessage::Return { .. }
+            | SlotMessage::Held { .. } => self.handle_holder_message(from, message),
             SlotMessage::Granted { .. }
             | SlotMessage::Refused { .. }
             | SlotMessage::Renewed { .. }
             | SlotMessage::Recall { .. } => self.handle_owner_message(from, &message),
+            SlotMessage::Audit { server } => self.handle_audit(from, &server),
             SlotMessage::Claim { .. }
             | SlotMessage::Consent { .. }
+            | SlotMessage::Release { .. }
             | SlotMessage::Decline { .. } => self.handle_claim_message(from, message),
         }
     }
@@ -299,6 +307,7 @@
         let names: Vec<ids::BackendServerId> = self.servers.keys().cloned().collect();
         for name in names {
             self.tick_claim(&name);
+            self.tick_standing(&name);
             self.tick_granting(&name);
             self.tick_acquiring(&name);
         }
--- a/crates/damaskvane-slots/src/holder/held_grant.rs
+++ b/crates/damaskvane-slots/src/holder/held_grant.rs
@@ -23,6 +23,7 @@
     /// For each abandoned request that may still run on the backend server, the time by which it has ended.
     abandoned: Vec<time::TimeMs>,
     usable_until: time::TimeMs,
+    is_standing: bool,
     used_at: time::TimeMs,
     renewal: Option<Renewal>,
     attempts: u32,
@@ -43,6 +44,7 @@
             running: units::Slots::ZERO,
             abandoned: Vec::new(),
             usable_until,
+            is_standing: false,
             used_at: now,
             renewal: None,
             attempts: 0,
@@ -62,15 +64,31 @@
     }
 
     /// Returns when the lease expires for the holder, which is earlier than for the owner.
+    ///
+    /// A standing lease does not expire.
     #[must_use]
     pub const fn usable_until(&self) -> time::TimeMs {
         self.usable_until
     }
 
+    /// Returns whether the lease ends with its holder and not at a time.
+    #[must_use]
+    pub const fn is_standing(&self) -> bool {
+        self.is_standing
+    }
+
+    /// Ends a standing lease: it expires at `usable_until`.
+    pub(super) const fn end_standing(&mut self, usable_until: time::TimeMs) {
+        if self.is_standing {
+            self.is_standing = false;
+            self.usable_until = usable_until;
+        }
+    }
+
     /// Returns whether the lease has expired for the holder.
     #[must_use]
     pub fn is_expired(&self, now: time::TimeMs) -> bool {
-        now >= self.usable_until
+        !self.is_standing && now >= self.usable_until
     }
 
     /// Returns the number of slots on which requests run or may still run.
@@ -123,7 +141,7 @@
             .renewal
             .as_ref()
             .is_some_and(|renewal| now.since(renewal.requested_at) < timeout);
-        !is_pending && self.usable_until.since(now) < before
+        !is_pending && !self.is_standing && self.usable_until.since(now) < before
     }
 
     pub(super) fn start_renewal(&mut self, now: time::TimeMs) -> u32 {
@@ -140,12 +158,21 @@
         self.renewal = None;
     }
 
-    /// Extends the lease to the time `usable` after the renewal request was sent.
+    /// Extends the lease to the time `usable` after the renewal request was sent, or without an end if the
+    /// owner made it a standing one.
     ///
     /// A response to an attempt before the latest one is ignored.
-    pub(super) fn apply_renewal(&mut self, attempt: u32, usable: time::SpanMs) {
-        if let Some(renewal) = self.renewal.take_if(|renewal| renewal.attempt == attempt) {
+    pub(super) fn apply_renewal(
+        &mut self,
+        attempt: u32,
+        usable: time::SpanMs,
+        is_standing: bool,
+    ) -> bool {
+        let renewal = self.renewal.take_if(|renewal| renewal.attempt == attempt);
+        if let Some(renewal) = &renewal {
             self.usable_until = self.usable_until.max(renewal.requested_at + usable);
+            self.is_standing = is_standing;
         }
+        renewal.is_some()
     }
 }
--- a/crates/damaskvane-slots/src/holder/pool.rs
+++ b/crates/damaskvane-slots/src/holder/pool.rs
@@ -8,9 +8,11 @@
 use damaskvane_core::{time, units};
 
 use crate::holder::held_grant::HeldGrant;
-use crate::message::{GrantNumber, HeldLease};
+use crate::message::{GrantNumber, HeldLease, LiveGrant};
 use crate::settings::SlotSettings;
 
+const ONE: units::Slots = units::Slots::new(1);
+
 /// A request about a grant, which the holder has to send to the owner of the backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LeaseOp {
@@ -54,6 +56,11 @@
     acquire_after: time::TimeMs,
     /// Whether the next call of `collect_returns` returns all free slots.
     returns_idle: bool,
+    /// Requests of this instance that wait for slots, and when that was reported.
+    waiting: units::Slots,
+    waiting_at: time::TimeMs,
+    /// Until when this instance may send requests under standing leases.
+    standing_until: time::TimeMs,
 }
 
 impl LeasePool {
@@ -61,7 +68,46 @@
     /// still run.
     #[must_use]
     pub fn free(&self, now: time::TimeMs) -> units::Slots {
-        self.grants.iter().map(|grant| grant.free(now)).sum()
+        let usable = self
+            .grants
+            .iter()
+            .filter(|grant| self.is_usable(grant, now));
+        usable.map(|grant| grant.free(now)).sum()
+    }
+
+    fn is_usable(&self, grant: &HeldGrant, now: time::TimeMs) -> bool {
+        !grant.is_standing() || now < self.standing_until
+    }
+
+    /// Sets until when this instance may send requests under standing leases: as long as it has authority.
+    ///
+    /// The end of an authority that is over stays, since requests that were sent before may still run.
+    pub fn set_authority(&mut self, now: time::TimeMs, until: Option<time::TimeMs>) {
+        let used_until = self.standing_until.min(now);
+        self.standing_until = until.unwrap_or_default().max(used_until);
+    }
+
+    /// Ends all standing leases: they expire like one that was renewed when this instance last had authority.
+    pub fn end_standing(&mut self, now: time::TimeMs, settings: &SlotSettings) {
+        let usable_until = self.standing_until.min(now) + settings.usable_ms();
+        for grant in &mut self.grants {
+            grant.end_standing(usable_until);
+        }
+    }
+
+    /// Returns the grants that this instance holds or may still receive.
+    #[must_use]
+    pub fn live_grants(&self) -> Vec<LiveGrant> {
+        let held = self.grants.iter().map(|grant| LiveGrant {
+            number: grant.number(),
+            slots: grant.slots(),
+        });
+        let pending = self.pending_acquires.iter();
+        let pending = pending.map(|(number, pending)| LiveGrant {
+            number: *number,
+            slots: pending.slots,
+        });
+        held.chain(pending).collect()
     }
 
     /// Returns the number of slots on which requests run or may still run.
@@ -102,6 +148,22 @@
             .saturating_sub(pending_slots)
     }
 
+    /// Records how many requests of this instance wait for slots.
+    pub const fn record_waiting(&mut self, now: time::TimeMs, waiting: units::Slots) {
+        (self.waiting, self.waiting_at) = (waiting, now);
+    }
+
+    /// Returns how many free slots are about to be used by requests that wait.
+    ///
+    /// A slot that is returned in between would be lost for them if the owner is lost.
+    fn wanted(&self, now: time::TimeMs, settings: &SlotSettings) -> units::Slots {
+        if now.since(self.waiting_at) < settings.shortage_ms {
+            self.waiting
+        } else {
+            units::Slots::ZERO
+        }
+    }
+
     /// Returns the number of the latest acquire request.
     #[must_use]
     pub const fn last_number(&self) -> GrantNumber {
@@ -165,17 +227,18 @@
         self.acquire_after = acquire_after;
     }
 
-    /// Extends the lease of a grant after the owner renewed it.
+    /// Extends the lease of a grant after the owner renewed it, and returns whether a request for it was pending.
     pub fn apply_renewal(
         &mut self,
         number: GrantNumber,
         attempt: u32,
         lease: time::SpanMs,
+        is_standing: bool,
         settings: &SlotSettings,
-    ) {
-        if let Some(grant) = self.grant(number) {
-            grant.apply_renewal(attempt, lease.saturating_sub(settings.margin_ms));
-        }
+    ) -> bool {
+        let usable = lease.saturating_sub(settings.margin_ms);
+        self.grant(number)
+            .is_some_and(|grant| grant.apply_renewal(attempt, usable, is_standing))
     }
 
     /// Marks free slots for return and limits the held slots to `keep` for `recall_ms` of the settings.
@@ -195,17 +258,29 @@
         &mut self,
         now: time::TimeMs,
         min_run: time::SpanMs,
+        settings: &SlotSettings,
     ) -> Option<(GrantNumber, time::TimeMs)> {
+        let standing_until = self.standing_until;
+        let usable_until = |grant: &HeldGrant| {
+            if grant.is_standing() {
+                now + settings.usable_ms()
+            } else {
+                grant.usable_until()
+            }
+        };
         let grant = self
             .grants
             .iter_mut()
+            .filter(|grant| !grant.is_standing() || now < standing_until)
             .filter(|grant| grant.free(now) > units::Slots::ZERO)
-            .max_by_key(|grant| grant.usable_until())?;
-        if grant.usable_until().since(now) < min_run {
+            .max_by_key(|grant| usable_until(grant))?;
+        let expires_at = usable_until(grant);
+        if expires_at.since(now) < min_run {
             return None;
         }
         grant.begin(now);
-        Some((grant.number(), grant.usable_until()))
+        self.waiting = self.waiting.saturating_sub(ONE);
+        Some((grant.number(), expires_at))
     }
 
     /// Frees a slot of a grant for the next request.
@@ -236,13 +311,18 @@
 
     /// Returns the leases that have not expired, as they are reported to a new owner.
     #[must_use]
-    pub fn held_leases(&self, now: time::TimeMs) -> Vec<HeldLease> {
+    pub fn held_leases(&self, now: time::TimeMs, settings: &SlotSettings) -> Vec<HeldLease> {
         let current = self.grants.iter().filter(|grant| !grant.is_expired(now));
         current
             .map(|grant| HeldLease {
                 number: grant.number(),
                 slots: grant.slots(),
-                remaining_ms: grant.usable_until().since(now),
+                remaining_ms: if grant.is_standing() {
+                    settings.usable_ms()
+                } else {
+                    grant.usable_until().since(now)
+                },
+                is_standing: grant.is_standing(),
             })
             .collect()
     }
@@ -266,9 +346,9 @@
 
     /// Removes free slots to be returned, and returns the requests that return them to the owner.
     ///
-    /// All free slots of a grant are removed if no request used the grant for `idle_return_ms`, after a
-    /// recall, or if this instance is about to stop. So the slots are available as soon as other instances
-    /// need them. Otherwise only as many free slots are removed as the held slots exceed the limit of a
+    /// All free slots of a grant are removed if no request used the grant for `idle_return_ms`, or if this
+    /// instance is about to stop; after a recall all that no request of this instance waits for. So the
+    /// slots are available as soon as other instances need them. Otherwise only as many free slots are removed as the held slots exceed the limit of a
     /// recall.
     pub fn collect_returns(
         &mut self,
@@ -280,12 +360,22 @@
         let mut excess = keep.map_or(units::Slots::ZERO, |keep| {
             self.held(now).saturating_sub(keep)
         });
-        let returns_idle = core::mem::take(&mut self.returns_idle) || is_leaving;
+        let returns_idle = core::mem::take(&mut self.returns_idle);
+        let mut wanted = if is_leaving {
+            units::Slots::ZERO
+        } else {
+            self.wanted(now, settings)
+        };
         let mut requests = Vec::new();
         for grant in &mut self.grants {
             let before = grant.slots();
-            if returns_idle || grant.is_idle(now, settings.idle_return_ms) {
+            if is_leaving || grant.is_idle(now, settings.idle_return_ms) {
                 grant.shrink(now, before);
+            } else if returns_idle {
+                let free = grant.free(now);
+                let kept = free.min(wanted);
+                wanted = wanted.saturating_sub(kept);
+                grant.shrink(now, free.saturating_sub(kept).max(excess));
             } else {
                 grant.shrink(now, excess);
             }
--- a/crates/damaskvane-slots/src/ledger/slot_ledger.rs
+++ b/crates/damaskvane-slots/src/ledger/slot_ledger.rs
@@ -4,7 +4,7 @@
 //! server. A ledger is first [`Waiting`], while the owner grants at most in place of known grants, and then
 //! [`Serving`].
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use damaskvane_core::{ids, time, units};
 
@@ -153,7 +153,16 @@
         if slots == units::Slots::ZERO {
             return Err(self.full(now));
         }
-        self.grants.insert(key.clone(), Grant { key, slots, until });
+        let is_standing = false;
+        self.grants.insert(
+            key.clone(),
+            Grant {
+                key,
+                slots,
+                until,
+                is_standing,
+            },
+        );
         debug_assert!(
             self.granted() <= self.slots,
             "more slots granted than the backend server has"
@@ -204,7 +213,7 @@
 
     /// Removes expired grants, which frees their slots.
     pub fn expire(&mut self, now: time::TimeMs) {
-        self.grants.retain(|_, grant| grant.until > now);
+        self.grants.retain(|_, grant| grant.is_in_use(now));
     }
 
     /// Extends a grant to `until`, and returns whether it was extended.
@@ -225,6 +234,52 @@
         }
     }
 
+    /// Makes the lease of a grant a standing one, which ends with its holder and not at a time.
+    pub fn make_standing(&mut self, key: &GrantKey) {
+        if let Some(grant) = self.grants.get_mut(key) {
+            grant.is_standing = true;
+        }
+    }
+
+    /// Ends the standing leases of holders that have stopped or will end them; `end_of` returns when such a
+    /// lease expires.
+    pub fn end_standing(&mut self, end_of: impl Fn(&GrantKey) -> Option<time::TimeMs>) {
+        for grant in self.grants.values_mut().filter(|grant| grant.is_standing) {
+            if let Some(until) = end_of(&grant.key) {
+                grant.end_standing(until);
+            }
+        }
+    }
+
+    /// Applies a holder's list of its grants: standing leases that it does not list and can't receive any more
+    /// expire at `until`.
+    pub fn reconcile(
+        &mut self,
+        holder: &ids::InstanceId,
+        incarnation: ids::Incarnation,
+        last_number: GrantNumber,
+        held: &BTreeMap<GrantNumber, units::Slots>,
+        until: time::TimeMs,
+    ) {
+        let of_holder = self.grants.values_mut().filter(|grant| {
+            grant.key.holder == *holder && grant.key.incarnation == incarnation && grant.is_standing
+        });
+        for grant in of_holder {
+            match held.get(&grant.key.number) {
+                Some(slots) => grant.slots = grant.slots.min(*slots),
+                None if grant.key.number <= last_number => grant.end_standing(until),
+                None => {}
+            }
+        }
+    }
+
+    /// Returns the holders of standing leases.
+    #[must_use]
+    pub fn standing_holders(&self) -> BTreeSet<ids::InstanceId> {
+        let standing = self.grants.values().filter(|grant| grant.is_standing);
+        standing.map(|grant| grant.key.holder.clone()).collect()
+    }
+
     /// Returns whether the grant and all grants before it in key order fit into the server's slots.
     fn is_within_limit(&self, key: &GrantKey) -> bool {
         let up_to_it = self.grants.range(..=key.clone());
@@ -256,6 +311,9 @@
     }
 
     /// Returns when the last grant expires; `None` if there is none.
+    ///
+    /// Standing leases count until the end of their last renewal: their holders report them to the next owner, or
+    /// have stopped.
     #[must_use]
     pub fn last_expiry(&self) -> Option<time::TimeMs> {
         self.grants.values().map(|grant| grant.until).max()
@@ -266,11 +324,12 @@
     pub fn entries(&self, now: time::TimeMs) -> Vec<LedgerEntry> {
         self.grants
             .values()
-            .filter(|grant| grant.until > now)
+            .filter(|grant| grant.is_in_use(now))
             .map(|grant| LedgerEntry {
                 key: grant.key.clone(),
                 slots: grant.slots,
                 remaining_ms: grant.until.since(now),
+                is_standing: grant.is_standing,
             })
             .collect()
     }
--- a/crates/damaskvane-slots/src/settings.rs
+++ b/crates/damaskvane-slots/src/settings.rs
@@ -24,6 +24,9 @@
     pub margin_ms: SpanMs,
     /// How long a grant stays unused before its holder returns the grant's free slots.
     pub idle_return_ms: SpanMs,
+    /// How long after a report of waiting requests a holder keeps free slots for them, up to its share, although
+    /// other instances wait for slots, too.
+    pub shortage_ms: SpanMs,
     /// Time to wait for the owner's response before an acquire or renewal request is sent again.
     pub response_timeout_ms: SpanMs,
     /// How long after this instance's start an instance that was fenced before may still grant or use slots.
@@ -46,6 +49,7 @@
             lease_ms: SpanMs::new(5_000),
             margin_ms: SpanMs::new(300),
             idle_return_ms: SpanMs::new(500),
+            shortage_ms: SpanMs::new(100),
             response_timeout_ms: SpanMs::new(300),
             unknown_fence_ms: SpanMs::new(32_000),
             recall_ms: SpanMs::new(1_000),
@@ -56,6 +60,12 @@
 }
 
 impl SlotSettings {
+    /// Returns how long a holder may use a lease, and how long a request may run under a standing one.
+    #[must_use]
+    pub const fn usable_ms(&self) -> SpanMs {
+        self.lease_ms.saturating_sub(self.margin_ms)
+    }
+
     /// Returns how long after the stop of an instance all grants that it made or held have expired.
     #[must_use]
     pub const fn expiry_ms(&self) -> SpanMs {
--- a/crates/damaskvane-slots/tests/blocked.rs
+++ b/crates/damaskvane-slots/tests/blocked.rs
@@ -227,6 +227,7 @@
         ledger: None,
         wait_ms: ms(9_000),
         wait: None,
+        last_claim: 0,
     };
     let consent = Event::Message {
         from: reporter.clone(),
--- a/crates/damaskvane-slots/tests/common/availability.rs
+++ b/crates/damaskvane-slots/tests/common/availability.rs
@@ -86,6 +86,10 @@
     pub(crate) steps: u64,
     /// Steps in which an instance ran and was not paused.
     pub(crate) runnable_steps: u64,
+    /// Requests that ran on the first server in each of those steps, summed.
+    pub(crate) request_steps: u64,
+    /// Steps in which an instance ran and was not paused, and no request ran on the first server.
+    pub(crate) unused_steps: u64,
     pub(crate) spent: BTreeMap<(ids::BackendServerId, Cause), Spent>,
     pub(crate) episodes: Vec<Episode>,
     waits: Waits,
@@ -96,6 +100,11 @@
         self.steps += 1;
         let has_runnable = zone.runnable().next().is_some();
         self.runnable_steps += u64::from(has_runnable);
+        if has_runnable {
+            let running = zone.running(&super::server(0));
+            self.request_steps += u64::from(running);
+            self.unused_steps += u64::from(running == 0);
+        }
         for server in zone.servers.keys() {
             let state = self.state(zone, server);
             let cause = Cause {
--- a/crates/damaskvane-slots/tests/common/mod.rs
+++ b/crates/damaskvane-slots/tests/common/mod.rs
@@ -12,6 +12,7 @@
 mod messages;
 pub(crate) mod obstacle;
 pub(crate) mod outage;
+pub(crate) mod parties;
 mod requests;
 pub(crate) mod runs;
 pub(crate) mod script;
--- a/crates/damaskvane-slots/tests/review.rs
+++ b/crates/damaskvane-slots/tests/review.rs
@@ -193,6 +193,7 @@
             wait_ms: ms(0),
             stops: vec![stop],
         }),
+        last_claim: 0,
     };
     w.handle(at(10_000), received(&reporter, consent));
     let waits_until = w.waits_until(&server(0)).expect("a wait");
@@ -305,6 +306,7 @@
             wait_ms: ms(0),
             stops: vec![stop.clone()],
         }),
+        last_claim: 0,
     };
     w.handle(at(10_000), received(&reporter, consent));
     let members = [
--- a/crates/damaskvane-slots/tests/waiting.rs
+++ b/crates/damaskvane-slots/tests/waiting.rs
@@ -26,6 +26,7 @@
         key: key(holder, 1),
         slots: units::Slots::new(slots),
         until: at(until_ms),
+        is_standing: false,
     }
 }
 
