A consent binds: no owner by a ledger beside a claim with its consent

What callers would see: two instances own a server, which sheds requests that hold a permit. Cause: an instance consents to a claim, and later becomes the owner by the ledger of the earlier one; the claim is completed with its old consent. Change: as long as a claim with its consent may be completed, a ledger completes no claim of an instance; the claim needs the consents of all. Why it works: the other claimant is asked, and its claim is over with its consent.

--- a/crates/damaskvane-slots/src/exchange/claiming.rs
+++ b/crates/damaskvane-slots/src/exchange/claiming.rs
@@ -343,6 +343,7 @@
         ledger: Option<LedgerHandover>,
     ) {
         let (now, margin) = (self.now, self.settings.margin_ms);
+        let is_bound = self.is_bound(name);
         let waiting = ledger
             .as_ref()
             .map(|ledger| self.reported_wait(&from.instance, ledger.wait_ms, ledger.wait.clone()));
@@ -358,10 +359,11 @@
         let instance = from.instance.clone();
         claim.record_consent(now, instance, from.incarnation, leases, margin);
         match ledger {
-            Some(ledger) if ledger.wait_ms == time::SpanMs::ZERO => {
+            Some(ledger) if ledger.wait_ms == time::SpanMs::ZERO && !is_bound => {
                 self.apply_handover(name, ledger);
             }
-            // The sender became an owner by consents that say nothing of instances that started since. One of
+            // A claim to which this instance has consented may be completed without its ledger; or the
+            // sender became an owner by consents that say nothing of instances that started since. One of
             // these may be an owner too, with the ledger of an instance that does not know of its fence.
             Some(ledger) => {
                 claim.record_ledger(now, ledger.entries);
--- a/crates/damaskvane-slots/src/exchange/promises.rs
+++ b/crates/damaskvane-slots/src/exchange/promises.rs
@@ -38,6 +38,11 @@
         self.over.get(claimant).is_some_and(|over| *over >= claim)
     }
 
+    /// Returns whether a claim of another instance than `own` that has this one's consent may not be over.
+    pub(super) fn is_bound(&self, own: &InstanceIncarnation) -> bool {
+        self.consented.keys().any(|claimant| claimant != own)
+    }
+
     /// Forgets all consents but those to the owner that granted a standing lease: the other claims are over.
     pub(super) fn keep_only(&mut self, owner: &InstanceIncarnation) {
         self.consented.retain(|claimant, _| claimant == owner);
--- a/crates/damaskvane-slots/src/exchange/standing.rs
+++ b/crates/damaskvane-slots/src/exchange/standing.rs
@@ -62,6 +62,21 @@
         })
     }
 
+    /// Returns whether a claim of another instance may be completed with the consent that this instance gave.
+    ///
+    /// That instance would not be asked if this one became the owner by the ledger of another, and both would grant
+    /// the server's slots. With the consents of all it is asked, and its claim is over.
+    pub(super) fn is_bound(&mut self, name: &ids::BackendServerId) -> bool {
+        let (now, roster, own) = (self.now, &self.roster, &self.own);
+        let Some(server) = self.servers.get_mut(name) else {
+            return false;
+        };
+        server
+            .promises
+            .drop_stopped(|claimant| has_stopped(claimant, roster, now));
+        server.promises.is_bound(own)
+    }
+
     /// Tells all others that this instance has given up its claim.
     pub(super) fn send_release(&mut self, name: &ids::BackendServerId) {
         let others: Vec<ids::InstanceId> = self
