Smaller files: answers to claims, requests of holders, roles of scripted histories

Answers to claims, requests about leases and the roles of histories have files of their own; four test files use one roster. The availability table prints how many requests run and how long none does.

--- a/crates/damaskvane-slots/src/exchange.rs
+++ b/crates/damaskvane-slots/src/exchange.rs
@@ -41,6 +41,7 @@
 mod assignment;
 mod blocked;
 mod blocked_by;
+mod claim_answers;
 mod claiming;
 mod consenting;
 mod diagnosis;
--- a/crates/damaskvane-slots/src/holder.rs
+++ b/crates/damaskvane-slots/src/holder.rs
@@ -3,7 +3,8 @@
 //! A slot is the right to run one request on the backend server. The server's owner, one of the zone's
 //! instances, grants slots under a lease of limited time. The holder counts the lease on its own clock from
 //! the moment when it *sent* the acquire or renewal request, and stops using the slots a margin before the
-//! owner may grant them again. Message delay can therefore only shorten the usable time.
+//! owner may grant them again. Message delay can therefore only shorten the usable time. With its first renewal
+//! a lease becomes a standing one, which the holder uses as long as it has authority, the right to act.
 //!
 //! ```
 //! use damaskvane_core::{time, units};
@@ -19,7 +20,9 @@
 //! ```
 
 mod held_grant;
+mod lease_op;
 mod pool;
 
 pub use held_grant::HeldGrant;
-pub use pool::{LeaseOp, LeasePool};
+pub use lease_op::LeaseOp;
+pub use pool::LeasePool;
--- a/crates/damaskvane-slots/src/holder/pool.rs
+++ b/crates/damaskvane-slots/src/holder/pool.rs
@@ -8,30 +8,12 @@
 use damaskvane_core::{time, units};
 
 use crate::holder::held_grant::HeldGrant;
+use crate::holder::lease_op::LeaseOp;
 use crate::message::{GrantNumber, HeldLease, LiveGrant};
 use crate::settings::SlotSettings;
 
 const ONE: units::Slots = units::Slots::new(1);
 
-/// A request about a grant, which the holder has to send to the owner of the backend server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LeaseOp {
-    /// Renew the lease of a grant.
-    Renew {
-        /// The number of the grant.
-        number: GrantNumber,
-        /// The number of this renewal request among those for this grant, from 1.
-        attempt: u32,
-    },
-    /// Return slots of a grant.
-    Return {
-        /// The number of the grant.
-        number: GrantNumber,
-        /// The number of the grant's slots that the holder keeps.
-        remaining: units::Slots,
-    },
-}
-
 /// An acquire request without a response yet.
 #[derive(Debug)]
 struct PendingAcquire {
--- a/crates/damaskvane-slots/tests/availability.rs
+++ b/crates/damaskvane-slots/tests/availability.rs
@@ -42,6 +42,9 @@
     started: u64,
     possible: f64,
     steps: u64,
+    runnable_steps: u64,
+    request_steps: u64,
+    unused_steps: u64,
     spent: BTreeMap<State, StateTotals>,
 }
 
@@ -63,6 +66,9 @@
         self.started += zone.started;
         self.possible += rate_per_s * seconds(availability.runnable_steps);
         self.steps += availability.steps;
+        self.runnable_steps += availability.runnable_steps;
+        self.request_steps += availability.request_steps;
+        self.unused_steps += availability.unused_steps;
         for ((of, cause), spent) in &availability.spent {
             if *of == server(0) {
                 let sum = self.spent.entry(cause.state).or_default();
@@ -101,6 +107,12 @@
             self.possible / runs,
             100.0 * self.share()
         );
+        let of_runnable = |steps| 100.0 * steps as f64 / self.runnable_steps as f64;
+        println!(
+            "first server: {:.2} requests run on average, none for {:.1}% of the time in which an instance runs",
+            of_runnable(self.request_steps) / 100.0,
+            of_runnable(self.unused_steps)
+        );
         println!(
             "share; s a seed; free; idle; alone; cut off; times; mean s; state; longest (ms, seed, start)"
         );
--- a/crates/damaskvane-slots/tests/blocked.rs
+++ b/crates/damaskvane-slots/tests/blocked.rs
@@ -4,6 +4,7 @@
 
 mod common;
 
+use common::parties;
 use common::{SimulatedZone, at, id, ms, server, slot_settings};
 use damaskvane_core::{ids, units};
 use damaskvane_membership::{ownership, view};
@@ -187,22 +188,7 @@
 
 /// Returns the roster of `own` beside another instance; both know each other.
 fn roster_of_two(own: &ids::InstanceId, other: &ids::InstanceId) -> view::Roster {
-    let member = |name: &ids::InstanceId| view::RosterMember {
-        instance: name.clone(),
-        incarnation: ids::Incarnation::new(1),
-        leaving: false,
-        gone: None,
-        stopped_by: None,
-        has_acknowledged_own: true,
-        is_unheard_newcomer: false,
-        is_starting: false,
-    };
-    view::Roster {
-        members: vec![member(own), member(other)],
-        authority_until: Some(at(1_000_000)),
-        is_listed: true,
-        may_take_over: true,
-    }
+    parties::roster(vec![parties::member(own), parties::member(other)])
 }
 
 /// Guards against an owner whose wait comes from another instance's report, and that does not name that instance.
--- a/crates/damaskvane-slots/tests/common/disturbance.rs
+++ b/crates/damaskvane-slots/tests/common/disturbance.rs
@@ -106,6 +106,21 @@
         }
     }
 
+    /// Ends all faults, then starts an instance, so that all other instances can discover it.
+    ///
+    /// Not covered is an instance that is cut off from the platform and from a new instance that it does not know.
+    /// It continues beside the new instance, as it must in a zone that is cut off as a whole.
+    pub(crate) fn join(&mut self, name: &ids::InstanceId) {
+        self.without_platform.clear();
+        self.cuts.clear();
+        for instance in self.instances.values_mut() {
+            instance.paused_until = instance.paused_until.min(self.now);
+        }
+        (self.loss_permille, self.max_delay_ms) = (0, 5);
+        self.start(name);
+        self.run(1_500);
+    }
+
     /// Drops all messages between two instances, in both directions.
     pub(crate) fn cut(&mut self, a: &ids::InstanceId, b: &ids::InstanceId) {
         let forward = (a.clone(), b.clone());
--- a/crates/damaskvane-slots/tests/common/mod.rs
+++ b/crates/damaskvane-slots/tests/common/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod outage;
 pub(crate) mod parties;
 mod requests;
+pub(crate) mod roles;
 pub(crate) mod runs;
 pub(crate) mod script;
 mod setup;
@@ -226,21 +227,6 @@
         self.list.insert(name.clone(), record);
     }
 
-    /// Ends all faults, then starts an instance, so that all other instances can discover it.
-    ///
-    /// Not covered is an instance that is cut off from the platform and from a new instance that it does not know.
-    /// It continues beside the new instance, as it must in a zone that is cut off as a whole.
-    pub(crate) fn join(&mut self, name: &ids::InstanceId) {
-        self.without_platform.clear();
-        self.cuts.clear();
-        for instance in self.instances.values_mut() {
-            instance.paused_until = instance.paused_until.min(self.now);
-        }
-        (self.loss_permille, self.max_delay_ms) = (0, 5);
-        self.start(name);
-        self.run(1_500);
-    }
-
     /// Changes the number of slots of all backend servers; running requests may take the time of one lease to end.
     pub(crate) fn set_slots(&mut self, slots: u32) {
         for limit in self.servers.values_mut() {
--- a/crates/damaskvane-slots/tests/common/parties.rs
+++ b/crates/damaskvane-slots/tests/common/parties.rs
@@ -54,6 +54,17 @@
     }
 }
 
+pub(crate) fn received(from: &ids::InstanceId, message: SlotMessage) -> Event {
+    Event::Message {
+        from: from.clone(),
+        incarnation: FIRST,
+        message: AddressedMessage {
+            incarnation: FIRST,
+            message,
+        },
+    }
+}
+
 /// The exchanges of the instances that run, all of them with authority.
 pub(crate) struct Parties {
     pub(crate) now: time::TimeMs,
@@ -137,16 +148,7 @@
         to: &ids::InstanceId,
         message: SlotMessage,
     ) {
-        let message = AddressedMessage {
-            incarnation: FIRST,
-            message,
-        };
-        let event = Event::Message {
-            from: from.clone(),
-            incarnation: FIRST,
-            message,
-        };
-        self.handle(to, event);
+        self.handle(to, received(from, message));
     }
 
     /// Returns the messages with which an instance answers one, without delivering them.
@@ -156,17 +158,8 @@
         to: &ids::InstanceId,
         message: SlotMessage,
     ) -> Vec<SlotMessage> {
-        let message = AddressedMessage {
-            incarnation: FIRST,
-            message,
-        };
-        let event = Event::Message {
-            from: from.clone(),
-            incarnation: FIRST,
-            message,
-        };
         let slots = self.slots.get_mut(to).expect("a running instance");
-        let actions = slots.handle(self.now, event).into_iter();
+        let actions = slots.handle(self.now, received(from, message)).into_iter();
         let messages = actions.filter_map(|action| match action {
             Action::Send { message, .. } => Some(message.message),
             _ => None,
--- a/crates/damaskvane-slots/tests/messages.rs
+++ b/crates/damaskvane-slots/tests/messages.rs
@@ -6,6 +6,7 @@
 
 mod common;
 
+use common::parties;
 use common::{at, id, ms, server, slot_settings};
 use damaskvane_core::{ids, time, units};
 use damaskvane_membership::{ownership, view};
@@ -16,21 +17,10 @@
     let members = members
         .iter()
         .map(|(name, incarnation)| view::RosterMember {
-            instance: id(name),
             incarnation: ids::Incarnation::new(*incarnation),
-            leaving: false,
-            gone: None,
-            stopped_by: None,
-            has_acknowledged_own: true,
-            is_unheard_newcomer: false,
-            is_starting: false,
+            ..parties::member(&id(name))
         });
-    view::Roster {
-        members: members.collect(),
-        authority_until: Some(at(1_000_000)),
-        is_listed: true,
-        may_take_over: true,
-    }
+    parties::roster(members.collect())
 }
 
 /// Returns which of a-1 and a-2 is the holder and which the owner of `server(0)`, in this order.
--- a/crates/damaskvane-slots/tests/review.rs
+++ b/crates/damaskvane-slots/tests/review.rs
@@ -5,16 +5,12 @@
 
 mod common;
 
+use common::parties::{self, FIRST, ONE, received};
 use common::{SimulatedZone, at, id, ms, script, server, slot_settings};
 use damaskvane_core::{ids, time, units};
 use damaskvane_membership::{state, view};
 use damaskvane_slots::exchange::{Action, Event, OwnerPhase, ServerSlots, SlotExchange};
-use damaskvane_slots::message::{
-    AddressedMessage, GrantNumber, SlotMessage, StopReport, WaitReport,
-};
-
-const FIRST: ids::Incarnation = ids::Incarnation::new(1);
-const ONE: units::Slots = units::Slots::new(1);
+use damaskvane_slots::message::{GrantNumber, SlotMessage, StopReport, WaitReport};
 
 fn limits() -> Event {
     let limit = ServerSlots {
@@ -31,33 +27,17 @@
 }
 
 fn member(name: &ids::InstanceId, ended_at: Option<time::TimeMs>) -> view::RosterMember {
-    view::RosterMember {
-        instance: name.clone(),
-        incarnation: FIRST,
-        leaving: false,
-        gone: ended_at.map(|from| state::Gone {
-            incarnation: FIRST,
-            proof: state::GoneProof::Refused,
-            from,
-            has_ended: true,
-        }),
-        stopped_by: None,
-        has_acknowledged_own: true,
-        is_unheard_newcomer: false,
-        is_starting: false,
-    }
+    ended_at.map_or_else(
+        || parties::member(name),
+        |from| parties::gone(name, state::GoneProof::Refused, from.get()),
+    )
 }
 
 fn roster(members: &[(&ids::InstanceId, Option<time::TimeMs>)]) -> Event {
-    Event::Roster(view::Roster {
-        members: members
-            .iter()
-            .map(|(name, ended_at)| member(name, *ended_at))
-            .collect(),
-        authority_until: Some(at(1_000_000)),
-        is_listed: true,
-        may_take_over: true,
-    })
+    let members = members
+        .iter()
+        .map(|(name, ended_at)| member(name, *ended_at));
+    Event::Roster(parties::roster(members.collect()))
 }
 
 fn live(names: &[&ids::InstanceId]) -> Event {
@@ -65,17 +45,6 @@
     roster(&members)
 }
 
-fn received(from: &ids::InstanceId, message: SlotMessage) -> Event {
-    Event::Message {
-        from: from.clone(),
-        incarnation: FIRST,
-        message: AddressedMessage {
-            incarnation: FIRST,
-            message,
-        },
-    }
-}
-
 /// Returns the messages among the actions that are for one instance.
 fn sent(actions: &[Action], to: &ids::InstanceId) -> Vec<SlotMessage> {
     let messages = actions.iter().filter_map(|action| match action {
