No standing lease beside a fenced instance that may still act

Cause: a holder needs the confirmation of all others for a standing lease, but gone ones were left out. One that was fenced acts until its authority ends, and may become the owner without the consent of a holder of which it never heard. In the trace two instances fenced each other, the older owner died, and the fenced one served beside the lease that the other had just made a standing one. Evidence: the trace; two forced tests, which fail with either guard taken out, as the code before. Ruled out: the consents (none is old there), the ledger. Change: none as long as an instance that is gone has not certainly stopped, nor within unknown_fence_ms after the holder's start, as with a ledger that is handed over and with a claim. Why it works: an instance that may act knows the holder, or has stopped.

--- a/crates/damaskvane-slots/src/exchange/standing.rs
+++ b/crates/damaskvane-slots/src/exchange/standing.rs
@@ -17,10 +17,22 @@
 impl SlotExchange {
     /// Returns whether this instance may hold standing leases.
     ///
-    /// A claimant requests the consent of each instance that it knows. Hence all others have to know this instance,
-    /// as for a claim.
+    /// A claimant requests the consent of each instance that it knows. Hence all others that may act have to know
+    /// this instance. One that was fenced may act until it has certainly stopped, and of one that was fenced before
+    /// the start of this instance it may not know.
     pub(super) fn may_hold_standing(&self) -> bool {
-        self.may_claim() && self.has_authority() && !self.is_leaving()
+        let now = self.now;
+        let mut members = self.roster.members.iter();
+        let have_gone_stopped =
+            members.all(|member| member.gone.is_none_or(|gone| gone.from <= now));
+        let is_started = self
+            .started_at
+            .is_some_and(|started_at| now >= started_at + self.settings.unknown_fence_ms);
+        self.may_claim()
+            && self.has_authority()
+            && !self.is_leaving()
+            && have_gone_stopped
+            && is_started
     }
 
     /// Returns the claims that a request for a standing lease names; `None` if this instance may hold none.
--- a/crates/damaskvane-slots/tests/common/parties.rs
+++ b/crates/damaskvane-slots/tests/common/parties.rs
@@ -92,7 +92,7 @@
         parties
     }
 
-    fn start(&mut self, name: &ids::InstanceId) {
+    pub(crate) fn start(&mut self, name: &ids::InstanceId) {
         let mut slots = SlotExchange::new(name.clone(), FIRST, slot_settings());
         let limit = ServerSlots {
             server: server(0),
--- a/crates/damaskvane-slots/tests/standing_claims.rs
+++ b/crates/damaskvane-slots/tests/standing_claims.rs
@@ -229,3 +229,50 @@
         }
     }
 }
+
+/// Guards against a standing lease of which a fenced instance does not know, that acts until its authority ends: it
+/// becomes the owner without the consent of the holder.
+#[test]
+fn no_lease_is_a_standing_one_beside_a_fenced_instance_that_may_act() {
+    let roles = Roles::new();
+    for (acts_for_ms, is_standing) in [(5_000, false), (0, true)] {
+        let mut parties = Parties::with_owner(&roles.running(), &roles.claimant);
+        let from_ms = parties.now.get() + acts_for_ms;
+        let fenced = gone(&roles.claimant, GoneProof::Fenced, from_ms);
+        parties.know(&roles.holder, roles.roster_with(&[fenced]));
+        let request = parties.acquire(&roles.holder);
+        parties.end(&roles.owner);
+        parties.run(LONG_MS);
+        parties.finish(&roles.holder, &request);
+        assert_eq!(
+            parties.may_send(&roles.holder),
+            is_standing,
+            "{acts_for_ms}"
+        );
+    }
+}
+
+/// Guards against a standing lease of which an instance does not know that was fenced before the start of the holder,
+/// and that acts until its authority ends.
+#[test]
+fn an_instance_that_has_just_started_holds_no_standing_lease() {
+    let roles = Roles::new();
+    for (started_before_ms, is_standing) in [(1_000, false), (6_000, true)] {
+        let running = [&roles.owner, &roles.other];
+        let mut parties = Parties::with_owner(&running, &roles.claimant);
+        parties.start(&roles.holder);
+        for name in roles.running() {
+            parties.meet(name, &roles.running());
+        }
+        parties.run(started_before_ms);
+        let request = parties.acquire(&roles.holder);
+        parties.end(&roles.owner);
+        parties.run(LONG_MS);
+        parties.finish(&roles.holder, &request);
+        assert_eq!(
+            parties.may_send(&roles.holder),
+            is_standing,
+            "{started_before_ms}"
+        );
+    }
+}
