An echo names the incarnation that it confirms

Cause: heartbeats are numbered from the start of a process, and an echo named a number only. The neighbour went on echoing the earlier process, and the later one took that for its own once it had sent as many. Ruled out: newcomers, lost lists, old consents. Change: a heartbeat names the incarnation it echoes. Why it works: an instance counts as known only where its own process was heard.

--- a/crates/damaskvane-entry/src/control/notices.rs
+++ b/crates/damaskvane-entry/src/control/notices.rs
@@ -45,6 +45,7 @@
         let message = wire::WireMessage::Heartbeat(heartbeat::Heartbeat {
             sequence,
             echo: None,
+            echoed_incarnation: None,
             period_ms: NOTICE_PERIOD,
             config_version: self.relay.applier().version(),
             leaving,
--- a/crates/damaskvane-membership/src/heartbeat.rs
+++ b/crates/damaskvane-membership/src/heartbeat.rs
@@ -42,6 +42,12 @@
     /// neighbour, or the neighbour has left the platform's list of instances.
     #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
     pub echo: Option<u64>,
+    /// Incarnation (start of the process) of the neighbour that sent the echoed heartbeat.
+    ///
+    /// Each incarnation numbers its heartbeats from the start: without this, one that starts again would
+    /// take the echo of an earlier heartbeat for its own. Absent in heartbeats of earlier versions.
+    #[serde(rename = "i", default, skip_serializing_if = "Option::is_none")]
+    pub echoed_incarnation: Option<ids::Incarnation>,
     /// Time until the sender's next round of heartbeats.
     #[serde(rename = "p")]
     pub period_ms: time::SpanMs,
--- a/crates/damaskvane-membership/src/view/membership.rs
+++ b/crates/damaskvane-membership/src/view/membership.rs
@@ -209,7 +209,10 @@
             self.check_own_incarnation(incarnation, actions);
             return;
         }
-        let echo = heartbeat.echo;
+        let is_own = heartbeat
+            .echoed_incarnation
+            .is_none_or(|echoed| echoed == self.own.incarnation);
+        let echo = heartbeat.echo.filter(|_| is_own);
         let list_age = self.list_age_by_neighbour(&heartbeat);
         let now = self.now;
         let known = self.members.get(from).map(|member| member.incarnation);
@@ -294,6 +297,7 @@
             let heartbeat = Heartbeat {
                 sequence,
                 echo: received.map(|received| received.heartbeat.sequence),
+                echoed_incarnation: received.map(|_| member.incarnation),
                 period_ms,
                 config_version: self.config_version,
                 leaving: self.leaving,
--- a/crates/damaskvane-membership/tests/common/mod.rs
+++ b/crates/damaskvane-membership/tests/common/mod.rs
@@ -43,6 +43,7 @@
         is_starting: false,
         sequence,
         echo: None,
+        echoed_incarnation: None,
         period_ms: ms(250),
         config_version: ids::ConfigVersion::new(1),
         leaving: false,
