--- a/crates/damaskvane-gateway/src/clients/dispatch.rs
+++ b/crates/damaskvane-gateway/src/clients/dispatch.rs
@@ -152,6 +152,11 @@
         .filter(|_| route.has_affinity)
         .map(|object| placement::object_hash(&service, &route.name, &object));
     record_request(node, &service, &route, object);
+    let of_team = caller.as_ref().map(|caller| caller.team.regions());
+    let allowed_regions = match of_team {
+        Some(of_team) => route.regions().intersection(of_team),
+        None => route.regions(),
+    };
     let right = SendRight::new(node, caller, token_patience(&route));
     routed_request::RoutedRequest {
         node,
@@ -161,6 +166,7 @@
         object,
         service,
         outgoing: &outgoing,
+        allowed_regions: &allowed_regions,
         deadline,
         progress: Progress::new(route.kind, route.attempts.max(1)),
         tried: Vec::new(),
--- a/crates/damaskvane-gateway/src/clients/routed_request.rs
+++ b/crates/damaskvane-gateway/src/clients/routed_request.rs
@@ -9,7 +9,7 @@
 
 use damaskvane_core::ids;
 use damaskvane_core::time::TimeMs;
-use damaskvane_routing::configuration::{Configuration, Route};
+use damaskvane_routing::configuration::{Configuration, RegionSet, Route};
 use damaskvane_routing::placement::{AnsweredRequest, Choice, Pick, PlacementRequest, SkipReason};
 use damaskvane_routing::pool::ExchangeEnd;
 use damaskvane_routing::retry::{self, Progress};
@@ -38,6 +38,8 @@
     /// for the same object, or the request names no object.
     pub(super) object: Option<u64>,
     pub(super) outgoing: &'a OutgoingRequest,
+    /// The regions that both the route and the team allow.
+    pub(super) allowed_regions: &'a RegionSet,
     pub(super) deadline: TimeMs,
     pub(super) progress: Progress,
     /// The servers to which an attempt was made, in order.
@@ -152,6 +154,7 @@
             pick,
             deadline: self.deadline,
             is_retry: self.progress.was_sent(),
+            allowed_regions: self.allowed_regions,
             right: self.right,
         };
         let mut running = pin!(exchange.run());
@@ -229,6 +232,7 @@
                 "took_ms" => outcome.took_ms, "after_ms" => after_ms, "objective_ms" => self.route.objective_ms,
                 "was_sent" => pick.was_sent, "remembered_ms" => pick.remembered_ms, "first_ms" => pick.first_ms,
                 "passed_over" => pick.passed_over.map(SkipReason::as_str), "tried" => self.tried.len(),
+                "through" => outcome.path.as_ref().and_then(|path| path.peer()).map(|peer| peer.instance.to_string()),
                 "running" => load.map(|load| load.running), "waiting" => load.map(|load| load.waiting),
                 "left_ms" => self.deadline.since(now).get(),
                 "config_version" => self.configuration.version().get(),
--- a/crates/damaskvane-gateway/src/costs.rs
+++ b/crates/damaskvane-gateway/src/costs.rs
@@ -50,6 +50,8 @@
     Feed,
     /// Tokens of teams' quotas, and requests for them.
     Quota,
+    /// Bytes between a backend server and another instance, which this instance copies.
+    Tunnel,
 }
 
 /// Reason for which a connection to a backend server was opened.
@@ -61,6 +63,8 @@
     IdleConnectionsClosed,
     /// A health probe needs a new connection.
     Probe,
+    /// Another instance that doesn't reach the server needs the connection.
+    Tunnel,
 }
 
 const DISTANCES: [(Distance, &str); 3] = [
@@ -68,7 +72,7 @@
     (Distance::SameRegion, "region"),
     (Distance::OtherRegion, "far"),
 ];
-const FLOWS: [(Flow, &str); 12] = [
+const FLOWS: [(Flow, &str); 13] = [
     (Flow::Placed, "placed"),
     (Flow::Overflow, "overflow"),
     (Flow::Retry, "retry"),
@@ -81,11 +85,13 @@
     (Flow::Incident, "incident"),
     (Flow::Feed, "feed"),
     (Flow::Quota, "quota"),
+    (Flow::Tunnel, "tunnel"),
 ];
-const OPEN_REASONS: [(OpenReason, &str); 3] = [
+const OPEN_REASONS: [(OpenReason, &str); 4] = [
     (OpenReason::NoIdleConnection, "none_kept"),
     (OpenReason::IdleConnectionsClosed, "kept_closed"),
     (OpenReason::Probe, "probe"),
+    (OpenReason::Tunnel, "tunnel"),
 ];
 
 /// Counters of transferred bytes and opened connections, with their names in the log.
--- a/crates/damaskvane-gateway/src/http.rs
+++ b/crates/damaskvane-gateway/src/http.rs
@@ -9,5 +9,5 @@
 mod head;
 
 pub use body::{BodyKind, BodyReader, MalformedBody, Piece};
-pub use connection::{Connection, ReadError};
+pub use connection::{Connection, ReadError, open_stream, set_silence_timeout};
 pub use head::{MalformedHead, ResponseHead};
--- a/crates/damaskvane-gateway/src/http/connection.rs
+++ b/crates/damaskvane-gateway/src/http/connection.rs
@@ -56,32 +56,28 @@
 }
 
 impl Connection {
-    /// Opens a connection to `address` within `connect_timeout`.
-    ///
-    /// The connection fails if the peer's kernel acknowledges nothing for `silence_timeout`. A connection can
-    /// stop delivering packets without a reset, and a machine behind a network partition doesn't respond; an
-    /// exchange on such a connection would otherwise hang until its deadline.
+    /// Opens a connection as [`open_stream`] does.
     ///
     /// # Errors
     ///
-    /// Returns an error if the connection isn't established within `connect_timeout` or a socket option can't
-    /// be set.
+    /// Returns the errors of [`open_stream`].
     pub async fn open(
         address: net::SocketAddr,
         connect_timeout: Duration,
         silence_timeout: Duration,
     ) -> io::Result<Self> {
-        let opening = TcpStream::connect(address);
-        let stream = tokio::time::timeout(connect_timeout, opening)
-            .await
-            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-        stream.set_nodelay(true)?;
-        set_silence_timeout(&stream, silence_timeout)?;
-        Ok(Self {
+        let stream = open_stream(address, connect_timeout, silence_timeout).await?;
+        Ok(Self::over(stream))
+    }
+
+    /// Uses a stream that leads to an HTTP server.
+    #[must_use]
+    pub fn over(stream: TcpStream) -> Self {
+        Self {
             stream,
             buffer: BytesMut::with_capacity(BUFFER_BYTES),
             awaits_response: false,
-        })
+        }
     }
 
     /// Writes a request, without reading meanwhile.
@@ -204,7 +200,35 @@
     }
 }
 
-fn set_silence_timeout(stream: &TcpStream, silence_timeout: Duration) -> io::Result<()> {
+/// Opens a TCP connection to `address` within `connect_timeout`.
+///
+/// The connection fails if the peer's kernel acknowledges nothing for `silence_timeout`. A connection can stop
+/// delivering packets without a reset, and a machine behind a network partition doesn't respond; an exchange on such a
+/// connection would otherwise hang until its deadline.
+///
+/// # Errors
+///
+/// Returns an error if the connection isn't established within `connect_timeout` or a socket option can't be set.
+pub async fn open_stream(
+    address: net::SocketAddr,
+    connect_timeout: Duration,
+    silence_timeout: Duration,
+) -> io::Result<TcpStream> {
+    let opening = TcpStream::connect(address);
+    let stream = tokio::time::timeout(connect_timeout, opening)
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    stream.set_nodelay(true)?;
+    set_silence_timeout(&stream, silence_timeout)?;
+    Ok(stream)
+}
+
+/// Lets a connection fail if the peer's kernel acknowledges nothing for `silence_timeout`.
+///
+/// # Errors
+///
+/// Returns an error if a socket option can't be set.
+pub fn set_silence_timeout(stream: &TcpStream, silence_timeout: Duration) -> io::Result<()> {
     let socket = socket2::SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(silence_timeout))?;
     let keepalive = socket2::TcpKeepalive::new()
--- a/crates/damaskvane-gateway/src/lib.rs
+++ b/crates/damaskvane-gateway/src/lib.rs
@@ -18,6 +18,9 @@
 //! - [`crashes`]: quarantine of requests that crash backend servers.
 //! - [`http`]: HTTP/1.1 on connections that this instance opened.
 //! - [`store`]: lists, watches and relayed changes of the platform's store.
+//! - [`reach`]: whether this instance itself reaches the backend servers.
+//! - [`tunnel`]: connections to backend servers through other instances.
+//! - `peer_streams`, `framing`: TCP streams between instances: relayed changes of the store, and tunnels.
 //! - [`peers`]: datagrams between instances: heartbeats, digests and reports.
 //! - [`probes`]: health probes of backend servers.
 //! - [`stop`]: the planned stop.
@@ -34,16 +37,20 @@
 pub mod crashes;
 pub mod decision_log;
 pub mod evidence;
+mod framing;
 pub mod http;
 pub mod lookups;
 pub mod metrics;
 pub mod node;
+mod peer_streams;
 pub mod peers;
 pub mod probes;
 pub mod process;
 pub mod quota;
+pub mod reach;
 pub mod settings;
 pub mod stop;
 pub mod store;
 pub mod team_counts;
+pub mod tunnel;
 pub mod upstream;
--- a/crates/damaskvane-gateway/src/metrics.rs
+++ b/crates/damaskvane-gateway/src/metrics.rs
@@ -52,6 +52,16 @@
     pub probes: IntCounter,
     /// Crashes of backend servers that were running requests of this instance.
     pub crash_incidents: IntCounter,
+    /// 0 if this instance reaches the backend servers, 1 if it doubts that, 2 if it is partitioned from them.
+    pub reach: IntGauge,
+    /// Servers that only other instances reach.
+    pub indirect_servers: IntGauge,
+    /// Tunnels that this instance asked others for, by outcome.
+    pub tunnels: IntCounterVec,
+    /// Tunnels that other instances asked this one for, by outcome.
+    pub carried_tunnels: IntCounterVec,
+    /// Tunnels that this instance carries now.
+    pub open_carried_tunnels: IntGauge,
     /// Datagrams that could not be decoded.
     pub invalid_datagrams: IntCounter,
     /// Clients' lookups that were received.
@@ -118,6 +128,21 @@
                 "crash_incidents_total",
                 "Servers that died with requests on them",
             )?,
+            reach: factory.gauge(
+                "reach",
+                "Reach of servers: 0 direct, 1 doubtful, 2 partitioned",
+            )?,
+            indirect_servers: factory.gauge(
+                "indirect_servers",
+                "Servers that only other instances reach",
+            )?,
+            tunnels: factory.counters("tunnels_total", "Tunnels asked for", &["outcome"])?,
+            carried_tunnels: factory.counters(
+                "carried_tunnels_total",
+                "Tunnels that others asked for",
+                &["outcome"],
+            )?,
+            open_carried_tunnels: factory.gauge("carried_tunnels", "Tunnels carried now")?,
             invalid_datagrams: factory
                 .counter("unread_datagrams_total", "Datagrams that are no message")?,
             lookups: factory.counter("look_ups_total", "Look-ups answered")?,
@@ -251,6 +276,11 @@
         metrics
             .instances
             .set(state.members.usable(now).count() as i64);
+        metrics.reach.set(state.reach.reach().as_gauge());
+        let indirect = state.reach.indirect_servers();
+        metrics.indirect_servers.set(indirect as i64);
+        let carried = node.carried_tunnels.get();
+        metrics.open_carried_tunnels.set(carried as i64);
         metrics.update_team_refusals();
         let evidence_age = node.evidence.age(node.continuous_now());
         let evidence_age_ms = evidence_age.map_or(-1, |age| age.get() as i64);
--- a/crates/damaskvane-gateway/src/node.rs
+++ b/crates/damaskvane-gateway/src/node.rs
@@ -15,6 +15,7 @@
 use damaskvane_routing::peers::{IncarnationKey, ListedInstance, Members, Phase, Relay};
 use damaskvane_routing::placement::Placer;
 use damaskvane_routing::pool::{ExchangeId, ServerPool};
+use damaskvane_routing::reachability::{Reachability, ReachabilitySettings, TunnelPeers};
 use damaskvane_routing::split::Splits;
 use tokio::sync::Notify;
 
@@ -29,6 +30,7 @@
 use crate::settings::GatewaySettings;
 use crate::stop::Stop;
 use crate::store::{Feed, Journal, StoreHealth};
+use crate::tunnel::CarriedTunnels;
 use crate::upstream::IdleConnections;
 
 /// Age of the process up to which requests wait for what is missing, in milliseconds. After a restart, other instances
@@ -52,6 +54,10 @@
     pub budgets: HashMap<ids::ServiceId, RetryBudget>,
     /// Table of all entry instances.
     pub members: Members,
+    /// Whether this instance itself reaches the backend servers.
+    pub reach: Reachability,
+    /// The instances that carry connections to servers which this instance does not reach.
+    pub tunnel_peers: TunnelPeers,
 }
 
 /// Shared state of one instance's tasks, which all run on one thread.
@@ -80,6 +86,10 @@
     pub crashes: CrashTracker,
     /// Notifies the task that sends health probes, so that it checks for due probes at once.
     pub probe_requested: Notify,
+    /// Notifies the task that checks the reach of servers that this instance has begun to doubt it.
+    pub reach_doubted: Notify,
+    /// Connections to servers that this instance carries for others.
+    pub(crate) carried_tunnels: CarriedTunnels,
     /// Notifies requests that wait for the start of the process that another collection was read.
     pub startup_progress: Notify,
     /// Incarnation of this instance, which identifies the start of this process.
@@ -133,6 +143,8 @@
             splits: Splits::default(),
             budgets: HashMap::new(),
             members,
+            reach: Reachability::new(ReachabilitySettings::default()),
+            tunnel_peers: TunnelPeers::new(ReachabilitySettings::default()),
         };
         let quotas = Quotas::new(settings.quota());
         let log = DecisionLog::new(log, settings.decision_log);
@@ -149,6 +161,8 @@
             feed: Feed::default(),
             crashes: CrashTracker::default(),
             probe_requested: Notify::new(),
+            reach_doubted: Notify::new(),
+            carried_tunnels: CarriedTunnels::default(),
             startup_progress: Notify::new(),
             incarnation,
             metrics,
--- a/crates/damaskvane-gateway/src/probes.rs
+++ b/crates/damaskvane-gateway/src/probes.rs
@@ -1,15 +1,17 @@
 //! Health probes of backend servers that are unreachable or may have restarted.
 
 use core::time::Duration;
-use std::io;
 use std::rc::Rc;
 
-use damaskvane_routing::pool::{DueProbe, ProbeResult};
+use damaskvane_routing::configuration::RegionSet;
+use damaskvane_routing::pool::{DueProbe, ProbeResult, ServerEntry};
 
 use crate::costs::OpenReason;
 use crate::crashes;
 use crate::http::{self, BodyReader};
 use crate::node::Node;
+use crate::tunnel::{Endpoint, Path};
+use crate::upstream::{self, OpenError, TunnelUse};
 
 /// Interval between two checks for due probes.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -54,16 +56,8 @@
     node.idle.borrow_mut().drop_server(&probe.server);
     let probing = tokio::time::timeout(PROBE_TIMEOUT, probe_until_answered(&node, &probe));
     let result = probing.await.unwrap_or(ProbeResult::NoAnswer);
+    record_evidence(&node, &probe, result);
     let now = node.now();
-    match result {
-        ProbeResult::Refused | ProbeResult::OtherServer => {
-            crashes::record_server_death(&node, &probe.server, "probe");
-        }
-        ProbeResult::Healthy { .. } | ProbeResult::Unhealthy => {
-            crashes::record_server_alive(&node, &probe.server);
-        }
-        ProbeResult::NoAnswer => crashes::record_server_silent(&node, &probe.server),
-    }
     node.state
         .borrow_mut()
         .pool
@@ -72,6 +66,32 @@
         "backend_server" => %probe.server, "result" => ?result);
 }
 
+/// Records what a probe shows about the requests that were running on the server.
+fn record_evidence(node: &Rc<Node>, probe: &DueProbe, result: ProbeResult) {
+    match result {
+        ProbeResult::Refused | ProbeResult::OtherServer => {
+            crashes::record_server_death(node, &probe.server, "probe");
+        }
+        ProbeResult::Healthy { .. } | ProbeResult::Unhealthy => {
+            crashes::record_server_alive(node, &probe.server);
+        }
+        ProbeResult::NoAnswer => crashes::record_server_silent(node, &probe.server),
+    }
+}
+
+async fn open(
+    node: &Rc<Node>,
+    entry: &ServerEntry,
+    timeout: Duration,
+) -> Result<(http::Connection, Path), OpenError> {
+    let endpoint = Endpoint {
+        server: &entry.id,
+        address: entry.address,
+        zone: &entry.zone,
+    };
+    upstream::open(node, endpoint, &RegionSet::Any, TunnelUse::Always, timeout).await
+}
+
 /// Sends a probe, and sends it again while the server closes the connection without an answer.
 ///
 /// A server that is crashing still accepts connections for a moment, and its port refuses them right afterwards. Without
@@ -87,12 +107,13 @@
 }
 
 async fn send_probe(node: &Rc<Node>, probe: &DueProbe) -> Option<ProbeResult> {
-    let opened = http::Connection::open(probe.address, PROBE_TIMEOUT, PROBE_TIMEOUT).await;
-    let mut connection = match opened {
-        Ok(connection) => connection,
-        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            return Some(ProbeResult::Refused);
-        }
+    let entry = {
+        let state = node.state.borrow();
+        state.pool.server(&probe.server)?.entry.clone()
+    };
+    let (mut connection, path) = match open(node, &entry, PROBE_TIMEOUT).await {
+        Ok(opened) => opened,
+        Err(error) if error.is_refusal() => return Some(ProbeResult::Refused),
         Err(_) => return None,
     };
     let request = format!(
@@ -115,7 +136,7 @@
     if read.is_ok() && head.is_keep_alive && connection.is_reusable() {
         let now = node.now();
         let mut idle = node.idle.borrow_mut();
-        idle.keep(now, &probe.server, connection, head.idle_timeout_s);
+        idle.keep(now, &probe.server, connection, head.idle_timeout_s, path);
     }
     let remaining_ms =
         text(&names.warmup_remaining_ms).and_then(|text| text.trim().parse::<f64>().ok());
--- a/crates/damaskvane-gateway/src/process.rs
+++ b/crates/damaskvane-gateway/src/process.rs
@@ -15,7 +15,7 @@
 use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::settings::GatewaySettings;
-use crate::{crashes, peers, probes, stop, store};
+use crate::{crashes, peer_streams, peers, probes, reach, stop, store};
 
 /// Interval at which the settings file is read again, since the file may change without a signal.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
@@ -121,16 +121,16 @@
         });
     }
     let address = settings.peer_address;
-    let feed = store::serve_feed(Rc::clone(node));
-    let feed_sender = sender.clone();
+    let streams = peer_streams::serve(Rc::clone(node));
+    let stream_sender = sender.clone();
     tokio::task::spawn_local(async move {
-        if let Err(error) = feed.await {
+        if let Err(error) = streams.await {
             let failure = ProcessError::Listen {
                 address,
-                purpose: "changes",
+                purpose: "streams of other instances",
                 error,
             };
-            let _ = feed_sender.send(failure);
+            let _ = stream_sender.send(failure);
         }
     });
     let heartbeats = peers::run(Rc::clone(node));
@@ -153,6 +153,7 @@
     tokio::task::spawn_local(store::prove_configuration(Rc::clone(node)));
     tokio::task::spawn_local(store::register(Rc::clone(node)));
     tokio::task::spawn_local(probes::run(Rc::clone(node)));
+    tokio::task::spawn_local(reach::watch(Rc::clone(node)));
     tokio::task::spawn_local(crashes::maintain_records(Rc::clone(node)));
     tokio::task::spawn_local(log_costs(Rc::clone(node)));
     if let Some(address) = settings.metrics_address {
--- a/crates/damaskvane-gateway/src/store.rs
+++ b/crates/damaskvane-gateway/src/store.rs
@@ -15,7 +15,8 @@
 
 pub use client::{CallError, StoreClient};
 pub use evidence::prove_configuration;
-pub use feed::{Feed, serve as serve_feed, subscribe as subscribe_to_relay, watch_freshness};
+pub use feed::{Feed, subscribe as subscribe_to_relay, watch_freshness};
+pub(crate) use feed::{MAGIC as FEED_MAGIC, serve_subscriber};
 pub use follow::follow;
 pub use health::{Source, StoreHealth};
 pub use health_check::run as run_health_checks;
--- a/crates/damaskvane-gateway/src/store/feed.rs
+++ b/crates/damaskvane-gateway/src/store/feed.rs
@@ -25,7 +25,8 @@
 use crate::store::freshness::FreshnessTracker;
 use crate::store::journal::Listing;
 
-pub use serve::serve;
+pub(crate) use frames::MAGIC;
+pub(crate) use serve::serve_subscriber;
 pub use subscribe::{subscribe, watch_freshness};
 
 /// Interval at which a relay sends its subscribers the time since the store's last response.
--- a/crates/damaskvane-gateway/src/store/feed/serve.rs
+++ b/crates/damaskvane-gateway/src/store/feed/serve.rs
@@ -6,48 +6,33 @@
 
 use damaskvane_routing::peers::IncarnationKey;
 use tokio::io::AsyncRead;
+use tokio::net::TcpStream;
 use tokio::net::tcp::WriteHalf;
-use tokio::net::{TcpListener, TcpStream};
 
 use crate::adapter::Collection;
 use crate::costs::{Distance, Flow};
+use crate::framing;
 use crate::node::Node;
 use crate::store::FOLLOWED_COLLECTIONS;
+use crate::store::feed::AGE_INTERVAL;
 use crate::store::feed::frames::{self, Echo, EvidenceFrame, Frame, Hello};
-use crate::store::feed::{AGE_INTERVAL, IDLE_TIMEOUT, POLL_INTERVAL};
 use crate::store::journal::JournalRead;
 
 /// Age of the store's last response, in milliseconds, that an instance reports if it has missed changes. Because of
 /// this age, subscribers treat the instance's data as stale.
 const GAP_AGE_MS: u64 = 3_600_000;
 
-/// Serves subscribers until the process ends.
+/// Serves a subscriber, which detects the end of the stream and connects to another source.
 ///
 /// # Errors
 ///
-/// Fails if the peer address in the settings can't be bound.
-pub async fn serve(node: Rc<Node>) -> io::Result<()> {
-    let listener = TcpListener::bind(node.settings().peer_address).await?;
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(POLL_INTERVAL).await;
-            continue;
-        };
-        let node = Rc::clone(&node);
-        tokio::task::spawn_local(async move {
-            // The subscriber detects the end of the stream and connects to another source.
-            let _ = serve_subscriber(&node, stream).await;
-        });
-    }
-}
-
-async fn serve_subscriber(node: &Rc<Node>, mut stream: TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let bytes = tokio::time::timeout(IDLE_TIMEOUT, frames::read_frame(&mut stream)).await??;
-    let hello: Hello = frames::decode(&bytes)?;
-    if hello.magic != frames::MAGIC {
-        return Err(io::ErrorKind::InvalidData.into());
-    }
+/// Returns the error that ended the stream.
+pub(crate) async fn serve_subscriber(
+    node: &Rc<Node>,
+    mut stream: TcpStream,
+    hello: &[u8],
+) -> io::Result<()> {
+    let hello: Hello = framing::decode(hello)?;
     let distance = stream
         .peer_addr()
         .ok()
@@ -70,8 +55,8 @@
 /// Reads the numbers that the subscriber sends, until the stream ends.
 async fn read_echoes(reader: &mut (impl AsyncRead + Unpin), echo: &Cell<Echo>) -> io::Result<()> {
     loop {
-        let bytes = frames::read_frame(reader).await?;
-        echo.set(frames::decode(&bytes)?);
+        let bytes = framing::read(reader).await?;
+        echo.set(framing::decode(&bytes)?);
     }
 }
 
@@ -167,7 +152,7 @@
     }
 
     async fn send(&mut self, frame: &Frame) -> io::Result<()> {
-        let bytes = frames::send(&mut self.writer, frame).await?;
+        let bytes = framing::send(&mut self.writer, frame).await?;
         if let Some(distance) = self.distance {
             let costs = &self.node.metrics.costs;
             costs.record_bytes(Flow::Feed, distance, bytes);
--- a/crates/damaskvane-gateway/src/store/feed/subscribe.rs
+++ b/crates/damaskvane-gateway/src/store/feed/subscribe.rs
@@ -13,6 +13,7 @@
 use damaskvane_routing::teams::ConfigEvidence;
 use tokio::net::TcpStream;
 
+use crate::framing;
 use crate::node::Node;
 use crate::store::feed::frames::{self, Echo, Frame, Hello};
 use crate::store::feed::{FeedItem, IDLE_TIMEOUT, POLL_INTERVAL};
@@ -79,13 +80,13 @@
         revisions: *feed.revisions.borrow(),
         echo: echoes.next(),
     };
-    frames::send(&mut stream, &hello).await?;
+    framing::send(&mut stream, &hello).await?;
     loop {
         let bytes = tokio::select! {
-            read = tokio::time::timeout(IDLE_TIMEOUT, frames::read_frame(&mut stream)) => read??,
+            read = tokio::time::timeout(IDLE_TIMEOUT, framing::read(&mut stream)) => read??,
             () = feed.listing_requests.notified() => return Ok(()),
         };
-        match frames::decode(&bytes)? {
+        match framing::decode(&bytes)? {
             Frame::Alive {
                 store_age_ms,
                 answered,
@@ -100,7 +101,7 @@
                     });
                 }
                 if echoes.is_needed() && echoes.has_returned(echo) {
-                    frames::send(&mut stream, &echoes.next()).await?;
+                    framing::send(&mut stream, &echoes.next()).await?;
                 }
                 if !handle_store_age(node, store_age_ms, answered.map(IncarnationKey::from_wire)) {
                     // Another source may have fresher data. If the store is down for all instances, the delay does no
--- a/crates/damaskvane-gateway/src/upstream.rs
+++ b/crates/damaskvane-gateway/src/upstream.rs
@@ -1,5 +1,6 @@
 //! Exchanges with backend servers, and the connections that carry them.
 
+mod connect;
 mod exchange;
 mod idle;
 mod outcome;
@@ -7,6 +8,7 @@
 mod response;
 mod streaming;
 
+pub use connect::{OpenError, TunnelUse, open, open_direct};
 pub use exchange::Exchange;
 pub use idle::IdleConnections;
 pub use outcome::ExchangeOutcome;
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -1,10 +1,12 @@
 //! One exchange: sending a request to one backend server and reading its response.
 
 use core::time::Duration;
+use std::cell::RefCell;
 use std::io;
 use std::rc::Rc;
 
 use damaskvane_core::time::{SpanMs, TimeMs};
+use damaskvane_routing::configuration::RegionSet;
 use damaskvane_routing::placement::Pick;
 use damaskvane_routing::pool::{self, ExchangeEnd, ExchangeId, ServerReport};
 use hyper::header;
@@ -14,16 +16,16 @@
 use crate::crashes;
 use crate::http::{self, BodyReader, ReadError, ResponseHead};
 use crate::node::Node;
+use crate::reach;
+use crate::tunnel::{Endpoint, Path};
 use crate::upstream::{
-    BackendResponse, ExchangeOutcome, OutgoingRequest, ResponseBody, request, streaming,
+    self, BackendResponse, ExchangeOutcome, OpenError, OutgoingRequest, ResponseBody, TunnelUse,
+    request, streaming,
 };
 
 /// Timeout for opening a connection. The kernel retransmits a lost SYN packet only after a second, and within
 /// this second another server can respond.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time without an acknowledgement of sent packets after which a connection fails; longer than two
-/// retransmissions on a lossy link.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Response bodies up to this size are read completely before any byte is sent to the client, so that the
 /// request can be retried after a truncated response.
 const MAX_BUFFERED_BODY_BYTES: usize = 262_144;
@@ -45,6 +47,8 @@
     request: &'a OutgoingRequest,
     id: ExchangeId,
     started: TimeMs,
+    /// The way of the connection, once there is one.
+    path: RefCell<Option<Path>>,
     is_open: bool,
 }
 
@@ -61,6 +65,7 @@
             request,
             id,
             started: now,
+            path: RefCell::new(None),
             is_open: true,
         }
     }
@@ -70,6 +75,7 @@
         if matches!(end, ExchangeEnd::Silent | ExchangeEnd::Abandoned) {
             let (pick, request) = (&self.pick, self.request);
             crashes::record_unanswered_exchange(&self.node, pick, request, self.started);
+            self.record_silence();
         }
         let now = self.node.now();
         let mut state = self.node.state.borrow_mut();
@@ -78,6 +84,17 @@
     }
 }
 
+impl RunningExchange<'_> {
+    /// Records that the connection stayed silent, if it did so for longer than requests usually take.
+    fn record_silence(&self) {
+        let path = self.path.borrow();
+        let lasted_ms = self.node.now().since(self.started).get() as f64;
+        if let Some(path) = path.as_ref().filter(|_| lasted_ms > self.pick.expected_ms) {
+            reach::record_unanswered(&self.node, &self.pick.server, path, self.started);
+        }
+    }
+}
+
 impl Drop for RunningExchange<'_> {
     fn drop(&mut self) {
         if self.is_open {
@@ -86,6 +103,15 @@
     }
 }
 
+/// What becomes of a connection after its exchange.
+#[derive(Debug, Clone, Copy)]
+struct Reuse {
+    /// Whether the connection may carry further requests.
+    may_keep: bool,
+    /// Whether it has carried other requests.
+    is_reused: bool,
+}
+
 /// An exchange that has not started yet.
 #[derive(Debug)]
 pub struct Exchange<'a> {
@@ -99,6 +125,8 @@
     pub deadline: TimeMs,
     /// Whether an earlier exchange has sent the request to any server.
     pub is_retry: bool,
+    /// The regions through which the request may pass.
+    pub allowed_regions: &'a RegionSet,
     /// The right to send the request, which is checked at the moment of sending.
     pub(crate) right: &'a SendRight<'a>,
 }
@@ -107,26 +135,28 @@
     /// Sends the request and waits for the response.
     pub async fn run(self) -> ExchangeOutcome {
         let mut running = RunningExchange::start(self.node, self.pick, self.request);
-        let mut outcome = self.exchange().await;
+        let mut outcome = self.exchange(&running.path).await;
+        outcome.path = running.path.take();
         outcome.took_ms = running.end(outcome.end, outcome.report);
         outcome
     }
 
-    async fn exchange(&self) -> ExchangeOutcome {
-        let (connection, is_reused) = match self.connect().await {
+    async fn exchange(&self, running_path: &RefCell<Option<Path>>) -> ExchangeOutcome {
+        let (connection, path, is_reused) = match self.connect().await {
             Ok(connected) => connected,
             Err(error) => {
-                if error.kind() == io::ErrorKind::ConnectionRefused {
+                if error.is_refusal() {
                     crashes::record_server_death(self.node, &self.pick.server, "refused");
                 }
                 return ExchangeOutcome::no_response(ExchangeEnd::Unreachable);
             }
         };
+        running_path.replace(Some(path.clone()));
         let token = match self.right.redeem().await {
             Ok(token) => token,
             Err(withheld) => {
                 if !is_reused {
-                    self.keep_unused(connection);
+                    self.keep(connection, None, &path);
                 }
                 return ExchangeOutcome {
                     withheld: Some(withheld),
@@ -134,20 +164,25 @@
                 };
             }
         };
-        let outcome = self.send(connection, is_reused).await;
+        let outcome = self.send(connection, &path, is_reused).await;
         if matches!(outcome.end, ExchangeEnd::Shed | ExchangeEnd::Misdirected) {
             self.right.restore(token);
         }
         outcome
     }
 
-    async fn send(&self, mut connection: http::Connection, is_reused: bool) -> ExchangeOutcome {
+    async fn send(
+        &self,
+        mut connection: http::Connection,
+        path: &Path,
+        is_reused: bool,
+    ) -> ExchangeOutcome {
         let names = self.node.adapter.headers();
         let bytes = self
             .request
             .to_bytes(names, &self.pick.server, self.remaining().get());
         let sent_bytes = bytes.len();
-        self.count_bytes(sent_bytes);
+        self.count_bytes(path, sent_bytes);
         let written = if bytes.len() <= SHORT_REQUEST_BYTES {
             connection.write(&bytes).await.map(|()| true)
         } else {
@@ -157,23 +192,29 @@
             Ok(is_written) => is_written,
             Err(error) => return ExchangeOutcome::no_response(classify_io_error(&error)),
         };
-        let mut outcome = self.read_response(connection, is_written, is_reused).await;
+        let reused = Reuse {
+            may_keep: is_written,
+            is_reused,
+        };
+        let mut outcome = self.read_response(connection, path, reused).await;
         outcome.bytes += sent_bytes;
         outcome
     }
 
-    /// Keeps a new connection on which nothing was sent.
-    fn keep_unused(&self, connection: http::Connection) {
-        if connection.is_reusable() {
+    /// Keeps a connection without an outstanding response for the next request.
+    fn keep(&self, connection: http::Connection, idle_timeout_s: Option<u64>, path: &Path) {
+        let server = &self.pick.server;
+        if connection.is_reusable() && reach::may_keep(self.node, server, path) {
             let now = self.node.now();
             let mut idle = self.node.idle.borrow_mut();
-            idle.keep(now, &self.pick.server, connection, None);
+            idle.keep(now, server, connection, idle_timeout_s, path.clone());
         }
     }
 
-    fn count_bytes(&self, bytes: usize) {
+    fn count_bytes(&self, path: &Path, bytes: usize) {
         let flow = Flow::for_pick(self.pick, self.is_retry);
-        let distance = Distance::to_zone(self.node, &self.pick.zone);
+        let next_zone = path.peer().map_or(&self.pick.zone, |peer| &peer.zone);
+        let distance = Distance::to_zone(self.node, next_zone);
         self.node.metrics.costs.record_bytes(flow, distance, bytes);
     }
 
@@ -181,12 +222,15 @@
         self.deadline.since(self.node.now())
     }
 
-    async fn connect(&self) -> io::Result<(http::Connection, bool)> {
+    /// Returns a connection, its way, and whether it has carried other requests.
+    async fn connect(&self) -> Result<(http::Connection, Path, bool), OpenError> {
         let now = self.node.now();
-        let had_idle = self.node.idle.borrow().has(&self.pick.server);
-        let idle_connection = self.node.idle.borrow_mut().take(now, &self.pick.server);
-        if let Some(connection) = idle_connection {
-            return Ok((connection, true));
+        let server = &self.pick.server;
+        let had_idle = self.node.idle.borrow().has(server);
+        let may_use = |path: &Path| reach::may_reuse(self.node, server, path, self.allowed_regions);
+        let kept = self.node.idle.borrow_mut().take(now, server, may_use);
+        if let Some((connection, path)) = kept {
+            return Ok((connection, path, true));
         }
         let reason = if had_idle {
             OpenReason::IdleConnectionsClosed
@@ -195,33 +239,45 @@
         };
         self.node.metrics.costs.record_connection(reason);
         let timeout = CONNECT_TIMEOUT.min(self.remaining().to_duration());
-        let opened = http::Connection::open(self.pick.address, timeout, SILENCE_TIMEOUT).await?;
-        let took_ms = self.node.now().since(now).get() as f64;
-        let mut state = self.node.state.borrow_mut();
-        state.placer.round_trips.record(&self.pick.zone, took_ms);
-        Ok((opened, false))
+        let endpoint = Endpoint {
+            server,
+            address: self.pick.address,
+            zone: &self.pick.zone,
+        };
+        let regions = self.allowed_regions;
+        let opening = upstream::open(self.node, endpoint, regions, TunnelUse::IfDoubtful, timeout);
+        let (opened, path) = opening.await?;
+        if path == Path::Direct {
+            let took_ms = self.node.now().since(now).get() as f64;
+            let mut state = self.node.state.borrow_mut();
+            state.placer.round_trips.record(&self.pick.zone, took_ms);
+        }
+        Ok((opened, path, false))
     }
 
     /// Reads responses until the one to this request arrives.
     async fn read_response(
         &self,
         mut connection: http::Connection,
-        is_written: bool,
-        is_reused: bool,
+        path: &Path,
+        Reuse {
+            mut may_keep,
+            is_reused,
+        }: Reuse,
     ) -> ExchangeOutcome {
-        let mut may_reuse = is_written;
         for _ in 0..=MAX_SKIPPED_RESPONSES {
             let head = match connection.read_head().await {
                 Ok(head) => head,
                 Err(error) => return ExchangeOutcome::no_response(classify_read_error(&error)),
             };
+            reach::record_answered(self.node, path);
             if self.matches_request(&head) {
-                return self.finish_response(connection, head, may_reuse).await;
+                return self.finish_response(connection, path, head, may_keep).await;
             }
             // A duplicate response to an earlier request is read and dropped, since the response to this
             // request may still follow. Duplicates occur only on reused connections.
             self.node.metrics.mismatched_responses.inc();
-            may_reuse = false;
+            may_keep = false;
             if !is_reused || head.body == http::BodyKind::UntilClose {
                 break;
             }
@@ -251,8 +307,9 @@
     async fn finish_response(
         &self,
         mut connection: http::Connection,
+        path: &Path,
         head: ResponseHead,
-        may_reuse: bool,
+        may_keep: bool,
     ) -> ExchangeOutcome {
         let (end, report) = self.classify_response(&head);
         let retry_after_ms = retry_after_ms(&head);
@@ -262,7 +319,7 @@
         } else {
             head.body
         };
-        self.count_bytes(head.bytes);
+        self.count_bytes(path, head.bytes);
         let mut read_bytes = head.bytes;
         let mut body = BodyReader::new(kind);
         let whole = match connection
@@ -282,18 +339,16 @@
                 };
             }
         };
-        let is_keep_alive = head.is_keep_alive && may_reuse;
+        let is_keep_alive = head.is_keep_alive && may_keep;
         let idle_timeout_s = head.idle_timeout_s;
         let mut headers = head.headers;
         request::strip_connection_headers(&mut headers);
         let body = match whole {
             Ok(bytes) => {
-                self.count_bytes(bytes.len());
+                self.count_bytes(path, bytes.len());
                 read_bytes += bytes.len();
-                if is_keep_alive && connection.is_reusable() {
-                    let now = self.node.now();
-                    let mut idle = self.node.idle.borrow_mut();
-                    idle.keep(now, &self.pick.server, connection, idle_timeout_s);
+                if is_keep_alive {
+                    self.keep(connection, idle_timeout_s, path);
                 }
                 ResponseBody::whole(bytes)
             }
@@ -311,6 +366,7 @@
             retry_after_ms,
             took_ms: None,
             bytes: read_bytes,
+            path: None,
             withheld: None,
         }
     }
--- a/crates/damaskvane-gateway/src/upstream/idle.rs
+++ b/crates/damaskvane-gateway/src/upstream/idle.rs
@@ -6,6 +6,7 @@
 use damaskvane_core::time::{SpanMs, TimeMs};
 
 use crate::http;
+use crate::tunnel::Path;
 
 /// How long an idle connection is kept if its server announces no idle timeout, in milliseconds. This is
 /// shorter than the timeouts of common servers.
@@ -21,6 +22,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: http::Connection,
+    path: Path,
     expires_at: TimeMs,
 }
 
@@ -40,14 +42,21 @@
             .is_some_and(|connections| !connections.is_empty())
     }
 
-    /// Removes and returns the most recently used connection to `server` that is neither expired nor closed.
+    /// Removes and returns the most recently used connection to `server` that is neither expired nor closed, with its
+    /// path, among those whose path may be used.
     ///
     /// Expired and closed connections that were used more recently are dropped.
-    pub fn take(&mut self, now: TimeMs, server: &ids::BackendServerId) -> Option<http::Connection> {
+    pub fn take(
+        &mut self,
+        now: TimeMs,
+        server: &ids::BackendServerId,
+        may_use: impl Fn(&Path) -> bool,
+    ) -> Option<(http::Connection, Path)> {
         let connections = self.connections.get_mut(server)?;
-        while let Some(last) = connections.pop() {
+        while let Some(index) = connections.iter().rposition(|one| may_use(&one.path)) {
+            let last = connections.remove(index);
             if now < last.expires_at && last.connection.is_reusable() {
-                return Some(last.connection);
+                return Some((last.connection, last.path));
             }
         }
         None
@@ -63,6 +72,7 @@
         server: &ids::BackendServerId,
         connection: http::Connection,
         idle_timeout_s: Option<u64>,
+        path: Path,
     ) {
         let idle_timeout_ms = idle_timeout_s.map_or(DEFAULT_IDLE_TIMEOUT_MS, |idle_timeout_s| {
             (idle_timeout_s * 1_000).saturating_sub(CLOSE_MARGIN_MS)
@@ -72,6 +82,7 @@
             let expires_at = now + SpanMs::new(idle_timeout_ms);
             connections.push(IdleConnection {
                 connection,
+                path,
                 expires_at,
             });
         }
@@ -82,6 +93,26 @@
         self.connections.remove(server);
     }
 
+    /// Closes all idle connections that lead to servers without a tunnel.
+    pub fn drop_direct(&mut self) {
+        self.retain(|_, path| *path != Path::Direct);
+    }
+
+    /// Returns whether any idle connection leads through another instance.
+    #[must_use]
+    pub fn has_tunnels(&self) -> bool {
+        let mut all = self.connections.values().flatten();
+        all.any(|one| one.path != Path::Direct)
+    }
+
+    /// Closes the idle connections whose server and path don't have the given property.
+    pub fn retain(&mut self, is_wanted: impl Fn(&ids::BackendServerId, &Path) -> bool) {
+        self.connections.retain(|server, connections| {
+            connections.retain(|one| is_wanted(server, &one.path));
+            !connections.is_empty()
+        });
+    }
+
     /// Closes the connections that at `now` have been idle longer than this instance keeps them.
     pub fn expire(&mut self, now: TimeMs) {
         self.connections.retain(|_, connections| {
--- a/crates/damaskvane-gateway/src/upstream/outcome.rs
+++ b/crates/damaskvane-gateway/src/upstream/outcome.rs
@@ -3,6 +3,7 @@
 use damaskvane_routing::pool::{ExchangeEnd, ServerReport};
 
 use crate::clients::Withheld;
+use crate::tunnel::Path;
 use crate::upstream::BackendResponse;
 
 /// How an exchange ended, with the server's response if it was received.
@@ -22,6 +23,8 @@
     pub took_ms: Option<u64>,
     /// The size of the request and its response, as far as it was read at once, in bytes.
     pub bytes: usize,
+    /// The way of the connection to the server; `None` if there was no connection.
+    pub path: Option<Path>,
     /// The reason why the request was not sent; `None` unless the exchange was withheld.
     pub(crate) withheld: Option<Withheld>,
 }
@@ -41,6 +44,7 @@
             retry_after_ms: None,
             took_ms: None,
             bytes: 0,
+            path: None,
             withheld: None,
         }
     }
--- a/crates/damaskvane-routing/src/lib.rs
+++ b/crates/damaskvane-routing/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`relay`]: a log of changes in the platform's store that instances of a zone relay to each other.
 //! - [`teams`]: the teams to which API keys belong, and proof that the configuration is current.
 //! - [`quota`]: quotas of teams that hold over all instances.
+//! - [`reachability`]: whether this instance reaches the backend servers, and who carries its connections if not.
 //! - [`peers`]: the entry instances that are alive, and those whose addresses a lookup returns to a client.
 //!
 //! ```
@@ -29,6 +30,7 @@
 pub mod placement;
 pub mod pool;
 pub mod quota;
+pub mod reachability;
 pub mod relay;
 pub mod retry;
 pub mod split;
--- a/crates/damaskvane-routing/src/peers/members.rs
+++ b/crates/damaskvane-routing/src/peers/members.rs
@@ -353,6 +353,26 @@
         zones.flat_map(move |zone| self.members.accepting_in(now, zone))
     }
 
+    /// Returns the last heartbeats of the other instances that accept clients, each with its region.
+    pub fn others_accepting(
+        &self,
+        now: TimeMs,
+    ) -> impl Iterator<Item = (&Heartbeat, Option<&ids::RegionId>)> {
+        let others = self.usable(now).filter(|one| one.instance != self.own);
+        others.map(|one| (one, self.regions.get(&one.zone)))
+    }
+
+    /// Returns whether an instance is alive and accepts clients.
+    #[must_use]
+    pub fn accepts_clients(&self, now: TimeMs, instance: &ids::InstanceId) -> bool {
+        let member = self.members.get(instance);
+        let zone = member.map(|member| &member.heartbeat.zone);
+        zone.is_some_and(|zone| {
+            let mut accepting = self.members.accepting_in(now, zone);
+            accepting.any(|one| one.instance == *instance)
+        })
+    }
+
     /// Returns the instances of a zone that forward changes of the store to the zone's other instances.
     ///
     /// Every instance computes the relays from the heartbeats that it received. If two instances disagree, the cost is
--- a/crates/damaskvane-routing/src/pool/server.rs
+++ b/crates/damaskvane-routing/src/pool/server.rs
@@ -21,6 +21,10 @@
 const STALLED_FACTOR: f64 = 3.0;
 /// Time up to which an exchange never indicates a stalled server, because one lost packet costs about as much.
 const MIN_STALLED_MS: f64 = 350.0;
+/// Multiple of the usual time, and time in any case, after which a request counts as overdue. Only several servers that
+/// all have overdue requests mean anything, so the bounds are lower than those of a stalled server.
+const OVERDUE_FACTOR: f64 = 1.5;
+const MIN_OVERDUE_MS: f64 = 250.0;
 /// Weight of a new exchange in the moving average of failures.
 const FAILURE_WEIGHT: f64 = 0.2;
 /// Slowness and share of failures from which a server is reported to the zone; well above the effect of one outlier.
@@ -190,7 +194,8 @@
         self.stall_ratio(now).is_some()
     }
 
-    /// Returns the highest ratio of age to usual time among stalled exchanges, or `None` if no exchange is stalled.
+    /// Returns the highest ratio of age to usual time among the exchanges that are stalled at `now`, or `None` if no
+    /// exchange is.
     fn stall_ratio(&self, now: TimeMs) -> Option<f64> {
         let ratios = self.requests.values().filter_map(|request| {
             let bound_ms = (request.expected_ms * STALLED_FACTOR).max(MIN_STALLED_MS);
@@ -200,6 +205,18 @@
         ratios.max_by(f64::total_cmp)
     }
 
+    /// Returns when the oldest request was sent that has got no answer for far longer than usual while the server
+    /// answered no other request of this instance; `None` if there is none.
+    #[must_use]
+    pub fn overdue_since(&self, now: TimeMs) -> Option<TimeMs> {
+        let overdue = self.requests.values().filter(|request| {
+            let bound_ms = (request.expected_ms * OVERDUE_FACTOR).max(MIN_OVERDUE_MS);
+            let lasted_ms = now.since(request.sent_at).get() as f64;
+            lasted_ms > bound_ms && self.answered_at < request.sent_at
+        });
+        overdue.map(|request| request.sent_at).min()
+    }
+
     /// Returns the time of the last response to this instance, or 0 if there was none.
     #[must_use]
     pub const fn answered_at(&self) -> TimeMs {
@@ -325,6 +342,12 @@
         (is_unhealthy || was_unhealthy).then_some(health)
     }
 
+    /// Forgets the failures that this instance has observed and not yet told others of.
+    pub(super) const fn forget_failures(&mut self) {
+        self.failure_share = 0.0;
+        self.has_unreported_health = false;
+    }
+
     /// Records the time that the server took for a request, without the network round trip.
     pub fn record_work_time(&mut self, now: TimeMs, took_ms: f64, expected_ms: f64) {
         self.slowness.decay(now.since(self.slowness_at).get());
--- a/crates/damaskvane-routing/src/pool/server_pool.rs
+++ b/crates/damaskvane-routing/src/pool/server_pool.rs
@@ -148,6 +148,44 @@
         self.servers.get(handle)
     }
 
+    /// Returns the servers that leave requests of this instance without an answer for far longer than usual, each with
+    /// the time at which the oldest such request was sent.
+    #[must_use]
+    pub fn overdue(&self, now: TimeMs) -> Vec<(ids::BackendServerId, TimeMs)> {
+        let in_use = self.servers.in_use().iter();
+        let in_use = in_use.filter_map(|handle| self.servers.get(*handle));
+        in_use
+            .filter_map(|server| Some((server.entry.id.clone(), server.overdue_since(now)?)))
+            .collect()
+    }
+
+    /// Returns a server that accepts connections as far as is known, among those with the given property.
+    pub fn reachable_server(
+        &self,
+        is_wanted: impl Fn(&ids::BackendServerId) -> bool,
+    ) -> Option<&Server> {
+        let mut servers = self.servers.iter();
+        servers.find(|server| server.liveness == Liveness::Up && is_wanted(&server.entry.id))
+    }
+
+    /// Marks a server as up that was found down for reasons which were not the server's.
+    pub fn forgive(&mut self, id: &ids::BackendServerId) {
+        if let Some(mut server) = self.server_mut(id)
+            && matches!(server.liveness, Liveness::Down { .. })
+        {
+            server.liveness = Liveness::Up;
+        }
+    }
+
+    /// Forgets the failures of servers that this instance has not told others of.
+    pub fn forget_unreported_failures(&mut self) {
+        for handle in self.servers.handles() {
+            if let Some(mut server) = self.servers.get_mut(handle) {
+                server.forget_failures();
+            }
+        }
+    }
+
     /// Removes and returns at most `max_reports` reports of busy and unhealthy servers, to send to the zone's other
     /// instances.
     ///
--- a/crates/damaskvane-routing/src/pool/server_table.rs
+++ b/crates/damaskvane-routing/src/pool/server_table.rs
@@ -151,6 +151,10 @@
         })
     }
 
+    pub(super) fn handles(&self) -> Vec<ServerHandle> {
+        self.by_id.values().copied().collect()
+    }
+
     pub(super) fn iter(&self) -> impl Iterator<Item = &Server> {
         let rows = self.rows.iter().flatten();
         rows.map(|row| &row.server)
--- /dev/null
+++ b/crates/damaskvane-routing/src/reachability/state.rs
@@ -0,0 +1,263 @@
+//! The evidence on whether this instance reaches the backend servers, and what follows from it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use damaskvane_core::ids;
+use damaskvane_core::time::{SpanMs, TimeMs};
+
+use crate::reachability::failure::Failure;
+use crate::reachability::{Check, ConnectFailure, ReachabilitySettings};
+
+/// Whether this instance reaches the backend servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// Connections open, or too few have failed to doubt that.
+    Direct,
+    /// Several servers have failed and no connection has opened since. They may have died, or this instance may be
+    /// partitioned from them.
+    Doubtful,
+    /// Another instance reaches a server that this instance does not reach: this instance is partitioned from the
+    /// servers.
+    Partitioned,
+}
+
+impl Reach {
+    /// Returns the label for logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Direct => "direct",
+            Self::Doubtful => "doubtful",
+            Self::Partitioned => "partitioned",
+        }
+    }
+
+    /// Returns the value of the gauge: 0, 1 or 2.
+    #[must_use]
+    pub const fn as_gauge(self) -> i64 {
+        match self {
+            Self::Direct => 0,
+            Self::Doubtful => 1,
+            Self::Partitioned => 2,
+        }
+    }
+}
+
+/// What this instance knows of its own connections to backend servers.
+#[derive(Debug)]
+pub struct Reachability {
+    settings: ReachabilitySettings,
+    /// The servers that have failed since the last connection that opened without a tunnel.
+    failures: BTreeMap<ids::BackendServerId, Failure>,
+    /// The servers that only other instances reach.
+    indirect: BTreeSet<ids::BackendServerId>,
+    is_partitioned: bool,
+    /// The servers to which connections opened without a tunnel since the last one that didn't, in a partition.
+    reopened: BTreeSet<ids::BackendServerId>,
+    /// When a server last answered, or a connection opened, without a tunnel.
+    contact_at: TimeMs,
+    next_check_at: TimeMs,
+    last_checked: Option<ids::BackendServerId>,
+}
+
+impl Reachability {
+    /// Creates the state of an instance that has opened no connection yet.
+    #[must_use]
+    pub const fn new(settings: ReachabilitySettings) -> Self {
+        Self {
+            settings,
+            failures: BTreeMap::new(),
+            indirect: BTreeSet::new(),
+            is_partitioned: false,
+            reopened: BTreeSet::new(),
+            contact_at: TimeMs::ZERO,
+            next_check_at: TimeMs::ZERO,
+            last_checked: None,
+        }
+    }
+
+    /// Returns whether this instance reaches the servers.
+    #[must_use]
+    pub fn reach(&self) -> Reach {
+        if self.is_partitioned {
+            Reach::Partitioned
+        } else if self.failures.len() >= self.settings.min_failing_servers {
+            Reach::Doubtful
+        } else {
+            Reach::Direct
+        }
+    }
+
+    /// Returns whether connections to the server are opened through another instance.
+    #[must_use]
+    pub fn needs_tunnel(&self, server: &ids::BackendServerId) -> bool {
+        self.is_partitioned || self.indirect.contains(server)
+    }
+
+    /// Returns the servers that have failed since a connection last opened without a tunnel.
+    pub fn failing(&self) -> impl Iterator<Item = &ids::BackendServerId> {
+        self.failures.keys()
+    }
+
+    /// Returns the number of servers that only other instances reach.
+    #[must_use]
+    pub fn indirect_servers(&self) -> usize {
+        self.indirect.len()
+    }
+
+    /// Returns the last sign of life of any server, by which this instance may tell others of servers that failed
+    /// before it; `None` while the failures may be this instance's own.
+    #[must_use]
+    pub fn blame_until(&self) -> Option<TimeMs> {
+        (self.reach() == Reach::Direct).then_some(self.contact_at)
+    }
+
+    /// Records that a connection opened without a tunnel. Returns the servers whose failures were this instance's own.
+    pub fn record_opened(
+        &mut self,
+        now: TimeMs,
+        server: &ids::BackendServerId,
+    ) -> Vec<ids::BackendServerId> {
+        let was_isolated = self.is_partitioned
+            || now.since(self.contact_at) >= SpanMs::new(self.settings.isolation_ms);
+        let was_doubtful = self.reach() != Reach::Direct;
+        self.contact_at = now;
+        self.indirect.remove(server);
+        if self.is_partitioned {
+            self.reopened.insert(server.clone());
+            self.end_partition_if_over();
+        }
+        let failures = core::mem::take(&mut self.failures);
+        if was_isolated && was_doubtful {
+            failures.into_keys().collect()
+        } else {
+            Vec::new()
+        }
+    }
+
+    fn end_partition_if_over(&mut self) {
+        let has_others = self.indirect.iter().any(|id| !self.reopened.contains(id));
+        if self.reopened.len() >= self.settings.min_reopened_servers || !has_others {
+            self.is_partitioned = false;
+            self.indirect.clear();
+            self.reopened.clear();
+        }
+    }
+
+    /// Records that a connection could not be opened without a tunnel.
+    pub fn record_open_failed(
+        &mut self,
+        now: TimeMs,
+        server: &ids::BackendServerId,
+        kind: ConnectFailure,
+    ) {
+        self.reopened.clear();
+        self.expire(now);
+        let failure = Failure { at: now, kind };
+        self.failures.insert(server.clone(), failure);
+    }
+
+    /// Records that a server answered on a connection without a tunnel.
+    pub fn record_answered(&mut self, now: TimeMs) {
+        self.contact_at = now;
+        self.failures
+            .retain(|_, failure| failure.kind != ConnectFailure::Silent);
+    }
+
+    /// Records that a request sent at `sent_at` without a tunnel has got no answer for far longer than usual.
+    ///
+    /// It is evidence only if no other server has answered since: otherwise this server alone is slow or dead.
+    pub fn record_unanswered(
+        &mut self,
+        now: TimeMs,
+        server: &ids::BackendServerId,
+        sent_at: TimeMs,
+    ) {
+        if self.is_partitioned || self.contact_at >= sent_at {
+            return;
+        }
+        let kind = ConnectFailure::Silent;
+        self.failures
+            .entry(server.clone())
+            .or_insert(Failure { at: now, kind });
+    }
+
+    /// Records that another instance opened a connection to a server that this instance failed to reach just before.
+    /// Returns whether that shows that this instance is partitioned from the servers.
+    pub fn record_opened_by_peer(&mut self, now: TimeMs, server: &ids::BackendServerId) -> bool {
+        let is_new_evidence = self.reach() == Reach::Doubtful;
+        self.indirect.insert(server.clone());
+        if is_new_evidence {
+            self.is_partitioned = true;
+            self.indirect.extend(self.failures.keys().cloned());
+            self.next_check_at = now + SpanMs::new(self.settings.return_check_ms);
+        }
+        is_new_evidence
+    }
+
+    /// Removes the servers that are no longer known: they are no evidence of anything.
+    pub fn retain_known(&mut self, is_known: impl Fn(&ids::BackendServerId) -> bool) {
+        self.failures.retain(|id, _| is_known(id));
+        self.indirect.retain(|id| is_known(id));
+        self.reopened.retain(|id| is_known(id));
+        if self.is_partitioned && self.indirect.is_empty() {
+            self.end_partition_if_over();
+        }
+    }
+
+    /// Returns the check to run now, if one is due, and postpones the next one.
+    pub fn take_due_check(&mut self, now: TimeMs) -> Option<Check> {
+        if now < self.next_check_at {
+            return None;
+        }
+        self.expire(now);
+        if self.reach() == Reach::Doubtful {
+            self.next_check_at = now + SpanMs::new(self.settings.doubt_check_ms);
+            return Some(Check::Doubt(self.failing_in_turn()));
+        }
+        let server = self.next_indirect()?;
+        self.next_check_at = now + SpanMs::new(self.settings.return_check_ms);
+        self.last_checked = Some(server.clone());
+        Some(Check::Return(self.with_second(server)))
+    }
+
+    /// Returns the next servers that have failed, after those of the last check.
+    fn failing_in_turn(&mut self) -> Vec<(ids::BackendServerId, ConnectFailure)> {
+        let after = self.last_checked.take();
+        let is_later = |id: &ids::BackendServerId| after.as_ref().is_none_or(|after| id > after);
+        let failures = self.failures.iter();
+        let (later, earlier): (Vec<_>, Vec<_>) = failures.partition(|(id, _)| is_later(id));
+        let in_turn = later.into_iter().chain(earlier);
+        let taken = in_turn.take(self.settings.servers_per_check);
+        let taken: Vec<_> = taken.map(|(id, one)| (id.clone(), one.kind)).collect();
+        self.last_checked = taken.last().map(|(id, _)| id.clone());
+        taken
+    }
+
+    fn next_indirect(&self) -> Option<ids::BackendServerId> {
+        let is_open = |id: &&ids::BackendServerId| !self.reopened.contains(*id);
+        let after = self.last_checked.as_ref();
+        let mut later = self.indirect.iter().filter(is_open);
+        let next = later.find(|id| after.is_none_or(|after| *id > after));
+        next.or_else(|| self.indirect.iter().find(is_open)).cloned()
+    }
+
+    /// Adds the second server that a return from a partition needs.
+    fn with_second(&self, server: ids::BackendServerId) -> Vec<ids::BackendServerId> {
+        let mut servers = vec![server];
+        if self.is_partitioned {
+            let others = self.indirect.iter().filter(|id| **id != servers[0]);
+            let second = others.clone().find(|id| **id > servers[0]);
+            servers.extend(second.or_else(|| others.clone().next()).cloned());
+        }
+        servers
+    }
+
+    /// Removes old failures, unless no server has given a sign of life since.
+    fn expire(&mut self, now: TimeMs) {
+        let ttl = SpanMs::new(self.settings.failure_ttl_ms);
+        let contact_at = self.contact_at;
+        self.failures
+            .retain(|_, failure| now.since(failure.at) < ttl || contact_at <= failure.at);
+    }
+}
