An instance's own failures accuse no request and no server

Cause, the same as of the refusals: a refused connection counted as the proof that a server had died with the requests on it, whoever was cut off; and an instance told its zone of servers that were silent or failing towards itself.

Now a refusal is a proof only if another server, of the same zone where there is one, accepts a connection opened in the same way, and the server refuses once more afterwards. It is looked for at once after the first refusal, so that a request which really crashes servers is refused as early as before (the tests of crashing.rs pass unchanged). Failures are reported to the zone only after a sign of life of any server that is newer than they are, and not at all while this instance doubts its reach.

Ruled out: a neighbour's word for the refusal (it may be partitioned as well, and not know it yet).

--- a/crates/damaskvane-gateway/src/crashes/evidence.rs
+++ b/crates/damaskvane-gateway/src/crashes/evidence.rs
@@ -77,6 +77,21 @@
     }
 }
 
+/// Returns whether requests become suspects if the server is proven to have crashed.
+pub fn awaits_proof(node: &Node, server: &ids::BackendServerId) -> bool {
+    let broken = node.crashes.broken.borrow();
+    broken.first_broken_at(node.now(), server).is_some()
+}
+
+/// Requests a probe of a server that accepts no connection, if requests become suspects by the proof that it has crashed.
+pub fn request_proof(node: &Node, server: &ids::BackendServerId) {
+    if awaits_proof(node, server) {
+        let now = node.now();
+        node.state.borrow_mut().pool.probe_now(now, server);
+        node.probe_requested.notify_one();
+    }
+}
+
 /// Records that a server is alive, so that earlier broken exchanges with the server were no crash.
 pub fn record_server_alive(node: &Node, server: &ids::BackendServerId) {
     node.crashes.broken.borrow_mut().record_alive(server);
--- a/crates/damaskvane-gateway/src/peers.rs
+++ b/crates/damaskvane-gateway/src/peers.rs
@@ -173,7 +173,10 @@
         let now = node.now();
         let (reports, neighbours) = {
             let mut state = node.state.borrow_mut();
-            let reports = state.pool.take_server_reports(now, MAX_SERVERS_PER_REPORT);
+            let contact_at = state.reach.blame_until();
+            let reports = state
+                .pool
+                .take_server_reports(now, MAX_SERVERS_PER_REPORT, contact_at);
             (reports, state.members.neighbours(now))
         };
         let recipient_count = u32::try_from(neighbours.len()).unwrap_or(u32::MAX);
--- a/crates/damaskvane-gateway/src/probes.rs
+++ b/crates/damaskvane-gateway/src/probes.rs
@@ -21,6 +21,12 @@
 const MAX_PROBE_TRIES: u32 = 3;
 /// Delay before a probe is sent again after the server closed its connection.
 const CLOSED_PROBE_DELAY: Duration = Duration::from_millis(50);
+/// Largest number of servers with which one that refuses connections is compared.
+const MAX_COMPARED: usize = 8;
+/// Time in which a connection that is opened for such a comparison must be established.
+const COMPARED_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time for all such comparisons of one probe.
+const COMPARISON_TIMEOUT: Duration = Duration::from_millis(800);
 /// Largest body of a probe's response, in bytes.
 const MAX_BODY_BYTES: usize = 16_384;
 
@@ -56,7 +62,7 @@
     node.idle.borrow_mut().drop_server(&probe.server);
     let probing = tokio::time::timeout(PROBE_TIMEOUT, probe_until_answered(&node, &probe));
     let result = probing.await.unwrap_or(ProbeResult::NoAnswer);
-    record_evidence(&node, &probe, result);
+    record_evidence(&node, &probe, result).await;
     let now = node.now();
     node.state
         .borrow_mut()
@@ -67,9 +73,14 @@
 }
 
 /// Records what a probe shows about the requests that were running on the server.
-fn record_evidence(node: &Rc<Node>, probe: &DueProbe, result: ProbeResult) {
+async fn record_evidence(node: &Rc<Node>, probe: &DueProbe, result: ProbeResult) {
     match result {
-        ProbeResult::Refused | ProbeResult::OtherServer => {
+        ProbeResult::Refused => {
+            if !crashes::awaits_proof(node, &probe.server) || is_refusal_proven(node, probe).await {
+                crashes::record_server_death(node, &probe.server, "probe");
+            }
+        }
+        ProbeResult::OtherServer => {
             crashes::record_server_death(node, &probe.server, "probe");
         }
         ProbeResult::Healthy { .. } | ProbeResult::Unhealthy => {
@@ -79,6 +90,49 @@
     }
 }
 
+/// Returns whether a refused connection shows that the server's process has ended: another server of its zone accepts a
+/// connection opened in the same way, and afterwards the server still refuses one.
+///
+/// An instance that is partitioned from the servers may be refused by all of them, and the requests that it has sent them
+/// are harmless.
+async fn is_refusal_proven(node: &Rc<Node>, probe: &DueProbe) -> bool {
+    let comparing = tokio::time::timeout(COMPARISON_TIMEOUT, compare(node, probe));
+    comparing.await.unwrap_or(false)
+}
+
+async fn compare(node: &Rc<Node>, probe: &DueProbe) -> bool {
+    let others = {
+        let state = node.state.borrow();
+        state.pool.comparable_servers(&probe.server, MAX_COMPARED)
+    };
+    for other in others {
+        let opened = open(node, &other, COMPARED_TIMEOUT).await;
+        let Ok((connection, path)) = opened else {
+            continue;
+        };
+        let now = node.now();
+        let mut idle = node.idle.borrow_mut();
+        idle.keep(now, &other.id, connection, None, path);
+        drop(idle);
+        return is_refused(node, probe).await;
+    }
+    false
+}
+
+async fn is_refused(node: &Rc<Node>, probe: &DueProbe) -> bool {
+    let entry = {
+        let state = node.state.borrow();
+        let server = state.pool.server(&probe.server);
+        server.map(|server| server.entry.clone())
+    };
+    // A server that is gone from the list has left in the meantime.
+    let Some(entry) = entry else {
+        return true;
+    };
+    let opened = open(node, &entry, COMPARED_TIMEOUT).await;
+    opened.is_err_and(|error| error.is_refusal())
+}
+
 async fn open(
     node: &Rc<Node>,
     entry: &ServerEntry,
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -138,18 +138,15 @@
         let mut outcome = self.exchange(&running.path).await;
         outcome.path = running.path.take();
         outcome.took_ms = running.end(outcome.end, outcome.report);
+        if outcome.end == ExchangeEnd::Unreachable {
+            crashes::request_proof(self.node, &self.pick.server);
+        }
         outcome
     }
 
     async fn exchange(&self, running_path: &RefCell<Option<Path>>) -> ExchangeOutcome {
-        let (connection, path, is_reused) = match self.connect().await {
-            Ok(connected) => connected,
-            Err(error) => {
-                if error.is_refusal() {
-                    crashes::record_server_death(self.node, &self.pick.server, "refused");
-                }
-                return ExchangeOutcome::no_response(ExchangeEnd::Unreachable);
-            }
+        let Ok((connection, path, is_reused)) = self.connect().await else {
+            return ExchangeOutcome::no_response(ExchangeEnd::Unreachable);
         };
         running_path.replace(Some(path.clone()));
         let token = match self.right.redeem().await {
--- a/crates/damaskvane-routing/src/pool/server.rs
+++ b/crates/damaskvane-routing/src/pool/server.rs
@@ -307,9 +307,16 @@
     }
 
     /// Removes and returns the report for the zone, if the server is queueing, slow or failing, or just recovered.
-    pub(super) fn take_report(&mut self, now: TimeMs) -> Option<PeerServerReport> {
+    ///
+    /// Slowness and failures are reported only if any server has given this instance a sign of life since, at
+    /// `contact_at`: otherwise this instance may itself be cut off from the servers.
+    pub(super) fn take_report(
+        &mut self,
+        now: TimeMs,
+        contact_at: Option<TimeMs>,
+    ) -> Option<PeerServerReport> {
         let (load, age_ms) = self.take_load_report(now).unzip();
-        let health = self.take_health_report(now);
+        let health = contact_at.and_then(|contact_at| self.take_health_report(now, contact_at));
         let has_report = load.is_some() || health.is_some();
         has_report.then(|| PeerServerReport {
             server: ServerKey::of(&self.entry.id),
@@ -326,12 +333,14 @@
         (is_busy || was_busy).then(|| (load, now.since(observed_at).get()))
     }
 
-    fn take_health_report(&mut self, now: TimeMs) -> Option<PeerHealthReport> {
-        let stall_ratio = self.stall_ratio(now);
-        let is_due = core::mem::take(&mut self.has_unreported_health) || stall_ratio.is_some();
+    fn take_health_report(&mut self, now: TimeMs, contact_at: TimeMs) -> Option<PeerHealthReport> {
+        let stall_ratio = self.stall_ratio(contact_at).and(self.stall_ratio(now));
+        let is_proven = self.failures_at <= contact_at;
+        let is_due = (self.has_unreported_health && is_proven) || stall_ratio.is_some();
         if !is_due {
             return None;
         }
+        self.has_unreported_health &= !is_proven;
         let health = PeerHealthReport {
             slowness: self.own_slowness(now).max(stall_ratio.unwrap_or(1.0)),
             failure_share: self.own_failure_share(now),
--- a/crates/damaskvane-routing/src/pool/server_pool.rs
+++ b/crates/damaskvane-routing/src/pool/server_pool.rs
@@ -168,6 +168,39 @@
         servers.find(|server| server.liveness == Liveness::Up && is_wanted(&server.entry.id))
     }
 
+    /// Returns the entries of other servers that accept connections as far as is known: those of the server's zone first,
+    /// and of these the ones that answered last.
+    #[must_use]
+    pub fn comparable_servers(
+        &self,
+        id: &ids::BackendServerId,
+        max_servers: usize,
+    ) -> Vec<ServerEntry> {
+        let zone = self.server(id).map(|server| server.entry.zone.clone());
+        let up = self
+            .servers
+            .iter()
+            .filter(|server| server.liveness == Liveness::Up && server.entry.id != *id);
+        let mut in_order: Vec<&Server> = up.collect();
+        in_order.sort_by_key(|server| {
+            let is_far = Some(&server.entry.zone) != zone.as_ref();
+            (is_far, std::cmp::Reverse(server.answered_at()))
+        });
+        in_order.truncate(max_servers);
+        in_order.iter().map(|server| server.entry.clone()).collect()
+    }
+
+    /// Lets the next probe of a server that awaits one be due at once.
+    pub fn probe_now(&mut self, now: TimeMs, id: &ids::BackendServerId) {
+        let Some(mut server) = self.server_mut(id) else {
+            return;
+        };
+        match &mut server.liveness {
+            Liveness::Suspect { probe_at } | Liveness::Down { probe_at, .. } => *probe_at = now,
+            Liveness::Up | Liveness::Replaced => {}
+        }
+    }
+
     /// Marks a server as up that was found down for reasons which were not the server's.
     pub fn forgive(&mut self, id: &ids::BackendServerId) {
         if let Some(mut server) = self.server_mut(id)
@@ -189,11 +222,13 @@
     /// Removes and returns at most `max_reports` reports of busy and unhealthy servers, to send to the zone's other
     /// instances.
     ///
-    /// Reports with a change of health come first, then those with the longest queues.
+    /// Reports with a change of health come first, then those with the longest queues. Failures after `contact_at`, the
+    /// last sign of life of any server, are not reported: they may be this instance's own, as all are if it is `None`.
     pub fn take_server_reports(
         &mut self,
         now: TimeMs,
         max_reports: usize,
+        contact_at: Option<TimeMs>,
     ) -> Vec<PeerServerReport> {
         let with_unreported_state = self.servers.with_unreported_state().iter();
         // A request that gets no response yields no new state until it ends, so servers with requests in flight are
@@ -203,7 +238,7 @@
             with_unreported_state.chain(in_use).copied().collect();
         let candidates = candidates.into_iter();
         let mut reports: Vec<_> = candidates
-            .filter_map(|handle| self.servers.get_mut(handle)?.take_report(now))
+            .filter_map(|handle| self.servers.get_mut(handle)?.take_report(now, contact_at))
             .collect();
         reports.sort_by_key(|report| {
             let waiting = report.load.map_or(0, |load| load.waiting);
--- a/crates/damaskvane-routing/tests/peer_reports.rs
+++ b/crates/damaskvane-routing/tests/peer_reports.rs
@@ -43,15 +43,19 @@
         let server = pool.server(&server_id("east-a-0")).expect("a server");
         server.slowness(at(now_ms))
     };
-    let reports = observer.take_server_reports(at(1_400), 8);
+    let reports = observer.take_server_reports(at(1_400), 8, Some(at(1_400)));
     receiver.apply_server_reports(at(1_400), &reports);
     assert!(slowness(&receiver, 1_500) > 3.0);
     assert!(
-        observer.take_server_reports(at(1_600), 8).is_empty(),
+        observer
+            .take_server_reports(at(1_600), 8, Some(at(1_600)))
+            .is_empty(),
         "the server is reported once"
     );
     assert!(
-        receiver.take_server_reports(at(1_600), 8).is_empty(),
+        receiver
+            .take_server_reports(at(1_600), 8, Some(at(1_600)))
+            .is_empty(),
         "a report of a peer is not reported again"
     );
     let mut server = observer
@@ -61,18 +65,44 @@
         server.record_work_time(at(2_000 + number), 100.0, 100.0);
     }
     drop(server);
-    let reports = observer.take_server_reports(at(2_100), 8);
+    let reports = observer.take_server_reports(at(2_100), 8, Some(at(2_100)));
     receiver.apply_server_reports(at(2_100), &reports);
     assert!(slowness(&receiver, 2_200) < 1.5);
 }
 
+/// Guards against an instance that is cut off from the servers and tells others that these are silent or failing.
+#[test]
+fn failures_are_reported_only_after_a_sign_of_life_of_any_server() {
+    let mut pool = pool_of(&[("east-a", 2)]);
+    let silent = server_id("east-a-0");
+    let broken = server_id("east-a-1");
+    let exchange = |pool: &mut ServerPool, server, number| {
+        let mut server = pool.server_mut(server).expect("a server");
+        server.record_sent(at(1_000), ExchangeId(number), 50.0);
+    };
+    exchange(&mut pool, &silent, 1);
+    exchange(&mut pool, &broken, 2);
+    let mut server = pool.server_mut(&broken).expect("a server");
+    let end = ExchangeEnd::Broken;
+    server.record_end(at(1_010), ExchangeId(2), end, ServerReport::default());
+    drop(server);
+    for contact_at in [None, Some(at(900)), Some(at(1_005))] {
+        assert_eq!(pool.take_server_reports(at(2_000), 8, contact_at), []);
+    }
+    assert_eq!(
+        pool.take_server_reports(at(2_000), 8, Some(at(1_990)))
+            .len(),
+        2
+    );
+}
+
 /// Guards against a peer's report that a server is slow, which overrides newer measurements of this instance.
 #[test]
 fn newer_local_measurements_override_a_report_of_slowness() {
     let mut observer = pool_of(&[("east-a", 1)]);
     let mut receiver = pool_of(&[("east-a", 1)]);
     make_slow(&mut observer);
-    let reports = observer.take_server_reports(at(1_400), 8);
+    let reports = observer.take_server_reports(at(1_400), 8, Some(at(1_400)));
     receiver.apply_server_reports(at(1_400), &reports);
     let mut server = receiver
         .server_mut(&server_id("east-a-0"))
@@ -135,8 +165,11 @@
     let mut server = pool.server_mut(&server_id("east-a-0")).expect("a server");
     server.record_sent(at(1_000), ExchangeId(1), 100.0);
     drop(server);
-    assert!(pool.take_server_reports(at(1_200), 8).is_empty());
-    let reports = pool.take_server_reports(at(1_600), 8);
+    assert!(
+        pool.take_server_reports(at(1_200), 8, Some(at(1_200)))
+            .is_empty()
+    );
+    let reports = pool.take_server_reports(at(1_600), 8, Some(at(1_600)));
     let health = reports.first().and_then(|report| report.health);
     assert!(
         health.is_some_and(|health| health.slowness > 5.0),
--- a/crates/damaskvane-routing/tests/pool.rs
+++ b/crates/damaskvane-routing/tests/pool.rs
@@ -263,9 +263,13 @@
     server.record_sent(at(800), ExchangeId(1), 100.0);
     server.record_end(at(1_000), ExchangeId(1), ExchangeEnd::Answered, report);
     drop(server);
-    let reports = observer.take_server_reports(at(1_100), 8);
+    let reports = observer.take_server_reports(at(1_100), 8, Some(at(1_100)));
     assert_eq!(reports.len(), 1);
-    assert!(observer.take_server_reports(at(1_200), 8).is_empty());
+    assert!(
+        observer
+            .take_server_reports(at(1_200), 8, Some(at(1_200)))
+            .is_empty()
+    );
     receiver.apply_server_reports(at(1_100), &reports);
     let load_of = |name| {
         receiver
@@ -312,7 +316,7 @@
         server.record_end(now, ExchangeId(number), ExchangeEnd::Answered, report);
         drop(server);
         assert_eq!(
-            pool.take_server_reports(now, 8).len(),
+            pool.take_server_reports(now, 8, Some(now)).len(),
             usize::from(number < 3)
         );
     }
