--- a/crates/damaskvane-gateway/src/probes.rs
+++ b/crates/damaskvane-gateway/src/probes.rs
@@ -3,6 +3,7 @@
 use core::time::Duration;
 use std::rc::Rc;
 
+use damaskvane_core::ids;
 use damaskvane_routing::configuration::RegionSet;
 use damaskvane_routing::pool::{DueProbe, ProbeResult, ServerEntry};
 
@@ -110,15 +111,18 @@
         let Ok((connection, path)) = opened else {
             continue;
         };
-        let now = node.now();
-        let mut idle = node.idle.borrow_mut();
-        idle.keep(now, &other.id, connection, None, path);
-        drop(idle);
+        keep(node, &other.id, connection, path);
         return is_refused(node, probe).await;
     }
     false
 }
 
+fn keep(node: &Node, server: &ids::BackendServerId, connection: http::Connection, path: Path) {
+    let now = node.now();
+    let mut idle = node.idle.borrow_mut();
+    idle.keep(now, server, connection, None, path);
+}
+
 async fn is_refused(node: &Rc<Node>, probe: &DueProbe) -> bool {
     let entry = {
         let state = node.state.borrow();
--- a/crates/damaskvane-routing/tests/peer_reports.rs
+++ b/crates/damaskvane-routing/tests/peer_reports.rs
@@ -82,9 +82,11 @@
     };
     exchange(&mut pool, &silent, 1);
     exchange(&mut pool, &broken, 2);
+    exchange(&mut pool, &broken, 3);
     let mut server = pool.server_mut(&broken).expect("a server");
     let end = ExchangeEnd::Broken;
     server.record_end(at(1_010), ExchangeId(2), end, ServerReport::default());
+    server.record_end(at(1_010), ExchangeId(3), end, ServerReport::default());
     drop(server);
     for contact_at in [None, Some(at(900)), Some(at(1_005))] {
         assert_eq!(pool.take_server_reports(at(2_000), 8, contact_at), []);
