--- a/crates/damaskvane-gateway/src/reach.rs
+++ b/crates/damaskvane-gateway/src/reach.rs
@@ -166,7 +166,8 @@
             let mut state = node.state.borrow_mut();
             let State { reach, pool, .. } = &mut *state;
             reach.retain_known(|id| pool.server(id).is_some());
-            reach.take_due_check(now)
+            let servers = pool.servers().map(|server| &server.entry.id);
+            reach.take_due_check(now, servers)
         };
         match check {
             Some(Check::Doubt(servers)) => run_doubt_check(&node, servers),
--- a/crates/damaskvane-routing/src/reachability/settings.rs
+++ b/crates/damaskvane-routing/src/reachability/settings.rs
@@ -13,6 +13,8 @@
     pub return_check_ms: u64,
     /// Number of servers to which connections must open again before the partition counts as ended.
     pub min_reopened_servers: usize,
+    /// Time in which these connections must open.
+    pub reopened_window_ms: u64,
     /// Largest number of servers in one check.
     pub servers_per_check: usize,
     /// Age from which a failure no longer counts if a server answered since.
@@ -31,6 +33,7 @@
             doubt_check_ms: 250,
             return_check_ms: 400,
             min_reopened_servers: 2,
+            reopened_window_ms: 1_500,
             servers_per_check: 3,
             failure_ttl_ms: 5_000,
             isolation_ms: 1_000,
--- a/crates/damaskvane-routing/src/reachability/state.rs
+++ b/crates/damaskvane-routing/src/reachability/state.rs
@@ -52,8 +52,8 @@
     /// The servers that only other instances reach.
     indirect: BTreeSet<ids::BackendServerId>,
     is_partitioned: bool,
-    /// The servers to which connections opened without a tunnel since the last one that didn't, in a partition.
-    reopened: BTreeSet<ids::BackendServerId>,
+    /// The servers to which connections have lately opened without a tunnel, in a partition, with the time of the first.
+    reopened: BTreeMap<ids::BackendServerId, TimeMs>,
     /// When a server last answered, or a connection opened, without a tunnel.
     contact_at: TimeMs,
     next_check_at: TimeMs,
@@ -69,7 +69,7 @@
             failures: BTreeMap::new(),
             indirect: BTreeSet::new(),
             is_partitioned: false,
-            reopened: BTreeSet::new(),
+            reopened: BTreeMap::new(),
             contact_at: TimeMs::ZERO,
             next_check_at: TimeMs::ZERO,
             last_checked: None,
@@ -122,10 +122,10 @@
             || now.since(self.contact_at) >= SpanMs::new(self.settings.isolation_ms);
         let was_doubtful = self.reach() != Reach::Direct;
         self.contact_at = now;
-        self.indirect.remove(server);
-        if self.is_partitioned {
-            self.reopened.insert(server.clone());
-            self.end_partition_if_over();
+        if !self.is_partitioned {
+            self.indirect.remove(server);
+        } else if self.is_return(now, server) {
+            self.end_partition();
         }
         let failures = core::mem::take(&mut self.failures);
         if was_isolated && was_doubtful {
@@ -135,13 +135,20 @@
         }
     }
 
-    fn end_partition_if_over(&mut self) {
-        let has_others = self.indirect.iter().any(|id| !self.reopened.contains(id));
-        if self.reopened.len() >= self.settings.min_reopened_servers || !has_others {
-            self.is_partitioned = false;
-            self.indirect.clear();
-            self.reopened.clear();
-        }
+    /// Returns whether the partition is over now that a connection to the server has opened: connections to two servers
+    /// have, or those of two checks to the same one.
+    fn is_return(&mut self, now: TimeMs, server: &ids::BackendServerId) -> bool {
+        let window = SpanMs::new(self.settings.reopened_window_ms);
+        self.reopened.retain(|_, at| now.since(*at) < window);
+        let first_at = *self.reopened.entry(server.clone()).or_insert(now);
+        let is_confirmed = now.since(first_at).get() * 2 >= self.settings.return_check_ms;
+        is_confirmed || self.reopened.len() >= self.settings.min_reopened_servers
+    }
+
+    fn end_partition(&mut self) {
+        self.is_partitioned = false;
+        self.indirect.clear();
+        self.reopened.clear();
     }
 
     /// Records that a connection could not be opened without a tunnel.
@@ -151,7 +158,7 @@
         server: &ids::BackendServerId,
         kind: ConnectFailure,
     ) {
-        self.reopened.clear();
+        self.reopened.remove(server);
         self.expire(now);
         let failure = Failure { at: now, kind };
         self.failures.insert(server.clone(), failure);
@@ -199,14 +206,16 @@
     pub fn retain_known(&mut self, is_known: impl Fn(&ids::BackendServerId) -> bool) {
         self.failures.retain(|id, _| is_known(id));
         self.indirect.retain(|id| is_known(id));
-        self.reopened.retain(|id| is_known(id));
-        if self.is_partitioned && self.indirect.is_empty() {
-            self.end_partition_if_over();
-        }
+        self.reopened.retain(|id, _| is_known(id));
     }
 
-    /// Returns the check to run now, if one is due, and postpones the next one.
-    pub fn take_due_check(&mut self, now: TimeMs) -> Option<Check> {
+    /// Returns the check to run now, if one is due, and postpones the next one. `servers` are those that could be reached
+    /// if there were no partition.
+    pub fn take_due_check<'a>(
+        &mut self,
+        now: TimeMs,
+        servers: impl Iterator<Item = &'a ids::BackendServerId>,
+    ) -> Option<Check> {
         if now < self.next_check_at {
             return None;
         }
@@ -215,42 +224,47 @@
             self.next_check_at = now + SpanMs::new(self.settings.doubt_check_ms);
             return Some(Check::Doubt(self.failing_in_turn()));
         }
-        let server = self.next_indirect()?;
+        let candidates: BTreeSet<ids::BackendServerId> = if self.is_partitioned {
+            let indirect = self.indirect.iter().cloned();
+            servers.cloned().chain(indirect).collect()
+        } else {
+            self.indirect.clone()
+        };
+        let per_check = if self.is_partitioned {
+            self.settings.min_reopened_servers
+        } else {
+            1
+        };
+        let in_turn = self.in_turn(candidates.into_iter(), per_check);
+        self.last_checked = in_turn.last().cloned().or(self.last_checked.take());
+        if in_turn.is_empty() {
+            return None;
+        }
         self.next_check_at = now + SpanMs::new(self.settings.return_check_ms);
-        self.last_checked = Some(server.clone());
-        Some(Check::Return(self.with_second(server)))
-    }
-
-    /// Returns the next servers that have failed, after those of the last check.
-    fn failing_in_turn(&mut self) -> Vec<(ids::BackendServerId, ConnectFailure)> {
-        let after = self.last_checked.take();
-        let is_later = |id: &ids::BackendServerId| after.as_ref().is_none_or(|after| id > after);
-        let failures = self.failures.iter();
-        let (later, earlier): (Vec<_>, Vec<_>) = failures.partition(|(id, _)| is_later(id));
-        let in_turn = later.into_iter().chain(earlier);
-        let taken = in_turn.take(self.settings.servers_per_check);
-        let taken: Vec<_> = taken.map(|(id, one)| (id.clone(), one.kind)).collect();
-        self.last_checked = taken.last().map(|(id, _)| id.clone());
-        taken
+        Some(Check::Return(in_turn))
     }
 
-    fn next_indirect(&self) -> Option<ids::BackendServerId> {
-        let is_open = |id: &&ids::BackendServerId| !self.reopened.contains(*id);
+    /// Returns the next servers after those of the last check, and then from the beginning again.
+    fn in_turn(
+        &self,
+        servers: impl Iterator<Item = ids::BackendServerId>,
+        max_servers: usize,
+    ) -> Vec<ids::BackendServerId> {
         let after = self.last_checked.as_ref();
-        let mut later = self.indirect.iter().filter(is_open);
-        let next = later.find(|id| after.is_none_or(|after| *id > after));
-        next.or_else(|| self.indirect.iter().find(is_open)).cloned()
+        let is_later = |id: &ids::BackendServerId| after.is_none_or(|after| id > after);
+        let (later, earlier): (Vec<_>, Vec<_>) = servers.partition(is_later);
+        later.into_iter().chain(earlier).take(max_servers).collect()
     }
 
-    /// Adds the second server that a return from a partition needs.
-    fn with_second(&self, server: ids::BackendServerId) -> Vec<ids::BackendServerId> {
-        let mut servers = vec![server];
-        if self.is_partitioned {
-            let others = self.indirect.iter().filter(|id| **id != servers[0]);
-            let second = others.clone().find(|id| **id > servers[0]);
-            servers.extend(second.or_else(|| others.clone().next()).cloned());
-        }
-        servers
+    fn failing_in_turn(&mut self) -> Vec<(ids::BackendServerId, ConnectFailure)> {
+        let failing = self.failures.keys().cloned();
+        let taken = self.in_turn(failing, self.settings.servers_per_check);
+        self.last_checked = taken.last().cloned();
+        let with_kinds = taken.into_iter().filter_map(|id| {
+            let kind = self.failures.get(&id)?.kind;
+            Some((id, kind))
+        });
+        with_kinds.collect()
     }
 
     /// Removes old failures, unless no server has given a sign of life since.
