What a partition breaks is no evidence, and a quiet time is no isolation

Looked for elsewhere, after the same cause: exchanges that hang or break in a partition wait up to 10 s for the proof that their server crashed. A server that leaves as planned meanwhile, and whose address is used again, gave that proof, and harmless requests became suspects. Now nothing that breaks on a direct connection in a partition is recorded, what was recorded before it was found out is forgotten, and silence in a tunnel counts as the other instance's.

Isolation counts from the first failure now, with no sign of life since; the test of it has a quiet time in it.

--- a/crates/damaskvane-dispatch/src/quarantine/broken.rs
+++ b/crates/damaskvane-dispatch/src/quarantine/broken.rs
@@ -161,6 +161,11 @@
         self.by_server.remove(server);
     }
 
+    /// Removes the broken exchanges of all servers.
+    pub fn clear(&mut self) {
+        self.by_server.clear();
+    }
+
     /// Returns whether no broken exchange waits for confirmation.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/damaskvane-gateway/src/clients/routed_request.rs
+++ b/crates/damaskvane-gateway/src/clients/routed_request.rs
@@ -21,6 +21,8 @@
 use crate::crashes;
 use crate::decision_log::RequestOutcome;
 use crate::node::Node;
+use crate::reach;
+use crate::tunnel::Path;
 use crate::upstream::{BackendResponse, Exchange, ExchangeOutcome, OutgoingRequest, ResponseBody};
 
 /// Retry delay sent to a client whose request no server accepted, in milliseconds, if no server's response
@@ -210,7 +212,7 @@
         let now = self.node.now();
         let end = outcome.end.as_str();
         self.node.metrics.exchanges.with_label_values(&[end]).inc();
-        self.record_crash_evidence(pick, outcome.end);
+        self.record_crash_evidence(pick, outcome.end, outcome.path.as_ref());
         if outcome.end == ExchangeEnd::Answered {
             self.record_response_time(now, pick, outcome);
         }
@@ -241,10 +243,10 @@
     }
 
     /// Records the end of an exchange as evidence of whether the request crashes servers.
-    fn record_crash_evidence(&self, pick: &Pick, end: ExchangeEnd) {
+    fn record_crash_evidence(&self, pick: &Pick, end: ExchangeEnd, path: Option<&Path>) {
         let crashes = &self.node.crashes;
         match end {
-            ExchangeEnd::Broken => {
+            ExchangeEnd::Broken if !reach::is_partitioned_on(self.node, path) => {
                 crashes::record_broken_exchange(self.node, pick, self.outgoing);
             }
             ExchangeEnd::Misdirected => {
--- a/crates/damaskvane-gateway/src/crashes.rs
+++ b/crates/damaskvane-gateway/src/crashes.rs
@@ -29,8 +29,8 @@
 use crate::node::Node;
 
 pub use evidence::{
-    awaits_proof, record_broken_exchange, record_server_alive, record_server_joined,
-    record_server_silent, record_unanswered_exchange, request_proof,
+    awaits_proof, forget_unproven, record_broken_exchange, record_server_alive,
+    record_server_joined, record_server_silent, record_unanswered_exchange, request_proof,
 };
 pub use notice::CrashNotice;
 pub use record::maintain as maintain_records;
--- a/crates/damaskvane-gateway/src/crashes/evidence.rs
+++ b/crates/damaskvane-gateway/src/crashes/evidence.rs
@@ -83,6 +83,13 @@
     broken.first_broken_at(node.now(), server).is_some()
 }
 
+/// Forgets the exchanges that broke or got no answer and wait for a proof that their servers crashed: this instance was
+/// partitioned from the servers, and a server that ends meanwhile has not crashed by them.
+pub fn forget_unproven(node: &Node) {
+    node.crashes.broken.borrow_mut().clear();
+    node.crashes.server_state_known.notify_waiters();
+}
+
 /// Requests a probe of a server that accepts no connection, if requests become suspects by the proof that it has crashed.
 pub fn request_proof(node: &Node, server: &ids::BackendServerId) {
     if awaits_proof(node, server) {
--- a/crates/damaskvane-gateway/src/reach.rs
+++ b/crates/damaskvane-gateway/src/reach.rs
@@ -10,6 +10,7 @@
 use damaskvane_routing::configuration::RegionSet;
 use damaskvane_routing::reachability::{Check, ConnectFailure, Reach};
 
+use crate::crashes;
 use crate::node::{Node, State};
 use crate::tunnel::{self, Endpoint, Path};
 use crate::upstream;
@@ -26,9 +27,11 @@
     opened: &io::Result<T>,
 ) {
     let now = node.now();
+    let mut was_isolated = false;
     change(node, |state| match opened {
         Ok(_) => {
             for id in state.reach.record_opened(now, server) {
+                was_isolated = true;
                 state.pool.forgive(&id);
             }
         }
@@ -42,6 +45,9 @@
             state.reach.record_open_failed(now, server, kind);
         }
     });
+    if was_isolated {
+        crashes::forget_unproven(node);
+    }
 }
 
 /// Records that another instance opened a connection to a server that this instance failed to reach just before.
@@ -61,6 +67,7 @@
     if begins {
         // Open connections may hang without a sign; those in use that get an answer are kept again.
         node.idle.borrow_mut().drop_direct();
+        crashes::forget_unproven(node);
         node.probe_requested.notify_one();
     }
 }
@@ -99,6 +106,16 @@
     node.state.borrow().reach.needs_tunnel(server)
 }
 
+/// Returns whether this instance is partitioned from the servers on this path: connections without a tunnel break then.
+pub(crate) fn is_partitioned_on(node: &Node, path: Option<&Path>) -> bool {
+    path == Some(&Path::Direct) && node.state.borrow().reach.reach() == Reach::Partitioned
+}
+
+/// Returns whether nothing speaks against that this instance reaches the servers.
+pub(crate) fn is_direct(node: &Node) -> bool {
+    node.state.borrow().reach.reach() == Reach::Direct
+}
+
 /// Returns whether this instance doubts that it reaches the servers.
 pub(crate) fn is_doubtful(node: &Node) -> bool {
     node.state.borrow().reach.reach() == Reach::Doubtful
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -73,9 +73,11 @@
     fn end(&mut self, end: ExchangeEnd, report: ServerReport) -> Option<u64> {
         self.is_open = false;
         if matches!(end, ExchangeEnd::Silent | ExchangeEnd::Abandoned) {
-            let (pick, request) = (&self.pick, self.request);
-            crashes::record_unanswered_exchange(&self.node, pick, request, self.started);
             self.record_silence();
+            if self.may_be_evidence() {
+                let (pick, request) = (&self.pick, self.request);
+                crashes::record_unanswered_exchange(&self.node, pick, request, self.started);
+            }
         }
         let now = self.node.now();
         let mut state = self.node.state.borrow_mut();
@@ -85,6 +87,12 @@
 }
 
 impl RunningExchange<'_> {
+    /// Returns whether silence may be the server's: in a tunnel it may be another instance's.
+    fn may_be_evidence(&self) -> bool {
+        let is_direct = self.path.borrow().as_ref() == Some(&Path::Direct);
+        is_direct && reach::is_direct(&self.node)
+    }
+
     /// Records that the connection stayed silent, if it did so for longer than requests usually take.
     fn record_silence(&self) {
         let path = self.path.borrow();
--- a/crates/damaskvane-routing/src/reachability/failure.rs
+++ b/crates/damaskvane-routing/src/reachability/failure.rs
@@ -25,9 +25,10 @@
     }
 }
 
-/// The first failure of a server since this instance last reached any.
+/// The failures of a server since this instance last reached any.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Failure {
-    pub(super) at: TimeMs,
+    pub(super) first_at: TimeMs,
+    pub(super) last_at: TimeMs,
     pub(super) kind: ConnectFailure,
 }
--- a/crates/damaskvane-routing/src/reachability/state.rs
+++ b/crates/damaskvane-routing/src/reachability/state.rs
@@ -118,8 +118,7 @@
         now: TimeMs,
         server: &ids::BackendServerId,
     ) -> Vec<ids::BackendServerId> {
-        let was_isolated = self.is_partitioned
-            || now.since(self.contact_at) >= SpanMs::new(self.settings.isolation_ms);
+        let was_isolated = self.is_partitioned || self.is_isolated(now);
         let was_doubtful = self.reach() != Reach::Direct;
         self.contact_at = now;
         if !self.is_partitioned {
@@ -135,6 +134,13 @@
         }
     }
 
+    /// Returns whether servers have failed for long and none has given a sign of life since the first of them did.
+    fn is_isolated(&self, now: TimeMs) -> bool {
+        let first_at = self.failures.values().map(|one| one.first_at).min();
+        let isolation = SpanMs::new(self.settings.isolation_ms);
+        first_at.is_some_and(|at| self.contact_at < at && now.since(at) >= isolation)
+    }
+
     /// Returns whether the partition is over now that a connection to the server has opened: connections to two servers
     /// have, or those of two checks to the same one.
     fn is_return(&mut self, now: TimeMs, server: &ids::BackendServerId) -> bool {
@@ -160,8 +166,13 @@
     ) {
         self.reopened.remove(server);
         self.expire(now);
-        let failure = Failure { at: now, kind };
-        self.failures.insert(server.clone(), failure);
+        let failure = self.failures.entry(server.clone()).or_insert(Failure {
+            first_at: now,
+            last_at: now,
+            kind,
+        });
+        failure.last_at = now;
+        failure.kind = kind;
     }
 
     /// Records that a server answered on a connection without a tunnel.
@@ -184,9 +195,11 @@
             return;
         }
         let kind = ConnectFailure::Silent;
-        self.failures
-            .entry(server.clone())
-            .or_insert(Failure { at: now, kind });
+        self.failures.entry(server.clone()).or_insert(Failure {
+            first_at: now,
+            last_at: now,
+            kind,
+        });
     }
 
     /// Records that another instance opened a connection to a server that this instance failed to reach just before.
@@ -272,6 +285,6 @@
         let ttl = SpanMs::new(self.settings.failure_ttl_ms);
         let contact_at = self.contact_at;
         self.failures
-            .retain(|_, failure| now.since(failure.at) < ttl || contact_at <= failure.at);
+            .retain(|_, failure| now.since(failure.last_at) < ttl || contact_at <= failure.last_at);
     }
 }
--- a/crates/damaskvane-routing/tests/reachability.rs
+++ b/crates/damaskvane-routing/tests/reachability.rs
@@ -146,6 +146,15 @@
     }
     let late = reach.record_opened(at(5_000), &server(0));
     assert_eq!(late, [server(0), server(1), server(2)]);
+    for number in 0..3 {
+        reach.record_open_failed(at(9_000), &server(number), ConnectFailure::Refused);
+    }
+    let after_a_quiet_time = reach.record_opened(at(9_100), &server(4));
+    assert_eq!(
+        after_a_quiet_time,
+        [],
+        "no sign of life was expected before"
+    );
 }
 
 /// Guards against an instance that tells others of servers' failures while the failures may be its own.
--- a/crates/damaskvane-routing/tests/reachability_histories.rs
+++ b/crates/damaskvane-routing/tests/reachability_histories.rs
@@ -57,6 +57,8 @@
     dead: Vec<(u64, u64)>,
     later: BTreeMap<u64, Vec<Later>>,
     doubted_at: Option<u64>,
+    /// How long it took to find out each partition, in milliseconds.
+    found_after_ms: BTreeMap<u64, u64>,
 }
 
 impl World {
@@ -91,6 +93,7 @@
             dead,
             later: BTreeMap::new(),
             doubted_at: None,
+            found_after_ms: BTreeMap::new(),
         }
     }
 
@@ -215,6 +218,10 @@
     fn check(&mut self, seed: u64, now_ms: u64) {
         let (is_partitioned, lasted_ms) = self.state_since(now_ms);
         let reach = self.reach.reach();
+        if is_partitioned && reach == Reach::Partitioned {
+            let began_ms = now_ms - lasted_ms;
+            self.found_after_ms.entry(began_ms).or_insert(lasted_ms);
+        }
         if is_partitioned && lasted_ms > BOUND_MS {
             assert_eq!(
                 reach,
@@ -259,11 +266,23 @@
 fn partitions_are_found_out_in_time_and_so_is_their_end() {
     let seeds = std::env::var("DAMASKVANE_SEEDS").ok();
     let seeds = seeds.and_then(|seeds| seeds.parse().ok());
+    let mut found_after_ms = Vec::new();
     for seed in 0..seeds.unwrap_or(DEFAULT_SEEDS) {
         let mut world = World::new(seed);
         for now_ms in (0..LENGTH_MS).step_by(STEP_MS as usize) {
             world.step(now_ms);
             world.check(seed, now_ms);
         }
+        found_after_ms.extend(world.found_after_ms.into_values());
     }
+    found_after_ms.sort_unstable();
+    let quantile =
+        |share: f64| found_after_ms[((found_after_ms.len() - 1) as f64 * share) as usize];
+    println!(
+        "{} partitions, found out after {} ms in the median, {} ms in 99 of 100, {} ms at most",
+        found_after_ms.len(),
+        quantile(0.5),
+        quantile(0.99),
+        quantile(1.0)
+    );
 }
