A server that fails alone calls for a look at another one

What callers would have seen: on an instance whose requests all wait for one server, a partition is found out only when they end (1.5 s), or never if no others come: one server alone is more often down than out of reach, and nothing showed whether others were.

Now, if one server has failed and none has given a sign of life since, another one is opened, once a failure. On a busy instance an answer follows within milliseconds and nothing is opened.

--- a/crates/damaskvane-gateway/src/reach.rs
+++ b/crates/damaskvane-gateway/src/reach.rs
@@ -187,7 +187,14 @@
             reach.take_due_check(now, servers)
         };
         match check {
-            Some(Check::Doubt(servers)) => run_doubt_check(&node, servers),
+            Some(Check::Control) => check_control(&node),
+            Some(Check::Doubt(servers)) => {
+                check_control(&node);
+                for (server, kind) in servers {
+                    let checking = check_through_peer(Rc::clone(&node), server, kind);
+                    tokio::task::spawn_local(checking);
+                }
+            }
             Some(Check::Return(servers)) => {
                 for server in servers {
                     tokio::task::spawn_local(check_direct(Rc::clone(&node), server));
@@ -213,8 +220,8 @@
     }
 }
 
-/// Opens servers that have failed through another instance, and one that hasn't without a tunnel.
-fn run_doubt_check(node: &Rc<Node>, servers: Vec<(ids::BackendServerId, ConnectFailure)>) {
+/// Opens a server that hasn't failed, without a tunnel.
+fn check_control(node: &Rc<Node>) {
     let control = {
         let state = node.state.borrow();
         let failing: Vec<_> = state.reach.failing().collect();
@@ -224,9 +231,6 @@
     if let Some(control) = control {
         tokio::task::spawn_local(check_direct(Rc::clone(node), control));
     }
-    for (server, kind) in servers {
-        tokio::task::spawn_local(check_through_peer(Rc::clone(node), server, kind));
-    }
 }
 
 /// Opens a connection without a tunnel, and keeps it for requests; returns whether it opened.
--- a/crates/damaskvane-routing/src/reachability/state.rs
+++ b/crates/damaskvane-routing/src/reachability/state.rs
@@ -57,6 +57,8 @@
     /// When a server last answered, or a connection opened, without a tunnel.
     contact_at: TimeMs,
     next_check_at: TimeMs,
+    /// When another server was last opened because one had failed.
+    control_at: TimeMs,
     last_checked: Option<ids::BackendServerId>,
 }
 
@@ -72,6 +74,7 @@
             reopened: BTreeMap::new(),
             contact_at: TimeMs::ZERO,
             next_check_at: TimeMs::ZERO,
+            control_at: TimeMs::ZERO,
             last_checked: None,
         }
     }
@@ -237,6 +240,11 @@
             self.next_check_at = now + SpanMs::new(self.settings.doubt_check_ms);
             return Some(Check::Doubt(self.failing_in_turn()));
         }
+        if self.needs_control() {
+            self.control_at = now;
+            self.next_check_at = now + SpanMs::new(self.settings.doubt_check_ms);
+            return Some(Check::Control);
+        }
         let candidates: BTreeSet<ids::BackendServerId> = if self.is_partitioned {
             let indirect = self.indirect.iter().cloned();
             servers.cloned().chain(indirect).collect()
@@ -257,6 +265,13 @@
         Some(Check::Return(in_turn))
     }
 
+    /// Returns whether a server has failed since the last control, and no server has given a sign of life since.
+    fn needs_control(&self) -> bool {
+        let mut failures = self.failures.values();
+        !self.is_partitioned
+            && failures.any(|one| one.last_at >= self.control_at && self.contact_at < one.last_at)
+    }
+
     /// Returns the next servers after those of the last check, and then from the beginning again.
     fn in_turn(
         &self,
--- a/crates/damaskvane-routing/tests/reachability.rs
+++ b/crates/damaskvane-routing/tests/reachability.rs
@@ -52,6 +52,7 @@
     let mut reach = reachability();
     reach.record_open_failed(at(10), &server(0), ConnectFailure::NoAnswer);
     reach.record_opened_by_peer(at(20), &server(0));
+    reach.record_answered(at(30));
     assert!(reach.needs_tunnel(&server(0)));
     assert!(!reach.needs_tunnel(&server(1)));
     let known: Vec<_> = (0..3).map(server).collect();
@@ -78,6 +79,24 @@
     assert_eq!(reach.reach(), Reach::Direct);
 }
 
+/// Guards against requests that all wait for one server, so that nothing shows whether the others are reached.
+#[test]
+fn a_server_that_fails_alone_calls_for_a_control_unless_another_answers() {
+    let mut reach = reachability();
+    reach.record_answered(at(100));
+    reach.record_unanswered(at(500), &server(0), at(110));
+    let none = core::iter::empty;
+    assert_eq!(reach.take_due_check(at(510), none()), Some(Check::Control));
+    assert_eq!(
+        reach.take_due_check(at(1_000), none()),
+        None,
+        "once a failure"
+    );
+    reach.record_open_failed(at(1_100), &server(0), ConnectFailure::NoAnswer);
+    reach.record_answered(at(1_110));
+    assert_eq!(reach.take_due_check(at(1_500), none()), None);
+}
+
 /// Guards against answers on old connections that hide that no new one opens.
 #[test]
 fn answers_on_old_connections_do_not_end_the_doubt_about_new_ones() {
--- a/crates/damaskvane-routing/tests/reachability_histories.rs
+++ b/crates/damaskvane-routing/tests/reachability_histories.rs
@@ -131,6 +131,10 @@
         }
         let servers: Vec<_> = (0..SERVERS).map(Self::id).collect();
         match self.reach.take_due_check(at(now_ms), servers.iter()) {
+            Some(Check::Control) => {
+                let control = self.random.random_range(0..SERVERS);
+                self.open(control, now_ms);
+            }
             Some(Check::Doubt(servers)) => {
                 let control = self.random.random_range(0..SERVERS);
                 self.open(control, now_ms);
