--- a/crates/damaskvane-routing/src/reachability/state.rs
+++ b/crates/damaskvane-routing/src/reachability/state.rs
@@ -242,7 +242,6 @@
         }
         if self.needs_control() {
             self.control_at = now;
-            self.next_check_at = now + SpanMs::new(self.settings.doubt_check_ms);
             return Some(Check::Control);
         }
         let candidates: BTreeSet<ids::BackendServerId> = if self.is_partitioned {
