Smaller files: messages and their encoding, running exchanges, reports and probes of servers

What a module does moves whole: the encoded form of messages, the guard of a running exchange, the reading of responses' ends, the instances that others may use, what instances tell each other of a server, which servers are probed.

The number of keep-alive probes is no longer set on connections to servers and the store: a TCP_USER_TIMEOUT decides when they give up, whatever their number. With 1.5 s to servers that is at 2 s, after one lost probe. To the store 2.5 s: two probes, as meant. Clients of the gateway: 10 s, then the next probe 75 s later, and the idle timeout of the configuration comes first.

--- a/crates/damaskvane-gateway/src/http/connection.rs
+++ b/crates/damaskvane-gateway/src/http/connection.rs
@@ -225,6 +225,9 @@
 
 /// Lets a connection fail if the peer's kernel acknowledges nothing for `silence_timeout`.
 ///
+/// The timeout also decides when keep-alive probes give up, whatever their number: at the first probe that is due after it,
+/// if one has gone unanswered.
+///
 /// # Errors
 ///
 /// Returns an error if a socket option can't be set.
@@ -233,7 +236,6 @@
     socket.set_tcp_user_timeout(Some(silence_timeout))?;
     let keepalive = socket2::TcpKeepalive::new()
         .with_time(Duration::from_secs(1))
-        .with_interval(Duration::from_secs(1))
-        .with_retries(2);
+        .with_interval(Duration::from_secs(1));
     socket.set_tcp_keepalive(&keepalive)
 }
--- a/crates/damaskvane-gateway/src/peers.rs
+++ b/crates/damaskvane-gateway/src/peers.rs
@@ -5,6 +5,7 @@
 //! that reads slowly can't block the sender.
 
 mod message;
+mod message_wire;
 mod outgoing;
 mod quota_wire;
 
--- a/crates/damaskvane-gateway/src/upstream.rs
+++ b/crates/damaskvane-gateway/src/upstream.rs
@@ -1,11 +1,13 @@
 //! Exchanges with backend servers, and the connections that carry them.
 
+mod classify;
 mod connect;
 mod exchange;
 mod idle;
 mod outcome;
 mod request;
 mod response;
+mod running;
 mod streaming;
 
 pub use connect::{OpenError, TunnelUse, open, open_direct};
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -2,22 +2,25 @@
 
 use core::time::Duration;
 use std::cell::RefCell;
-use std::io;
 use std::rc::Rc;
 
 use damaskvane_core::time::{SpanMs, TimeMs};
 use damaskvane_routing::configuration::RegionSet;
 use damaskvane_routing::placement::Pick;
-use damaskvane_routing::pool::{self, ExchangeEnd, ExchangeId, ServerReport};
+use damaskvane_routing::pool::{ExchangeEnd, ServerReport};
 use hyper::header;
 
 use crate::clients::SendRight;
 use crate::costs::{Distance, Flow, OpenReason};
 use crate::crashes;
-use crate::http::{self, BodyReader, ReadError, ResponseHead};
+use crate::http::{self, BodyReader, ResponseHead};
 use crate::node::Node;
 use crate::reach;
 use crate::tunnel::{Endpoint, Path};
+use crate::upstream::classify::{
+    classify_io_error, classify_read_error, parse_load, retry_after_ms,
+};
+use crate::upstream::running::RunningExchange;
 use crate::upstream::{
     self, BackendResponse, ExchangeOutcome, OpenError, OutgoingRequest, ResponseBody, TunnelUse,
     request, streaming,
@@ -35,82 +38,6 @@
 /// response.
 const MAX_SKIPPED_RESPONSES: usize = 3;
 
-/// Guard that removes an exchange from the requests counted as running on its server when the exchange ends
-/// or is dropped.
-///
-/// When a client disconnects, the future that handles its request is dropped. Without this guard the request
-/// would count as running at the server permanently, and the server would appear full.
-#[derive(Debug)]
-struct RunningExchange<'a> {
-    node: Rc<Node>,
-    pick: Pick,
-    request: &'a OutgoingRequest,
-    id: ExchangeId,
-    started: TimeMs,
-    /// The way of the connection, once there is one.
-    path: RefCell<Option<Path>>,
-    is_open: bool,
-}
-
-impl<'a> RunningExchange<'a> {
-    fn start(node: &Rc<Node>, pick: &Pick, request: &'a OutgoingRequest) -> Self {
-        let id = node.next_exchange_id();
-        let now = node.now();
-        if let Some(mut server) = node.state.borrow_mut().pool.server_mut(&pick.server) {
-            server.record_sent(now, id, pick.expected_ms);
-        }
-        Self {
-            node: Rc::clone(node),
-            pick: pick.clone(),
-            request,
-            id,
-            started: now,
-            path: RefCell::new(None),
-            is_open: true,
-        }
-    }
-
-    fn end(&mut self, end: ExchangeEnd, report: ServerReport) -> Option<u64> {
-        self.is_open = false;
-        if matches!(end, ExchangeEnd::Silent | ExchangeEnd::Abandoned) {
-            self.record_silence();
-            if self.may_be_evidence() {
-                let (pick, request) = (&self.pick, self.request);
-                crashes::record_unanswered_exchange(&self.node, pick, request, self.started);
-            }
-        }
-        let now = self.node.now();
-        let mut state = self.node.state.borrow_mut();
-        let mut server = state.pool.server_mut(&self.pick.server)?;
-        server.record_end(now, self.id, end, report)
-    }
-}
-
-impl RunningExchange<'_> {
-    /// Returns whether silence may be the server's: in a tunnel it may be another instance's.
-    fn may_be_evidence(&self) -> bool {
-        let is_direct = self.path.borrow().as_ref() == Some(&Path::Direct);
-        is_direct && reach::is_direct(&self.node)
-    }
-
-    /// Records that the connection stayed silent, if it did so for longer than requests usually take.
-    fn record_silence(&self) {
-        let path = self.path.borrow();
-        let lasted_ms = self.node.now().since(self.started).get() as f64;
-        if let Some(path) = path.as_ref().filter(|_| lasted_ms > self.pick.expected_ms) {
-            reach::record_unanswered(&self.node, &self.pick.server, path, self.started);
-        }
-    }
-}
-
-impl Drop for RunningExchange<'_> {
-    fn drop(&mut self) {
-        if self.is_open {
-            self.end(ExchangeEnd::Abandoned, ServerReport::default());
-        }
-    }
-}
-
 /// What becomes of a connection after its exchange.
 #[derive(Debug, Clone, Copy)]
 struct Reuse {
@@ -404,33 +331,3 @@
         (end, report)
     }
 }
-
-fn parse_load(text: &str) -> Option<pool::LoadReport> {
-    let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
-    Some(pool::LoadReport {
-        running: numbers.next()??,
-        waiting: numbers.next()??,
-        slots: numbers.next()??,
-    })
-}
-
-fn retry_after_ms(head: &ResponseHead) -> Option<u64> {
-    let text = head.headers.get(header::RETRY_AFTER)?.to_str().ok()?;
-    let seconds: f64 = text.trim().parse().ok()?;
-    (seconds.is_finite() && seconds >= 0.0).then_some((seconds * 1_000.0) as u64)
-}
-
-fn classify_io_error(error: &io::Error) -> ExchangeEnd {
-    if error.kind() == io::ErrorKind::TimedOut {
-        ExchangeEnd::Silent
-    } else {
-        ExchangeEnd::Broken
-    }
-}
-
-fn classify_read_error(error: &ReadError) -> ExchangeEnd {
-    match error {
-        ReadError::Io(error) => classify_io_error(error),
-        ReadError::Malformed => ExchangeEnd::Malformed,
-    }
-}
