--- a/crates/damaskvane-gateway/src/node.rs
+++ b/crates/damaskvane-gateway/src/node.rs
@@ -88,6 +88,8 @@
     pub probe_requested: Notify,
     /// Notifies the task that checks the reach of servers that this instance has begun to doubt it.
     pub reach_doubted: Notify,
+    /// When the last change of the reach of servers was logged.
+    pub reach_logged_at: Cell<TimeMs>,
     /// Connections to servers that this instance carries for others.
     pub(crate) carried_tunnels: CarriedTunnels,
     /// Notifies requests that wait for the start of the process that another collection was read.
@@ -162,6 +164,7 @@
             crashes: CrashTracker::default(),
             probe_requested: Notify::new(),
             reach_doubted: Notify::new(),
+            reach_logged_at: Cell::new(TimeMs::ZERO),
             carried_tunnels: CarriedTunnels::default(),
             startup_progress: Notify::new(),
             incarnation,
--- a/crates/damaskvane-gateway/src/reach.rs
+++ b/crates/damaskvane-gateway/src/reach.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use damaskvane_core::ids;
-use damaskvane_core::time::TimeMs;
+use damaskvane_core::time::{SpanMs, TimeMs};
 use damaskvane_routing::configuration::RegionSet;
 use damaskvane_routing::reachability::{Check, ConnectFailure, Reach};
 
@@ -17,6 +17,8 @@
 
 /// Interval between two looks for due checks.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest time between two log lines on doubts, which may begin and end many times a second where servers die.
+const DOUBT_LOG_INTERVAL: SpanMs = SpanMs::new(1_000);
 /// Time in which a connection that only checks a server must open.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -131,11 +133,7 @@
     let Some(peer) = path.peer() else {
         return true;
     };
-    let is_allowed = match &peer.region {
-        Some(region) => allowed_regions.contains(region),
-        None => *allowed_regions == RegionSet::Any,
-    };
-    is_allowed && may_keep(node, server, path)
+    allowed_regions.allows_passage(peer.region.as_ref()) && may_keep(node, server, path)
 }
 
 /// Returns whether a connection may be kept for later requests: a tunnel is closed once it is no longer needed or the
@@ -160,6 +158,15 @@
     if before == after {
         return;
     }
+    if after == Reach::Doubtful {
+        node.reach_doubted.notify_one();
+    }
+    let is_partition = [before, after].contains(&Reach::Partitioned);
+    let now = node.now();
+    if !is_partition && now.since(node.reach_logged_at.get()) < DOUBT_LOG_INTERVAL {
+        return;
+    }
+    node.reach_logged_at.set(now);
     let failing: Vec<String> = state.reach.failing().map(ToString::to_string).collect();
     let indirect = state.reach.indirect_servers();
     let known = state.pool.len();
@@ -167,9 +174,6 @@
     slog::warn!(node.log.log, "reach of backend servers";
         "before" => before.as_str(), "reach" => after.as_str(), "failing" => failing.len(),
         "first_failing" => failing.first(), "indirect" => indirect, "servers" => known);
-    if after == Reach::Doubtful {
-        node.reach_doubted.notify_one();
-    }
 }
 
 /// Looks for servers that don't answer and runs due checks, until the process ends.
--- a/crates/damaskvane-routing/src/configuration/region_set.rs
+++ b/crates/damaskvane-routing/src/configuration/region_set.rs
@@ -31,6 +31,12 @@
         }
     }
 
+    /// Returns whether requests may pass through an instance of the region, which may be unknown.
+    #[must_use]
+    pub fn allows_passage(&self, region: Option<&ids::RegionId>) -> bool {
+        region.map_or(*self == Self::Any, |region| self.contains(region))
+    }
+
     /// Returns whether no region is allowed.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
--- a/crates/damaskvane-routing/src/reachability/tunnel_peers.rs
+++ b/crates/damaskvane-routing/src/reachability/tunnel_peers.rs
@@ -39,13 +39,6 @@
             3
         }
     }
-
-    fn allows(&self, region: Option<&ids::RegionId>) -> bool {
-        match region {
-            Some(region) => self.allowed_regions.contains(region),
-            None => *self.allowed_regions == RegionSet::Any,
-        }
-    }
 }
 
 /// The instances that lately could not carry a tunnel.
@@ -89,8 +82,9 @@
         others: impl Iterator<Item = (&'a Heartbeat, Option<&'a ids::RegionId>)>,
         wish: &TunnelWish<'_>,
     ) -> Option<&'a Heartbeat> {
-        let usable = others
-            .filter(|(one, region)| wish.allows(*region) && !wish.tried.contains(&one.instance));
+        let usable = others.filter(|(one, region)| {
+            wish.allowed_regions.allows_passage(*region) && !wish.tried.contains(&one.instance)
+        });
         let ranked: Vec<_> = usable
             .map(|(one, region)| {
                 let has_failed = self.has_failed(now, &one.instance);
