A server alone behind links that hang is used through others as well

What callers would have seen: nothing failed, but a server that one instance alone can't reach, with connections that hang and are not refused, stayed unused there. Cause: a probe gave its whole time to its own connection, and nothing was left to ask another instance. Found on reading the change; the test of a server alone had refused connections only, and fails with hanging ones on the commit before (not used in 30 s). Now a probe's own connection has 350 ms of its 800.

--- a/crates/damaskvane-gateway/src/probes.rs
+++ b/crates/damaskvane-gateway/src/probes.rs
@@ -18,6 +18,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Timeout of a probe: a server that takes longer to respond is too busy to receive requests again.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time in which the connection of a probe must open; another instance is asked in the rest of the probe's time.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 /// Largest number of times that a probe is sent; a full server closes connections too, and further ones add to its load.
 const MAX_PROBE_TRIES: u32 = 3;
 /// Delay before a probe is sent again after the server closed its connection.
@@ -169,7 +171,7 @@
         let state = node.state.borrow();
         state.pool.server(&probe.server)?.entry.clone()
     };
-    let (mut connection, path) = match open(node, &entry, PROBE_TIMEOUT).await {
+    let (mut connection, path) = match open(node, &entry, CONNECT_TIMEOUT).await {
         Ok(opened) => opened,
         Err(error) if error.is_refusal() => return Some(ProbeResult::Refused),
         Err(_) => return None,
