A server that refuses a probe gets no requests while the refusal is compared

What callers saw: with many servers dead, a request met three of them and was given up after one crash.

--- a/crates/damaskvane-gateway/src/probes.rs
+++ b/crates/damaskvane-gateway/src/probes.rs
@@ -65,7 +65,6 @@
     node.idle.borrow_mut().drop_server(&probe.server);
     let probing = tokio::time::timeout(PROBE_TIMEOUT, probe_until_answered(&node, &probe));
     let result = probing.await.unwrap_or(ProbeResult::NoAnswer);
-    record_evidence(&node, &probe, result).await;
     let now = node.now();
     node.state
         .borrow_mut()
@@ -73,6 +72,8 @@
         .record_probe(now, &probe.server, result);
     slog::info!(node.log.log, "backend server probed";
         "backend_server" => %probe.server, "result" => ?result);
+    // Other servers are opened for this, and no request must go to the server meanwhile.
+    record_evidence(&node, &probe, result).await;
 }
 
 /// Records what a probe shows about the requests that were running on the server.
