The proof of a crash no longer waits for questions asked one after the other

Cause: since instances look for a partition, a refused probe asks another instance, then opens another server, then opens the first one again and asks another instance once more: some eleven round trips in a row, 16 to 25 ms each between regions. Now other servers are opened while the other instance is asked, and the last look is made without it, since it was asked just before: some six round trips. Same evidence as before: another instance is refused, another server accepts, and then the server still refuses. Ruled out: a comparison with dead servers (those that answered last come first) and probes closed by a crashing server (no line of one). The comparison has a file of its own.

--- a/crates/damaskvane-gateway/src/probes.rs
+++ b/crates/damaskvane-gateway/src/probes.rs
@@ -1,9 +1,11 @@
 //! Health probes of backend servers that are unreachable or may have restarted.
 
+mod comparison;
+
 use core::time::Duration;
+use std::io;
 use std::rc::Rc;
 
-use damaskvane_core::ids;
 use damaskvane_routing::configuration::RegionSet;
 use damaskvane_routing::pool::{DueProbe, ProbeResult, ServerEntry};
 
@@ -11,6 +13,8 @@
 use crate::crashes;
 use crate::http::{self, BodyReader};
 use crate::node::Node;
+use crate::probes::comparison::Comparison;
+use crate::reach;
 use crate::tunnel::{Endpoint, Path};
 use crate::upstream::{self, OpenError, TunnelUse};
 
@@ -24,12 +28,6 @@
 const MAX_PROBE_TRIES: u32 = 3;
 /// Delay before a probe is sent again after the server closed its connection.
 const CLOSED_PROBE_DELAY: Duration = Duration::from_millis(50);
-/// Largest number of servers with which one that refuses connections is compared.
-const MAX_COMPARED: usize = 8;
-/// Time in which a connection that is opened for such a comparison must be established.
-const COMPARED_TIMEOUT: Duration = Duration::from_millis(200);
-/// Time for all such comparisons of one probe.
-const COMPARISON_TIMEOUT: Duration = Duration::from_millis(800);
 /// Largest body of a probe's response, in bytes.
 const MAX_BODY_BYTES: usize = 16_384;
 
@@ -63,7 +61,9 @@
     node.metrics.probes.inc();
     node.metrics.costs.record_connection(OpenReason::Probe);
     node.idle.borrow_mut().drop_server(&probe.server);
-    let probing = tokio::time::timeout(PROBE_TIMEOUT, probe_until_answered(&node, &probe));
+    let comparison = Comparison::default();
+    let probing = probe_until_answered(&node, &probe, &comparison);
+    let probing = tokio::time::timeout(PROBE_TIMEOUT, probing);
     let result = probing.await.unwrap_or(ProbeResult::NoAnswer);
     let now = node.now();
     node.state
@@ -73,14 +73,20 @@
     slog::info!(node.log.log, "backend server probed";
         "backend_server" => %probe.server, "result" => ?result);
     // Other servers are opened for this, and no request must go to the server meanwhile.
-    record_evidence(&node, &probe, result).await;
+    record_evidence(&node, &probe, result, &comparison).await;
 }
 
 /// Records what a probe shows about the requests that were running on the server.
-async fn record_evidence(node: &Rc<Node>, probe: &DueProbe, result: ProbeResult) {
+async fn record_evidence(
+    node: &Rc<Node>,
+    probe: &DueProbe,
+    result: ProbeResult,
+    comparison: &Comparison,
+) {
     match result {
         ProbeResult::Refused => {
-            if !crashes::awaits_proof(node, &probe.server) || is_refusal_proven(node, probe).await {
+            let awaits_proof = crashes::awaits_proof(node, &probe.server);
+            if !awaits_proof || comparison.is_proof(node, &probe.server).await {
                 crashes::record_server_death(node, &probe.server, "probe");
             }
         }
@@ -94,50 +100,35 @@
     }
 }
 
-/// Returns whether a refused connection shows that the server's process has ended: another server of its zone accepts a
-/// connection opened in the same way, and afterwards the server still refuses one.
-///
-/// An instance that is partitioned from the servers may be refused by all of them, and the requests that it has sent them
-/// are harmless.
-async fn is_refusal_proven(node: &Rc<Node>, probe: &DueProbe) -> bool {
-    let comparing = tokio::time::timeout(COMPARISON_TIMEOUT, compare(node, probe));
-    comparing.await.unwrap_or(false)
-}
-
-async fn compare(node: &Rc<Node>, probe: &DueProbe) -> bool {
-    let others = {
-        let state = node.state.borrow();
-        state.pool.comparable_servers(&probe.server, MAX_COMPARED)
+/// Opens the connection of a probe, through another instance if this one is refused.
+async fn open_probed(
+    node: &Rc<Node>,
+    probe: &DueProbe,
+    entry: &ServerEntry,
+    comparison: &Comparison,
+) -> Result<(http::Connection, Path), OpenError> {
+    if reach::needs_tunnel(node, &entry.id) {
+        return open(node, entry, CONNECT_TIMEOUT).await;
+    }
+    let opened = upstream::open_direct(node, &entry.id, entry.address, CONNECT_TIMEOUT).await;
+    let error = match opened {
+        Ok(connection) => return Ok((connection, Path::Direct)),
+        Err(error) => error,
     };
-    for other in others {
-        let opened = open(node, &other, COMPARED_TIMEOUT).await;
-        let Ok((connection, path)) = opened else {
-            continue;
-        };
-        keep(node, &other.id, connection, path);
-        return is_refused(node, probe).await;
+    if error.kind() == io::ErrorKind::ConnectionRefused {
+        comparison.start(node, probe);
     }
-    false
-}
-
-fn keep(node: &Node, server: &ids::BackendServerId, connection: http::Connection, path: Path) {
-    let now = node.now();
-    let mut idle = node.idle.borrow_mut();
-    idle.keep(now, server, connection, None, path);
+    let endpoint = endpoint_of(entry);
+    let opened = upstream::open_by_peer(node, endpoint, &RegionSet::Any, CONNECT_TIMEOUT).await;
+    opened.ok_or(OpenError::Direct(error))
 }
 
-async fn is_refused(node: &Rc<Node>, probe: &DueProbe) -> bool {
-    let entry = {
-        let state = node.state.borrow();
-        let server = state.pool.server(&probe.server);
-        server.map(|server| server.entry.clone())
-    };
-    // A server that is gone from the list has left in the meantime.
-    let Some(entry) = entry else {
-        return true;
-    };
-    let opened = open(node, &entry, COMPARED_TIMEOUT).await;
-    opened.is_err_and(|error| error.is_refusal())
+const fn endpoint_of(entry: &ServerEntry) -> Endpoint<'_> {
+    Endpoint {
+        server: &entry.id,
+        address: entry.address,
+        zone: &entry.zone,
+    }
 }
 
 async fn open(
@@ -145,11 +136,7 @@
     entry: &ServerEntry,
     timeout: Duration,
 ) -> Result<(http::Connection, Path), OpenError> {
-    let endpoint = Endpoint {
-        server: &entry.id,
-        address: entry.address,
-        zone: &entry.zone,
-    };
+    let endpoint = endpoint_of(entry);
     upstream::open(node, endpoint, &RegionSet::Any, TunnelUse::Always, timeout).await
 }
 
@@ -157,9 +144,13 @@
 ///
 /// A server that is crashing still accepts connections for a moment, and its port refuses them right afterwards. Without
 /// the repetition the proof of the crash would come with the next probe, after a request's retry was sent.
-async fn probe_until_answered(node: &Rc<Node>, probe: &DueProbe) -> ProbeResult {
+async fn probe_until_answered(
+    node: &Rc<Node>,
+    probe: &DueProbe,
+    comparison: &Comparison,
+) -> ProbeResult {
     for _ in 0..MAX_PROBE_TRIES {
-        if let Some(result) = send_probe(node, probe).await {
+        if let Some(result) = send_probe(node, probe, comparison).await {
             return result;
         }
         tokio::time::sleep(CLOSED_PROBE_DELAY).await;
@@ -167,12 +158,16 @@
     ProbeResult::NoAnswer
 }
 
-async fn send_probe(node: &Rc<Node>, probe: &DueProbe) -> Option<ProbeResult> {
+async fn send_probe(
+    node: &Rc<Node>,
+    probe: &DueProbe,
+    comparison: &Comparison,
+) -> Option<ProbeResult> {
     let entry = {
         let state = node.state.borrow();
         state.pool.server(&probe.server)?.entry.clone()
     };
-    let (mut connection, path) = match open(node, &entry, CONNECT_TIMEOUT).await {
+    let (mut connection, path) = match open_probed(node, probe, &entry, comparison).await {
         Ok(opened) => opened,
         Err(error) if error.is_refusal() => return Some(ProbeResult::Refused),
         Err(_) => return None,
--- a/crates/damaskvane-gateway/src/upstream.rs
+++ b/crates/damaskvane-gateway/src/upstream.rs
@@ -10,7 +10,7 @@
 mod running;
 mod streaming;
 
-pub use connect::{OpenError, TunnelUse, open, open_direct};
+pub use connect::{OpenError, TunnelUse, open, open_by_peer, open_direct};
 pub use exchange::Exchange;
 pub use idle::IdleConnections;
 pub use outcome::ExchangeOutcome;
--- a/crates/damaskvane-gateway/src/upstream/connect.rs
+++ b/crates/damaskvane-gateway/src/upstream/connect.rs
@@ -70,13 +70,22 @@
     if tunnel_use == TunnelUse::IfDoubtful && !reach::is_doubtful(node) {
         return Err(OpenError::Direct(error));
     }
-    match tunnel::open(node, endpoint, allowed_regions, timeout).await {
-        Ok(opened) => {
-            reach::record_opened_by_peer(node, endpoint.server);
-            Ok(opened)
-        }
-        Err(_) => Err(OpenError::Direct(error)),
-    }
+    let opened = open_by_peer(node, endpoint, allowed_regions, timeout).await;
+    opened.ok_or(OpenError::Direct(error))
+}
+
+/// Opens a connection through another instance after this instance failed to open one, and records a success as evidence
+/// on this instance's reach.
+pub async fn open_by_peer(
+    node: &Rc<Node>,
+    endpoint: Endpoint<'_>,
+    allowed_regions: &RegionSet,
+    timeout: Duration,
+) -> Option<(http::Connection, Path)> {
+    let opened = tunnel::open(node, endpoint, allowed_regions, timeout).await;
+    let opened = opened.ok()?;
+    reach::record_opened_by_peer(node, endpoint.server);
+    Some(opened)
 }
 
 /// Opens a connection without a tunnel, and records the result as evidence on this instance's reach.
