Of a request under which two servers crashed, one copy at a time runs in the fleet

Cause: until a second wave, 500 ms later, nothing stopped further copies, since a rack that fails looks the same. Now a request that was on two servers that crashed, and has completed nowhere since, runs as a trial: one copy at a time, at the instance that all know as the first to report a crash, with no message of its own. Copies elsewhere wait for its result, 600 ms at most, and copies of idempotent requests in flight are withdrawn from their servers (the first withdrawal takes no attempt). A trial that breaks its connection is the last one of its wave; the next one is the second wave, which refuses the request to all. A completed trial is reported at once and frees all. Where the first reporter runs none, every instance may run one copy after 750 ms, and any number after 1 s.

Ruled out: more than one trial a wave (each takes a server and proves nothing).

--- a/crates/damaskvane-dispatch/src/quarantine.rs
+++ b/crates/damaskvane-dispatch/src/quarantine.rs
@@ -28,14 +28,18 @@
 //! ```
 
 mod broken;
+mod copy;
 mod decision;
 mod incident;
 mod list;
 mod scope;
 mod settings;
 mod suspect;
+mod trial;
+mod turn;
 
 pub use broken::BrokenExchanges;
+pub use copy::{CopyDecision, CopyId};
 pub use decision::{QuarantineDecision, QuarantineEntry};
 pub use incident::{Incident, IncidentId};
 pub use list::Quarantine;
--- a/crates/damaskvane-dispatch/src/quarantine/list.rs
+++ b/crates/damaskvane-dispatch/src/quarantine/list.rs
@@ -15,7 +15,8 @@
 use damaskvane_core::{ids, time};
 
 use crate::fingerprint;
-use crate::quarantine::{decision, incident, scope, settings, suspect};
+use crate::home;
+use crate::quarantine::{copy, decision, incident, scope, settings, suspect, trial, turn};
 
 /// The suspects and quarantined requests, by fingerprint.
 #[derive(Debug)]
@@ -28,18 +29,20 @@
     completed: collections::BTreeSet<fingerprint::Fingerprint>,
     /// The suspect that this instance runs; no other suspect may run until its run ends.
     running_alone: Option<fingerprint::Fingerprint>,
+    trials: trial::Trials,
 }
 
 impl Quarantine {
     /// Creates an empty list.
     #[must_use]
-    pub const fn new(settings: settings::QuarantineSettings) -> Self {
+    pub fn new(settings: settings::QuarantineSettings) -> Self {
         Self {
             settings,
             suspects: collections::BTreeMap::new(),
             cleared: collections::BTreeMap::new(),
             completed: collections::BTreeSet::new(),
             running_alone: None,
+            trials: trial::Trials::default(),
         }
     }
 
@@ -203,6 +206,84 @@
         decision::QuarantineDecision::RunAlone
     }
 
+    /// Decides whether a copy of a request may run or go on running at the instance `own`.
+    ///
+    /// A copy that runs as a trial keeps others from running until [`Quarantine::record_copy_end`] is called.
+    pub fn decide_copy(
+        &mut self,
+        now: time::TimeMs,
+        own: &home::Home,
+        request: &scope::RequestIdentity,
+        copy: copy::CopyId,
+    ) -> copy::CopyDecision {
+        let fingerprints = scope::Scope::ALL.map(|scope| request.fingerprint(scope));
+        let mut all = fingerprints.into_iter();
+        if all.any(|one| self.refused_for(now, one).is_some()) {
+            return copy::CopyDecision::Hold;
+        }
+        let any_caller = request.fingerprint(scope::Scope::AnyCaller);
+        let suspect = self.suspects.get(&any_caller);
+        let Some(suspect) = suspect else {
+            return copy::CopyDecision::Run;
+        };
+        match suspect.turn(&self.settings, now, own) {
+            turn::Turn::Free => copy::CopyDecision::Run,
+            turn::Turn::Other => copy::CopyDecision::Hold,
+            turn::Turn::Own => {
+                let wave_end = suspect.wave_end(&self.settings);
+                if self.trials.take(now, wave_end, any_caller, copy) {
+                    copy::CopyDecision::RunAsTrial
+                } else {
+                    copy::CopyDecision::Hold
+                }
+            }
+        }
+    }
+
+    /// Records that the connection of a copy broke after the request was written.
+    pub fn record_copy_broken(
+        &mut self,
+        now: time::TimeMs,
+        request: &scope::RequestIdentity,
+        copy: copy::CopyId,
+    ) {
+        let any_caller = request.fingerprint(scope::Scope::AnyCaller);
+        self.trials.record_broken(now, any_caller, copy);
+    }
+
+    /// Records that a copy has ended; returns whether it was the trial, so that another one may run.
+    pub fn record_copy_end(
+        &mut self,
+        request: &scope::RequestIdentity,
+        copy: copy::CopyId,
+    ) -> bool {
+        let any_caller = request.fingerprint(scope::Scope::AnyCaller);
+        self.trials.record_end(any_caller, copy)
+    }
+
+    /// Returns whether instances hold copies of a request of any caller, since it is unknown whether it crashes servers.
+    #[must_use]
+    pub fn is_on_trial(&self, now: time::TimeMs, any_caller: fingerprint::Fingerprint) -> bool {
+        let is_refused = self.refused_for(now, any_caller).is_some();
+        let suspect = self.suspects.get(&any_caller);
+        !is_refused && suspect.is_some_and(|one| one.is_on_trial(&self.settings, now))
+    }
+
+    /// Returns the instance that alone runs a request of any caller; `None` if the request is not on trial, or may be run
+    /// by every instance.
+    #[must_use]
+    pub fn trial_runner(
+        &self,
+        now: time::TimeMs,
+        any_caller: fingerprint::Fingerprint,
+    ) -> Option<&home::Home> {
+        let suspect = self.suspects.get(&any_caller)?;
+        let is_refused = self.refused_for(now, any_caller).is_some();
+        suspect
+            .first_reporter(&self.settings, now)
+            .filter(|_| !is_refused)
+    }
+
     /// Returns the backend servers that a suspect must not be sent to again.
     pub fn servers_to_avoid(
         &self,
@@ -257,6 +338,7 @@
     /// Returns `false` if the request was not listed.
     pub fn clear(&mut self, now: time::TimeMs, fingerprint: fingerprint::Fingerprint) -> bool {
         let was_listed = self.suspects.remove(&fingerprint).is_some();
+        self.trials.remove(fingerprint);
         self.cleared.insert(fingerprint, now);
         was_listed
     }
@@ -278,6 +360,9 @@
     /// Removes the suspects and cleared requests that have expired.
     pub fn expire(&mut self, now: time::TimeMs) {
         self.suspects.retain(|_, suspect| now < suspect.until);
+        let suspects = &self.suspects;
+        self.trials
+            .retain(|request| suspects.contains_key(&request));
         let retention = time::SpanMs::new(self.settings.suspicion_ms);
         self.cleared.retain(|_, at| now < *at + retention);
         let cleared = &self.cleared;
--- a/crates/damaskvane-dispatch/src/quarantine/settings.rs
+++ b/crates/damaskvane-dispatch/src/quarantine/settings.rs
@@ -26,6 +26,13 @@
     /// incident for a request that is suspected whoever sends it. Longer than a harmless request takes to complete
     /// on another backend server.
     pub wave_ms: u64,
+    /// The number of crashes after which a request that is suspected whoever sends it runs as a trial: one copy at a time.
+    pub trial_crashes: usize,
+    /// The time in milliseconds after the last crash in which only the instance that reported a crash first runs trials.
+    /// Longer than a wave, so that this instance's second trial proves whether the request crashes servers.
+    pub trial_turn_ms: u64,
+    /// The time in milliseconds after the last crash in which the request runs as a trial at all.
+    pub trial_ms: u64,
     /// The maximum number of suspects; when it is reached, the suspect that expires first is removed.
     pub max_suspects: usize,
 }
@@ -38,6 +45,9 @@
             expiry_ms: 600_000,
             gather_ms: 200,
             wave_ms: 500,
+            trial_crashes: 2,
+            trial_turn_ms: 750,
+            trial_ms: 1_000,
             max_suspects: 4_096,
         }
     }
--- a/crates/damaskvane-dispatch/src/quarantine/suspect.rs
+++ b/crates/damaskvane-dispatch/src/quarantine/suspect.rs
@@ -4,7 +4,8 @@
 
 use damaskvane_core::{ids, time};
 
-use crate::quarantine::{incident, scope, settings};
+use crate::home;
+use crate::quarantine::{incident, scope, settings, turn};
 
 /// Reports of one crash of a backend server differ in time by less than this span, whichever instance
 /// observed the crash and however late its report arrived.
@@ -116,6 +117,59 @@
         count >= settings.incidents
     }
 
+    /// Returns whose turn it is to run the request as a trial, as seen by the instance `own`.
+    pub(super) fn turn(
+        &self,
+        settings: &settings::QuarantineSettings,
+        now: time::TimeMs,
+        own: &home::Home,
+    ) -> turn::Turn {
+        if !self.is_on_trial(settings, now) {
+            return turn::Turn::Free;
+        }
+        match self.first_reporter(settings, now) {
+            Some(first) if first != own => turn::Turn::Other,
+            _ => turn::Turn::Own,
+        }
+    }
+
+    /// Returns the instance that runs the request alone, as a trial.
+    ///
+    /// The instances agree on it without a message of its own: all of them know who reported the crashes. It has run the
+    /// request, so that it probably has further copies.
+    pub(super) fn first_reporter(
+        &self,
+        settings: &settings::QuarantineSettings,
+        now: time::TimeMs,
+    ) -> Option<&home::Home> {
+        let turn = time::SpanMs::new(settings.trial_turn_ms);
+        let last_crash = self.crash_times().max()?;
+        let is_alone = self.is_on_trial(settings, now) && now.since(last_crash) < turn;
+        let first = self.incidents.keys().next().filter(|_| is_alone)?;
+        Some(&first.reporter)
+    }
+
+    /// Returns whether each instance runs one copy of the request at a time at most.
+    pub(super) fn is_on_trial(
+        &self,
+        settings: &settings::QuarantineSettings,
+        now: time::TimeMs,
+    ) -> bool {
+        let until = self
+            .crash_times()
+            .max()
+            .map(|last| last + time::SpanMs::new(settings.trial_ms));
+        self.scope == scope::Scope::AnyCaller
+            && self.len() >= settings.trial_crashes
+            && until.is_some_and(|until| now < until)
+    }
+
+    /// Returns the end of the last wave of crashes.
+    pub(super) fn wave_end(&self, settings: &settings::QuarantineSettings) -> time::TimeMs {
+        let ends = wave_ends(settings, self.crash_times());
+        ends.last().copied().unwrap_or(time::TimeMs::ZERO)
+    }
+
     fn crash_times(&self) -> impl Iterator<Item = time::TimeMs> {
         self.incidents.values().map(|crash| crash.at)
     }
@@ -134,16 +188,22 @@
     settings: &settings::QuarantineSettings,
     crash_times: impl Iterator<Item = time::TimeMs>,
 ) -> usize {
+    wave_ends(settings, crash_times).len()
+}
+
+/// Returns the end of each wave of crashes, in order.
+fn wave_ends(
+    settings: &settings::QuarantineSettings,
+    crash_times: impl Iterator<Item = time::TimeMs>,
+) -> Vec<time::TimeMs> {
     let length = time::SpanMs::new(settings.wave_ms);
     let mut crash_times: Vec<_> = crash_times.collect();
     crash_times.sort_unstable();
-    let mut waves = 0;
-    let mut wave_end = None;
+    let mut ends: Vec<time::TimeMs> = Vec::new();
     for at in crash_times {
-        if wave_end.is_none_or(|end| at >= end) {
-            waves += 1;
-            wave_end = Some(at + length);
+        if ends.last().is_none_or(|end| at >= *end) {
+            ends.push(at + length);
         }
     }
-    waves
+    ends
 }
--- a/crates/damaskvane-dispatch/tests/support/crash_world.rs
+++ b/crates/damaskvane-dispatch/tests/support/crash_world.rs
@@ -9,6 +9,7 @@
 mod event;
 mod harm;
 mod instance;
+mod load;
 mod notices;
 mod run;
 mod server;
@@ -19,12 +20,12 @@
 
 pub use design::Design;
 pub use harm::Harm;
+pub use load::Load;
 use world::World;
 
 const INSTANCES: usize = 8;
 const SERVERS: usize = 24;
 const CALLERS: usize = 50;
-const HISTORY_MS: u64 = 30_000;
 /// Time without disturbance after which an instance is bound by the target.
 const CONTACT_MS: u64 = 3_000;
 const RUN_MS: u64 = 100;
@@ -32,16 +33,23 @@
 const SERVER_DOWN_MS: u64 = 3_000;
 const PROBE_WAIT_MS: u64 = 300;
 const PROBE_POLL_MS: u64 = 10;
+const HOLD_MS: u64 = 600;
 /// Time after a crash within which a harmless request that many callers send has completed and every instance knows.
 const CLEARED_WITHIN_MS: u64 = 1_000;
 const REMOVAL_MS: u64 = 250;
 const CALLER_RETRY_MS: u64 = 400;
 
-/// Plays the history of a seed.
+/// Plays the history of a seed under the usual load.
 pub fn play(design: Design, seed: u64) -> Harm {
-    let mut world = World::new(design, seed);
+    play_load(design, Load::default(), seed)
+}
+
+/// Plays the history of a seed.
+pub fn play_load(design: Design, load: Load, seed: u64) -> Harm {
+    let history_ms = load.history_ms;
+    let mut world = World::new(design, load, seed);
     while let Some(Reverse((at_ms, _, event))) = world.events.pop() {
-        if at_ms > HISTORY_MS {
+        if at_ms > history_ms {
             break;
         }
         world.now_ms = at_ms;
--- a/crates/damaskvane-dispatch/tests/support/crash_world/crashes.rs
+++ b/crates/damaskvane-dispatch/tests/support/crash_world/crashes.rs
@@ -13,6 +13,13 @@
 use crate::support::keys::at;
 
 impl World {
+    /// A run crashes its server, unless it was withdrawn or its server crashed before.
+    pub(super) fn crash_under(&mut self, run: u64, server: usize) {
+        if self.servers[server].runs.contains_key(&run) {
+            self.crash(server);
+        }
+    }
+
     pub(super) fn crash(&mut self, server: usize) {
         if self.servers[server].up_at_ms > self.now_ms {
             return;
@@ -31,12 +38,12 @@
             }
         }
         for run in runs.into_values() {
-            let broken = &mut self.instances[run.instance].broken;
-            broken.record(
-                at(self.now_ms),
-                &name.parse().expect("a name"),
-                run.identity(),
-            );
+            let now = at(self.now_ms);
+            let instance = &mut self.instances[run.instance];
+            let request = run.identity();
+            let server = name.parse().expect("a name");
+            instance.broken.record(now, &server, request);
+            instance.list.record_copy_broken(now, &request, run.copy);
             let proof = Event::Prove {
                 instance: run.instance,
                 server: name.clone(),
@@ -68,10 +75,9 @@
         for (scope, suspects) in by_scope {
             let reporter = &mut self.instances[instance];
             reporter.last_serial += 1;
-            let home = format!("i-{instance}/{}", reporter.incarnation);
             let incident = Incident {
                 id: IncidentId {
-                    reporter: home.parse().expect("a home"),
+                    reporter: reporter.home(instance),
                     serial: reporter.last_serial,
                 },
                 server: server.clone(),
@@ -94,5 +100,6 @@
             };
             self.schedule(20, record);
         }
+        self.withdraw_held(instance);
     }
 }
--- a/crates/damaskvane-dispatch/tests/support/crash_world/disturbances.rs
+++ b/crates/damaskvane-dispatch/tests/support/crash_world/disturbances.rs
@@ -18,7 +18,7 @@
             }
             1 => {
                 let started = &mut self.instances[instance];
-                started.restart();
+                started.restart(self.design.settings());
                 let until_ms = self.now_ms + CONTACT_MS;
                 started.disturbed_until_ms = started.disturbed_until_ms.max(until_ms);
                 self.read_store(instance);
--- a/crates/damaskvane-dispatch/tests/support/crash_world/event.rs
+++ b/crates/damaskvane-dispatch/tests/support/crash_world/event.rs
@@ -18,6 +18,14 @@
     Crash {
         server: usize,
     },
+    CrashUnder {
+        run: u64,
+        server: usize,
+    },
+    Withdraw {
+        run: u64,
+        server: usize,
+    },
     Prove {
         instance: usize,
         server: String,
--- a/crates/damaskvane-dispatch/tests/support/crash_world/instance.rs
+++ b/crates/damaskvane-dispatch/tests/support/crash_world/instance.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use damaskvane_dispatch::fingerprint::Fingerprint;
+use damaskvane_dispatch::home::Home;
 use damaskvane_dispatch::quarantine::{
     BrokenExchanges, Quarantine, QuarantineSettings, RequestIdentity,
 };
@@ -19,9 +20,9 @@
 }
 
 impl Instance {
-    pub fn new() -> Self {
+    pub fn new(settings: QuarantineSettings) -> Self {
         Self {
-            list: Quarantine::new(QuarantineSettings::default()),
+            list: Quarantine::new(settings),
             broken: BrokenExchanges::default(),
             cut_until_ms: 0,
             disturbed_until_ms: 0,
@@ -32,12 +33,18 @@
     }
 
     /// Starts the instance again, without all that it knew.
-    pub fn restart(&mut self) {
+    pub fn restart(&mut self, settings: QuarantineSettings) {
         *self = Self {
             cut_until_ms: self.cut_until_ms,
             disturbed_until_ms: self.disturbed_until_ms,
             incarnation: self.incarnation + 1,
-            ..Self::new()
+            ..Self::new(settings)
         };
     }
+
+    /// Returns the name of this process, the instance's incarnation.
+    pub fn home(&self, number: usize) -> Home {
+        let home = format!("i-{number}/{}", self.incarnation);
+        home.parse().expect("a home")
+    }
 }
--- a/crates/damaskvane-dispatch/tests/support/crash_world/store.rs
+++ b/crates/damaskvane-dispatch/tests/support/crash_world/store.rs
@@ -28,7 +28,7 @@
             };
             return self.schedule(500, again);
         }
-        self.stored.insert(fingerprint);
+        self.harm.records_written += usize::from(self.stored.insert(fingerprint));
         for instance in &mut self.instances {
             if instance.cut_until_ms <= self.now_ms {
                 instance.records.insert(fingerprint);
--- a/crates/damaskvane-dispatch/tests/support/crash_world/world.rs
+++ b/crates/damaskvane-dispatch/tests/support/crash_world/world.rs
@@ -11,15 +11,18 @@
 use super::event::{Event, Notice};
 use super::harm::Harm;
 use super::instance::Instance;
+use super::load::Load;
 use super::server::Server;
 use super::{INSTANCES, SERVERS};
 
 /// One history.
 pub struct World {
     pub(super) design: Design,
+    pub(super) load: Load,
     pub(super) rng: rand_pcg::Pcg64Mcg,
     pub(super) now_ms: u64,
     pub(super) last_event: u64,
+    pub(super) last_copy: u64,
     pub(super) events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     pub(super) instances: Vec<Instance>,
     pub(super) servers: Vec<Server>,
@@ -32,14 +35,18 @@
 }
 
 impl World {
-    pub(super) fn new(design: Design, seed: u64) -> Self {
+    pub(super) fn new(design: Design, load: Load, seed: u64) -> Self {
         let mut world = Self {
             design,
+            load,
             rng: rand_pcg::Pcg64Mcg::seed_from_u64(seed),
             now_ms: 0,
             last_event: 0,
+            last_copy: 0,
             events: BinaryHeap::new(),
-            instances: iter::repeat_with(Instance::new).take(INSTANCES).collect(),
+            instances: iter::repeat_with(|| Instance::new(design.settings()))
+                .take(INSTANCES)
+                .collect(),
             servers: iter::repeat_with(Server::new).take(SERVERS).collect(),
             notices: Vec::new(),
             stored: BTreeSet::new(),
@@ -50,8 +57,12 @@
         };
         world.schedule(3_000, Event::Arrive { is_crashing: true });
         world.schedule(10, Event::Arrive { is_crashing: false });
-        world.schedule(2_000, Event::Disturb);
-        world.schedule(5_000, Event::FailTogether);
+        if world.load.has_disturbances {
+            world.schedule(2_000, Event::Disturb);
+        }
+        if world.load.has_failing_racks {
+            world.schedule(5_000, Event::FailTogether);
+        }
         world
     }
 
@@ -67,6 +78,8 @@
             Event::Attempt(run) => self.attempt(run),
             Event::End { run, server } => self.end(run, server),
             Event::Crash { server } => self.crash(server),
+            Event::CrashUnder { run, server } => self.crash_under(run, server),
+            Event::Withdraw { run, server } => self.withdraw(run, server),
             Event::Prove { instance, server } => self.prove(instance, &server),
             Event::Deliver { instance, notice } => self.deliver(instance, notice),
             Event::Record {
--- a/crates/damaskvane-gateway/src/clients/dispatch.rs
+++ b/crates/damaskvane-gateway/src/clients/dispatch.rs
@@ -22,7 +22,7 @@
 use crate::clients::pending::PendingRequest;
 use crate::clients::send_right::SendRight;
 use crate::clients::{caller, head, reply, routed_request, startup};
-use crate::crashes;
+use crate::crashes::{Refusal, RefusalReason, RequestCopy};
 use crate::decision_log::RequestOutcome;
 use crate::node::Node;
 use crate::stop::Stop;
@@ -133,12 +133,11 @@
         team: caller.as_ref().map(|caller| caller.team.name.clone()),
         client_address,
     };
-    if let Some(remaining) = remaining_quarantine(pending, &outgoing).await {
-        pending.record_rejection("quarantined");
-        return reply::not_run(
-            "this request has crashed backend servers; an operator can let it go\n",
-            remaining.get(),
-        );
+    let copy = RequestCopy::new(node, &outgoing);
+    if let Some(refusal) = copy.resolve_refusal(deadline).await {
+        log_crash_refusal(node, &outgoing, &refusal);
+        pending.record_rejection(refusal.reason.as_str());
+        return reply::not_run(refusal_text(refusal.reason), refusal.remaining.get());
     }
     let Some(destination) = next_destination(node, &route) else {
         pending.record_rejection("no_destination");
@@ -171,6 +170,7 @@
         progress: Progress::new(route.kind, route.attempts.max(1)),
         tried: Vec::new(),
         right: &right,
+        copy: &copy,
         reserved: None,
         failed_response: None,
     }
@@ -183,25 +183,25 @@
     SpanMs::new(route.objective_ms / 2)
 }
 
-/// Returns how much longer this instance refuses the request because the request has crashed backend servers;
-/// `None` if the request may run.
-async fn remaining_quarantine(
-    pending: &PendingRequest<'_>,
-    outgoing: &OutgoingRequest,
-) -> Option<SpanMs> {
-    let node = pending.node;
-    if node.crashes.is_empty() {
-        return None;
+const fn refusal_text(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::Quarantined => {
+            "this request has crashed backend servers; an operator can let it go\n"
+        }
+        RefusalReason::OnTrial => {
+            "backend servers have crashed under this request; it is being tried\n"
+        }
     }
-    let identity = outgoing.identity();
-    let (fingerprint, remaining) = crashes::resolve_refusal(node, &identity).await?;
+}
+
+fn log_crash_refusal(node: &Rc<Node>, outgoing: &OutgoingRequest, refusal: &Refusal) {
     node.log
         .log_request(node.now(), RequestOutcome::Failure, |log, left_out| {
             slog::info!(log, "request is known to crash servers";
-            "request_id" => outgoing.request_id.as_deref(), "fingerprint" => %fingerprint,
-            "refused_for_ms" => remaining.get(), "lines_left_out" => left_out);
+            "request_id" => outgoing.request_id.as_deref(), "fingerprint" => %refusal.fingerprint,
+            "reason" => refusal.reason.as_str(), "refused_for_ms" => refusal.remaining.get(),
+            "lines_left_out" => left_out);
         });
-    Some(remaining)
 }
 
 fn next_destination(node: &Rc<Node>, route: &Route) -> Option<ids::ServiceId> {
--- a/crates/damaskvane-gateway/src/clients/routed_request.rs
+++ b/crates/damaskvane-gateway/src/clients/routed_request.rs
@@ -18,7 +18,7 @@
 
 use crate::clients::pending::PendingRequest;
 use crate::clients::send_right::SendRight;
-use crate::crashes;
+use crate::crashes::{self, RequestCopy};
 use crate::decision_log::RequestOutcome;
 use crate::node::Node;
 use crate::reach;
@@ -51,6 +51,8 @@
     pub(super) reserved: Option<Pick>,
     /// The right to send the request: its key and its token of the quota.
     pub(super) right: &'a SendRight<'a>,
+    /// The client's call as a copy of a request that may crash servers.
+    pub(super) copy: &'a RequestCopy<'a>,
     /// The response of the last server that failed; the client gets it if no other server succeeds.
     pub(super) failed_response: Option<BackendResponse>,
 }
@@ -90,8 +92,10 @@
             if outcome.end == ExchangeEnd::Answered {
                 return self.final_response(Some(outcome));
             }
-            self.tried.push(pick.server);
-            if !self.progress.may_try_again() || self.is_quarantined().await {
+            if outcome.end != ExchangeEnd::Withdrawn {
+                self.tried.push(pick.server);
+            }
+            if !self.progress.may_try_again() || self.is_refused().await {
                 return self.final_response(Some(outcome));
             }
             last = Some(outcome);
@@ -158,6 +162,7 @@
             is_retry: self.progress.was_sent(),
             allowed_regions: self.allowed_regions,
             right: self.right,
+            withdrawable: self.route.kind.may_run_again().then_some(self.copy),
         };
         let mut running = pin!(exchange.run());
         let remaining_time = remaining(self.node, self.deadline);
@@ -248,6 +253,7 @@
         match end {
             ExchangeEnd::Broken if !reach::is_partitioned_on(self.node, path) => {
                 crashes::record_broken_exchange(self.node, pick, self.outgoing);
+                self.copy.record_broken();
             }
             ExchangeEnd::Misdirected => {
                 crashes::record_server_death(self.node, &pick.server, "address");
@@ -260,13 +266,8 @@
         }
     }
 
-    async fn is_quarantined(&self) -> bool {
-        if self.node.crashes.is_empty() {
-            return false;
-        }
-        let identity = self.outgoing.identity();
-        let refusal = crashes::resolve_refusal(self.node, &identity);
-        refusal.await.is_some()
+    async fn is_refused(&self) -> bool {
+        self.copy.resolve_refusal(self.deadline).await.is_some()
     }
 
     fn record_response_time(&self, now: TimeMs, pick: &Pick, outcome: &ExchangeOutcome) {
--- a/crates/damaskvane-gateway/src/crashes.rs
+++ b/crates/damaskvane-gateway/src/crashes.rs
@@ -5,11 +5,14 @@
 //! An incident is one crash with its suspects; instances notify each other of incidents by datagram. An exchange is one
 //! request to a server with its response. A request has two fingerprints (hashes): of its team, host, method, path and
 //! body, and of these with the client's address. The store keeps a record of each refused request, so that instances
-//! that were partitioned or restarted refuse it too.
+//! that were partitioned or restarted refuse it too. After two crashes under a request, and until it is known whether it
+//! causes them, one instance runs one copy of it at a time ([`RequestCopy`]).
 
+mod copy;
 mod evidence;
 mod notice;
 mod record;
+mod refusal;
 mod write_queue;
 
 use core::time::Duration;
@@ -28,12 +31,14 @@
 
 use crate::node::Node;
 
+pub use copy::RequestCopy;
 pub use evidence::{
     awaits_proof, forget_unproven, record_broken_exchange, record_server_alive,
     record_server_joined, record_server_silent, record_unanswered_exchange, request_proof,
 };
 pub use notice::CrashNotice;
 pub use record::maintain as maintain_records;
+pub use refusal::{Refusal, RefusalReason};
 pub use write_queue::WriteQueue;
 
 /// Maximum time for which a request that would be refused after one more crash waits for the results of health probes.
@@ -67,8 +72,8 @@
     /// Requests that have a quarantine record in the store.
     stored: RefCell<BTreeSet<Fingerprint>>,
     last_serial: Cell<u64>,
-    /// Notifies waiting requests that a server was found to have crashed or to be alive.
-    server_state_known: Notify,
+    /// Notifies requests that something was learned of servers, suspects or trials.
+    changed: Notify,
     /// Suspects that other instances reported as completed, with the time of the report.
     completed_at_peers: RefCell<BTreeMap<Fingerprint, TimeMs>>,
     /// Notifies the task that maintains the records that a request which has a record may run again.
@@ -85,7 +90,7 @@
             addresses: RefCell::default(),
             stored: RefCell::default(),
             last_serial: Cell::new(0),
-            server_state_known: Notify::new(),
+            changed: Notify::new(),
             completed_at_peers: RefCell::default(),
             record_outdated: Notify::new(),
             notices: flume::unbounded(),
@@ -108,36 +113,52 @@
     }
 }
 
-/// Waits for the probes of the servers to which a request's connection broke; returns the fingerprint under which the
-/// request is refused, and for how long from now.
+/// Waits for the probes of the servers to which a request's connection broke; returns why the request is refused.
 ///
 /// Returns `None` if the request may run. A request that would be refused if one more crash is confirmed waits for the
 /// result of a probe. Otherwise a client that retries at once would crash one server after the other before the first
 /// crash is confirmed.
-pub async fn resolve_refusal(
-    node: &Node,
-    identity: &RequestIdentity,
-) -> Option<(Fingerprint, SpanMs)> {
+async fn resolve_refusal(node: &Node, identity: &RequestIdentity) -> Option<Refusal> {
     let probed = async {
         while awaits_probe(node, identity) {
-            node.crashes.server_state_known.notified().await;
+            node.crashes.changed.notified().await;
         }
     };
     let is_unresolved = tokio::time::timeout(PROBE_RESULT_TIMEOUT, probed)
         .await
         .is_err();
-    let refusals = Scope::ALL.map(|scope| {
+    let unresolved = is_unresolved.then(|| unresolved_refusal(node, identity));
+    current_refusal(node, identity).or(unresolved.flatten())
+}
+
+/// Returns the refusal of a request with a confirmed crash whose probes gave no result in time.
+///
+/// Most broken connections have harmless causes, so a request without a confirmed crash runs.
+fn unresolved_refusal(node: &Node, identity: &RequestIdentity) -> Option<Refusal> {
+    let list = node.crashes.list.borrow();
+    let mut fingerprints = Scope::ALL
+        .into_iter()
+        .map(|scope| identity.fingerprint(scope));
+    let fingerprint = fingerprints.find(|one| list.is_suspect(*one))?;
+    Some(Refusal {
+        fingerprint,
+        remaining: UNRESOLVED_REFUSAL,
+        reason: RefusalReason::Quarantined,
+    })
+}
+
+/// Returns the longest refusal of a request at this moment, with or without its caller.
+fn current_refusal(node: &Node, identity: &RequestIdentity) -> Option<Refusal> {
+    let refusals = Scope::ALL.into_iter().filter_map(|scope| {
         let fingerprint = identity.fingerprint(scope);
-        let remaining = refusal(node, fingerprint);
-        // Most broken connections have harmless causes, so a request without a confirmed crash runs.
-        let unresolved = is_unresolved && node.crashes.list.borrow().is_suspect(fingerprint);
-        let remaining = remaining.or(unresolved.then_some(UNRESOLVED_REFUSAL));
-        remaining.map(|remaining| (fingerprint, remaining))
+        let remaining = refusal(node, fingerprint)?;
+        Some(Refusal {
+            fingerprint,
+            remaining,
+            reason: RefusalReason::Quarantined,
+        })
     });
-    refusals
-        .into_iter()
-        .flatten()
-        .max_by_key(|(_, remaining)| *remaining)
+    refusals.max_by_key(|refusal| refusal.remaining)
 }
 
 fn awaits_probe(node: &Node, identity: &RequestIdentity) -> bool {
@@ -164,11 +185,15 @@
     let now = node.now();
     node.crashes.broken.borrow_mut().record_completed(*identity);
     let mut list = node.crashes.list.borrow_mut();
+    let any_caller = identity.fingerprint(Scope::AnyCaller);
+    let is_urgent = list.is_on_trial(now, any_caller);
     if list.record_request_completed(now, identity) {
         node.crashes.record_outdated.notify_one();
+        node.crashes.changed.notify_waiters();
         let notice = CrashNotice::Completed {
             request: *identity,
             at: now,
+            is_urgent,
         };
         let _ = node.crashes.notices.0.send(notice);
     }
@@ -181,6 +206,7 @@
     let mut list = node.crashes.list.borrow_mut();
     if list.record_request_completed(completed_at, request) {
         node.crashes.record_outdated.notify_one();
+        node.crashes.changed.notify_waiters();
     }
     let mut completed = node.crashes.completed_at_peers.borrow_mut();
     completed.insert(request.fingerprint(Scope::AnyCaller), now);
@@ -207,7 +233,7 @@
         node.metrics.crash_incidents.inc();
     }
     report_suspects(node, server, proof, crashed_at, &suspects);
-    node.crashes.server_state_known.notify_waiters();
+    node.crashes.changed.notify_waiters();
 }
 
 /// Makes the requests suspects at this instance, and queues notices of them for the other instances.
@@ -261,11 +287,19 @@
 fn apply_incident(node: &Node, incident: &Incident, is_own: bool) {
     apply_scoped_incident(node, Scope::Caller, incident, is_own);
     apply_scoped_incident(node, Scope::AnyCaller, &incident.without_callers(), is_own);
+    node.crashes.changed.notify_waiters();
 }
 
 fn apply_scoped_incident(node: &Node, scope: Scope, incident: &Incident, is_own: bool) {
+    let now = node.now();
     let mut list = node.crashes.list.borrow_mut();
-    let refused = list.record_scoped_incident(node.now(), scope, incident);
+    let were_tried = tried_requests(&list, now, incident);
+    let refused = list.record_scoped_incident(now, scope, incident);
+    for fingerprint in tried_requests(&list, now, incident).difference(&were_tried) {
+        let runner = list.trial_runner(now, *fingerprint);
+        slog::warn!(node.log.log, "request runs as a trial";
+            "fingerprint" => %fingerprint, "last_server" => %incident.server, "runner" => runner.map(ToString::to_string));
+    }
     drop(list);
     for fingerprint in refused {
         slog::warn!(node.log.log, "request is quarantined";
@@ -279,6 +313,14 @@
     }
 }
 
+/// Returns which requests of an incident run as trials.
+fn tried_requests(list: &Quarantine, now: TimeMs, incident: &Incident) -> BTreeSet<Fingerprint> {
+    let suspects = incident.suspects.iter().copied();
+    suspects
+        .filter(|suspect| list.is_on_trial(now, *suspect))
+        .collect()
+}
+
 /// Applies a quarantine record that was read from the store.
 pub fn apply_stored_quarantine(node: &Node, fingerprint: Fingerprint) {
     node.crashes.stored.borrow_mut().insert(fingerprint);
@@ -286,6 +328,7 @@
     if list.apply_quarantine_record(node.now(), fingerprint) {
         slog::warn!(node.log.log, "request is quarantined";
             "fingerprint" => %fingerprint, "told_by" => "store");
+        node.crashes.changed.notify_waiters();
     }
     if list.refused_for(node.now(), fingerprint).is_none() {
         node.crashes.record_outdated.notify_one();
--- a/crates/damaskvane-gateway/src/crashes/evidence.rs
+++ b/crates/damaskvane-gateway/src/crashes/evidence.rs
@@ -87,7 +87,7 @@
 /// partitioned from the servers, and a server that ends meanwhile has not crashed by them.
 pub fn forget_unproven(node: &Node) {
     node.crashes.broken.borrow_mut().clear();
-    node.crashes.server_state_known.notify_waiters();
+    node.crashes.changed.notify_waiters();
 }
 
 /// Requests a probe of a server that accepts no connection, if requests become suspects by the proof that it has crashed.
@@ -102,7 +102,7 @@
 /// Records that a server is alive, so that earlier broken exchanges with the server were no crash.
 pub fn record_server_alive(node: &Node, server: &ids::BackendServerId) {
     node.crashes.broken.borrow_mut().record_alive(server);
-    node.crashes.server_state_known.notify_waiters();
+    node.crashes.changed.notify_waiters();
 }
 
 /// Logs the parts of a request that its fingerprint covers, so that requests with different fingerprints can be
--- a/crates/damaskvane-gateway/src/crashes/notice.rs
+++ b/crates/damaskvane-gateway/src/crashes/notice.rs
@@ -14,5 +14,7 @@
         request: RequestIdentity,
         /// When the request completed.
         at: TimeMs,
+        /// Whether other instances may hold copies of the request until they learn of this.
+        is_urgent: bool,
     },
 }
--- a/crates/damaskvane-gateway/src/metrics.rs
+++ b/crates/damaskvane-gateway/src/metrics.rs
@@ -52,6 +52,10 @@
     pub probes: IntCounter,
     /// Crashes of backend servers that were running requests of this instance.
     pub crash_incidents: IntCounter,
+    /// Decisions by which a copy of a request that may crash servers ran alone, as a trial.
+    pub trials: IntCounter,
+    /// Requests that waited for the result of a trial.
+    pub held_requests: IntCounter,
     /// 0 if this instance reaches the backend servers, 1 if it doubts that, 2 if it is partitioned from them.
     pub reach: IntGauge,
     /// Servers that only other instances reach.
@@ -128,6 +132,14 @@
                 "crash_incidents_total",
                 "Servers that died with requests on them",
             )?,
+            trials: factory.counter(
+                "trials_total",
+                "Copies of requests that may crash servers, run alone",
+            )?,
+            held_requests: factory.counter(
+                "held_requests_total",
+                "Requests that waited for the result of a trial",
+            )?,
             reach: factory.gauge(
                 "reach",
                 "Reach of servers: 0 direct, 1 doubtful, 2 partitioned",
--- a/crates/damaskvane-gateway/src/peers/outgoing.rs
+++ b/crates/damaskvane-gateway/src/peers/outgoing.rs
@@ -35,7 +35,14 @@
         tokio::task::spawn_local(async move {
             match notice {
                 CrashNotice::Incident(incident) => send_incident(&node, &socket, incident).await,
-                CrashNotice::Completed { request, at } => {
+                CrashNotice::Completed {
+                    request,
+                    at,
+                    is_urgent,
+                } => {
+                    if !is_urgent {
+                        wait_for_other_reports().await;
+                    }
                     send_completion(&node, &socket, &request, at).await;
                 }
             }
@@ -59,13 +66,17 @@
     }
 }
 
-/// Reports that a suspect completed, unless another instance reports it first.
+/// Waits for a random time before a suspect's completion is reported.
 ///
-/// A request that many callers send completes at every instance within a moment; without the random delay each
-/// instance would send a message to each other one.
-async fn send_completion(node: &Node, socket: &UdpSocket, request: &RequestIdentity, at: TimeMs) {
+/// A request that many callers send completes at every instance within a moment; without the delay each instance would
+/// send a message to each other one.
+async fn wait_for_other_reports() {
     let delay_ms = rand::rng().random_range(0..=MAX_COMPLETION_DELAY_MS);
     tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+}
+
+/// Reports that a suspect completed, unless another instance has reported it.
+async fn send_completion(node: &Node, socket: &UdpSocket, request: &RequestIdentity, at: TimeMs) {
     if crashes::is_completion_known(node, request, at) {
         return;
     }
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -12,7 +12,7 @@
 
 use crate::clients::SendRight;
 use crate::costs::{Distance, Flow, OpenReason};
-use crate::crashes;
+use crate::crashes::{self, RequestCopy};
 use crate::http::{self, BodyReader, ResponseHead};
 use crate::node::Node;
 use crate::reach;
@@ -64,13 +64,19 @@
     pub allowed_regions: &'a RegionSet,
     /// The right to send the request, which is checked at the moment of sending.
     pub(crate) right: &'a SendRight<'a>,
+    /// The client's call, by which the request may be withdrawn; `None` if the request may not be sent again.
+    pub withdrawable: Option<&'a RequestCopy<'a>>,
 }
 
 impl Exchange<'_> {
     /// Sends the request and waits for the response.
     pub async fn run(self) -> ExchangeOutcome {
         let mut running = RunningExchange::start(self.node, self.pick, self.request);
-        let mut outcome = self.exchange(&running.path).await;
+        let mut outcome = tokio::select! {
+            biased;
+            () = self.until_withdrawn() => ExchangeOutcome::no_response(ExchangeEnd::Withdrawn),
+            outcome = self.exchange(&running.path) => outcome,
+        };
         outcome.path = running.path.take();
         outcome.took_ms = running.end(outcome.end, outcome.report);
         if outcome.end == ExchangeEnd::Unreachable {
@@ -79,6 +85,13 @@
         outcome
     }
 
+    async fn until_withdrawn(&self) {
+        match self.withdrawable {
+            Some(copy) => copy.until_withdrawn().await,
+            None => core::future::pending().await,
+        }
+    }
+
     async fn exchange(&self, running_path: &RefCell<Option<Path>>) -> ExchangeOutcome {
         let Ok((connection, path, is_reused)) = self.connect().await else {
             return ExchangeOutcome::no_response(ExchangeEnd::Unreachable);
--- a/crates/damaskvane-routing/src/pool/exchange.rs
+++ b/crates/damaskvane-routing/src/pool/exchange.rs
@@ -38,6 +38,8 @@
     Silent,
     /// This instance or the client stopped waiting before the server responded.
     Abandoned,
+    /// This instance took the request back, since the request may crash servers.
+    Withdrawn,
 }
 
 impl ExchangeEnd {
@@ -55,6 +57,7 @@
             Self::Unreachable => "unreachable",
             Self::Silent => "silent",
             Self::Abandoned => "abandoned",
+            Self::Withdrawn => "withdrawn",
         }
     }
 }
--- a/crates/damaskvane-routing/src/pool/server.rs
+++ b/crates/damaskvane-routing/src/pool/server.rs
@@ -332,7 +332,8 @@
             | ExchangeEnd::Shed
             | ExchangeEnd::Malformed
             | ExchangeEnd::Withheld
-            | ExchangeEnd::Abandoned => {}
+            | ExchangeEnd::Abandoned
+            | ExchangeEnd::Withdrawn => {}
         }
     }
 
@@ -350,7 +351,8 @@
             | ExchangeEnd::Unreachable
             | ExchangeEnd::Silent
             | ExchangeEnd::Withheld
-            | ExchangeEnd::Abandoned => None,
+            | ExchangeEnd::Abandoned
+            | ExchangeEnd::Withdrawn => None,
         }
     }
 }
--- a/crates/damaskvane-routing/src/retry.rs
+++ b/crates/damaskvane-routing/src/retry.rs
@@ -61,6 +61,7 @@
     sent: u32,
     unreachable: u32,
     may_have_run: bool,
+    was_withdrawn: bool,
 }
 
 impl Progress {
@@ -74,6 +75,7 @@
             sent: 0,
             unreachable: 0,
             may_have_run: false,
+            was_withdrawn: false,
         }
     }
 
@@ -92,6 +94,12 @@
                 self.sent += 1;
                 self.may_have_run = true;
             }
+            // The first withdrawal takes no attempt: the server neither answered nor failed.
+            ExchangeEnd::Withdrawn => {
+                self.sent += self.was_withdrawn as u32;
+                self.may_have_run = true;
+                self.was_withdrawn = true;
+            }
         }
     }
 
@@ -112,6 +120,6 @@
     /// Returns whether the request was written to a server, with or without a response.
     #[must_use]
     pub const fn was_sent(&self) -> bool {
-        self.sent > 0
+        self.sent > 0 || self.was_withdrawn
     }
 }
--- a/crates/damaskvane-routing/tests/retries.rs
+++ b/crates/damaskvane-routing/tests/retries.rs
@@ -11,12 +11,13 @@
 use damaskvane_routing::retry::{self, Progress};
 use support::{at, configuration, placer, pool_of, request, service_id};
 
-const MAY_HAVE_RUN: [ExchangeEnd; 5] = [
+const MAY_HAVE_RUN: [ExchangeEnd; 6] = [
     ExchangeEnd::Broken,
     ExchangeEnd::Malformed,
     ExchangeEnd::Silent,
     ExchangeEnd::Failed,
     ExchangeEnd::Abandoned,
+    ExchangeEnd::Withdrawn,
 ];
 
 /// Guards against a booking that runs twice: its connection breaks after the request was sent, and the server may have
@@ -119,3 +120,17 @@
         None
     );
 }
+
+/// Guards against an idempotent request that is given up although no server answered it: this instance took it back from
+/// its server, and it may run on another one. Taken back a second time, it has used an attempt.
+#[test]
+fn the_first_withdrawal_of_a_request_takes_no_attempt() {
+    let mut progress = Progress::new(RouteKind::Idempotent, 2);
+    progress.record(ExchangeEnd::Withdrawn);
+    assert!(progress.was_sent());
+    assert!(!progress.is_proven_not_run());
+    progress.record(ExchangeEnd::Broken);
+    assert!(progress.may_try_again());
+    progress.record(ExchangeEnd::Withdrawn);
+    assert!(!progress.may_try_again());
+}
