A report of a crash that is sent again accuses no request that completed since

What callers would see: a harmless request of many callers is refused to all of them for ten minutes after two failures of servers. Cause: reports of crashes are sent three times and those of completed runs once. An instance that lost the first report took the second one for news, 400 ms later, although the request had completed there meanwhile: it was no suspect then, so that nothing was remembered. One such instance is enough, since its record in the store counts for all. Now completed runs are remembered for 2 s while there is any suspect. The test failed before.

--- a/crates/damaskvane-dispatch/src/quarantine/list.rs
+++ b/crates/damaskvane-dispatch/src/quarantine/list.rs
@@ -30,6 +30,8 @@
     /// The suspect that this instance runs; no other suspect may run until its run ends.
     running_alone: Option<fingerprint::Fingerprint>,
     trials: trial::Trials,
+    /// When requests completed a short time ago, suspects or not; reports of earlier crashes may still arrive.
+    completed_lately: collections::BTreeMap<fingerprint::Fingerprint, time::TimeMs>,
 }
 
 impl Quarantine {
@@ -43,6 +45,7 @@
             completed: collections::BTreeSet::new(),
             running_alone: None,
             trials: trial::Trials::default(),
+            completed_lately: collections::BTreeMap::new(),
         }
     }
 
@@ -304,8 +307,12 @@
         completed_at: time::TimeMs,
         request: &scope::RequestIdentity,
     ) -> bool {
+        if self.suspects.is_empty() {
+            return false;
+        }
         let mut has_changed = false;
         for scope in scope::Scope::ALL {
+            self.remember_completion(completed_at, request.fingerprint(scope));
             has_changed |= self.clear_until(completed_at, request.fingerprint(scope));
         }
         let of_request = request.fingerprint(scope::Scope::AnyCaller).callers();
@@ -317,6 +324,25 @@
         has_changed
     }
 
+    /// Remembers the completed run of a request that may be no suspect yet.
+    ///
+    /// A report of a crash may be lost and arrive only when it is sent again. Until then the request has completed here,
+    /// and nobody tells this instance of runs that completed elsewhere.
+    fn remember_completion(
+        &mut self,
+        completed_at: time::TimeMs,
+        fingerprint: fingerprint::Fingerprint,
+    ) {
+        let memory = time::SpanMs::new(self.settings.completion_memory_ms);
+        let completions = &mut self.completed_lately;
+        if completions.len() >= self.settings.max_suspects {
+            completions.retain(|_, at| completed_at < *at + memory);
+        }
+        if completions.len() < self.settings.max_suspects {
+            completions.insert(fingerprint, completed_at);
+        }
+    }
+
     fn clear_until(
         &mut self,
         completed_at: time::TimeMs,
@@ -365,6 +391,8 @@
             .retain(|request| suspects.contains_key(&request));
         let retention = time::SpanMs::new(self.settings.suspicion_ms);
         self.cleared.retain(|_, at| now < *at + retention);
+        let memory = time::SpanMs::new(self.settings.completion_memory_ms);
+        self.completed_lately.retain(|_, at| now < *at + memory);
         let cleared = &self.cleared;
         self.completed.retain(|one| cleared.contains_key(one));
         if self
@@ -381,9 +409,11 @@
         fingerprint: fingerprint::Fingerprint,
         age: time::SpanMs,
     ) -> bool {
-        self.cleared
-            .get(&fingerprint)
-            .is_some_and(|cleared| now.since(*cleared) < age)
+        let cleared = self.cleared.get(&fingerprint);
+        let completed = self.completed_lately.get(&fingerprint);
+        cleared
+            .max(completed)
+            .is_some_and(|last| now.since(*last) < age)
     }
 
     fn add_incident(
--- a/crates/damaskvane-dispatch/src/quarantine/settings.rs
+++ b/crates/damaskvane-dispatch/src/quarantine/settings.rs
@@ -33,6 +33,9 @@
     pub trial_turn_ms: u64,
     /// The time in milliseconds after the last crash in which the request runs as a trial at all.
     pub trial_ms: u64,
+    /// How long a completed run of a request is remembered that is no suspect, in milliseconds: longer than a report of a
+    /// crash may take that is lost and sent again.
+    pub completion_memory_ms: u64,
     /// The maximum number of suspects; when it is reached, the suspect that expires first is removed.
     pub max_suspects: usize,
 }
@@ -48,6 +51,7 @@
             trial_crashes: 2,
             trial_turn_ms: 750,
             trial_ms: 1_000,
+            completion_memory_ms: 2_000,
             max_suspects: 4_096,
         }
     }
--- a/crates/damaskvane-dispatch/tests/quarantine_scopes.rs
+++ b/crates/damaskvane-dispatch/tests/quarantine_scopes.rs
@@ -196,3 +196,24 @@
     assert!(quarantine.apply_quarantine_record(at(2_000), of_a));
     assert!(is_caller_refused(&quarantine, 2_001));
 }
+
+/// A report of a crash is lost and arrives when it is sent again. Meanwhile the request has completed here, where it was no
+/// suspect yet. Without a memory of that run the next failure of a rack would refuse the request to all callers.
+#[test]
+fn a_report_that_is_sent_again_accuses_no_request_that_completed_since() {
+    let mut quarantine = new_quarantine();
+    let elsewhere = quarantine::Incident {
+        suspects: vec![fingerprint_of("other").any_caller()],
+        ..crash(1)
+    };
+    let _ = quarantine.record_scoped_incident(at(1_000), Scope::AnyCaller, &elsewhere);
+    quarantine.record_request_completed(at(1_300), &of_caller("b"));
+    let again = quarantine::Incident {
+        age: time::SpanMs::new(420),
+        ..crash(2)
+    };
+    let _ = quarantine.record_scoped_incident(at(1_400), Scope::AnyCaller, &again);
+    assert!(!quarantine.is_suspect(bad()));
+    record(&mut quarantine, 1_600, Scope::AnyCaller, 3);
+    assert!(!is_refused(&quarantine, 1_601));
+}
