--- a/crates/damaskvane-dispatch/src/quarantine.rs
+++ b/crates/damaskvane-dispatch/src/quarantine.rs
@@ -5,7 +5,8 @@
 //! two incidents, on any backend servers, with no completed run after the first. A request may also be suspected
 //! whoever sends it ([`Scope::AnyCaller`]); crashes at the same moment then count once. Suspects run one at a
 //! time ([`QuarantineDecision::RunAlone`]), so that a second incident has no other suspects. A completed
-//! run clears a suspect. Reports of incidents go to every instance of the region. Merging them is
+//! run clears a suspect. After two crashes of a request of any caller, one copy of it runs in the fleet at a time, as a
+//! trial ([`Quarantine::decide_copy`]). Reports of incidents go to every instance of the region. Merging them is
 //! idempotent, since each incident has an id of its own.
 //!
 //! ```
@@ -28,6 +29,7 @@
 //! ```
 
 mod broken;
+mod completions;
 mod copy;
 mod decision;
 mod incident;
--- a/crates/damaskvane-dispatch/src/quarantine/list.rs
+++ b/crates/damaskvane-dispatch/src/quarantine/list.rs
@@ -10,13 +10,14 @@
 //! assert_eq!(list.list(damaskvane_core::time::TimeMs::ZERO).len(), 0);
 //! ```
 
+mod copies;
+
 use std::collections;
 
 use damaskvane_core::{ids, time};
 
 use crate::fingerprint;
-use crate::home;
-use crate::quarantine::{copy, decision, incident, scope, settings, suspect, trial, turn};
+use crate::quarantine::{completions, decision, incident, scope, settings, suspect, trial};
 
 /// The suspects and quarantined requests, by fingerprint.
 #[derive(Debug)]
@@ -31,7 +32,7 @@
     running_alone: Option<fingerprint::Fingerprint>,
     trials: trial::Trials,
     /// When requests completed a short time ago, suspects or not; reports of earlier crashes may still arrive.
-    completed_lately: collections::BTreeMap<fingerprint::Fingerprint, time::TimeMs>,
+    completed_lately: completions::RecentCompletions,
 }
 
 impl Quarantine {
@@ -45,7 +46,7 @@
             completed: collections::BTreeSet::new(),
             running_alone: None,
             trials: trial::Trials::default(),
-            completed_lately: collections::BTreeMap::new(),
+            completed_lately: completions::RecentCompletions::default(),
         }
     }
 
@@ -209,84 +210,6 @@
         decision::QuarantineDecision::RunAlone
     }
 
-    /// Decides whether a copy of a request may run or go on running at the instance `own`.
-    ///
-    /// A copy that runs as a trial keeps others from running until [`Quarantine::record_copy_end`] is called.
-    pub fn decide_copy(
-        &mut self,
-        now: time::TimeMs,
-        own: &home::Home,
-        request: &scope::RequestIdentity,
-        copy: copy::CopyId,
-    ) -> copy::CopyDecision {
-        let fingerprints = scope::Scope::ALL.map(|scope| request.fingerprint(scope));
-        let mut all = fingerprints.into_iter();
-        if all.any(|one| self.refused_for(now, one).is_some()) {
-            return copy::CopyDecision::Hold;
-        }
-        let any_caller = request.fingerprint(scope::Scope::AnyCaller);
-        let suspect = self.suspects.get(&any_caller);
-        let Some(suspect) = suspect else {
-            return copy::CopyDecision::Run;
-        };
-        match suspect.turn(&self.settings, now, own) {
-            turn::Turn::Free => copy::CopyDecision::Run,
-            turn::Turn::Other => copy::CopyDecision::Hold,
-            turn::Turn::Own => {
-                let wave_end = suspect.wave_end(&self.settings);
-                if self.trials.take(now, wave_end, any_caller, copy) {
-                    copy::CopyDecision::RunAsTrial
-                } else {
-                    copy::CopyDecision::Hold
-                }
-            }
-        }
-    }
-
-    /// Records that the connection of a copy broke after the request was written.
-    pub fn record_copy_broken(
-        &mut self,
-        now: time::TimeMs,
-        request: &scope::RequestIdentity,
-        copy: copy::CopyId,
-    ) {
-        let any_caller = request.fingerprint(scope::Scope::AnyCaller);
-        self.trials.record_broken(now, any_caller, copy);
-    }
-
-    /// Records that a copy has ended; returns whether it was the trial, so that another one may run.
-    pub fn record_copy_end(
-        &mut self,
-        request: &scope::RequestIdentity,
-        copy: copy::CopyId,
-    ) -> bool {
-        let any_caller = request.fingerprint(scope::Scope::AnyCaller);
-        self.trials.record_end(any_caller, copy)
-    }
-
-    /// Returns whether instances hold copies of a request of any caller, since it is unknown whether it crashes servers.
-    #[must_use]
-    pub fn is_on_trial(&self, now: time::TimeMs, any_caller: fingerprint::Fingerprint) -> bool {
-        let is_refused = self.refused_for(now, any_caller).is_some();
-        let suspect = self.suspects.get(&any_caller);
-        !is_refused && suspect.is_some_and(|one| one.is_on_trial(&self.settings, now))
-    }
-
-    /// Returns the instance that alone runs a request of any caller; `None` if the request is not on trial, or may be run
-    /// by every instance.
-    #[must_use]
-    pub fn trial_runner(
-        &self,
-        now: time::TimeMs,
-        any_caller: fingerprint::Fingerprint,
-    ) -> Option<&home::Home> {
-        let suspect = self.suspects.get(&any_caller)?;
-        let is_refused = self.refused_for(now, any_caller).is_some();
-        suspect
-            .first_reporter(&self.settings, now)
-            .filter(|_| !is_refused)
-    }
-
     /// Returns the backend servers that a suspect must not be sent to again.
     pub fn servers_to_avoid(
         &self,
@@ -312,8 +235,10 @@
         }
         let mut has_changed = false;
         for scope in scope::Scope::ALL {
-            self.remember_completion(completed_at, request.fingerprint(scope));
-            has_changed |= self.clear_until(completed_at, request.fingerprint(scope));
+            let fingerprint = request.fingerprint(scope);
+            self.completed_lately
+                .record(&self.settings, completed_at, fingerprint);
+            has_changed |= self.clear_until(completed_at, fingerprint);
         }
         let of_request = request.fingerprint(scope::Scope::AnyCaller).callers();
         for (_, other) in self.suspects.range_mut(of_request) {
@@ -324,25 +249,6 @@
         has_changed
     }
 
-    /// Remembers the completed run of a request that may be no suspect yet.
-    ///
-    /// A report of a crash may be lost and arrive only when it is sent again. Until then the request has completed here,
-    /// and nobody tells this instance of runs that completed elsewhere.
-    fn remember_completion(
-        &mut self,
-        completed_at: time::TimeMs,
-        fingerprint: fingerprint::Fingerprint,
-    ) {
-        let memory = time::SpanMs::new(self.settings.completion_memory_ms);
-        let completions = &mut self.completed_lately;
-        if completions.len() >= self.settings.max_suspects {
-            completions.retain(|_, at| completed_at < *at + memory);
-        }
-        if completions.len() < self.settings.max_suspects {
-            completions.insert(fingerprint, completed_at);
-        }
-    }
-
     fn clear_until(
         &mut self,
         completed_at: time::TimeMs,
@@ -391,8 +297,7 @@
             .retain(|request| suspects.contains_key(&request));
         let retention = time::SpanMs::new(self.settings.suspicion_ms);
         self.cleared.retain(|_, at| now < *at + retention);
-        let memory = time::SpanMs::new(self.settings.completion_memory_ms);
-        self.completed_lately.retain(|_, at| now < *at + memory);
+        self.completed_lately.expire(&self.settings, now);
         let cleared = &self.cleared;
         self.completed.retain(|one| cleared.contains_key(one));
         if self
@@ -409,11 +314,11 @@
         fingerprint: fingerprint::Fingerprint,
         age: time::SpanMs,
     ) -> bool {
-        let cleared = self.cleared.get(&fingerprint);
-        let completed = self.completed_lately.get(&fingerprint);
+        let cleared = self.cleared.get(&fingerprint).copied();
+        let completed = self.completed_lately.last(fingerprint);
         cleared
             .max(completed)
-            .is_some_and(|last| now.since(*last) < age)
+            .is_some_and(|last| now.since(last) < age)
     }
 
     fn add_incident(
