Another server is opened once for the proof of a crash, and no further instance is asked for it

Cause: a server that refuses is compared with those that answered last, some of which had crashed in the same moments; for each of these another instance was asked, several round trips each, one server after the other. Now each of them costs one refused connection. Another server that accepts only through another instance was no proof before either: that success is evidence of a partition, which withdraws the proof.

--- a/crates/damaskvane-gateway/src/lib.rs
+++ b/crates/damaskvane-gateway/src/lib.rs
@@ -15,7 +15,7 @@
 //! - [`clients`]: clients' connections, and the processing of their requests.
 //! - [`lookups`]: responses to lookups and readiness checks.
 //! - [`upstream`]: connections to and exchanges with backend servers.
-//! - [`crashes`]: quarantine of requests that crash backend servers.
+//! - [`crashes`]: quarantine and trials of requests that crash backend servers.
 //! - [`http`]: HTTP/1.1 on connections that this instance opened.
 //! - [`store`]: lists, watches and relayed changes of the platform's store.
 //! - [`reach`]: whether this instance itself reaches the backend servers.
--- a/crates/damaskvane-gateway/src/probes/comparison.rs
+++ b/crates/damaskvane-gateway/src/probes/comparison.rs
@@ -5,7 +5,6 @@
 
 use core::time::Duration;
 use std::cell::RefCell;
-use std::io;
 use std::rc::Rc;
 
 use damaskvane_core::ids;
@@ -18,7 +17,7 @@
 use crate::probes;
 use crate::reach;
 use crate::tunnel::Path;
-use crate::upstream;
+use crate::upstream::{self, OpenError};
 
 /// Largest number of servers with which one that refuses connections is compared.
 const MAX_COMPARED: usize = 8;
@@ -69,7 +68,7 @@
         state.pool.comparable_servers(refusing, MAX_COMPARED)
     };
     for other in others {
-        if let Ok((connection, path)) = probes::open(node, &other, CONNECT_TIMEOUT).await {
+        if let Ok((connection, path)) = open(node, &other).await {
             keep(node, &other.id, connection, path);
             return true;
         }
@@ -93,15 +92,19 @@
     let Some(entry) = entry else {
         return true;
     };
-    refuses(node, &entry).await
+    let opened = open(node, &entry).await;
+    opened.is_err_and(|error| error.is_refusal())
 }
 
-/// Returns whether a server refuses a connection. Another instance was asked before, so that it is not asked again.
-async fn refuses(node: &Rc<Node>, entry: &ServerEntry) -> bool {
+/// Opens a connection in the way in which this instance sends requests to the server.
+///
+/// No other instance is asked when the server refuses it, which would take several round trips for each server that
+/// crashed at about the same time.
+async fn open(node: &Rc<Node>, entry: &ServerEntry) -> Result<(http::Connection, Path), OpenError> {
     if reach::needs_tunnel(node, &entry.id) {
-        let opened = probes::open(node, entry, CONNECT_TIMEOUT).await;
-        return opened.is_err_and(|error| error.is_refusal());
+        return probes::open(node, entry, CONNECT_TIMEOUT).await;
     }
     let opened = upstream::open_direct(node, &entry.id, entry.address, CONNECT_TIMEOUT).await;
-    opened.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+    let direct = opened.map(|connection| (connection, Path::Direct));
+    direct.map_err(OpenError::Direct)
 }
