--- a/crates/damaskvane-dispatch/src/quarantine/list.rs
+++ b/crates/damaskvane-dispatch/src/quarantine/list.rs
@@ -270,7 +270,6 @@
     /// Returns `false` if the request was not listed.
     pub fn clear(&mut self, now: time::TimeMs, fingerprint: fingerprint::Fingerprint) -> bool {
         let was_listed = self.suspects.remove(&fingerprint).is_some();
-        self.trials.remove(fingerprint);
         self.cleared.insert(fingerprint, now);
         was_listed
     }
--- a/crates/damaskvane-dispatch/src/quarantine/trial.rs
+++ b/crates/damaskvane-dispatch/src/quarantine/trial.rs
@@ -72,11 +72,6 @@
         was_trial
     }
 
-    /// Removes the trial of a request that is no suspect any more.
-    pub(super) fn remove(&mut self, request: fingerprint::Fingerprint) {
-        self.by_request.remove(&request);
-    }
-
     /// Removes the trials of requests that are no suspects any more.
     pub(super) fn retain(&mut self, is_suspect: impl Fn(fingerprint::Fingerprint) -> bool) {
         self.by_request.retain(|request, _| is_suspect(*request));
