--- a/crates/damaskvane-gateway/src/metrics.rs
+++ b/crates/damaskvane-gateway/src/metrics.rs
@@ -52,7 +52,7 @@
     pub probes: IntCounter,
     /// Crashes of backend servers that were running requests of this instance.
     pub crash_incidents: IntCounter,
-    /// Decisions by which a copy of a request that may crash servers ran alone, as a trial.
+    /// Copies of requests that may crash servers which this instance ran alone, as trials.
     pub trials: IntCounter,
     /// Requests that waited for the result of a trial.
     pub held_requests: IntCounter,
