The limits that servers name are read, logged and counted

Callers notice nothing: no decision uses a limit yet.

Now an instance keeps for each server the limit, the moment of sending of the request whose response decided on it, and when it learned of it; 'server limit' (20 lines a second at most), 'limit_per_s' in 'exchange ended', limited_servers and limit_changes_total show it. Cost on responses without the header: one look into their headers, and no write access to the server.

A response to an earlier request can impose or lower a limit and neither raise nor end it; values that are no decimal number up to a million, or come twice, change nothing.

--- a/crates/damaskvane-gateway/src/clients/routed_request.rs
+++ b/crates/damaskvane-gateway/src/clients/routed_request.rs
@@ -10,6 +10,7 @@
 use damaskvane_core::ids;
 use damaskvane_core::time::TimeMs;
 use damaskvane_routing::configuration::{Configuration, RegionSet, Route};
+use damaskvane_routing::limit::RequestRate;
 use damaskvane_routing::placement::{AnsweredRequest, Choice, Pick, PlacementRequest, SkipReason};
 use damaskvane_routing::pool::ExchangeEnd;
 use damaskvane_routing::retry::{self, Progress};
@@ -22,6 +23,7 @@
 use crate::decision_log::RequestOutcome;
 use crate::node::Node;
 use crate::reach;
+use crate::server_limits;
 use crate::tunnel::Path;
 use crate::upstream::{BackendResponse, Exchange, ExchangeOutcome, OutgoingRequest, ResponseBody};
 
@@ -229,6 +231,7 @@
             RequestOutcome::Failure
         };
         let load = outcome.report.load;
+        let limit = server_limits::known(self.node, &pick.server);
         self.node.log.log_request(now, log_kind, |log, left_out| {
             slog::info!(log, "exchange ended";
                 "request_id" => self.outgoing.request_id.as_deref(),
@@ -240,6 +243,7 @@
                 "was_sent" => pick.was_sent, "remembered_ms" => pick.remembered_ms, "first_ms" => pick.first_ms,
                 "passed_over" => pick.passed_over.map(SkipReason::as_str), "tried" => self.tried.len(),
                 "through" => outcome.path.as_ref().and_then(|path| path.peer()).map(|peer| peer.instance.to_string()),
+                "limit_per_s" => limit.map(RequestRate::per_s),
                 "running" => load.map(|load| load.running), "waiting" => load.map(|load| load.waiting),
                 "left_ms" => self.deadline.since(now).get(),
                 "config_version" => self.configuration.version().get(),
--- a/crates/damaskvane-gateway/src/lib.rs
+++ b/crates/damaskvane-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 //! - `peer_streams`, `framing`: TCP streams between instances: relayed changes of the store, and tunnels.
 //! - [`peers`]: datagrams between instances: heartbeats, digests and reports.
 //! - [`probes`]: health probes of backend servers.
+//! - [`server_limits`]: limits that backend servers name for their requests.
 //! - [`stop`]: the planned stop.
 //! - [`costs`]: counters of transferred bytes and opened connections.
 //! - [`metrics`]: metrics, and the response that exports them.
@@ -48,6 +49,7 @@
 pub mod process;
 pub mod quota;
 pub mod reach;
+pub mod server_limits;
 pub mod settings;
 pub mod stop;
 pub mod store;
--- a/crates/damaskvane-gateway/src/metrics.rs
+++ b/crates/damaskvane-gateway/src/metrics.rs
@@ -66,6 +66,10 @@
     pub carried_tunnels: IntCounterVec,
     /// Tunnels that this instance carries now.
     pub open_carried_tunnels: IntGauge,
+    /// Servers that are known to limit the rate of their requests.
+    pub limited_servers: IntGauge,
+    /// Changes of servers' limits that this instance learned of, by source and kind.
+    pub limit_changes: IntCounterVec,
     /// Datagrams that could not be decoded.
     pub invalid_datagrams: IntCounter,
     /// Clients' lookups that were received.
@@ -155,6 +159,15 @@
                 &["outcome"],
             )?,
             open_carried_tunnels: factory.gauge("carried_tunnels", "Tunnels carried now")?,
+            limited_servers: factory.gauge(
+                "limited_servers",
+                "Servers that limit the rate of their requests",
+            )?,
+            limit_changes: factory.counters(
+                "limit_changes_total",
+                "Changes of servers' limits",
+                &["source", "change"],
+            )?,
             invalid_datagrams: factory
                 .counter("unread_datagrams_total", "Datagrams that are no message")?,
             lookups: factory.counter("look_ups_total", "Look-ups answered")?,
@@ -291,6 +304,9 @@
         metrics.reach.set(state.reach.reach().as_gauge());
         let indirect = state.reach.indirect_servers();
         metrics.indirect_servers.set(indirect as i64);
+        metrics
+            .limited_servers
+            .set(state.pool.limited().len() as i64);
         let carried = node.carried_tunnels.get();
         metrics.open_carried_tunnels.set(carried as i64);
         metrics.update_team_refusals();
--- a/crates/damaskvane-gateway/src/probes.rs
+++ b/crates/damaskvane-gateway/src/probes.rs
@@ -15,6 +15,7 @@
 use crate::node::Node;
 use crate::probes::comparison::Comparison;
 use crate::reach;
+use crate::server_limits;
 use crate::tunnel::{Endpoint, Path};
 use crate::upstream::{self, OpenError, TunnelUse};
 
@@ -176,6 +177,7 @@
         "GET {} HTTP/1.1\r\nhost: {}\r\n\r\n",
         probe.health_path, probe.address
     );
+    let sent_at = node.now();
     connection.write(request.as_bytes()).await.ok()?;
     let head = connection.read_head().await.ok()?;
     let mut body = BodyReader::new(head.body);
@@ -186,6 +188,7 @@
     if !is_itself {
         return Some(ProbeResult::OtherServer);
     }
+    server_limits::record_probe(node, &probe.server, sent_at, &head);
     if head.status != 200 {
         return Some(ProbeResult::Unhealthy);
     }
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -16,6 +16,7 @@
 use crate::http::{self, BodyReader, ResponseHead};
 use crate::node::Node;
 use crate::reach;
+use crate::server_limits;
 use crate::tunnel::{Endpoint, Path};
 use crate::upstream::classify::{
     classify_io_error, classify_read_error, parse_load, retry_after_ms,
@@ -123,6 +124,7 @@
         is_reused: bool,
     ) -> ExchangeOutcome {
         let names = self.node.adapter.headers();
+        let sent_at = self.node.now();
         let bytes = self
             .request
             .to_bytes(names, &self.pick.server, self.remaining().get());
@@ -141,7 +143,7 @@
             may_keep: is_written,
             is_reused,
         };
-        let mut outcome = self.read_response(connection, path, reused).await;
+        let mut outcome = self.read_response(connection, path, sent_at, reused).await;
         outcome.bytes += sent_bytes;
         outcome
     }
@@ -205,6 +207,7 @@
         &self,
         mut connection: http::Connection,
         path: &Path,
+        sent_at: TimeMs,
         Reuse {
             mut may_keep,
             is_reused,
@@ -217,6 +220,7 @@
             };
             reach::record_answered(self.node, path);
             if self.matches_request(&head) {
+                server_limits::record_response(self.node, &self.pick.server, sent_at, &head);
                 return self.finish_response(connection, path, head, may_keep).await;
             }
             // A duplicate response to an earlier request is read and dropped, since the response to this
--- a/crates/damaskvane-routing/src/limit.rs
+++ b/crates/damaskvane-routing/src/limit.rs
@@ -13,9 +13,11 @@
 //! ```
 
 mod cold_rate;
+mod request_rate;
 mod retry_budget;
 mod window;
 
 pub use cold_rate::{ColdRate, ColdRateSettings};
+pub use request_rate::{ParseRateError, RequestRate};
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
 pub use window::Window;
--- /dev/null
+++ b/crates/damaskvane-routing/src/pool/server_limit.rs
@@ -0,0 +1,151 @@
+//! What is known of the limit that a backend server names for its requests, in sum over all instances.
+//!
+//! A server names its limit in each response for as long as the limit holds. Responses to requests that were sent
+//! concurrently arrive in any order, so that the one to the request that was sent last decides.
+
+use damaskvane_core::time::TimeMs;
+
+use crate::limit::RequestRate;
+
+/// What a response says of the limit of the server that sent it.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum LimitStatement {
+    /// Nothing: there is no response, or it is not certain that the server made it.
+    #[default]
+    Nothing,
+    /// The server takes requests without a limit.
+    Unlimited,
+    /// The server takes this rate of requests from all instances together.
+    Limited(RequestRate),
+    /// The server names a limit that is no rate.
+    Unreadable,
+}
+
+/// How an instance learned of a limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LimitSource {
+    /// By the response to a request.
+    Response,
+    /// By the response to a health probe.
+    Probe,
+    /// By another instance.
+    Peer,
+}
+
+impl LimitSource {
+    /// Returns the label for logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Response => "response",
+            Self::Probe => "probe",
+            Self::Peer => "peer",
+        }
+    }
+}
+
+/// A change of what is known, which the caller logs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitChange {
+    /// Limit that was known before.
+    pub before: Option<RequestRate>,
+    /// Limit that is known now; `None` if the server takes requests without a limit.
+    pub after: Option<RequestRate>,
+}
+
+impl LimitChange {
+    /// Returns the label of the change for logs and counters.
+    #[must_use]
+    pub fn as_str(&self) -> &'static str {
+        match (self.before, self.after) {
+            (None, _) => "named",
+            (Some(_), None) => "ended",
+            (Some(before), Some(after)) if after < before => "lowered",
+            (Some(_), Some(_)) => "raised",
+        }
+    }
+}
+
+/// The limit of one server, as far as this instance knows.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ServerLimit {
+    rate: Option<RequestRate>,
+    /// When the last request was sent whose response decided on the limit.
+    as_of: TimeMs,
+    /// Start of the server's incarnation; responses to earlier requests may be another one's.
+    incarnation_at: TimeMs,
+    learned_at: TimeMs,
+}
+
+impl ServerLimit {
+    /// Returns the knowledge about an incarnation of a server of which nothing was heard yet.
+    #[must_use]
+    pub const fn unknown(incarnation_at: TimeMs) -> Self {
+        Self {
+            rate: None,
+            as_of: TimeMs::ZERO,
+            incarnation_at,
+            learned_at: incarnation_at,
+        }
+    }
+
+    /// Returns the limit, or `None` if the server is not known to have one.
+    #[must_use]
+    pub const fn rate(&self) -> Option<RequestRate> {
+        self.rate
+    }
+
+    /// Returns when the request was sent whose response decided on the limit.
+    #[must_use]
+    pub const fn as_of(&self) -> TimeMs {
+        self.as_of
+    }
+
+    /// Returns when this instance learned of the limit, or that there is none.
+    #[must_use]
+    pub const fn learned_at(&self) -> TimeMs {
+        self.learned_at
+    }
+
+    /// Applies a response to a request that was sent at `sent_at`; returns the change, if any.
+    ///
+    /// A response to an earlier request can't end or raise a limit, which was named since. It can impose one: a request
+    /// that runs for long may be the first one whose response names it.
+    pub fn apply_response(
+        &mut self,
+        now: TimeMs,
+        sent_at: TimeMs,
+        statement: LimitStatement,
+    ) -> Option<LimitChange> {
+        if sent_at < self.incarnation_at {
+            return None;
+        }
+        let is_later = sent_at > self.as_of;
+        let rate = match statement {
+            LimitStatement::Nothing | LimitStatement::Unreadable => return None,
+            LimitStatement::Unlimited if !is_later || self.rate.is_none() => return None,
+            LimitStatement::Unlimited => None,
+            LimitStatement::Limited(rate) => {
+                let is_lower = self.rate.is_none_or(|known| rate < known);
+                if sent_at < self.as_of && !is_lower {
+                    return None;
+                }
+                Some(rate)
+            }
+        };
+        self.as_of = self.as_of.max(sent_at);
+        self.replace(now, rate)
+    }
+
+    fn replace(&mut self, now: TimeMs, rate: Option<RequestRate>) -> Option<LimitChange> {
+        let before = core::mem::replace(&mut self.rate, rate);
+        if before == rate {
+            return None;
+        }
+        self.learned_at = now;
+        Some(LimitChange {
+            before,
+            after: rate,
+        })
+    }
+}
--- a/crates/damaskvane-routing/src/pool/server_pool.rs
+++ b/crates/damaskvane-routing/src/pool/server_pool.rs
@@ -150,6 +150,16 @@
         self.servers.get(handle)
     }
 
+    /// Returns the servers that are known to limit the rate of their requests.
+    #[must_use]
+    pub fn limited(&self) -> impl ExactSizeIterator<Item = &Server> {
+        let limited = self.servers.limited().iter();
+        limited.map(|handle| {
+            let server = self.servers.get(*handle);
+            server.expect("an indexed server is in the table")
+        })
+    }
+
     /// Removes and returns at most `max_reports` reports of busy and unhealthy servers, to send to the zone's other
     /// instances.
     ///
--- a/crates/damaskvane-routing/src/pool/server_table.rs
+++ b/crates/damaskvane-routing/src/pool/server_table.rs
@@ -20,6 +20,7 @@
     awaits_probe: bool,
     is_expiring: bool,
     has_unreported_state: bool,
+    has_limit: bool,
 }
 
 impl IndexKeys {
@@ -35,6 +36,7 @@
             awaits_probe: server.liveness.probe_at().is_some(),
             is_expiring: server.expires_at.is_some(),
             has_unreported_state: server.has_unreported_state(),
+            has_limit: server.limit.rate().is_some(),
         }
     }
 }
@@ -59,6 +61,7 @@
     expiring: BTreeSet<ServerHandle>,
     with_unreported_state: BTreeSet<ServerHandle>,
     in_use: BTreeSet<ServerHandle>,
+    limited: BTreeSet<ServerHandle>,
 }
 
 /// Mutable access to a server of the table; dropping this value updates the table's indexes.
@@ -101,6 +104,7 @@
             expiring: BTreeSet::new(),
             with_unreported_state: BTreeSet::new(),
             in_use: BTreeSet::new(),
+            limited: BTreeSet::new(),
         }
     }
 
@@ -187,6 +191,11 @@
         &self.in_use
     }
 
+    /// Returns the servers that are known to limit the rate of their requests.
+    pub(super) const fn limited(&self) -> &BTreeSet<ServerHandle> {
+        &self.limited
+    }
+
     pub(super) fn insert(&mut self, server: Server) {
         let id = server.entry.id.clone();
         let row = Row {
@@ -275,6 +284,7 @@
             after.has_unreported_state,
         );
         set_membership(&mut self.in_use, handle, after.in_flight > 0);
+        set_membership(&mut self.limited, handle, after.has_limit);
     }
 
     fn remove_from_zone(
