--- a/crates/damaskvane-gateway/src/clients/dispatch.rs
+++ b/crates/damaskvane-gateway/src/clients/dispatch.rs
@@ -172,14 +172,16 @@
         right: &right,
         copy: &copy,
         reserved: None,
+        is_next_charged: false,
         failed_response: None,
     }
     .run()
     .await
 }
 
-/// Returns how long a request may wait for a token of its team's quota: afterwards its response would be late.
-fn token_patience(route: &Route) -> SpanMs {
+/// Returns how long a request may wait for tokens of its team's quota or of servers' limits: afterwards its response would
+/// be late.
+pub(super) fn token_patience(route: &Route) -> SpanMs {
     SpanMs::new(route.objective_ms / 2)
 }
 
--- a/crates/damaskvane-gateway/src/clients/routed_request.rs
+++ b/crates/damaskvane-gateway/src/clients/routed_request.rs
@@ -11,19 +11,22 @@
 use damaskvane_core::time::TimeMs;
 use damaskvane_routing::configuration::{Configuration, RegionSet, Route};
 use damaskvane_routing::limit::RequestRate;
-use damaskvane_routing::placement::{AnsweredRequest, Choice, Pick, PlacementRequest, SkipReason};
+use damaskvane_routing::placement::{
+    AnsweredRequest, Choice, Pick, PlacementRequest, Refusal, RefusalReason, SkipReason,
+};
 use damaskvane_routing::pool::ExchangeEnd;
 use damaskvane_routing::retry::{self, Progress};
 use hyper::Response;
 use rand::RngExt;
 
+use crate::clients::dispatch::token_patience;
 use crate::clients::pending::PendingRequest;
 use crate::clients::send_right::SendRight;
 use crate::crashes::{self, RequestCopy};
 use crate::decision_log::RequestOutcome;
 use crate::node::Node;
 use crate::reach;
-use crate::server_limits;
+use crate::server_limits::{self, NoToken, SendPermit};
 use crate::tunnel::Path;
 use crate::upstream::{BackendResponse, Exchange, ExchangeOutcome, OutgoingRequest, ResponseBody};
 
@@ -50,7 +53,9 @@
     pub(super) tried: Vec<ids::BackendServerId>,
     /// The next server, if it was selected and charged to the retry budget before the last exchange was
     /// abandoned.
-    pub(super) reserved: Option<Pick>,
+    pub(super) reserved: Option<(Pick, SendPermit)>,
+    /// Whether the next attempt was charged to the retry budget before.
+    pub(super) is_next_charged: bool,
     /// The right to send the request: its key and its token of the quota.
     pub(super) right: &'a SendRight<'a>,
     /// The client's call as a copy of a request that may crash servers.
@@ -67,19 +72,15 @@
             if let Err(withheld) = self.right.acquire().await {
                 return self.withhold(last, withheld);
             }
-            let pick = match self.reserved.take() {
-                Some(pick) => pick,
-                None => match self.choose() {
-                    Choice::Send(pick) => {
-                        if last.is_some() && !self.spend_retry_budget(last.as_ref()) {
-                            return self.final_response(last);
-                        }
-                        pick
-                    }
-                    Choice::Refuse(refusal) => return self.refuse(last, refusal),
-                },
+            let (pick, permit) = match self.choose_permitted().await {
+                Ok(chosen) => chosen,
+                Err(refusal) => return self.refuse(last, refusal),
             };
-            let Some(mut outcome) = self.attempt(&pick).await else {
+            let is_charged = core::mem::take(&mut self.is_next_charged);
+            if last.is_some() && !is_charged && !self.spend_retry_budget(last.as_ref()) {
+                return self.final_response(last);
+            }
+            let Some(mut outcome) = self.attempt(&pick, &permit).await else {
                 self.tried.push(pick.server);
                 return self.respond_timeout();
             };
@@ -88,6 +89,10 @@
             }
             self.progress.record(outcome.end);
             self.record_exchange(&pick, &outcome);
+            if outcome.end == ExchangeEnd::Limited {
+                self.is_next_charged = last.is_some();
+                continue;
+            }
             if outcome.end == ExchangeEnd::Failed {
                 self.failed_response = outcome.response.take();
             }
@@ -104,23 +109,60 @@
         }
     }
 
+    /// Selects a server and takes the permission to send the request to it. Servers with a limit and without a token for
+    /// the request are passed over; once they have cost much of the time for a useful response, the request is refused.
+    async fn choose_permitted(&mut self) -> Result<(Pick, SendPermit), Refusal> {
+        if let Some(reserved) = self.reserved.take() {
+            return Ok(reserved);
+        }
+        let started = self.node.now();
+        loop {
+            let pick = match self.choose() {
+                Choice::Send(pick) => pick,
+                Choice::Refuse(refusal) => return Err(refusal),
+            };
+            if let Ok(permit) = self.permit(&pick).await {
+                return Ok((pick, permit));
+            }
+            let waited = self.node.now().since(started);
+            if waited > token_patience(self.route) {
+                return Err(self.refuse_limited());
+            }
+        }
+    }
+
+    async fn permit(&self, pick: &Pick) -> Result<SendPermit, NoToken> {
+        let priority = self.placement_request().priority();
+        SendPermit::acquire(self.node, &pick.server, priority).await
+    }
+
+    fn refuse_limited(&self) -> Refusal {
+        let request = self.placement_request();
+        let state = self.node.state.borrow();
+        state.placer.refusal(RefusalReason::Limited, &request)
+    }
+
     fn choose(&self) -> Choice {
         let now = self.node.now();
         let mut state = self.node.state.borrow_mut();
         let state = &mut *state;
         let instances = state.members.max_running_instances();
-        let request = PlacementRequest {
+        let request = self.placement_request();
+        state
+            .placer
+            .choose(now, &state.pool, self.configuration, &request, instances)
+    }
+
+    fn placement_request(&self) -> PlacementRequest<'_> {
+        PlacementRequest {
             route: self.route,
             team: self.right.caller().map(|caller| &*caller.team),
             service: &self.service,
             object: self.object,
             tried: &self.tried,
-            remaining_ms: self.deadline.since(now).get(),
+            remaining_ms: self.deadline.since(self.node.now()).get(),
             spread: rand::rng().random(),
-        };
-        state
-            .placer
-            .choose(now, &state.pool, self.configuration, &request, instances)
+        }
     }
 
     /// Takes one retry from the service's budget; returns whether the next attempt is allowed.
@@ -153,7 +195,7 @@
     }
 
     /// Runs one exchange with the server of `pick`; returns `None` if the request's deadline passes.
-    async fn attempt(&mut self, pick: &Pick) -> Option<ExchangeOutcome> {
+    async fn attempt(&mut self, pick: &Pick, permit: &SendPermit) -> Option<ExchangeOutcome> {
         let started = self.node.now();
         self.pending.record_server(&pick.server);
         let exchange = Exchange {
@@ -164,6 +206,7 @@
             is_retry: self.progress.was_sent(),
             allowed_regions: self.allowed_regions,
             right: self.right,
+            permit,
             withdrawable: self.route.kind.may_run_again().then_some(self.copy),
         };
         let mut running = pin!(exchange.run());
@@ -179,8 +222,9 @@
             if let Ok(outcome) = tokio::time::timeout(timeout, running.as_mut()).await {
                 return Some(outcome);
             }
-            self.reserved = self.reserve_alternative(pick, started);
-            if self.reserved.is_some() {
+            self.reserved = self.reserve_alternative(pick, started).await;
+            self.is_next_charged = self.reserved.is_some();
+            if self.is_next_charged {
                 return Some(ExchangeOutcome::abandoned());
             }
         }
@@ -194,7 +238,11 @@
     /// A server that has stopped responding would use up the deadline, while another server could still
     /// respond to an idempotent request. A server that responds to other requests is only busy: a second
     /// attempt elsewhere would add to the load that made the server late.
-    fn reserve_alternative(&mut self, pick: &Pick, started: TimeMs) -> Option<Pick> {
+    async fn reserve_alternative(
+        &mut self,
+        pick: &Pick,
+        started: TimeMs,
+    ) -> Option<(Pick, SendPermit)> {
         if self.node.stop.is_leaving() || self.has_answered_since(pick, started) {
             return None;
         }
@@ -204,8 +252,9 @@
         let Choice::Send(next) = choice else {
             return None;
         };
+        let permit = self.permit(&next).await.ok()?;
         self.spend_retry_budget(Some(&ExchangeOutcome::abandoned()))
-            .then_some(next)
+            .then_some((next, permit))
     }
 
     fn has_answered_since(&self, pick: &Pick, started: TimeMs) -> bool {
--- a/crates/damaskvane-gateway/src/costs.rs
+++ b/crates/damaskvane-gateway/src/costs.rs
@@ -48,6 +48,10 @@
     Incident,
     /// Changes of the store that are sent to other instances.
     Feed,
+    /// Limits that backend servers name.
+    ServerLimits,
+    /// Tokens of servers with a limit, and requests for them.
+    Tokens,
     /// Tokens of teams' quotas, and requests for them.
     Quota,
     /// Bytes between a backend server and another instance, which this instance copies.
@@ -72,7 +76,7 @@
     (Distance::SameRegion, "region"),
     (Distance::OtherRegion, "far"),
 ];
-const FLOWS: [(Flow, &str); 13] = [
+const FLOWS: [(Flow, &str); 15] = [
     (Flow::Placed, "placed"),
     (Flow::Overflow, "overflow"),
     (Flow::Retry, "retry"),
@@ -84,6 +88,8 @@
     (Flow::PopularityDecisions, "verdicts"),
     (Flow::Incident, "incident"),
     (Flow::Feed, "feed"),
+    (Flow::ServerLimits, "limits"),
+    (Flow::Tokens, "tokens"),
     (Flow::Quota, "quota"),
     (Flow::Tunnel, "tunnel"),
 ];
--- a/crates/damaskvane-gateway/src/metrics.rs
+++ b/crates/damaskvane-gateway/src/metrics.rs
@@ -70,6 +70,8 @@
     pub limited_servers: IntGauge,
     /// Changes of servers' limits that this instance learned of, by source and kind.
     pub limit_changes: IntCounterVec,
+    /// Requests for tokens of servers with a limit, by outcome.
+    pub limit_tokens: IntCounterVec,
     /// Datagrams that could not be decoded.
     pub invalid_datagrams: IntCounter,
     /// Clients' lookups that were received.
@@ -168,6 +170,11 @@
                 "Changes of servers' limits",
                 &["source", "change"],
             )?,
+            limit_tokens: factory.counters(
+                "limit_tokens_total",
+                "Tokens of servers with a limit asked for",
+                &["outcome"],
+            )?,
             invalid_datagrams: factory
                 .counter("unread_datagrams_total", "Datagrams that are no message")?,
             lookups: factory.counter("look_ups_total", "Look-ups answered")?,
--- a/crates/damaskvane-gateway/src/node.rs
+++ b/crates/damaskvane-gateway/src/node.rs
@@ -26,7 +26,9 @@
 use crate::decision_log::DecisionLog;
 use crate::evidence::Evidence;
 use crate::metrics::Metrics;
+use crate::peers::Outbox;
 use crate::quota::Quotas;
+use crate::server_limits::ServerTokens;
 use crate::settings::GatewaySettings;
 use crate::stop::Stop;
 use crate::store::{Feed, Journal, StoreHealth};
@@ -76,8 +78,12 @@
     pub store: StoreHealth,
     /// Proof that the configuration of this instance is the newest one.
     pub evidence: Evidence,
+    /// Messages to other instances that are sent as soon as possible.
+    pub outbox: Outbox,
     /// Tokens of teams' quotas.
     pub quotas: Quotas,
+    /// Tokens of servers with a limit.
+    pub(crate) server_tokens: ServerTokens,
     /// Recent changes of the store, to be sent to other instances of the zone.
     pub journal: Journal,
     /// Changes of the store that were received from a relay and not yet applied.
@@ -158,7 +164,9 @@
             stop: Stop::default(),
             store: StoreHealth::default(),
             evidence: Evidence::default(),
+            outbox: Outbox::default(),
             quotas,
+            server_tokens: ServerTokens::default(),
             journal: Journal::default(),
             feed: Feed::default(),
             crashes: CrashTracker::default(),
--- a/crates/damaskvane-gateway/src/peers.rs
+++ b/crates/damaskvane-gateway/src/peers.rs
@@ -4,10 +4,14 @@
 //! Each heartbeat replaces the one before, so that a lost heartbeat need not be sent again. With datagrams, a peer
 //! that reads slowly can't block the sender.
 
+mod incoming;
+mod limit_wire;
 mod message;
 mod message_wire;
+mod outbox;
 mod outgoing;
 mod quota_wire;
+mod token_wire;
 
 use core::time::Duration;
 use std::io;
@@ -20,11 +24,10 @@
 use tokio::net::UdpSocket;
 
 pub use message::Message;
+pub use outbox::Outbox;
 
 use crate::costs::Distance;
-use crate::crashes;
 use crate::node::{Node, State};
-use crate::quota;
 use crate::stop::StopPhase;
 
 /// Interval between two server reports, multiplied by the number of recipients: an instance sends at the same rate in
@@ -52,8 +55,6 @@
 ///
 /// With the short interval, this instance and its peers discover each other before this instance accepts clients.
 const STARTUP_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
-/// Largest datagram in bytes.
-const MAX_DATAGRAM_BYTES: usize = 1_400;
 
 /// Sends heartbeats and digests and starts the other tasks of this module, until the process ends.
 ///
@@ -62,7 +63,7 @@
 /// Fails if the peer address can't be bound.
 pub async fn run(node: Rc<Node>) -> io::Result<()> {
     let socket = Rc::new(UdpSocket::bind(node.settings().peer_address).await?);
-    tokio::task::spawn_local(receive(Rc::clone(&node), Rc::clone(&socket)));
+    tokio::task::spawn_local(incoming::receive(Rc::clone(&node), Rc::clone(&socket)));
     tokio::task::spawn_local(send_server_reports(Rc::clone(&node), Rc::clone(&socket)));
     tokio::task::spawn_local(outgoing::send_crash_notices(
         Rc::clone(&node),
@@ -72,10 +73,7 @@
         Rc::clone(&node),
         Rc::clone(&socket),
     ));
-    tokio::task::spawn_local(outgoing::send_quota_messages(
-        Rc::clone(&node),
-        Rc::clone(&socket),
-    ));
+    tokio::task::spawn_local(outgoing::send_queued(Rc::clone(&node), Rc::clone(&socket)));
     tokio::task::spawn_local(exchange_popularity(Rc::clone(&node), Rc::clone(&socket)));
     let period = Duration::from_millis(node.settings().peers().heartbeat_ms);
     let mut phases = node.stop.subscribe();
@@ -263,136 +261,3 @@
         let _ = socket.send_to(&bytes, recipient).await;
     }
 }
-
-async fn receive(node: Rc<Node>, socket: Rc<UdpSocket>) {
-    let mut buffer = [0; MAX_DATAGRAM_BYTES];
-    loop {
-        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
-            // The error means that an earlier datagram had no receiver; the socket remains usable.
-            continue;
-        };
-        match Message::decode(&buffer[..length]) {
-            Some(Message::Heartbeat(heartbeat)) => {
-                reply_to_heartbeat(&node, &socket, &heartbeat).await;
-                if apply_heartbeat(&node, heartbeat.clone()) {
-                    send_introduction(&node, &socket, &heartbeat).await;
-                }
-            }
-            Some(Message::Digest {
-                is_forwarded,
-                digest,
-            }) => {
-                if !is_forwarded {
-                    let message = Message::Digest {
-                        is_forwarded: true,
-                        digest: digest.clone(),
-                    };
-                    forward_in_zone(&node, &socket, &message).await;
-                }
-                let now = node.now();
-                node.state.borrow_mut().members.apply_digest(now, &digest);
-            }
-            Some(Message::MembershipUpdate {
-                is_forwarded,
-                heartbeats,
-            }) => {
-                if !is_forwarded {
-                    let message = Message::MembershipUpdate {
-                        is_forwarded: true,
-                        heartbeats: heartbeats.clone(),
-                    };
-                    forward_in_zone(&node, &socket, &message).await;
-                }
-                for heartbeat in heartbeats {
-                    apply_heartbeat(&node, heartbeat);
-                }
-            }
-            Some(Message::Incident(incident)) => crashes::apply_peer_incident(&node, &incident),
-            Some(Message::Completed { request, age }) => {
-                crashes::apply_peer_completion(&node, &request, age);
-            }
-            Some(Message::ServerReports(reports)) => {
-                let now = node.now();
-                node.state
-                    .borrow_mut()
-                    .pool
-                    .apply_server_reports(now, &reports);
-            }
-            Some(Message::PopularityReport(report)) => {
-                let now = node.now();
-                let mut state = node.state.borrow_mut();
-                if state.members.is_aggregator(now) {
-                    state.placer.apply_popularity_report(now, &report);
-                }
-            }
-            Some(Message::PopularityDecisions {
-                aggregator,
-                decisions,
-                moves,
-            }) => {
-                let now = node.now();
-                let placer = &mut node.state.borrow_mut().placer;
-                placer.apply_popularity_decisions(now, &aggregator, &decisions, &moves);
-            }
-            Some(Message::Quota(message)) => quota::handle_message(&node, from, message),
-            None => node.metrics.invalid_datagrams.inc(),
-        }
-    }
-}
-
-/// Replies with this instance's heartbeat to a starting instance, which may know no other instance.
-async fn reply_to_heartbeat(node: &Node, socket: &UdpSocket, heartbeat: &Heartbeat) {
-    let own = node
-        .state
-        .borrow()
-        .members
-        .reply_to_heartbeat(heartbeat)
-        .cloned();
-    if let Some(own) = own {
-        let recipients = [heartbeat.peer_address];
-        send(node, socket, &Message::Heartbeat(own), &recipients).await;
-    }
-}
-
-/// Sends the heartbeats of other zones' instances to an instance of this zone that has just started.
-async fn send_introduction(node: &Node, socket: &UdpSocket, heartbeat: &Heartbeat) {
-    let now = node.now();
-    let introduction = node
-        .state
-        .borrow()
-        .members
-        .heartbeats_for_new_instance(now, heartbeat);
-    for heartbeats in introduction.chunks(MAX_HEARTBEATS_PER_UPDATE) {
-        let message = Message::MembershipUpdate {
-            is_forwarded: true,
-            heartbeats: heartbeats.to_vec(),
-        };
-        send(node, socket, &message, &[heartbeat.peer_address]).await;
-    }
-}
-
-/// Applies a heartbeat; returns whether the instance is new or was started again.
-fn apply_heartbeat(node: &Node, heartbeat: Heartbeat) -> bool {
-    let instance = heartbeat.instance.clone();
-    let phase = heartbeat.phase;
-    let now = node.now();
-    let is_new = node
-        .state
-        .borrow_mut()
-        .members
-        .apply_heartbeat(now, heartbeat);
-    if is_new {
-        slog::info!(node.log.log, "instance started";
-            "peer" => %instance, "phase" => ?phase);
-    }
-    is_new
-}
-
-/// Forwards a message from another zone to the instances of this zone, if this instance is an aggregator.
-async fn forward_in_zone(node: &Node, socket: &UdpSocket, message: &Message) {
-    let now = node.now();
-    let recipients = node.state.borrow().members.digest_forward_recipients(now);
-    if !recipients.is_empty() {
-        send(node, socket, message, &recipients).await;
-    }
-}
--- a/crates/damaskvane-gateway/src/peers/message.rs
+++ b/crates/damaskvane-gateway/src/peers/message.rs
@@ -8,14 +8,15 @@
 use damaskvane_dispatch::quarantine::{Incident, RequestIdentity};
 use damaskvane_routing::peers::{Digest, Heartbeat};
 use damaskvane_routing::placement::{ObjectMove, PopularityDecision, PopularityReport};
-use damaskvane_routing::pool::PeerServerReport;
+use damaskvane_routing::pool::{PeerLimitReport, PeerServerReport};
 
 use crate::costs::Flow;
 use crate::peers::message_wire::Wire;
 use crate::quota::QuotaMessage;
+use crate::server_limits::TokenMessage;
 
 /// First field of each datagram; identifies the protocol and its version, and changes whenever a message changes.
-const MAGIC: u32 = 0x6476_7036;
+const MAGIC: u32 = 0x6476_7037;
 
 /// A message from one entry instance to another.
 #[derive(Debug, Clone)]
@@ -59,8 +60,12 @@
         /// Popular objects that use another server than the first one of their ring.
         moves: Vec<ObjectMove>,
     },
+    /// Limits on their requests that backend servers name, or that they have none any more.
+    ServerLimits(Vec<PeerLimitReport>),
     /// Tokens of a team's quota, or a request for them.
     Quota(QuotaMessage),
+    /// Tokens of a backend server with a limit, or a request for them.
+    Token(TokenMessage),
 }
 
 impl Message {
@@ -75,7 +80,9 @@
             Self::ServerReports(_) => Flow::ServerReports,
             Self::PopularityReport(_) => Flow::PopularityReport,
             Self::PopularityDecisions { .. } => Flow::PopularityDecisions,
+            Self::ServerLimits(_) => Flow::ServerLimits,
             Self::Quota(_) => Flow::Quota,
+            Self::Token(_) => Flow::Tokens,
         }
     }
 
--- a/crates/damaskvane-gateway/src/peers/message_wire.rs
+++ b/crates/damaskvane-gateway/src/peers/message_wire.rs
@@ -11,7 +11,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::peers::Message;
+use crate::peers::limit_wire::LimitWire;
 use crate::peers::quota_wire::QuotaWire;
+use crate::peers::token_wire::TokenWire;
 
 /// A message in its encoded form.
 #[derive(Debug, Serialize, Deserialize)]
@@ -46,6 +48,8 @@
         moves: Vec<(u32, u8)>,
     },
     Quota(QuotaWire),
+    ServerLimits(Vec<LimitWire>),
+    Token(TokenWire),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -137,7 +141,11 @@
                     .collect(),
                 moves: moves.iter().map(|one| (one.object, one.steps)).collect(),
             },
+            Message::ServerLimits(reports) => {
+                Self::ServerLimits(reports.iter().map(LimitWire::of).collect())
+            }
             Message::Quota(message) => Self::Quota(QuotaWire::of(message)),
+            Message::Token(message) => Self::Token(TokenWire::of(message)),
         }
     }
 
@@ -191,7 +199,13 @@
                     })
                     .collect(),
             },
+            Self::ServerLimits(limits) => {
+                // Skips limits that are no rate; the others are valid.
+                let reports = limits.into_iter().filter_map(LimitWire::into_report);
+                Message::ServerLimits(reports.collect())
+            }
             Self::Quota(message) => Message::Quota(message.into_message()),
+            Self::Token(message) => Message::Token(message.into_message()?),
         })
     }
 }
--- a/crates/damaskvane-gateway/src/peers/outgoing.rs
+++ b/crates/damaskvane-gateway/src/peers/outgoing.rs
@@ -1,4 +1,4 @@
-//! Sends the messages that other modules hand over: notices about crashes, and tokens of quotas.
+//! Sends the messages that other modules hand over, and notices about crashes.
 
 use core::time::Duration;
 use std::rc::Rc;
@@ -20,11 +20,10 @@
 /// Largest delay of the message that a suspect completed, in milliseconds; well below the length of a wave of crashes.
 const MAX_COMPLETION_DELAY_MS: u64 = 100;
 
-/// Sends requests for tokens of quotas and the replies to them, until the process ends.
-pub(super) async fn send_quota_messages(node: Rc<Node>, socket: Rc<UdpSocket>) {
-    while let Ok(outgoing) = node.quotas.outgoing().recv_async().await {
-        let message = Message::Quota(outgoing.message);
-        peers::send(&node, &socket, &message, &[outgoing.recipient]).await;
+/// Sends the queued messages, until the process ends.
+pub(super) async fn send_queued(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    while let Ok(outgoing) = node.outbox.queue().recv_async().await {
+        peers::send(&node, &socket, &outgoing.message, &outgoing.recipients).await;
     }
 }
 
--- a/crates/damaskvane-gateway/src/quota.rs
+++ b/crates/damaskvane-gateway/src/quota.rs
@@ -16,7 +16,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net;
 use std::rc::Rc;
 
 use damaskvane_core::ids;
@@ -27,15 +26,6 @@
 
 use crate::quota::round::Round;
 
-/// A message to another instance.
-#[derive(Debug)]
-pub struct Outgoing {
-    /// The message.
-    pub message: QuotaMessage,
-    /// Address at which the recipient receives messages of other instances.
-    pub recipient: net::SocketAddr,
-}
-
 /// The pools of this instance, and its pending requests for tokens of other instances.
 #[derive(Debug)]
 pub struct Quotas {
@@ -43,8 +33,6 @@
     pub pools: RefCell<TokenPools>,
     /// Which instance holds the pools of each zone.
     pub holders: RefCell<Rc<HolderTable>>,
-    sender: flume::Sender<Outgoing>,
-    outgoing: flume::Receiver<Outgoing>,
     last_id: Cell<u32>,
     pending: RefCell<HashMap<u32, oneshot::Sender<QuotaReply>>>,
     /// Instances that didn't reply in time, each with the time until which they are not asked again.
@@ -56,12 +44,9 @@
     /// Creates empty pools that earn tokens from the start of the clock on.
     #[must_use]
     pub fn new(settings: QuotaSettings) -> Self {
-        let (sender, outgoing) = flume::unbounded();
         Self {
             pools: RefCell::new(TokenPools::new(settings, TimeMs::ZERO)),
             holders: RefCell::default(),
-            sender,
-            outgoing,
             // A late reply to an earlier process must not pass for a reply to this one.
             last_id: Cell::new(rand::random()),
             pending: RefCell::default(),
@@ -70,16 +55,6 @@
         }
     }
 
-    /// Returns the messages to other instances.
-    pub const fn outgoing(&self) -> &flume::Receiver<Outgoing> {
-        &self.outgoing
-    }
-
-    fn send(&self, message: QuotaMessage, recipient: net::SocketAddr) {
-        // The receiver lives as long as this value.
-        let _ = self.sender.send(Outgoing { message, recipient });
-    }
-
     fn next_id(&self) -> u32 {
         let id = self.last_id.get().wrapping_add(1);
         self.last_id.set(id);
--- a/crates/damaskvane-gateway/src/quota/client.rs
+++ b/crates/damaskvane-gateway/src/quota/client.rs
@@ -11,6 +11,7 @@
 use tokio::sync::oneshot;
 
 use crate::node::Node;
+use crate::peers::Message;
 use crate::quota::token::{QuotaMessage, QuotaReply, QuotaRequest, Token, TokenUse};
 use crate::quota::{lending, service};
 
@@ -86,8 +87,8 @@
     let holders = Rc::clone(&node.quotas.holders.borrow());
     let mut of_team = holders.holders(token.team);
     if let Some((_, holder)) = of_team.find(|(_, holder)| holder.instance == token.holder) {
-        let message = QuotaMessage::Return(token.team);
-        node.quotas.send(message, holder.peer_address);
+        let message = Message::Quota(QuotaMessage::Return(token.team));
+        node.outbox.send(message, vec![holder.peer_address]);
     }
 }
 
@@ -174,8 +175,8 @@
             millitokens,
             token_use,
         };
-        let message = QuotaMessage::Request(request);
-        node.quotas.send(message, holder.peer_address);
+        let message = Message::Quota(QuotaMessage::Request(request));
+        node.outbox.send(message, vec![holder.peer_address]);
         Self {
             node: Rc::clone(node),
             holder: holder.instance.clone(),
--- a/crates/damaskvane-gateway/src/quota/service.rs
+++ b/crates/damaskvane-gateway/src/quota/service.rs
@@ -7,6 +7,7 @@
 use damaskvane_routing::teams::{Quota, TeamKey};
 
 use crate::node::Node;
+use crate::peers::Message;
 use crate::quota::lending;
 use crate::quota::token::{QuotaMessage, QuotaReply, QuotaRequest, TokenUse};
 
@@ -86,5 +87,6 @@
         millitokens,
         retry_after_ms,
     };
-    node.quotas.send(QuotaMessage::Reply(reply), to);
+    let message = Message::Quota(QuotaMessage::Reply(reply));
+    node.outbox.send(message, vec![to]);
 }
--- a/crates/damaskvane-gateway/src/server_limits.rs
+++ b/crates/damaskvane-gateway/src/server_limits.rs
@@ -1,4 +1,23 @@
 //! Limits that backend servers name for their requests, in sum over all instances.
+//!
+//! A limit is recorded from the first response that names it on. From then on each request to the server needs a token
+//! (`permit`), whatever it is sent for.
+
+mod asking;
+mod holders;
+mod message;
+mod permit;
+mod reports;
+mod service;
+mod tokens;
+
+pub use message::{LeaseRequest, LimitClaim, TokenMessage, TokenOutcome, TokenReply, TokenRequest};
+pub(crate) use permit::{NoToken, SendPermit};
+pub(crate) use reports::apply_peer_report;
+pub(crate) use service::handle_message;
+pub(crate) use tokens::ServerTokens;
+
+use std::rc::Rc;
 
 use damaskvane_core::ids;
 use damaskvane_core::time::TimeMs;
@@ -16,7 +35,7 @@
 
 /// Records what a response to a request that was sent at `sent_at` says of its server's limit.
 pub(crate) fn record_response(
-    node: &Node,
+    node: &Rc<Node>,
     server: &ids::BackendServerId,
     sent_at: TimeMs,
     head: &ResponseHead,
@@ -40,7 +59,7 @@
 ///
 /// Only a client's request ends a limit: not every server names it in responses to probes.
 pub(crate) fn record_probe(
-    node: &Node,
+    node: &Rc<Node>,
     server: &ids::BackendServerId,
     sent_at: TimeMs,
     head: &ResponseHead,
@@ -66,7 +85,7 @@
 }
 
 fn record(
-    node: &Node,
+    node: &Rc<Node>,
     server: &ids::BackendServerId,
     sent_at: TimeMs,
     statement: LimitStatement,
@@ -93,6 +112,7 @@
     drop(state);
     if let Some(change) = change {
         log_change(node, server, sent_at, change, source);
+        tokio::task::spawn_local(reports::announce(Rc::clone(node), server.clone()));
     }
 }
 
--- a/crates/damaskvane-gateway/src/store/register.rs
+++ b/crates/damaskvane-gateway/src/store/register.rs
@@ -16,6 +16,9 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time after its first listing from which an instance holds pools of quotas.
 const NEW_HOLDER_WAIT: SpanMs = SpanMs::new(5_000);
+/// Time after its first listing from which an instance has shares of servers' tokens: it takes one of several from an
+/// instance that has not read its record yet, and that share begins empty.
+const NEW_SHARES_WAIT: SpanMs = SpanMs::new(1_500);
 /// Delay after a failed write.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Delays between reads of the zone's records while this instance has no source of the store's changes. Instances that
@@ -62,8 +65,11 @@
     match client.call(&create, CALL_TIMEOUT).await {
         Ok(_) => {
             // Until all others know of this instance, one of them may still hold its pools.
-            let from = node.continuous_now() + NEW_HOLDER_WAIT;
-            node.quotas.pools.borrow_mut().earn_from(from);
+            let now = node.continuous_now();
+            let mut pools = node.quotas.pools.borrow_mut();
+            pools.earn_from(now + NEW_HOLDER_WAIT);
+            let mut shares = node.server_tokens.shares.borrow_mut();
+            shares.earn_from(now + NEW_SHARES_WAIT);
             Ok(())
         }
         // The store has a record from an earlier start of this instance's process.
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -16,7 +16,7 @@
 use crate::http::{self, BodyReader, ResponseHead};
 use crate::node::Node;
 use crate::reach;
-use crate::server_limits;
+use crate::server_limits::{self, SendPermit};
 use crate::tunnel::{Endpoint, Path};
 use crate::upstream::classify::{
     classify_io_error, classify_read_error, parse_load, retry_after_ms,
@@ -65,6 +65,8 @@
     pub allowed_regions: &'a RegionSet,
     /// The right to send the request, which is checked at the moment of sending.
     pub(crate) right: &'a SendRight<'a>,
+    /// The permission to send a request to the server, which is used at the moment of sending.
+    pub(crate) permit: &'a SendPermit,
     /// The client's call, by which the request may be withdrawn; `None` if the request may not be sent again.
     pub withdrawable: Option<&'a RequestCopy<'a>>,
 }
@@ -98,18 +100,22 @@
             return ExchangeOutcome::no_response(ExchangeEnd::Unreachable);
         };
         running_path.replace(Some(path.clone()));
+        if self.permit.renew().await.is_err() {
+            return self.unsent(connection, &path, is_reused, ExchangeEnd::Limited);
+        }
         let token = match self.right.redeem().await {
             Ok(token) => token,
             Err(withheld) => {
-                if !is_reused {
-                    self.keep(connection, None, &path);
-                }
                 return ExchangeOutcome {
                     withheld: Some(withheld),
-                    ..ExchangeOutcome::no_response(ExchangeEnd::Withheld)
+                    ..self.unsent(connection, &path, is_reused, ExchangeEnd::Withheld)
                 };
             }
         };
+        if !self.permit.redeem() {
+            self.right.restore(token);
+            return self.unsent(connection, &path, is_reused, ExchangeEnd::Limited);
+        }
         let outcome = self.send(connection, &path, is_reused).await;
         if matches!(outcome.end, ExchangeEnd::Shed | ExchangeEnd::Misdirected) {
             self.right.restore(token);
@@ -117,6 +123,20 @@
         outcome
     }
 
+    /// Returns the outcome of an exchange in which nothing was written; a new connection is kept for other requests.
+    fn unsent(
+        &self,
+        connection: http::Connection,
+        path: &Path,
+        is_reused: bool,
+        end: ExchangeEnd,
+    ) -> ExchangeOutcome {
+        if !is_reused {
+            self.keep(connection, None, path);
+        }
+        ExchangeOutcome::no_response(end)
+    }
+
     async fn send(
         &self,
         mut connection: http::Connection,
--- a/crates/damaskvane-gateway/tests/datagrams.rs
+++ b/crates/damaskvane-gateway/tests/datagrams.rs
@@ -6,11 +6,17 @@
 use damaskvane_dispatch::quarantine::{Incident, IncidentId, RequestIdentity};
 use damaskvane_gateway::crashes;
 use damaskvane_gateway::peers::Message;
+use damaskvane_gateway::server_limits::{
+    LeaseRequest, LimitClaim, TokenMessage, TokenOutcome, TokenReply, TokenRequest,
+};
+use damaskvane_routing::limit::RequestRate;
 use damaskvane_routing::peers::{Digest, DigestEntry, Heartbeat, IncarnationKey, Phase};
 use damaskvane_routing::placement::{
     ObjectMove, ObjectSample, POPULARITY_STEPS, PopularityDecision, RouteKey,
 };
-use damaskvane_routing::pool::{LoadReport, PeerHealthReport, PeerServerReport, ServerKey};
+use damaskvane_routing::pool::{
+    LoadReport, PeerHealthReport, PeerLimitReport, PeerServerReport, ServerKey,
+};
 use proptest::prelude::*;
 
 /// Largest datagram that an instance receives, in bytes.
@@ -124,7 +130,48 @@
     }
 }
 
-fn messages() -> [Message; 8] {
+fn server_limits() -> Message {
+    let report = |number: u32| PeerLimitReport {
+        server: ServerKey::from_wire(u32::MAX - number),
+        rate: RequestRate::new(4.5).filter(|_| !number.is_multiple_of(3)),
+        age: SpanMs::new(u64::MAX),
+    };
+    Message::ServerLimits((0..48).map(report).collect())
+}
+
+fn claim() -> LimitClaim {
+    LimitClaim {
+        server: ServerKey::from_wire(u32::MAX),
+        rate: RequestRate::new(0.3).expect("a rate"),
+        age: SpanMs::new(300),
+    }
+}
+
+fn token_request() -> Message {
+    Message::Token(TokenMessage::Request(TokenRequest {
+        id: u32::MAX,
+        claim: claim(),
+        priority: 2,
+        is_relayed: true,
+    }))
+}
+
+fn lease_request() -> Message {
+    Message::Token(TokenMessage::Lease(LeaseRequest {
+        id: 1,
+        claim: claim(),
+        instance: "an-instance-with-a-rather-long-name-1"
+            .parse()
+            .expect("a name"),
+    }))
+}
+
+fn token_reply() -> Message {
+    let outcome = TokenOutcome::Lent { millitokens: 1_330 };
+    Message::Token(TokenMessage::Reply(TokenReply { id: 7, outcome }))
+}
+
+fn messages() -> [Message; 12] {
     [
         heartbeat(),
         digest(64),
@@ -134,6 +181,10 @@
         membership_update(),
         popularity_report(),
         popularity_decisions(),
+        server_limits(),
+        token_request(),
+        lease_request(),
+        token_reply(),
     ]
 }
 
--- a/crates/damaskvane-routing/src/peers/member_table.rs
+++ b/crates/damaskvane-routing/src/peers/member_table.rs
@@ -73,14 +73,18 @@
         zone: &ids::AvailabilityZoneId,
         has_phase: impl Fn(Phase) -> bool,
     ) -> impl Iterator<Item = &Heartbeat> {
-        let alive = self.of_zone(zone).filter(move |member| {
-            let is_own = member.heartbeat.instance == self.own;
-            let is_alive = now.since(member.received_at).get() < self.heartbeat_timeout_ms(member);
-            has_phase(member.heartbeat.phase) && (is_own || is_alive)
-        });
+        let alive = self
+            .of_zone(zone)
+            .filter(move |member| has_phase(member.heartbeat.phase) && self.is_alive(now, member));
         alive.map(|member| &member.heartbeat)
     }
 
+    /// Returns whether the last heartbeat of a member is newer than the timeout of its zone, or it is this instance.
+    pub(super) fn is_alive(&self, now: TimeMs, member: &Member) -> bool {
+        let is_own = member.heartbeat.instance == self.own;
+        is_own || now.since(member.received_at).get() < self.heartbeat_timeout_ms(member)
+    }
+
     /// Returns the live instances of a zone that accept clients, in the order of their names.
     pub(super) fn accepting_in(
         &self,
--- a/crates/damaskvane-routing/src/peers/members/usable.rs
+++ b/crates/damaskvane-routing/src/peers/members/usable.rs
@@ -25,6 +25,13 @@
         others.map(|one| (one, self.regions.get(&one.zone)))
     }
 
+    /// Returns whether an instance is alive, in any phase.
+    #[must_use]
+    pub fn is_alive(&self, now: TimeMs, instance: &ids::InstanceId) -> bool {
+        let member = self.members.get(instance);
+        member.is_some_and(|member| self.members.is_alive(now, member))
+    }
+
     /// Returns whether an instance is alive and accepts clients.
     #[must_use]
     pub fn accepts_clients(&self, now: TimeMs, instance: &ids::InstanceId) -> bool {
--- a/crates/damaskvane-routing/src/placement/choice.rs
+++ b/crates/damaskvane-routing/src/placement/choice.rs
@@ -12,6 +12,8 @@
 pub enum SkipReason {
     /// The server is cold and has received the requests that this instance may send to it in this second.
     Cold,
+    /// The server limits the rate of its requests, and this instance gets no token for it now.
+    Limited,
     /// The server's load is at the limit for the request's priority.
     Full,
     /// A request to the server has been waiting for its response far longer than usual.
@@ -32,6 +34,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Cold => "cold",
+            Self::Limited => "limited",
             Self::Full => "full",
             Self::Stalled => "stalled",
             Self::Failing => "failing",
@@ -81,6 +84,8 @@
     /// Only cold servers have capacity, and they have received the requests that this instance may send to them in this
     /// second.
     Cold,
+    /// Servers limit the rate of their requests, and the others have no capacity.
+    Limited,
     /// No response is possible before the request's deadline.
     TooLate,
 }
@@ -93,6 +98,7 @@
             Self::NoServer => "no_server",
             Self::Overloaded => "overloaded",
             Self::Cold => "cold",
+            Self::Limited => "limited",
             Self::TooLate => "too_late",
         }
     }
--- a/crates/damaskvane-routing/src/placement/placer.rs
+++ b/crates/damaskvane-routing/src/placement/placer.rs
@@ -26,6 +26,9 @@
 /// Maximum number of candidates for a request without an object, or for a request whose usual servers have no capacity
 /// because they are cold.
 const MAX_CANDIDATES: usize = 12;
+/// Factor by which the random part of the retry delay is longer for requests that only servers with limits could run: those
+/// servers have capacity again bit by bit.
+const LIMITED_SPREAD_FACTOR: f64 = 4.0;
 
 /// Selects a backend server of the pool for each request of this instance.
 #[derive(Debug)]
@@ -203,18 +206,16 @@
         let usable = candidates.usable(now, pool, search);
         let selection = self.selection(now, pool, request, cold_share);
         let mut best = selection.best_of(usable, 0);
-        if best == Err(RefusalReason::Cold) {
-            // If only the rate limit of cold servers excludes the usual servers, a server that has not handled the
-            // object recently is better than no response: few servers are cold, and only for a short time.
-            let considered = usable.len();
+        if matches!(best, Err(RefusalReason::Cold | RefusalReason::Limited)) {
+            // If limits on the rate of requests exclude the usual servers, a server that has not handled the object
+            // recently is better than no response.
             let wide_search = Search {
                 scope: Scope::Everywhere,
-                max_servers: MAX_CANDIDATES,
+                max_servers: MAX_CANDIDATES + pool.limited().len(),
                 ..search
             };
             candidates.find(pool, request, wide_search);
-            let others = candidates.found().get(considered..).unwrap_or_default();
-            best = selection.best_of(others, considered);
+            best = selection.best_of(candidates.found(), 0);
         }
         let home = candidates.found().first().copied();
         self.candidates = candidates;
@@ -287,11 +288,21 @@
     }
 
     fn refuse(&self, reason: RefusalReason, request: &PlacementRequest<'_>) -> Choice {
-        let spread_ms = self.settings.retry_spread_ms as f64 * request.spread;
-        Choice::Refuse(Refusal {
+        Choice::Refuse(self.refusal(reason, request))
+    }
+
+    /// Returns the refusal of a request, with a retry delay that differs between clients.
+    #[must_use]
+    pub fn refusal(&self, reason: RefusalReason, request: &PlacementRequest<'_>) -> Refusal {
+        let spread_factor = match reason {
+            RefusalReason::Limited => LIMITED_SPREAD_FACTOR,
+            _ => 1.0,
+        };
+        let spread_ms = self.settings.retry_spread_ms as f64 * spread_factor * request.spread;
+        Refusal {
             reason,
             retry_after_ms: self.settings.retry_after_ms + spread_ms as u64,
-        })
+        }
     }
 
     /// Returns whether an object uses one server of its home region or one server in each of the region's zones.
--- a/crates/damaskvane-routing/src/placement/selection.rs
+++ b/crates/damaskvane-routing/src/placement/selection.rs
@@ -40,7 +40,8 @@
         first_rank: usize,
     ) -> Result<Pick, RefusalReason> {
         let now = self.now;
-        let limit = self.settings.load_limit(self.request.priority());
+        let priority = self.request.priority();
+        let limit = self.settings.load_limit(priority);
         let mut best: Option<(ServerScore, usize, &Server)> = None;
         let mut reason = RefusalReason::NoServer;
         let mut passed_over = None;
@@ -55,9 +56,16 @@
                 passed_over.get_or_insert(SkipReason::Cold);
                 continue;
             }
+            if !server.limit.may_have_token(now, priority) {
+                reason = RefusalReason::Limited;
+                passed_over.get_or_insert(SkipReason::Limited);
+                continue;
+            }
             let scored = self.score(server, rank);
             if scored.load >= limit {
-                reason = RefusalReason::Overloaded;
+                if reason != RefusalReason::Limited {
+                    reason = RefusalReason::Overloaded;
+                }
                 passed_over.get_or_insert(SkipReason::Full);
                 continue;
             }
--- a/crates/damaskvane-routing/src/pool.rs
+++ b/crates/damaskvane-routing/src/pool.rs
@@ -34,7 +34,7 @@
 pub use handle::ServerHandle;
 pub use liveness::Liveness;
 pub use load::LoadReport;
-pub use peer_report::{PeerHealthReport, PeerServerReport, ServerKey};
+pub use peer_report::{PeerHealthReport, PeerLimitReport, PeerServerReport, ServerKey};
 pub use probes::{DueProbe, ProbeResult};
 pub use ring::{Ring, RingPoint};
 pub use server::Server;
--- a/crates/damaskvane-routing/src/pool/exchange.rs
+++ b/crates/damaskvane-routing/src/pool/exchange.rs
@@ -32,6 +32,8 @@
     Malformed,
     /// The request may not be sent any more, so no part of it was written.
     Withheld,
+    /// The server limits the rate of its requests and there was no token for this one, so no part of it was written.
+    Limited,
     /// No connection was established, so no part of the request was written.
     Unreachable,
     /// No response arrived, and the server's host didn't acknowledge the bytes that were sent.
@@ -54,6 +56,7 @@
             Self::Broken => "broken",
             Self::Malformed => "malformed",
             Self::Withheld => "withheld",
+            Self::Limited => "limited",
             Self::Unreachable => "unreachable",
             Self::Silent => "silent",
             Self::Abandoned => "abandoned",
--- a/crates/damaskvane-routing/src/pool/peer_report.rs
+++ b/crates/damaskvane-routing/src/pool/peer_report.rs
@@ -7,8 +7,10 @@
 //! also send each other the slowness and failures that they observe.
 
 use damaskvane_core::ids;
+use damaskvane_core::time::SpanMs;
 use xxhash_rust::xxh3;
 
+use crate::limit::RequestRate;
 use crate::pool::LoadReport;
 
 /// Identifies a backend server by a hash of its name, which keeps messages short.
@@ -61,3 +63,14 @@
     /// Share of the instance's exchanges with the server that failed, from 0 to 1.
     pub failure_share: f64,
 }
+
+/// What one instance knows of a server's limit, for the others.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PeerLimitReport {
+    /// Server that the report is about.
+    pub server: ServerKey,
+    /// Limit of the server, or `None` if it takes requests without a limit.
+    pub rate: Option<RequestRate>,
+    /// Time since the request was sent whose response decided on this.
+    pub age: SpanMs,
+}
--- a/crates/damaskvane-routing/src/pool/probes.rs
+++ b/crates/damaskvane-routing/src/pool/probes.rs
@@ -31,4 +31,6 @@
     Refused,
     /// No response to the probe arrived.
     NoAnswer,
+    /// The server accepted a connection and limits the rate of its requests, and there was no token for the probe.
+    NotSent,
 }
--- a/crates/damaskvane-routing/src/pool/server.rs
+++ b/crates/damaskvane-routing/src/pool/server.rs
@@ -86,7 +86,7 @@
             cold_until,
             expires_at: None,
             liveness: Liveness::Up,
-            limit: ServerLimit::unknown(now),
+            limit: ServerLimit::unknown(TimeMs::ZERO),
             cold_rate: ColdRate::default(),
             requests: BTreeMap::new(),
             peer_load: PeerLoad::default(),
@@ -337,6 +337,7 @@
             | ExchangeEnd::Shed
             | ExchangeEnd::Malformed
             | ExchangeEnd::Withheld
+            | ExchangeEnd::Limited
             | ExchangeEnd::Abandoned
             | ExchangeEnd::Withdrawn => {}
         }
@@ -356,6 +357,7 @@
             | ExchangeEnd::Unreachable
             | ExchangeEnd::Silent
             | ExchangeEnd::Withheld
+            | ExchangeEnd::Limited
             | ExchangeEnd::Abandoned
             | ExchangeEnd::Withdrawn => None,
         }
--- a/crates/damaskvane-routing/src/pool/server_limit.rs
+++ b/crates/damaskvane-routing/src/pool/server_limit.rs
@@ -3,10 +3,14 @@
 //! A server names its limit in each response for as long as the limit holds. Responses to requests that were sent
 //! concurrently arrive in any order, so that the one to the request that was sent last decides.
 
-use damaskvane_core::time::TimeMs;
+use damaskvane_core::time::{SpanMs, TimeMs};
 
 use crate::limit::RequestRate;
 
+/// Time by which another instance's report that a limit has ended has to be newer than what is known, in milliseconds: the
+/// delay of the report counts as none.
+const REPORT_DELAY_MS: u64 = 100;
+
 /// What a response says of the limit of the server that sent it.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub enum LimitStatement {
@@ -75,10 +79,16 @@
     /// Start of the server's incarnation; responses to earlier requests may be another one's.
     incarnation_at: TimeMs,
     learned_at: TimeMs,
+    /// Whether another instance has reported this limit.
+    is_known_to_peers: bool,
+    /// Until when requests of [`Self::refused_priority`] and less urgent ones get no token.
+    refused_until: TimeMs,
+    refused_priority: u32,
 }
 
 impl ServerLimit {
-    /// Returns the knowledge about an incarnation of a server of which nothing was heard yet.
+    /// Returns the knowledge about an incarnation of a server of which nothing was heard yet. It began at
+    /// `incarnation_at`, or 0 if it may have begun at any time.
     #[must_use]
     pub const fn unknown(incarnation_at: TimeMs) -> Self {
         Self {
@@ -86,6 +96,9 @@
             as_of: TimeMs::ZERO,
             incarnation_at,
             learned_at: incarnation_at,
+            is_known_to_peers: false,
+            refused_until: TimeMs::ZERO,
+            refused_priority: u32::MAX,
         }
     }
 
@@ -137,12 +150,57 @@
         self.replace(now, rate)
     }
 
+    /// Applies another instance's report, made of a response to a request that was sent at `sent_at`; `None` reports
+    /// that the server has no limit. Returns the change, if any.
+    pub fn apply_report(
+        &mut self,
+        now: TimeMs,
+        sent_at: TimeMs,
+        rate: Option<RequestRate>,
+    ) -> Option<LimitChange> {
+        self.is_known_to_peers |= rate == self.rate;
+        let is_ended_late = rate.is_none() && sent_at <= self.as_of + SpanMs::new(REPORT_DELAY_MS);
+        if sent_at < self.incarnation_at || sent_at <= self.as_of || is_ended_late {
+            return None;
+        }
+        self.as_of = sent_at;
+        let change = self.replace(now, rate);
+        self.is_known_to_peers = true;
+        change
+    }
+
+    /// Returns whether this instance is the first one that is known to have learned of the limit.
+    #[must_use]
+    pub const fn is_news(&self) -> bool {
+        !self.is_known_to_peers
+    }
+
+    /// Records that this instance has reported the limit to the others.
+    pub const fn record_reported(&mut self) {
+        self.is_known_to_peers = true;
+    }
+
+    /// Records that a request of this priority got no token, and that no token is expected before `until`.
+    pub fn record_refused(&mut self, until: TimeMs, priority: u32) {
+        self.refused_until = until;
+        self.refused_priority = priority;
+    }
+
+    /// Returns whether a request of this priority may get a token: the server has no limit, or no request as urgent was
+    /// refused one lately.
+    #[must_use]
+    pub fn may_have_token(&self, now: TimeMs, priority: u32) -> bool {
+        self.rate.is_none() || now >= self.refused_until || priority < self.refused_priority
+    }
+
     fn replace(&mut self, now: TimeMs, rate: Option<RequestRate>) -> Option<LimitChange> {
         let before = core::mem::replace(&mut self.rate, rate);
         if before == rate {
             return None;
         }
         self.learned_at = now;
+        self.is_known_to_peers = false;
+        self.refused_until = TimeMs::ZERO;
         Some(LimitChange {
             before,
             after: rate,
--- a/crates/damaskvane-routing/src/pool/server_pool.rs
+++ b/crates/damaskvane-routing/src/pool/server_pool.rs
@@ -3,6 +3,7 @@
 //! An evacuated zone is a zone whose servers get no requests. A server is cold after its start, for the warm-up time of
 //! its service, and gets few requests. A suspect server may have restarted and counts as cold.
 
+mod limits;
 mod probing;
 
 use std::collections::{BTreeSet, HashMap};
@@ -10,6 +11,7 @@
 use damaskvane_core::ids;
 use damaskvane_core::time::{SpanMs, TimeMs};
 
+use crate::pool::server_pool::limits::EarlyLimits;
 use crate::pool::server_table::ServerTable;
 use crate::pool::{
     PeerServerReport, PoolSettings, Server, ServerEntry, ServerHandle, ServerMut, ServerState,
@@ -67,6 +69,8 @@
     /// the server couldn't write it during a store outage.
     removals_deferred_until: TimeMs,
     warmup_ms: HashMap<ids::ServiceId, u64>,
+    /// Limits that other instances have reported of servers which this instance does not know yet.
+    early_limits: EarlyLimits,
 }
 
 impl ServerPool {
@@ -80,6 +84,7 @@
             evacuated: BTreeSet::new(),
             removals_deferred_until: TimeMs::ZERO,
             warmup_ms: HashMap::new(),
+            early_limits: EarlyLimits::default(),
         }
     }
 
@@ -150,16 +155,6 @@
         self.servers.get(handle)
     }
 
-    /// Returns the servers that are known to limit the rate of their requests.
-    #[must_use]
-    pub fn limited(&self) -> impl ExactSizeIterator<Item = &Server> {
-        let limited = self.servers.limited().iter();
-        limited.map(|handle| {
-            let server = self.servers.get(*handle);
-            server.expect("an indexed server is in the table")
-        })
-    }
-
     /// Removes and returns at most `max_reports` reports of busy and unhealthy servers, to send to the zone's other
     /// instances.
     ///
@@ -224,7 +219,9 @@
         let is_draining = entry.state == ServerState::Draining;
         let Some(mut server) = self.server_mut(&id) else {
             let region = self.settings.regions.get(&entry.zone).cloned();
-            self.servers.insert(Server::new(now, entry, region));
+            let mut server = Server::new(now, entry, region);
+            self.early_limits.apply(now, &mut server);
+            self.servers.insert(server);
             return Some(Change::Joined(id));
         };
         if entry.is_older_than(&server.entry) {
--- a/crates/damaskvane-routing/src/pool/server_pool/probing.rs
+++ b/crates/damaskvane-routing/src/pool/server_pool/probing.rs
@@ -124,6 +124,7 @@
                 server.extend_warmup(now, warmup_left_ms);
             }
             ProbeResult::OtherServer => server.liveness = Liveness::Replaced,
+            ProbeResult::NotSent => {}
             // The server responded, so it accepts connections, but whether it is cold is unknown.
             ProbeResult::Unhealthy => {
                 server.liveness = Liveness::Suspect {
--- a/crates/damaskvane-routing/src/quota.rs
+++ b/crates/damaskvane-routing/src/quota.rs
@@ -1,4 +1,4 @@
-//! Quotas that hold over all entry instances, without agreement between them.
+//! Quotas of teams and limits of backend servers that hold over all entry instances, without agreement between them.
 //!
 //! A team's quota is divided among pools, one in each availability zone. A pool earns tokens at its share of the rate;
 //! a request uses up one token when it is sent. Tokens move: an instance takes them from the pool of its zone, and a
@@ -6,6 +6,9 @@
 //! tokens in it are lost too. So the tokens of all pools together never exceed the quota, whichever instances fail,
 //! restart or can't reach each other.
 //!
+//! The tokens of a server that names a limit are shared among a few holders, which are chosen by the server's name. The
+//! first of them leases the shares of the others, so that all callers ask one instance.
+//!
 //! ```
 //! use damaskvane_routing::{quota, teams};
 //!
@@ -18,10 +21,16 @@
 mod pool;
 mod pool_limit;
 mod pools;
+mod server_limit_settings;
+mod server_share;
+mod server_shares;
 mod settings;
 
 pub use holders::{Holder, HolderTable};
 pub use pool::TokenPool;
 pub use pool_limit::PoolLimit;
 pub use pools::{Denial, TokenPools};
+pub use server_limit_settings::ServerLimitSettings;
+pub use server_share::{LEASE, MAX_REPLY, ServerShare, ShareTerms};
+pub use server_shares::ServerShares;
 pub use settings::QuotaSettings;
--- a/crates/damaskvane-routing/src/quota/holders.rs
+++ b/crates/damaskvane-routing/src/quota/holders.rs
@@ -7,8 +7,10 @@
 use std::net;
 
 use damaskvane_core::ids;
+use xxhash_rust::xxh3;
 
 use crate::peers::ListedInstance;
+use crate::pool::ServerKey;
 use crate::teams::TeamKey;
 
 /// Number of instances of a zone among which its pools are divided.
@@ -75,6 +77,53 @@
         let zones = self.zones.iter();
         zones.filter_map(move |(zone, holders)| Some((zone, of_team(holders, team)?)))
     }
+
+    /// Returns the holders of a server's tokens in order, at most `max_holders`: each of another zone as far as there are zones
+    /// with instances, in the given order of zones, then further instances of these zones.
+    ///
+    /// An instance that joins a zone takes only the shares that its name comes first for.
+    #[must_use]
+    pub fn server_holders<'a>(
+        &'a self,
+        server: ServerKey,
+        zones: impl IntoIterator<Item = &'a ids::AvailabilityZoneId>,
+        max_holders: usize,
+    ) -> Vec<&'a Holder> {
+        let ranked = zones.into_iter().filter_map(|zone| {
+            let mut holders: Vec<_> = self.zones.get(zone)?.iter().collect();
+            holders.sort_by_key(|one| std::cmp::Reverse(affinity(server, one.instance.as_str())));
+            Some(holders)
+        });
+        let ranked: Vec<_> = ranked.collect();
+        let ranks = 0..HOLDERS_PER_ZONE;
+        let in_order = ranks.flat_map(|rank| {
+            let of_rank = ranked.iter();
+            of_rank.filter_map(move |holders| holders.get(rank).copied())
+        });
+        in_order.take(max_holders).collect()
+    }
+
+    /// Returns the zones in which instances are listed, in the order in which they hold the tokens of a server of `home`:
+    /// its own zone, the others of its region, all others.
+    #[must_use]
+    pub fn server_zones(
+        &self,
+        server: ServerKey,
+        home: &ids::AvailabilityZoneId,
+        is_in_home_region: impl Fn(&ids::AvailabilityZoneId) -> bool,
+    ) -> Vec<&ids::AvailabilityZoneId> {
+        let mut zones: Vec<_> = self.zones.keys().collect();
+        zones.sort_by_key(|zone| {
+            let distance = (*zone != home, !is_in_home_region(zone));
+            (distance, std::cmp::Reverse(affinity(server, zone.as_str())))
+        });
+        zones
+    }
+}
+
+/// Returns a number by which the holders of different servers are different ones.
+fn affinity(server: ServerKey, name: &str) -> u64 {
+    xxh3::xxh3_64_with_seed(name.as_bytes(), server.get().into())
 }
 
 fn of_team(holders: &[Holder], team: TeamKey) -> Option<&Holder> {
