An instance that knows no limit no longer reports that it has ended

What callers saw: an instance that had just started was asked for a token of a server that it did not know to have a limit, took the claim for one older than its own knowledge (both counted as time 0, before its start), and told the asking instance that the limit had ended. In the test of instances that start again a server got 18 and 19 requests in 4 s where 17 are allowed, and the log has 'ended', source peer, 118 ms after such a start. For the same reason newcomers ignored reports of limits named before their start, and learned of them by their own first request.

Now nothing known and known to have ended are two states. Unit tests of what changes a limit, of shares and of holders; the model's instances know as much as the program's.

--- a/crates/damaskvane-gateway/src/server_limits/asking.rs
+++ b/crates/damaskvane-gateway/src/server_limits/asking.rs
@@ -300,6 +300,6 @@
     Some(LimitClaim {
         server,
         rate: limit.rate()?,
-        age: now.since(limit.as_of()),
+        age: limit.age(now),
     })
 }
--- a/crates/damaskvane-gateway/src/server_limits/reports.rs
+++ b/crates/damaskvane-gateway/src/server_limits/reports.rs
@@ -79,7 +79,7 @@
     let has_ended = {
         let state = node.state.borrow();
         let server = state.pool.by_key(claim.server);
-        server.is_some_and(|server| server.limit.rate().is_none())
+        server.is_some_and(|server| server.limit.has_ended())
     };
     if has_ended {
         send_report(node, claim.server, from);
--- a/crates/damaskvane-routing/src/pool/server_limit.rs
+++ b/crates/damaskvane-routing/src/pool/server_limit.rs
@@ -74,8 +74,8 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ServerLimit {
     rate: Option<RequestRate>,
-    /// When the last request was sent whose response decided on the limit.
-    as_of: TimeMs,
+    /// When the last request was sent whose response decided on the limit; `None` if nothing is known of a limit.
+    as_of: Option<TimeMs>,
     /// Start of the server's incarnation; responses to earlier requests may be another one's.
     incarnation_at: TimeMs,
     learned_at: TimeMs,
@@ -93,7 +93,7 @@
     pub const fn unknown(incarnation_at: TimeMs) -> Self {
         Self {
             rate: None,
-            as_of: TimeMs::ZERO,
+            as_of: None,
             incarnation_at,
             learned_at: incarnation_at,
             is_known_to_peers: false,
@@ -108,12 +108,19 @@
         self.rate
     }
 
-    /// Returns when the request was sent whose response decided on the limit.
+    /// Returns when the request was sent whose response decided on the limit or ended it, or `None` if nothing is known of
+    /// a limit.
     #[must_use]
-    pub const fn as_of(&self) -> TimeMs {
+    pub const fn as_of(&self) -> Option<TimeMs> {
         self.as_of
     }
 
+    /// Returns the time since the request was sent whose response decided on the limit; 0 if nothing is known of a limit.
+    #[must_use]
+    pub fn age(&self, now: TimeMs) -> SpanMs {
+        self.as_of.map_or(SpanMs::ZERO, |as_of| now.since(as_of))
+    }
+
     /// Returns when this instance learned of the limit, or that there is none.
     #[must_use]
     pub const fn learned_at(&self) -> TimeMs {
@@ -133,20 +140,21 @@
         if sent_at < self.incarnation_at {
             return None;
         }
-        let is_later = sent_at > self.as_of;
+        let is_later = self.as_of.is_none_or(|as_of| sent_at > as_of);
+        let is_earlier = self.as_of.is_some_and(|as_of| sent_at < as_of);
         let rate = match statement {
             LimitStatement::Nothing | LimitStatement::Unreadable => return None,
             LimitStatement::Unlimited if !is_later || self.rate.is_none() => return None,
             LimitStatement::Unlimited => None,
             LimitStatement::Limited(rate) => {
                 let is_lower = self.rate.is_none_or(|known| rate < known);
-                if sent_at < self.as_of && !is_lower {
+                if is_earlier && !is_lower {
                     return None;
                 }
                 Some(rate)
             }
         };
-        self.as_of = self.as_of.max(sent_at);
+        self.as_of = self.as_of.max(Some(sent_at));
         self.replace(now, rate)
     }
 
@@ -159,16 +167,23 @@
         rate: Option<RequestRate>,
     ) -> Option<LimitChange> {
         self.is_known_to_peers |= rate == self.rate;
-        let is_ended_late = rate.is_none() && sent_at <= self.as_of + SpanMs::new(REPORT_DELAY_MS);
-        if sent_at < self.incarnation_at || sent_at <= self.as_of || is_ended_late {
+        let delay = SpanMs::new(if rate.is_none() { REPORT_DELAY_MS } else { 0 });
+        let is_late = self.as_of.is_some_and(|as_of| sent_at <= as_of + delay);
+        if sent_at < self.incarnation_at || is_late {
             return None;
         }
-        self.as_of = sent_at;
+        self.as_of = Some(sent_at);
         let change = self.replace(now, rate);
         self.is_known_to_peers = true;
         change
     }
 
+    /// Returns whether a limit is known to have ended.
+    #[must_use]
+    pub const fn has_ended(&self) -> bool {
+        self.rate.is_none() && self.as_of.is_some()
+    }
+
     /// Returns whether this instance is the first one that is known to have learned of the limit.
     #[must_use]
     pub const fn is_news(&self) -> bool {
--- a/crates/damaskvane-routing/src/pool/server_pool/limits.rs
+++ b/crates/damaskvane-routing/src/pool/server_pool/limits.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use damaskvane_core::ids;
-use damaskvane_core::time::{SpanMs, TimeMs};
+use damaskvane_core::time::TimeMs;
 
 use crate::limit::RequestRate;
 use crate::pool::{LimitChange, PeerLimitReport, Server, ServerKey, ServerPool};
@@ -82,7 +82,7 @@
         PeerLimitReport {
             server: ServerKey::of(&self.entry.id),
             rate: self.limit.rate(),
-            age: SpanMs::new(now.since(self.limit.as_of()).get()),
+            age: self.limit.age(now),
         }
     }
 }
--- a/crates/damaskvane-routing/tests/support/limit_world/tokens.rs
+++ b/crates/damaskvane-routing/tests/support/limit_world/tokens.rs
@@ -2,6 +2,7 @@
 
 use damaskvane_core::ids;
 use damaskvane_core::time::{SpanMs, TimeMs};
+use damaskvane_routing::pool::ServerLimit;
 use damaskvane_routing::quota::{PoolLimit, ServerLimitSettings, ShareTerms, TokenPool};
 use rand::RngExt;
 
@@ -152,8 +153,8 @@
         let asker = self.instances[from].limit;
         let now = self.now();
         let holder = &mut self.instances[to];
-        holder.limit.apply_report(now, asker.as_of(), asker.rate());
-        if holder.limit.rate().is_none() {
+        apply_claim(&mut holder.limit, now, asker);
+        if holder.limit.has_ended() {
             self.reply(to, Waiter::Other { from, id }, 0);
             return;
         }
@@ -217,7 +218,7 @@
         let asker = self.instances[from].limit;
         let now = self.now();
         let limit = &mut self.instances[to].limit;
-        limit.apply_report(now, asker.as_of(), asker.rate());
+        apply_claim(limit, now, asker);
         let Some(terms) = self.terms(to) else {
             return;
         };
@@ -355,7 +356,7 @@
         let asker = self.instances[from].limit;
         let now = self.now();
         let lender = &mut self.instances[to].limit;
-        lender.apply_report(now, asker.as_of(), asker.rate());
+        apply_claim(lender, now, asker);
         let lent = self.with_pool(to, |now, pool, limit| pool.lend(now, limit, tokens));
         let loan = Event::Loan {
             to: from,
@@ -410,6 +411,12 @@
     }
 }
 
+/// Applies what the sender of a message knows of the limit.
+fn apply_claim(limit: &mut ServerLimit, now: TimeMs, asker: ServerLimit) {
+    let sent_at = now.get().saturating_sub(asker.age(now).get());
+    limit.apply_report(now, TimeMs::new(sent_at), asker.rate());
+}
+
 /// Returns the name of an instance.
 fn name(at: usize) -> ids::InstanceId {
     format!("i-{at}").parse().expect("a valid name")
--- a/crates/damaskvane-routing/tests/support/limit_world/world.rs
+++ b/crates/damaskvane-routing/tests/support/limit_world/world.rs
@@ -259,7 +259,7 @@
 
     fn report(&mut self, from: usize, to: usize) {
         let limit = self.instances[from].limit;
-        let age_ms = self.now_ms.saturating_sub(limit.as_of().get());
+        let age_ms = limit.age(self.now()).get();
         let rate = limit.rate();
         self.send(from, to, Event::Report { to, rate, age_ms });
     }
