--- a/crates/damaskvane-gateway/src/server_limits.rs
+++ b/crates/damaskvane-gateway/src/server_limits.rs
@@ -45,11 +45,12 @@
     if head.status == 421 {
         return;
     }
-    let is_signed = head.headers.contains_key(&names.signature);
-    let is_rejection = head.headers.contains_key(&names.not_run);
+    let is_success = head.status < 500
+        && head.headers.contains_key(&names.signature)
+        && !head.headers.contains_key(&names.not_run);
     let statement = match read_statement(node, head) {
-        // Whatever else responded at the address knows nothing of the limit.
-        LimitStatement::Unlimited if !is_signed && !is_rejection => LimitStatement::Nothing,
+        // A failure or a rejection need not come from the part of the server that knows the limit.
+        LimitStatement::Unlimited if !is_success => LimitStatement::Nothing,
         statement => statement,
     };
     record(node, server, sent_at, statement, LimitSource::Response);
