--- a/crates/damaskvane-explain/src/losses/cause.rs
+++ b/crates/damaskvane-explain/src/losses/cause.rs
@@ -20,6 +20,8 @@
     Moved,
     /// The object's first server was cold.
     Cold,
+    /// The object's first server limits the rate of its requests, and there was no token for the request.
+    Limited,
     /// The first server's load was at its limit.
     Full,
     /// All slots of the first server were in use.
@@ -43,6 +45,8 @@
     Overloaded,
     /// Only cold servers had capacity, and they had received their limit of requests.
     Cold,
+    /// Servers limit the rate of their requests, and the others had no capacity.
+    Limited,
     /// The service had no server that the request could use.
     NoServer,
     /// No response was possible before the request's deadline.
@@ -101,6 +105,7 @@
         match label {
             "overloaded" => Self::Overloaded,
             "cold" => Self::Cold,
+            "limited" => Self::Limited,
             "no_server" => Self::NoServer,
             "too_late" => Self::TooLate,
             "turned_away" => Self::RejectedByServer,
@@ -123,6 +128,7 @@
         match self {
             Self::Overloaded => "overloaded",
             Self::Cold => "cold",
+            Self::Limited => "limited",
             Self::NoServer => "no_server",
             Self::TooLate => "too_late",
             Self::RejectedByServer => "turned_away",
@@ -148,6 +154,7 @@
     pub(super) fn from_passed_over(label: &str) -> Self {
         match label {
             "cold" => Self::Cold,
+            "limited" => Self::Limited,
             "full" => Self::Full,
             "busy" => Self::Busy,
             "slow" => Self::Slow,
@@ -165,6 +172,7 @@
             Self::Restarted => "restarted",
             Self::Moved => "moved",
             Self::Cold => "cold",
+            Self::Limited => "limited",
             Self::Full => "full",
             Self::Busy => "busy",
             Self::Slow => "slow",
--- a/crates/damaskvane-gateway/src/clients/dispatch.rs
+++ b/crates/damaskvane-gateway/src/clients/dispatch.rs
@@ -172,6 +172,7 @@
         right: &right,
         copy: &copy,
         reserved: None,
+        token_from: None,
         is_next_charged: false,
         failed_response: None,
     }
--- a/crates/damaskvane-gateway/src/clients/routed_request.rs
+++ b/crates/damaskvane-gateway/src/clients/routed_request.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 use damaskvane_core::ids;
-use damaskvane_core::time::TimeMs;
+use damaskvane_core::time::{SpanMs, TimeMs};
 use damaskvane_routing::configuration::{Configuration, RegionSet, Route};
 use damaskvane_routing::limit::RequestRate;
 use damaskvane_routing::placement::{
@@ -54,6 +54,8 @@
     /// The next server, if it was selected and charged to the retry budget before the last exchange was
     /// abandoned.
     pub(super) reserved: Option<(Pick, SendPermit)>,
+    /// The instance that granted the token for the attempt; `None` if its server had no limit.
+    pub(super) token_from: Option<ids::InstanceId>,
     /// Whether the next attempt was charged to the retry budget before.
     pub(super) is_next_charged: bool,
     /// The right to send the request: its key and its token of the quota.
@@ -76,6 +78,7 @@
                 Ok(chosen) => chosen,
                 Err(refusal) => return self.refuse(last, refusal),
             };
+            self.token_from = permit.granted_by();
             let is_charged = core::mem::take(&mut self.is_next_charged);
             if last.is_some() && !is_charged && !self.spend_retry_budget(last.as_ref()) {
                 return self.final_response(last);
@@ -281,6 +284,7 @@
         };
         let load = outcome.report.load;
         let limit = server_limits::known(self.node, &pick.server);
+        let limit_known = server_limits::known_for(self.node, &pick.server);
         self.node.log.log_request(now, log_kind, |log, left_out| {
             slog::info!(log, "exchange ended";
                 "request_id" => self.outgoing.request_id.as_deref(),
@@ -293,6 +297,8 @@
                 "passed_over" => pick.passed_over.map(SkipReason::as_str), "tried" => self.tried.len(),
                 "through" => outcome.path.as_ref().and_then(|path| path.peer()).map(|peer| peer.instance.to_string()),
                 "limit_per_s" => limit.map(RequestRate::per_s),
+                "limit_known_ms" => limit_known.map(SpanMs::get),
+                "token_from" => self.token_from.as_ref().map(ToString::to_string),
                 "running" => load.map(|load| load.running), "waiting" => load.map(|load| load.waiting),
                 "left_ms" => self.deadline.since(now).get(),
                 "config_version" => self.configuration.version().get(),
--- a/crates/damaskvane-gateway/src/server_limits.rs
+++ b/crates/damaskvane-gateway/src/server_limits.rs
@@ -20,7 +20,7 @@
 use std::rc::Rc;
 
 use damaskvane_core::ids;
-use damaskvane_core::time::TimeMs;
+use damaskvane_core::time::{SpanMs, TimeMs};
 use damaskvane_routing::limit::RequestRate;
 use damaskvane_routing::pool::{LimitChange, LimitSource, LimitStatement};
 
@@ -33,6 +33,14 @@
     state.pool.server(server)?.limit.rate()
 }
 
+/// Returns the time since this instance learned of a server's limit, or `None` if it is not known to have one.
+pub(crate) fn known_for(node: &Node, server: &ids::BackendServerId) -> Option<SpanMs> {
+    let now = node.now();
+    let state = node.state.borrow();
+    let limit = &state.pool.server(server)?.limit;
+    limit.rate().map(|_| now.since(limit.learned_at()))
+}
+
 /// Records what a response to a request that was sent at `sent_at` says of its server's limit.
 pub(crate) fn record_response(
     node: &Rc<Node>,
--- a/crates/damaskvane-gateway/src/server_limits/permit.rs
+++ b/crates/damaskvane-gateway/src/server_limits/permit.rs
@@ -89,6 +89,12 @@
         }
     }
 
+    /// Returns the instance that has granted the token; `None` without a token.
+    pub(crate) fn granted_by(&self) -> Option<ids::InstanceId> {
+        let token = self.token.borrow();
+        token.as_ref().map(|token| token.holder.clone())
+    }
+
     /// Uses the permission for a request that is written now; returns whether the request may be written.
     pub(crate) fn redeem(&self) -> bool {
         let may_send = self.may_send();
