--- a/crates/damaskvane-gateway/src/peers/message.rs
+++ b/crates/damaskvane-gateway/src/peers/message.rs
@@ -16,7 +16,7 @@
 use crate::server_limits::TokenMessage;
 
 /// First field of each datagram; identifies the protocol and its version, and changes whenever a message changes.
-const MAGIC: u32 = 0x6476_7037;
+const MAGIC: u32 = 0x6476_7036;
 
 /// A message from one entry instance to another.
 #[derive(Debug, Clone)]
