A token is taken once, before the connection is opened

Taken out, the second look for a token after the connection was open failed no test: the check at the moment of writing finds both cases, a limit that was named meanwhile and a token that has expired, and the request then looks for a server again.

--- a/crates/damaskvane-gateway/src/server_limits/permit.rs
+++ b/crates/damaskvane-gateway/src/server_limits/permit.rs
@@ -54,20 +54,13 @@
             priority,
             token: RefCell::new(None),
         };
-        permit.renew().await?;
+        if permit.is_limited() {
+            permit.take_token().await?;
+        }
         Ok(permit)
     }
 
-    /// Takes a token if the server has a limit and there is no token that can still be used.
-    ///
-    /// # Errors
-    ///
-    /// As [`Self::acquire`].
-    pub(crate) async fn renew(&self) -> Result<(), NoToken> {
-        if self.may_send() {
-            return Ok(());
-        }
-        self.token.replace(None);
+    async fn take_token(&self) -> Result<(), NoToken> {
         let server = ServerKey::of(&self.server);
         let (outcome, wait_ms) = match asking::acquire(&self.node, server, self.priority).await {
             Ok(token) => {
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -100,9 +100,6 @@
             return ExchangeOutcome::no_response(ExchangeEnd::Unreachable);
         };
         running_path.replace(Some(path.clone()));
-        if self.permit.renew().await.is_err() {
-            return self.unsent(connection, &path, is_reused, ExchangeEnd::Limited);
-        }
         let token = match self.right.redeem().await {
             Ok(token) => token,
             Err(withheld) => {
