--- a/crates/damaskvane-gateway/src/peers/incoming.rs
+++ b/crates/damaskvane-gateway/src/peers/incoming.rs
@@ -29,6 +29,7 @@
             Some(Message::Heartbeat(heartbeat)) => {
                 reply_to_heartbeat(&node, &socket, &heartbeat).await;
                 if apply_heartbeat(&node, heartbeat.clone()) {
+                    send_server_limits(&node, &socket, heartbeat.peer_address).await;
                     send_introduction(&node, &socket, &heartbeat).await;
                 }
             }
