--- a/crates/damaskvane-gateway/src/clients/routed_request.rs
+++ b/crates/damaskvane-gateway/src/clients/routed_request.rs
@@ -140,9 +140,9 @@
     }
 
     fn refuse_limited(&self) -> Refusal {
-        let request = self.placement_request();
         let state = self.node.state.borrow();
-        state.placer.refusal(RefusalReason::Limited, &request)
+        let settings = &state.placer.settings;
+        settings.refusal(RefusalReason::Limited, rand::rng().random())
     }
 
     fn choose(&self) -> Choice {
--- a/crates/damaskvane-routing/src/placement/placer.rs
+++ b/crates/damaskvane-routing/src/placement/placer.rs
@@ -15,8 +15,8 @@
 use crate::placement::route_sizes::RouteSizes;
 use crate::placement::selection::Selection;
 use crate::placement::{
-    AnsweredRequest, Choice, Pick, PlacementRequest, PlacementSettings, Refusal, RefusalReason,
-    RoundTrips, RouteKey,
+    AnsweredRequest, Choice, Pick, PlacementRequest, PlacementSettings, RefusalReason, RoundTrips,
+    RouteKey,
 };
 use crate::pool::{Baselines, Server, ServerHandle, ServerPool};
 
@@ -26,10 +26,6 @@
 /// Maximum number of candidates for a request without an object, or for a request whose usual servers have no capacity
 /// because they are cold.
 const MAX_CANDIDATES: usize = 12;
-/// Factor by which the random part of the retry delay is longer for requests that only servers with limits could run: those
-/// servers have capacity again bit by bit.
-const LIMITED_SPREAD_FACTOR: f64 = 4.0;
-
 /// Selects a backend server of the pool for each request of this instance.
 #[derive(Debug)]
 pub struct Placer {
@@ -288,21 +284,7 @@
     }
 
     fn refuse(&self, reason: RefusalReason, request: &PlacementRequest<'_>) -> Choice {
-        Choice::Refuse(self.refusal(reason, request))
-    }
-
-    /// Returns the refusal of a request, with a retry delay that differs between clients.
-    #[must_use]
-    pub fn refusal(&self, reason: RefusalReason, request: &PlacementRequest<'_>) -> Refusal {
-        let spread_factor = match reason {
-            RefusalReason::Limited => LIMITED_SPREAD_FACTOR,
-            _ => 1.0,
-        };
-        let spread_ms = self.settings.retry_spread_ms as f64 * spread_factor * request.spread;
-        Refusal {
-            reason,
-            retry_after_ms: self.settings.retry_after_ms + spread_ms as u64,
-        }
+        Choice::Refuse(self.settings.refusal(reason, request.spread))
     }
 
     /// Returns whether an object uses one server of its home region or one server in each of the region's zones.
--- a/crates/damaskvane-routing/src/placement/settings.rs
+++ b/crates/damaskvane-routing/src/placement/settings.rs
@@ -5,6 +5,12 @@
 
 use serde::Deserialize;
 
+use crate::placement::{Refusal, RefusalReason};
+
+/// Factor by which the random part of the retry delay is longer for requests that only servers with limits could run: those
+/// servers have capacity again bit by bit.
+const LIMITED_SPREAD_FACTOR: f64 = 4.0;
+
 /// Limits and costs by which servers are compared and requests are refused.
 ///
 /// Costs and scores are relative to a response within its route's objective, which scores 1.
@@ -85,4 +91,19 @@
         let lowered = self.load_limit - self.load_limit_step * f64::from(priority);
         lowered.max(self.load_limit_floor)
     }
+
+    /// Returns the refusal of a request, with a retry delay that differs between clients by `spread`, a random number
+    /// between 0 and 1.
+    #[must_use]
+    pub fn refusal(&self, reason: RefusalReason, spread: f64) -> Refusal {
+        let factor = match reason {
+            RefusalReason::Limited => LIMITED_SPREAD_FACTOR,
+            _ => 1.0,
+        };
+        let spread_ms = self.retry_spread_ms as f64 * factor * spread;
+        Refusal {
+            reason,
+            retry_after_ms: self.retry_after_ms + spread_ms as u64,
+        }
+    }
 }
--- a/crates/damaskvane-routing/tests/support/limit_world/mod.rs
+++ b/crates/damaskvane-routing/tests/support/limit_world/mod.rs
@@ -8,6 +8,7 @@
 mod event;
 mod instance;
 mod outcome;
+mod pools;
 mod tokens;
 mod world;
 
