Each response is decoded once into what its server says of itself; rests and leaving are kept, logged and counted

The logs could not tell whether a rest was known, since when and by whom, nor whether it was looked at when a request was sent.

pool::ServerReport holds all that a response says of its server; server_statements::decode makes it, for requests and health probes alike, where three places read headers before. pool::Availability keeps limit, rest and leaving with the server, by incarnation. exchange ended holds what was known at the moment of writing.

--- a/crates/damaskvane-bench/src/placement/instance.rs
+++ b/crates/damaskvane-bench/src/placement/instance.rs
@@ -165,7 +165,10 @@
         end: ExchangeEnd,
         load: Option<LoadReport>,
     ) {
-        let report = ServerReport { load };
+        let report = ServerReport {
+            load,
+            ..ServerReport::default()
+        };
         let took_ms = self
             .pool
             .server_mut(&pick.server)
--- a/crates/damaskvane-gateway/src/adapter.rs
+++ b/crates/damaskvane-gateway/src/adapter.rs
@@ -31,6 +31,8 @@
     pub load: HeaderName,
     /// Header with the requests a second that the backend server which responds takes from all instances together.
     pub rate_limit: HeaderName,
+    /// Header by which a backend server says that it leaves, with the value `1`.
+    pub leaving: HeaderName,
     /// Header with the id of the backend server that responds.
     pub server_id: HeaderName,
     /// Header with the milliseconds until the warm-up of the backend server that responds ends; until then it gets few
--- a/crates/damaskvane-gateway/src/clients/routed_request.rs
+++ b/crates/damaskvane-gateway/src/clients/routed_request.rs
@@ -8,13 +8,13 @@
 use std::rc::Rc;
 
 use damaskvane_core::ids;
-use damaskvane_core::time::{SpanMs, TimeMs};
+use damaskvane_core::time::TimeMs;
 use damaskvane_routing::configuration::{Configuration, RegionSet, Route};
 use damaskvane_routing::limit::RequestRate;
 use damaskvane_routing::placement::{
     AnsweredRequest, Choice, Pick, PlacementRequest, Refusal, RefusalReason, SkipReason,
 };
-use damaskvane_routing::pool::ExchangeEnd;
+use damaskvane_routing::pool::{ExchangeEnd, StatementSource};
 use damaskvane_routing::retry::{self, Progress};
 use hyper::Response;
 use rand::RngExt;
@@ -26,7 +26,7 @@
 use crate::decision_log::RequestOutcome;
 use crate::node::Node;
 use crate::reach;
-use crate::server_limits::{self, NoToken, SendPermit};
+use crate::server_limits::{NoToken, SendPermit};
 use crate::tunnel::Path;
 use crate::upstream::{BackendResponse, Exchange, ExchangeOutcome, OutgoingRequest, ResponseBody};
 
@@ -283,8 +283,10 @@
             RequestOutcome::Failure
         };
         let load = outcome.report.load;
-        let limit = server_limits::known(self.node, &pick.server);
-        let limit_known = server_limits::known_for(self.node, &pick.server);
+        let sending = outcome.sending;
+        let limit = sending.map(|one| one.known.limit);
+        let limit = limit.filter(|limit| limit.rate().is_some());
+        let rest = sending.filter(|one| one.known.rest.is_resting(one.at));
         self.node.log.log_request(now, log_kind, |log, left_out| {
             slog::info!(log, "exchange ended";
                 "request_id" => self.outgoing.request_id.as_deref(),
@@ -296,8 +298,11 @@
                 "was_sent" => pick.was_sent, "remembered_ms" => pick.remembered_ms, "first_ms" => pick.first_ms,
                 "passed_over" => pick.passed_over.map(SkipReason::as_str), "tried" => self.tried.len(),
                 "through" => outcome.path.as_ref().and_then(|path| path.peer()).map(|peer| peer.instance.to_string()),
-                "limit_per_s" => limit.map(RequestRate::per_s),
-                "limit_known_ms" => limit_known.map(SpanMs::get),
+                "limit_per_s" => limit.and_then(|limit| limit.rate()).map(RequestRate::per_s),
+                "limit_known_ms" => limit.map(|limit| now.since(limit.learned_at()).get()),
+                "rest_left_ms" => rest.map(|one| one.known.rest.remaining(one.at).get()),
+                "rest_source" => rest.and_then(|one| one.known.rest.source()).map(StatementSource::as_str),
+                "server_leaves" => sending.map(|one| one.known.is_leaving()),
                 "token_from" => self.token_from.as_ref().map(ToString::to_string),
                 "running" => load.map(|load| load.running), "waiting" => load.map(|load| load.waiting),
                 "left_ms" => self.deadline.since(now).get(),
--- a/crates/damaskvane-gateway/src/clients/unserved.rs
+++ b/crates/damaskvane-gateway/src/clients/unserved.rs
@@ -113,7 +113,10 @@
             self.node.metrics.team_refusals.record(team);
         }
         let now = self.node.now();
-        let limited_servers = self.node.state.borrow().pool.limited().len();
+        let (limited_servers, resting_servers) = {
+            let pool = &self.node.state.borrow().pool;
+            (pool.limited().len(), pool.resting(now).count())
+        };
         self.node
             .log
             .log_request(now, RequestOutcome::Failure, |log, left_out| {
@@ -124,7 +127,7 @@
                 "quota_per_s" => self.quota().map(|quota| quota.rate_per_s),
                 "quota_burst" => self.quota().map(|quota| quota.burst),
                 "evidence_age_ms" => send_right::evidence_age(self.node).map(SpanMs::get),
-                "limited_servers" => limited_servers,
+                "limited_servers" => limited_servers, "resting_servers" => resting_servers,
                 "retry_after_ms" => retry_after_ms, "tried" => self.tried.len(),
                 "backend_server" => self.tried.last().map(ToString::to_string),
                 "left_ms" => self.deadline.since(now).get(),
--- a/crates/damaskvane-gateway/src/decision_log.rs
+++ b/crates/damaskvane-gateway/src/decision_log.rs
@@ -20,8 +20,9 @@
     pub successes_per_s: u32,
     /// Maximum number of lines in each second about connections to servers that broke with a request on them.
     pub broken_exchanges_per_s: u32,
-    /// Maximum number of lines in each second about limits that backend servers name.
-    pub server_limits_per_s: u32,
+    /// Maximum number of lines in each second about what backend servers say of themselves.
+    #[serde(alias = "server_limits_per_s")]
+    pub server_statements_per_s: u32,
 }
 
 impl Default for DecisionLogSettings {
@@ -30,7 +31,7 @@
             failures_per_s: 40,
             successes_per_s: 2,
             broken_exchanges_per_s: 20,
-            server_limits_per_s: 20,
+            server_statements_per_s: 20,
         }
     }
 }
@@ -80,7 +81,7 @@
     failures: RefCell<LineBudget>,
     successes: RefCell<LineBudget>,
     broken_exchanges: RefCell<LineBudget>,
-    server_limits: RefCell<LineBudget>,
+    server_statements: RefCell<LineBudget>,
 }
 
 impl DecisionLog {
@@ -93,7 +94,7 @@
             failures: RefCell::default(),
             successes: RefCell::default(),
             broken_exchanges: RefCell::default(),
-            server_limits: RefCell::default(),
+            server_statements: RefCell::default(),
         }
     }
 
@@ -123,10 +124,10 @@
         }
     }
 
-    /// Calls `write` with the logger and the number of omitted lines, if the budget for servers' limits allows a line.
-    pub fn log_server_limit(&self, now: TimeMs, write: impl FnOnce(&slog::Logger, u64)) {
-        let per_s = self.settings.get().server_limits_per_s;
-        let omitted = self.server_limits.borrow_mut().take(now, per_s);
+    /// Calls `write` with the logger and the number of omitted lines, if the budget for servers' statements allows a line.
+    pub fn log_server_statement(&self, now: TimeMs, write: impl FnOnce(&slog::Logger, u64)) {
+        let per_s = self.settings.get().server_statements_per_s;
+        let omitted = self.server_statements.borrow_mut().take(now, per_s);
         if let Some(omitted) = omitted {
             write(&self.log, omitted);
         }
--- a/crates/damaskvane-gateway/src/lib.rs
+++ b/crates/damaskvane-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 //! - [`peers`]: datagrams between instances: heartbeats, digests and reports.
 //! - [`probes`]: health probes of backend servers.
 //! - [`server_limits`]: limits that backend servers name for their requests.
+//! - [`server_statements`]: what backend servers say of themselves in their responses.
 //! - [`stop`]: the planned stop.
 //! - [`costs`]: counters of transferred bytes and opened connections.
 //! - [`metrics`]: metrics, and the response that exports them.
@@ -50,6 +51,7 @@
 pub mod quota;
 pub mod reach;
 pub mod server_limits;
+pub mod server_statements;
 pub mod settings;
 pub mod stop;
 pub mod store;
--- a/crates/damaskvane-gateway/src/metrics.rs
+++ b/crates/damaskvane-gateway/src/metrics.rs
@@ -70,6 +70,14 @@
     pub limited_servers: IntGauge,
     /// Changes of servers' limits that this instance learned of, by source and kind.
     pub limit_changes: IntCounterVec,
+    /// Servers that want no request from this instance now.
+    pub resting_servers: IntGauge,
+    /// Rests that servers have asked this instance for, by source and kind.
+    pub rest_changes: IntCounterVec,
+    /// Servers that have said that they leave, and have not left yet.
+    pub leaving_servers: IntGauge,
+    /// Servers that have said that they leave, by source.
+    pub servers_told_leaving: IntCounterVec,
     /// Requests for tokens of servers with a limit, by outcome.
     pub limit_tokens: IntCounterVec,
     /// Datagrams that could not be decoded.
@@ -170,6 +178,22 @@
                 "Changes of servers' limits",
                 &["source", "change"],
             )?,
+            resting_servers: factory.gauge(
+                "resting_servers",
+                "Servers that want no request from this instance",
+            )?,
+            rest_changes: factory.counters(
+                "rest_changes_total",
+                "Rests that servers have asked for",
+                &["source", "change"],
+            )?,
+            leaving_servers: factory
+                .gauge("leaving_servers", "Servers that have said that they leave")?,
+            servers_told_leaving: factory.counters(
+                "servers_told_leaving_total",
+                "Servers that have said that they leave",
+                &["source"],
+            )?,
             limit_tokens: factory.counters(
                 "limit_tokens_total",
                 "Tokens of servers with a limit asked for",
@@ -314,6 +338,10 @@
         metrics
             .limited_servers
             .set(state.pool.limited().len() as i64);
+        let resting = state.pool.resting(now).count();
+        metrics.resting_servers.set(resting as i64);
+        let leaving = state.pool.leaving().count();
+        metrics.leaving_servers.set(leaving as i64);
         let carried = node.carried_tunnels.get();
         metrics.open_carried_tunnels.set(carried as i64);
         metrics.update_team_refusals();
--- a/crates/damaskvane-gateway/src/probes.rs
+++ b/crates/damaskvane-gateway/src/probes.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 
 use damaskvane_routing::configuration::RegionSet;
-use damaskvane_routing::pool::{DueProbe, ProbeResult, ServerEntry};
+use damaskvane_routing::pool::{DueProbe, ProbeResult, ServerEntry, StatementSource};
 
 use crate::costs::OpenReason;
 use crate::crashes;
@@ -15,7 +15,8 @@
 use crate::node::Node;
 use crate::probes::comparison::Comparison;
 use crate::reach;
-use crate::server_limits::{self, SendPermit};
+use crate::server_limits::SendPermit;
+use crate::server_statements;
 use crate::tunnel::{Endpoint, Path};
 use crate::upstream::{self, OpenError, TunnelUse};
 
@@ -189,13 +190,12 @@
     let head = connection.read_head().await.ok()?;
     let mut body = BodyReader::new(head.body);
     let read = connection.read_body(&mut body, MAX_BODY_BYTES).await;
-    let names = node.adapter.headers();
-    let text = |name| head.headers.get(name)?.to_str().ok();
-    let is_itself = text(&names.server_id).is_none_or(|id| id == probe.server.as_str());
-    if !is_itself {
+    let report = server_statements::decode(node.adapter.headers(), &probe.server, &head);
+    if report.is_other_server {
         return Some(ProbeResult::OtherServer);
     }
-    server_limits::record_probe(node, &probe.server, sent_at, &head);
+    let source = StatementSource::Probe;
+    server_statements::record(node, &probe.server, sent_at, &report, source);
     if head.status != 200 {
         return Some(ProbeResult::Unhealthy);
     }
@@ -204,9 +204,7 @@
         let mut idle = node.idle.borrow_mut();
         idle.keep(now, &probe.server, connection, head.idle_timeout_s, path);
     }
-    let remaining_ms =
-        text(&names.warmup_remaining_ms).and_then(|text| text.trim().parse::<f64>().ok());
     Some(ProbeResult::Healthy {
-        warmup_left_ms: remaining_ms.map_or(0, |remaining_ms| remaining_ms.max(0.0) as u64),
+        warmup_left_ms: report.warmup_left_ms.unwrap_or_default(),
     })
 }
--- a/crates/damaskvane-gateway/src/server_limits/asking.rs
+++ b/crates/damaskvane-gateway/src/server_limits/asking.rs
@@ -296,7 +296,7 @@
 fn claim(node: &Node, server: ServerKey) -> Option<LimitClaim> {
     let now = node.now();
     let state = node.state.borrow();
-    let limit = &state.pool.by_key(server)?.limit;
+    let limit = &state.pool.by_key(server)?.availability.limit;
     Some(LimitClaim {
         server,
         rate: limit.rate()?,
--- a/crates/damaskvane-gateway/src/server_limits/holders.rs
+++ b/crates/damaskvane-gateway/src/server_limits/holders.rs
@@ -42,7 +42,7 @@
     pub(super) fn terms(&self, node: &Node, server: ServerKey) -> Option<ShareTerms> {
         let gone = self.iter().filter(|one| !is_alive(node, one)).count();
         let state = node.state.borrow();
-        let limit = state.pool.by_key(server)?.limit.rate()?;
+        let limit = state.pool.by_key(server)?.availability.limit.rate()?;
         Some(ServerLimitSettings::default().terms(limit, self.0.len(), gone))
     }
 }
--- a/crates/damaskvane-gateway/src/server_limits/permit.rs
+++ b/crates/damaskvane-gateway/src/server_limits/permit.rs
@@ -116,7 +116,10 @@
         let until = self.node.now() + SpanMs::new(ms + spread_ms);
         let mut state = self.node.state.borrow_mut();
         if let Some(mut server) = state.pool.server_mut(&self.server) {
-            server.limit.record_refused(until, self.priority);
+            server
+                .availability
+                .limit
+                .record_refused(until, self.priority);
         }
     }
 }
--- a/crates/damaskvane-gateway/src/server_limits/reports.rs
+++ b/crates/damaskvane-gateway/src/server_limits/reports.rs
@@ -6,12 +6,13 @@
 
 use damaskvane_core::ids;
 use damaskvane_core::time::TimeMs;
-use damaskvane_routing::pool::{LimitSource, PeerLimitReport, ServerKey};
+use damaskvane_routing::pool::{PeerLimitReport, ServerKey, StatementSource};
 use rand::RngExt;
 
 use crate::node::Node;
 use crate::peers::Message;
 use crate::server_limits::message::LimitClaim;
+use crate::server_statements;
 
 /// Largest delay of the report of a limit, in a fleet of up to [`FLEET_SIZE`] other instances.
 const MAX_DELAY_MS: u64 = 100;
@@ -33,10 +34,10 @@
         let Some(mut server) = state.pool.server_mut(&server) else {
             return;
         };
-        if !server.limit.is_news() {
+        if !server.availability.limit.is_news() {
             return;
         }
-        server.limit.record_reported();
+        server.availability.limit.record_reported();
         server.limit_report(now)
     };
     let message = Message::ServerLimits(vec![report]);
@@ -63,7 +64,7 @@
     let changed = node.state.borrow_mut().pool.apply_limit_report(now, report);
     if let Some((server, change)) = changed {
         let as_of = TimeMs::new(now.get().saturating_sub(report.age.get()));
-        super::log_change(node, &server, as_of, change, LimitSource::Peer);
+        server_statements::log_limit(node, &server, as_of, change, StatementSource::Peer);
     }
 }
 
@@ -79,7 +80,7 @@
     let has_ended = {
         let state = node.state.borrow();
         let server = state.pool.by_key(claim.server);
-        server.is_some_and(|server| server.limit.has_ended())
+        server.is_some_and(|server| server.availability.limit.has_ended())
     };
     if has_ended {
         send_report(node, claim.server, from);
--- /dev/null
+++ b/crates/damaskvane-gateway/src/server_statements.rs
@@ -0,0 +1,115 @@
+//! What backend servers say of themselves in their responses: each response is decoded once, and what it says is kept with
+//! its server, logged and counted.
+
+mod decode;
+
+use std::rc::Rc;
+
+use damaskvane_core::ids;
+use damaskvane_core::time::TimeMs;
+use damaskvane_routing::limit::RequestRate;
+use damaskvane_routing::pool::{
+    Availability, LimitChange, LimitStatement, RestChange, RestStatement, ServerReport,
+    StatementSource,
+};
+
+pub use decode::decode;
+
+use crate::node::Node;
+use crate::server_limits;
+
+/// Label of a statement whose value is no number.
+const UNREADABLE: &str = "unreadable";
+
+/// Returns what is known of a server's availability, or `None` if the server is not in the pool.
+pub(crate) fn known(node: &Node, server: &ids::BackendServerId) -> Option<Availability> {
+    let state = node.state.borrow();
+    Some(state.pool.server(server)?.availability)
+}
+
+/// Records what the response to a request that was sent at `sent_at` says of its server.
+pub(crate) fn record(
+    node: &Rc<Node>,
+    server: &ids::BackendServerId,
+    sent_at: TimeMs,
+    report: &ServerReport,
+    source: StatementSource,
+) {
+    if report.is_other_server {
+        return;
+    }
+    if report.limit == LimitStatement::Unreadable {
+        count_limit(node, source, UNREADABLE);
+    }
+    if report.rest == RestStatement::Unreadable {
+        count_rest(node, source, UNREADABLE);
+    }
+    let now = node.now();
+    let changes = {
+        let pool = &mut node.state.borrow_mut().pool;
+        pool.apply_response(now, sent_at, server, report, source)
+    };
+    if let Some(change) = changes.limit {
+        log_limit(node, server, sent_at, change, source);
+        server_limits::announce(node, server);
+    }
+    if let Some(change) = changes.rest {
+        log_rest(node, server, change, source);
+    }
+    if changes.has_begun_to_leave {
+        log_leaving(node, server, source);
+    }
+}
+
+fn count_limit(node: &Node, source: StatementSource, change: &str) {
+    let changes = &node.metrics.limit_changes;
+    changes.with_label_values(&[source.as_str(), change]).inc();
+}
+
+fn count_rest(node: &Node, source: StatementSource, change: &str) {
+    let changes = &node.metrics.rest_changes;
+    changes.with_label_values(&[source.as_str(), change]).inc();
+}
+
+pub(crate) fn log_limit(
+    node: &Node,
+    server: &ids::BackendServerId,
+    as_of: TimeMs,
+    change: LimitChange,
+    source: StatementSource,
+) {
+    let kind = change.as_str();
+    count_limit(node, source, kind);
+    let now = node.now();
+    node.log.log_server_statement(now, |log, left_out| {
+        slog::info!(log, "server limit";
+            "backend_server" => %server, "change" => kind, "source" => source.as_str(),
+            "before_per_s" => change.before.map(RequestRate::per_s),
+            "limit_per_s" => change.after.map(RequestRate::per_s),
+            "as_of_ms_ago" => now.since(as_of).get(), "lines_left_out" => left_out);
+    });
+}
+
+fn log_rest(
+    node: &Node,
+    server: &ids::BackendServerId,
+    change: RestChange,
+    source: StatementSource,
+) {
+    let kind = change.as_str();
+    count_rest(node, source, kind);
+    node.log.log_server_statement(node.now(), |log, left_out| {
+        slog::info!(log, "server rest";
+            "backend_server" => %server, "change" => kind, "source" => source.as_str(),
+            "rest_ms" => change.remaining.get(), "lines_left_out" => left_out);
+    });
+}
+
+fn log_leaving(node: &Node, server: &ids::BackendServerId, source: StatementSource) {
+    let leaving = &node.metrics.servers_told_leaving;
+    leaving.with_label_values(&[source.as_str()]).inc();
+    node.log.log_server_statement(node.now(), |log, left_out| {
+        slog::info!(log, "server leaves";
+            "backend_server" => %server, "source" => source.as_str(), "lines_left_out" => left_out);
+    });
+}
--- a/crates/damaskvane-gateway/src/upstream.rs
+++ b/crates/damaskvane-gateway/src/upstream.rs
@@ -13,6 +13,6 @@
 pub use connect::{OpenError, TunnelUse, open, open_by_peer, open_direct};
 pub use exchange::Exchange;
 pub use idle::IdleConnections;
-pub use outcome::ExchangeOutcome;
+pub use outcome::{ExchangeOutcome, Sending};
 pub use request::{OutgoingRequest, strip_connection_headers};
 pub use response::{BackendResponse, ResponseBody};
--- a/crates/damaskvane-gateway/src/upstream/classify.rs
+++ b/crates/damaskvane-gateway/src/upstream/classify.rs
@@ -2,20 +2,11 @@
 
 use std::io;
 
-use damaskvane_routing::pool::{self, ExchangeEnd};
+use damaskvane_routing::pool::ExchangeEnd;
 use hyper::header;
 
 use crate::http::{ReadError, ResponseHead};
 
-pub(super) fn parse_load(text: &str) -> Option<pool::LoadReport> {
-    let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
-    Some(pool::LoadReport {
-        running: numbers.next()??,
-        waiting: numbers.next()??,
-        slots: numbers.next()??,
-    })
-}
-
 pub(super) fn retry_after_ms(head: &ResponseHead) -> Option<u64> {
     let text = head.headers.get(header::RETRY_AFTER)?.to_str().ok()?;
     let seconds: f64 = text.trim().parse().ok()?;
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -7,7 +7,7 @@
 use damaskvane_core::time::{SpanMs, TimeMs};
 use damaskvane_routing::configuration::RegionSet;
 use damaskvane_routing::placement::Pick;
-use damaskvane_routing::pool::{ExchangeEnd, ServerReport};
+use damaskvane_routing::pool::{ExchangeEnd, ServerReport, StatementSource};
 use hyper::header;
 
 use crate::clients::SendRight;
@@ -16,15 +16,14 @@
 use crate::http::{self, BodyReader, ResponseHead};
 use crate::node::Node;
 use crate::reach;
-use crate::server_limits::{self, SendPermit};
+use crate::server_limits::SendPermit;
+use crate::server_statements;
 use crate::tunnel::{Endpoint, Path};
-use crate::upstream::classify::{
-    classify_io_error, classify_read_error, parse_load, retry_after_ms,
-};
+use crate::upstream::classify::{classify_io_error, classify_read_error, retry_after_ms};
 use crate::upstream::running::RunningExchange;
 use crate::upstream::{
-    self, BackendResponse, ExchangeOutcome, OpenError, OutgoingRequest, ResponseBody, TunnelUse,
-    request, streaming,
+    self, BackendResponse, ExchangeOutcome, OpenError, OutgoingRequest, ResponseBody, Sending,
+    TunnelUse, request, streaming,
 };
 
 /// Timeout for opening a connection. The kernel retransmits a lost SYN packet only after a second, and within
@@ -113,13 +112,23 @@
             self.right.restore(token);
             return self.unsent(connection, &path, is_reused, ExchangeEnd::Limited);
         }
-        let outcome = self.send(connection, &path, is_reused).await;
+        let sending = self.sending();
+        let outcome = ExchangeOutcome {
+            sending,
+            ..self.send(connection, &path, is_reused).await
+        };
         if matches!(outcome.end, ExchangeEnd::Shed | ExchangeEnd::Misdirected) {
             self.right.restore(token);
         }
         outcome
     }
 
+    fn sending(&self) -> Option<Sending> {
+        let known = server_statements::known(self.node, &self.pick.server)?;
+        let at = self.node.now();
+        Some(Sending { at, known })
+    }
+
     /// Returns the outcome of an exchange in which nothing was written; a new connection is kept for other requests.
     fn unsent(
         &self,
@@ -237,8 +246,13 @@
             };
             reach::record_answered(self.node, path);
             if self.matches_request(&head) {
-                server_limits::record_response(self.node, &self.pick.server, sent_at, &head);
-                return self.finish_response(connection, path, head, may_keep).await;
+                let server = &self.pick.server;
+                let report = server_statements::decode(self.node.adapter.headers(), server, &head);
+                let source = StatementSource::Response;
+                server_statements::record(self.node, server, sent_at, &report, source);
+                return self
+                    .finish_response(connection, path, head, report, may_keep)
+                    .await;
             }
             // A duplicate response to an earlier request is read and dropped, since the response to this
             // request may still follow. Duplicates occur only on reused connections.
@@ -275,9 +289,10 @@
         mut connection: http::Connection,
         path: &Path,
         head: ResponseHead,
+        report: ServerReport,
         may_keep: bool,
     ) -> ExchangeOutcome {
-        let (end, report) = self.classify_response(&head);
+        let end = classify_response(&head, &report);
         let retry_after_ms = retry_after_ms(&head);
         let has_no_body = self.request.method == hyper::Method::HEAD;
         let kind = if has_no_body {
@@ -328,6 +343,7 @@
         ExchangeOutcome {
             end,
             report,
+            sending: None,
             response: Some(response),
             retry_after_ms,
             took_ms: None,
@@ -336,32 +352,24 @@
             withheld: None,
         }
     }
+}
 
-    fn classify_response(&self, head: &ResponseHead) -> (ExchangeEnd, ServerReport) {
-        let names = self.node.adapter.headers();
-        let load = head.headers.get(&names.load);
-        let report = ServerReport {
-            load: load.and_then(|value| parse_load(value.to_str().ok()?)),
-        };
-        let is_signed = head.headers.contains_key(&names.signature);
-        let end = if head.status == 421 {
-            ExchangeEnd::Misdirected
-        } else if head.headers.contains_key(&names.not_run) {
-            ExchangeEnd::Shed
-        } else if (200..300).contains(&head.status) {
-            // A success without the server's signature, or with a content encoding, isn't the server's unchanged
-            // response.
-            let is_encoded = head.headers.contains_key(header::CONTENT_ENCODING);
-            if is_signed && !is_encoded {
-                ExchangeEnd::Answered
-            } else {
-                ExchangeEnd::Malformed
-            }
-        } else if head.status >= 500 {
-            ExchangeEnd::Failed
-        } else {
+fn classify_response(head: &ResponseHead, report: &ServerReport) -> ExchangeEnd {
+    if head.status == 421 {
+        ExchangeEnd::Misdirected
+    } else if report.is_not_run {
+        ExchangeEnd::Shed
+    } else if (200..300).contains(&head.status) {
+        // A success without the server's signature, or with a content encoding, isn't the server's unchanged response.
+        let is_encoded = head.headers.contains_key(header::CONTENT_ENCODING);
+        if report.is_signed && !is_encoded {
             ExchangeEnd::Answered
-        };
-        (end, report)
+        } else {
+            ExchangeEnd::Malformed
+        }
+    } else if report.is_able {
+        ExchangeEnd::Answered
+    } else {
+        ExchangeEnd::Failed
     }
 }
--- a/crates/damaskvane-gateway/src/upstream/outcome.rs
+++ b/crates/damaskvane-gateway/src/upstream/outcome.rs
@@ -1,18 +1,30 @@
 //! How an exchange with a backend server ended.
 
-use damaskvane_routing::pool::{ExchangeEnd, ServerReport};
+use damaskvane_core::time::TimeMs;
+use damaskvane_routing::pool::{Availability, ExchangeEnd, ServerReport};
 
 use crate::clients::Withheld;
 use crate::tunnel::Path;
 use crate::upstream::BackendResponse;
 
+/// When a request was written, and what was known of the availability of its server then.
+#[derive(Debug, Clone, Copy)]
+pub struct Sending {
+    /// When the request was written.
+    pub at: TimeMs,
+    /// What the server was known to have said.
+    pub known: Availability,
+}
+
 /// How an exchange ended, with the server's response if it was received.
 #[derive(Debug)]
 pub struct ExchangeOutcome {
     /// How the exchange ended; determines the server's health rating and whether a retry is allowed.
     pub end: ExchangeEnd,
-    /// The load that the server reported with its response.
+    /// What the response says of its server.
     pub report: ServerReport,
+    /// The moment of sending; `None` if nothing was written.
+    pub sending: Option<Sending>,
     /// The server's response; the caller decides whether the client gets it.
     pub response: Option<BackendResponse>,
     /// The delay from the response's `Retry-After` header, in milliseconds. Servers set it when they reject a
@@ -40,6 +52,7 @@
         Self {
             end,
             report: ServerReport::default(),
+            sending: None,
             response: None,
             retry_after_ms: None,
             took_ms: None,
--- a/crates/damaskvane-routing/src/placement/selection.rs
+++ b/crates/damaskvane-routing/src/placement/selection.rs
@@ -56,7 +56,7 @@
                 passed_over.get_or_insert(SkipReason::Cold);
                 continue;
             }
-            if !server.limit.may_have_token(now, priority) {
+            if !server.availability.limit.may_have_token(now, priority) {
                 reason = RefusalReason::Limited;
                 passed_over.get_or_insert(SkipReason::Limited);
                 continue;
--- a/crates/damaskvane-routing/src/pool.rs
+++ b/crates/damaskvane-routing/src/pool.rs
@@ -11,6 +11,7 @@
 //! assert_eq!(pool.servers().count(), 0);
 //! ```
 
+mod availability;
 mod entry;
 mod exchange;
 mod handle;
@@ -19,29 +20,38 @@
 mod peer_report;
 mod probes;
 mod region_load;
+mod retry_after;
 mod ring;
 mod server;
 mod server_limit;
 mod server_pool;
+mod server_report;
+mod server_rest;
 mod server_table;
 mod service_servers;
 mod settings;
 mod speed;
+mod statement_source;
 mod topology;
 
+pub use availability::{Availability, AvailabilityChanges};
 pub use entry::{ServerEntry, ServerState};
-pub use exchange::{ExchangeEnd, ExchangeId, ServerReport};
+pub use exchange::{ExchangeEnd, ExchangeId};
 pub use handle::ServerHandle;
 pub use liveness::Liveness;
 pub use load::LoadReport;
 pub use peer_report::{PeerHealthReport, PeerLimitReport, PeerServerReport, ServerKey};
 pub use probes::{DueProbe, ProbeResult};
+pub use retry_after::{ParseRetryAfterError, RetryAfter};
 pub use ring::{Ring, RingPoint};
 pub use server::Server;
-pub use server_limit::{LimitChange, LimitSource, LimitStatement, ServerLimit};
+pub use server_limit::{LimitChange, LimitStatement, ServerLimit};
 pub use server_pool::{Change, ServerPool};
+pub use server_report::ServerReport;
+pub use server_rest::{RestChange, RestStatement, ServerRest};
 pub use server_table::ServerMut;
 pub use service_servers::{ServiceServers, ZoneServers};
 pub use settings::PoolSettings;
 pub use speed::{Baseline, Baselines};
+pub use statement_source::StatementSource;
 pub use topology::{RegionIndex, Topology, ZoneIndex};
--- /dev/null
+++ b/crates/damaskvane-routing/src/pool/availability.rs
@@ -0,0 +1,75 @@
+//! What a backend server has said of itself that decides whether it gets requests: its limit, its rest, and that it leaves.
+
+use damaskvane_core::time::TimeMs;
+
+use crate::pool::{
+    LimitChange, RestChange, RestStatement, ServerLimit, ServerReport, ServerRest, StatementSource,
+};
+
+/// The changes that a response has made to what is known of its server.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct AvailabilityChanges {
+    /// Change of the limit.
+    pub limit: Option<LimitChange>,
+    /// Change of the rest.
+    pub rest: Option<RestChange>,
+    /// Whether this instance has learned now that the server leaves.
+    pub has_begun_to_leave: bool,
+}
+
+/// What one incarnation of a server has said of its availability.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Availability {
+    /// Limit on the requests of all instances together.
+    pub limit: ServerLimit,
+    /// Time in which the server wants no request from this instance.
+    pub rest: ServerRest,
+    is_leaving: bool,
+}
+
+impl Availability {
+    /// Returns the knowledge about an incarnation of which nothing was heard yet. It began at `incarnation_at`, or 0 if it
+    /// may have begun at any time.
+    #[must_use]
+    pub fn unknown(incarnation_at: TimeMs) -> Self {
+        Self {
+            limit: ServerLimit::unknown(incarnation_at),
+            rest: ServerRest::default(),
+            is_leaving: false,
+        }
+    }
+
+    /// Returns whether the server has said that it leaves.
+    #[must_use]
+    pub const fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
+    /// Applies what the response to a request that was sent at `sent_at` says.
+    ///
+    /// What another server has said at the address, or an earlier incarnation, counts for nothing.
+    pub fn apply_response(
+        &mut self,
+        now: TimeMs,
+        sent_at: TimeMs,
+        report: &ServerReport,
+        source: StatementSource,
+    ) -> AvailabilityChanges {
+        if report.is_other_server || !self.limit.is_of_incarnation(sent_at) {
+            return AvailabilityChanges::default();
+        }
+        let rest = match report.rest {
+            RestStatement::Rest(after) => self.rest.begin(now, after.span(), source),
+            RestStatement::Nothing | RestStatement::Unreadable => None,
+        };
+        let was_leaving = self.is_leaving;
+        self.is_leaving |= report.is_leaving;
+        AvailabilityChanges {
+            limit: self
+                .limit
+                .apply_response(now, sent_at, report.limit_by(source)),
+            rest,
+            has_begun_to_leave: report.is_leaving && !was_leaving,
+        }
+    }
+}
--- a/crates/damaskvane-routing/src/pool/exchange.rs
+++ b/crates/damaskvane-routing/src/pool/exchange.rs
@@ -1,20 +1,11 @@
-//! How an exchange with a backend server ended, and what the response reports about the server.
+//! How an exchange with a backend server ended.
 //!
 //! An exchange is one request that this instance sends to a backend server, with the response.
 
-use crate::pool::LoadReport;
-
 /// Number that identifies an exchange of this instance while the exchange is in progress.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ExchangeId(pub u64);
 
-/// The data about the server itself that a response carries.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct ServerReport {
-    /// Load of the server, or `None` if the response doesn't report the load.
-    pub load: Option<LoadReport>,
-}
-
 /// How an exchange ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ExchangeEnd {
--- a/crates/damaskvane-routing/src/pool/server.rs
+++ b/crates/damaskvane-routing/src/pool/server.rs
@@ -11,7 +11,7 @@
 use crate::pool::load::PeerLoad;
 use crate::pool::speed::{Slowness, decayed_share};
 use crate::pool::{
-    ExchangeEnd, ExchangeId, Liveness, LoadReport, PeerHealthReport, ServerEntry, ServerLimit,
+    Availability, ExchangeEnd, ExchangeId, Liveness, LoadReport, PeerHealthReport, ServerEntry,
     ServerReport,
 };
 
@@ -50,8 +50,8 @@
     pub expires_at: Option<TimeMs>,
     /// Whether the server accepts connections.
     pub liveness: Liveness,
-    /// Limit on its requests that the server names.
-    pub limit: ServerLimit,
+    /// What the server has said of its availability.
+    pub availability: Availability,
     cold_rate: ColdRate,
     requests: BTreeMap<ExchangeId, InFlightRequest>,
     peer_load: PeerLoad,
@@ -86,7 +86,7 @@
             cold_until,
             expires_at: None,
             liveness: Liveness::Up,
-            limit: ServerLimit::unknown(TimeMs::ZERO),
+            availability: Availability::unknown(TimeMs::ZERO),
             cold_rate: ColdRate::default(),
             requests: BTreeMap::new(),
             peer_load: PeerLoad::default(),
@@ -120,7 +120,7 @@
         self.cold_until = self.cold_until.max(now + SpanMs::new(left_ms));
     }
 
-    /// Resets recent objects, slowness, failures, liveness and limit after the server has restarted.
+    /// Resets recent objects, slowness, failures, liveness and what the server has said after the server has restarted.
     pub fn reset_after_restart(&mut self, now: TimeMs) {
         self.objects.clear();
         self.slowness = Slowness::default();
@@ -128,7 +128,7 @@
         self.failures_at = now;
         self.peer_health = None;
         self.liveness = Liveness::Up;
-        self.limit = ServerLimit::unknown(now);
+        self.availability = Availability::unknown(now);
     }
 
     /// Returns whether the rate limit of cold servers applies: the server is cold or may have restarted.
--- a/crates/damaskvane-routing/src/pool/server_limit.rs
+++ b/crates/damaskvane-routing/src/pool/server_limit.rs
@@ -25,29 +25,6 @@
     Unreadable,
 }
 
-/// How an instance learned of a limit.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LimitSource {
-    /// By the response to a request.
-    Response,
-    /// By the response to a health probe.
-    Probe,
-    /// By another instance.
-    Peer,
-}
-
-impl LimitSource {
-    /// Returns the label for logs.
-    #[must_use]
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Response => "response",
-            Self::Probe => "probe",
-            Self::Peer => "peer",
-        }
-    }
-}
-
 /// A change of what is known, which the caller logs.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LimitChange {
@@ -121,6 +98,12 @@
         self.as_of.map_or(SpanMs::ZERO, |as_of| now.since(as_of))
     }
 
+    /// Returns whether a response to a request that was sent at `sent_at` is of the known incarnation of the server.
+    #[must_use]
+    pub fn is_of_incarnation(&self, sent_at: TimeMs) -> bool {
+        sent_at >= self.incarnation_at
+    }
+
     /// Returns when this instance learned of the limit, or that there is none.
     #[must_use]
     pub const fn learned_at(&self) -> TimeMs {
@@ -137,7 +120,7 @@
         sent_at: TimeMs,
         statement: LimitStatement,
     ) -> Option<LimitChange> {
-        if sent_at < self.incarnation_at {
+        if !self.is_of_incarnation(sent_at) {
             return None;
         }
         let is_later = self.as_of.is_none_or(|as_of| sent_at > as_of);
@@ -169,7 +152,7 @@
         self.is_known_to_peers |= rate == self.rate;
         let delay = SpanMs::new(if rate.is_none() { REPORT_DELAY_MS } else { 0 });
         let is_late = self.as_of.is_some_and(|as_of| sent_at <= as_of + delay);
-        if sent_at < self.incarnation_at || is_late {
+        if !self.is_of_incarnation(sent_at) || is_late {
             return None;
         }
         self.as_of = Some(sent_at);
--- a/crates/damaskvane-routing/src/pool/server_pool.rs
+++ b/crates/damaskvane-routing/src/pool/server_pool.rs
@@ -5,6 +5,7 @@
 
 mod limits;
 mod probing;
+mod statements;
 
 use std::collections::{BTreeSet, HashMap};
 
--- a/crates/damaskvane-routing/src/pool/server_pool/limits.rs
+++ b/crates/damaskvane-routing/src/pool/server_pool/limits.rs
@@ -31,7 +31,7 @@
     pub(super) fn apply(&mut self, now: TimeMs, server: &mut Server) {
         let key = ServerKey::of(&server.entry.id);
         if let Some((sent_at, rate)) = self.0.remove(&key) {
-            server.limit.apply_report(now, sent_at, rate);
+            server.availability.limit.apply_report(now, sent_at, rate);
         }
     }
 }
@@ -65,7 +65,10 @@
             return None;
         };
         let mut server = self.servers.get_mut(handle)?;
-        let change = server.limit.apply_report(now, sent_at, report.rate)?;
+        let change = server
+            .availability
+            .limit
+            .apply_report(now, sent_at, report.rate)?;
         Some((server.entry.id.clone(), change))
     }
 
@@ -81,8 +84,8 @@
     pub fn limit_report(&self, now: TimeMs) -> PeerLimitReport {
         PeerLimitReport {
             server: ServerKey::of(&self.entry.id),
-            rate: self.limit.rate(),
-            age: self.limit.age(now),
+            rate: self.availability.limit.rate(),
+            age: self.availability.limit.age(now),
         }
     }
 }
--- a/crates/damaskvane-routing/src/pool/server_table.rs
+++ b/crates/damaskvane-routing/src/pool/server_table.rs
@@ -6,7 +6,8 @@
 use damaskvane_core::ids;
 
 use crate::pool::{
-    Liveness, Server, ServerHandle, ServerKey, ServerState, ServiceServers, Topology, ZoneIndex,
+    Liveness, Server, ServerHandle, ServerKey, ServerRest, ServerState, ServiceServers, Topology,
+    ZoneIndex,
 };
 
 /// The state of a server from which the indexes are derived.
@@ -21,6 +22,7 @@
     is_expiring: bool,
     has_unreported_state: bool,
     has_limit: bool,
+    has_rest: bool,
 }
 
 impl IndexKeys {
@@ -36,7 +38,8 @@
             awaits_probe: server.liveness.probe_at().is_some(),
             is_expiring: server.expires_at.is_some(),
             has_unreported_state: server.has_unreported_state(),
-            has_limit: server.limit.rate().is_some(),
+            has_limit: server.availability.limit.rate().is_some(),
+            has_rest: server.availability.rest != ServerRest::default(),
         }
     }
 }
@@ -62,6 +65,7 @@
     with_unreported_state: BTreeSet<ServerHandle>,
     in_use: BTreeSet<ServerHandle>,
     limited: BTreeSet<ServerHandle>,
+    with_rest: BTreeSet<ServerHandle>,
 }
 
 /// Mutable access to a server of the table; dropping this value updates the table's indexes.
@@ -105,6 +109,7 @@
             with_unreported_state: BTreeSet::new(),
             in_use: BTreeSet::new(),
             limited: BTreeSet::new(),
+            with_rest: BTreeSet::new(),
         }
     }
 
@@ -196,6 +201,11 @@
         &self.limited
     }
 
+    /// Returns the servers that have asked this instance for a rest which is not known to be over.
+    pub(super) const fn with_rest(&self) -> &BTreeSet<ServerHandle> {
+        &self.with_rest
+    }
+
     pub(super) fn insert(&mut self, server: Server) {
         let id = server.entry.id.clone();
         let row = Row {
@@ -285,6 +295,7 @@
         );
         set_membership(&mut self.in_use, handle, after.in_flight > 0);
         set_membership(&mut self.limited, handle, after.has_limit);
+        set_membership(&mut self.with_rest, handle, after.has_rest);
     }
 
     fn remove_from_zone(
--- a/crates/damaskvane-routing/tests/admission.rs
+++ b/crates/damaskvane-routing/tests/admission.rs
@@ -46,6 +46,7 @@
             waiting: 18,
             slots: 6,
         }),
+        ..ServerReport::default()
     };
     let mut server = pool.server_mut(&server_id("east-a-0")).expect("a server");
     for number in 0..5 {
--- a/crates/damaskvane-routing/tests/peer_reports.rs
+++ b/crates/damaskvane-routing/tests/peer_reports.rs
@@ -206,7 +206,10 @@
         };
         let mut server = pool.server_mut(&id).expect("a server");
         server.record_sent(now, ExchangeId(number), 100.0);
-        let report = ServerReport { load: Some(report) };
+        let report = ServerReport {
+            load: Some(report),
+            ..ServerReport::default()
+        };
         server.record_end(now, ExchangeId(number), ExchangeEnd::Answered, report);
         drop(server);
         let busy = PeerServerReport {
--- a/crates/damaskvane-routing/tests/placement.rs
+++ b/crates/damaskvane-routing/tests/placement.rs
@@ -286,6 +286,7 @@
                 waiting: 0,
                 slots: 6,
             }),
+            ..ServerReport::default()
         };
         server.record_end(
             at(900 + number),
--- a/crates/damaskvane-routing/tests/pool.rs
+++ b/crates/damaskvane-routing/tests/pool.rs
@@ -228,6 +228,7 @@
             waiting: 6,
             slots: 6,
         }),
+        ..ServerReport::default()
     };
     let mut server = pool.server_mut(&server_id("east-a-0")).expect("a server");
     for number in 0..10 {
@@ -259,6 +260,7 @@
         .expect("a server");
     let report = ServerReport {
         load: Some(load(6, 9)),
+        ..ServerReport::default()
     };
     server.record_sent(at(800), ExchangeId(1), 100.0);
     server.record_end(at(1_000), ExchangeId(1), ExchangeEnd::Answered, report);
@@ -288,6 +290,7 @@
     let mut server = pool.server_mut(&server_id("east-a-0")).expect("a server");
     let free = ServerReport {
         load: Some(load(1, 0)),
+        ..ServerReport::default()
     };
     server.record_sent(at(800), ExchangeId(1), 100.0);
     server.record_end(at(1_000), ExchangeId(1), ExchangeEnd::Answered, free);
@@ -311,7 +314,10 @@
     for (number, report) in [(1, load(6, 3)), (2, load(4, 0)), (3, load(4, 0))] {
         let mut server = pool.server_mut(&server_id("east-a-0")).expect("a server");
         let now = at(number * 1_000);
-        let report = ServerReport { load: Some(report) };
+        let report = ServerReport {
+            load: Some(report),
+            ..ServerReport::default()
+        };
         server.record_sent(now, ExchangeId(number), 100.0);
         server.record_end(now, ExchangeId(number), ExchangeEnd::Answered, report);
         drop(server);
--- a/crates/damaskvane-routing/tests/server_limit.rs
+++ b/crates/damaskvane-routing/tests/server_limit.rs
@@ -142,7 +142,10 @@
     pool.apply(at(0), entry("a", "east-a"));
     let id = server_id("a");
     let mut server = pool.server_mut(&id).expect("a known server");
-    server.limit.apply_response(at(200), at(100), limited(3.0));
+    server
+        .availability
+        .limit
+        .apply_response(at(200), at(100), limited(3.0));
     drop(server);
     assert_eq!(pool.limited().len(), 1);
     let mut restarted = entry("a", "east-a");
@@ -152,18 +155,21 @@
     let mut server = pool.server_mut(&id).expect("a known server");
     assert!(
         server
+            .availability
             .limit
             .apply_response(at(1_100), at(900), limited(3.0))
             .is_none()
     );
     assert!(
         server
+            .availability
             .limit
             .apply_report(at(1_100), at(900), Some(rate(3.0)))
             .is_none()
     );
     assert!(
         server
+            .availability
             .limit
             .apply_response(at(1_200), at(1_100), limited(2.0))
             .is_some()
@@ -185,7 +191,11 @@
     );
     pool.apply(at(20), entry("a", "east-a"));
     pool.apply(at(20), entry("b", "east-a"));
-    let known = pool.server(&server_id("a")).expect("a known server").limit;
+    let known = pool
+        .server(&server_id("a"))
+        .expect("a known server")
+        .availability
+        .limit;
     assert_eq!(known.rate(), Some(rate(3.0)));
     let change = pool.apply_limit_report(at(30), report("b", Some(rate(1.0)), 60_000));
     assert!(change.is_some(), "older than the process, and news to it");
@@ -258,10 +268,13 @@
     let limit_all = |pool: &mut damaskvane_routing::pool::ServerPool, spared: Option<usize>| {
         for (number, name) in names.iter().enumerate() {
             let mut server = pool.server_mut(name).expect("a known server");
-            server.limit = unknown();
+            server.availability.limit = unknown();
             if Some(number) != spared {
-                server.limit.apply_response(at(500), at(400), limited(1.0));
-                server.limit.record_refused(at(5_000), 0);
+                server
+                    .availability
+                    .limit
+                    .apply_response(at(500), at(400), limited(1.0));
+                server.availability.limit.record_refused(at(5_000), 0);
             }
         }
     };
