A server gets no request from an instance that it has asked for rest

Cause: Retry-After of a rejection was passed on to the client and read by nobody else. Rejections counted as failures, whose effect is gradual; of a full server they did not even count.

Why this works: SendPermit is the gate of requests, retries, trials, tunnels and probes, checked when a server is chosen and again at the moment of writing; it now looks at Availability, which is decoded from each response. Each rejection begins a rest of its own: a shorter one and a success end none. Placement passes over resting servers, looks at the other servers of the home region and then of all regions, and refuses at once if all rest, with a Retry-After from the earliest end. After a rest the objects return over 1.4 s, urgent ones first; what no other server takes may come earlier, one request an instance and by the number of slots in sum.

A rejection with a rest of 300 ms or more no longer counts as a failure, or the load would come back seconds after the end.

--- a/crates/damaskvane-gateway/src/clients/routed_request.rs
+++ b/crates/damaskvane-gateway/src/clients/routed_request.rs
@@ -26,7 +26,7 @@
 use crate::decision_log::RequestOutcome;
 use crate::node::Node;
 use crate::reach;
-use crate::server_limits::{NoToken, SendPermit};
+use crate::server_limits::{NotAdmitted, Purpose, SendPermit};
 use crate::tunnel::Path;
 use crate::upstream::{BackendResponse, Exchange, ExchangeOutcome, OutgoingRequest, ResponseBody};
 
@@ -92,7 +92,7 @@
             }
             self.progress.record(outcome.end);
             self.record_exchange(&pick, &outcome);
-            if outcome.end == ExchangeEnd::Limited {
+            if matches!(outcome.end, ExchangeEnd::Limited | ExchangeEnd::Unavailable) {
                 self.is_next_charged = last.is_some();
                 continue;
             }
@@ -134,9 +134,10 @@
         }
     }
 
-    async fn permit(&self, pick: &Pick) -> Result<SendPermit, NoToken> {
+    async fn permit(&self, pick: &Pick) -> Result<SendPermit, NotAdmitted> {
         let priority = self.placement_request().priority();
-        SendPermit::acquire(self.node, &pick.server, priority).await
+        let purpose = Purpose::Request { priority };
+        SendPermit::acquire(self.node, &pick.server, purpose).await
     }
 
     fn refuse_limited(&self) -> Refusal {
@@ -156,7 +157,7 @@
             .choose(now, &state.pool, self.configuration, &request, instances)
     }
 
-    fn placement_request(&self) -> PlacementRequest<'_> {
+    pub(super) fn placement_request(&self) -> PlacementRequest<'_> {
         PlacementRequest {
             route: self.route,
             team: self.right.caller().map(|caller| &*caller.team),
--- a/crates/damaskvane-gateway/src/clients/unserved.rs
+++ b/crates/damaskvane-gateway/src/clients/unserved.rs
@@ -1,10 +1,11 @@
 //! Responses to requests that were not served, and the log lines on them.
 
 use damaskvane_core::time::SpanMs;
-use damaskvane_routing::placement::Refusal;
-use damaskvane_routing::pool::ExchangeEnd;
+use damaskvane_routing::placement::{Refusal, RefusalReason};
+use damaskvane_routing::pool::{ExchangeEnd, RestStatement};
 use damaskvane_routing::teams::Quota;
 use hyper::{Response, StatusCode};
+use rand::RngExt;
 
 use crate::clients::routed_request::{REJECTED_RETRY_AFTER_MS, RoutedRequest};
 use crate::clients::send_right::Withheld;
@@ -32,19 +33,43 @@
         let Some(last) = last else {
             return self.reject(REJECTED_RETRY_AFTER_MS);
         };
-        if let Some(response) = last.response.filter(|_| last.end == ExchangeEnd::Answered) {
+        if last.end == ExchangeEnd::Answered
+            && let Some(response) = last.response
+        {
             return reply::from_server(response);
         }
         if let Some(response) = self.failed_response.take() {
             return reply::from_server(response);
         }
         if self.progress.is_proven_not_run() {
-            let after = last.retry_after_ms.unwrap_or(REJECTED_RETRY_AFTER_MS);
-            return self.reject(after);
+            let retry_after_ms = self.retry_after_ms(last.report.rest, last.retry_after_ms);
+            return self.reject(retry_after_ms);
         }
         self.respond_outcome_unknown()
     }
 
+    /// Returns when a client should come back whose request the last server rejected.
+    ///
+    /// A rest that the server has asked for is this instance's matter: other servers may take the request at once.
+    fn retry_after_ms(&self, rest: RestStatement, named_ms: Option<u64>) -> u64 {
+        if rest == RestStatement::Nothing {
+            return named_ms.unwrap_or(REJECTED_RETRY_AFTER_MS);
+        }
+        let now = self.node.now();
+        let state = self.node.state.borrow();
+        let request = self.placement_request();
+        let wait = state
+            .pool
+            .time_to_available(now, &self.service, |region| request.allows(region));
+        let settings = &state.placer.settings;
+        let spread = rand::rng().random();
+        let refusal = match wait {
+            None | Some(SpanMs::ZERO) => settings.refusal(RefusalReason::Overloaded, spread),
+            Some(wait) => settings.refusal_for_rest(wait, spread),
+        };
+        refusal.retry_after_ms
+    }
+
     /// Returns the response if no further server can be selected.
     pub(super) fn refuse(
         &mut self,
--- a/crates/damaskvane-gateway/src/metrics.rs
+++ b/crates/damaskvane-gateway/src/metrics.rs
@@ -74,6 +74,8 @@
     pub resting_servers: IntGauge,
     /// Rests that servers have asked this instance for, by source and kind.
     pub rest_changes: IntCounterVec,
+    /// Requests that were not sent to a server for what it has said, by reason.
+    pub not_admitted: IntCounterVec,
     /// Servers that have said that they leave, and have not left yet.
     pub leaving_servers: IntGauge,
     /// Servers that have said that they leave, by source.
@@ -187,6 +189,11 @@
                 "Rests that servers have asked for",
                 &["source", "change"],
             )?,
+            not_admitted: factory.counters(
+                "not_admitted_total",
+                "Requests held back at the moment of sending for what their server has said",
+                &["reason"],
+            )?,
             leaving_servers: factory
                 .gauge("leaving_servers", "Servers that have said that they leave")?,
             servers_told_leaving: factory.counters(
--- a/crates/damaskvane-gateway/src/probes.rs
+++ b/crates/damaskvane-gateway/src/probes.rs
@@ -15,7 +15,7 @@
 use crate::node::Node;
 use crate::probes::comparison::Comparison;
 use crate::reach;
-use crate::server_limits::SendPermit;
+use crate::server_limits::{Purpose, SendPermit};
 use crate::server_statements;
 use crate::tunnel::{Endpoint, Path};
 use crate::upstream::{self, OpenError, TunnelUse};
@@ -30,8 +30,6 @@
 const MAX_PROBE_TRIES: u32 = 3;
 /// Delay before a probe is sent again after the server closed its connection.
 const CLOSED_PROBE_DELAY: Duration = Duration::from_millis(50);
-/// Priority of a probe at a server that limits the rate of its requests.
-const MOST_URGENT: u32 = 0;
 /// Largest body of a probe's response, in bytes.
 const MAX_BODY_BYTES: usize = 16_384;
 
@@ -177,8 +175,8 @@
         Err(error) if error.is_refusal() => return Some(ProbeResult::Refused),
         Err(_) => return None,
     };
-    let permit = SendPermit::acquire(node, &probe.server, MOST_URGENT).await;
-    if !permit.is_ok_and(|permit| permit.redeem()) {
+    let permit = SendPermit::acquire(node, &probe.server, Purpose::Probe).await;
+    if permit.and_then(|permit| permit.redeem()).is_err() {
         return Some(ProbeResult::NotSent);
     }
     let request = format!(
--- a/crates/damaskvane-gateway/src/server_limits.rs
+++ b/crates/damaskvane-gateway/src/server_limits.rs
@@ -11,7 +11,7 @@
 mod tokens;
 
 pub use message::{LeaseRequest, LimitClaim, TokenMessage, TokenOutcome, TokenReply, TokenRequest};
-pub(crate) use permit::{NoToken, SendPermit};
+pub(crate) use permit::{NotAdmitted, Purpose, SendPermit};
 pub(crate) use reports::apply_peer_report;
 pub(crate) use service::handle_message;
 pub(crate) use tokens::ServerTokens;
--- a/crates/damaskvane-gateway/src/server_limits/permit.rs
+++ b/crates/damaskvane-gateway/src/server_limits/permit.rs
@@ -1,31 +1,69 @@
-//! The permission to send one request to a server that limits the rate of its requests.
+//! The permission to send one request to a server: the gate that each way to a server passes.
 
 use std::cell::RefCell;
 use std::rc::Rc;
 
 use damaskvane_core::ids;
 use damaskvane_core::time::SpanMs;
-use damaskvane_routing::pool::ServerKey;
+use damaskvane_routing::pool::{ExchangeEnd, ServerKey, Unavailable};
 use rand::RngExt;
 
 use crate::node::Node;
 use crate::server_limits::asking::{self, TokenRefusal};
 use crate::server_limits::tokens::Token;
+use crate::server_statements;
 
+/// Priority of a health probe at a server that limits the rate of its requests.
+const MOST_URGENT: u32 = 0;
 /// Time for which a server gets no request after no holder of its tokens has replied, in milliseconds.
 const UNREACHABLE_MS: u64 = 250;
 
-/// A refusal: the server gets no further request now.
+/// Why a server gets no further request now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct NoToken;
+pub(crate) enum NotAdmitted {
+    /// It limits the rate of its requests, and there is no token.
+    Limited,
+    /// It rests or leaves.
+    Unavailable(Unavailable),
+}
+
+impl NotAdmitted {
+    /// Returns the label for counters.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Limited => "limited",
+            Self::Unavailable(reason) => reason.as_str(),
+        }
+    }
+
+    /// Returns the end of an exchange in which nothing was written for this reason.
+    pub(crate) const fn exchange_end(self) -> ExchangeEnd {
+        match self {
+            Self::Limited => ExchangeEnd::Limited,
+            Self::Unavailable(_) => ExchangeEnd::Unavailable,
+        }
+    }
+}
 
-/// The permission to send one request to a server; holds a token if the server has a limit.
+/// What a server is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    /// A client's request of this priority.
+    Request {
+        /// Priority of the request; 0 is the most urgent.
+        priority: u32,
+    },
+    /// A health probe. A server that leaves may still be probed: what becomes of its requests depends on whether it lives.
+    Probe,
+}
+
+/// The permission to send one request to a server that takes requests now; holds a token if the server has a limit.
 ///
 /// A token that is not used returns to its pool when this value is dropped.
 pub(crate) struct SendPermit {
     node: Rc<Node>,
     server: ids::BackendServerId,
-    priority: u32,
+    purpose: Purpose,
     token: RefCell<Option<Token>>,
 }
 
@@ -38,31 +76,58 @@
 }
 
 impl SendPermit {
-    /// Takes a token if the server has a limit.
+    /// Checks that the server takes requests, and takes a token if it has a limit.
     ///
     /// # Errors
     ///
-    /// Fails if there is no token; the server is then passed over for a while by requests that are no more urgent.
+    /// Fails if the server rests or leaves, or there is no token; without a token the server is passed over for a while by
+    /// requests that are no more urgent.
     pub(crate) async fn acquire(
         node: &Rc<Node>,
         server: &ids::BackendServerId,
-        priority: u32,
-    ) -> Result<Self, NoToken> {
+        purpose: Purpose,
+    ) -> Result<Self, NotAdmitted> {
         let permit = Self {
             node: Rc::clone(node),
             server: server.clone(),
-            priority,
+            purpose,
             token: RefCell::new(None),
         };
+        permit.check_available()?;
         if permit.is_limited() {
             permit.take_token().await?;
         }
         Ok(permit)
     }
 
-    async fn take_token(&self) -> Result<(), NoToken> {
+    /// Checks that the server neither rests nor leaves.
+    fn check_available(&self) -> Result<(), NotAdmitted> {
+        let now = self.node.now();
+        let known = server_statements::known(&self.node, &self.server);
+        let checked = known.map_or(Ok(()), |known| known.check(now));
+        match checked {
+            Err(Unavailable::Leaving) if self.purpose == Purpose::Probe => Ok(()),
+            Err(reason) => Err(self.refuse(NotAdmitted::Unavailable(reason))),
+            Ok(()) => Ok(()),
+        }
+    }
+
+    fn refuse(&self, reason: NotAdmitted) -> NotAdmitted {
+        let counter = &self.node.metrics.not_admitted;
+        counter.with_label_values(&[reason.as_str()]).inc();
+        reason
+    }
+
+    const fn priority(&self) -> u32 {
+        match self.purpose {
+            Purpose::Request { priority } => priority,
+            Purpose::Probe => MOST_URGENT,
+        }
+    }
+
+    async fn take_token(&self) -> Result<(), NotAdmitted> {
         let server = ServerKey::of(&self.server);
-        let (outcome, wait_ms) = match asking::acquire(&self.node, server, self.priority).await {
+        let (outcome, wait_ms) = match asking::acquire(&self.node, server, self.priority()).await {
             Ok(token) => {
                 self.token.replace(Some(token));
                 ("granted", None)
@@ -76,7 +141,7 @@
             // The limit may have ended while a holder was asked.
             Some(wait_ms) if self.is_limited() => {
                 self.pass_over(wait_ms);
-                Err(NoToken)
+                Err(NotAdmitted::Limited)
             }
             _ => Ok(()),
         }
@@ -88,22 +153,23 @@
         token.as_ref().map(|token| token.holder.clone())
     }
 
-    /// Uses the permission for a request that is written now; returns whether the request may be written.
-    pub(crate) fn redeem(&self) -> bool {
-        let may_send = self.may_send();
-        if may_send && self.is_limited() {
-            self.token.take();
+    /// Uses the permission for a request that is written now.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the request may not be written: while its connection was opened the server may have asked for rest, said
+    /// that it leaves, or named a limit, or the token may have expired.
+    pub(crate) fn redeem(&self) -> Result<(), NotAdmitted> {
+        self.check_available()?;
+        if !self.is_limited() {
+            return Ok(());
         }
-        may_send
-    }
-
-    /// Returns whether a request may be sent at this moment: a limit may have been named, or the token may have expired,
-    /// while its connection was opened.
-    fn may_send(&self) -> bool {
         let now = self.node.continuous_now();
-        let token = self.token.borrow();
-        let is_usable = token.as_ref().is_some_and(|token| now < token.expires_at);
-        is_usable || !self.is_limited()
+        let token = self.token.take();
+        let token = token.filter(|token| now < token.expires_at);
+        token
+            .map(|_| ())
+            .ok_or_else(|| self.refuse(NotAdmitted::Limited))
     }
 
     fn is_limited(&self) -> bool {
@@ -119,7 +185,7 @@
             server
                 .availability
                 .limit
-                .record_refused(until, self.priority);
+                .record_refused(until, self.priority());
         }
     }
 }
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -108,9 +108,9 @@
                 };
             }
         };
-        if !self.permit.redeem() {
+        if let Err(reason) = self.permit.redeem() {
             self.right.restore(token);
-            return self.unsent(connection, &path, is_reused, ExchangeEnd::Limited);
+            return self.unsent(connection, &path, is_reused, reason.exchange_end());
         }
         let sending = self.sending();
         let outcome = ExchangeOutcome {
--- a/crates/damaskvane-routing/src/placement.rs
+++ b/crates/damaskvane-routing/src/placement.rs
@@ -23,6 +23,7 @@
 mod popularity;
 mod rank;
 mod region_shifts;
+mod rejection;
 mod request;
 mod round_trips;
 mod route_sizes;
--- a/crates/damaskvane-routing/src/placement/choice.rs
+++ b/crates/damaskvane-routing/src/placement/choice.rs
@@ -14,6 +14,8 @@
     Cold,
     /// The server limits the rate of its requests, and this instance gets no token for it now.
     Limited,
+    /// The server wants no request from this instance, or not so many yet after a rest.
+    Resting,
     /// The server's load is at the limit for the request's priority.
     Full,
     /// A request to the server has been waiting for its response far longer than usual.
@@ -35,6 +37,7 @@
         match self {
             Self::Cold => "cold",
             Self::Limited => "limited",
+            Self::Resting => "resting",
             Self::Full => "full",
             Self::Stalled => "stalled",
             Self::Failing => "failing",
@@ -86,6 +89,8 @@
     Cold,
     /// Servers limit the rate of their requests, and the others have no capacity.
     Limited,
+    /// All servers want no request from this instance now.
+    Resting,
     /// No response is possible before the request's deadline.
     TooLate,
 }
@@ -99,6 +104,7 @@
             Self::Overloaded => "overloaded",
             Self::Cold => "cold",
             Self::Limited => "limited",
+            Self::Resting => "resting",
             Self::TooLate => "too_late",
         }
     }
--- a/crates/damaskvane-routing/src/placement/placer.rs
+++ b/crates/damaskvane-routing/src/placement/placer.rs
@@ -12,8 +12,9 @@
 use crate::placement::popularity::{Popularity, PopularityDecision, PopularityReport};
 use crate::placement::rank;
 use crate::placement::region_shifts::RegionShifts;
+use crate::placement::rejection::Rejection;
 use crate::placement::route_sizes::RouteSizes;
-use crate::placement::selection::Selection;
+use crate::placement::selection::{MAX_CANDIDATES, Selection};
 use crate::placement::{
     AnsweredRequest, Choice, Pick, PlacementRequest, PlacementSettings, RefusalReason, RoundTrips,
     RouteKey,
@@ -23,9 +24,6 @@
 /// Fraction of the `shift_most` setting by which the share of requests sent to another region may rise in a window. The
 /// rest is reserved for changes in the number of clients.
 const SHIFT_STEP_SHARE: f64 = 0.5;
-/// Maximum number of candidates for a request without an object, or for a request whose usual servers have no capacity
-/// because they are cold.
-const MAX_CANDIDATES: usize = 12;
 /// Selects a backend server of the pool for each request of this instance.
 #[derive(Debug)]
 pub struct Placer {
@@ -200,24 +198,18 @@
             settings.share(service.warmup_per_s, instances)
         });
         let usable = candidates.usable(now, pool, search);
-        let selection = self.selection(now, pool, request, cold_share);
+        let selection = self.selection(now, pool, request, cold_share, instances);
         let mut best = selection.best_of(usable, 0);
-        if matches!(best, Err(RefusalReason::Cold | RefusalReason::Limited)) {
-            // If limits on the rate of requests exclude the usual servers, a server that has not handled the object
-            // recently is better than no response.
-            let wide_search = Search {
-                scope: Scope::Everywhere,
-                max_servers: MAX_CANDIDATES + pool.limited().len(),
-                ..search
-            };
-            candidates.find(pool, request, wide_search);
-            best = selection.best_of(candidates.found(), 0);
+        if let Err(rejection) = best
+            && rejection.calls_for_others()
+        {
+            best = selection.best_of_others(&mut candidates, search, rejection);
         }
         let home = candidates.found().first().copied();
         self.candidates = candidates;
         match best {
             Ok(pick) => self.send(now, pool, request, home, pick),
-            Err(reason) => self.refuse(reason, request),
+            Err(rejection) => self.reject(now, rejection, request),
         }
     }
 
@@ -283,6 +275,16 @@
         }
     }
 
+    fn reject(&self, now: TimeMs, rejection: Rejection, request: &PlacementRequest<'_>) -> Choice {
+        match (rejection.reason, rejection.rest_ends_at) {
+            (RefusalReason::Resting, Some(ends_at)) => {
+                let wait = ends_at.since(now);
+                Choice::Refuse(self.settings.refusal_for_rest(wait, request.spread))
+            }
+            (reason, _) => self.refuse(reason, request),
+        }
+    }
+
     fn refuse(&self, reason: RefusalReason, request: &PlacementRequest<'_>) -> Choice {
         Choice::Refuse(self.settings.refusal(reason, request.spread))
     }
@@ -308,7 +310,9 @@
         else {
             return Spread::Region;
         };
-        let load = servers.load(now, topology, topology.region_of(own));
+        let region = topology.region_of(own);
+        let resting = pool.resting_slots(now, request.service, topology.region_id(region));
+        let load = servers.load(now, topology, region, resting);
         if load < self.settings.spread_load_limit {
             Spread::Zones
         } else {
@@ -367,6 +371,7 @@
         pool: &'a ServerPool,
         request: &'a PlacementRequest<'a>,
         cold_share: usize,
+        instances: usize,
     ) -> Selection<'a> {
         let route = request.route;
         let route_kb = self.route_sizes.kilobytes(RouteKey::of(&route.name));
@@ -381,6 +386,8 @@
             own_zone: &self.own_zone,
             own_region: &self.own_region,
             cold_share,
+            instances,
+            uses_returning: false,
         }
     }
 }
--- a/crates/damaskvane-routing/src/placement/selection.rs
+++ b/crates/damaskvane-routing/src/placement/selection.rs
@@ -3,6 +3,9 @@
 use damaskvane_core::ids;
 use damaskvane_core::time::TimeMs;
 
+use crate::placement::candidates::{Candidates, Scope, Search};
+use crate::placement::rank;
+use crate::placement::rejection::Rejection;
 use crate::placement::server_score::{self, Estimates, ServerScore};
 use crate::placement::{
     Pick, PlacementRequest, PlacementSettings, RefusalReason, RoundTrips, SkipReason,
@@ -12,8 +15,11 @@
 /// Assumed network round trip to a zone to which no connection was opened yet.
 const DEFAULT_ROUND_TRIP_MS: f64 = 5.0;
 
+/// Maximum number of candidates for a request without an object, or for a request whose usual servers take none now.
+pub(super) const MAX_CANDIDATES: usize = 12;
+
 /// What the selection among the servers of one request depends on.
-#[derive(Debug)]
+#[derive(Debug, Clone, Copy)]
 pub(super) struct Selection<'a> {
     pub(super) now: TimeMs,
     pub(super) pool: &'a ServerPool,
@@ -28,6 +34,10 @@
     pub(super) own_region: &'a ids::RegionId,
     /// Requests per second that this instance may send to a cold server.
     pub(super) cold_share: usize,
+    /// Number of instances that may use the same servers.
+    pub(super) instances: usize,
+    /// Whether servers that have just rested take requests beyond the share that has returned.
+    pub(super) uses_returning: bool,
 }
 
 impl Selection<'_> {
@@ -38,34 +48,35 @@
         &self,
         candidates: &[ServerHandle],
         first_rank: usize,
-    ) -> Result<Pick, RefusalReason> {
+    ) -> Result<Pick, Rejection> {
         let now = self.now;
         let priority = self.request.priority();
         let limit = self.settings.load_limit(priority);
         let mut best: Option<(ServerScore, usize, &Server)> = None;
-        let mut reason = RefusalReason::NoServer;
+        let mut rejection = Rejection::none();
         let mut passed_over = None;
         for (rank, candidate) in (first_rank..).zip(candidates) {
             let Some(server) = self.pool.at(*candidate) else {
                 continue;
             };
+            if !self.takes_request(server, priority) {
+                rejection.add_resting(server.availability.rest.ends_at());
+                passed_over.get_or_insert(SkipReason::Resting);
+                continue;
+            }
             if !server.has_cold_capacity(now, self.cold_share) {
-                if reason == RefusalReason::NoServer {
-                    reason = RefusalReason::Cold;
-                }
+                rejection.add(RefusalReason::Cold);
                 passed_over.get_or_insert(SkipReason::Cold);
                 continue;
             }
             if !server.availability.limit.may_have_token(now, priority) {
-                reason = RefusalReason::Limited;
+                rejection.add(RefusalReason::Limited);
                 passed_over.get_or_insert(SkipReason::Limited);
                 continue;
             }
             let scored = self.score(server, rank);
             if scored.load >= limit {
-                if reason != RefusalReason::Limited {
-                    reason = RefusalReason::Overloaded;
-                }
+                rejection.add(RefusalReason::Overloaded);
                 passed_over.get_or_insert(SkipReason::Full);
                 continue;
             }
@@ -74,10 +85,69 @@
                 best = Some((scored, rank, server));
             }
         }
-        let (scored, rank, server) = best.ok_or(reason)?;
+        let (scored, rank, server) = best.ok_or(rejection)?;
         Ok(scored.pick(now, server, self.request, rank, passed_over))
     }
 
+    /// Returns the best of all servers that may run the request, after `rejection` by the object's usual ones.
+    ///
+    /// While requests may not leave their region, its own servers come first.
+    pub(super) fn best_of_others(
+        &self,
+        candidates: &mut Candidates,
+        search: Search,
+        rejection: Rejection,
+    ) -> Result<Pick, Rejection> {
+        let resting = self.pool.resting(self.now).count();
+        let wide = Search {
+            max_servers: MAX_CANDIDATES + self.pool.limited().len() + resting,
+            ..search
+        };
+        let mut best = Err(rejection);
+        if search.scope == Scope::Home && rejection.rest_ends_at.is_some() {
+            candidates.find(self.pool, self.request, wide);
+            best = self.best_of(candidates.found(), 0);
+        }
+        if best.is_err() {
+            let scope = Scope::Everywhere;
+            candidates.find(self.pool, self.request, Search { scope, ..wide });
+            best = self.best_of(candidates.found(), 0);
+        }
+        if matches!(best, Err(rejection) if rejection.rest_ends_at.is_some()) {
+            let with_returning = Self {
+                uses_returning: true,
+                ..*self
+            };
+            best = with_returning.best_of(candidates.found(), 0);
+        }
+        best
+    }
+
+    /// Returns whether a server takes this request by what it has said. After a rest, a growing share of the objects
+    /// returns; others come back earlier only where no other server takes them.
+    fn takes_request(&self, server: &Server, priority: u32) -> bool {
+        let rest = &server.availability.rest;
+        if server.availability.check(self.now).is_err() {
+            return false;
+        }
+        let share = rest.returned_share(self.now, priority);
+        if share >= 1.0 {
+            return true;
+        }
+        let draw = match self.request.object {
+            Some(object) => rank::uniform(object, server.entry.id.as_str()),
+            None => self.request.spread,
+        };
+        draw < share || self.uses_returning && self.may_use_returning(server)
+    }
+
+    /// Returns whether a server that has just rested takes a request that no other one takes: all instances together must
+    /// not send it more of them than it has slots.
+    fn may_use_returning(&self, server: &Server) -> bool {
+        let share = f64::from(server.entry.slots) / self.instances.max(1) as f64;
+        server.in_flight() == 0 && self.request.spread < share
+    }
+
     fn score(&self, server: &Server, rank: usize) -> ServerScore {
         let round_trip_ms = self.round_trips.get(&server.entry.zone);
         // The order of servers already accounts for the distance of the first server.
--- a/crates/damaskvane-routing/src/placement/server_score.rs
+++ b/crates/damaskvane-routing/src/placement/server_score.rs
@@ -149,7 +149,8 @@
 /// Returns whether an object's server is expected to be no worse than another server without a recent request for the
 /// object.
 pub(super) fn is_healthy(now: TimeMs, server: &Server) -> bool {
-    !server.is_stalled(now)
+    server.availability.check(now).is_ok()
+        && !server.is_stalled(now)
         && server.failure_share(now) <= HIGH_FAILURE_SHARE
         && server.slowness(now) < MAX_HEALTHY_SLOWNESS
 }
--- a/crates/damaskvane-routing/src/placement/settings.rs
+++ b/crates/damaskvane-routing/src/placement/settings.rs
@@ -3,6 +3,7 @@
 //! An object is the item that a client's request names. A slot is a server's capacity to run one request at a time. The
 //! load per slot is the number of requests on a server divided by its slots.
 
+use damaskvane_core::time::SpanMs;
 use serde::Deserialize;
 
 use crate::placement::{Refusal, RefusalReason};
@@ -11,6 +12,9 @@
 /// servers have capacity again bit by bit.
 const LIMITED_SPREAD_FACTOR: f64 = 4.0;
 
+/// Longest random part of the retry delay for requests whose servers all rest, in milliseconds.
+const RESTING_SPREAD_MS: f64 = 1_000.0;
+
 /// Limits and costs by which servers are compared and requests are refused.
 ///
 /// Costs and scores are relative to a response within its route's objective, which scores 1.
@@ -92,6 +96,17 @@
         lowered.max(self.load_limit_floor)
     }
 
+    /// Returns the refusal of a request whose servers all rest, for `wait` at least, with a retry delay that differs between
+    /// clients by `spread`, a random number between 0 and 1: they return while the servers take more and more requests.
+    #[must_use]
+    pub fn refusal_for_rest(&self, wait: SpanMs, spread: f64) -> Refusal {
+        let spread_ms = RESTING_SPREAD_MS * spread;
+        Refusal {
+            reason: RefusalReason::Resting,
+            retry_after_ms: self.retry_after_ms + wait.get() + spread_ms as u64,
+        }
+    }
+
     /// Returns the refusal of a request, with a retry delay that differs between clients by `spread`, a random number
     /// between 0 and 1.
     #[must_use]
--- a/crates/damaskvane-routing/src/pool.rs
+++ b/crates/damaskvane-routing/src/pool.rs
@@ -34,7 +34,7 @@
 mod statement_source;
 mod topology;
 
-pub use availability::{Availability, AvailabilityChanges};
+pub use availability::{Availability, AvailabilityChanges, Unavailable};
 pub use entry::{ServerEntry, ServerState};
 pub use exchange::{ExchangeEnd, ExchangeId};
 pub use handle::ServerHandle;
--- a/crates/damaskvane-routing/src/pool/availability.rs
+++ b/crates/damaskvane-routing/src/pool/availability.rs
@@ -17,6 +17,26 @@
     pub has_begun_to_leave: bool,
 }
 
+/// Why a server gets no request now, by what it has said.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unavailable {
+    /// It leaves.
+    Leaving,
+    /// It wants no request from this instance for some time.
+    Resting,
+}
+
+impl Unavailable {
+    /// Returns the label for logs and counters.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Leaving => "leaving",
+            Self::Resting => "resting",
+        }
+    }
+}
+
 /// What one incarnation of a server has said of its availability.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Availability {
@@ -45,6 +65,21 @@
         self.is_leaving
     }
 
+    /// Checks that the server takes a request now; each way to a server passes this check at the moment of writing.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why the server gets no request.
+    pub fn check(&self, now: TimeMs) -> Result<(), Unavailable> {
+        if self.rest.is_resting(now) {
+            return Err(Unavailable::Resting);
+        }
+        if self.is_leaving {
+            return Err(Unavailable::Leaving);
+        }
+        Ok(())
+    }
+
     /// Applies what the response to a request that was sent at `sent_at` says.
     ///
     /// What another server has said at the address, or an earlier incarnation, counts for nothing.
--- a/crates/damaskvane-routing/src/pool/exchange.rs
+++ b/crates/damaskvane-routing/src/pool/exchange.rs
@@ -25,6 +25,8 @@
     Withheld,
     /// The server limits the rate of its requests and there was no token for this one, so no part of it was written.
     Limited,
+    /// The server rests or leaves by its own word, so no part of the request was written.
+    Unavailable,
     /// No connection was established, so no part of the request was written.
     Unreachable,
     /// No response arrived, and the server's host didn't acknowledge the bytes that were sent.
@@ -48,6 +50,7 @@
             Self::Malformed => "malformed",
             Self::Withheld => "withheld",
             Self::Limited => "limited",
+            Self::Unavailable => "unavailable",
             Self::Unreachable => "unreachable",
             Self::Silent => "silent",
             Self::Abandoned => "abandoned",
--- a/crates/damaskvane-routing/src/pool/server.rs
+++ b/crates/damaskvane-routing/src/pool/server.rs
@@ -29,6 +29,8 @@
 const MIN_OVERDUE_MS: f64 = 250.0;
 /// Weight of a new exchange in the moving average of failures.
 const FAILURE_WEIGHT: f64 = 0.2;
+/// Shortest rest that a server asks for instead of counting as failing: with shorter ones it would be tried too often.
+const MIN_REST: SpanMs = SpanMs::new(300);
 /// Slowness from which a server is reported to the zone; well above the effect of one outlier.
 const MIN_REPORTED_SLOWNESS: f64 = 2.0;
 
@@ -338,6 +340,7 @@
             | ExchangeEnd::Malformed
             | ExchangeEnd::Withheld
             | ExchangeEnd::Limited
+            | ExchangeEnd::Unavailable
             | ExchangeEnd::Abandoned
             | ExchangeEnd::Withdrawn => {}
         }
@@ -347,6 +350,8 @@
     fn counts_as_failure(&self, end: ExchangeEnd, report: ServerReport) -> Option<bool> {
         match end {
             ExchangeEnd::Answered => Some(false),
+            // The server says what it needs, and gets it.
+            ExchangeEnd::Failed | ExchangeEnd::Shed if report.asks_for_rest(MIN_REST) => None,
             ExchangeEnd::Failed | ExchangeEnd::Broken | ExchangeEnd::Malformed => Some(true),
             // A full server rightly rejects requests; a server that rejects them with free slots is unhealthy.
             ExchangeEnd::Shed => report
@@ -358,6 +363,7 @@
             | ExchangeEnd::Silent
             | ExchangeEnd::Withheld
             | ExchangeEnd::Limited
+            | ExchangeEnd::Unavailable
             | ExchangeEnd::Abandoned
             | ExchangeEnd::Withdrawn => None,
         }
--- a/crates/damaskvane-routing/src/pool/server_pool.rs
+++ b/crates/damaskvane-routing/src/pool/server_pool.rs
@@ -282,8 +282,9 @@
         changes
     }
 
-    /// Removes the servers whose grace time after a store outage has ended.
+    /// Removes the servers whose grace time after a store outage has ended, and forgets rests that are over.
     pub fn expire(&mut self, now: TimeMs) -> Vec<Change> {
+        self.forget_rests(now);
         let expiring = self.servers.expiring().iter();
         let expired: Vec<_> = expiring
             .filter_map(|handle| self.at(*handle))
--- a/crates/damaskvane-routing/src/pool/server_pool/statements.rs
+++ b/crates/damaskvane-routing/src/pool/server_pool/statements.rs
@@ -1,9 +1,12 @@
 //! What responses say of their servers.
 
 use damaskvane_core::ids;
-use damaskvane_core::time::TimeMs;
+use damaskvane_core::time::{SpanMs, TimeMs};
 
-use crate::pool::{AvailabilityChanges, Server, ServerPool, ServerReport, StatementSource};
+use crate::pool::{
+    AvailabilityChanges, Server, ServerPool, ServerReport, ServerRest, ServerState,
+    StatementSource, Unavailable,
+};
 
 impl ServerPool {
     /// Applies what the response to a request, sent to a server at `sent_at`, says of the server's availability; returns
@@ -37,6 +40,54 @@
         asked.filter(move |server| server.availability.rest.is_resting(now))
     }
 
+    /// Returns the slots of the servers of a service in a region that want no request from this instance now.
+    #[must_use]
+    pub fn resting_slots(
+        &self,
+        now: TimeMs,
+        service: &ids::ServiceId,
+        region: &ids::RegionId,
+    ) -> u64 {
+        let resting = self
+            .resting(now)
+            .filter(|server| server.entry.service == *service && server.region() == Some(region));
+        resting.map(|server| u64::from(server.entry.slots)).sum()
+    }
+
+    /// Returns the time until a server of a service takes requests again: zero if one takes them now, and `None` if the
+    /// service has no server in an allowed region that takes them after a rest.
+    #[must_use]
+    pub fn time_to_available(
+        &self,
+        now: TimeMs,
+        service: &ids::ServiceId,
+        is_allowed: impl Fn(&ids::RegionId) -> bool,
+    ) -> Option<SpanMs> {
+        let servers = self.servers().filter(|server| {
+            server.entry.service == *service
+                && server.entry.state == ServerState::Ready
+                && server.region().is_some_and(&is_allowed)
+                && server.availability.check(now) != Err(Unavailable::Leaving)
+        });
+        let remaining = servers.map(|server| server.availability.rest.remaining(now));
+        remaining.min()
+    }
+
+    /// Forgets the rests after which all requests have returned.
+    pub(super) fn forget_rests(&mut self, now: TimeMs) {
+        let asked = self.servers.with_rest().iter();
+        let over = asked.filter(|handle| {
+            let server = self.servers.get(**handle);
+            server.is_some_and(|server| server.availability.rest.is_over(now))
+        });
+        let over: Vec<_> = over.copied().collect();
+        for handle in over {
+            if let Some(mut server) = self.servers.get_mut(handle) {
+                server.availability.rest = ServerRest::default();
+            }
+        }
+    }
+
     /// Returns the servers that have said that they leave, and have not left yet.
     pub fn leaving(&self) -> impl Iterator<Item = &Server> {
         self.servers()
--- a/crates/damaskvane-routing/src/pool/server_report.rs
+++ b/crates/damaskvane-routing/src/pool/server_report.rs
@@ -1,5 +1,7 @@
 //! What a response says of the server that made it.
 
+use damaskvane_core::time::SpanMs;
+
 use crate::pool::{LimitStatement, LoadReport, RestStatement, StatementSource};
 
 /// All that a response says of its server, decoded once.
@@ -26,6 +28,12 @@
 }
 
 impl ServerReport {
+    /// Returns whether the server wants to rest for this time or longer.
+    #[must_use]
+    pub fn asks_for_rest(&self, shortest: SpanMs) -> bool {
+        matches!(self.rest, RestStatement::Rest(rest) if rest.span() >= shortest)
+    }
+
     /// Returns what the response says of the limit.
     ///
     /// Only a success of a client's request ends a limit: a failure or a rejection need not come from the part of the server
--- a/crates/damaskvane-routing/src/pool/server_rest.rs
+++ b/crates/damaskvane-routing/src/pool/server_rest.rs
@@ -1,12 +1,20 @@
 //! The rest that a backend server has asked this instance for: a time in which it wants no request from it.
 //!
 //! A rejection that names a time begins one. Each such rejection counts by itself: a later one that names a shorter time
-//! does not end an earlier rest, and neither does a success.
+//! does not end an earlier rest, and neither does a success. After the end the requests return by and by: many instances may
+//! end their rests at the same moment.
 
 use damaskvane_core::time::{SpanMs, TimeMs};
 
 use crate::pool::{RetryAfter, StatementSource};
 
+/// Longest time in which the requests return after a rest, in milliseconds. A rest that was shorter takes its own length.
+const MAX_RETURN_MS: u64 = 1_400;
+/// Time by which requests of each lower level of priority return later, in milliseconds.
+const PRIORITY_DELAY_MS: u64 = 100;
+/// Number of levels of priority that return one after the other; the rest return with the last of them.
+const DELAYED_PRIORITIES: u32 = 4;
+
 /// What a response says of the rest that its server wants.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum RestStatement {
@@ -45,6 +53,8 @@
 pub struct ServerRest {
     begun_at: TimeMs,
     ends_at: TimeMs,
+    /// Time in which the requests return after the end.
+    return_ms: u64,
     source: Option<StatementSource>,
 }
 
@@ -65,6 +75,7 @@
             self.begun_at = now;
         }
         self.ends_at = ends_at;
+        self.return_ms = ends_at.since(self.begun_at).get().min(MAX_RETURN_MS);
         self.source = Some(source);
         Some(RestChange {
             was_resting,
@@ -84,6 +95,33 @@
         self.ends_at.since(now)
     }
 
+    /// Returns the end of the rest; in the past if the server does not rest.
+    #[must_use]
+    pub const fn ends_at(&self) -> TimeMs {
+        self.ends_at
+    }
+
+    /// Returns the share of this instance's requests of a priority that the server gets: 0 while it rests, 1 without a rest,
+    /// and in between for some time after a rest.
+    #[must_use]
+    pub fn returned_share(&self, now: TimeMs, priority: u32) -> f64 {
+        if self.is_resting(now) {
+            return 0.0;
+        }
+        if self.return_ms == 0 {
+            return 1.0;
+        }
+        let delay_ms = PRIORITY_DELAY_MS * u64::from(priority.min(DELAYED_PRIORITIES));
+        let since_end_ms = now.since(self.ends_at).get().saturating_sub(delay_ms);
+        (since_end_ms as f64 / self.return_ms as f64).min(1.0)
+    }
+
+    /// Returns whether the server has rested and all requests have returned to it.
+    #[must_use]
+    pub fn is_over(&self, now: TimeMs) -> bool {
+        self.source.is_some() && self.returned_share(now, DELAYED_PRIORITIES) >= 1.0
+    }
+
     /// Returns for how long the server has rested, or `None` if it does not rest.
     #[must_use]
     pub fn rested(&self, now: TimeMs) -> Option<SpanMs> {
--- a/crates/damaskvane-routing/src/pool/service_servers.rs
+++ b/crates/damaskvane-routing/src/pool/service_servers.rs
@@ -49,12 +49,18 @@
     }
 
     /// Returns the load of the servers in a region, as requests per slot, estimated from the servers' reports and from
-    /// this instance's requests.
+    /// this instance's requests. `resting_slots` are those of servers that this instance doesn't use now.
     #[must_use]
-    pub fn load(&self, now: TimeMs, topology: &Topology, region: RegionIndex) -> f64 {
+    pub fn load(
+        &self,
+        now: TimeMs,
+        topology: &Topology,
+        region: RegionIndex,
+        resting_slots: u64,
+    ) -> f64 {
         let zones = topology.zones();
         let of_region = zones.filter(|zone| topology.region_of(*zone) == region);
         let slots: u64 = of_region.map(|zone| self.zone(zone).slots).sum();
-        self.regions[region.get()].estimate(now, slots as f64)
+        self.regions[region.get()].estimate(now, slots.saturating_sub(resting_slots) as f64)
     }
 }
--- a/crates/damaskvane-routing/src/retry.rs
+++ b/crates/damaskvane-routing/src/retry.rs
@@ -82,7 +82,7 @@
     /// Records the end of an exchange.
     pub const fn record(&mut self, end: ExchangeEnd) {
         match end {
-            ExchangeEnd::Withheld | ExchangeEnd::Limited => {}
+            ExchangeEnd::Withheld | ExchangeEnd::Limited | ExchangeEnd::Unavailable => {}
             ExchangeEnd::Unreachable => self.unreachable += 1,
             ExchangeEnd::Shed | ExchangeEnd::Misdirected => self.sent += 1,
             ExchangeEnd::Answered
--- a/crates/damaskvane-routing/tests/peer_reports.rs
+++ b/crates/damaskvane-routing/tests/peer_reports.rs
@@ -223,6 +223,6 @@
     let topology = pool.topology();
     let zone = topology.zone(&zone("east-a")).expect("a zone");
     let servers = pool.service(&support::service_id()).expect("servers");
-    let load = servers.load(at(21_000), topology, topology.region_of(zone));
+    let load = servers.load(at(21_000), topology, topology.region_of(zone), 0);
     assert!((0.4..0.6).contains(&load), "{load}");
 }
