A server that says that it leaves gets no new requests, and what a server has said outlives its entry

Now it is part of the record of a response; a server that leaves is taken out of the rings as a draining one is, so that its objects move in the same way, and the gate holds back what waited. It ends with the incarnation: a restart under the same name, or another server at the address.

Found on the way, of the same class: an entry that lapses and comes back (the platform removes entries while the store is away) made a new server of the old one, which had said nothing. Its limit, rest and leaving were forgotten. They are kept by incarnation, 1,024 at most, and found again with the entry.

--- a/crates/damaskvane-gateway/src/server_statements.rs
+++ b/crates/damaskvane-gateway/src/server_statements.rs
@@ -57,6 +57,7 @@
         log_rest(node, server, change, source);
     }
     if changes.has_begun_to_leave {
+        node.idle.borrow_mut().drop_server(server);
         log_leaving(node, server, source);
     }
 }
--- a/crates/damaskvane-routing/src/pool/availability.rs
+++ b/crates/damaskvane-routing/src/pool/availability.rs
@@ -65,6 +65,19 @@
         self.is_leaving
     }
 
+    /// Records that the server leaves; returns whether that is news.
+    pub const fn learn_leaving(&mut self) -> bool {
+        !core::mem::replace(&mut self.is_leaving, true)
+    }
+
+    /// Returns whether two servers have said the same, whenever they did.
+    #[must_use]
+    pub fn has_same_statements(&self, other: &Self) -> bool {
+        self.limit.rate() == other.limit.rate()
+            && self.rest == other.rest
+            && self.is_leaving == other.is_leaving
+    }
+
     /// Checks that the server takes a request now; each way to a server passes this check at the moment of writing.
     ///
     /// # Errors
@@ -97,14 +110,12 @@
             RestStatement::Rest(after) => self.rest.begin(now, after.span(), source),
             RestStatement::Nothing | RestStatement::Unreadable => None,
         };
-        let was_leaving = self.is_leaving;
-        self.is_leaving |= report.is_leaving;
         AvailabilityChanges {
             limit: self
                 .limit
                 .apply_response(now, sent_at, report.limit_by(source)),
             rest,
-            has_begun_to_leave: report.is_leaving && !was_leaving,
+            has_begun_to_leave: report.is_leaving && self.learn_leaving(),
         }
     }
 }
--- a/crates/damaskvane-routing/src/pool/server_pool.rs
+++ b/crates/damaskvane-routing/src/pool/server_pool.rs
@@ -5,6 +5,7 @@
 
 mod limits;
 mod probing;
+mod retained;
 mod statements;
 
 use std::collections::{BTreeSet, HashMap};
@@ -13,6 +14,7 @@
 use damaskvane_core::time::{SpanMs, TimeMs};
 
 use crate::pool::server_pool::limits::EarlyLimits;
+use crate::pool::server_pool::retained::RetainedStatements;
 use crate::pool::server_table::ServerTable;
 use crate::pool::{
     PeerServerReport, PoolSettings, Server, ServerEntry, ServerHandle, ServerMut, ServerState,
@@ -72,6 +74,8 @@
     warmup_ms: HashMap<ids::ServiceId, u64>,
     /// Limits that other instances have reported of servers which this instance does not know yet.
     early_limits: EarlyLimits,
+    /// What servers have said that are not in the pool.
+    retained: RetainedStatements,
 }
 
 impl ServerPool {
@@ -86,6 +90,7 @@
             removals_deferred_until: TimeMs::ZERO,
             warmup_ms: HashMap::new(),
             early_limits: EarlyLimits::default(),
+            retained: RetainedStatements::default(),
         }
     }
 
@@ -220,7 +225,9 @@
         let is_draining = entry.state == ServerState::Draining;
         let Some(mut server) = self.server_mut(&id) else {
             let region = self.settings.regions.get(&entry.zone).cloned();
+            let said = self.retained.take(&entry);
             let mut server = Server::new(now, entry, region);
+            server.availability = said.unwrap_or(server.availability);
             self.early_limits.apply(now, &mut server);
             self.servers.insert(server);
             return Some(Change::Joined(id));
@@ -240,6 +247,8 @@
         server.entry = entry;
         if has_restarted {
             server.reset_after_restart(now);
+            drop(server);
+            self.apply_early_leaving(&id);
             return Some(Change::Restarted(id));
         }
         (is_draining && !was_draining).then_some(Change::Draining(id))
@@ -258,10 +267,18 @@
             return Some(Change::Expiring(id.clone()));
         }
         drop(server);
-        self.servers.remove(id);
+        self.remove_now(now, id);
         Some(Change::Gone(id.clone()))
     }
 
+    fn remove_now(&mut self, now: TimeMs, id: &ids::BackendServerId) {
+        let handle = self.servers.handle(id);
+        if let Some(server) = handle.and_then(|handle| self.servers.get(handle)) {
+            self.retained.keep(now, server);
+        }
+        self.servers.remove(id);
+    }
+
     /// Applies a complete list of entries; servers that aren't listed are removed.
     pub fn replace(
         &mut self,
@@ -292,7 +309,7 @@
             .map(|server| server.entry.id.clone())
             .collect();
         for id in &expired {
-            self.servers.remove(id);
+            self.remove_now(now, id);
         }
         expired.into_iter().map(Change::Gone).collect()
     }
--- /dev/null
+++ b/crates/damaskvane-routing/src/pool/server_pool/retained.rs
@@ -0,0 +1,87 @@
+//! What servers have said that are not in the pool: their entries have expired, or have not been read yet.
+
+use std::collections::HashMap;
+
+use damaskvane_core::time::TimeMs;
+
+use crate::pool::{Availability, Server, ServerEntry, ServerKey};
+
+/// Largest number of servers that are not in the pool and whose statements are stored.
+const MAX_RETAINED: usize = 1_024;
+
+#[derive(Debug, Clone, Copy)]
+struct Retained {
+    started_unix_ms: u64,
+    availability: Availability,
+    at: TimeMs,
+}
+
+/// What servers outside the pool have said of their availability.
+///
+/// An entry can expire and come back while its server lives, and what the server has said holds as long as it does. The
+/// server with the oldest statements is forgotten if there are too many.
+#[derive(Debug, Default)]
+pub(super) struct RetainedStatements(HashMap<ServerKey, Retained>);
+
+impl RetainedStatements {
+    /// Stores what a server has said that is removed from the pool now.
+    pub(super) fn keep(&mut self, now: TimeMs, server: &Server) {
+        let said_nothing = Availability::unknown(TimeMs::ZERO);
+        if server.availability.has_same_statements(&said_nothing) {
+            return;
+        }
+        let key = ServerKey::of(&server.entry.id);
+        let started_unix_ms = server.entry.started_unix_ms;
+        self.insert(now, key, started_unix_ms, server.availability);
+    }
+
+    /// Stores that an incarnation of a server leaves which is not in the pool.
+    pub(super) fn keep_leaving(&mut self, now: TimeMs, key: ServerKey, started_unix_ms: u64) {
+        let known = self.0.get(&key);
+        let is_older = known.is_some_and(|known| known.started_unix_ms > started_unix_ms);
+        if is_older {
+            return;
+        }
+        let same = known.filter(|known| known.started_unix_ms == started_unix_ms);
+        let mut availability = same.map_or_else(
+            || Availability::unknown(TimeMs::ZERO),
+            |known| known.availability,
+        );
+        availability.learn_leaving();
+        self.insert(now, key, started_unix_ms, availability);
+    }
+
+    /// Returns what the incarnation of a server that wrote this entry has said.
+    pub(super) fn take(&mut self, entry: &ServerEntry) -> Option<Availability> {
+        let key = ServerKey::of(&entry.id);
+        let retained = *self.0.get(&key)?;
+        if retained.started_unix_ms > entry.started_unix_ms {
+            // The entry is an older one, and the newer one may still come.
+            return None;
+        }
+        self.0.remove(&key);
+        let is_same = retained.started_unix_ms == entry.started_unix_ms;
+        is_same.then_some(retained.availability)
+    }
+
+    fn insert(
+        &mut self,
+        now: TimeMs,
+        key: ServerKey,
+        started_unix_ms: u64,
+        availability: Availability,
+    ) {
+        if self.0.len() >= MAX_RETAINED && !self.0.contains_key(&key) {
+            let oldest = self.0.iter().min_by_key(|(_, retained)| retained.at);
+            if let Some(oldest) = oldest.map(|(key, _)| *key) {
+                self.0.remove(&oldest);
+            }
+        }
+        let retained = Retained {
+            started_unix_ms,
+            availability,
+            at: now,
+        };
+        self.0.insert(key, retained);
+    }
+}
--- a/crates/damaskvane-routing/src/pool/server_pool/statements.rs
+++ b/crates/damaskvane-routing/src/pool/server_pool/statements.rs
@@ -4,8 +4,8 @@
 use damaskvane_core::time::{SpanMs, TimeMs};
 
 use crate::pool::{
-    AvailabilityChanges, Server, ServerPool, ServerReport, ServerRest, ServerState,
-    StatementSource, Unavailable,
+    AvailabilityChanges, Server, ServerKey, ServerPool, ServerReport, ServerRest, ServerState,
+    StatementSource,
 };
 
 impl ServerPool {
@@ -33,6 +33,41 @@
         changes
     }
 
+    /// Applies another instance's report that an incarnation of a server leaves; returns the server if that is news.
+    pub fn apply_leaving(
+        &mut self,
+        now: TimeMs,
+        key: ServerKey,
+        started_unix_ms: u64,
+    ) -> Option<ids::BackendServerId> {
+        let handle = self.servers.handle_of_key(key);
+        let known = handle.and_then(|handle| self.servers.get(handle));
+        let known_start = known.map(|server| server.entry.started_unix_ms);
+        if known_start.is_none_or(|known| known < started_unix_ms) {
+            self.retained.keep_leaving(now, key, started_unix_ms);
+            return None;
+        }
+        if known_start != Some(started_unix_ms) {
+            return None;
+        }
+        let mut server = self.servers.get_mut(handle?)?;
+        let is_news = server.availability.learn_leaving();
+        is_news.then(|| server.entry.id.clone())
+    }
+
+    /// Applies what was reported of an incarnation of a server whose entry was read just now.
+    pub(super) fn apply_early_leaving(&mut self, id: &ids::BackendServerId) {
+        let Some(entry) = self.server(id).map(|server| server.entry.clone()) else {
+            return;
+        };
+        let early = self.retained.take(&entry);
+        if early.is_some_and(|early| early.is_leaving())
+            && let Some(mut server) = self.server_mut(id)
+        {
+            server.availability.learn_leaving();
+        }
+    }
+
     /// Returns the servers that want no request from this instance now.
     pub fn resting(&self, now: TimeMs) -> impl Iterator<Item = &Server> {
         let asked = self.servers.with_rest().iter();
@@ -67,7 +102,7 @@
             server.entry.service == *service
                 && server.entry.state == ServerState::Ready
                 && server.region().is_some_and(&is_allowed)
-                && server.availability.check(now) != Err(Unavailable::Leaving)
+                && !server.availability.is_leaving()
         });
         let remaining = servers.map(|server| server.availability.rest.remaining(now));
         remaining.min()
--- a/crates/damaskvane-routing/src/pool/server_table.rs
+++ b/crates/damaskvane-routing/src/pool/server_table.rs
@@ -33,6 +33,7 @@
             zone: topology.zone(&entry.zone),
             slots: entry.slots,
             accepts_work: entry.state == ServerState::Ready
+                && !server.availability.is_leaving()
                 && matches!(server.liveness, Liveness::Up | Liveness::Suspect { .. }),
             in_flight: server.in_flight(),
             awaits_probe: server.liveness.probe_at().is_some(),
