Rests hold for requests that other instances carry, and what servers say reaches those who need it

What callers and servers saw: an instance that doesn't reach a server sends its requests through another one. The server's rejection is meant for the one that carries them, which copies bytes unread and knew nothing of it; and that one's own rests did not concern what it carried.

That a server leaves is told to all, by incarnation; instances that start are told both before they are ready, and use servers that rest towards others with care.

--- a/crates/damaskvane-gateway/src/costs.rs
+++ b/crates/damaskvane-gateway/src/costs.rs
@@ -50,6 +50,8 @@
     Feed,
     /// Limits that backend servers name.
     ServerLimits,
+    /// What backend servers have said of rests and of leaving.
+    ServerStatements,
     /// Tokens of servers with a limit, and requests for them.
     Tokens,
     /// Tokens of teams' quotas, and requests for them.
@@ -76,7 +78,7 @@
     (Distance::SameRegion, "region"),
     (Distance::OtherRegion, "far"),
 ];
-const FLOWS: [(Flow, &str); 15] = [
+const FLOWS: [(Flow, &str); 16] = [
     (Flow::Placed, "placed"),
     (Flow::Overflow, "overflow"),
     (Flow::Retry, "retry"),
@@ -89,6 +91,7 @@
     (Flow::Incident, "incident"),
     (Flow::Feed, "feed"),
     (Flow::ServerLimits, "limits"),
+    (Flow::ServerStatements, "statements"),
     (Flow::Tokens, "tokens"),
     (Flow::Quota, "quota"),
     (Flow::Tunnel, "tunnel"),
--- a/crates/damaskvane-gateway/src/peers.rs
+++ b/crates/damaskvane-gateway/src/peers.rs
@@ -11,6 +11,7 @@
 mod outbox;
 mod outgoing;
 mod quota_wire;
+mod statement_wire;
 mod token_wire;
 
 use core::time::Duration;
--- a/crates/damaskvane-gateway/src/peers/incoming.rs
+++ b/crates/damaskvane-gateway/src/peers/incoming.rs
@@ -11,6 +11,7 @@
 use crate::peers::{MAX_HEARTBEATS_PER_UPDATE, Message, send};
 use crate::quota;
 use crate::server_limits;
+use crate::server_statements;
 
 /// Largest datagram in bytes.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -29,7 +30,7 @@
             Some(Message::Heartbeat(heartbeat)) => {
                 reply_to_heartbeat(&node, &socket, &heartbeat).await;
                 if apply_heartbeat(&node, heartbeat.clone()) {
-                    send_server_limits(&node, &socket, heartbeat.peer_address).await;
+                    send_server_statements(&node, &socket, heartbeat.peer_address).await;
                     send_introduction(&node, &socket, &heartbeat).await;
                 }
             }
@@ -94,6 +95,11 @@
                     server_limits::apply_peer_report(&node, report);
                 }
             }
+            Some(Message::ServerStatements { sender, statements }) => {
+                for statement in statements {
+                    server_statements::apply_peer_statement(&node, &sender, statement);
+                }
+            }
             Some(Message::Quota(message)) => quota::handle_message(&node, from, message),
             Some(Message::Token(message)) => {
                 server_limits::handle_message(&node, from, message);
@@ -113,7 +119,7 @@
         .cloned();
     if let Some(own) = own {
         let recipients = [heartbeat.peer_address];
-        send_server_limits(node, socket, heartbeat.peer_address).await;
+        send_server_statements(node, socket, heartbeat.peer_address).await;
         send(node, socket, &Message::Heartbeat(own), &recipients).await;
     }
 }
@@ -135,14 +141,17 @@
     }
 }
 
-/// Sends all limits of servers that this instance knows to one that starts, before its first request.
-async fn send_server_limits(node: &Node, socket: &UdpSocket, recipient: net::SocketAddr) {
+/// Sends what servers have said to an instance that starts, before its first request.
+async fn send_server_statements(node: &Node, socket: &UdpSocket, recipient: net::SocketAddr) {
     let now = node.now();
     let reports: Vec<_> = node.state.borrow().pool.limit_reports(now).collect();
     for reports in reports.chunks(MAX_LIMITS_PER_MESSAGE) {
         let message = Message::ServerLimits(reports.to_vec());
         send(node, socket, &message, &[recipient]).await;
     }
+    for message in server_statements::messages_for_newcomer(node) {
+        send(node, socket, &message, &[recipient]).await;
+    }
 }
 
 /// Applies a heartbeat; returns whether the instance is new or was started again.
--- a/crates/damaskvane-gateway/src/peers/message.rs
+++ b/crates/damaskvane-gateway/src/peers/message.rs
@@ -8,7 +8,7 @@
 use damaskvane_dispatch::quarantine::{Incident, RequestIdentity};
 use damaskvane_routing::peers::{Digest, Heartbeat};
 use damaskvane_routing::placement::{ObjectMove, PopularityDecision, PopularityReport};
-use damaskvane_routing::pool::{PeerLimitReport, PeerServerReport};
+use damaskvane_routing::pool::{PeerLimitReport, PeerServerReport, PeerStatement};
 
 use crate::costs::Flow;
 use crate::peers::message_wire::Wire;
@@ -62,6 +62,13 @@
     },
     /// Limits on their requests that backend servers name, or that they have none any more.
     ServerLimits(Vec<PeerLimitReport>),
+    /// What backend servers have said of rests and of leaving.
+    ServerStatements {
+        /// The instance that sends the message.
+        sender: ids::InstanceId,
+        /// What the servers have said.
+        statements: Vec<PeerStatement>,
+    },
     /// Tokens of a team's quota, or a request for them.
     Quota(QuotaMessage),
     /// Tokens of a backend server with a limit, or a request for them.
@@ -81,6 +88,7 @@
             Self::PopularityReport(_) => Flow::PopularityReport,
             Self::PopularityDecisions { .. } => Flow::PopularityDecisions,
             Self::ServerLimits(_) => Flow::ServerLimits,
+            Self::ServerStatements { .. } => Flow::ServerStatements,
             Self::Quota(_) => Flow::Quota,
             Self::Token(_) => Flow::Tokens,
         }
--- a/crates/damaskvane-gateway/src/peers/message_wire.rs
+++ b/crates/damaskvane-gateway/src/peers/message_wire.rs
@@ -13,6 +13,7 @@
 use crate::peers::Message;
 use crate::peers::limit_wire::LimitWire;
 use crate::peers::quota_wire::QuotaWire;
+use crate::peers::statement_wire::StatementWire;
 use crate::peers::token_wire::TokenWire;
 
 /// A message in its encoded form.
@@ -50,6 +51,10 @@
     Quota(QuotaWire),
     ServerLimits(Vec<LimitWire>),
     Token(TokenWire),
+    ServerStatements {
+        sender: ids::InstanceId,
+        statements: Vec<StatementWire>,
+    },
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -144,6 +149,10 @@
             Message::ServerLimits(reports) => {
                 Self::ServerLimits(reports.iter().map(LimitWire::of).collect())
             }
+            Message::ServerStatements { sender, statements } => Self::ServerStatements {
+                sender: sender.clone(),
+                statements: statements.iter().map(StatementWire::of).collect(),
+            },
             Message::Quota(message) => Self::Quota(QuotaWire::of(message)),
             Message::Token(message) => Self::Token(TokenWire::of(message)),
         }
@@ -204,6 +213,16 @@
                 let reports = limits.into_iter().filter_map(LimitWire::into_report);
                 Message::ServerLimits(reports.collect())
             }
+            Self::ServerStatements { sender, statements } => {
+                // Skips statements that name no time; the others are valid.
+                let statements = statements.into_iter();
+                Message::ServerStatements {
+                    sender,
+                    statements: statements
+                        .filter_map(StatementWire::into_statement)
+                        .collect(),
+                }
+            }
             Self::Quota(message) => Message::Quota(message.into_message()),
             Self::Token(message) => Message::Token(message.into_message()?),
         })
--- a/crates/damaskvane-gateway/src/probes.rs
+++ b/crates/damaskvane-gateway/src/probes.rs
@@ -173,10 +173,11 @@
     let (mut connection, path) = match open_probed(node, probe, &entry, comparison).await {
         Ok(opened) => opened,
         Err(error) if error.is_refusal() => return Some(ProbeResult::Refused),
+        Err(error) if error.rest().is_some() => return Some(ProbeResult::NotSent),
         Err(_) => return None,
     };
     let permit = SendPermit::acquire(node, &probe.server, Purpose::Probe).await;
-    if permit.and_then(|permit| permit.redeem()).is_err() {
+    if permit.and_then(|permit| permit.redeem(&path)).is_err() {
         return Some(ProbeResult::NotSent);
     }
     let request = format!(
@@ -193,7 +194,7 @@
         return Some(ProbeResult::OtherServer);
     }
     let source = StatementSource::Probe;
-    server_statements::record(node, &probe.server, sent_at, &report, source);
+    server_statements::record(node, &probe.server, &path, sent_at, &report, source);
     if head.status != 200 {
         return Some(ProbeResult::Unhealthy);
     }
--- a/crates/damaskvane-gateway/src/reach.rs
+++ b/crates/damaskvane-gateway/src/reach.rs
@@ -8,6 +8,7 @@
 use damaskvane_core::ids;
 use damaskvane_core::time::{SpanMs, TimeMs};
 use damaskvane_routing::configuration::RegionSet;
+use damaskvane_routing::pool::ServerKey;
 use damaskvane_routing::reachability::{Check, ConnectFailure, Reach};
 
 use crate::crashes;
@@ -147,6 +148,19 @@
     state.reach.needs_tunnel(server)
         && state.members.accepts_clients(now, &peer.instance)
         && !state.tunnel_peers.has_failed(now, &peer.instance)
+        && !state
+            .tunnel_peers
+            .rests(now, &peer.instance, ServerKey::of(server))
+}
+
+/// Returns whether the server of a path wants no request from the instance that carries it.
+pub(crate) fn rests_on(node: &Node, server: &ids::BackendServerId, path: &Path) -> bool {
+    let Some(peer) = path.peer() else {
+        return false;
+    };
+    let now = node.now();
+    let peers = &node.state.borrow().tunnel_peers;
+    peers.rests(now, &peer.instance, ServerKey::of(server))
 }
 
 /// Applies a change of the evidence, and logs what changes by it.
--- a/crates/damaskvane-gateway/src/server_limits/permit.rs
+++ b/crates/damaskvane-gateway/src/server_limits/permit.rs
@@ -9,9 +9,11 @@
 use rand::RngExt;
 
 use crate::node::Node;
+use crate::reach;
 use crate::server_limits::asking::{self, TokenRefusal};
 use crate::server_limits::tokens::Token;
 use crate::server_statements;
+use crate::tunnel::Path;
 
 /// Priority of a health probe at a server that limits the rate of its requests.
 const MOST_URGENT: u32 = 0;
@@ -153,14 +155,17 @@
         token.as_ref().map(|token| token.holder.clone())
     }
 
-    /// Uses the permission for a request that is written now.
+    /// Uses the permission for a request that is written now on a connection with this path.
     ///
     /// # Errors
     ///
     /// Fails if the request may not be written: while its connection was opened the server may have asked for rest, said
     /// that it leaves, or named a limit, or the token may have expired.
-    pub(crate) fn redeem(&self) -> Result<(), NotAdmitted> {
+    pub(crate) fn redeem(&self, path: &Path) -> Result<(), NotAdmitted> {
         self.check_available()?;
+        if reach::rests_on(&self.node, &self.server, path) {
+            return Err(self.refuse(NotAdmitted::Unavailable(Unavailable::Resting)));
+        }
         if !self.is_limited() {
             return Ok(());
         }
--- a/crates/damaskvane-gateway/src/server_statements.rs
+++ b/crates/damaskvane-gateway/src/server_statements.rs
@@ -2,21 +2,24 @@
 //! its server, logged and counted.
 
 mod decode;
+mod peers;
 
 use std::rc::Rc;
 
 use damaskvane_core::ids;
-use damaskvane_core::time::TimeMs;
+use damaskvane_core::time::{SpanMs, TimeMs};
 use damaskvane_routing::limit::RequestRate;
 use damaskvane_routing::pool::{
-    Availability, LimitChange, LimitStatement, RestChange, RestStatement, ServerReport,
+    Availability, LimitChange, LimitStatement, RestChange, RestStatement, ServerKey, ServerReport,
     StatementSource,
 };
 
 pub use decode::decode;
+pub(crate) use peers::{apply as apply_peer_statement, messages_for_newcomer};
 
 use crate::node::Node;
 use crate::server_limits;
+use crate::tunnel::Path;
 
 /// Label of a statement whose value is no number.
 const UNREADABLE: &str = "unreadable";
@@ -27,10 +30,11 @@
     Some(state.pool.server(server)?.availability)
 }
 
-/// Records what the response to a request that was sent at `sent_at` says of its server.
+/// Records what the response to a request says of its server; the request was sent on `path` at `sent_at`.
 pub(crate) fn record(
     node: &Rc<Node>,
     server: &ids::BackendServerId,
+    path: &Path,
     sent_at: TimeMs,
     report: &ServerReport,
     source: StatementSource,
@@ -55,10 +59,40 @@
     }
     if let Some(change) = changes.rest {
         log_rest(node, server, change, source);
+        tell_others_of_rest(node, server, path, change.remaining);
     }
     if changes.has_begun_to_leave {
         node.idle.borrow_mut().drop_server(server);
         log_leaving(node, server, source);
+        let announcing = peers::announce_leaving(Rc::clone(node), server.clone());
+        tokio::task::spawn_local(announcing);
+    }
+}
+
+/// Tells of a rest those whose requests may reach the server in the same way as the one that was rejected.
+fn tell_others_of_rest(node: &Node, server: &ids::BackendServerId, path: &Path, remaining: SpanMs) {
+    match path.peer() {
+        Some(carrier) => peers::tell_carrier(node, carrier, server, remaining),
+        None => peers::tell_tunnel_users(node, server, remaining),
+    }
+}
+
+/// Records that a server wants no request from the instances through which this one reaches it, if `rest` is such a time.
+pub(crate) fn record_rest_of_carriers(
+    node: &Node,
+    server: &ids::BackendServerId,
+    rest: Option<SpanMs>,
+) {
+    let Some(remaining) = rest else {
+        return;
+    };
+    let now = node.now();
+    let changed = {
+        let pool = &mut node.state.borrow_mut().pool;
+        pool.apply_rest(now, ServerKey::of(server), remaining)
+    };
+    if let Some((server, change)) = changed {
+        log_rest(node, &server, change, StatementSource::Peer);
     }
 }
 
--- a/crates/damaskvane-gateway/src/tunnel/carry.rs
+++ b/crates/damaskvane-gateway/src/tunnel/carry.rs
@@ -1,8 +1,10 @@
 //! Carries tunnels for other instances.
 
 use core::time::Duration;
-use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::io;
+use std::net;
 use std::rc::Rc;
 
 use damaskvane_core::ids;
@@ -25,32 +27,47 @@
 /// A tunnel takes two descriptors; this part of the process's descriptors, as a divisor, may be tunnels.
 const DESCRIPTORS_PER_TUNNEL: usize = 8;
 
-/// Number of tunnels that this instance carries.
+/// The tunnels that this instance carries: for each the server, and the IP address of the instance that uses it.
 #[derive(Debug, Default)]
-pub(crate) struct CarriedTunnels(Cell<usize>);
+pub(crate) struct CarriedTunnels(RefCell<Vec<(ids::BackendServerId, Option<net::IpAddr>)>>);
 
 impl CarriedTunnels {
     /// Returns the number of tunnels.
-    pub(crate) const fn get(&self) -> usize {
-        self.0.get()
+    pub(crate) fn get(&self) -> usize {
+        self.0.borrow().len()
+    }
+
+    /// Returns the IP addresses of the instances that use tunnels to a server.
+    pub(crate) fn users(&self, server: &ids::BackendServerId) -> BTreeSet<net::IpAddr> {
+        let tunnels = self.0.borrow();
+        let to_server = tunnels.iter().filter(|(to, _)| to == server);
+        to_server.filter_map(|(_, user)| *user).collect()
     }
 }
 
 /// Counts one tunnel until this guard is dropped.
-struct TunnelGuard(Rc<Node>);
+struct TunnelGuard {
+    node: Rc<Node>,
+    tunnel: (ids::BackendServerId, Option<net::IpAddr>),
+}
 
 impl TunnelGuard {
-    fn new(node: &Rc<Node>) -> Self {
-        let count = &node.carried_tunnels.0;
-        count.set(count.get() + 1);
-        Self(Rc::clone(node))
+    fn new(node: &Rc<Node>, server: &ids::BackendServerId, user: Option<net::IpAddr>) -> Self {
+        let tunnel = (server.clone(), user);
+        node.carried_tunnels.0.borrow_mut().push(tunnel.clone());
+        Self {
+            node: Rc::clone(node),
+            tunnel,
+        }
     }
 }
 
 impl Drop for TunnelGuard {
     fn drop(&mut self) {
-        let count = &self.0.carried_tunnels.0;
-        count.set(count.get().saturating_sub(1));
+        let mut tunnels = self.node.carried_tunnels.0.borrow_mut();
+        if let Some(index) = tunnels.iter().position(|one| *one == self.tunnel) {
+            tunnels.swap_remove(index);
+        }
     }
 }
 
@@ -63,7 +80,8 @@
     let request: TunnelRequest = framing::decode(request)?;
     // A planned stop waits for the requests in the tunnel.
     let _request_guard = Stop::track_request(node);
-    let _tunnel_guard = TunnelGuard::new(node);
+    let user = stream.peer_addr().ok().map(|address| address.ip());
+    let _tunnel_guard = TunnelGuard::new(node, &request.server, user);
     let opened = open(node, &request).await;
     let outcome = opened.as_ref().err().map_or("opened", |one| one.as_str());
     let carried = &node.metrics.carried_tunnels;
@@ -86,6 +104,7 @@
     let address = {
         let state = node.state.borrow();
         let carrier = Carrier {
+            now: node.now(),
             is_leaving: node.stop.is_leaving(),
             reach: state.reach.reach(),
             needs_tunnel: state.reach.needs_tunnel(server),
--- a/crates/damaskvane-gateway/src/tunnel/error.rs
+++ b/crates/damaskvane-gateway/src/tunnel/error.rs
@@ -1,5 +1,6 @@
 //! Why no tunnel could be opened.
 
+use damaskvane_core::time::SpanMs;
 use damaskvane_routing::reachability::TunnelRefusal;
 
 /// Why no tunnel to a backend server could be opened.
@@ -30,6 +31,15 @@
         matches!(self, Self::Refused(TunnelRefusal::ServerRefused))
     }
 
+    /// Returns the time for which the server wants no request from the instance that was asked, or `None` if it takes them.
+    #[must_use]
+    pub const fn rest(self) -> Option<SpanMs> {
+        match self {
+            Self::Refused(TunnelRefusal::Resting(remaining)) => Some(remaining),
+            _ => None,
+        }
+    }
+
     /// Returns whether another instance may be able to carry the tunnel.
     #[must_use]
     pub const fn is_of_peer(self) -> bool {
--- a/crates/damaskvane-gateway/src/tunnel/message.rs
+++ b/crates/damaskvane-gateway/src/tunnel/message.rs
@@ -2,6 +2,7 @@
 //! Postcard encodes fields and variants by position.
 
 use damaskvane_core::ids;
+use damaskvane_core::time::SpanMs;
 use damaskvane_routing::reachability::TunnelRefusal;
 use serde::{Deserialize, Serialize};
 
@@ -29,6 +30,7 @@
     Partitioned,
     ServerRefused,
     ServerSilent,
+    Resting(SpanMs),
 }
 
 impl TunnelReply {
@@ -43,6 +45,7 @@
             Err(TunnelRefusal::Partitioned) => Self::Partitioned,
             Err(TunnelRefusal::ServerRefused) => Self::ServerRefused,
             Err(TunnelRefusal::ServerSilent) => Self::ServerSilent,
+            Err(TunnelRefusal::Resting(remaining)) => Self::Resting(remaining),
         }
     }
 
@@ -57,6 +60,7 @@
             Self::Partitioned => TunnelRefusal::Partitioned,
             Self::ServerRefused => TunnelRefusal::ServerRefused,
             Self::ServerSilent => TunnelRefusal::ServerSilent,
+            Self::Resting(remaining) => TunnelRefusal::Resting(remaining),
         })
     }
 }
--- a/crates/damaskvane-gateway/src/tunnel/open.rs
+++ b/crates/damaskvane-gateway/src/tunnel/open.rs
@@ -7,6 +7,7 @@
 
 use damaskvane_core::ids;
 use damaskvane_routing::configuration::RegionSet;
+use damaskvane_routing::pool::ServerKey;
 use damaskvane_routing::reachability::TunnelWish;
 use rand::RngExt;
 use tokio::net::TcpStream;
@@ -50,10 +51,10 @@
     let mut tried = Vec::new();
     let mut last = TunnelError::NoPeer;
     while tried.len() < MAX_PEERS {
-        let Some((peer, address)) = choose(node, endpoint, allowed_regions, &tried) else {
+        let Some(peer) = choose(node, endpoint, allowed_regions, &tried) else {
             break;
         };
-        match open_through(address, endpoint.server, timeout).await {
+        match open_through(peer.address, endpoint.server, timeout).await {
             Ok(connection) => {
                 count(node, "opened");
                 return Ok((connection, Path::Tunnel(peer)));
@@ -64,14 +65,25 @@
         if !last.is_of_peer() {
             break;
         }
-        let now = node.now();
-        let peers = &mut node.state.borrow_mut().tunnel_peers;
-        peers.record_failed(now, &peer.instance);
+        record_refused(node, endpoint.server, &peer, last);
         tried.push(peer.instance);
     }
     Err(last)
 }
 
+/// Records that an instance carries no tunnel to a server. One that the server wants no request from may carry others.
+fn record_refused(node: &Node, server: &ids::BackendServerId, peer: &Peer, error: TunnelError) {
+    let now = node.now();
+    let peers = &mut node.state.borrow_mut().tunnel_peers;
+    match error.rest() {
+        Some(remaining) => {
+            let server = ServerKey::of(server);
+            peers.record_rest(now, &peer.instance, server, remaining);
+        }
+        None => peers.record_failed(now, &peer.instance),
+    }
+}
+
 fn count(node: &Node, outcome: &str) {
     node.metrics.tunnels.with_label_values(&[outcome]).inc();
 }
@@ -81,7 +93,7 @@
     endpoint: Endpoint<'_>,
     allowed_regions: &RegionSet,
     tried: &[ids::InstanceId],
-) -> Option<(Peer, net::SocketAddr)> {
+) -> Option<Peer> {
     let settings = node.settings();
     let now = node.now();
     let state = node.state.borrow();
@@ -95,12 +107,12 @@
     };
     let others = state.members.others_accepting(now);
     let chosen = state.tunnel_peers.choose(now, others, &wish)?;
-    let peer = Peer {
+    Some(Peer {
         instance: chosen.instance.clone(),
+        address: chosen.peer_address,
         zone: chosen.zone.clone(),
         region: settings.regions.get(&chosen.zone).cloned(),
-    };
-    Some((peer, chosen.peer_address))
+    })
 }
 
 async fn open_through(
--- a/crates/damaskvane-gateway/src/tunnel/path.rs
+++ b/crates/damaskvane-gateway/src/tunnel/path.rs
@@ -1,5 +1,7 @@
 //! The way by which a connection reaches a backend server.
 
+use std::net;
+
 use damaskvane_core::ids;
 
 /// The instance that carries a tunnel.
@@ -7,6 +9,8 @@
 pub struct Peer {
     /// Name of the instance.
     pub instance: ids::InstanceId,
+    /// Address at which the instance receives messages.
+    pub address: net::SocketAddr,
     /// Availability zone of the instance.
     pub zone: ids::AvailabilityZoneId,
     /// Region of the instance; `None` if the settings don't name it.
--- a/crates/damaskvane-gateway/src/upstream/connect.rs
+++ b/crates/damaskvane-gateway/src/upstream/connect.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use damaskvane_core::ids;
+use damaskvane_core::time::SpanMs;
 use damaskvane_routing::configuration::RegionSet;
 
 use crate::http;
@@ -37,6 +38,16 @@
     }
 }
 
+impl OpenError {
+    /// Returns the time for which the server wants no request from the instance that would have carried a tunnel to it.
+    pub(crate) const fn rest(&self) -> Option<SpanMs> {
+        match self {
+            Self::Direct(_) => None,
+            Self::Tunnel(error) => error.rest(),
+        }
+    }
+}
+
 /// When another instance is asked after this instance failed to open a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TunnelUse {
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -95,8 +95,14 @@
     }
 
     async fn exchange(&self, running_path: &RefCell<Option<Path>>) -> ExchangeOutcome {
-        let Ok((connection, path, is_reused)) = self.connect().await else {
-            return ExchangeOutcome::no_response(ExchangeEnd::Unreachable);
+        let (connection, path, is_reused) = match self.connect().await {
+            Ok(connected) => connected,
+            Err(error) => {
+                let rest = error.rest();
+                let end = rest.map_or(ExchangeEnd::Unreachable, |_| ExchangeEnd::Unavailable);
+                server_statements::record_rest_of_carriers(self.node, &self.pick.server, rest);
+                return ExchangeOutcome::no_response(end);
+            }
         };
         running_path.replace(Some(path.clone()));
         let token = match self.right.redeem().await {
@@ -108,7 +114,7 @@
                 };
             }
         };
-        if let Err(reason) = self.permit.redeem() {
+        if let Err(reason) = self.permit.redeem(&path) {
             self.right.restore(token);
             return self.unsent(connection, &path, is_reused, reason.exchange_end());
         }
@@ -249,7 +255,7 @@
                 let server = &self.pick.server;
                 let report = server_statements::decode(self.node.adapter.headers(), server, &head);
                 let source = StatementSource::Response;
-                server_statements::record(self.node, server, sent_at, &report, source);
+                server_statements::record(self.node, server, path, sent_at, &report, source);
                 return self
                     .finish_response(connection, path, head, report, may_keep)
                     .await;
--- a/crates/damaskvane-gateway/tests/datagrams.rs
+++ b/crates/damaskvane-gateway/tests/datagrams.rs
@@ -15,7 +15,7 @@
     ObjectMove, ObjectSample, POPULARITY_STEPS, PopularityDecision, RouteKey,
 };
 use damaskvane_routing::pool::{
-    LoadReport, PeerHealthReport, PeerLimitReport, PeerServerReport, ServerKey,
+    LoadReport, PeerHealthReport, PeerLimitReport, PeerServerReport, PeerStatement, ServerKey,
 };
 use proptest::prelude::*;
 
@@ -139,6 +139,27 @@
     Message::ServerLimits((0..48).map(report).collect())
 }
 
+fn server_statements() -> Message {
+    let statement = |number: u32| {
+        let server = ServerKey::from_wire(u32::MAX - number);
+        let remaining = SpanMs::new(86_400_000);
+        match number % 3 {
+            0 => PeerStatement::Leaving {
+                server,
+                started_unix_ms: u64::MAX,
+            },
+            1 => PeerStatement::SenderRests { server, remaining },
+            _ => PeerStatement::RecipientRests { server, remaining },
+        }
+    };
+    Message::ServerStatements {
+        sender: "an-instance-with-a-rather-long-name-1"
+            .parse()
+            .expect("a name"),
+        statements: (0..48).map(statement).collect(),
+    }
+}
+
 fn claim() -> LimitClaim {
     LimitClaim {
         server: ServerKey::from_wire(u32::MAX),
@@ -171,8 +192,9 @@
     Message::Token(TokenMessage::Reply(TokenReply { id: 7, outcome }))
 }
 
-fn messages() -> [Message; 12] {
+fn messages() -> [Message; 13] {
     [
+        server_statements(),
         heartbeat(),
         digest(64),
         incident(),
--- a/crates/damaskvane-routing/src/placement/selection.rs
+++ b/crates/damaskvane-routing/src/placement/selection.rs
@@ -60,7 +60,7 @@
                 continue;
             };
             if !self.takes_request(server, priority) {
-                rejection.add_resting(server.availability.rest.ends_at());
+                rejection.add_resting(server.availability.rest.returns_from());
                 passed_over.get_or_insert(SkipReason::Resting);
                 continue;
             }
--- a/crates/damaskvane-routing/src/pool/availability.rs
+++ b/crates/damaskvane-routing/src/pool/availability.rs
@@ -45,6 +45,8 @@
     /// Time in which the server wants no request from this instance.
     pub rest: ServerRest,
     is_leaving: bool,
+    /// Whether another instance has reported that the server leaves, or this one has.
+    is_leaving_reported: bool,
 }
 
 impl Availability {
@@ -56,6 +58,7 @@
             limit: ServerLimit::unknown(incarnation_at),
             rest: ServerRest::default(),
             is_leaving: false,
+            is_leaving_reported: false,
         }
     }
 
@@ -70,6 +73,17 @@
         !core::mem::replace(&mut self.is_leaving, true)
     }
 
+    /// Records that another instance has reported that the server leaves; returns whether that is news.
+    pub const fn learn_leaving_from_peer(&mut self) -> bool {
+        self.is_leaving_reported = true;
+        self.learn_leaving()
+    }
+
+    /// Returns whether this instance is to report to the others that the server leaves, and records that it does.
+    pub const fn take_leaving_report(&mut self) -> bool {
+        self.is_leaving && !core::mem::replace(&mut self.is_leaving_reported, true)
+    }
+
     /// Returns whether two servers have said the same, whenever they did.
     #[must_use]
     pub fn has_same_statements(&self, other: &Self) -> bool {
--- a/crates/damaskvane-routing/src/pool/retry_after.rs
+++ b/crates/damaskvane-routing/src/pool/retry_after.rs
@@ -21,6 +21,9 @@
 pub struct ParseRetryAfterError;
 
 impl RetryAfter {
+    /// The longest time.
+    pub const MAX: SpanMs = SpanMs::new(MAX_S as u64 * 1_000);
+
     /// Returns the time, rounded up to a millisecond.
     #[must_use]
     pub const fn span(self) -> SpanMs {
--- a/crates/damaskvane-routing/src/pool/server_pool.rs
+++ b/crates/damaskvane-routing/src/pool/server_pool.rs
@@ -17,8 +17,8 @@
 use crate::pool::server_pool::retained::RetainedStatements;
 use crate::pool::server_table::ServerTable;
 use crate::pool::{
-    PeerServerReport, PoolSettings, Server, ServerEntry, ServerHandle, ServerMut, ServerState,
-    ServiceServers, Topology, ZoneIndex,
+    PeerServerReport, PoolSettings, Server, ServerEntry, ServerHandle, ServerKey, ServerMut,
+    ServerState, ServiceServers, Topology, ZoneIndex,
 };
 
 /// A change of a server in the pool, which the caller logs.
@@ -228,6 +228,11 @@
             let said = self.retained.take(&entry);
             let mut server = Server::new(now, entry, region);
             server.availability = said.unwrap_or(server.availability);
+            let key = ServerKey::of(&id);
+            if let Some(until) = self.retained.take_rest_of_other(key) {
+                let rest = &mut server.availability.rest;
+                rest.defer_return(now, until.since(now));
+            }
             self.early_limits.apply(now, &mut server);
             self.servers.insert(server);
             return Some(Change::Joined(id));
--- a/crates/damaskvane-routing/src/pool/server_pool/retained.rs
+++ b/crates/damaskvane-routing/src/pool/server_pool/retained.rs
@@ -21,7 +21,11 @@
 /// An entry can expire and come back while its server lives, and what the server has said holds as long as it does. The
 /// server with the oldest statements is forgotten if there are too many.
 #[derive(Debug, Default)]
-pub(super) struct RetainedStatements(HashMap<ServerKey, Retained>);
+pub(super) struct RetainedStatements {
+    servers: HashMap<ServerKey, Retained>,
+    /// Until when servers rest towards other instances, as an instance hears that starts.
+    rests_of_others: HashMap<ServerKey, TimeMs>,
+}
 
 impl RetainedStatements {
     /// Stores what a server has said that is removed from the pool now.
@@ -37,7 +41,7 @@
 
     /// Stores that an incarnation of a server leaves which is not in the pool.
     pub(super) fn keep_leaving(&mut self, now: TimeMs, key: ServerKey, started_unix_ms: u64) {
-        let known = self.0.get(&key);
+        let known = self.servers.get(&key);
         let is_older = known.is_some_and(|known| known.started_unix_ms > started_unix_ms);
         if is_older {
             return;
@@ -47,23 +51,37 @@
             || Availability::unknown(TimeMs::ZERO),
             |known| known.availability,
         );
-        availability.learn_leaving();
+        availability.learn_leaving_from_peer();
         self.insert(now, key, started_unix_ms, availability);
     }
 
     /// Returns what the incarnation of a server that wrote this entry has said.
     pub(super) fn take(&mut self, entry: &ServerEntry) -> Option<Availability> {
         let key = ServerKey::of(&entry.id);
-        let retained = *self.0.get(&key)?;
+        let retained = *self.servers.get(&key)?;
         if retained.started_unix_ms > entry.started_unix_ms {
             // The entry is an older one, and the newer one may still come.
             return None;
         }
-        self.0.remove(&key);
+        self.servers.remove(&key);
         let is_same = retained.started_unix_ms == entry.started_unix_ms;
         is_same.then_some(retained.availability)
     }
 
+    /// Stores until when a server rests towards another instance.
+    pub(super) fn keep_rest_of_other(&mut self, key: ServerKey, until: TimeMs) {
+        let has_room = self.rests_of_others.len() < MAX_RETAINED;
+        if has_room || self.rests_of_others.contains_key(&key) {
+            let known = self.rests_of_others.entry(key).or_insert(until);
+            *known = (*known).max(until);
+        }
+    }
+
+    /// Returns until when a server rests towards another instance, or `None` if that is not known.
+    pub(super) fn take_rest_of_other(&mut self, key: ServerKey) -> Option<TimeMs> {
+        self.rests_of_others.remove(&key)
+    }
+
     fn insert(
         &mut self,
         now: TimeMs,
@@ -71,10 +89,10 @@
         started_unix_ms: u64,
         availability: Availability,
     ) {
-        if self.0.len() >= MAX_RETAINED && !self.0.contains_key(&key) {
-            let oldest = self.0.iter().min_by_key(|(_, retained)| retained.at);
+        if self.servers.len() >= MAX_RETAINED && !self.servers.contains_key(&key) {
+            let oldest = self.servers.iter().min_by_key(|(_, retained)| retained.at);
             if let Some(oldest) = oldest.map(|(key, _)| *key) {
-                self.0.remove(&oldest);
+                self.servers.remove(&oldest);
             }
         }
         let retained = Retained {
@@ -82,6 +100,6 @@
             availability,
             at: now,
         };
-        self.0.insert(key, retained);
+        self.servers.insert(key, retained);
     }
 }
--- a/crates/damaskvane-routing/src/pool/server_pool/statements.rs
+++ b/crates/damaskvane-routing/src/pool/server_pool/statements.rs
@@ -4,8 +4,8 @@
 use damaskvane_core::time::{SpanMs, TimeMs};
 
 use crate::pool::{
-    AvailabilityChanges, Server, ServerKey, ServerPool, ServerReport, ServerRest, ServerState,
-    StatementSource,
+    AvailabilityChanges, PeerStatement, RestChange, Server, ServerKey, ServerPool, ServerReport,
+    ServerRest, ServerState, StatementSource,
 };
 
 impl ServerPool {
@@ -51,10 +51,55 @@
             return None;
         }
         let mut server = self.servers.get_mut(handle?)?;
-        let is_news = server.availability.learn_leaving();
+        let is_news = server.availability.learn_leaving_from_peer();
         is_news.then(|| server.entry.id.clone())
     }
 
+    /// Returns the report that a server leaves, unless an instance has reported it already.
+    pub fn report_leaving(&mut self, id: &ids::BackendServerId) -> Option<PeerStatement> {
+        let mut server = self.server_mut(id)?;
+        let is_to_report = server.availability.take_leaving_report();
+        is_to_report.then(|| server.leaving_statement())
+    }
+
+    /// Applies a rejection that another instance has received through this one; returns the server and the change, if any.
+    pub fn apply_rest(
+        &mut self,
+        now: TimeMs,
+        key: ServerKey,
+        remaining: SpanMs,
+    ) -> Option<(ids::BackendServerId, RestChange)> {
+        let handle = self.servers.handle_of_key(key)?;
+        let mut server = self.servers.get_mut(handle)?;
+        let rest = &mut server.availability.rest;
+        let change = rest.begin(now, remaining, StatementSource::Peer)?;
+        Some((server.entry.id.clone(), change))
+    }
+
+    /// Applies that a server wants no request from another instance: this one, which starts, uses it with care.
+    pub fn learn_rest_of_other(&mut self, now: TimeMs, key: ServerKey, remaining: SpanMs) {
+        let Some(handle) = self.servers.handle_of_key(key) else {
+            self.retained.keep_rest_of_other(key, now + remaining);
+            return;
+        };
+        if let Some(mut server) = self.servers.get_mut(handle) {
+            let rest = &mut server.availability.rest;
+            rest.defer_return(now, remaining);
+        }
+    }
+
+    /// Returns what an instance that starts needs to know: which servers leave, and which want no request from this instance.
+    pub fn statements(&self, now: TimeMs) -> impl Iterator<Item = PeerStatement> {
+        let leaving = self.leaving().map(Server::leaving_statement);
+        let resting = self
+            .resting(now)
+            .map(move |server| PeerStatement::SenderRests {
+                server: ServerKey::of(&server.entry.id),
+                remaining: server.availability.rest.remaining(now),
+            });
+        leaving.chain(resting)
+    }
+
     /// Applies what was reported of an incarnation of a server whose entry was read just now.
     pub(super) fn apply_early_leaving(&mut self, id: &ids::BackendServerId) {
         let Some(entry) = self.server(id).map(|server| server.entry.clone()) else {
@@ -64,7 +109,7 @@
         if early.is_some_and(|early| early.is_leaving())
             && let Some(mut server) = self.server_mut(id)
         {
-            server.availability.learn_leaving();
+            server.availability.learn_leaving_from_peer();
         }
     }
 
@@ -129,3 +174,13 @@
             .filter(|server| server.availability.is_leaving())
     }
 }
+
+impl Server {
+    /// Returns the report that the server leaves.
+    fn leaving_statement(&self) -> PeerStatement {
+        PeerStatement::Leaving {
+            server: ServerKey::of(&self.entry.id),
+            started_unix_ms: self.entry.started_unix_ms,
+        }
+    }
+}
--- a/crates/damaskvane-routing/src/pool/server_rest.rs
+++ b/crates/damaskvane-routing/src/pool/server_rest.rs
@@ -8,6 +8,8 @@
 
 use crate::pool::{RetryAfter, StatementSource};
 
+/// Step of the clock: times are rounded down, and a rest must not end earlier than the server meant.
+const CLOCK_STEP: SpanMs = SpanMs::new(1);
 /// Longest time in which the requests return after a rest, in milliseconds. A rest that was shorter takes its own length.
 const MAX_RETURN_MS: u64 = 1_400;
 /// Time by which requests of each lower level of priority return later, in milliseconds.
@@ -53,6 +55,8 @@
 pub struct ServerRest {
     begun_at: TimeMs,
     ends_at: TimeMs,
+    /// When requests begin to return: the end of the rest, or of another instance's if that is later.
+    returns_from: TimeMs,
     /// Time in which the requests return after the end.
     return_ms: u64,
     source: Option<StatementSource>,
@@ -66,7 +70,10 @@
         span: SpanMs,
         source: StatementSource,
     ) -> Option<RestChange> {
-        let ends_at = now + span;
+        if span == SpanMs::ZERO {
+            return None;
+        }
+        let ends_at = now + span + CLOCK_STEP;
         if ends_at <= self.ends_at.max(now) {
             return None;
         }
@@ -75,6 +82,7 @@
             self.begun_at = now;
         }
         self.ends_at = ends_at;
+        self.returns_from = self.returns_from.max(ends_at);
         self.return_ms = ends_at.since(self.begun_at).get().min(MAX_RETURN_MS);
         self.source = Some(source);
         Some(RestChange {
@@ -95,24 +103,32 @@
         self.ends_at.since(now)
     }
 
-    /// Returns the end of the rest; in the past if the server does not rest.
+    /// Lets requests return no earlier than `remaining` from now: the server rests towards another instance, and this one
+    /// has sent it nothing yet.
+    pub fn defer_return(&mut self, now: TimeMs, remaining: SpanMs) {
+        self.returns_from = self.returns_from.max(now + remaining);
+        self.return_ms = self.return_ms.max(remaining.get().min(MAX_RETURN_MS));
+        self.source.get_or_insert(StatementSource::Peer);
+    }
+
+    /// Returns when requests begin to return; in the past if the server does not rest.
     #[must_use]
-    pub const fn ends_at(&self) -> TimeMs {
-        self.ends_at
+    pub const fn returns_from(&self) -> TimeMs {
+        self.returns_from
     }
 
     /// Returns the share of this instance's requests of a priority that the server gets: 0 while it rests, 1 without a rest,
     /// and in between for some time after a rest.
     #[must_use]
     pub fn returned_share(&self, now: TimeMs, priority: u32) -> f64 {
-        if self.is_resting(now) {
+        if now < self.returns_from {
             return 0.0;
         }
         if self.return_ms == 0 {
             return 1.0;
         }
         let delay_ms = PRIORITY_DELAY_MS * u64::from(priority.min(DELAYED_PRIORITIES));
-        let since_end_ms = now.since(self.ends_at).get().saturating_sub(delay_ms);
+        let since_end_ms = now.since(self.returns_from).get().saturating_sub(delay_ms);
         (since_end_ms as f64 / self.return_ms as f64).min(1.0)
     }
 
--- a/crates/damaskvane-routing/src/reachability/admission.rs
+++ b/crates/damaskvane-routing/src/reachability/admission.rs
@@ -3,6 +3,7 @@
 use std::net;
 
 use damaskvane_core::ids;
+use damaskvane_core::time::{SpanMs, TimeMs};
 
 use crate::pool::{ServerPool, ServerState};
 use crate::reachability::Reach;
@@ -14,6 +15,8 @@
     UnknownServer,
     /// The server takes no new requests, as far as the instance knows.
     Draining,
+    /// The server wants no request from the instance for this time.
+    Resting(SpanMs),
     /// The server's availability zone is evacuated, as far as the instance knows.
     Evacuated,
     /// The instance is stopping.
@@ -35,6 +38,7 @@
         match self {
             Self::UnknownServer => "unknown_server",
             Self::Draining => "draining",
+            Self::Resting(_) => "resting",
             Self::Evacuated => "evacuated",
             Self::Leaving => "leaving",
             Self::Busy => "busy",
@@ -49,7 +53,7 @@
     pub const fn is_of_peer(self) -> bool {
         matches!(
             self,
-            Self::UnknownServer | Self::Leaving | Self::Busy | Self::Partitioned
+            Self::UnknownServer | Self::Leaving | Self::Busy | Self::Partitioned | Self::Resting(_)
         )
     }
 }
@@ -57,6 +61,8 @@
 /// The state of an instance that is asked to carry a tunnel.
 #[derive(Debug, Clone, Copy)]
 pub struct Carrier {
+    /// The current time of the instance.
+    pub now: TimeMs,
     /// Whether the instance is stopping.
     pub is_leaving: bool,
     /// Whether the instance reaches the servers.
@@ -93,9 +99,13 @@
             return Err(TunnelRefusal::Busy);
         }
         let server = pool.server(server).ok_or(TunnelRefusal::UnknownServer)?;
-        if server.entry.state == ServerState::Draining {
+        if server.entry.state == ServerState::Draining || server.availability.is_leaving() {
             return Err(TunnelRefusal::Draining);
         }
+        let rest = server.availability.rest;
+        if rest.is_resting(self.now) {
+            return Err(TunnelRefusal::Resting(rest.remaining(self.now)));
+        }
         let zone = pool.topology().zone(&server.entry.zone);
         if zone.is_some_and(|zone| pool.is_evacuated(zone)) {
             return Err(TunnelRefusal::Evacuated);
--- a/crates/damaskvane-routing/src/reachability/tunnel_peers.rs
+++ b/crates/damaskvane-routing/src/reachability/tunnel_peers.rs
@@ -7,6 +7,7 @@
 
 use crate::configuration::RegionSet;
 use crate::peers::Heartbeat;
+use crate::pool::ServerKey;
 use crate::reachability::ReachabilitySettings;
 
 /// What a tunnel is needed for.
@@ -46,6 +47,8 @@
 pub struct TunnelPeers {
     settings: ReachabilitySettings,
     failed_until: BTreeMap<ids::InstanceId, TimeMs>,
+    /// Until when servers want no request from instances that carry tunnels to them.
+    rests_until: BTreeMap<(ids::InstanceId, ServerKey), TimeMs>,
 }
 
 impl TunnelPeers {
@@ -55,6 +58,7 @@
         Self {
             settings,
             failed_until: BTreeMap::new(),
+            rests_until: BTreeMap::new(),
         }
     }
 
@@ -73,6 +77,30 @@
             .is_some_and(|until| now < *until)
     }
 
+    /// Records that a server wants no request from another instance, also none that the instance carries.
+    pub fn record_rest(
+        &mut self,
+        now: TimeMs,
+        peer: &ids::InstanceId,
+        server: ServerKey,
+        remaining: SpanMs,
+    ) {
+        self.rests_until.retain(|_, until| now < *until);
+        let until = self.rests_until.entry((peer.clone(), server));
+        let until = until.or_insert(TimeMs::ZERO);
+        *until = (*until).max(now + remaining);
+    }
+
+    /// Returns whether a server wants no request that another instance carries.
+    #[must_use]
+    pub fn rests(&self, now: TimeMs, peer: &ids::InstanceId, server: ServerKey) -> bool {
+        if self.rests_until.is_empty() {
+            return false;
+        }
+        let until = self.rests_until.get(&(peer.clone(), server));
+        until.is_some_and(|until| now < *until)
+    }
+
     /// Chooses among other instances, each with its region: the nearest ones in turn, and those that have lately failed
     /// only if there are no others.
     #[must_use]
--- a/crates/damaskvane-routing/tests/reachability.rs
+++ b/crates/damaskvane-routing/tests/reachability.rs
@@ -3,10 +3,12 @@
 mod support;
 
 use damaskvane_core::ids;
-use damaskvane_core::time::TimeMs;
+use damaskvane_core::time::{SpanMs, TimeMs};
 use damaskvane_routing::configuration::RegionSet;
 use damaskvane_routing::peers::{Heartbeat, Phase};
-use damaskvane_routing::pool::{ServerPool, ServerState};
+use damaskvane_routing::pool::{
+    RestStatement, ServerKey, ServerPool, ServerReport, ServerState, StatementSource,
+};
 use damaskvane_routing::reachability::{
     Carrier, Check, ConnectFailure, Reach, Reachability, ReachabilitySettings, TunnelPeers,
     TunnelRefusal, TunnelWish,
@@ -192,6 +194,7 @@
 
 fn carrier() -> Carrier {
     Carrier {
+        now: at(1_000),
         is_leaving: false,
         reach: Reach::Direct,
         needs_tunnel: false,
@@ -309,3 +312,45 @@
     assert_eq!(choose(&peers, &any, &[]), Some("near".into()));
     assert_eq!(choose(&peers, &any, &[near]), Some("beside".into()));
 }
+
+/// A server wants no request from the instance that carries: it must refuse the tunnel and say for how long, or the requests
+/// of others reach the server through it.
+#[test]
+fn an_instance_that_a_server_has_asked_for_rest_carries_no_tunnel_to_it() {
+    let mut pool = pool_of(&[("east-a", 2)]);
+    let report = ServerReport {
+        rest: RestStatement::Rest("3".parse().expect("a time")),
+        ..ServerReport::default()
+    };
+    let source = StatementSource::Response;
+    pool.apply_response(at(500), at(490), &server(0), &report, source);
+    let remaining = SpanMs::new(2_501);
+    assert_eq!(
+        refusal(carrier(), &pool),
+        Some(TunnelRefusal::Resting(remaining))
+    );
+    let later = Carrier {
+        now: at(3_501),
+        ..carrier()
+    };
+    assert_eq!(refusal(later, &pool), None);
+    let leaving = ServerReport {
+        is_leaving: true,
+        ..ServerReport::default()
+    };
+    pool.apply_response(at(500), at(490), &server(0), &leaving, source);
+    assert_eq!(refusal(later, &pool), Some(TunnelRefusal::Draining));
+}
+
+/// The requests of an instance reach a server through another one, which the server has asked for rest.
+#[test]
+fn the_rests_of_instances_that_carry_are_known_by_server() {
+    let mut peers = TunnelPeers::new(ReachabilitySettings::default());
+    let peer = "east-a-1".parse().expect("a name");
+    let key = ServerKey::of(&server(0));
+    peers.record_rest(at(0), &peer, key, SpanMs::new(2_000));
+    peers.record_rest(at(100), &peer, key, SpanMs::new(500));
+    assert!(peers.rests(at(1_999), &peer, key));
+    assert!(!peers.rests(at(2_000), &peer, key));
+    assert!(!peers.rests(at(100), &peer, ServerKey::of(&server(1))));
+}
--- a/crates/damaskvane-routing/tests/server_statements.rs
+++ b/crates/damaskvane-routing/tests/server_statements.rs
@@ -114,8 +114,8 @@
         ..ServerReport::default()
     };
     respond(&mut pool, 1_600, "east-a-0", &success);
-    assert_eq!(check(&pool, 3_999, "east-a-0"), Err(Unavailable::Resting));
-    assert_eq!(check(&pool, 4_000, "east-a-0"), Ok(()));
+    assert_eq!(check(&pool, 4_000, "east-a-0"), Err(Unavailable::Resting));
+    assert_eq!(check(&pool, 4_001, "east-a-0"), Ok(()));
 }
 
 /// A later rejection that asks for longer must be obeyed as well.
@@ -124,8 +124,8 @@
     let mut pool = pool_of(&[("east-a", 1)]);
     respond(&mut pool, 1_000, "east-a-0", &rest("1"));
     respond(&mut pool, 1_500, "east-a-0", &rest("2.5"));
-    assert_eq!(check(&pool, 3_999, "east-a-0"), Err(Unavailable::Resting));
-    assert_eq!(check(&pool, 4_000, "east-a-0"), Ok(()));
+    assert_eq!(check(&pool, 4_000, "east-a-0"), Err(Unavailable::Resting));
+    assert_eq!(check(&pool, 4_001, "east-a-0"), Ok(()));
 }
 
 /// Values that can't be read must change nothing, neither begin a rest nor end one.
@@ -184,8 +184,8 @@
         pool.remove(at(2_000), &server_id(name));
         pool.apply(at(3_000), entry(name, "east-a"));
     }
-    assert_eq!(check(&pool, 5_999, "east-a-0"), Err(Unavailable::Resting));
-    assert_eq!(check(&pool, 6_000, "east-a-0"), Ok(()));
+    assert_eq!(check(&pool, 6_000, "east-a-0"), Err(Unavailable::Resting));
+    assert_eq!(check(&pool, 6_001, "east-a-0"), Ok(()));
     assert_eq!(check(&pool, 60_000, "east-a-1"), Err(Unavailable::Leaving));
 }
 
@@ -366,7 +366,7 @@
         assert!(urgent >= other, "{urgent} and {other} at {now_ms}");
     }
     assert!(!rest.is_over(at(5_000)));
-    assert!(rest.is_over(at(6_000)));
+    assert!(rest.is_over(at(6_001)));
 }
 
 /// The objects of a server come back to it after its rest, some after the others, and all of them within 2 s.
@@ -396,9 +396,9 @@
 #[test]
 fn a_server_that_has_rested_serves_what_no_other_can() {
     let mut pool = pool_of(&[("east-a", 1)]);
-    respond(&mut pool, 990, "east-a-0", &rest("2"));
+    respond(&mut pool, 1_000, "east-a-0", &rest("2"));
     let sent = (0..100).filter(|object| {
-        let choice = choose_at(&mut placer("east-a"), &pool, 3_000, *object);
+        let choice = choose_at(&mut placer("east-a"), &pool, 3_001, *object);
         matches!(choice, Choice::Send(_))
     });
     assert_eq!(sent.count(), 100);
@@ -445,9 +445,9 @@
     respond(&mut pool, 900, "east-a-0", &rest("5"));
     assert_eq!(time(&pool), Some(SpanMs::ZERO));
     respond(&mut pool, 900, "east-a-1", &rest("2"));
-    assert_eq!(time(&pool), Some(SpanMs::new(1_900)));
+    assert_eq!(time(&pool), Some(SpanMs::new(1_901)));
     respond(&mut pool, 900, "east-a-1", &leaving());
-    assert_eq!(time(&pool), Some(SpanMs::new(4_900)));
+    assert_eq!(time(&pool), Some(SpanMs::new(4_901)));
     let mut draining = entry("east-a-0", "east-a");
     draining.state = ServerState::Draining;
     draining.sequence += 1;
@@ -471,3 +471,67 @@
     assert_eq!(server(&pool).rest, ServerRest::default());
     assert!(matches!(choose(&mut pool, "east-a", 7), Choice::Send(_)));
 }
+
+/// An instance that starts hears that servers rest towards others. It must not begin with a burst at all of them, nor leave
+/// them unused where no other serves.
+#[test]
+fn an_instance_that_starts_uses_servers_with_care_that_rest_towards_others() {
+    let mut pool = pool_of(&[("east-a", 1)]);
+    let late = ServerKey::of(&server_id("east-a-late"));
+    for (key, name) in [
+        (ServerKey::of(&server_id("east-a-0")), None),
+        (late, Some("east-a-late")),
+    ] {
+        pool.learn_rest_of_other(at(100), key, SpanMs::new(3_000));
+        if let Some(name) = name {
+            pool.apply(at(200), entry(name, "east-a"));
+        }
+    }
+    pool.apply(at(200), entry("east-a-free", "east-a"));
+    for object in (0..100).map(hash_of) {
+        assert_eq!(
+            pick(&mut pool, "east-a", object).server.as_str(),
+            "east-a-free"
+        );
+    }
+    pool.remove(at(1_000), &server_id("east-a-free"));
+    assert!(matches!(choose(&mut pool, "east-a", 7), Choice::Send(_)));
+    assert_eq!(check(&pool, 1_000, "east-a-0"), Ok(()));
+}
+
+/// One instance of many reports that a server leaves, and each only once.
+#[test]
+fn that_a_server_leaves_is_reported_once() {
+    let mut pool = pool_of(&[("east-a", 2)]);
+    let id = server_id("east-a-0");
+    assert_eq!(pool.report_leaving(&id), None);
+    respond(&mut pool, 1_000, "east-a-0", &leaving());
+    assert!(pool.report_leaving(&id).is_some());
+    assert_eq!(pool.report_leaving(&id), None);
+    let other = ServerKey::of(&server_id("east-a-1"));
+    pool.apply_leaving(at(1_000), other, 1_000);
+    assert_eq!(pool.report_leaving(&server_id("east-a-1")), None);
+    assert_eq!(pool.statements(at(1_000)).count(), 2);
+}
+
+/// A request that this instance carried for another was rejected: the server wants nothing from this instance.
+#[test]
+fn a_rest_that_another_instance_was_told_of_holds_here() {
+    let mut pool = pool_of(&[("east-a", 1)]);
+    let key = ServerKey::of(&server_id("east-a-0"));
+    let change = pool.apply_rest(at(1_000), key, SpanMs::new(2_000));
+    assert!(change.is_some());
+    assert_eq!(check(&pool, 2_999, "east-a-0"), Err(Unavailable::Resting));
+    assert!(pool.apply_rest(at(1_100), key, SpanMs::new(500)).is_none());
+}
+
+/// Times are rounded down to a millisecond. A rest that is counted from the rounded time ends too early by a part of one, and
+/// a request reaches the server in it.
+#[test]
+fn a_rest_does_not_end_earlier_by_a_rounded_clock() {
+    let mut rest = ServerRest::default();
+    // The response arrives late in the millisecond, and the request is sent early in its millisecond.
+    rest.begin(at(1_000), SpanMs::new(3_000), StatementSource::Response);
+    assert!(rest.is_resting(at(4_000)));
+    assert!(!rest.is_resting(at(4_001)));
+}
