Bytes without end cost a closed connection: partial heads, interim responses, bodies, and what follows a response

Read through, also: a head that comes byte by byte held a request to its deadline although another server could serve it, so did the body of a failure or of a rejection, and the body of a success without a length was streamed for as long as the client read.

Now a head must be complete 1 s after its first byte, 16 interim responses are the most, the body of a failure gets 500 ms, that of a rejection 20 ms and 16 kB (nobody reads it), and a streamed body without a length ends, not looking whole, 500 ms after the request's deadline. Idle connections are looked at once, 50 ms after their last use; a flood of 16 kB or more counts as a failure of its server.

--- a/crates/damaskvane-gateway/src/http/connection.rs
+++ b/crates/damaskvane-gateway/src/http/connection.rs
@@ -8,9 +8,10 @@
 use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 use crate::http::body::{BodyReader, Piece};
-use crate::http::head::ResponseHead;
+use crate::http::head::{InterimResponses, ResponseHead};
 
 /// Initial size of a read buffer, in bytes. Most response heads with a short body fit.
 const BUFFER_BYTES: usize = 4_096;
@@ -18,6 +19,11 @@
 /// How long this instance keeps writing the rest of a long request after the response has begun.
 const EARLY_RESPONSE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Time in which a head must be complete once its first byte has come: a server could send it byte by byte without end.
+const PARTIAL_HEAD_TIMEOUT: Duration = Duration::from_secs(1);
+/// Number of bytes after a response from which they are no late duplicate of it.
+const FLOOD_BYTES: usize = 16_384;
+
 /// Why a response could not be read.
 #[derive(Debug)]
 pub enum ReadError {
@@ -118,7 +124,7 @@
                     if read? == 0 {
                         return Ok(false);
                     }
-                    deadline.get_or_insert_with(|| tokio::time::Instant::now() + EARLY_RESPONSE_TIMEOUT);
+                    deadline.get_or_insert_with(|| Instant::now() + EARLY_RESPONSE_TIMEOUT);
                 }
                 () = timeout => return Ok(false),
             }
@@ -132,17 +138,34 @@
     ///
     /// Returns an error if the connection ends before the head is complete or the head is malformed.
     pub async fn read_head(&mut self) -> Result<ResponseHead, ReadError> {
+        let mut interim = InterimResponses::default();
+        let mut deadline = None;
         loop {
-            let head = ResponseHead::take(&mut self.buffer).map_err(|_| ReadError::Malformed)?;
-            if let Some(head) = head {
+            let head = ResponseHead::take_counted(&mut self.buffer, &mut interim);
+            if let Some(head) = head.map_err(|_| ReadError::Malformed)? {
                 return Ok(head);
             }
-            if self.stream.read_buf(&mut self.buffer).await? == 0 {
+            deadline = match deadline {
+                _ if self.buffer.is_empty() => None,
+                None => Some(Instant::now() + PARTIAL_HEAD_TIMEOUT),
+                begun => begun,
+            };
+            if self.read_until(deadline).await? == 0 {
                 return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
             }
         }
     }
 
+    /// Reads more bytes into the buffer; fails at the deadline, if there is one.
+    async fn read_until(&mut self, deadline: Option<Instant>) -> Result<usize, ReadError> {
+        let reading = self.stream.read_buf(&mut self.buffer);
+        let Some(deadline) = deadline else {
+            return Ok(reading.await?);
+        };
+        let read = tokio::time::timeout_at(deadline, reading).await;
+        Ok(read.map_err(|_| ReadError::Malformed)??)
+    }
+
     /// Reads the next bytes of a body; returns `None` at its end.
     ///
     /// # Errors
@@ -186,6 +209,15 @@
         Ok(Ok(whole.freeze()))
     }
 
+    /// Returns whether the server has sent far more than belongs to its responses.
+    #[must_use]
+    pub fn is_flooded(&self) -> bool {
+        let mut bytes = vec![MaybeUninit::uninit(); FLOOD_BYTES];
+        let peeked = socket2::SockRef::from(&self.stream).peek(&mut bytes);
+        let unread = peeked.unwrap_or_default() + self.buffer.len();
+        unread >= FLOOD_BYTES
+    }
+
     /// Returns whether the connection is open and holds no unread bytes, so that the next request may use it.
     #[must_use]
     pub fn is_reusable(&self) -> bool {
--- a/crates/damaskvane-gateway/src/http/head.rs
+++ b/crates/damaskvane-gateway/src/http/head.rs
@@ -10,6 +10,13 @@
 /// Maximum length of a response head, in bytes.
 const MAX_HEAD_BYTES: usize = 32_768;
 
+/// Maximum number of interim responses before a response; a server could send them without end.
+const MAX_INTERIM_RESPONSES: u32 = 16;
+
+/// Number of interim responses that have come before a response.
+#[derive(Debug, Default)]
+pub(super) struct InterimResponses(u32);
+
 /// The status and headers of a response, with the body framing and connection options derived from them.
 #[derive(Debug)]
 pub struct ResponseHead {
@@ -40,6 +47,19 @@
     ///
     /// Returns [`MalformedHead`] if the bytes are not a valid response head or switch protocols (101).
     pub fn take(buffer: &mut BytesMut) -> Result<Option<Self>, MalformedHead> {
+        let mut interim = InterimResponses::default();
+        Self::take_counted(buffer, &mut interim)
+    }
+
+    /// Removes the next head as [`Self::take`] does, and counts the interim responses before it.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Self::take`], and if there are too many interim responses.
+    pub(super) fn take_counted(
+        buffer: &mut BytesMut,
+        interim: &mut InterimResponses,
+    ) -> Result<Option<Self>, MalformedHead> {
         loop {
             let Some((length, head)) = parse(buffer)? else {
                 return Ok(None);
@@ -49,7 +69,8 @@
             if !(100..200).contains(&head.status) {
                 return Ok(Some(head));
             }
-            if head.status == 101 {
+            interim.0 += 1;
+            if head.status == 101 || interim.0 > MAX_INTERIM_RESPONSES {
                 return Err(MalformedHead);
             }
         }
--- a/crates/damaskvane-gateway/src/metrics.rs
+++ b/crates/damaskvane-gateway/src/metrics.rs
@@ -42,6 +42,8 @@
     pub exchanges: IntCounterVec,
     /// Responses of backend servers that belonged to another request.
     pub mismatched_responses: IntCounter,
+    /// Connections on which servers sent bytes without end after a response.
+    pub floods: IntCounter,
     /// Clients that disconnected before they received their response.
     pub client_disconnects: IntCounter,
     /// Transferred bytes and opened connections.
@@ -133,6 +135,10 @@
             exchanges: factory.counters("exchanges_total", "Exchanges with servers", &["end"])?,
             mismatched_responses: factory
                 .counter("foreign_answers_total", "Answers to other requests")?,
+            floods: factory.counter(
+                "floods_total",
+                "Connections on which bytes without end followed a response",
+            )?,
             client_disconnects: factory.counter(
                 "clients_left_total",
                 "Clients that left before their answer",
--- a/crates/damaskvane-gateway/src/probes.rs
+++ b/crates/damaskvane-gateway/src/probes.rs
@@ -46,6 +46,13 @@
                 "reason" => "missing after an outage of the store");
         }
         node.idle.borrow_mut().expire(now);
+        let flooding = node.idle.borrow_mut().close_flooded(now);
+        for server in flooding {
+            node.metrics.floods.inc();
+            if let Some(mut server) = node.state.borrow_mut().pool.server_mut(&server) {
+                server.record_flood(now);
+            }
+        }
         let Some(configuration) = node.configuration() else {
             continue;
         };
--- a/crates/damaskvane-gateway/src/upstream.rs
+++ b/crates/damaskvane-gateway/src/upstream.rs
@@ -1,5 +1,6 @@
 //! Exchanges with backend servers, and the connections that carry them.
 
+mod body_limits;
 mod classify;
 mod connect;
 mod exchange;
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -13,12 +13,13 @@
 use crate::clients::SendRight;
 use crate::costs::{Distance, Flow, OpenReason};
 use crate::crashes::{self, RequestCopy};
-use crate::http::{self, BodyReader, ResponseHead};
+use crate::http::{self, BodyReader, ReadError, ResponseHead};
 use crate::node::Node;
 use crate::reach;
 use crate::server_limits::SendPermit;
 use crate::server_statements;
 use crate::tunnel::{Endpoint, Path};
+use crate::upstream::body_limits::BodyLimits;
 use crate::upstream::classify::{classify_io_error, classify_read_error, retry_after_ms};
 use crate::upstream::running::RunningExchange;
 use crate::upstream::{
@@ -29,9 +30,6 @@
 /// Timeout for opening a connection. The kernel retransmits a lost SYN packet only after a second, and within
 /// this second another server can respond.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Response bodies up to this size are read completely before any byte is sent to the client, so that the
-/// request can be retried after a truncated response.
-const MAX_BUFFERED_BODY_BYTES: usize = 262_144;
 /// Requests up to this size fit the socket's buffers and are written without reading at the same time.
 const SHORT_REQUEST_BYTES: usize = 16_384;
 /// Maximum number of responses to other requests that are skipped on a connection before the expected
@@ -183,9 +181,11 @@
     /// Keeps a connection without an outstanding response for the next request.
     fn keep(&self, connection: http::Connection, idle_timeout_s: Option<u64>, path: &Path) {
         let server = &self.pick.server;
-        if connection.is_reusable() && reach::may_keep(self.node, server, path) {
+        let mut idle = self.node.idle.borrow_mut();
+        if !connection.is_reusable() {
+            idle.record_unusable(server, &connection);
+        } else if reach::may_keep(self.node, server, path) {
             let now = self.node.now();
-            let mut idle = self.node.idle.borrow_mut();
             idle.keep(now, server, connection, idle_timeout_s, path.clone());
         }
     }
@@ -268,10 +268,9 @@
                 break;
             }
             let mut body = BodyReader::new(head.body);
-            match connection
-                .read_body(&mut body, MAX_BUFFERED_BODY_BYTES)
-                .await
-            {
+            let limits = BodyLimits::of(ExchangeEnd::Failed);
+            let reading = connection.read_body(&mut body, limits.max_bytes);
+            match limits.apply(reading).await {
                 Ok(Ok(_)) => {}
                 Ok(Err(_)) => break,
                 Err(error) => return ExchangeOutcome::no_response(classify_read_error(&error)),
@@ -309,10 +308,13 @@
         self.count_bytes(path, head.bytes);
         let mut read_bytes = head.bytes;
         let mut body = BodyReader::new(kind);
-        let whole = match connection
-            .read_body(&mut body, MAX_BUFFERED_BODY_BYTES)
-            .await
-        {
+        let limits = BodyLimits::of(end);
+        let reading = connection.read_body(&mut body, limits.max_bytes);
+        let whole = match limits.apply(reading).await {
+            Ok(Err(_)) if limits.is_rejection() => Err(ReadError::Malformed),
+            read => read,
+        };
+        let whole = match whole {
             Ok(whole) => whole,
             Err(error) => {
                 let end = match end {
@@ -322,6 +324,7 @@
                 };
                 return ExchangeOutcome {
                     report,
+                    retry_after_ms,
                     ..ExchangeOutcome::no_response(end)
                 };
             }
@@ -339,7 +342,12 @@
                 }
                 ResponseBody::whole(bytes)
             }
-            Err(first) => ResponseBody::Streaming(streaming::stream_body(connection, body, first)),
+            Err(first) => ResponseBody::Streaming(streaming::stream_body(
+                connection,
+                body,
+                first,
+                self.remaining().to_duration(),
+            )),
         };
         let response = BackendResponse {
             status: head.status,
--- a/crates/damaskvane-gateway/src/upstream/idle.rs
+++ b/crates/damaskvane-gateway/src/upstream/idle.rs
@@ -19,17 +19,24 @@
 /// concurrent requests that comes from one instance.
 const MAX_IDLE_PER_SERVER: usize = 16;
 
+/// Time after its last use at which an idle connection is checked for bytes that belong to no response.
+const FLOOD_CHECK_DELAY: SpanMs = SpanMs::new(50);
+
 #[derive(Debug)]
 struct IdleConnection {
     connection: http::Connection,
     path: Path,
     expires_at: TimeMs,
+    /// When the connection was last used, until it is checked for bytes that belong to no response.
+    unchecked_since: Option<TimeMs>,
 }
 
 /// The idle connections of this instance, by backend server.
 #[derive(Debug, Default)]
 pub struct IdleConnections {
     connections: HashMap<ids::BackendServerId, Vec<IdleConnection>>,
+    /// Servers that have sent far more than their responses, once for each connection.
+    flooding: Vec<ids::BackendServerId>,
 }
 
 impl IdleConnections {
@@ -58,6 +65,9 @@
             if now < last.expires_at && last.connection.is_reusable() {
                 return Some((last.connection, last.path));
             }
+            if last.connection.is_flooded() {
+                self.flooding.push(server.clone());
+            }
         }
         None
     }
@@ -84,10 +94,22 @@
                 connection,
                 path,
                 expires_at,
+                unchecked_since: Some(now),
             });
         }
     }
 
+    /// Records a connection that can't carry another request because of what `server` has sent on it.
+    pub fn record_unusable(
+        &mut self,
+        server: &ids::BackendServerId,
+        connection: &http::Connection,
+    ) {
+        if connection.is_flooded() {
+            self.flooding.push(server.clone());
+        }
+    }
+
     /// Closes all idle connections to `server`.
     pub fn drop_server(&mut self, server: &ids::BackendServerId) {
         self.connections.remove(server);
@@ -121,6 +143,29 @@
         });
     }
 
+    /// Closes connections on which bytes have come that belong to no response, each once it has been idle for a moment; returns
+    /// the servers that have sent far more than such a response since the last call.
+    pub fn close_flooded(&mut self, now: TimeMs) -> Vec<ids::BackendServerId> {
+        let mut flooding = core::mem::take(&mut self.flooding);
+        for (server, connections) in &mut self.connections {
+            connections.retain_mut(|entry| {
+                let is_due = |since| now.since(since) >= FLOOD_CHECK_DELAY;
+                if !entry.unchecked_since.is_some_and(is_due) {
+                    return true;
+                }
+                entry.unchecked_since = None;
+                if entry.connection.is_reusable() {
+                    return true;
+                }
+                if entry.connection.is_flooded() {
+                    flooding.push(server.clone());
+                }
+                false
+            });
+        }
+        flooding
+    }
+
     /// Returns the number of idle connections to all servers.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/damaskvane-gateway/src/upstream/streaming.rs
+++ b/crates/damaskvane-gateway/src/upstream/streaming.rs
@@ -1,39 +1,60 @@
 //! Streaming of response bodies that are too long to be buffered.
 
+use core::time::Duration;
 use std::io;
 
 use bytes::Bytes;
 use tokio::sync::mpsc;
 
-use crate::http::{self, BodyReader};
+use crate::http::{self, BodyReader, ReadError};
 
 /// Maximum number of pieces of a long response body that are queued for the client.
 const MAX_QUEUED_PIECES: usize = 4;
 
+/// Time after the request's deadline for which a body is still streamed: the client is about to give up.
+const GRACE: Duration = Duration::from_millis(500);
+
 /// Streams a long body to the client piece by piece; the connection is closed afterwards.
+///
+/// A body without a length could have no end. It is cut a moment after the request's deadline, which is `remaining` away.
 pub(super) fn stream_body(
-    mut connection: http::Connection,
-    mut body: BodyReader,
+    connection: http::Connection,
+    body: BodyReader,
     first: Bytes,
+    remaining: Duration,
 ) -> mpsc::Receiver<io::Result<Bytes>> {
     let (sender, receiver) = mpsc::channel(MAX_QUEUED_PIECES);
     tokio::task::spawn_local(async move {
-        let mut next = Some(first);
-        while let Some(piece) = next {
-            // The client has disconnected: returning drops the connection, so that the server can stop the
-            // request.
-            if sender.send(Ok(piece)).await.is_err() {
-                return;
-            }
-            next = match connection.read_piece(&mut body).await {
-                Ok(piece) => piece,
-                Err(_) => {
-                    let cut = io::Error::from(io::ErrorKind::UnexpectedEof);
-                    let _ = sender.send(Err(cut)).await;
-                    return;
-                }
-            };
+        let has_length = body.has_length();
+        let streaming = stream(connection, body, first, &sender);
+        let is_whole = if has_length {
+            streaming.await.is_ok()
+        } else {
+            let streamed = tokio::time::timeout(remaining + GRACE, streaming).await;
+            matches!(streamed, Ok(Ok(())))
+        };
+        if !is_whole {
+            let cut = io::Error::from(io::ErrorKind::UnexpectedEof);
+            // The channel may be full of pieces that the client doesn't read; its end without the error would look whole.
+            let _ = sender.send(Err(cut)).await;
         }
     });
     receiver
 }
+
+async fn stream(
+    mut connection: http::Connection,
+    mut body: BodyReader,
+    first: Bytes,
+    sender: &mpsc::Sender<io::Result<Bytes>>,
+) -> Result<(), ReadError> {
+    let mut next = Some(first);
+    while let Some(piece) = next {
+        // The client has disconnected: returning drops the connection, so that the server can stop the request.
+        if sender.send(Ok(piece)).await.is_err() {
+            return Ok(());
+        }
+        next = connection.read_piece(&mut body).await?;
+    }
+    Ok(())
+}
--- a/crates/damaskvane-routing/src/pool/server.rs
+++ b/crates/damaskvane-routing/src/pool/server.rs
@@ -270,15 +270,24 @@
             self.answered_at = now;
         }
         if let Some(failed) = self.counts_as_failure(end, report) {
-            let share = self.own_failure_share(now);
-            let sample = if failed { 1.0 } else { 0.0 };
-            self.failure_share = share + (sample - share) * FAILURE_WEIGHT;
-            self.failures_at = now;
-            self.has_unreported_health |= failed;
+            self.record_sample(now, failed);
         }
         Some(now.since(request.sent_at).get())
     }
 
+    /// Records that the server has sent bytes without end after a response, which counts as a failure.
+    pub fn record_flood(&mut self, now: TimeMs) {
+        self.record_sample(now, true);
+    }
+
+    fn record_sample(&mut self, now: TimeMs, failed: bool) {
+        let share = self.own_failure_share(now);
+        let sample = if failed { 1.0 } else { 0.0 };
+        self.failure_share = share + (sample - share) * FAILURE_WEIGHT;
+        self.failures_at = now;
+        self.has_unreported_health |= failed;
+    }
+
     /// Returns the load per slot, without the request whose response carried the report.
     ///
     /// Busy servers send more reports, so with independent arrivals the mean reported load is one request too high.
