--- a/crates/damaskvane-routing/tests/support/rest_world/mod.rs
+++ b/crates/damaskvane-routing/tests/support/rest_world/mod.rs
@@ -9,6 +9,5 @@
 mod world;
 
 pub use instance::Design;
-pub use outcome::Outcome;
 pub use server::Wish;
 pub use world::{Event, Settings, World};
