--- a/crates/damaskvane-gateway/src/clients/routed_request.rs
+++ b/crates/damaskvane-gateway/src/clients/routed_request.rs
@@ -26,7 +26,7 @@
 use crate::decision_log::RequestOutcome;
 use crate::node::Node;
 use crate::reach;
-use crate::server_limits::{NotAdmitted, Purpose, SendPermit};
+use crate::send_permit::{NotAdmitted, Purpose, SendPermit};
 use crate::tunnel::Path;
 use crate::upstream::{BackendResponse, Exchange, ExchangeOutcome, OutgoingRequest, ResponseBody};
 
--- a/crates/damaskvane-gateway/src/lib.rs
+++ b/crates/damaskvane-gateway/src/lib.rs
@@ -21,9 +21,12 @@
 //! - [`reach`]: whether this instance itself reaches the backend servers.
 //! - [`tunnel`]: connections to backend servers through other instances.
 //! - `peer_streams`, `framing`: TCP streams between instances: relayed changes of the store, and tunnels.
+//! - [`messages`]: messages between instances, and their encoding.
 //! - [`peers`]: datagrams between instances: heartbeats, digests and reports.
 //! - [`probes`]: health probes of backend servers.
+//! - `send_permit`: the permission to send a request or probe to a server, by all that the server has said.
 //! - [`server_limits`]: limits that backend servers name for their requests.
+//! - `server_tokens`: tokens of servers with a limit that this instance holds or asks for.
 //! - [`server_statements`]: what backend servers say of themselves in their responses.
 //! - [`stop`]: the planned stop.
 //! - [`costs`]: counters of transferred bytes and opened connections.
@@ -42,6 +45,7 @@
 mod framing;
 pub mod http;
 pub mod lookups;
+pub mod messages;
 pub mod metrics;
 pub mod node;
 mod peer_streams;
@@ -50,8 +54,10 @@
 pub mod process;
 pub mod quota;
 pub mod reach;
+mod send_permit;
 pub mod server_limits;
 pub mod server_statements;
+mod server_tokens;
 pub mod settings;
 pub mod stop;
 pub mod store;
--- a/crates/damaskvane-gateway/src/peers/message.rs
+++ b/crates/damaskvane-gateway/src/messages/message.rs
@@ -11,9 +11,9 @@
 use damaskvane_routing::pool::{PeerLimitReport, PeerServerReport, PeerStatement};
 
 use crate::costs::Flow;
-use crate::peers::message_wire::Wire;
+use crate::messages::TokenMessage;
+use crate::messages::message_wire::Wire;
 use crate::quota::QuotaMessage;
-use crate::server_limits::TokenMessage;
 
 /// First field of each datagram; identifies the protocol and its version, and changes whenever a message changes.
 const MAGIC: u32 = 0x6476_7036;
--- a/crates/damaskvane-gateway/src/peers/message_wire.rs
+++ b/crates/damaskvane-gateway/src/messages/message_wire.rs
@@ -10,11 +10,11 @@
 use damaskvane_routing::pool::{LoadReport, PeerHealthReport, PeerServerReport, ServerKey};
 use serde::{Deserialize, Serialize};
 
-use crate::peers::Message;
-use crate::peers::limit_wire::LimitWire;
-use crate::peers::quota_wire::QuotaWire;
-use crate::peers::statement_wire::StatementWire;
-use crate::peers::token_wire::TokenWire;
+use crate::messages::Message;
+use crate::messages::limit_wire::LimitWire;
+use crate::messages::quota_wire::QuotaWire;
+use crate::messages::statement_wire::StatementWire;
+use crate::messages::token_wire::TokenWire;
 
 /// A message in its encoded form.
 #[derive(Debug, Serialize, Deserialize)]
--- a/crates/damaskvane-gateway/src/peers/outbox.rs
+++ b/crates/damaskvane-gateway/src/messages/outbox.rs
@@ -2,15 +2,15 @@
 
 use std::net;
 
-use crate::peers::Message;
+use crate::messages::Message;
 
 /// A message with its recipients.
 #[derive(Debug)]
-pub(super) struct Outgoing {
+pub(crate) struct Outgoing {
     /// The message.
-    pub(super) message: Message,
+    pub(crate) message: Message,
     /// Addresses at which the recipients receive messages of other instances.
-    pub(super) recipients: Vec<net::SocketAddr>,
+    pub(crate) recipients: Vec<net::SocketAddr>,
 }
 
 /// The queue of messages that are sent as soon as possible.
@@ -39,7 +39,7 @@
     }
 
     /// Returns the queued messages.
-    pub(super) const fn queue(&self) -> &flume::Receiver<Outgoing> {
+    pub(crate) const fn queue(&self) -> &flume::Receiver<Outgoing> {
         &self.queue
     }
 }
--- a/crates/damaskvane-gateway/src/peers/token_wire.rs
+++ b/crates/damaskvane-gateway/src/messages/token_wire.rs
@@ -6,7 +6,7 @@
 use damaskvane_routing::pool::ServerKey;
 use serde::{Deserialize, Serialize};
 
-use crate::server_limits::{
+use crate::messages::{
     LeaseRequest, LimitClaim, TokenMessage, TokenOutcome, TokenReply, TokenRequest,
 };
 
--- a/crates/damaskvane-gateway/src/peers.rs
+++ b/crates/damaskvane-gateway/src/peers.rs
@@ -5,14 +5,7 @@
 //! that reads slowly can't block the sender.
 
 mod incoming;
-mod limit_wire;
-mod message;
-mod message_wire;
-mod outbox;
 mod outgoing;
-mod quota_wire;
-mod statement_wire;
-mod token_wire;
 
 use core::time::Duration;
 use std::io;
@@ -24,8 +17,7 @@
 use damaskvane_routing::placement::ObjectMove;
 use tokio::net::UdpSocket;
 
-pub use message::Message;
-pub use outbox::Outbox;
+pub use crate::messages::Message;
 
 use crate::costs::Distance;
 use crate::node::{Node, State};
--- a/crates/damaskvane-gateway/src/peers/incoming.rs
+++ b/crates/damaskvane-gateway/src/peers/incoming.rs
@@ -7,8 +7,9 @@
 use tokio::net::UdpSocket;
 
 use crate::crashes;
+use crate::messages::Message;
 use crate::node::Node;
-use crate::peers::{MAX_HEARTBEATS_PER_UPDATE, Message, send};
+use crate::peers::{MAX_HEARTBEATS_PER_UPDATE, send};
 use crate::quota;
 use crate::server_limits;
 use crate::server_statements;
--- a/crates/damaskvane-gateway/src/peers/outgoing.rs
+++ b/crates/damaskvane-gateway/src/peers/outgoing.rs
@@ -9,8 +9,9 @@
 use tokio::net::UdpSocket;
 
 use crate::crashes::{self, CrashNotice};
+use crate::messages::Message;
 use crate::node::Node;
-use crate::peers::{self, Message};
+use crate::peers;
 
 /// How many times an incident (the crash of a server with requests) is sent: a datagram may be lost, and a recipient
 /// may be paused for a moment.
--- a/crates/damaskvane-gateway/src/probes.rs
+++ b/crates/damaskvane-gateway/src/probes.rs
@@ -15,7 +15,7 @@
 use crate::node::Node;
 use crate::probes::comparison::Comparison;
 use crate::reach;
-use crate::server_limits::{Purpose, SendPermit};
+use crate::send_permit::{Purpose, SendPermit};
 use crate::server_statements;
 use crate::tunnel::{Endpoint, Path};
 use crate::upstream::{self, OpenError, TunnelUse};
--- a/crates/damaskvane-gateway/src/quota/client.rs
+++ b/crates/damaskvane-gateway/src/quota/client.rs
@@ -10,8 +10,8 @@
 use rand::seq::SliceRandom;
 use tokio::sync::oneshot;
 
+use crate::messages::Message;
 use crate::node::Node;
-use crate::peers::Message;
 use crate::quota::token::{QuotaMessage, QuotaReply, QuotaRequest, Token, TokenUse};
 use crate::quota::{lending, service};
 
--- a/crates/damaskvane-gateway/src/quota/service.rs
+++ b/crates/damaskvane-gateway/src/quota/service.rs
@@ -6,8 +6,8 @@
 use damaskvane_routing::quota::Denial;
 use damaskvane_routing::teams::{Quota, TeamKey};
 
+use crate::messages::Message;
 use crate::node::Node;
-use crate::peers::Message;
 use crate::quota::lending;
 use crate::quota::token::{QuotaMessage, QuotaReply, QuotaRequest, TokenUse};
 
--- a/crates/damaskvane-gateway/src/server_limits/permit.rs
+++ b/crates/damaskvane-gateway/src/send_permit.rs
@@ -10,9 +10,10 @@
 
 use crate::node::Node;
 use crate::reach;
+use crate::server_limits;
 use crate::server_limits::asking::{self, TokenRefusal};
-use crate::server_limits::tokens::Token;
 use crate::server_statements;
+use crate::server_tokens::Token;
 use crate::tunnel::Path;
 
 /// Priority of a health probe at a server that limits the rate of its requests.
@@ -178,7 +179,7 @@
     }
 
     fn is_limited(&self) -> bool {
-        super::known(&self.node, &self.server).is_some()
+        server_limits::known(&self.node, &self.server).is_some()
     }
 
     /// Lets placement pass over the server. Instances that were refused together ask again at different times.
--- a/crates/damaskvane-gateway/src/server_limits.rs
+++ b/crates/damaskvane-gateway/src/server_limits.rs
@@ -1,20 +1,17 @@
 //! Limits that backend servers name for their requests, in sum over all instances.
 //!
-//! From the first response on that names a limit, each request to the server needs a token (`permit`), whatever it is sent for.
+//! From the first response on that names a limit, each request to the server needs a token (`send_permit`), whatever it is sent for.
 
-mod asking;
+pub(crate) mod asking;
 mod holders;
-mod message;
-mod permit;
 mod reports;
 mod service;
-mod tokens;
 
-pub use message::{LeaseRequest, LimitClaim, TokenMessage, TokenOutcome, TokenReply, TokenRequest};
-pub(crate) use permit::{NotAdmitted, Purpose, SendPermit};
+pub use crate::messages::{
+    LeaseRequest, LimitClaim, TokenMessage, TokenOutcome, TokenReply, TokenRequest,
+};
 pub(crate) use reports::apply_peer_report;
 pub(crate) use service::handle_message;
-pub(crate) use tokens::ServerTokens;
 
 use std::rc::Rc;
 
--- a/crates/damaskvane-gateway/src/server_limits/asking.rs
+++ b/crates/damaskvane-gateway/src/server_limits/asking.rs
@@ -9,13 +9,11 @@
 use damaskvane_routing::quota::{Denial, Holder, MAX_REPLY, ServerLimitSettings, ShareTerms};
 use tokio::sync::oneshot;
 
+use crate::messages::Message;
+use crate::messages::{LeaseRequest, LimitClaim, TokenMessage, TokenOutcome, TokenRequest};
 use crate::node::Node;
-use crate::peers::Message;
 use crate::server_limits::holders::{self, Holders};
-use crate::server_limits::message::{
-    LeaseRequest, LimitClaim, TokenMessage, TokenOutcome, TokenRequest,
-};
-use crate::server_limits::tokens::Token;
+use crate::server_tokens::Token;
 
 /// Time for the reply of a holder, which may relay the request.
 const ASK_TIMEOUT: Duration = Duration::from_millis(95);
@@ -28,7 +26,7 @@
 
 /// Reason why no token was acquired.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum TokenRefusal {
+pub(crate) enum TokenRefusal {
     /// There is no token now.
     Used {
         /// Time after which to ask again.
@@ -39,7 +37,7 @@
 }
 
 /// Acquires a token of a server with a limit for one request, from the first of its holders that responds.
-pub(super) async fn acquire(
+pub(crate) async fn acquire(
     node: &Rc<Node>,
     server: ServerKey,
     priority: u32,
@@ -96,7 +94,7 @@
 }
 
 /// Puts back a token whose request was certainly not sent.
-pub(super) fn give_back(node: &Rc<Node>, token: &Token) {
+pub(crate) fn give_back(node: &Rc<Node>, token: &Token) {
     if node.continuous_now() >= token.expires_at {
         return;
     }
--- a/crates/damaskvane-gateway/src/server_limits/reports.rs
+++ b/crates/damaskvane-gateway/src/server_limits/reports.rs
@@ -9,9 +9,9 @@
 use damaskvane_routing::pool::{PeerLimitReport, ServerKey, StatementSource};
 use rand::RngExt;
 
+use crate::messages::LimitClaim;
+use crate::messages::Message;
 use crate::node::Node;
-use crate::peers::Message;
-use crate::server_limits::message::LimitClaim;
 use crate::server_statements;
 
 /// Largest delay of the report of a limit, in a fleet of up to [`FLEET_SIZE`] other instances.
--- a/crates/damaskvane-gateway/src/server_limits/service.rs
+++ b/crates/damaskvane-gateway/src/server_limits/service.rs
@@ -5,12 +5,10 @@
 
 use damaskvane_routing::quota::Denial;
 
+use crate::messages::{LeaseRequest, TokenMessage, TokenOutcome, TokenReply, TokenRequest};
 use crate::node::Node;
 use crate::server_limits::asking::{self, send};
 use crate::server_limits::holders::Holders;
-use crate::server_limits::message::{
-    LeaseRequest, TokenMessage, TokenOutcome, TokenReply, TokenRequest,
-};
 use crate::server_limits::reports;
 
 /// Handles a message of the instance at the address `from`.
--- a/crates/damaskvane-gateway/src/server_statements/peers.rs
+++ b/crates/damaskvane-gateway/src/server_statements/peers.rs
@@ -12,8 +12,8 @@
 use damaskvane_routing::pool::{PeerStatement, ServerKey, StatementSource};
 use rand::RngExt;
 
+use crate::messages::Message;
 use crate::node::Node;
-use crate::peers::Message;
 use crate::server_statements::{log_leaving, log_rest};
 use crate::tunnel::Peer;
 
--- a/crates/damaskvane-gateway/src/server_limits/tokens.rs
+++ b/crates/damaskvane-gateway/src/server_tokens.rs
@@ -9,25 +9,25 @@
 use damaskvane_routing::quota::ServerShares;
 use tokio::sync::oneshot;
 
-use crate::server_limits::message::TokenOutcome;
+use crate::messages::TokenOutcome;
 
 /// The permission to send one request to a server with a limit, for a short time.
 #[derive(Debug, Clone)]
 pub(crate) struct Token {
-    pub(super) server: ServerKey,
+    pub(crate) server: ServerKey,
     /// Instance that has granted the token.
-    pub(super) holder: ids::InstanceId,
+    pub(crate) holder: ids::InstanceId,
     /// Time at which the token expires, on this instance's clock that also runs while the machine is suspended.
-    pub(super) expires_at: TimeMs,
+    pub(crate) expires_at: TimeMs,
 }
 
 /// The shares that this instance holds, and its requests for tokens of others.
 #[derive(Debug)]
 pub(crate) struct ServerTokens {
     pub(crate) shares: RefCell<ServerShares>,
-    pub(super) pending: RefCell<HashMap<u32, oneshot::Sender<TokenOutcome>>>,
+    pub(crate) pending: RefCell<HashMap<u32, oneshot::Sender<TokenOutcome>>>,
     /// Instances that didn't reply in time, each with the time until which they are not asked again.
-    pub(super) unresponsive: RefCell<HashMap<ids::InstanceId, TimeMs>>,
+    pub(crate) unresponsive: RefCell<HashMap<ids::InstanceId, TimeMs>>,
     last_id: Cell<u32>,
 }
 
@@ -44,7 +44,7 @@
 }
 
 impl ServerTokens {
-    pub(super) fn next_id(&self) -> u32 {
+    pub(crate) fn next_id(&self) -> u32 {
         let id = self.last_id.get().wrapping_add(1);
         self.last_id.set(id);
         id
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -16,7 +16,7 @@
 use crate::http::{self, BodyReader, ReadError, ResponseHead};
 use crate::node::Node;
 use crate::reach;
-use crate::server_limits::SendPermit;
+use crate::send_permit::SendPermit;
 use crate::server_statements;
 use crate::tunnel::{Endpoint, Path};
 use crate::upstream::body_limits::BodyLimits;
