--- a/crates/damaskvane-routing/tests/server_statements.rs
+++ b/crates/damaskvane-routing/tests/server_statements.rs
@@ -319,6 +319,33 @@
     );
 }
 
+/// The first server of an object rests, and no request may leave the region: the object's second server there takes its
+/// requests, and after that any other one of the region, rather than one far away.
+#[test]
+fn requests_stay_in_their_region_while_it_has_a_server_that_takes_them() {
+    // Some objects are at home in the other region, whose servers are many for its callers.
+    let far = |pool: &ServerPool| {
+        let mut placer = placer("east-a");
+        let choices =
+            (0..400).map(|count| choose_at(&mut placer, pool, 2_000 + count, hash_of(count)));
+        let far = choices.filter(
+            |choice| matches!(choice, Choice::Send(pick) if pick.zone.as_str() == "west-a"),
+        );
+        far.count()
+    };
+    let mut pool = pool_of(&[("east-a", 6), ("west-a", 6)]);
+    let usual = far(&pool);
+    for number in 0..5 {
+        respond(&mut pool, 990, &format!("east-a-{number}"), &rest("20"));
+    }
+    // Within one window no more may leave than the share by which it may rise: half of 15 in 100.
+    let resting = far(&pool);
+    assert!(
+        resting <= usual + 40,
+        "{resting} of 400 left the region, {usual} before"
+    );
+}
+
 /// All servers rest: what can't be served is refused at once, and told when the first rest ends, not earlier and not all at
 /// one moment.
 #[test]
