What a server says while its entry is missing counts

Servers outside the pool are kept with what they have said, 1,024 at most, silent ones forgotten first.

--- a/crates/damaskvane-gateway/src/server_statements.rs
+++ b/crates/damaskvane-gateway/src/server_statements.rs
@@ -24,10 +24,9 @@
 /// Label of a statement whose value is no number.
 const UNREADABLE: &str = "unreadable";
 
-/// Returns what is known of a server's availability, or `None` if the server is not in the pool.
+/// Returns what a server has said, or `None` if nothing is known of it.
 pub(crate) fn known(node: &Node, server: &ids::BackendServerId) -> Option<Availability> {
-    let state = node.state.borrow();
-    Some(state.pool.server(server)?.availability)
+    node.state.borrow().pool.availability(server)
 }
 
 /// Records what the response to a request says of its server; the request was sent on `path` at `sent_at`.
--- a/crates/damaskvane-routing/src/pool/availability.rs
+++ b/crates/damaskvane-routing/src/pool/availability.rs
@@ -84,12 +84,10 @@
         self.is_leaving && !core::mem::replace(&mut self.is_leaving_reported, true)
     }
 
-    /// Returns whether two servers have said the same, whenever they did.
+    /// Returns whether the server has said anything that holds.
     #[must_use]
-    pub fn has_same_statements(&self, other: &Self) -> bool {
-        self.limit.rate() == other.limit.rate()
-            && self.rest == other.rest
-            && self.is_leaving == other.is_leaving
+    pub fn has_statements(&self) -> bool {
+        self.limit.rate().is_some() || self.rest != ServerRest::default() || self.is_leaving
     }
 
     /// Checks that the server takes a request now; each way to a server passes this check at the moment of writing.
--- a/crates/damaskvane-routing/src/pool/server_pool/retained.rs
+++ b/crates/damaskvane-routing/src/pool/server_pool/retained.rs
@@ -18,8 +18,8 @@
 
 /// What servers outside the pool have said of their availability.
 ///
-/// An entry can expire and come back while its server lives, and what the server has said holds as long as it does. The
-/// server with the oldest statements is forgotten if there are too many.
+/// An entry can expire and come back while its server lives, and what the server has said holds as long as it does; it may
+/// also respond in between. If there are too many, a server that has said nothing is forgotten first, then the oldest.
 #[derive(Debug, Default)]
 pub(super) struct RetainedStatements {
     servers: HashMap<ServerKey, Retained>,
@@ -30,10 +30,6 @@
 impl RetainedStatements {
     /// Stores what a server has said that is removed from the pool now.
     pub(super) fn keep(&mut self, now: TimeMs, server: &Server) {
-        let said_nothing = Availability::unknown(TimeMs::ZERO);
-        if server.availability.has_same_statements(&said_nothing) {
-            return;
-        }
         let key = ServerKey::of(&server.entry.id);
         let started_unix_ms = server.entry.started_unix_ms;
         self.insert(now, key, started_unix_ms, server.availability);
@@ -55,6 +51,18 @@
         self.insert(now, key, started_unix_ms, availability);
     }
 
+    /// Returns what a server has said that was removed from the pool, or `None` if nothing is known of it.
+    pub(super) fn get(&self, key: ServerKey) -> Option<Availability> {
+        Some(self.servers.get(&key)?.availability)
+    }
+
+    /// Replaces what a server has said that was removed from the pool.
+    pub(super) fn replace(&mut self, key: ServerKey, availability: Availability) {
+        if let Some(retained) = self.servers.get_mut(&key) {
+            retained.availability = availability;
+        }
+    }
+
     /// Returns what the incarnation of a server that wrote this entry has said.
     pub(super) fn take(&mut self, entry: &ServerEntry) -> Option<Availability> {
         let key = ServerKey::of(&entry.id);
@@ -90,7 +98,10 @@
         availability: Availability,
     ) {
         if self.servers.len() >= MAX_RETAINED && !self.servers.contains_key(&key) {
-            let oldest = self.servers.iter().min_by_key(|(_, retained)| retained.at);
+            let oldest = self
+                .servers
+                .iter()
+                .min_by_key(|(_, retained)| (retained.availability.has_statements(), retained.at));
             if let Some(oldest) = oldest.map(|(key, _)| *key) {
                 self.servers.remove(&oldest);
             }
--- a/crates/damaskvane-routing/src/pool/server_pool/statements.rs
+++ b/crates/damaskvane-routing/src/pool/server_pool/statements.rs
@@ -4,8 +4,8 @@
 use damaskvane_core::time::{SpanMs, TimeMs};
 
 use crate::pool::{
-    AvailabilityChanges, PeerStatement, RestChange, Server, ServerKey, ServerPool, ServerReport,
-    ServerRest, ServerState, StatementSource,
+    Availability, AvailabilityChanges, PeerStatement, RestChange, Server, ServerKey, ServerPool,
+    ServerReport, ServerRest, ServerState, StatementSource,
 };
 
 impl ServerPool {
@@ -19,20 +19,30 @@
         report: &ServerReport,
         source: StatementSource,
     ) -> AvailabilityChanges {
-        let Some(known) = self.server(id) else {
+        let Some(known) = self.availability(id) else {
             return AvailabilityChanges::default();
         };
         // Most responses change nothing, and mutable access updates the indexes of servers.
-        let mut availability = known.availability;
+        let mut availability = known;
         let changes = availability.apply_response(now, sent_at, report, source);
-        if known.availability != availability
-            && let Some(mut server) = self.server_mut(id)
-        {
+        if known == availability {
+            return changes;
+        }
+        if let Some(mut server) = self.server_mut(id) {
             server.availability = availability;
+        } else {
+            self.retained.replace(ServerKey::of(id), availability);
         }
         changes
     }
 
+    /// Returns what a server has said, also after its entry has lapsed; `None` if nothing is known of it.
+    #[must_use]
+    pub fn availability(&self, id: &ids::BackendServerId) -> Option<Availability> {
+        let in_pool = self.server(id).map(|server| server.availability);
+        in_pool.or_else(|| self.retained.get(ServerKey::of(id)))
+    }
+
     /// Applies another instance's report that an incarnation of a server leaves; returns the server if that is news.
     pub fn apply_leaving(
         &mut self,
--- a/crates/damaskvane-routing/tests/server_statements.rs
+++ b/crates/damaskvane-routing/tests/server_statements.rs
@@ -189,6 +189,21 @@
     assert_eq!(check(&pool, 60_000, "east-a-1"), Err(Unavailable::Leaving));
 }
 
+/// The entry lapses while a request is on its way. What the server says in its response, and what it had said, holds for
+/// requests that are about to be written, and when the entry comes back.
+#[test]
+fn what_a_server_says_while_its_entry_is_missing_counts() {
+    let mut pool = pool_of(&[("east-a", 1)]);
+    let id = server_id("east-a-0");
+    pool.remove(at(900), &id);
+    respond(&mut pool, 1_000, "east-a-0", &rest("3"));
+    let known = pool.availability(&id).expect("a server that was known");
+    assert_eq!(known.check(at(1_001)), Err(Unavailable::Resting));
+    pool.apply(at(2_000), entry("east-a-0", "east-a"));
+    assert_eq!(check(&pool, 4_000, "east-a-0"), Err(Unavailable::Resting));
+    assert_eq!(pool.availability(&server_id("never-seen")), None);
+}
+
 /// A new incarnation whose predecessor's entry had lapsed must be used at once.
 #[test]
 fn what_a_server_has_said_does_not_pass_to_its_successor() {
