--- a/crates/damaskvane-gateway/src/lib.rs
+++ b/crates/damaskvane-gateway/src/lib.rs
@@ -24,7 +24,7 @@
 //! - [`messages`]: messages between instances, and their encoding.
 //! - [`peers`]: datagrams between instances: heartbeats, digests and reports.
 //! - [`probes`]: health probes of backend servers.
-//! - `send_permit`: the permission to send a request or probe to a server, by all that the server has said.
+//! - [`send_permit`]: the permission to send a request or probe to a server, by all that the server has said.
 //! - [`server_limits`]: limits that backend servers name for their requests.
 //! - `server_tokens`: tokens of servers with a limit that this instance holds or asks for.
 //! - [`server_statements`]: what backend servers say of themselves in their responses.
@@ -54,7 +54,7 @@
 pub mod process;
 pub mod quota;
 pub mod reach;
-mod send_permit;
+pub mod send_permit;
 pub mod server_limits;
 pub mod server_statements;
 mod server_tokens;
--- a/crates/damaskvane-gateway/src/send_permit.rs
+++ b/crates/damaskvane-gateway/src/send_permit.rs
@@ -23,7 +23,7 @@
 
 /// Why a server gets no further request now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum NotAdmitted {
+pub enum NotAdmitted {
     /// It limits the rate of its requests, and there is no token.
     Limited,
     /// It rests or leaves.
@@ -40,7 +40,8 @@
     }
 
     /// Returns the end of an exchange in which nothing was written for this reason.
-    pub(crate) const fn exchange_end(self) -> ExchangeEnd {
+    #[must_use]
+    pub const fn exchange_end(self) -> ExchangeEnd {
         match self {
             Self::Limited => ExchangeEnd::Limited,
             Self::Unavailable(_) => ExchangeEnd::Unavailable,
@@ -50,7 +51,7 @@
 
 /// What a server is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Purpose {
+pub enum Purpose {
     /// A client's request of this priority.
     Request {
         /// Priority of the request; 0 is the most urgent.
@@ -63,7 +64,7 @@
 /// The permission to send one request to a server that takes requests now; holds a token if the server has a limit.
 ///
 /// A token that is not used returns to its pool when this value is dropped.
-pub(crate) struct SendPermit {
+pub struct SendPermit {
     node: Rc<Node>,
     server: ids::BackendServerId,
     purpose: Purpose,
@@ -85,7 +86,7 @@
     ///
     /// Fails if the server rests or leaves, or there is no token; without a token the server is passed over for a while by
     /// requests that are no more urgent.
-    pub(crate) async fn acquire(
+    pub async fn acquire(
         node: &Rc<Node>,
         server: &ids::BackendServerId,
         purpose: Purpose,
@@ -151,7 +152,8 @@
     }
 
     /// Returns the instance that has granted the token; `None` without a token.
-    pub(crate) fn granted_by(&self) -> Option<ids::InstanceId> {
+    #[must_use]
+    pub fn granted_by(&self) -> Option<ids::InstanceId> {
         let token = self.token.borrow();
         token.as_ref().map(|token| token.holder.clone())
     }
@@ -162,7 +164,7 @@
     ///
     /// Fails if the request may not be written: while its connection was opened the server may have asked for rest, said
     /// that it leaves, or named a limit, or the token may have expired.
-    pub(crate) fn redeem(&self, path: &Path) -> Result<(), NotAdmitted> {
+    pub fn redeem(&self, path: &Path) -> Result<(), NotAdmitted> {
         self.check_available()?;
         if reach::rests_on(&self.node, &self.server, path) {
             return Err(self.refuse(NotAdmitted::Unavailable(Unavailable::Resting)));
--- a/crates/damaskvane-gateway/src/upstream/body_limits.rs
+++ b/crates/damaskvane-gateway/src/upstream/body_limits.rs
@@ -46,11 +46,6 @@
         }
     }
 
-    /// Returns whether nobody needs the body.
-    pub(super) const fn is_rejection(&self) -> bool {
-        self.max_bytes == MAX_REJECTION_BYTES
-    }
-
     /// Waits for a body to be read, as long as the limits allow.
     pub(super) async fn apply(
         &self,
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -13,7 +13,7 @@
 use crate::clients::SendRight;
 use crate::costs::{Distance, Flow, OpenReason};
 use crate::crashes::{self, RequestCopy};
-use crate::http::{self, BodyReader, ReadError, ResponseHead};
+use crate::http::{self, BodyReader, ResponseHead};
 use crate::node::Node;
 use crate::reach;
 use crate::send_permit::SendPermit;
@@ -311,10 +311,6 @@
         let limits = BodyLimits::of(end);
         let reading = connection.read_body(&mut body, limits.max_bytes);
         let whole = match limits.apply(reading).await {
-            Ok(Err(_)) if limits.is_rejection() => Err(ReadError::Malformed),
-            read => read,
-        };
-        let whole = match whole {
             Ok(whole) => whole,
             Err(error) => {
                 let end = match end {
