--- a/crates/damaskvane-routing/tests/server_statements.rs
+++ b/crates/damaskvane-routing/tests/server_statements.rs
@@ -9,7 +9,8 @@
     ServerReport, ServerRest, ServerState, StatementSource, Unavailable,
 };
 use support::{
-    at, choose, configuration, entry, pick, placer, pool_of, request, route, server_id, service_id,
+    at, choose, configuration, entry, fill, pick, placer, pool_of, request, route, server_id,
+    service_id,
 };
 
 fn rest(text: &str) -> ServerReport {
@@ -353,6 +354,8 @@
     for number in 0..5 {
         respond(&mut pool, 990, &format!("east-a-{number}"), &rest("20"));
     }
+    // The one that takes requests is busy, and those of the other region are idle.
+    fill(&mut pool, "east-a-5", 9);
     // Within one window no more may leave than the share by which it may rise: half of 15 in 100.
     let resting = far(&pool);
     assert!(
