--- a/crates/damaskvane-routing/tests/server_limit.rs
+++ b/crates/damaskvane-routing/tests/server_limit.rs
@@ -6,6 +6,7 @@
 use damaskvane_routing::limit::RequestRate;
 use damaskvane_routing::placement::{Choice, RefusalReason};
 use damaskvane_routing::pool::{LimitStatement, PeerLimitReport, ServerKey, ServerLimit};
+use support::statements::NO_DECIMALS;
 use support::{at, choose, entry, pool, pool_of, server_id};
 
 fn rate(per_s: f64) -> RequestRate {
@@ -43,32 +44,7 @@
 /// A server in need that names nonsense must not lose the limit that stands, nor get one of a millionth or a million.
 #[test]
 fn other_texts_are_no_rates() {
-    let texts = [
-        "",
-        " ",
-        ".",
-        "abc",
-        "-1",
-        "-0",
-        "+3",
-        "NaN",
-        "nan",
-        "inf",
-        "infinity",
-        "1e3",
-        "1e400",
-        "0x4",
-        "5, 5",
-        "5;5",
-        "1_0",
-        "1,5",
-        "3 a second",
-        "99999999999999999999",
-        "1000000.5",
-        "1.2.3",
-        "\u{663}",
-    ];
-    for text in texts {
+    for text in NO_DECIMALS {
         assert!(text.parse::<RequestRate>().is_err(), "{text:?}");
     }
     assert!(RequestRate::new(f64::NAN).is_none());
--- a/crates/damaskvane-routing/tests/support/mod.rs
+++ b/crates/damaskvane-routing/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Builders of configurations, servers, pools and requests for the tests of this crate.
 #![allow(dead_code, unreachable_pub, reason = "each test file uses its part")]
 
+pub mod statements;
+
 use std::collections::HashMap;
 
 use damaskvane_core::ids;
