explain losses knows rests

What on-call saw: requests refused because all servers rest, and first runs elsewhere because the first server rests, were counted under other and outbid, so that the loss had no cause.

--- a/crates/damaskvane-explain/src/losses/cause.rs
+++ b/crates/damaskvane-explain/src/losses/cause.rs
@@ -22,6 +22,8 @@
     Cold,
     /// The object's first server limits the rate of its requests, and there was no token for the request.
     Limited,
+    /// The object's first server had asked the instance for rest, or had not got back all its requests after one.
+    Resting,
     /// The first server's load was at its limit.
     Full,
     /// All slots of the first server were in use.
@@ -47,6 +49,8 @@
     Cold,
     /// Servers limit the rate of their requests, and the others had no capacity.
     Limited,
+    /// All servers had asked the instance for rest.
+    Resting,
     /// The service had no server that the request could use.
     NoServer,
     /// No response was possible before the request's deadline.
@@ -106,6 +110,7 @@
             "overloaded" => Self::Overloaded,
             "cold" => Self::Cold,
             "limited" => Self::Limited,
+            "resting" => Self::Resting,
             "no_server" => Self::NoServer,
             "too_late" => Self::TooLate,
             "turned_away" => Self::RejectedByServer,
@@ -129,6 +134,7 @@
             Self::Overloaded => "overloaded",
             Self::Cold => "cold",
             Self::Limited => "limited",
+            Self::Resting => "resting",
             Self::NoServer => "no_server",
             Self::TooLate => "too_late",
             Self::RejectedByServer => "turned_away",
@@ -155,6 +161,7 @@
         match label {
             "cold" => Self::Cold,
             "limited" => Self::Limited,
+            "resting" => Self::Resting,
             "full" => Self::Full,
             "busy" => Self::Busy,
             "slow" => Self::Slow,
@@ -173,6 +180,7 @@
             Self::Moved => "moved",
             Self::Cold => "cold",
             Self::Limited => "limited",
+            Self::Resting => "resting",
             Self::Full => "full",
             Self::Busy => "busy",
             Self::Slow => "slow",
