exchange ended names the rest that the response asked for

server rest is logged only when a rest begins or becomes longer, so that a rejection with a shorter one left no trace of what the server had said, and a retry after it no reason. asked_rest_ms is null for all other responses; the line's budget stays.

--- a/crates/damaskvane-gateway/src/clients/routed_request.rs
+++ b/crates/damaskvane-gateway/src/clients/routed_request.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 use damaskvane_core::ids;
-use damaskvane_core::time::TimeMs;
+use damaskvane_core::time::{SpanMs, TimeMs};
 use damaskvane_routing::configuration::{Configuration, RegionSet, Route};
 use damaskvane_routing::limit::RequestRate;
 use damaskvane_routing::placement::{
@@ -301,6 +301,7 @@
                 "through" => outcome.path.as_ref().and_then(|path| path.peer()).map(|peer| peer.instance.to_string()),
                 "limit_per_s" => limit.and_then(|limit| limit.rate()).map(RequestRate::per_s),
                 "limit_known_ms" => limit.map(|limit| now.since(limit.learned_at()).get()),
+                "asked_rest_ms" => outcome.report.asked_rest().map(SpanMs::get),
                 "rest_left_ms" => rest.map(|one| one.known.rest.remaining(one.at).get()),
                 "rest_source" => rest.and_then(|one| one.known.rest.source()).map(StatementSource::as_str),
                 "server_leaves" => sending.map(|one| one.known.is_leaving()),
--- a/crates/damaskvane-routing/src/pool/server_report.rs
+++ b/crates/damaskvane-routing/src/pool/server_report.rs
@@ -28,10 +28,19 @@
 }
 
 impl ServerReport {
+    /// Returns the rest that the server wants, or `None` if it wants none.
+    #[must_use]
+    pub const fn asked_rest(&self) -> Option<SpanMs> {
+        match self.rest {
+            RestStatement::Rest(rest) => Some(rest.span()),
+            RestStatement::Nothing | RestStatement::Unreadable => None,
+        }
+    }
+
     /// Returns whether the server wants to rest for this time or longer.
     #[must_use]
     pub fn asks_for_rest(&self, shortest: SpanMs) -> bool {
-        matches!(self.rest, RestStatement::Rest(rest) if rest.span() >= shortest)
+        self.asked_rest().is_some_and(|rest| rest >= shortest)
     }
 
     /// Returns what the response says of the limit.
