A limit holds for requests that are about to be written when the entry of their server has lapsed

The gate asked the pool for the limit, and a server whose entry has lapsed is not in it: a request that had been chosen before was written without a token. Rests were looked up among the servers outside the pool as well, limits were not. Found by reading; no test forces it (a lapse between choice and writing, in a process).

--- a/crates/damaskvane-gateway/src/server_limits.rs
+++ b/crates/damaskvane-gateway/src/server_limits.rs
@@ -22,8 +22,7 @@
 
 /// Returns the limit of a server, or `None` if it is not known to have one.
 pub(crate) fn known(node: &Node, server: &ids::BackendServerId) -> Option<RequestRate> {
-    let state = node.state.borrow();
-    state.pool.server(server)?.availability.limit.rate()
+    node.state.borrow().pool.availability(server)?.limit.rate()
 }
 
 /// Reports a limit that has just changed to all other instances.
