A short rest does not shorten the return from a long one

What a server saw: it rests for 3 s, requests begin to return, it rejects one of them with 0.05 s, and all come back within 0.05 s, since the return takes the length of the last rest. Now the longer return stays until it is over.

--- a/crates/damaskvane-routing/src/pool/server_rest.rs
+++ b/crates/damaskvane-routing/src/pool/server_rest.rs
@@ -81,9 +81,12 @@
         if !was_resting {
             self.begun_at = now;
         }
+        // A short rest in the return from a longer one must not bring all requests back sooner.
+        let return_ms = if self.is_over(now) { 0 } else { self.return_ms };
+        let length_ms = ends_at.since(self.begun_at).get();
         self.ends_at = ends_at;
         self.returns_from = self.returns_from.max(ends_at);
-        self.return_ms = ends_at.since(self.begun_at).get().min(MAX_RETURN_MS);
+        self.return_ms = return_ms.max(length_ms.min(MAX_RETURN_MS));
         self.source = Some(source);
         Some(RestChange {
             was_resting,
