A request whose usual servers rest looks at 64 others instead of 12

What callers saw: none of them could be refused that another server could serve, and in a service of 40 servers of which 38 are full a request was refused (overloaded) beside a free one, since at most 12 servers that don't rest were looked at. More is not needed for the searches that limits and cold servers cause, which stay as they were.

a_request_finds_the_one_server_that_is_not_full leaves each of 39 servers free in turn; with 12 it failed.

--- a/crates/damaskvane-routing/src/placement/selection.rs
+++ b/crates/damaskvane-routing/src/placement/selection.rs
@@ -18,6 +18,10 @@
 /// Maximum number of candidates for a request without an object, or for a request whose usual servers take none now.
 pub(super) const MAX_CANDIDATES: usize = 12;
 
+/// Maximum number of candidates, besides those that rest, for a request whose usual servers rest: many others may be full by
+/// what these would have taken.
+const MAX_CANDIDATES_FOR_RESTING: usize = 64;
+
 /// What the selection among the servers of one request depends on.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Selection<'a> {
@@ -99,8 +103,13 @@
         rejection: Rejection,
     ) -> Result<Pick, Rejection> {
         let resting = self.pool.resting(self.now).count();
+        let usable = if rejection.rest_ends_at.is_some() {
+            MAX_CANDIDATES_FOR_RESTING
+        } else {
+            MAX_CANDIDATES
+        };
         let wide = Search {
-            max_servers: MAX_CANDIDATES + self.pool.limited().len() + resting,
+            max_servers: usable + self.pool.limited().len() + resting,
             ..search
         };
         let mut best = Err(rejection);
--- a/crates/damaskvane-routing/tests/server_rests.rs
+++ b/crates/damaskvane-routing/tests/server_rests.rs
@@ -44,6 +44,25 @@
     }
 }
 
+/// The first server of an object rests and many others are full. The one that has room must be found.
+#[test]
+fn a_request_finds_the_one_server_that_is_not_full() {
+    let mut pool = pool_of(&[("east-a", 20), ("west-a", 20)]);
+    let first = pick(&mut pool, "east-a", hash_of(5)).server;
+    respond(&mut pool, 990, first.as_str(), &rest("3"));
+    let names: Vec<_> = pool.servers().map(|one| one.entry.id.clone()).collect();
+    let others: Vec<_> = names.into_iter().filter(|name| *name != first).collect();
+    for (number, free) in others.iter().enumerate() {
+        let mut pool = pool_of(&[("east-a", 20), ("west-a", 20)]);
+        respond(&mut pool, 990, first.as_str(), &rest("3"));
+        for full in others.iter().filter(|name| *name != free) {
+            fill(&mut pool, full.as_str(), 15);
+        }
+        let found = pick(&mut pool, "east-a", hash_of(5)).server;
+        assert_eq!(found, *free, "server {number}");
+    }
+}
+
 /// While its region has a server that takes requests, a request stays there once as many have left as may.
 #[test]
 fn requests_of_resting_servers_keep_to_the_limit_on_shifts() {
@@ -150,6 +169,20 @@
     assert!(rest.is_over(at(6_001)));
 }
 
+/// A short rest comes while requests return from a long one. It must not bring all of them back at once.
+#[test]
+fn a_short_rest_does_not_shorten_the_return_from_a_long_one() {
+    let mut rest = ServerRest::default();
+    rest.begin(at(1_000), SpanMs::new(3_000), StatementSource::Response);
+    assert!(rest.returned_share(at(4_200), 0) < 0.2);
+    rest.begin(at(4_200), SpanMs::new(50), StatementSource::Response);
+    assert!(rest.returned_share(at(4_400), 0) < 0.2);
+    assert!(rest.returned_share(at(5_700), 0) >= 1.0);
+    // The next one is short again, long after the return.
+    rest.begin(at(9_000), SpanMs::new(50), StatementSource::Response);
+    assert!(rest.returned_share(at(9_110), 0) >= 1.0);
+}
+
 /// The objects of a server come back to it after its rest, some after the others, and all of them within 2 s.
 #[test]
 fn objects_return_after_a_rest() {
