--- a/crates/damaskvane-gateway/src/upstream/idle.rs
+++ b/crates/damaskvane-gateway/src/upstream/idle.rs
@@ -147,7 +147,7 @@
     /// the servers that have sent far more than such a response since the last call.
     pub fn close_flooded(&mut self, now: TimeMs) -> Vec<ids::BackendServerId> {
         let mut flooding = core::mem::take(&mut self.flooding);
-        for (server, connections) in &mut self.connections {
+        self.connections.retain(|server, connections| {
             connections.retain_mut(|entry| {
                 let is_due = |since| now.since(since) >= FLOOD_CHECK_DELAY;
                 if !entry.unchecked_since.is_some_and(is_due) {
@@ -162,7 +162,8 @@
                 }
                 false
             });
-        }
+            !connections.is_empty()
+        });
         flooding
     }
 
@@ -175,6 +176,6 @@
     /// Returns whether there is no idle connection to any server.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.connections.is_empty()
+        self.len() == 0
     }
 }
