A request that met three servers which refuse connections was refused beside servers that would have served it

What callers saw: when a rack fails, some requests get 503 (`turned_away`) within a few milliseconds, although half of the servers are well.

Cause: `retry::Progress` stopped after three unreachable servers, "each of them costs a connection timeout". One that refuses a connection costs a round trip.

In routing: seven refused connections of 1 ms may be followed by another, three timeouts of 400 ms may not (failed before).

Ruled out: the end of the trial's hold (600 ms), no `on_trial` in these logs; quarantines, none for these callers.

Why it works: the bound is what it was meant to be, time: 1.2 s, three timeouts, as before; and eight servers, more than fail in a rack. A refused connection writes nothing, so that it takes nothing from the budget of retries and no attempt.

--- a/crates/damaskvane-bench/src/placement/world.rs
+++ b/crates/damaskvane-bench/src/placement/world.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BinaryHeap};
 
 use damaskvane_core::ids;
-use damaskvane_core::time::TimeMs;
+use damaskvane_core::time::{SpanMs, TimeMs};
 use damaskvane_routing::configuration::Configuration;
 use damaskvane_routing::placement::{Pick, PlacementRequest, Refusal};
 use damaskvane_routing::pool::{ExchangeEnd, ExchangeId, LoadReport};
@@ -271,7 +271,8 @@
             return;
         }
         self.calls[call].flight = None;
-        self.calls[call].progress.record(ended);
+        let progress = &mut self.calls[call].progress;
+        progress.record(ended, SpanMs::ZERO);
         match end {
             End::Answered => {
                 let took_ms = self.now_ms - self.calls[call].wanted.asked_ms;
--- a/crates/damaskvane-gateway/src/clients/routed_request.rs
+++ b/crates/damaskvane-gateway/src/clients/routed_request.rs
@@ -83,6 +83,7 @@
             if last.is_some() && !is_charged && !self.spend_retry_budget(last.as_ref()) {
                 return self.final_response(last);
             }
+            let started = self.node.now();
             let Some(mut outcome) = self.attempt(&pick, &permit).await else {
                 self.tried.push(pick.server);
                 return self.respond_timeout();
@@ -90,7 +91,8 @@
             if let Some(withheld) = outcome.withheld {
                 return self.withhold(last, withheld);
             }
-            self.progress.record(outcome.end);
+            let took = self.node.now().since(started);
+            self.progress.record(outcome.end, took);
             self.record_exchange(&pick, &outcome);
             if matches!(outcome.end, ExchangeEnd::Limited | ExchangeEnd::Unavailable) {
                 self.is_next_charged = last.is_some();
--- a/crates/damaskvane-routing/src/retry.rs
+++ b/crates/damaskvane-routing/src/retry.rs
@@ -4,21 +4,26 @@
 //! a server handles in some time, which takes longer than the next ones.
 //!
 //! ```
+//! use damaskvane_core::time;
 //! use damaskvane_routing::{configuration, pool, retry};
 //!
 //! let mut progress = retry::Progress::new(configuration::RouteKind::NonIdempotent, 2);
-//! progress.record(pool::ExchangeEnd::Broken);
+//! progress.record(pool::ExchangeEnd::Broken, time::SpanMs::ZERO);
 //! assert!(!progress.may_try_again());
 //! assert!(!progress.is_proven_not_run());
 //! ```
 
+use damaskvane_core::time::SpanMs;
+
 use crate::configuration::{Route, RouteKind};
 use crate::placement::Pick;
 use crate::pool::ExchangeEnd;
 
-/// Maximum number of unreachable servers for one request before the request is rejected; each of them costs a
-/// connection timeout.
-const MAX_UNREACHABLE: u32 = 3;
+/// Maximum number of unreachable servers for one request: more than fail together in a rack.
+const MAX_UNREACHABLE: u32 = 8;
+/// Time that unreachable servers may cost one request, in milliseconds. One that refuses a connection costs a round trip,
+/// one that gives no sign a timeout.
+const MAX_UNREACHABLE_MS: u64 = 1_200;
 
 /// Multiple of the route's response time objective after which a server without a response counts as silent, not only
 /// slow.
@@ -42,7 +47,7 @@
     remaining_ms: u64,
 ) -> Option<u64> {
     let mut after_timeout = progress.clone();
-    after_timeout.record(ExchangeEnd::Abandoned);
+    after_timeout.record(ExchangeEnd::Abandoned, SpanMs::ZERO);
     let first_ms = pick.first_ms as u64;
     let first_run_timeout_ms = (pick.first_ms * FIRST_RUN_TIMEOUT_FACTOR) as u64;
     let attempt_timeout_ms = first_run_timeout_ms.max(route.objective_ms * TIMEOUT_OBJECTIVES);
@@ -60,6 +65,7 @@
     attempts: u32,
     sent: u32,
     unreachable: u32,
+    unreachable_ms: u64,
     may_have_run: bool,
     was_withdrawn: bool,
 }
@@ -74,16 +80,20 @@
             attempts,
             sent: 0,
             unreachable: 0,
+            unreachable_ms: 0,
             may_have_run: false,
             was_withdrawn: false,
         }
     }
 
-    /// Records the end of an exchange.
-    pub const fn record(&mut self, end: ExchangeEnd) {
+    /// Records the end of an exchange that took this time.
+    pub const fn record(&mut self, end: ExchangeEnd, took: SpanMs) {
         match end {
             ExchangeEnd::Withheld | ExchangeEnd::Limited | ExchangeEnd::Unavailable => {}
-            ExchangeEnd::Unreachable => self.unreachable += 1,
+            ExchangeEnd::Unreachable => {
+                self.unreachable += 1;
+                self.unreachable_ms += took.get();
+            }
             ExchangeEnd::Shed | ExchangeEnd::Misdirected => self.sent += 1,
             ExchangeEnd::Answered
             | ExchangeEnd::Failed
@@ -108,6 +118,7 @@
     pub const fn may_try_again(&self) -> bool {
         self.sent < self.attempts
             && self.unreachable < MAX_UNREACHABLE
+            && self.unreachable_ms < MAX_UNREACHABLE_MS
             && (!self.may_have_run || self.kind.may_run_again())
     }
 
--- a/crates/damaskvane-routing/tests/retries.rs
+++ b/crates/damaskvane-routing/tests/retries.rs
@@ -5,6 +5,7 @@
 
 mod support;
 
+use damaskvane_core::time::SpanMs;
 use damaskvane_routing::configuration::{Route, RouteKind};
 use damaskvane_routing::placement::{Choice, Pick};
 use damaskvane_routing::pool::ExchangeEnd;
@@ -27,7 +28,7 @@
 fn a_request_that_may_have_run_is_not_repeated_and_not_reported_as_not_run() {
     for end in MAY_HAVE_RUN {
         let mut progress = Progress::new(RouteKind::NonIdempotent, 3);
-        progress.record(end);
+        progress.record(end, SpanMs::ZERO);
         assert!(!progress.may_try_again(), "{end:?}");
         assert!(!progress.is_proven_not_run(), "{end:?}");
     }
@@ -43,7 +44,7 @@
         ExchangeEnd::Unreachable,
     ] {
         let mut progress = Progress::new(RouteKind::NonIdempotent, 2);
-        progress.record(end);
+        progress.record(end, SpanMs::ZERO);
         assert!(progress.may_try_again(), "{end:?}");
         assert!(progress.is_proven_not_run(), "{end:?}");
     }
@@ -54,8 +55,8 @@
 #[test]
 fn the_proof_of_not_run_is_lost_with_the_first_exchange_without_it() {
     let mut progress = Progress::new(RouteKind::Idempotent, 4);
-    progress.record(ExchangeEnd::Broken);
-    progress.record(ExchangeEnd::Shed);
+    progress.record(ExchangeEnd::Broken, SpanMs::ZERO);
+    progress.record(ExchangeEnd::Shed, SpanMs::ZERO);
     assert!(!progress.is_proven_not_run());
 }
 
@@ -64,9 +65,9 @@
 #[test]
 fn attempts_limit_the_servers_that_receive_a_request() {
     let mut progress = Progress::new(RouteKind::Idempotent, 2);
-    progress.record(ExchangeEnd::Failed);
+    progress.record(ExchangeEnd::Failed, SpanMs::ZERO);
     assert!(progress.may_try_again());
-    progress.record(ExchangeEnd::Shed);
+    progress.record(ExchangeEnd::Shed, SpanMs::ZERO);
     assert!(!progress.may_try_again());
 }
 
@@ -126,11 +127,32 @@
 #[test]
 fn the_first_withdrawal_of_a_request_takes_no_attempt() {
     let mut progress = Progress::new(RouteKind::Idempotent, 2);
-    progress.record(ExchangeEnd::Withdrawn);
+    progress.record(ExchangeEnd::Withdrawn, SpanMs::ZERO);
     assert!(progress.was_sent());
     assert!(!progress.is_proven_not_run());
-    progress.record(ExchangeEnd::Broken);
+    progress.record(ExchangeEnd::Broken, SpanMs::ZERO);
     assert!(progress.may_try_again());
-    progress.record(ExchangeEnd::Withdrawn);
+    progress.record(ExchangeEnd::Withdrawn, SpanMs::ZERO);
     assert!(!progress.may_try_again());
 }
+
+/// Guards against a request that is refused because three servers of a failed rack refuse its connections, which takes a
+/// millisecond, while others would serve it; and against one that waits for the timeout of one silent server after another.
+#[test]
+fn unreachable_servers_cost_a_request_a_limited_time_and_not_three_attempts() {
+    let (refused, timed_out) = (SpanMs::new(1), SpanMs::new(400));
+    let mut progress = Progress::new(RouteKind::NonIdempotent, 2);
+    for _ in 0..7 {
+        progress.record(ExchangeEnd::Unreachable, refused);
+        assert!(progress.may_try_again());
+    }
+    progress.record(ExchangeEnd::Unreachable, refused);
+    assert!(!progress.may_try_again());
+    let mut progress = Progress::new(RouteKind::NonIdempotent, 2);
+    for _ in 0..3 {
+        assert!(progress.may_try_again());
+        progress.record(ExchangeEnd::Unreachable, timed_out);
+    }
+    assert!(!progress.may_try_again());
+    assert!(progress.is_proven_not_run());
+}
