A watch that was sent while the store was silent ends when the store answers again

Cause: a pending watch ended only by a call of the instance that failed after the watch was sent. The instance's last failed call came 0.1 s before, and the next one was answered; the watch itself never was. The class: something sent into a silence is waited for after the silence.

Why it works: calls that reach a silent store may be lost, whoever sent them; a watch that began while the store counts as down is sent again when it answers.

--- a/crates/damaskvane-gateway/src/store/follow.rs
+++ b/crates/damaskvane-gateway/src/store/follow.rs
@@ -302,7 +302,7 @@
         let timeout = Duration::from_millis(wait_ms) + WATCH_SLACK;
         let body = tokio::select! {
             body = self.client.call(&request, timeout) => self.digest_keys(body?)?,
-            () = node.store.until_failed_call() => return Err(CallError::Timeout),
+            () = node.store.until_call_may_hang() => return Err(CallError::Timeout),
         };
         let changes = self.node.adapter.changes(self.collection, &body);
         let changes = changes.map_err(|error| self.log_malformed(&error))?;
--- a/crates/damaskvane-gateway/src/store/health.rs
+++ b/crates/damaskvane-gateway/src/store/health.rs
@@ -98,11 +98,24 @@
             .send_modify(|failed_calls| *failed_calls += 1);
     }
 
-    /// Waits until the next call of this instance that the store does not answer.
-    pub async fn until_failed_call(&self) {
+    /// Waits until a call that is sent now may never get a response: the store does not answer a later call of this
+    /// instance, or it is marked as down and answers again, as calls that it received meanwhile may be lost.
+    pub async fn until_call_may_hang(&self) {
         let mut failed_calls = self.failed_calls.subscribe();
         // The sender lives as long as the node, so waiting doesn't fail.
-        let _ = failed_calls.changed().await;
+        let failed = async {
+            let _ = failed_calls.changed().await;
+        };
+        let returned = async {
+            if self.is_up() {
+                return core::future::pending().await;
+            }
+            self.until_up().await;
+        };
+        tokio::select! {
+            () = failed => {}
+            () = returned => {}
+        }
     }
 
     /// Marks the store as down. Returns whether the store was marked as up before.
