Ring points and incarnation keys differ for names of up to three bytes

Cause: XXH3 combines a name of up to three bytes with the low bits of its seed only. Ring points hash a server's id with the number of the point as seed, so ids that differ in their last byte shared points: of ten servers l-0 to l-9 one was the first of 7,149 of 10,000 objects, two of none. The keys of incarnations hash an instance's name with the time of its start as seed: 900 starts of e-1, e-2 and e-3 within 300 ms had 303 keys.

Change: a short name and the number are hashed as one input. Names of four bytes and more keep their hashes, so no object of a running deployment moves; a test pins the objects of two such sets of servers.

Looked at and left: object hashes and region scores are seeded with 64-bit hashes, holders of server tokens with the server's key.

--- a/crates/damaskvane-routing/src/lib.rs
+++ b/crates/damaskvane-routing/src/lib.rs
@@ -33,5 +33,6 @@
 pub mod reachability;
 pub mod relay;
 pub mod retry;
+mod seeded_hash;
 pub mod split;
 pub mod teams;
--- a/crates/damaskvane-routing/src/peers/digest.rs
+++ b/crates/damaskvane-routing/src/peers/digest.rs
@@ -4,9 +4,9 @@
 //! messages to other zones for its own zone. An incarnation is one start of an instance's process.
 
 use damaskvane_core::ids;
-use xxhash_rust::xxh3;
 
 use crate::peers::{Heartbeat, Phase};
+use crate::seeded_hash;
 
 /// An 8-byte hash that identifies one incarnation of an instance in messages. A receiver can match the key with the
 /// instance only if it has received a heartbeat of this incarnation.
@@ -17,8 +17,7 @@
     /// Returns the key of an incarnation of an instance.
     #[must_use]
     pub fn new(instance: &ids::InstanceId, incarnation: ids::Incarnation) -> Self {
-        let hash = xxh3::xxh3_64_with_seed(instance.as_str().as_bytes(), incarnation.get());
-        Self(hash)
+        Self(seeded_hash::of_name(instance.as_str(), incarnation.get()))
     }
 
     /// Returns the key as a number, for use in a message.
--- a/crates/damaskvane-routing/src/pool/ring.rs
+++ b/crates/damaskvane-routing/src/pool/ring.rs
@@ -7,9 +7,9 @@
 use std::ops::Bound;
 
 use damaskvane_core::ids;
-use xxhash_rust::xxh3;
 
 use crate::pool::ServerHandle;
+use crate::seeded_hash;
 
 /// Number of ring points for each slot of a server. With this number, the shares of the ring of servers with six slots
 /// differ by about a seventh, less than the numbers of objects on them differ anyway, and adding a thousand servers is
@@ -94,9 +94,8 @@
     slots: u32,
 ) -> impl Iterator<Item = RingPoint> {
     let count = slots.max(1).saturating_mul(POINTS_PER_SLOT).min(MAX_POINTS);
-    let name = id.as_str().as_bytes();
     (0..count).map(move |number| RingPoint {
-        position: (xxh3::xxh3_64_with_seed(name, u64::from(number)) >> 32) as u32,
+        position: (seeded_hash::of_name(id.as_str(), u64::from(number)) >> 32) as u32,
         server,
     })
 }
--- a/crates/damaskvane-routing/tests/digests.rs
+++ b/crates/damaskvane-routing/tests/digests.rs
@@ -5,10 +5,13 @@
 
 mod support;
 
+use std::collections::BTreeSet;
 use std::net;
 
 use damaskvane_core::ids;
-use damaskvane_routing::peers::{Heartbeat, ListedInstance, Members, PeerSettings, Phase};
+use damaskvane_routing::peers::{
+    Heartbeat, IncarnationKey, ListedInstance, Members, PeerSettings, Phase,
+};
 use support::{at, regions, zone};
 
 /// Interval between two heartbeats of an instance.
@@ -393,3 +396,18 @@
             .is_empty()
     );
 }
+
+/// Guards against two running instances with the same key, of which a digest would name only one: with ids of up to
+/// three bytes, instances that started within the same few milliseconds had equal keys.
+#[test]
+fn instances_with_short_names_that_start_together_have_different_keys() {
+    let starts = 1_764_000_000_000..1_764_000_000_300_u64;
+    let key = |name: &str, started: u64| {
+        let instance = name.parse().expect("a name");
+        IncarnationKey::new(&instance, ids::Incarnation::new(started))
+    };
+    let keys: BTreeSet<_> = starts
+        .flat_map(|started| ["e-1", "e-2", "e-3"].map(|name| key(name, started)))
+        .collect();
+    assert_eq!(keys.len(), 900);
+}
--- a/crates/damaskvane-routing/tests/index.rs
+++ b/crates/damaskvane-routing/tests/index.rs
@@ -162,3 +162,43 @@
     let share = of_large_server.count() as f64 / 4_000.0;
     assert!((0.4..0.6).contains(&share), "{share}, half of all slots");
 }
+
+/// Returns how many of 10,000 objects have each of ten servers as their first one.
+fn objects_by_server(id_prefix: &str) -> Vec<usize> {
+    let mut pool = pool();
+    let names: Vec<_> = (0..10)
+        .map(|number| format!("{id_prefix}{number}"))
+        .collect();
+    for name in &names {
+        pool.apply(at(0), entry(name, "east-a"));
+    }
+    let mut random = rand_pcg::Pcg32::seed_from_u64(1);
+    let mut counts = vec![0; names.len()];
+    for _ in 0..10_000 {
+        let first = servers_of(&pool, "east-a", random.random(), 1).remove(0);
+        let position = names.iter().position(|name| *name == first);
+        counts[position.expect("one of the servers")] += 1;
+    }
+    counts
+}
+
+/// Guards against servers that share their ring points: with ids of up to three bytes that differ in the last one, some
+/// servers were the first of no object and others of a third of all objects.
+#[test]
+fn servers_with_short_ids_are_each_the_first_of_an_even_share_of_objects() {
+    for id_prefix in ["", "l", "l-"] {
+        let counts = objects_by_server(id_prefix);
+        let is_even = counts.iter().all(|count| (500..=2_000).contains(count));
+        assert!(is_even, "ids that begin with {id_prefix:?}: {counts:?}");
+    }
+}
+
+/// Guards against a change of the ring that moves the objects of running deployments to servers that have not handled
+/// them.
+#[test]
+fn servers_with_longer_ids_keep_their_objects() {
+    let counts = [1054, 1086, 1007, 785, 971, 1279, 854, 879, 991, 1094];
+    assert_eq!(objects_by_server("l-1-"), counts);
+    let counts = [1009, 811, 675, 1003, 1067, 777, 1192, 986, 1097, 1383];
+    assert_eq!(objects_by_server("i-9f0cf0580"), counts);
+}
