A server gets no more connections than its service accepts

Cause: nobody read maxConnections of a service, the number of connections that a server accepts from all instances together; it resets those beyond it, and a request that was sent may have run then.

Change: an instance has at most its even share of them in use (one at least); placement passes a server over, as full, beyond it. A connection is opened only if none is idle, so idle ones add none. 0 sets no limit.

--- a/crates/damaskvane-routing/src/limit.rs
+++ b/crates/damaskvane-routing/src/limit.rs
@@ -13,11 +13,13 @@
 //! ```
 
 mod cold_rate;
+mod connection_share;
 mod request_rate;
 mod retry_budget;
 mod window;
 
 pub use cold_rate::{ColdRate, ColdRateSettings};
+pub use connection_share::connection_share;
 pub use request_rate::{ParseRateError, RequestRate};
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
 pub use window::Window;
--- a/crates/damaskvane-routing/src/placement/placer.rs
+++ b/crates/damaskvane-routing/src/placement/placer.rs
@@ -7,6 +7,7 @@
 use damaskvane_core::time::TimeMs;
 
 use crate::configuration::{Configuration, Route};
+use crate::limit;
 use crate::placement::candidates::{Candidates, Origin, Scope, Search, Spread};
 use crate::placement::object_moves::{self, ObjectMove, ObjectMoves, ObjectServers};
 use crate::placement::popularity::{Popularity, PopularityDecision, PopularityReport};
@@ -193,12 +194,18 @@
         };
         let mut candidates = core::mem::take(&mut self.candidates);
         candidates.find(pool, request, search);
-        let cold_share = configuration.service(request.service).map_or(0, |service| {
+        let service = configuration.service(request.service);
+        let cold_share = service.map_or(0, |service| {
             let settings = pool.settings().cold_rate;
             settings.share(service.warmup_per_s, instances)
         });
+        let max_connections = service.map_or(0, |service| service.max_connections);
+        let connection_share = limit::connection_share(max_connections, instances);
         let usable = candidates.usable(now, pool, search);
-        let selection = self.selection(now, pool, request, cold_share, instances);
+        let selection = Selection {
+            connection_share,
+            ..self.selection(now, pool, request, cold_share, instances)
+        };
         let mut best = selection.best_of(usable, 0);
         if let Err(rejection) = best
             && rejection.calls_for_others()
@@ -386,6 +393,7 @@
             own_zone: &self.own_zone,
             own_region: &self.own_region,
             cold_share,
+            connection_share: usize::MAX,
             instances,
             uses_returning: false,
         }
--- a/crates/damaskvane-routing/src/placement/selection.rs
+++ b/crates/damaskvane-routing/src/placement/selection.rs
@@ -38,6 +38,9 @@
     pub(super) own_region: &'a ids::RegionId,
     /// Requests per second that this instance may send to a cold server.
     pub(super) cold_share: usize,
+    /// Requests that this instance may have in flight to one server: each occupies a connection, and servers limit the
+    /// number of connections from all instances together.
+    pub(super) connection_share: usize,
     /// Number of instances that may use the same servers.
     pub(super) instances: usize,
     /// Whether servers that have just rested take requests beyond the share that has returned.
@@ -79,7 +82,8 @@
                 continue;
             }
             let scored = self.score(server, rank);
-            if scored.load >= limit {
+            let has_connection = server.in_flight() < self.connection_share;
+            if scored.load >= limit || !has_connection {
                 rejection.add(RefusalReason::Overloaded);
                 passed_over.get_or_insert(SkipReason::Full);
                 continue;
--- a/crates/damaskvane-routing/tests/placement.rs
+++ b/crates/damaskvane-routing/tests/placement.rs
@@ -8,13 +8,15 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use damaskvane_core::ids;
+use damaskvane_routing::configuration::{Configuration, Limits, Service};
 use damaskvane_routing::placement::{self, Choice, Pick, Placer};
 use damaskvane_routing::pool::{
-    ExchangeEnd, ExchangeId, LoadReport, ServerPool, ServerReport, ServerState,
+    ExchangeEnd, ExchangeId, LoadReport, ServerEntry, ServerPool, ServerReport, ServerState,
 };
 use support::{
-    at, configuration, entry, fill, pick, placer, pool_of, release, request, route, server_id,
-    service_id,
+    at, configuration, entry, fill, pick, placer, pool, pool_of, release, request, route,
+    server_id, service_id,
 };
 
 /// Returns a placer of a zone whose clients request each of 50 objects every second.
@@ -302,3 +304,48 @@
     let later = placer("east-a").choose(at(15_000), &pool, &configuration(), &request, 1);
     assert!(matches!(later, Choice::Send(pick) if pick.server == first));
 }
+
+/// Returns how many requests this instance, one of `instances`, sends at the same time to the only server of a service
+/// that accepts `max_connections` connections and has 100 slots.
+fn requests_at_once(max_connections: u32, instances: usize) -> u64 {
+    let service = Service {
+        max_connections,
+        ..configuration()
+            .service(&service_id())
+            .expect("the service")
+            .clone()
+    };
+    let configuration = Configuration::new(
+        ids::ConfigVersion::new(1),
+        [route()],
+        [service],
+        Limits::default(),
+    );
+    let mut pool = pool();
+    let server = ServerEntry {
+        slots: 100,
+        ..entry("only", "east-a")
+    };
+    pool.apply(at(0), server);
+    let (route, service) = (route(), service_id());
+    let mut placer = placer("east-a");
+    for sent in 0..1_000 {
+        let request = request(&route, &service, sent);
+        let choice = placer.choose(at(1_000), &pool, &configuration, &request, instances);
+        let Choice::Send(_) = choice else {
+            return sent;
+        };
+        let mut server = pool.server_mut(&server_id("only")).expect("the server");
+        server.record_sent(at(1_000), ExchangeId(sent), 100.0);
+    }
+    1_000
+}
+
+/// Guards against connections beyond the number that a server accepts from all instances together: it resets them.
+#[test]
+fn a_server_gets_no_more_connections_than_its_service_accepts() {
+    assert_eq!(requests_at_once(100, 5), 20);
+    assert_eq!(requests_at_once(3, 5), 1);
+    let without_limit = requests_at_once(0, 5);
+    assert!((200..=250).contains(&without_limit), "{without_limit}");
+}
