The time factor that servers on shared machines name enters times and choices

Cause: the fourth figure of X-Server-Load says how long work takes on the server's machine at this moment.

Change: pool::TimeFactor (percent, 10 to 2,000; absent, 0 and unreadable are unknown) is decoded beside the load into ServerReport. A measured time is divided by the factor of its own response before it enters Slowness and Baselines. The factor multiplies the expected time of its server and moves, with a time constant of 300 ms, to the mean of the server's factors (20 s). It also counts where a server is found slow or unhealthy, since both ask how long a request takes now. `exchange ended` logs time_factor_percent.

Left out: messages between instances. ServerWire is encoded by position, so an older process could not read a longer load report; health reports carry the slowness without the factor.

Without the figure the ratio is exactly 1, and multiplication and division by 1 change no value.

Tests: all of damaskvane-routing and damaskvane-gateway pass. Each guard taken out once fails a test: decoding (the_time_factor_is_the_fourth_figure_of_the_load), the factor in the expected time and its fading (a_factor_multiplies_the_expected_time_while_it_is_young, an_old_factor_becomes_the_mean_of_the_server), the division (a_slow_machine_does_not_make_its_server_or_route_slow), another server's response (a_factor_of_another_server_counts_for_nothing), a restart (an_old_factor_becomes_the_mean_of_the_server), bounds and zero (factors_are_bounded).

--- a/crates/damaskvane-bench/src/placement/instance.rs
+++ b/crates/damaskvane-bench/src/placement/instance.rs
@@ -181,6 +181,7 @@
                 bytes: EXCHANGE_BYTES,
                 took_ms,
                 has_waited: load.is_some_and(|load| load.waiting > 0),
+                time_factor: None,
             };
             self.placer.record_answer(now, &mut self.pool, &answered);
         }
--- a/crates/damaskvane-gateway/src/clients/routed_request.rs
+++ b/crates/damaskvane-gateway/src/clients/routed_request.rs
@@ -14,7 +14,7 @@
 use damaskvane_routing::placement::{
     AnsweredRequest, Choice, Pick, PlacementRequest, Refusal, RefusalReason, SkipReason,
 };
-use damaskvane_routing::pool::{ExchangeEnd, StatementSource};
+use damaskvane_routing::pool::{ExchangeEnd, StatementSource, TimeFactor};
 use damaskvane_routing::retry::{self, Progress};
 use hyper::Response;
 use rand::RngExt;
@@ -309,6 +309,7 @@
                 "server_leaves" => sending.map(|one| one.known.is_leaving()),
                 "token_from" => self.token_from.as_ref().map(ToString::to_string),
                 "running" => load.map(|load| load.running), "waiting" => load.map(|load| load.waiting),
+                "time_factor_percent" => outcome.report.time_factor.map(TimeFactor::percent),
                 "left_ms" => self.deadline.since(now).get(),
                 "config_version" => self.configuration.version().get(),
                 "lines_left_out" => left_out);
@@ -351,6 +352,7 @@
             bytes: outcome.bytes,
             took_ms,
             has_waited: outcome.report.load.is_some_and(|load| load.waiting > 0),
+            time_factor: outcome.report.time_factor,
         };
         state.placer.record_answer(now, &mut state.pool, &answered);
     }
--- a/crates/damaskvane-gateway/src/server_statements/decode.rs
+++ b/crates/damaskvane-gateway/src/server_statements/decode.rs
@@ -1,7 +1,9 @@
 //! Decodes what a response says of its server.
 
 use damaskvane_core::ids;
-use damaskvane_routing::pool::{LimitStatement, LoadReport, RestStatement, ServerReport};
+use damaskvane_routing::pool::{
+    LimitStatement, LoadReport, RestStatement, ServerReport, TimeFactor,
+};
 use hyper::header::{self, HeaderName};
 
 use crate::adapter::HeaderNames;
@@ -26,8 +28,11 @@
     let is_named_otherwise = named.is_some_and(|named| named != server.as_str());
     let warmup_left_ms = fields.text(&names.warmup_remaining_ms);
     let warmup_left_ms = warmup_left_ms.and_then(|text| text.trim().parse::<f64>().ok());
+    let load = fields.text(&names.load).and_then(parse_load);
+    let (load, time_factor) = load.unzip();
     ServerReport {
-        load: fields.text(&names.load).and_then(parse_load),
+        load,
+        time_factor: time_factor.flatten(),
         limit: fields.limit(&names.rate_limit),
         rest: fields.rest(),
         is_leaving: fields.is_leaving(&names.leaving),
@@ -86,11 +91,14 @@
     }
 }
 
-fn parse_load(text: &str) -> Option<LoadReport> {
-    let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
-    Some(LoadReport {
-        running: numbers.next()??,
-        waiting: numbers.next()??,
-        slots: numbers.next()??,
-    })
+/// Reads the running and waiting requests, the slots and the time factor; an unreadable factor is none.
+fn parse_load(text: &str) -> Option<(LoadReport, Option<TimeFactor>)> {
+    let mut fields = text.split(',').map(str::trim);
+    let load = LoadReport {
+        running: fields.next()?.parse().ok()?,
+        waiting: fields.next()?.parse().ok()?,
+        slots: fields.next()?.parse().ok()?,
+    };
+    let time_factor = fields.next().and_then(|field| field.parse().ok());
+    Some((load, time_factor))
 }
--- a/crates/damaskvane-gateway/tests/server_statements.rs
+++ b/crates/damaskvane-gateway/tests/server_statements.rs
@@ -6,7 +6,7 @@
 use damaskvane_gateway::http::ResponseHead;
 use damaskvane_gateway::server_statements;
 use damaskvane_routing::pool::{
-    LimitStatement, LoadReport, RestStatement, ServerReport, StatementSource,
+    LimitStatement, LoadReport, RestStatement, ServerReport, StatementSource, TimeFactor,
 };
 use hyper::header::HeaderName;
 
@@ -139,3 +139,23 @@
     assert!(bad.is_signed && bad.is_able);
     assert_eq!(decode(200, "warmup: -5\r\n").warmup_left_ms, Some(0));
 }
+
+/// Guards against a time factor that is not read, and one that an unreadable or extreme value makes harmful.
+#[test]
+fn the_time_factor_is_the_fourth_figure_of_the_load() {
+    let percent = |text: &str| {
+        let report = decode(200, &format!("load: 3, 2, 4{text}\r\n"));
+        assert_eq!(report.load.map(|load| load.slots), Some(4), "{text}");
+        report.time_factor.map(TimeFactor::percent)
+    };
+    assert_eq!(percent(", 250"), Some(250));
+    assert_eq!(percent(",99.6, 7"), Some(100));
+    assert_eq!(percent(",1"), Some(10));
+    assert_eq!(percent(",99999999999999999999999"), Some(2_000));
+    for text in [
+        "", ",", ",0", ",0.0", ",-5", ",fast", ",inf", ",NaN", ",1e3", ",2 5",
+    ] {
+        assert_eq!(percent(text), None, "{text}");
+    }
+    assert_eq!(decode(200, "load: 3,x,4,250\r\n").time_factor, None);
+}
--- a/crates/damaskvane-routing/src/placement/placer.rs
+++ b/crates/damaskvane-routing/src/placement/placer.rs
@@ -19,7 +19,7 @@
     AnsweredRequest, Choice, Pick, PlacementRequest, PlacementSettings, RefusalReason, RoundTrips,
     RouteKey,
 };
-use crate::pool::{Baselines, Server, ServerHandle, ServerPool};
+use crate::pool::{Baselines, Server, ServerHandle, ServerPool, TimeFactor};
 
 /// Fraction of the `shift_most` setting by which the share of requests sent to another region may rise in a window. The
 /// rest is reserved for changes in the number of clients.
@@ -248,7 +248,8 @@
         };
         let round_trip_ms = self.round_trips.get(&answered.pick.zone);
         let took_ms = answered.took_ms as f64;
-        let work_ms = (took_ms - round_trip_ms.unwrap_or(0.0)).max(1.0);
+        let machine_ratio = answered.time_factor.map_or(1.0, TimeFactor::ratio);
+        let work_ms = (took_ms - round_trip_ms.unwrap_or(0.0)).max(1.0) / machine_ratio;
         // Time in a queue or on a cold server reflects load or a recent start, not the speed of the server.
         let is_unrepresentative = answered.has_waited || server.is_cold(now);
         let was_handled_recently = answered
--- a/crates/damaskvane-routing/src/placement/request.rs
+++ b/crates/damaskvane-routing/src/placement/request.rs
@@ -4,6 +4,7 @@
 
 use crate::configuration::Route;
 use crate::placement::Pick;
+use crate::pool::TimeFactor;
 use crate::teams::Team;
 
 /// A request for which a backend server is to be selected.
@@ -57,4 +58,7 @@
     pub took_ms: u64,
     /// Whether the request may have waited in the server's queue; its time is then not used as a measurement.
     pub has_waited: bool,
+    /// Time factor of the server's machine that the response states. The time of the response is divided by it, so that
+    /// the usual times of routes and servers don't depend on the machine's load.
+    pub time_factor: Option<TimeFactor>,
 }
--- a/crates/damaskvane-routing/src/placement/server_score.rs
+++ b/crates/damaskvane-routing/src/placement/server_score.rs
@@ -75,7 +75,7 @@
         } = estimates;
         let objective_ms = request.route.objective_ms as f64;
         let warm_probability = warm_probability_of(now, server, request, rank);
-        let mut slowness = server.slowness(now);
+        let mut slowness = server.expected_slowness(now);
         if server.is_cold(now) {
             slowness *= COLD_SLOWDOWN;
         }
@@ -152,7 +152,7 @@
     server.availability.check(now).is_ok()
         && !server.is_stalled(now)
         && server.failure_share(now) <= HIGH_FAILURE_SHARE
-        && server.slowness(now) < MAX_HEALTHY_SLOWNESS
+        && server.expected_slowness(now) < MAX_HEALTHY_SLOWNESS
 }
 
 /// Returns the reason why another server is selected although this server has capacity.
@@ -162,7 +162,7 @@
         SkipReason::Stalled
     } else if server.failure_share(now) > HIGH_FAILURE_SHARE {
         SkipReason::Failing
-    } else if server.slowness(now) > HIGH_SLOWNESS {
+    } else if server.expected_slowness(now) > HIGH_SLOWNESS {
         SkipReason::Slow
     } else if server.load(now) >= slots {
         SkipReason::Busy
--- a/crates/damaskvane-routing/src/pool/server.rs
+++ b/crates/damaskvane-routing/src/pool/server.rs
@@ -9,6 +9,7 @@
 
 use crate::limit::ColdRate;
 use crate::pool::load::PeerLoad;
+use crate::pool::machine_speed::MachineSpeed;
 use crate::pool::speed::{Slowness, decayed_share};
 use crate::pool::{
     Availability, ExchangeEnd, ExchangeId, Liveness, LoadReport, PeerHealthReport, ServerEntry,
@@ -63,6 +64,8 @@
     load_sample: Option<(TimeMs, f64)>,
     /// Whether the last report to the zone reported a queue.
     is_reported_busy: bool,
+    /// Speed of the server's machine, by the time factors that the server has named.
+    machine_speed: MachineSpeed,
     slowness: Slowness,
     slowness_at: TimeMs,
     failure_share: f64,
@@ -95,6 +98,7 @@
             last_report: None,
             load_sample: None,
             is_reported_busy: false,
+            machine_speed: MachineSpeed::default(),
             slowness: Slowness::default(),
             slowness_at: now,
             failure_share: 0.0,
@@ -125,6 +129,7 @@
     /// Resets recent objects, slowness, failures, liveness and what the server has said after the server has restarted.
     pub fn reset_after_restart(&mut self, now: TimeMs) {
         self.objects.clear();
+        self.machine_speed = MachineSpeed::default();
         self.slowness = Slowness::default();
         self.failure_share = 0.0;
         self.failures_at = now;
@@ -157,7 +162,15 @@
         self.peer_load.estimate(now) + self.requests.len() as f64
     }
 
-    /// Returns the ratio of the server's time to the usual time of requests, by observation or a peer's report.
+    /// Returns the ratio of the time that a request takes now to its usual time: the server's own slowness times the
+    /// time factor of its machine.
+    #[must_use]
+    pub fn expected_slowness(&self, now: TimeMs) -> f64 {
+        self.slowness(now) * self.machine_speed.ratio(now)
+    }
+
+    /// Returns the ratio of the server's time to the usual time of requests, by observation or a peer's report, without
+    /// the time factor of its machine.
     #[must_use]
     pub fn slowness(&self, now: TimeMs) -> f64 {
         let own = self.own_slowness(now);
@@ -262,6 +275,9 @@
             self.last_report = Some((now, load));
             self.load_sample = Some((now, self.load_without_request(load)));
         }
+        if let Some(factor) = report.time_factor.filter(|_| !report.is_other_server) {
+            self.machine_speed.record(now, factor);
+        }
         self.record_liveness(now, end);
         if matches!(
             end,
@@ -301,7 +317,8 @@
         self.load_sample.take()
     }
 
-    /// Records the time that the server took for a request, without the network round trip.
+    /// Records the time that the server took for a request, without the network round trip and divided by the time
+    /// factor of its machine.
     pub fn record_work_time(&mut self, now: TimeMs, took_ms: f64, expected_ms: f64) {
         self.slowness.decay(now.since(self.slowness_at).get());
         self.slowness.record(took_ms, expected_ms);
--- a/crates/damaskvane-routing/src/pool/server_report.rs
+++ b/crates/damaskvane-routing/src/pool/server_report.rs
@@ -2,13 +2,15 @@
 
 use damaskvane_core::time::SpanMs;
 
-use crate::pool::{LimitStatement, LoadReport, RestStatement, StatementSource};
+use crate::pool::{LimitStatement, LoadReport, RestStatement, StatementSource, TimeFactor};
 
 /// All that a response says of its server, decoded once.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct ServerReport {
     /// Load of the server, or `None` if the response doesn't report the load.
     pub load: Option<LoadReport>,
+    /// Time that work takes on the server's machine at this moment, or `None` if the response doesn't state it.
+    pub time_factor: Option<TimeFactor>,
     /// Limit on the requests of all instances together.
     pub limit: LimitStatement,
     /// Rest that the server wants.
--- a/crates/damaskvane-routing/tests/popularity.rs
+++ b/crates/damaskvane-routing/tests/popularity.rs
@@ -81,6 +81,7 @@
                 bytes,
                 took_ms: 100,
                 has_waited: false,
+                time_factor: None,
             };
             self.placers[0].record_answer(at(0), &mut pool, &answered);
         }
