Pipelined requests of a client run side by side

Cause: the HTTP library reads a head after the previous response was written, so that a request waits for unrelated ones of its connection.

Change: with max_pipelined_requests above 1, the new folder clients/pipeline reads the heads of clients' connections ahead. GET and HEAD requests of HTTP/1.1 in origin form without body, Expect, Upgrade and Transfer-Encoding run side by side; the responses are written in the order of the requests. At the first other head the earlier responses are written, and the connection goes to the HTTP library with all bytes that belong to no request. Requests of routes that are not idempotent run alone. Reading stops at the limit of requests, at the limit of a head, while the client doesn't read, and after a request or response that closes the connection. A close by the client is noticed by the socket's readiness while nothing is read. Responses that wait for their turn reserve memory, an eighth of the process's at most.

dispatch::respond takes the time of the head's arrival, and a request with any body type. The stream for the HTTP library begins with bytes that were read before.

--- a/crates/damaskvane-gateway/src/clients.rs
+++ b/crates/damaskvane-gateway/src/clients.rs
@@ -8,6 +8,7 @@
 mod head_timer;
 mod listener;
 mod pending;
+mod pipeline;
 mod reply;
 mod routed_request;
 mod send_right;
--- a/crates/damaskvane-gateway/src/clients/body.rs
+++ b/crates/damaskvane-gateway/src/clients/body.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 
 use crate::node::Node;
 
@@ -62,7 +62,7 @@
 /// Reads a complete body of at most `max_bytes` and counts its bytes in `held`; returns `None` if the client
 /// announced no body.
 pub(super) async fn read(
-    mut body: Incoming,
+    mut body: impl Body<Data = Bytes> + Unpin,
     max_bytes: usize,
     held: &mut HeldBytes,
 ) -> Result<Option<Bytes>, BodyError> {
--- a/crates/damaskvane-gateway/src/clients/dispatch.rs
+++ b/crates/damaskvane-gateway/src/clients/dispatch.rs
@@ -8,13 +8,14 @@
 use std::net;
 use std::rc::Rc;
 
+use bytes::Bytes;
 use damaskvane_core::ids;
-use damaskvane_core::time::SpanMs;
+use damaskvane_core::time::{SpanMs, TimeMs};
 use damaskvane_routing::configuration::Route;
 use damaskvane_routing::limit::RetryBudget;
 use damaskvane_routing::placement;
 use damaskvane_routing::retry::Progress;
-use hyper::body::Incoming;
+use hyper::body::Body;
 use hyper::{Request, Response, StatusCode};
 
 use crate::clients::authorization::authorize;
@@ -32,21 +33,21 @@
 /// milliseconds.
 const STARTING_RETRY_AFTER_MS: u64 = 500;
 
-/// Handles a client's request, and records its outcome and duration in the metrics.
+/// Handles a client's request whose head was complete at `arrived`, and records its outcome and duration in the metrics.
 pub(super) async fn respond(
     node: &Rc<Node>,
     client_address: net::IpAddr,
-    request: Request<Incoming>,
+    request: Request<impl Body<Data = Bytes> + Unpin>,
+    arrived: TimeMs,
 ) -> Response<ResponseBody> {
-    let started = node.now();
     let _guard = Stop::track_request(node);
     let names = node.adapter.headers();
     let request_id = head::text(request.headers(), &names.request_id).map(str::to_owned);
-    let pending = PendingRequest::new(node, request_id, started);
+    let pending = PendingRequest::new(node, request_id, arrived);
     let response = route_and_run(&pending, client_address, request).await;
     pending.mark_answered();
     let status = response.status();
-    let took_s = node.now().since(started).get() as f64 / 1_000.0;
+    let took_s = node.now().since(arrived).get() as f64 / 1_000.0;
     let outcome = match status.as_u16() {
         200..300 => "served",
         429 | 503 => "refused",
@@ -64,7 +65,7 @@
 async fn route_and_run(
     pending: &PendingRequest<'_>,
     client_address: net::IpAddr,
-    request: Request<Incoming>,
+    request: Request<impl Body<Data = Bytes> + Unpin>,
 ) -> Response<ResponseBody> {
     let (node, started) = (pending.node, pending.started);
     startup::until_able(node).await;
--- a/crates/damaskvane-gateway/src/clients/head_timer.rs
+++ b/crates/damaskvane-gateway/src/clients/head_timer.rs
@@ -12,6 +12,7 @@
 use std::io;
 use std::rc::Rc;
 
+use bytes::{Buf, Bytes};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -63,12 +64,18 @@
 #[derive(Debug)]
 pub(super) struct TimedStream {
     stream: TcpStream,
+    /// Bytes that were read from the stream before, and come first.
+    unread: Bytes,
     timer: Rc<HeadTimer>,
 }
 
 impl TimedStream {
-    pub(super) const fn new(stream: TcpStream, timer: Rc<HeadTimer>) -> Self {
-        Self { stream, timer }
+    pub(super) const fn new(stream: TcpStream, unread: Bytes, timer: Rc<HeadTimer>) -> Self {
+        Self {
+            stream,
+            unread,
+            timer,
+        }
     }
 }
 
@@ -78,6 +85,13 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if !self.unread.is_empty() {
+            let length = self.unread.len().min(buffer.remaining());
+            buffer.put_slice(&self.unread[..length]);
+            self.unread.advance(length);
+            self.timer.bytes_received();
+            return Poll::Ready(Ok(()));
+        }
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
         if buffer.filled().len() > before {
--- a/crates/damaskvane-gateway/src/clients/listener.rs
+++ b/crates/damaskvane-gateway/src/clients/listener.rs
@@ -8,6 +8,8 @@
 use std::net;
 use std::rc::Rc;
 
+use bytes::Bytes;
+use damaskvane_routing::configuration::Limits;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
@@ -17,7 +19,7 @@
 use tokio::net::TcpStream;
 
 use crate::clients::head_timer::{HeadTimer, TimedStream};
-use crate::clients::{dispatch, reply};
+use crate::clients::{dispatch, pipeline, reply};
 use crate::node::Node;
 use crate::stop::StopPhase;
 use crate::upstream::ResponseBody;
@@ -29,9 +31,9 @@
 /// Delay before accepting again after the operating system returned an error.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// Maximum number of headers of a request.
-const MAX_HEADERS: usize = 100;
+pub(super) const MAX_HEADERS: usize = 100;
 /// The smallest read buffer that the HTTP library permits, in bytes.
-const MIN_BUFFER_BYTES: usize = 8_192;
+pub(super) const MIN_BUFFER_BYTES: usize = 8_192;
 /// How long sent bytes may stay unacknowledged before the client is considered disconnected.
 const CLIENT_SILENCE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Number of file descriptors reserved for files and for connections to backend servers and the store.
@@ -116,6 +118,36 @@
         .configuration()
         .map(|configuration| configuration.limits())
         .unwrap_or_default();
+    let is_pipelined = kind == ListenerKind::Clients && node.settings().max_pipelined_requests > 1;
+    let (stream, unread) = if is_pipelined {
+        match pipeline::serve(node, stream, client_address, &limits).await {
+            Some(handed_over) => (handed_over.stream, handed_over.unread),
+            None => return,
+        }
+    } else {
+        (stream, Bytes::new())
+    };
+    // On the heap, so that connections that never get here don't hold the memory for it.
+    Box::pin(serve_in_order(
+        node,
+        stream,
+        unread,
+        client_address,
+        kind,
+        &limits,
+    ))
+    .await;
+}
+
+/// Serves a connection's requests one after another; `unread` was read from the stream before.
+async fn serve_in_order(
+    node: &Rc<Node>,
+    stream: TcpStream,
+    unread: Bytes,
+    client_address: net::IpAddr,
+    kind: ListenerKind,
+    limits: &Limits,
+) {
     let timer = Rc::new(HeadTimer::default());
     let handler = service_fn(|request| {
         let node = Rc::clone(node);
@@ -127,7 +159,7 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let stream = TimedStream::new(stream, Rc::clone(&timer));
+    let stream = TimedStream::new(stream, unread, Rc::clone(&timer));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
@@ -153,7 +185,7 @@
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let mut response = match kind {
-        ListenerKind::Clients => dispatch::respond(node, client_address, request).await,
+        ListenerKind::Clients => dispatch::respond(node, client_address, request, node.now()).await,
         ListenerKind::Lookups => lookups::lookup_response(node, &request),
         ListenerKind::Ready => lookups::readiness_response(node, &request),
         ListenerKind::Metrics if request.method() == hyper::Method::GET => metrics::response(node),
--- /dev/null
+++ b/crates/damaskvane-gateway/src/clients/pipeline/input.rs
@@ -0,0 +1,100 @@
+//! The bytes that were received from a client and belong to no request yet.
+
+use core::task::{Context, Poll, ready};
+use std::io;
+
+use bytes::{BufMut, Bytes, BytesMut};
+use tokio::net::TcpStream;
+
+use crate::clients::pipeline::head::ParsedHead;
+
+/// Number of bytes by which the buffer grows for a read.
+const READ_BYTES: usize = 4_096;
+/// The end of a head is found even if it begins this many bytes before those that arrived last.
+const TERMINATOR_OVERLAP_BYTES: usize = 3;
+
+/// A read buffer of limited size. It takes no memory while it is empty.
+#[derive(Debug)]
+pub(super) struct Input {
+    buffer: BytesMut,
+    /// Number of bytes at the front that are known to hold no complete head.
+    scanned: usize,
+    max_bytes: usize,
+}
+
+impl Input {
+    /// Creates an empty buffer that takes at most `max_bytes`.
+    pub(super) const fn new(buffer: BytesMut, max_bytes: usize) -> Self {
+        Self {
+            buffer,
+            scanned: 0,
+            max_bytes,
+        }
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
+    /// Takes all bytes out of the buffer.
+    pub(super) fn take_all(&mut self) -> Bytes {
+        self.scanned = 0;
+        core::mem::take(&mut self.buffer).freeze()
+    }
+
+    /// Reads once; returns the number of bytes, 0 if the client has closed the connection.
+    ///
+    /// The buffer must not be full, which [`Self::next_head`] reports as [`ParsedHead::Other`].
+    pub(super) fn poll_read(
+        &mut self,
+        stream: &TcpStream,
+        context: &mut Context<'_>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(stream.poll_read_ready(context))?;
+            let room = self.max_bytes.saturating_sub(self.buffer.len());
+            self.buffer.reserve(room.min(READ_BYTES));
+            match stream.try_read_buf(&mut (&mut self.buffer).limit(room)) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.release(),
+                read => return Poll::Ready(read),
+            }
+        }
+    }
+
+    /// Takes the next head. One that doesn't fit into the buffer is [`ParsedHead::Other`].
+    pub(super) fn next_head(&mut self) -> ParsedHead {
+        if self.buffer.is_empty() {
+            return ParsedHead::Partial;
+        }
+        let parsed = if self.scanned > 0 && !self.has_terminator() {
+            ParsedHead::Partial
+        } else {
+            ParsedHead::take(&mut self.buffer)
+        };
+        match parsed {
+            ParsedHead::Partial if self.buffer.len() >= self.max_bytes => ParsedHead::Other,
+            ParsedHead::Partial => {
+                self.scanned = self.buffer.len();
+                ParsedHead::Partial
+            }
+            parsed => {
+                self.scanned = 0;
+                self.release();
+                parsed
+            }
+        }
+    }
+
+    /// Returns whether an empty line, which ends a head, is among the bytes that were not scanned. Parsing a head that
+    /// arrives byte by byte at each byte would take time that grows with the square of its length.
+    fn has_terminator(&self) -> bool {
+        let new = &self.buffer[self.scanned.saturating_sub(TERMINATOR_OVERLAP_BYTES)..];
+        new.windows(2).any(|pair| pair == b"\n\n") || new.windows(3).any(|end| end == b"\n\r\n")
+    }
+
+    fn release(&mut self) {
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
+    }
+}
--- a/crates/damaskvane-gateway/src/metrics.rs
+++ b/crates/damaskvane-gateway/src/metrics.rs
@@ -68,6 +68,8 @@
     pub carried_tunnels: IntCounterVec,
     /// Tunnels that this instance carries now.
     pub open_carried_tunnels: IntGauge,
+    /// Requests that run, or whose responses wait, behind others of their clients' connections.
+    pub pipelined_requests: IntGauge,
     /// Servers that are known to limit the rate of their requests.
     pub limited_servers: IntGauge,
     /// Changes of servers' limits that this instance learned of, by source and kind.
@@ -177,6 +179,10 @@
                 &["outcome"],
             )?,
             open_carried_tunnels: factory.gauge("carried_tunnels", "Tunnels carried now")?,
+            pipelined_requests: factory.gauge(
+                "pipelined_requests",
+                "Requests at work or answered behind others of their connections",
+            )?,
             limited_servers: factory.gauge(
                 "limited_servers",
                 "Servers that limit the rate of their requests",
--- a/crates/damaskvane-gateway/src/node.rs
+++ b/crates/damaskvane-gateway/src/node.rs
@@ -108,6 +108,8 @@
     pub log: DecisionLog,
     /// Bytes of request bodies that are buffered now.
     pub buffered_body_bytes: Cell<usize>,
+    /// Bytes reserved for responses that wait behind others of their connections.
+    pub pipelined_bytes: Cell<usize>,
     started: Instant,
     /// Clock that also runs while the machine is suspended.
     continuous_clock: ContinuousClock,
@@ -179,6 +181,7 @@
             metrics,
             log,
             buffered_body_bytes: Cell::new(0),
+            pipelined_bytes: Cell::new(0),
             started: Instant::now(),
             continuous_clock: ContinuousClock::start(),
             last_exchange: Cell::new(0),
--- a/crates/damaskvane-gateway/src/settings.rs
+++ b/crates/damaskvane-gateway/src/settings.rs
@@ -82,6 +82,10 @@
     pub max_descriptors: usize,
     /// Memory available to the process, in megabytes.
     pub memory_mb: u64,
+    /// Largest number of requests of one client's connection that are at work or whose responses are not written; 1 serves
+    /// requests one after another.
+    #[serde(default = "default_max_pipelined_requests")]
+    pub max_pipelined_requests: usize,
     /// Lowest level of log lines that are written.
     #[serde(default)]
     pub log_level: damaskvane_telemetry::logging::Level,
@@ -93,6 +97,9 @@
     pub placement: placement::PlacementSettings,
 }
 
+/// Most requests of one connection that may be at work: more would let one client take all servers' slots.
+const MAX_PIPELINED_REQUESTS: usize = 64;
+
 /// Shortest bound on revocations, in milliseconds: a proof takes a part of a second from the store to all instances.
 const MIN_REVOKE_MS: f64 = 1_000.0;
 
@@ -107,6 +114,11 @@
     5.0
 }
 
+/// Returns the value of `max_pipelined_requests` if the settings have none: requests are served one after another.
+const fn default_max_pipelined_requests() -> usize {
+    1
+}
+
 const NUMBERS_REMEDY: &str = "write a number of at least 0";
 
 impl GatewaySettings {
@@ -171,6 +183,17 @@
                     ),
                 })
             }
+            None if !(1..=MAX_PIPELINED_REQUESTS).contains(&self.max_pipelined_requests) => {
+                Err(SettingsError::Wrong {
+                    file: file.to_owned(),
+                    wrong: WrongValue::new(
+                        "max_pipelined_requests",
+                        self.max_pipelined_requests.to_string(),
+                        "out of range",
+                        "write a number from 1 to 64",
+                    ),
+                })
+            }
             None => Ok(()),
             Some((key, value)) => Err(SettingsError::Wrong {
                 file: file.to_owned(),
--- a/crates/damaskvane-gateway/tests/settings.rs
+++ b/crates/damaskvane-gateway/tests/settings.rs
@@ -44,6 +44,22 @@
     assert_eq!(settings("store_history_s = 600").watch_wait_ms(), 25_000);
 }
 
+/// Without the key a connection's requests are served one after another, as by a program that doesn't know the key. With 0
+/// no request would ever be read.
+#[test]
+fn pipelined_requests_are_bounded_and_off_by_default() {
+    assert_eq!(settings("").max_pipelined_requests, 1);
+    assert_eq!(
+        settings("max_pipelined_requests = 8").max_pipelined_requests,
+        8
+    );
+    for wrong in [0, 65] {
+        let text = text(&format!("max_pipelined_requests = {wrong}"));
+        let error = GatewaySettings::parse("test.toml", &text).expect_err("a wrong number");
+        assert!(error.to_string().contains("max_pipelined_requests"));
+    }
+}
+
 #[test]
 fn an_out_of_range_error_names_the_key() {
     let text = text("store_history_s = -1");
