Pipelined connections save a read and a timer per request

Cause: a read through try_read_buf leaves the socket marked as readable, so that each request cost one read more, which returns nothing. The idle timer was set anew for each request.

Change: reads go through the stream's read half, which notes that a read took everything. A timer that is due too early is set anew when it is due.

--- a/crates/damaskvane-gateway/src/clients/pipeline.rs
+++ b/crates/damaskvane-gateway/src/clients/pipeline.rs
@@ -42,14 +42,16 @@
 /// Serves a client's connection; returns it if its next request is not one that is served here.
 pub(super) async fn serve(
     node: &Rc<Node>,
-    stream: TcpStream,
+    mut stream: TcpStream,
     client_address: net::IpAddr,
     limits: &Limits,
 ) -> Option<HandedOver> {
     let end = {
-        let mut connection = PipelinedConnection::new(node, &stream, client_address, limits);
+        let (reader, writer) = stream.split();
+        let writer = writer.as_ref();
+        let mut connection = PipelinedConnection::new(node, reader, writer, client_address, limits);
         // Becomes ready when the client closes the connection, even if it has sent bytes that were not read.
-        let mut departure = pin!(stream.ready(Interest::PRIORITY));
+        let mut departure = pin!(writer.ready(Interest::PRIORITY));
         let idle_timeout = Duration::from_millis(limits.idle_timeout_ms);
         let mut sleep = pin!(tokio::time::sleep(idle_timeout));
         let mut phases = node.stop.subscribe();
--- a/crates/damaskvane-gateway/src/clients/pipeline/connection.rs
+++ b/crates/damaskvane-gateway/src/clients/pipeline/connection.rs
@@ -14,6 +14,7 @@
 use hyper::{Method, Request};
 use tokio::io::Ready;
 use tokio::net::TcpStream;
+use tokio::net::tcp::ReadHalf;
 use tokio::time::{Instant, Sleep};
 
 use crate::clients::listener::MIN_BUFFER_BYTES;
@@ -67,6 +68,7 @@
 /// A client's connection: its bytes, requests and responses.
 pub(super) struct PipelinedConnection<'a> {
     node: &'a Rc<Node>,
+    reader: ReadHalf<'a>,
     stream: &'a TcpStream,
     client_address: net::IpAddr,
     max_requests: usize,
@@ -88,6 +90,7 @@
 impl<'a> PipelinedConnection<'a> {
     pub(super) fn new(
         node: &'a Rc<Node>,
+        reader: ReadHalf<'a>,
         stream: &'a TcpStream,
         client_address: net::IpAddr,
         limits: &Limits,
@@ -95,6 +98,7 @@
         let max_bytes = limits.header_bytes.max(MIN_BUFFER_BYTES);
         Self {
             node,
+            reader,
             stream,
             client_address,
             max_requests: node.settings().max_pipelined_requests,
@@ -215,7 +219,7 @@
 
     fn poll_read(&mut self, context: &mut Context<'_>) -> Result<bool, End> {
         self.is_reading = true;
-        match self.input.poll_read(self.stream, context) {
+        match self.input.poll_read(&mut self.reader, context) {
             Poll::Pending => Ok(false),
             Poll::Ready(Ok(0)) if self.is_busy() => Err(End::Failed),
             Poll::Ready(Ok(0)) => {
@@ -311,10 +315,17 @@
             Phase::PartialHead => self.head_timeout,
         };
         let deadline = self.phase_began + timeout;
-        if sleep.deadline() != deadline {
+        // A timer that is due too early is set anew when it is due, and not for each request.
+        if sleep.deadline() > deadline {
             sleep.as_mut().reset(deadline);
         }
-        sleep.poll(context).is_ready()
+        while sleep.as_mut().poll(context).is_ready() {
+            if Instant::now() >= deadline {
+                return true;
+            }
+            sleep.as_mut().reset(deadline);
+        }
+        false
     }
 }
 
--- a/crates/damaskvane-gateway/src/clients/pipeline/input.rs
+++ b/crates/damaskvane-gateway/src/clients/pipeline/input.rs
@@ -1,10 +1,12 @@
 //! The bytes that were received from a client and belong to no request yet.
 
+use core::pin::pin;
 use core::task::{Context, Poll, ready};
 use std::io;
 
 use bytes::{BufMut, Bytes, BytesMut};
-use tokio::net::TcpStream;
+use tokio::io::AsyncReadExt;
+use tokio::net::tcp::ReadHalf;
 
 use crate::clients::pipeline::head::ParsedHead;
 
@@ -47,18 +49,19 @@
     /// The buffer must not be full, which [`Self::next_head`] reports as [`ParsedHead::Other`].
     pub(super) fn poll_read(
         &mut self,
-        stream: &TcpStream,
+        stream: &mut ReadHalf<'_>,
         context: &mut Context<'_>,
     ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(stream.poll_read_ready(context))?;
-            let room = self.max_bytes.saturating_sub(self.buffer.len());
-            self.buffer.reserve(room.min(READ_BYTES));
-            match stream.try_read_buf(&mut (&mut self.buffer).limit(room)) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.release(),
-                read => return Poll::Ready(read),
-            }
+        // Nothing is allocated while nothing has arrived.
+        ready!(stream.as_ref().poll_read_ready(context))?;
+        let room = self.max_bytes.saturating_sub(self.buffer.len());
+        self.buffer.reserve(room.min(READ_BYTES));
+        let mut limited = (&mut self.buffer).limit(room);
+        let read = pin!(stream.read_buf(&mut limited)).poll(context);
+        if read.is_pending() {
+            self.release();
         }
+        read
     }
 
     /// Takes the next head. One that doesn't fit into the buffer is [`ParsedHead::Other`].
