--- a/crates/damaskvane-gateway/src/server_statements/decode.rs
+++ b/crates/damaskvane-gateway/src/server_statements/decode.rs
@@ -28,6 +28,7 @@
     let warmup_left_ms = warmup_left_ms.and_then(|text| text.trim().parse::<f64>().ok());
     ServerReport {
         load: fields.text(&names.load).and_then(parse_load),
+        reports_speed: fields.text(&names.load).is_some_and(has_speed),
         limit: fields.limit(&names.rate_limit),
         rest: fields.rest(),
         is_leaving: fields.is_leaving(&names.leaving),
@@ -94,3 +95,10 @@
         slots: numbers.next()??,
     })
 }
+
+/// Returns whether the load has a fourth figure that tells the speed of the machine; 0 says that it is unknown.
+fn has_speed(text: &str) -> bool {
+    let figure = text.split(',').nth(3);
+    let percent = figure.and_then(|figure| figure.trim().parse::<f64>().ok());
+    percent.is_some_and(|percent| percent.is_finite() && percent > 0.0)
+}
--- a/crates/damaskvane-gateway/tests/server_statements.rs
+++ b/crates/damaskvane-gateway/tests/server_statements.rs
@@ -139,3 +139,22 @@
     assert!(bad.is_signed && bad.is_able);
     assert_eq!(decode(200, "warmup: -5\r\n").warmup_left_ms, Some(0));
 }
+
+/// Guards against second copies of requests to servers that don't report their speed, and against none to those that do.
+#[test]
+fn a_fourth_figure_of_the_load_reports_the_speed() {
+    for (text, reports_speed) in [
+        ("3,2,4", false),
+        ("3,2,4,100", true),
+        ("3, 2, 4, 250", true),
+        ("3,2,4,0", false),
+        ("3,2,4,-5", false),
+        ("3,2,4,NaN", false),
+        ("3,2,4,fast", false),
+        ("3,2,4,", false),
+    ] {
+        let report = decode(200, &format!("load: {text}\r\n"));
+        assert_eq!(report.reports_speed, reports_speed, "{text}");
+        assert!(report.load.is_some(), "{text}");
+    }
+}
--- a/crates/damaskvane-routing/src/pool/server_report.rs
+++ b/crates/damaskvane-routing/src/pool/server_report.rs
@@ -9,6 +9,8 @@
 pub struct ServerReport {
     /// Load of the server, or `None` if the response doesn't report the load.
     pub load: Option<LoadReport>,
+    /// Whether the response reports the speed of the server's machine.
+    pub reports_speed: bool,
     /// Limit on the requests of all instances together.
     pub limit: LimitStatement,
     /// Rest that the server wants.
