--- a/crates/damaskvane-gateway/src/crashes/copy.rs
+++ b/crates/damaskvane-gateway/src/crashes/copy.rs
@@ -5,6 +5,7 @@
 
 use core::cell::{Cell, OnceCell};
 use core::time::Duration;
+use std::rc::Rc;
 
 use damaskvane_core::time::TimeMs;
 use damaskvane_dispatch::home::Home;
@@ -21,23 +22,23 @@
 
 /// One client's call. A trial ends when it is dropped.
 #[derive(Debug)]
-pub struct RequestCopy<'a> {
-    node: &'a Node,
-    request: &'a OutgoingRequest,
+pub struct RequestCopy {
+    node: Rc<Node>,
+    request: Rc<OutgoingRequest>,
     id: CopyId,
     identity: OnceCell<RequestIdentity>,
     /// Whether the copy has run as a trial.
     is_trial: Cell<bool>,
 }
 
-impl<'a> RequestCopy<'a> {
+impl RequestCopy {
     /// Returns the copy of a client's call.
     #[must_use]
-    pub fn new(node: &'a Node, request: &'a OutgoingRequest) -> Self {
+    pub fn new(node: &Rc<Node>, request: &Rc<OutgoingRequest>) -> Self {
         let id = CopyId::new(node.next_exchange_id().0);
         Self {
-            node,
-            request,
+            node: Rc::clone(node),
+            request: Rc::clone(request),
             id,
             identity: OnceCell::new(),
             is_trial: Cell::new(false),
@@ -50,7 +51,7 @@
             return None;
         }
         let identity = self.identity();
-        if let Some(refusal) = crashes::resolve_refusal(self.node, identity).await {
+        if let Some(refusal) = crashes::resolve_refusal(&self.node, identity).await {
             return Some(refusal);
         }
         if self.decide() == CopyDecision::Hold {
@@ -62,7 +63,7 @@
                 .is_err();
             if is_held {
                 return Some(
-                    crashes::current_refusal(self.node, identity).unwrap_or(Refusal {
+                    crashes::current_refusal(&self.node, identity).unwrap_or(Refusal {
                         fingerprint: identity.fingerprint(Scope::AnyCaller),
                         remaining: crashes::UNRESOLVED_REFUSAL,
                         reason: RefusalReason::OnTrial,
@@ -70,14 +71,20 @@
                 );
             }
         }
-        crashes::current_refusal(self.node, identity)
+        crashes::current_refusal(&self.node, identity)
+    }
+
+    /// Returns whether a server may have crashed because of the request.
+    #[must_use]
+    pub fn has_evidence(&self) -> bool {
+        !self.node.crashes.is_empty() && crashes::has_evidence(&self.node, self.identity())
     }
 
     /// Waits until the copy may run or is refused.
     async fn until_decided(&self) {
         let identity = self.identity();
         while self.decide() == CopyDecision::Hold
-            && crashes::current_refusal(self.node, identity).is_none()
+            && crashes::current_refusal(&self.node, identity).is_none()
         {
             let changed = self.node.crashes.changed.notified();
             let _ = tokio::time::timeout(TURN_INTERVAL, changed).await;
@@ -117,7 +124,7 @@
     }
 }
 
-impl Drop for RequestCopy<'_> {
+impl Drop for RequestCopy {
     fn drop(&mut self) {
         let mut list = self.node.crashes.list.borrow_mut();
         if !list.is_empty() && list.record_copy_end(self.identity(), self.id) {
--- a/crates/damaskvane-gateway/src/node.rs
+++ b/crates/damaskvane-gateway/src/node.rs
@@ -106,6 +106,8 @@
     pub metrics: Metrics,
     /// Log of the process.
     pub log: DecisionLog,
+    /// Requests of which two copies were sent, until the exchanges of both have ended.
+    pub second_copies: Cell<usize>,
     /// Bytes of request bodies that are buffered now.
     pub buffered_body_bytes: Cell<usize>,
     started: Instant,
@@ -178,6 +180,7 @@
             incarnation,
             metrics,
             log,
+            second_copies: Cell::new(0),
             buffered_body_bytes: Cell::new(0),
             started: Instant::now(),
             continuous_clock: ContinuousClock::start(),
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -65,7 +65,7 @@
     /// The permission to send a request to the server, which is used at the moment of sending.
     pub(crate) permit: &'a SendPermit,
     /// The client's call, by which the request may be withdrawn; `None` if the request may not be sent again.
-    pub withdrawable: Option<&'a RequestCopy<'a>>,
+    pub withdrawable: Option<&'a RequestCopy>,
 }
 
 impl Exchange<'_> {
