Second copies stay in their region, and end when their request is tried as one that crashes servers

Cause: two exchanges of one client's call share its copy of the request, so a trial, which must run on one server, could go on at two. The choice of a second server was recorded among the requests of which a limited share may change region, whether or not the copy was sent, which diluted that share.

Change: the second exchange is withdrawn as soon as its request may run at most as a trial. Placer::choose_second records nothing, and selects a server only in the region of the first one, if that is the object's home region.

--- a/crates/damaskvane-gateway/src/clients/routed_request.rs
+++ b/crates/damaskvane-gateway/src/clients/routed_request.rs
@@ -158,7 +158,7 @@
         settings.refusal(RefusalReason::Limited, rand::rng().random())
     }
 
-    pub(super) fn choose(&self) -> Choice {
+    fn choose(&self) -> Choice {
         let now = self.node.now();
         let mut state = self.node.state.borrow_mut();
         let state = &mut *state;
@@ -252,7 +252,8 @@
         };
         let (node, request, deadline) = (self.node, self.outgoing, self.deadline);
         let (allowed_regions, right) = (self.allowed_regions, self.right);
-        let is_retry = self.progress.was_sent() || own_right.is_some();
+        let is_second_copy = own_right.is_some();
+        let is_retry = self.progress.was_sent() || is_second_copy;
         let withdrawable = self.route.kind.may_run_again().then_some(self.copy);
         let exchange = async move {
             let exchange = Exchange {
@@ -265,6 +266,7 @@
                 right: own_right.as_ref().unwrap_or(right),
                 permit: &permit,
                 withdrawable,
+                is_second_copy,
             };
             exchange.run().await
         };
--- a/crates/damaskvane-gateway/src/clients/second_copy.rs
+++ b/crates/damaskvane-gateway/src/clients/second_copy.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use damaskvane_core::time::SpanMs;
-use damaskvane_routing::placement::{Choice, Pick};
+use damaskvane_routing::placement::Pick;
 use damaskvane_routing::pool::{ExchangeEnd, Liveness, Server};
 use damaskvane_routing::retry::OverdueRequest;
 
@@ -230,14 +230,23 @@
             return None;
         }
         self.tried.push(first.pick.server.clone());
-        let choice = self.choose();
+        let second = self.choose_server_of_second();
         self.tried.pop();
-        let Choice::Send(second) = choice else {
-            return None;
-        };
+        let second = second?;
         self.permits_copy(first, &second).then_some(second)
     }
 
+    fn choose_server_of_second(&self) -> Option<Pick> {
+        let now = self.node.now();
+        let mut state = self.node.state.borrow_mut();
+        let state = &mut *state;
+        let instances = state.members.max_running_instances();
+        let request = self.placement_request();
+        let pool = &state.pool;
+        let placer = &mut state.placer;
+        placer.choose_second(now, pool, self.configuration, &request, instances)
+    }
+
     fn permits_copy(&self, first: &Attempt, second: &Pick) -> bool {
         let settings = self.node.settings().second_copies;
         self.overdue(first).check(&settings, second).is_ok()
--- a/crates/damaskvane-gateway/src/crashes/copy.rs
+++ b/crates/damaskvane-gateway/src/crashes/copy.rs
@@ -98,6 +98,13 @@
         }
     }
 
+    /// Waits until the copy may run at most as a trial. A trial runs on one server, so the second of two exchanges ends.
+    pub async fn until_restricted(&self) {
+        while self.decide() == CopyDecision::Run {
+            self.node.crashes.changed.notified().await;
+        }
+    }
+
     /// Records that the connection to the copy's server broke.
     pub fn record_broken(&self) {
         let now = self.node.now();
--- a/crates/damaskvane-routing/tests/second_copies.rs
+++ b/crates/damaskvane-routing/tests/second_copies.rs
@@ -6,7 +6,7 @@
 use damaskvane_core::time::SpanMs;
 use damaskvane_routing::configuration::{Route, RouteKind};
 use damaskvane_routing::limit::{RetryBudget, RetryBudgetSettings};
-use damaskvane_routing::placement::{Choice, Pick};
+use damaskvane_routing::placement::{Choice, Pick, PlacementRequest};
 use damaskvane_routing::pool::ExchangeEnd;
 use damaskvane_routing::retry::{Denial, OverdueRequest, Progress, SecondCopySettings};
 use support::{at, configuration, placer, pool_of, request, server_id, service_id};
@@ -190,3 +190,32 @@
     assert!(!budget.may_take_second_copy(at(2), 1, 0.5));
     assert!(budget.take_second_copy(at(10_002), 1, 0.5));
 }
+
+/// A copy in another region would be a change of region beyond the limited share.
+#[test]
+fn a_copy_stays_in_the_home_region_of_its_object() {
+    let route = support::route();
+    let service = service_id();
+    let request = request(&route, &service, 7);
+    for (zone, is_found) in [("east-b", true), ("west-a", false)] {
+        let pool = pool_of(&[("east-a", 1), (zone, 1)]);
+        let mut placer = placer("east-a");
+        let configuration = configuration();
+        let Choice::Send(first) = placer.choose(at(1_000), &pool, &configuration, &request, 1)
+        else {
+            panic!("the request is refused");
+        };
+        let tried = [first.server.clone()];
+        let request = PlacementRequest {
+            tried: &tried,
+            ..request
+        };
+        let second = placer.choose_second(at(1_000), &pool, &configuration, &request, 1);
+        assert_eq!(second.is_some(), is_found, "{zone}");
+        let again = placer.choose(at(1_000), &pool, &configuration, &request, 1);
+        assert!(
+            matches!(again, Choice::Send(_)),
+            "{zone}: a retry may leave"
+        );
+    }
+}
