--- a/crates/damaskvane-dispatch/src/quarantine/broken.rs
+++ b/crates/damaskvane-dispatch/src/quarantine/broken.rs
@@ -148,13 +148,6 @@
             .count()
     }
 
-    /// Returns whether any exchange of a matching request broke or got no answer and waits for confirmation.
-    #[must_use]
-    pub fn contains(&self, matches: impl Fn(&R) -> bool) -> bool {
-        let mut all = self.by_server.values().flatten();
-        all.any(|broken| matches(&broken.request))
-    }
-
     /// Removes the exchanges that have waited longer than the confirmation window.
     pub fn expire(&mut self, now: time::TimeMs) {
         self.by_server.retain(|_, of_server| {
--- a/crates/damaskvane-explain/src/losses/event.rs
+++ b/crates/damaskvane-explain/src/losses/event.rs
@@ -60,8 +60,6 @@
     pub(super) request: Option<String>,
     pub(super) zone: String,
     pub(super) route: String,
-    /// Whether another exchange gave the client's response, so that this one says nothing of the request.
-    pub(super) is_left_behind: bool,
     pub(super) subject: Subject,
 }
 
@@ -84,7 +82,6 @@
             request: line.text("request_id").map(str::to_owned),
             zone: zone.to_owned(),
             route: line.text("route").unwrap_or("-").to_owned(),
-            is_left_behind: line.flag("left_behind"),
             subject,
         })
     }
--- a/crates/damaskvane-explain/src/losses/table.rs
+++ b/crates/damaskvane-explain/src/losses/table.rs
@@ -97,15 +97,13 @@
         }
         let mut last: HashMap<String, usize> = HashMap::new();
         for (index, event) in events.iter().enumerate() {
-            if let Some(request) = &event.request
-                && !event.is_left_behind
-            {
+            if let Some(request) = &event.request {
                 last.insert(request.clone(), index);
             }
         }
         let is_last = |(index, event): &(usize, Event)| {
             let request = event.request.as_ref();
-            !event.is_left_behind && request.is_none_or(|request| last.get(request) == Some(index))
+            request.is_none_or(|request| last.get(request) == Some(index))
         };
         let numbered: Vec<_> = events.into_iter().enumerate().collect();
         let are_last: Vec<bool> = numbered.iter().map(is_last).collect();
--- a/crates/damaskvane-explain/tests/losses.rs
+++ b/crates/damaskvane-explain/tests/losses.rs
@@ -190,16 +190,3 @@
         "{error}"
     );
 }
-
-/// Guards against a loss that was none: the slower one of two copies of a request ends late, after the other one has given
-/// the response in time.
-#[test]
-fn an_exchange_left_behind_is_no_loss() {
-    let in_time = r#","request_id":"r1","second_copy":"second","after_ms":200"#;
-    let in_time = late_line("s-1", in_time).replace(r#""after_ms":400,"#, "");
-    let left_behind = r#","request_id":"r1","second_copy":"first","left_behind":true"#;
-    let left_behind = late_line("s-0", left_behind);
-    assert_eq!(causes(&[in_time.clone(), left_behind.clone()]), []);
-    let late = in_time.replace(r#""after_ms":200"#, r#""after_ms":300"#);
-    assert_eq!(causes(&[late, left_behind]).len(), 1);
-}
--- a/crates/damaskvane-gateway/src/clients/dispatch.rs
+++ b/crates/damaskvane-gateway/src/clients/dispatch.rs
@@ -14,13 +14,14 @@
 use damaskvane_routing::configuration::Route;
 use damaskvane_routing::limit::RetryBudget;
 use damaskvane_routing::placement;
+use damaskvane_routing::retry::Progress;
 use hyper::body::Body;
 use hyper::{Request, Response, StatusCode};
 
 use crate::clients::authorization::authorize;
 use crate::clients::body::{self, BodyError};
 use crate::clients::pending::PendingRequest;
-use crate::clients::request_task::RequestTask;
+use crate::clients::send_right::SendRight;
 use crate::clients::{caller, head, reply, routed_request, startup};
 use crate::crashes::{Refusal, RefusalReason, RequestCopy};
 use crate::decision_log::RequestOutcome;
@@ -124,7 +125,7 @@
     let target = target.to_owned();
     let mut headers = parts.headers;
     upstream::strip_connection_headers(&mut headers);
-    let outgoing = Rc::new(OutgoingRequest {
+    let outgoing = OutgoingRequest {
         method: parts.method,
         target,
         headers,
@@ -132,7 +133,7 @@
         request_id: pending.request_id.clone(),
         team: caller.as_ref().map(|caller| caller.team.name.clone()),
         client_address,
-    });
+    };
     let copy = RequestCopy::new(node, &outgoing);
     if let Some(refusal) = copy.resolve_refusal(deadline).await {
         log_crash_refusal(node, &outgoing, &refusal);
@@ -156,22 +157,28 @@
         Some(of_team) => route.regions().intersection(of_team),
         None => route.regions(),
     };
-    let task = RequestTask {
-        node: Rc::clone(node),
-        started,
-        sent_to: pending.sent_to.clone(),
-        configuration,
-        route,
+    let right = SendRight::new(node, caller, token_patience(&route));
+    routed_request::RoutedRequest {
+        node,
+        pending,
+        configuration: &configuration,
+        route: &route,
         object,
         service,
-        outgoing,
-        allowed_regions,
+        outgoing: &outgoing,
+        allowed_regions: &allowed_regions,
         deadline,
-        caller,
-        copy,
-        held,
-    };
-    task.respond().await
+        progress: Progress::new(route.kind, route.attempts.max(1)),
+        tried: Vec::new(),
+        right: &right,
+        copy: &copy,
+        reserved: None,
+        token_from: None,
+        is_next_charged: false,
+        failed_response: None,
+    }
+    .run()
+    .await
 }
 
 /// Returns how long a request may wait for tokens of its team's quota or of servers' limits: afterwards its response would
--- a/crates/damaskvane-gateway/src/clients/pending.rs
+++ b/crates/damaskvane-gateway/src/clients/pending.rs
@@ -10,17 +10,6 @@
 use crate::decision_log::RequestOutcome;
 use crate::node::Node;
 
-/// The server to which a request was sent last.
-#[derive(Debug, Clone, Default)]
-pub(super) struct LastServer(Rc<RefCell<Option<ids::BackendServerId>>>);
-
-impl LastServer {
-    /// Records the server to which the request is about to be sent.
-    pub(super) fn record(&self, server: &ids::BackendServerId) {
-        *self.0.borrow_mut() = Some(server.clone());
-    }
-}
-
 /// Guard that logs a client's request if the client disconnects before the response.
 ///
 /// When a client disconnects, the future that handles its request is dropped. Without this guard the request
@@ -31,17 +20,22 @@
     pub(super) request_id: Option<String>,
     pub(super) started: TimeMs,
     is_answered: bool,
-    pub(super) sent_to: LastServer,
+    /// The server to which the request was sent last.
+    sent_to: RefCell<Option<ids::BackendServerId>>,
 }
 
 impl<'a> PendingRequest<'a> {
-    pub(super) fn new(node: &'a Rc<Node>, request_id: Option<String>, started: TimeMs) -> Self {
+    pub(super) const fn new(
+        node: &'a Rc<Node>,
+        request_id: Option<String>,
+        started: TimeMs,
+    ) -> Self {
         Self {
             node,
             request_id,
             started,
             is_answered: false,
-            sent_to: LastServer::default(),
+            sent_to: RefCell::new(None),
         }
     }
 
@@ -50,6 +44,11 @@
         self.is_answered = true;
     }
 
+    /// Records the server to which the request is about to be sent.
+    pub(super) fn record_server(&self, server: &ids::BackendServerId) {
+        *self.sent_to.borrow_mut() = Some(server.clone());
+    }
+
     /// Counts and logs that the request is rejected before a server is selected.
     pub(super) fn record_rejection(&self, reason: &str) {
         reply::count_refusal(self.node, reason);
@@ -64,7 +63,7 @@
             .log_request(now, RequestOutcome::Failure, |log, left_out| {
                 slog::info!(log, "request not served";
                     "request_id" => self.request_id.as_deref(), "reason" => reason,
-                    "backend_server" => self.sent_to.0.borrow().as_ref().map(ToString::to_string),
+                    "backend_server" => self.sent_to.borrow().as_ref().map(ToString::to_string),
                     "after_ms" => now.since(self.started).get(), "config_version" => version,
                     "evidence_age_ms" => send_right::evidence_age(self.node).map(SpanMs::get),
                     "store_age_ms" => self.node.store.age(now).get(), "lines_left_out" => left_out);
--- a/crates/damaskvane-gateway/src/clients/routed_request.rs
+++ b/crates/damaskvane-gateway/src/clients/routed_request.rs
@@ -3,7 +3,7 @@
 //! An exchange is one attempt: the request is sent to one server, and the server's response is read. The
 //! retry budget of a service (a group of servers) limits the retries of all its requests.
 
-use core::pin::Pin;
+use core::pin::pin;
 use core::time::Duration;
 use std::rc::Rc;
 
@@ -20,8 +20,7 @@
 use rand::RngExt;
 
 use crate::clients::dispatch::token_patience;
-use crate::clients::pending::LastServer;
-use crate::clients::second_copy::{CopyRole, LeftBehind, Waited};
+use crate::clients::pending::PendingRequest;
 use crate::clients::send_right::SendRight;
 use crate::crashes::{self, RequestCopy};
 use crate::decision_log::RequestOutcome;
@@ -38,9 +37,7 @@
 /// A request with its selected service, and the state of its attempts.
 pub(super) struct RoutedRequest<'a> {
     pub(super) node: &'a Rc<Node>,
-    /// Time at which the client's request arrived.
-    pub(super) started: TimeMs,
-    pub(super) sent_to: &'a LastServer,
+    pub(super) pending: &'a PendingRequest<'a>,
     pub(super) configuration: &'a Configuration,
     pub(super) route: &'a Route,
     pub(super) service: ids::ServiceId,
@@ -57,40 +54,21 @@
     /// The next server, if it was selected and charged to the retry budget before the last exchange was
     /// abandoned.
     pub(super) reserved: Option<(Pick, SendPermit)>,
+    /// The instance that granted the token for the attempt; `None` if its server had no limit.
+    pub(super) token_from: Option<ids::InstanceId>,
     /// Whether the next attempt was charged to the retry budget before.
     pub(super) is_next_charged: bool,
     /// The right to send the request: its key and its token of the quota.
     pub(super) right: &'a SendRight<'a>,
     /// The client's call as a copy of a request that may crash servers.
-    pub(super) copy: &'a RequestCopy,
+    pub(super) copy: &'a RequestCopy<'a>,
     /// The response of the last server that failed; the client gets it if no other server succeeds.
     pub(super) failed_response: Option<BackendResponse>,
-    /// The exchange whose response isn't needed any more, since another one gave the client's response.
-    pub(super) left_behind: Option<LeftBehind<'a>>,
 }
 
-/// One sending of the request to a server.
-#[derive(Debug)]
-pub(super) struct Attempt {
-    pub(super) pick: Pick,
-    pub(super) started: TimeMs,
-    /// The instance that granted the token for the attempt; `None` if its server had no limit.
-    pub(super) token_from: Option<ids::InstanceId>,
-    /// Which of two copies this is; `None` if there is only one.
-    pub(super) role: Option<CopyRole>,
-    /// Whether another exchange gave the client's response.
-    pub(super) is_left_behind: bool,
-}
-
-/// An attempt with its exchange in progress.
-pub(super) struct RunningAttempt<'a> {
-    pub(super) attempt: Attempt,
-    pub(super) exchange: Pin<Box<dyn Future<Output = ExchangeOutcome> + 'a>>,
-}
-
-impl<'a> RoutedRequest<'a> {
+impl RoutedRequest<'_> {
     /// Sends the request to one server after another until one responds or no further attempt is allowed.
-    pub(super) async fn run(&mut self) -> Response<ResponseBody> {
+    pub(super) async fn run(mut self) -> Response<ResponseBody> {
         let mut last: Option<ExchangeOutcome> = None;
         loop {
             if let Err(withheld) = self.right.acquire().await {
@@ -100,23 +78,35 @@
                 Ok(chosen) => chosen,
                 Err(refusal) => return self.refuse(last, refusal),
             };
+            self.token_from = permit.granted_by();
             let is_charged = core::mem::take(&mut self.is_next_charged);
             if last.is_some() && !is_charged && !self.spend_retry_budget(last.as_ref()) {
                 return self.final_response(last);
             }
-            let Some(outcome) = self.attempt(pick, permit).await else {
+            let started = self.node.now();
+            let Some(mut outcome) = self.attempt(&pick, &permit).await else {
+                self.tried.push(pick.server);
                 return self.respond_timeout();
             };
             if let Some(withheld) = outcome.withheld {
                 return self.withhold(last, withheld);
             }
+            let took = self.node.now().since(started);
+            self.progress.record(outcome.end, took);
+            self.record_exchange(&pick, &outcome);
             if matches!(outcome.end, ExchangeEnd::Limited | ExchangeEnd::Unavailable) {
                 self.is_next_charged = last.is_some();
                 continue;
             }
+            if outcome.end == ExchangeEnd::Failed {
+                self.failed_response = outcome.response.take();
+            }
             if outcome.end == ExchangeEnd::Answered {
                 return self.final_response(Some(outcome));
             }
+            if outcome.end != ExchangeEnd::Withdrawn {
+                self.tried.push(pick.server);
+            }
             if !self.progress.may_try_again() || self.is_refused().await {
                 return self.final_response(Some(outcome));
             }
@@ -146,7 +136,7 @@
         }
     }
 
-    pub(super) async fn permit(&self, pick: &Pick) -> Result<SendPermit, NotAdmitted> {
+    async fn permit(&self, pick: &Pick) -> Result<SendPermit, NotAdmitted> {
         let priority = self.placement_request().priority();
         let purpose = Purpose::Request { priority };
         SendPermit::acquire(self.node, &pick.server, purpose).await
@@ -210,120 +200,42 @@
         may
     }
 
-    /// Sends the request to the server of `pick`, and to a second one if the response is overdue.
-    ///
-    /// Returns how the attempt ended, which is recorded; `None` if the request's deadline passes.
-    async fn attempt(&mut self, pick: Pick, permit: SendPermit) -> Option<ExchangeOutcome> {
-        let mut running = self.start(pick, permit, None);
+    /// Runs one exchange with the server of `pick`; returns `None` if the request's deadline passes.
+    async fn attempt(&mut self, pick: &Pick, permit: &SendPermit) -> Option<ExchangeOutcome> {
+        let started = self.node.now();
+        self.pending.record_server(&pick.server);
+        let exchange = Exchange {
+            node: self.node,
+            request: self.outgoing,
+            pick,
+            deadline: self.deadline,
+            is_retry: self.progress.was_sent(),
+            allowed_regions: self.allowed_regions,
+            right: self.right,
+            permit,
+            withdrawable: self.route.kind.may_run_again().then_some(self.copy),
+        };
+        let mut running = pin!(exchange.run());
         let remaining_time = remaining(self.node, self.deadline);
         let timeout_ms = retry::attempt_timeout_ms(
             self.route,
-            &running.attempt.pick,
+            pick,
             &self.progress,
             remaining_time.as_millis() as u64,
         );
-        let ended = match self.await_or_copy(&mut running).await {
-            Waited::Ended(outcome) => Some(*outcome),
-            Waited::Copied(second) => return self.run_both(running, second).await,
-            Waited::Alone => self.await_alone(&mut running, timeout_ms).await,
-        };
-        let Some(mut outcome) = ended else {
-            self.tried.push(running.attempt.pick.server);
-            return None;
-        };
-        self.record_ended(&running.attempt, &mut outcome);
-        Some(outcome)
-    }
-
-    /// Returns an attempt whose exchange starts when it is polled; a second copy has a right of its own.
-    pub(super) fn start(
-        &self,
-        pick: Pick,
-        permit: SendPermit,
-        own_right: Option<SendRight<'a>>,
-    ) -> RunningAttempt<'a> {
-        self.sent_to.record(&pick.server);
-        let attempt = Attempt {
-            pick: pick.clone(),
-            started: self.node.now(),
-            token_from: permit.granted_by(),
-            role: own_right.as_ref().map(|_| CopyRole::Second),
-            is_left_behind: false,
-        };
-        let (node, request, deadline) = (self.node, self.outgoing, self.deadline);
-        let (allowed_regions, right) = (self.allowed_regions, self.right);
-        let is_second_copy = own_right.is_some();
-        let is_retry = self.progress.was_sent() || is_second_copy;
-        let withdrawable = self.route.kind.may_run_again().then_some(self.copy);
-        let exchange = async move {
-            let exchange = Exchange {
-                node,
-                request,
-                pick: &pick,
-                deadline,
-                is_retry,
-                allowed_regions,
-                right: own_right.as_ref().unwrap_or(right),
-                permit: &permit,
-                withdrawable,
-                is_second_copy,
-            };
-            exchange.run().await
-        };
-        RunningAttempt {
-            attempt,
-            exchange: Box::pin(exchange),
-        }
-    }
-
-    /// Waits for the end of the only exchange, which is abandoned after the timeout if another server can take the request.
-    async fn await_alone(
-        &mut self,
-        running: &mut RunningAttempt<'a>,
-        timeout_ms: Option<u64>,
-    ) -> Option<ExchangeOutcome> {
-        let RunningAttempt { attempt, exchange } = running;
         if let Some(timeout_ms) = timeout_ms {
-            let lasted_ms = self.node.now().since(attempt.started).get();
-            let timeout = Duration::from_millis(timeout_ms.saturating_sub(lasted_ms));
-            if let Ok(outcome) = tokio::time::timeout(timeout, exchange.as_mut()).await {
+            let timeout = Duration::from_millis(timeout_ms);
+            if let Ok(outcome) = tokio::time::timeout(timeout, running.as_mut()).await {
                 return Some(outcome);
             }
-            self.reserved = self
-                .reserve_alternative(&attempt.pick, attempt.started)
-                .await;
+            self.reserved = self.reserve_alternative(pick, started).await;
             self.is_next_charged = self.reserved.is_some();
             if self.is_next_charged {
                 return Some(ExchangeOutcome::abandoned());
             }
         }
         let remaining_time = remaining(self.node, self.deadline);
-        tokio::time::timeout(remaining_time, exchange.as_mut())
-            .await
-            .ok()
-    }
-
-    /// Records the end of an attempt, unless it was withheld.
-    pub(super) fn record_ended(&mut self, attempt: &Attempt, outcome: &mut ExchangeOutcome) {
-        if outcome.withheld.is_some() {
-            return;
-        }
-        let took = self.node.now().since(attempt.started);
-        self.progress.record(outcome.end, took);
-        self.record_exchange(attempt, outcome);
-        if outcome.end == ExchangeEnd::Failed {
-            self.failed_response = outcome.response.take();
-        }
-        let may_be_chosen_again = matches!(
-            outcome.end,
-            ExchangeEnd::Answered
-                | ExchangeEnd::Limited
-                | ExchangeEnd::Unavailable
-                | ExchangeEnd::Withdrawn
-        );
-        if !may_be_chosen_again {
-            self.tried.push(attempt.pick.server.clone());
-        }
+        tokio::time::timeout(remaining_time, running).await.ok()
     }
 
     /// Selects another server if the server of `pick` has responded to no request since the exchange started
@@ -358,8 +270,7 @@
     }
 
     /// Records the outcome of an exchange in metrics, response time estimates and log.
-    pub(super) fn record_exchange(&self, attempt: &Attempt, outcome: &ExchangeOutcome) {
-        let pick = &attempt.pick;
+    fn record_exchange(&self, pick: &Pick, outcome: &ExchangeOutcome) {
         let now = self.node.now();
         let end = outcome.end.as_str();
         self.node.metrics.exchanges.with_label_values(&[end]).inc();
@@ -367,7 +278,7 @@
         if outcome.end == ExchangeEnd::Answered {
             self.record_response_time(now, pick, outcome);
         }
-        let after_ms = now.since(self.started).get();
+        let after_ms = now.since(self.pending.started).get();
         let is_in_time = after_ms <= self.route.objective_ms;
         let log_kind = if outcome.end == ExchangeEnd::Answered && is_in_time {
             RequestOutcome::Success
@@ -396,8 +307,7 @@
                 "rest_left_ms" => rest.map(|one| one.known.rest.remaining(one.at).get()),
                 "rest_source" => rest.and_then(|one| one.known.rest.source()).map(StatementSource::as_str),
                 "server_leaves" => sending.map(|one| one.known.is_leaving()),
-                "token_from" => attempt.token_from.as_ref().map(ToString::to_string),
-                "second_copy" => attempt.role.map(CopyRole::as_str), "left_behind" => attempt.is_left_behind,
+                "token_from" => self.token_from.as_ref().map(ToString::to_string),
                 "running" => load.map(|load| load.running), "waiting" => load.map(|load| load.waiting),
                 "time_factor_percent" => outcome.report.time_factor.map(TimeFactor::percent),
                 "left_ms" => self.deadline.since(now).get(),
--- a/crates/damaskvane-gateway/src/crashes.rs
+++ b/crates/damaskvane-gateway/src/crashes.rs
@@ -161,18 +161,6 @@
     refusals.max_by_key(|refusal| refusal.remaining)
 }
 
-/// Returns whether a server may have crashed because of the request: it is suspect, or one of its exchanges broke or got
-/// no answer and it is unknown why.
-#[must_use]
-pub fn has_evidence(node: &Node, identity: &RequestIdentity) -> bool {
-    let broken = node.crashes.broken.borrow();
-    let list = node.crashes.list.borrow();
-    Scope::ALL.into_iter().any(|scope| {
-        let fingerprint = identity.fingerprint(scope);
-        list.is_suspect(fingerprint) || broken.contains(|one| one.has(fingerprint))
-    })
-}
-
 fn awaits_probe(node: &Node, identity: &RequestIdentity) -> bool {
     let now = node.now();
     let broken = node.crashes.broken.borrow();
--- a/crates/damaskvane-gateway/src/crashes/copy.rs
+++ b/crates/damaskvane-gateway/src/crashes/copy.rs
@@ -5,7 +5,6 @@
 
 use core::cell::{Cell, OnceCell};
 use core::time::Duration;
-use std::rc::Rc;
 
 use damaskvane_core::time::TimeMs;
 use damaskvane_dispatch::home::Home;
@@ -22,23 +21,23 @@
 
 /// One client's call. A trial ends when it is dropped.
 #[derive(Debug)]
-pub struct RequestCopy {
-    node: Rc<Node>,
-    request: Rc<OutgoingRequest>,
+pub struct RequestCopy<'a> {
+    node: &'a Node,
+    request: &'a OutgoingRequest,
     id: CopyId,
     identity: OnceCell<RequestIdentity>,
     /// Whether the copy has run as a trial.
     is_trial: Cell<bool>,
 }
 
-impl RequestCopy {
+impl<'a> RequestCopy<'a> {
     /// Returns the copy of a client's call.
     #[must_use]
-    pub fn new(node: &Rc<Node>, request: &Rc<OutgoingRequest>) -> Self {
+    pub fn new(node: &'a Node, request: &'a OutgoingRequest) -> Self {
         let id = CopyId::new(node.next_exchange_id().0);
         Self {
-            node: Rc::clone(node),
-            request: Rc::clone(request),
+            node,
+            request,
             id,
             identity: OnceCell::new(),
             is_trial: Cell::new(false),
@@ -51,7 +50,7 @@
             return None;
         }
         let identity = self.identity();
-        if let Some(refusal) = crashes::resolve_refusal(&self.node, identity).await {
+        if let Some(refusal) = crashes::resolve_refusal(self.node, identity).await {
             return Some(refusal);
         }
         if self.decide() == CopyDecision::Hold {
@@ -63,7 +62,7 @@
                 .is_err();
             if is_held {
                 return Some(
-                    crashes::current_refusal(&self.node, identity).unwrap_or(Refusal {
+                    crashes::current_refusal(self.node, identity).unwrap_or(Refusal {
                         fingerprint: identity.fingerprint(Scope::AnyCaller),
                         remaining: crashes::UNRESOLVED_REFUSAL,
                         reason: RefusalReason::OnTrial,
@@ -71,20 +70,14 @@
                 );
             }
         }
-        crashes::current_refusal(&self.node, identity)
-    }
-
-    /// Returns whether a server may have crashed because of the request.
-    #[must_use]
-    pub fn has_evidence(&self) -> bool {
-        !self.node.crashes.is_empty() && crashes::has_evidence(&self.node, self.identity())
+        crashes::current_refusal(self.node, identity)
     }
 
     /// Waits until the copy may run or is refused.
     async fn until_decided(&self) {
         let identity = self.identity();
         while self.decide() == CopyDecision::Hold
-            && crashes::current_refusal(&self.node, identity).is_none()
+            && crashes::current_refusal(self.node, identity).is_none()
         {
             let changed = self.node.crashes.changed.notified();
             let _ = tokio::time::timeout(TURN_INTERVAL, changed).await;
@@ -98,13 +91,6 @@
         }
     }
 
-    /// Waits until the copy may run at most as a trial. A trial runs on one server, so the second of two exchanges ends.
-    pub async fn until_restricted(&self) {
-        while self.decide() == CopyDecision::Run {
-            self.node.crashes.changed.notified().await;
-        }
-    }
-
     /// Records that the connection to the copy's server broke.
     pub fn record_broken(&self) {
         let now = self.node.now();
@@ -131,7 +117,7 @@
     }
 }
 
-impl Drop for RequestCopy {
+impl Drop for RequestCopy<'_> {
     fn drop(&mut self) {
         let mut list = self.node.crashes.list.borrow_mut();
         if !list.is_empty() && list.record_copy_end(self.identity(), self.id) {
--- a/crates/damaskvane-gateway/src/metrics.rs
+++ b/crates/damaskvane-gateway/src/metrics.rs
@@ -38,8 +38,6 @@
     pub retries: IntCounterVec,
     /// Retries that were not sent because the retry budget was used up.
     pub retries_denied: IntCounter,
-    /// Overdue requests for which a second copy was considered, by what became of it.
-    pub second_copies: IntCounterVec,
     /// Exchanges with backend servers (a request and its response), by how they ended.
     pub exchanges: IntCounterVec,
     /// Responses of backend servers that belonged to another request.
@@ -136,11 +134,6 @@
             )?,
             retries: factory.counters("retries_total", "Further tries", &["after"])?,
             retries_denied: factory.counter("retries_denied_total", "Tries without budget")?,
-            second_copies: factory.counters(
-                "second_copies_total",
-                "Second copies of overdue requests",
-                &["outcome"],
-            )?,
             exchanges: factory.counters("exchanges_total", "Exchanges with servers", &["end"])?,
             mismatched_responses: factory
                 .counter("foreign_answers_total", "Answers to other requests")?,
--- a/crates/damaskvane-gateway/src/node.rs
+++ b/crates/damaskvane-gateway/src/node.rs
@@ -106,8 +106,6 @@
     pub metrics: Metrics,
     /// Log of the process.
     pub log: DecisionLog,
-    /// Requests of which two copies were sent, until the exchanges of both have ended.
-    pub second_copies: Cell<usize>,
     /// Bytes of request bodies that are buffered now.
     pub buffered_body_bytes: Cell<usize>,
     /// Bytes reserved for responses that wait behind others of their connections.
@@ -182,7 +180,6 @@
             incarnation,
             metrics,
             log,
-            second_copies: Cell::new(0),
             buffered_body_bytes: Cell::new(0),
             pipelined_bytes: Cell::new(0),
             started: Instant::now(),
--- a/crates/damaskvane-gateway/src/settings.rs
+++ b/crates/damaskvane-gateway/src/settings.rs
@@ -8,7 +8,7 @@
 
 use damaskvane_core::ids;
 use damaskvane_core::time::SpanMs;
-use damaskvane_routing::{limit, peers, placement, pool, quota, retry, teams};
+use damaskvane_routing::{limit, peers, placement, pool, quota, teams};
 use damaskvane_telemetry::settings::{SettingsError, WrongValue};
 use serde::Deserialize;
 
@@ -95,9 +95,6 @@
     /// Settings of placement: to which server a request is sent, and when it is refused.
     #[serde(default)]
     pub placement: placement::PlacementSettings,
-    /// Settings of second copies of overdue requests.
-    #[serde(default)]
-    pub second_copies: retry::SecondCopySettings,
 }
 
 /// Most requests of one connection that may be at work: more would let one client take all servers' slots.
@@ -197,7 +194,7 @@
                     ),
                 })
             }
-            None => self.check_second_copies(file),
+            None => Ok(()),
             Some((key, value)) => Err(SettingsError::Wrong {
                 file: file.to_owned(),
                 wrong: WrongValue::new(key, value.to_string(), "out of range", NUMBERS_REMEDY),
@@ -205,28 +202,6 @@
         }
     }
 
-    fn check_second_copies(&self, file: &str) -> Result<(), SettingsError> {
-        let retry::SecondCopySettings {
-            overdue_factor,
-            budget_share,
-            ..
-        } = self.second_copies;
-        let wrong = if !(overdue_factor.is_finite() && overdue_factor >= 1.0) {
-            let key = "second_copies.overdue_factor";
-            (key, overdue_factor, "write a number of at least 1")
-        } else if !(0.0..=1.0).contains(&budget_share) {
-            let key = "second_copies.budget_share";
-            (key, budget_share, "write a number from 0 to 1")
-        } else {
-            return Ok(());
-        };
-        let (key, value, remedy) = wrong;
-        Err(SettingsError::Wrong {
-            file: file.to_owned(),
-            wrong: WrongValue::new(key, value.to_string(), "out of range", remedy),
-        })
-    }
-
     /// Returns the settings of the pool of backend servers.
     #[must_use]
     pub fn pool(&self) -> pool::PoolSettings {
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -65,9 +65,7 @@
     /// The permission to send a request to the server, which is used at the moment of sending.
     pub(crate) permit: &'a SendPermit,
     /// The client's call, by which the request may be withdrawn; `None` if the request may not be sent again.
-    pub withdrawable: Option<&'a RequestCopy>,
-    /// Whether another exchange of the client's call was in progress when this one was started.
-    pub is_second_copy: bool,
+    pub withdrawable: Option<&'a RequestCopy<'a>>,
 }
 
 impl Exchange<'_> {
@@ -89,7 +87,6 @@
 
     async fn until_withdrawn(&self) {
         match self.withdrawable {
-            Some(copy) if self.is_second_copy => copy.until_restricted().await,
             Some(copy) => copy.until_withdrawn().await,
             None => core::future::pending().await,
         }
--- a/crates/damaskvane-gateway/tests/settings.rs
+++ b/crates/damaskvane-gateway/tests/settings.rs
@@ -66,26 +66,3 @@
     let error = GatewaySettings::parse("test.toml", &text).expect_err("a wrong number");
     assert!(error.to_string().contains("store_history_s"));
 }
-
-/// Guards against second copies where no settings ask for them, and against settings that copy each request at once or
-/// use more than the retry budget.
-#[test]
-fn second_copies_are_off_by_default_and_bounded() {
-    assert!(!settings("").second_copies.enabled);
-    let enabled = settings("second_copies = { enabled = true }").second_copies;
-    assert!(enabled.enabled);
-    assert_eq!((enabled.overdue_factor, enabled.budget_share), (1.35, 0.5));
-    for wrong in [
-        "overdue_factor = 0.9",
-        "overdue_factor = nan",
-        "overdue_factor = inf",
-        "budget_share = 1.1",
-        "budget_share = -0.1",
-        "budget_share = nan",
-    ] {
-        let text = text(&format!("second_copies = {{ {wrong} }}"));
-        let error = GatewaySettings::parse("test.toml", &text).expect_err(wrong);
-        let key = wrong.split(' ').next().expect("a key");
-        assert!(error.to_string().contains(key), "{error}");
-    }
-}
--- a/crates/damaskvane-routing/src/limit/retry_budget.rs
+++ b/crates/damaskvane-routing/src/limit/retry_budget.rs
@@ -40,9 +40,7 @@
 pub struct RetryBudget {
     settings: RetryBudgetSettings,
     requests: Window,
-    /// Retries and second copies.
     retries: Window,
-    second_copies: Window,
 }
 
 impl RetryBudget {
@@ -53,7 +51,6 @@
             settings,
             requests: Window::new(settings.window_ms),
             retries: Window::new(settings.window_ms),
-            second_copies: Window::new(settings.window_ms),
         }
     }
 
@@ -67,41 +64,13 @@
     ///
     /// The slack is divided by `instances`, the maximum number of running instances.
     pub fn take(&mut self, now: TimeMs, instances: usize) -> bool {
-        let allowed = self.allowed(now, instances);
-        let may = self.may_take(now, allowed);
-        if may {
-            self.retries.record(now);
-        }
-        may
-    }
-
-    /// Returns whether the budget allows a second copy of a request in progress now.
-    ///
-    /// Second copies use at most `share` of the budget, so that retries after failures have the rest.
-    pub fn may_take_second_copy(&mut self, now: TimeMs, instances: usize, share: f64) -> bool {
-        let allowed = self.allowed(now, instances);
-        let copies = self.second_copies.prune_and_count(now) + 1;
-        copies as f64 <= allowed * share && self.may_take(now, allowed)
-    }
-
-    /// Records one second copy and returns `true`, or returns `false` if the budget allows none now; see
-    /// [`RetryBudget::may_take_second_copy`].
-    pub fn take_second_copy(&mut self, now: TimeMs, instances: usize, share: f64) -> bool {
-        let may = self.may_take_second_copy(now, instances, share);
-        if may {
-            self.second_copies.record(now);
-            self.retries.record(now);
-        }
-        may
-    }
-
-    fn allowed(&mut self, now: TimeMs, instances: usize) -> f64 {
         let requests = self.requests.prune_and_count(now) as f64;
         let slack = self.settings.slack / instances.max(1) as f64;
-        self.settings.ratio.mul_add(requests, slack) * self.settings.used_share
-    }
-
-    fn may_take(&mut self, now: TimeMs, allowed: f64) -> bool {
-        (self.retries.prune_and_count(now) + 1) as f64 <= allowed
+        let allowed = self.settings.ratio.mul_add(requests, slack) * self.settings.used_share;
+        if (self.retries.prune_and_count(now) + 1) as f64 > allowed {
+            return false;
+        }
+        self.retries.record(now);
+        true
     }
 }
--- a/crates/damaskvane-routing/src/placement/placer.rs
+++ b/crates/damaskvane-routing/src/placement/placer.rs
@@ -212,49 +212,9 @@
         request: &PlacementRequest<'_>,
         instances: usize,
     ) -> Choice {
-        let best = self.best(now, pool, configuration, request, instances);
-        match best {
-            None => self.refuse(RefusalReason::NoServer, request),
-            Some((Ok(pick), home)) => self.send(now, pool, request, home, pick),
-            Some((Err(rejection), _)) => self.reject(now, rejection, request),
-        }
-    }
-
-    /// Selects the server for a second copy of a request in progress, in the region of the last server tried, if that is
-    /// the home region of the request's object.
-    ///
-    /// Second copies are not among the requests of which only a limited share may change its region, so none changes it.
-    pub fn choose_second(
-        &mut self,
-        now: TimeMs,
-        pool: &ServerPool,
-        configuration: &Configuration,
-        request: &PlacementRequest<'_>,
-        instances: usize,
-    ) -> Option<Pick> {
-        let best = self.best(now, pool, configuration, request, instances);
-        let (Ok(pick), home) = best? else {
-            return None;
+        let Some(search) = self.search(now, pool, request) else {
+            return self.refuse(RefusalReason::NoServer, request);
         };
-        let home = home.and_then(|home| pool.at(home)?.region());
-        let region_of = |server| pool.server(server).and_then(Server::region);
-        let region = region_of(&pick.server);
-        let first_region = request.tried.last().and_then(region_of);
-        let is_in_time = pick.min_ms <= request.remaining_ms as f64;
-        (region == home && region == first_region && is_in_time).then_some(pick)
-    }
-
-    /// Returns the best server or why there is none, and the first server of the request's object; `None` if the service
-    /// has no server.
-    fn best(
-        &mut self,
-        now: TimeMs,
-        pool: &ServerPool,
-        configuration: &Configuration,
-        request: &PlacementRequest<'_>,
-        instances: usize,
-    ) -> Option<(Result<Pick, Rejection>, Option<ServerHandle>)> {
-        let search = self.search(now, pool, request)?;
         let mut candidates = core::mem::take(&mut self.candidates);
         candidates.find(pool, request, search);
         let service = configuration.service(request.service);
@@ -277,7 +237,10 @@
         }
         let home = candidates.found().first().copied();
         self.candidates = candidates;
-        Some((best, home))
+        match best {
+            Ok(pick) => self.send(now, pool, request, home, pick),
+            Err(rejection) => self.reject(now, rejection, request),
+        }
     }
 
     /// Returns the selected server, or a refusal if no response is possible before the request's deadline.
--- a/crates/damaskvane-routing/src/pool/server.rs
+++ b/crates/damaskvane-routing/src/pool/server.rs
@@ -60,8 +60,6 @@
     peer_load: PeerLoad,
     /// Last load report from the server and its time, until it was sent to the zone's other instances.
     last_report: Option<(TimeMs, LoadReport)>,
-    /// Whether the last report to this instance had the speed of the server's machine.
-    reports_speed: bool,
     /// Last load per slot that the server reported, for the region's load; excludes peers' reports of busy servers.
     load_sample: Option<(TimeMs, f64)>,
     /// Whether the last report to the zone reported a queue.
@@ -98,7 +96,6 @@
             requests: BTreeMap::new(),
             peer_load: PeerLoad::default(),
             last_report: None,
-            reports_speed: false,
             load_sample: None,
             is_reported_busy: false,
             machine_speed: MachineSpeed::default(),
@@ -254,12 +251,6 @@
             .is_some_and(|at| now.since(*at).get() < RECENT_OBJECT_MS)
     }
 
-    /// Returns whether the server reports the speed of its machine.
-    #[must_use]
-    pub const fn reports_speed(&self) -> bool {
-        self.reports_speed
-    }
-
     /// Records a request that is sent now and usually takes `expected_ms`.
     pub fn record_sent(&mut self, now: TimeMs, exchange: ExchangeId, expected_ms: f64) {
         self.cold_rate.record(now);
@@ -282,7 +273,6 @@
         if let Some(load) = report.load {
             self.peer_load.record(now, load, self.requests.len());
             self.last_report = Some((now, load));
-            self.reports_speed = report.time_factor.is_some();
             self.load_sample = Some((now, self.load_without_request(load)));
         }
         if let Some(factor) = report.time_factor.filter(|_| !report.is_other_server) {
--- a/crates/damaskvane-routing/src/retry.rs
+++ b/crates/damaskvane-routing/src/retry.rs
@@ -13,12 +13,8 @@
 //! assert!(!progress.is_proven_not_run());
 //! ```
 
-mod second_copy;
-
 use damaskvane_core::time::SpanMs;
 
-pub use second_copy::{Denial, OverdueRequest, SecondCopySettings};
-
 use crate::configuration::{Route, RouteKind};
 use crate::placement::Pick;
 use crate::pool::ExchangeEnd;
