Pools of a team earn faster while the part of its bound that is kept for a burst is unused

Cause: a pool earned a fixed rate and held at most its capacity, both within one bound. The capacity's part of the bound was unused while the pool was empty, which is when the team is refused. A pool that had asked others for tokens also kept all its free room for them, and lost what it earned itself meanwhile.

Change: with `uses_unused_burst` (no settings key yet), a pool earns (bound - peak) / time, where peak is its highest exposure in the window and a token's time to live: tokens held, on their way to it, or taken and returned later. A new process, and a pool whose limit has changed, count the largest exposure for that time. Part of the room stays for a pool's own earnings while it borrows, in both ways. In both ways too, lent tokens are added only to room that is still reserved, and a token returns only while a taken one may be alive: late messages could add tokens from nowhere.

--- a/crates/damaskvane-routing/src/quota.rs
+++ b/crates/damaskvane-routing/src/quota.rs
@@ -20,7 +20,10 @@
 mod holders;
 mod pool;
 mod pool_limit;
+mod pool_state;
 mod pools;
+mod recent_count;
+mod recent_peak;
 mod server_limit_settings;
 mod server_share;
 mod server_shares;
@@ -29,6 +32,7 @@
 pub use holders::{Holder, HolderTable};
 pub use pool::TokenPool;
 pub use pool_limit::PoolLimit;
+pub use pool_state::PoolState;
 pub use pools::{Denial, TokenPools};
 pub use server_limit_settings::ServerLimitSettings;
 pub use server_share::{LEASE, MAX_REPLY, ServerShare, ShareTerms};
--- a/crates/damaskvane-routing/src/quota/pools.rs
+++ b/crates/damaskvane-routing/src/quota/pools.rs
@@ -4,7 +4,7 @@
 
 use damaskvane_core::time::TimeMs;
 
-use crate::quota::{PoolLimit, QuotaSettings, TokenPool};
+use crate::quota::{PoolLimit, PoolState, QuotaSettings, TokenPool};
 use crate::teams::{Quota, TeamKey};
 
 /// A refusal, because the team has used its quota.
@@ -95,6 +95,13 @@
         }
     }
 
+    /// Returns the state of a team's pool, or `None` if this instance has not used it.
+    pub fn state(&mut self, now: TimeMs, team: TeamKey, quota: Quota) -> Option<PoolState> {
+        let limit = self.settings.pool_limit(quota);
+        let pool = self.pools.get_mut(&team)?;
+        Some(pool.state(now, limit))
+    }
+
     fn pool(&mut self, team: TeamKey, quota: Quota) -> (&mut TokenPool, PoolLimit) {
         let earns_from = self.earns_from;
         let pool = self.pools.entry(team);
--- a/crates/damaskvane-routing/src/quota/settings.rs
+++ b/crates/damaskvane-routing/src/quota/settings.rs
@@ -22,6 +22,9 @@
     pub pools: usize,
     /// Time from the request for a token until the request that uses it must have been sent.
     pub token_ttl_ms: u64,
+    /// Whether pools earn faster while the part of the bound that is reserved for a burst is unused, and keep their
+    /// last tokens for urgent requests.
+    pub uses_unused_burst: bool,
 }
 
 impl Default for QuotaSettings {
@@ -32,6 +35,7 @@
             slack: 0.0,
             pools: 1,
             token_ttl_ms: 100,
+            uses_unused_burst: false,
         }
     }
 }
@@ -52,17 +56,22 @@
         let pools = self.pools.max(1) as f64;
         if used >= bound {
             let share = bound / used.max(f64::MIN_POSITIVE) / pools;
-            return PoolLimit {
-                rate_per_s: rate_per_s * share,
-                capacity: burst * share,
-            };
+            return self.of_pool(rate_per_s * share, burst * share);
         }
         let spare = bound - used;
         let more_burst = (MIN_POOL_TOKENS * pools - burst).clamp(0.0, spare);
         let more_rate = (spare - more_burst) / exposed_s;
+        let rate_per_s = (rate_per_s + more_rate) / pools;
+        self.of_pool(rate_per_s, (burst + more_burst) / pools)
+    }
+
+    const fn of_pool(&self, rate_per_s: f64, capacity: f64) -> PoolLimit {
         PoolLimit {
-            rate_per_s: (rate_per_s + more_rate) / pools,
-            capacity: (burst + more_burst) / pools,
+            rate_per_s,
+            capacity,
+            window_ms: self.window_ms,
+            token_ttl_ms: self.token_ttl_ms,
+            uses_unused_burst: self.uses_unused_burst,
         }
     }
 }
--- a/crates/damaskvane-routing/tests/quota.rs
+++ b/crates/damaskvane-routing/tests/quota.rs
@@ -133,6 +133,16 @@
 /// Guards against a sum over all pools beyond the bound, after any losses, delays, restarts and returns.
 #[test]
 fn no_window_of_any_history_holds_more_requests_than_the_bound() {
+    play_all(false);
+}
+
+/// Guards against the same with a rate that rises while a pool holds little.
+#[test]
+fn no_window_of_pools_that_use_an_unused_burst_holds_more_requests_than_the_bound() {
+    play_all(true);
+}
+
+fn play_all(uses_unused_burst: bool) {
     let quotas = [
         (5.0, 5.0),
         (50.0, 50.0),
@@ -143,7 +153,10 @@
     for (rate_per_s, burst) in quotas {
         let quota = Quota { rate_per_s, burst };
         for (pools, over, slack) in [(1, 0.0, 0.0), (3, 0.1, 20.0), (6, 0.1, 20.0), (6, 0.0, 0.0)] {
-            let settings = settings(pools, over, slack);
+            let settings = QuotaSettings {
+                uses_unused_burst,
+                ..settings(pools, over, slack)
+            };
             for seed in 0..6 {
                 for demand in [0.5, 2.0, 6.0] {
                     let sent = play(seed, settings, quota, rate_per_s * demand / 1_000.0);
@@ -238,8 +251,18 @@
 /// Guards against refusals of a team that is well below its quota, when its requests move to one zone.
 #[test]
 fn a_pool_with_all_requests_of_a_team_borrows_what_it_needs() {
-    let settings = settings(6, 0.1, 20.0);
-    for rate_per_s in [2.0, 20.0, 200.0] {
+    for (rate_per_s, uses_unused_burst) in [
+        (2.0, false),
+        (20.0, false),
+        (200.0, false),
+        (2.0, true),
+        (20.0, true),
+        (200.0, true),
+    ] {
+        let settings = QuotaSettings {
+            uses_unused_burst,
+            ..settings(6, 0.1, 20.0)
+        };
         let quota = Quota {
             rate_per_s,
             burst: rate_per_s,
--- a/crates/damaskvane-routing/tests/quota_exhaustive.rs
+++ b/crates/damaskvane-routing/tests/quota_exhaustive.rs
@@ -16,6 +16,11 @@
     slack: 0.0,
     pools: 2,
     token_ttl_ms: 100,
+    uses_unused_burst: false,
+};
+const USING_BURST: QuotaSettings = QuotaSettings {
+    uses_unused_burst: true,
+    ..SETTINGS
 };
 /// Number of events of a history, each followed by a pause.
 const DEPTH: usize = 8;
@@ -60,6 +65,7 @@
 
 #[derive(Debug, Clone)]
 struct World {
+    settings: [QuotaSettings; 2],
     now_ms: u64,
     pools: [TokenPools; 2],
     incarnations: [u64; 2],
@@ -69,11 +75,11 @@
 }
 
 impl World {
-    fn new() -> Self {
-        let pool = || TokenPools::new(SETTINGS, TimeMs::ZERO);
+    fn new(settings: [QuotaSettings; 2]) -> Self {
         Self {
+            settings,
             now_ms: 60_000,
-            pools: [pool(), pool()],
+            pools: settings.map(|one| TokenPools::new(one, TimeMs::ZERO)),
             incarnations: [0; 2],
             loans: Vec::new(),
             taken: Vec::new(),
@@ -115,7 +121,7 @@
                 self.pools[loan.to].release(TEAM, loan.reserved - arrived);
             }
             Event::Restart(pool) => {
-                self.pools[pool] = TokenPools::new(SETTINGS, now);
+                self.pools[pool] = TokenPools::new(self.settings[pool], now);
                 self.incarnations[pool] += 1;
             }
             Event::Return => {
@@ -179,12 +185,29 @@
     }
 }
 
+fn search_all(settings: [QuotaSettings; 2]) {
+    let mut count = 0;
+    let world = World::new(settings);
+    search(&world, DEPTH_IN_BUILD, &mut Vec::new(), &mut count);
+    assert!(count > 100_000, "{count} histories");
+}
+
 /// Guards against an order of few events after which a window holds more requests than the bound.
 #[test]
 fn no_short_history_of_two_pools_exceeds_the_bound() {
-    let mut count = 0;
-    search(&World::new(), DEPTH_IN_BUILD, &mut Vec::new(), &mut count);
-    assert!(count > 100_000, "{count} histories");
+    search_all([SETTINGS; 2]);
+}
+
+/// Guards against the same with a rate that rises while a pool holds little.
+#[test]
+fn no_short_history_of_pools_that_use_an_unused_burst_exceeds_the_bound() {
+    search_all([USING_BURST; 2]);
+}
+
+/// Guards against the same while one pool is held by a process that has the key off.
+#[test]
+fn no_short_history_of_two_different_pools_exceeds_the_bound() {
+    search_all([USING_BURST, SETTINGS]);
 }
 
 /// An unoptimised build searches one event less, in the same time.
--- a/crates/damaskvane-routing/tests/support/limit_world/design.rs
+++ b/crates/damaskvane-routing/tests/support/limit_world/design.rs
@@ -9,6 +9,8 @@
 const WINDOW_S: f64 = 4.0;
 const EXPOSED_S: f64 = 4.2;
 const SLACK: f64 = 5.0;
+const WINDOW_MS: u64 = 4_000;
+const TOKEN_TTL_MS: u64 = 100;
 
 /// A way to keep to a server's limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,6 +44,9 @@
             return PoolLimit {
                 rate_per_s: rate.per_s() / pools,
                 capacity: 1.0,
+                window_ms: WINDOW_MS,
+                token_ttl_ms: TOKEN_TTL_MS,
+                uses_unused_burst: false,
             };
         }
         let bound = rate.per_s() * WINDOW_S + SLACK;
@@ -51,6 +56,9 @@
         PoolLimit {
             rate_per_s: rate_per_s / pools,
             capacity: (bound - rate_per_s * EXPOSED_S) / pools,
+            window_ms: WINDOW_MS,
+            token_ttl_ms: TOKEN_TTL_MS,
+            uses_unused_burst: false,
         }
     }
 }
