A team's urgent requests get the last tokens of a pool; the key quota_uses_unused_burst, log fields and a counter

Cause: a request took any whole token, whatever its priority, and an operator could not tell a team over its limit from tokens that lie in another zone.

A request of priority p needs 1 + min(p, 2) x 0.5 tokens in the pool; the part beyond one is at most 45% of what the capacity has beyond one. The priority is sent in a new variant at the end of `QuotaWire`, and only if it is above 0 and the key is on; requests of priority 0 have the old form.

`request not served` with `over_quota` names the level, rate and demand of the zone's pool if this instance holds it.

--- a/crates/damaskvane-bench/src/quotas/ledger.rs
+++ b/crates/damaskvane-bench/src/quotas/ledger.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 
 use damaskvane_core::time::TimeMs;
-use damaskvane_routing::quota::{QuotaSettings, TokenPools};
+use damaskvane_routing::quota::{MOST_URGENT, QuotaSettings, TokenPools};
 use damaskvane_routing::teams::{Quota, TeamKey};
 use serde::Serialize;
 
@@ -82,7 +82,11 @@
     pub(super) fn record_request(&mut self, now_ms: u64, number: u64, team: usize, quota: Quota) {
         self.requests += 1;
         let key = TeamKey(team as u64);
-        if self.central.take(TimeMs::new(now_ms), key, quota).is_ok() {
+        if self
+            .central
+            .take(TimeMs::new(now_ms), key, quota, MOST_URGENT)
+            .is_ok()
+        {
             self.permitted.insert(number, now_ms);
             self.parts[(now_ms / PART_MS) as usize].permitted += 1;
         }
--- a/crates/damaskvane-bench/src/quotas/pools.rs
+++ b/crates/damaskvane-bench/src/quotas/pools.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use damaskvane_core::time::TimeMs;
-use damaskvane_routing::quota::TokenPools;
+use damaskvane_routing::quota::{MOST_URGENT, TokenPools};
 use damaskvane_routing::teams::{Quota, TeamKey};
 use rand_pcg::Pcg64Mcg;
 
@@ -86,14 +86,22 @@
     fn take(&mut self, now_ms: u64, asked: &Asked) -> bool {
         let pools = self.pools(asked.zone, asked.team);
         let team = TeamKey(asked.team as u64);
-        pools.take(TimeMs::new(now_ms), team, asked.quota).is_ok()
+        pools
+            .take(TimeMs::new(now_ms), team, asked.quota, MOST_URGENT)
+            .is_ok()
     }
 
     fn start_round(&mut self, random: &mut Pcg64Mcg, now_ms: u64, asked: Asked) {
         let (zone, team) = (asked.zone, asked.team);
         let now = TimeMs::new(now_ms);
         let pools = self.pools(zone, team);
-        let each = pools.reserve(now, TeamKey(team as u64), asked.quota, ZONES - 1);
+        let each = pools.reserve(
+            now,
+            TeamKey(team as u64),
+            asked.quota,
+            ZONES - 1,
+            MOST_URGENT,
+        );
         self.last_round += 1;
         let round = self.last_round;
         for to in (0..ZONES).filter(|to| *to != zone) {
--- a/crates/damaskvane-bench/src/quotas/shares.rs
+++ b/crates/damaskvane-bench/src/quotas/shares.rs
@@ -1,7 +1,7 @@
 //! Equal shares: each instance has its part of each quota, and no message is sent.
 
 use damaskvane_core::time::TimeMs;
-use damaskvane_routing::quota::TokenPools;
+use damaskvane_routing::quota::{MOST_URGENT, TokenPools};
 use damaskvane_routing::teams::TeamKey;
 use rand_pcg::Pcg64Mcg;
 
@@ -26,7 +26,12 @@
 impl Way for Shares {
     fn ask(&mut self, _: &mut Pcg64Mcg, now_ms: u64, asked: Asked) -> Option<Decided> {
         let pools = &mut self.instances[asked.instance];
-        let taken = pools.take(TimeMs::new(now_ms), TeamKey(asked.team as u64), asked.quota);
+        let taken = pools.take(
+            TimeMs::new(now_ms),
+            TeamKey(asked.team as u64),
+            asked.quota,
+            MOST_URGENT,
+        );
         Some(Decided {
             number: asked.number,
             team: asked.team,
--- a/crates/damaskvane-gateway/src/clients/dispatch.rs
+++ b/crates/damaskvane-gateway/src/clients/dispatch.rs
@@ -156,7 +156,9 @@
         Some(of_team) => route.regions().intersection(of_team),
         None => route.regions(),
     };
-    let right = SendRight::new(node, caller, token_patience(&route));
+    let of_team = caller.as_ref().and_then(|caller| caller.team.priority);
+    let priority = of_team.unwrap_or(route.priority);
+    let right = SendRight::new(node, caller, priority, token_patience(&route));
     routed_request::RoutedRequest {
         node,
         pending,
--- a/crates/damaskvane-gateway/src/clients/send_right.rs
+++ b/crates/damaskvane-gateway/src/clients/send_right.rs
@@ -13,6 +13,9 @@
 /// Time after which holders of quotas that are starting are asked again, in milliseconds.
 const HOLDERS_START_MS: u64 = 40;
 
+/// Label of requests that were refused since their team has used its quota.
+pub(crate) const OVER_QUOTA: &str = "over_quota";
+
 /// Reason why a request may not be sent now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Withheld {
@@ -35,7 +38,7 @@
         match self {
             Self::KeyRevoked => "key_revoked",
             Self::ConfigurationOutdated => "stale_configuration",
-            Self::OverQuota { .. } => "over_quota",
+            Self::OverQuota { .. } => OVER_QUOTA,
             Self::QuotaUnknown => "quota_unknown",
         }
     }
@@ -46,6 +49,8 @@
 pub(crate) struct SendRight<'a> {
     node: &'a Rc<Node>,
     caller: Option<Caller>,
+    /// Priority of the request; 0 is the most urgent.
+    priority: u32,
     token: RefCell<Option<Token>>,
     /// How long the request may wait for a token.
     patience: SpanMs,
@@ -55,10 +60,16 @@
 
 impl<'a> SendRight<'a> {
     /// Creates the right of a request of `caller`, which holds no token yet; `None` for a request without a team.
-    pub(super) const fn new(node: &'a Rc<Node>, caller: Option<Caller>, patience: SpanMs) -> Self {
+    pub(super) const fn new(
+        node: &'a Rc<Node>,
+        caller: Option<Caller>,
+        priority: u32,
+        patience: SpanMs,
+    ) -> Self {
         Self {
             node,
             caller,
+            priority,
             token: RefCell::new(None),
             patience,
             waited: Cell::new(SpanMs::new(0)),
@@ -95,7 +106,7 @@
     /// the same moment, or its pools may have just begun to fill.
     async fn take_token(&self, caller: &Caller, quota: Quota) -> Result<Token, Withheld> {
         loop {
-            let acquired = quota::acquire(self.node, caller.team.key(), quota).await;
+            let acquired = quota::acquire(self.node, caller.team.key(), quota, self.priority).await;
             let (withheld, wait_ms) = match acquired {
                 Ok(token) => return Ok(token),
                 Err(QuotaRefusal::Used { retry_after_ms }) => {
--- a/crates/damaskvane-gateway/src/clients/unserved.rs
+++ b/crates/damaskvane-gateway/src/clients/unserved.rs
@@ -3,14 +3,16 @@
 use damaskvane_core::time::SpanMs;
 use damaskvane_routing::placement::{Refusal, RefusalReason};
 use damaskvane_routing::pool::{ExchangeEnd, RestStatement};
+use damaskvane_routing::quota::PoolState;
 use damaskvane_routing::teams::Quota;
 use hyper::{Response, StatusCode};
 use rand::RngExt;
 
 use crate::clients::routed_request::{REJECTED_RETRY_AFTER_MS, RoutedRequest};
-use crate::clients::send_right::Withheld;
+use crate::clients::send_right::{OVER_QUOTA, Withheld};
 use crate::clients::{reply, send_right};
 use crate::decision_log::RequestOutcome;
+use crate::quota;
 use crate::upstream::{ExchangeOutcome, ResponseBody};
 
 impl RoutedRequest<'_> {
@@ -122,6 +124,15 @@
         self.right.caller()?.team.quota
     }
 
+    /// Returns the state of the team's pool in this zone for a request that was refused since it has no token.
+    fn quota_pool(&self, reason: &str) -> Option<PoolState> {
+        let caller = self.right.caller()?;
+        let is_over_quota = reason == OVER_QUOTA;
+        is_over_quota
+            .then(|| quota::pool_state(self.node, caller.team.key()))
+            .flatten()
+    }
+
     fn reject(&self, retry_after_ms: u64) -> Response<ResponseBody> {
         reply::count_refusal(self.node, "turned_away");
         self.log_not_served("turned_away", Some(retry_after_ms));
@@ -138,6 +149,7 @@
             self.node.metrics.team_refusals.record(team);
         }
         let now = self.node.now();
+        let pool = self.quota_pool(reason);
         let (limited_servers, resting_servers) = {
             let pool = &self.node.state.borrow().pool;
             (pool.limited().len(), pool.resting(now).count())
@@ -151,6 +163,9 @@
                 "team" => self.outgoing.team.as_ref().map(ToString::to_string),
                 "quota_per_s" => self.quota().map(|quota| quota.rate_per_s),
                 "quota_burst" => self.quota().map(|quota| quota.burst),
+                "quota_level" => pool.map(|pool| pool.level),
+                "quota_rate_per_s" => pool.map(|pool| pool.rate_per_s),
+                "quota_demand_per_s" => pool.map(|pool| pool.demand_per_s),
                 "evidence_age_ms" => send_right::evidence_age(self.node).map(SpanMs::get),
                 "limited_servers" => limited_servers, "resting_servers" => resting_servers,
                 "retry_after_ms" => retry_after_ms, "tried" => self.tried.len(),
--- a/crates/damaskvane-gateway/src/messages/quota_wire.rs
+++ b/crates/damaskvane-gateway/src/messages/quota_wire.rs
@@ -1,5 +1,6 @@
 //! Encoded form of messages on quotas. Postcard encodes fields and variants by position.
 
+use damaskvane_routing::quota::MOST_URGENT;
 use damaskvane_routing::teams::TeamKey;
 use serde::{Deserialize, Serialize};
 
@@ -21,11 +22,28 @@
     Return {
         team: u64,
     },
+    /// A request for tokens that is not the most urgent; an older process can't decode it.
+    RequestOfPriority {
+        id: u32,
+        team: u64,
+        millitokens: u32,
+        is_for_pool: bool,
+        priority: u32,
+    },
 }
 
 impl QuotaWire {
     pub(super) const fn of(message: &QuotaMessage) -> Self {
         match message {
+            QuotaMessage::Request(request) if request.priority > MOST_URGENT => {
+                Self::RequestOfPriority {
+                    id: request.id,
+                    team: request.team.0,
+                    millitokens: request.millitokens,
+                    is_for_pool: matches!(request.token_use, TokenUse::Pool),
+                    priority: request.priority,
+                }
+            }
             QuotaMessage::Request(request) => Self::Request {
                 id: request.id,
                 team: request.team.0,
@@ -48,16 +66,14 @@
                 team,
                 millitokens,
                 is_for_pool,
-            } => QuotaMessage::Request(QuotaRequest {
+            } => request(id, team, millitokens, is_for_pool, MOST_URGENT),
+            Self::RequestOfPriority {
                 id,
-                team: TeamKey(team),
+                team,
                 millitokens,
-                token_use: if is_for_pool {
-                    TokenUse::Pool
-                } else {
-                    TokenUse::Request
-                },
-            }),
+                is_for_pool,
+                priority,
+            } => request(id, team, millitokens, is_for_pool, priority),
             Self::Reply {
                 id,
                 millitokens,
@@ -71,3 +87,24 @@
         }
     }
 }
+
+const fn request(
+    id: u32,
+    team: u64,
+    millitokens: u32,
+    is_for_pool: bool,
+    priority: u32,
+) -> QuotaMessage {
+    let token_use = if is_for_pool {
+        TokenUse::Pool
+    } else {
+        TokenUse::Request
+    };
+    QuotaMessage::Request(QuotaRequest {
+        id,
+        team: TeamKey(team),
+        millitokens,
+        token_use,
+        priority,
+    })
+}
--- a/crates/damaskvane-gateway/src/metrics.rs
+++ b/crates/damaskvane-gateway/src/metrics.rs
@@ -6,8 +6,8 @@
 use hyper::Response;
 use prometheus::core::Collector;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-    IntGaugeVec, Opts, Registry, TextEncoder,
+    CounterVec, Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec,
+    IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 use crate::costs::Costs;
@@ -84,6 +84,8 @@
     pub servers_told_leaving: IntCounterVec,
     /// Requests for tokens of servers with a limit, by outcome.
     pub limit_tokens: IntCounterVec,
+    /// Tokens of teams' quotas, by where they came from, and those that this instance held until they expired.
+    pub quota_tokens: CounterVec,
     /// Datagrams that could not be decoded.
     pub invalid_datagrams: IntCounter,
     /// Clients' lookups that were received.
@@ -212,6 +214,11 @@
                 "Tokens of servers with a limit asked for",
                 &["outcome"],
             )?,
+            quota_tokens: factory.sums(
+                "quota_tokens_total",
+                "Tokens of teams' quotas",
+                &["source"],
+            )?,
             invalid_datagrams: factory
                 .counter("unread_datagrams_total", "Datagrams that are no message")?,
             lookups: factory.counter("look_ups_total", "Look-ups answered")?,
@@ -289,6 +296,17 @@
         Ok(counters)
     }
 
+    fn sums(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+    ) -> Result<CounterVec, prometheus::Error> {
+        let counters = CounterVec::new(Opts::new(name, help), labels)?;
+        self.registry.register(Box::new(counters.clone()))?;
+        Ok(counters)
+    }
+
     fn counter(&self, name: &str, help: &str) -> Result<IntCounter, prometheus::Error> {
         let counter = IntCounter::new(name, help)?;
         self.registry.register(Box::new(counter.clone()))?;
@@ -358,6 +376,9 @@
         let carried = node.carried_tunnels.get();
         metrics.open_carried_tunnels.set(carried as i64);
         metrics.update_team_refusals();
+        let earned = node.quotas.pools.borrow_mut().take_earned();
+        let tokens = metrics.quota_tokens.with_label_values(&["earned"]);
+        tokens.inc_by(earned);
         let evidence_age = node.evidence.age(node.continuous_now());
         let evidence_age_ms = evidence_age.map_or(-1, |age| age.get() as i64);
         metrics.evidence_age_ms.set(evidence_age_ms);
--- a/crates/damaskvane-gateway/src/quota.rs
+++ b/crates/damaskvane-gateway/src/quota.rs
@@ -11,7 +11,7 @@
 mod token;
 
 pub use client::{QuotaRefusal, acquire, give_back};
-pub use service::handle_message;
+pub use service::{handle_message, pool_state};
 pub use token::{QuotaMessage, QuotaReply, QuotaRequest, Token, TokenUse};
 
 use std::cell::{Cell, RefCell};
--- a/crates/damaskvane-gateway/src/quota/client.rs
+++ b/crates/damaskvane-gateway/src/quota/client.rs
@@ -5,7 +5,7 @@
 
 use damaskvane_core::ids;
 use damaskvane_core::time::{SpanMs, TimeMs};
-use damaskvane_routing::quota::{Denial, Holder};
+use damaskvane_routing::quota::{Denial, Holder, MOST_URGENT};
 use damaskvane_routing::teams::{Quota, TeamKey};
 use rand::seq::SliceRandom;
 use tokio::sync::oneshot;
@@ -36,26 +36,31 @@
     Unreachable,
 }
 
-/// Acquires a token for one request of a team: from the pool of this instance's zone, or if its holder doesn't reply,
+/// Acquires a token for one request of a team, with its priority, 0 being the most urgent: from the pool of this instance's zone, or if its holder doesn't reply,
 /// from the pool of another zone.
 ///
 /// # Errors
 ///
 /// Returns the reason if there is no token.
-pub async fn acquire(node: &Rc<Node>, team: TeamKey, quota: Quota) -> Result<Token, QuotaRefusal> {
+pub async fn acquire(
+    node: &Rc<Node>,
+    team: TeamKey,
+    quota: Quota,
+    priority: u32,
+) -> Result<Token, QuotaRefusal> {
     let settings = node.settings();
     let ttl = SpanMs::new(settings.quota().token_ttl_ms);
     for (holder, is_own_zone) in holders(node, team) {
         let expires_at = node.continuous_now() + ttl;
         let taken = if holder.instance == settings.instance {
-            Some(lending::take_or_borrow(node, team, quota).await)
+            Some(lending::take_or_borrow(node, team, quota, priority).await)
         } else {
             let timeout = if is_own_zone {
                 OWN_ZONE_TIMEOUT
             } else {
                 OTHER_ZONE_TIMEOUT
             };
-            request_token(node, &holder, team, timeout).await
+            request_token(node, &holder, team, priority, timeout).await
         };
         let token = Token {
             team,
@@ -69,7 +74,8 @@
                     retry_after_ms: denial.retry_after_ms,
                 });
             }
-            Some(Ok(())) | None => {}
+            Some(Ok(())) => count_expired(node),
+            None => {}
         }
     }
     Err(QuotaRefusal::Unreachable)
@@ -78,6 +84,7 @@
 /// Puts back a token whose request was certainly not run.
 pub fn give_back(node: &Rc<Node>, token: &Token) {
     if !token.is_usable(node.continuous_now()) {
+        count_expired(node);
         return;
     }
     if token.holder == node.settings().instance {
@@ -92,6 +99,11 @@
     }
 }
 
+fn count_expired(node: &Node) {
+    let counter = &node.metrics.quota_tokens;
+    counter.with_label_values(&["expired"]).inc();
+}
+
 /// Returns the holders to ask in order, each with whether it is in this instance's zone: the own zone's first, then
 /// those of the own region.
 fn holders(node: &Rc<Node>, team: TeamKey) -> Vec<(Holder, bool)> {
@@ -133,9 +145,21 @@
     node: &Rc<Node>,
     holder: &Holder,
     team: TeamKey,
+    priority: u32,
     timeout: Duration,
 ) -> Option<Result<(), Denial>> {
-    let pending = PendingReply::request(node, holder, team, 1_000, TokenUse::Request);
+    let request = QuotaRequest {
+        id: node.quotas.next_id(),
+        team,
+        millitokens: 1_000,
+        token_use: TokenUse::Request,
+        priority: if node.settings().quota_uses_unused_burst {
+            priority
+        } else {
+            MOST_URGENT
+        },
+    };
+    let pending = PendingReply::request(node, holder, request);
     let Some(reply) = pending.receive(timeout).await else {
         let until: TimeMs = node.continuous_now() + UNRESPONSIVE;
         let mut unresponsive = node.quotas.unresponsive.borrow_mut();
@@ -159,22 +183,10 @@
 
 impl PendingReply {
     /// Sends a request for tokens.
-    pub(super) fn request(
-        node: &Rc<Node>,
-        holder: &Holder,
-        team: TeamKey,
-        millitokens: u32,
-        token_use: TokenUse,
-    ) -> Self {
-        let id = node.quotas.next_id();
+    pub(super) fn request(node: &Rc<Node>, holder: &Holder, request: QuotaRequest) -> Self {
+        let id = request.id;
         let (sender, receiver) = oneshot::channel();
         node.quotas.pending.borrow_mut().insert(id, sender);
-        let request = QuotaRequest {
-            id,
-            team,
-            millitokens,
-            token_use,
-        };
         let message = Message::Quota(QuotaMessage::Request(request));
         node.outbox.send(message, vec![holder.peer_address]);
         Self {
--- a/crates/damaskvane-gateway/src/quota/service.rs
+++ b/crates/damaskvane-gateway/src/quota/service.rs
@@ -3,7 +3,7 @@
 use std::net;
 use std::rc::Rc;
 
-use damaskvane_routing::quota::Denial;
+use damaskvane_routing::quota::{Denial, PoolState};
 use damaskvane_routing::teams::{Quota, TeamKey};
 
 use crate::messages::Message;
@@ -38,7 +38,8 @@
         TokenUse::Request => {
             let node = Rc::clone(node);
             tokio::task::spawn_local(async move {
-                let taken = lending::take_or_borrow(&node, request.team, quota).await;
+                let taken =
+                    lending::take_or_borrow(&node, request.team, quota, request.priority).await;
                 match taken {
                     Ok(()) => reply(&node, from, request.id, 1_000, 0),
                     Err(Denial { retry_after_ms }) => {
@@ -69,8 +70,15 @@
     }
 }
 
+/// Returns the state of the pool of a team in this zone, or `None` if another instance holds it.
+pub fn pool_state(node: &Node, team: TeamKey) -> Option<PoolState> {
+    let quota = held_quota(node, team)?;
+    let mut pools = node.quotas.pools.borrow_mut();
+    pools.state(node.continuous_now(), team, quota)
+}
+
 /// Returns the quota of a team whose pool this instance holds.
-fn held_quota(node: &Rc<Node>, team: TeamKey) -> Option<Quota> {
+fn held_quota(node: &Node, team: TeamKey) -> Option<Quota> {
     let settings = node.settings();
     let holders = Rc::clone(&node.quotas.holders.borrow());
     let holder = holders.holder(&settings.zone, team)?;
--- a/crates/damaskvane-gateway/src/quota/token.rs
+++ b/crates/damaskvane-gateway/src/quota/token.rs
@@ -42,6 +42,8 @@
     pub millitokens: u32,
     /// What the tokens are for.
     pub token_use: TokenUse,
+    /// Priority of the request that needs a token; 0 is the most urgent.
+    pub priority: u32,
 }
 
 /// The reply to a request for tokens.
--- a/crates/damaskvane-gateway/src/settings.rs
+++ b/crates/damaskvane-gateway/src/settings.rs
@@ -76,6 +76,10 @@
     /// Bound on teams' requests: number in a window by which their quotas may be exceeded in addition.
     #[serde(default)]
     pub quota_slack: f64,
+    /// Whether pools of teams' tokens earn faster while the part of the bound that is reserved for a burst is unused,
+    /// and keep their last tokens for urgent requests.
+    #[serde(default)]
+    pub quota_uses_unused_burst: bool,
     /// Longest time to live of a lookup's response, in seconds.
     pub lookup_ttl_max_s: f64,
     /// Largest number of open file descriptors of the process.
@@ -220,6 +224,7 @@
             over: self.quota_over,
             slack: self.quota_slack,
             pools: self.regions.len(),
+            uses_unused_burst: self.quota_uses_unused_burst,
             ..quota::QuotaSettings::default()
         }
     }
--- a/crates/damaskvane-gateway/tests/settings.rs
+++ b/crates/damaskvane-gateway/tests/settings.rs
@@ -50,3 +50,11 @@
     let error = GatewaySettings::parse("test.toml", &text).expect_err("a wrong number");
     assert!(error.to_string().contains("store_history_s"));
 }
+
+/// Guards against another way to keep quotas in a deployment that does not ask for it.
+#[test]
+fn pools_use_an_unused_burst_only_if_the_settings_say_so() {
+    assert!(!settings("").quota().uses_unused_burst);
+    let line = "quota_uses_unused_burst = true";
+    assert!(settings(line).quota().uses_unused_burst);
+}
--- a/crates/damaskvane-routing/src/quota.rs
+++ b/crates/damaskvane-routing/src/quota.rs
@@ -31,7 +31,7 @@
 
 pub use holders::{Holder, HolderTable};
 pub use pool::TokenPool;
-pub use pool_limit::PoolLimit;
+pub use pool_limit::{MOST_URGENT, PoolLimit};
 pub use pool_state::PoolState;
 pub use pools::{Denial, TokenPools};
 pub use server_limit_settings::ServerLimitSettings;
--- a/crates/damaskvane-routing/src/quota/pool.rs
+++ b/crates/damaskvane-routing/src/quota/pool.rs
@@ -42,6 +42,8 @@
     /// Tokens earned since there is reserved room, and the time in milliseconds.
     earned_beside: f64,
     reserved_ms: u64,
+    /// Tokens earned since they were last asked for.
+    earned: f64,
     taken: RecentCount,
     returned: RecentCount,
     /// Highest exposure in the time whose earnings may be used in one window, and in the time to live of a token.
@@ -69,6 +71,7 @@
             held_beside: 0.0,
             earned_beside: 0.0,
             reserved_ms: 0,
+            earned: 0.0,
             taken: RecentCount::default(),
             returned: RecentCount::default(),
             peaks: None,
@@ -78,10 +81,10 @@
         }
     }
 
-    /// Takes one token for a request; returns whether there was one.
-    pub fn take(&mut self, now: TimeMs, limit: PoolLimit) -> bool {
+    /// Takes one token for a request of this priority, 0 being the most urgent; returns whether there was one.
+    pub fn take(&mut self, now: TimeMs, limit: PoolLimit, priority: u32) -> bool {
         self.earn(now, limit);
-        if self.level < 1.0 {
+        if self.level < limit.needed(priority) {
             return false;
         }
         self.level -= 1.0;
@@ -125,11 +128,12 @@
         lent
     }
 
-    /// Reserves room for tokens of `lenders` other pools; returns how many to ask each of them for.
-    pub fn reserve(&mut self, now: TimeMs, limit: PoolLimit, lenders: usize) -> f64 {
+    /// Reserves room for tokens of `lenders` other pools, which a request of this priority waits for; returns how many to
+    /// ask each of them for.
+    pub fn reserve(&mut self, now: TimeMs, limit: PoolLimit, lenders: usize, priority: u32) -> f64 {
         self.earn(now, limit);
         let lenders = lenders.max(1) as f64;
-        let needed = 1.0 - self.level + self.near_demand(now, limit);
+        let needed = limit.needed(priority) - self.level + self.near_demand(now, limit);
         let wanted = if limit.uses_unused_burst {
             needed.min(needed * ASKED_FACTOR / lenders)
         } else {
@@ -164,6 +168,11 @@
         self.settle();
     }
 
+    /// Returns the tokens earned since the last call.
+    pub const fn take_earned(&mut self) -> f64 {
+        core::mem::replace(&mut self.earned, 0.0)
+    }
+
     /// Returns what the pool holds, earns and is asked for now.
     pub fn state(&mut self, now: TimeMs, limit: PoolLimit) -> PoolState {
         self.earn(now, limit);
@@ -174,10 +183,10 @@
         }
     }
 
-    /// Returns the time until the pool will have earned a whole token beyond those for which others wait.
+    /// Returns the time until the pool will have earned a token for this priority beyond those for which others wait.
     #[must_use]
-    pub fn retry_after_ms(&self, now: TimeMs, limit: PoolLimit) -> u64 {
-        let missing = (1.0 - self.level).max(0.0) + self.demand(now);
+    pub fn retry_after_ms(&self, now: TimeMs, limit: PoolLimit, priority: u32) -> u64 {
+        let missing = (limit.needed(priority) - self.level).max(0.0) + self.demand(now);
         let wait_ms = missing / limit.rate_per_s.max(f64::MIN_POSITIVE) * 1_000.0;
         wait_ms.clamp(MIN_RETRY_MS, MAX_RETRY_MS) as u64
     }
@@ -269,6 +278,7 @@
         let missed = limit.rate_after(peak) * reserved_s - self.earned_beside;
         let deferred = missed.clamp(0.0, released);
         self.received += deferred;
+        self.earned += deferred;
         self.add(deferred, limit);
         self.record_peaks(now, limit);
     }
@@ -314,7 +324,9 @@
         self.updated = self.updated.max(until);
         let earned = limit.rate_after(peak) * elapsed_s;
         self.earned_beside += earned;
+        let before = self.level;
         self.add(earned, limit);
+        self.earned += (self.level - before).max(0.0);
     }
 
     /// Earns for one interval of the peak at most.
--- a/crates/damaskvane-routing/src/quota/pool_limit.rs
+++ b/crates/damaskvane-routing/src/quota/pool_limit.rs
@@ -1,5 +1,14 @@
 //! The share of a team's quota that one pool has.
 
+/// Priority of the most urgent requests.
+pub const MOST_URGENT: u32 = 0;
+/// Tokens that each lower priority leaves to higher ones, and largest part of the capacity beyond one token. Without
+/// that limit a small pool would be full, and earn nothing, before it has a token for the lowest priority.
+const KEPT_TOKENS: f64 = 0.5;
+const KEPT_PART: f64 = 0.45;
+/// Lowest priority that is told from higher ones.
+const LOWEST_PRIORITY: u32 = 2;
+
 /// How fast a pool earns tokens, and how many it can hold.
 ///
 /// In any window, the requests that use a pool's tokens are at most its bound: `rate x (window + 2 x time to live) +
@@ -19,6 +28,16 @@
 }
 
 impl PoolLimit {
+    /// Returns the tokens that a pool must hold to give one to a request of this priority, 0 being the most urgent.
+    pub(super) fn needed(&self, priority: u32) -> f64 {
+        if !self.uses_unused_burst {
+            return 1.0;
+        }
+        let beyond_one = (self.capacity - 1.0).max(0.0);
+        let kept = KEPT_TOKENS * f64::from(priority.min(LOWEST_PRIORITY));
+        1.0 + kept.min(beyond_one * KEPT_PART)
+    }
+
     /// Returns the tokens that are earned in a time.
     pub(super) fn earned(&self, ms: u64) -> f64 {
         self.rate_per_s * ms as f64 / 1_000.0
--- a/crates/damaskvane-routing/src/quota/pools.rs
+++ b/crates/damaskvane-routing/src/quota/pools.rs
@@ -44,18 +44,24 @@
         self.pools.clear();
     }
 
-    /// Takes a token for a request of a team.
+    /// Takes a token for a request of a team, with its priority, 0 being the most urgent.
     ///
     /// # Errors
     ///
-    /// Returns the time after which a caller should retry if the pool has no whole token.
-    pub fn take(&mut self, now: TimeMs, team: TeamKey, quota: Quota) -> Result<(), Denial> {
+    /// Returns the time after which a caller should retry if the pool has no token for this priority.
+    pub fn take(
+        &mut self,
+        now: TimeMs,
+        team: TeamKey,
+        quota: Quota,
+        priority: u32,
+    ) -> Result<(), Denial> {
         let (pool, limit) = self.pool(team, quota);
-        if pool.take(now, limit) {
+        if pool.take(now, limit, priority) {
             return Ok(());
         }
         Err(Denial {
-            retry_after_ms: pool.retry_after_ms(now, limit),
+            retry_after_ms: pool.retry_after_ms(now, limit, priority),
         })
     }
 
@@ -77,9 +83,17 @@
     }
 
     /// Returns how many tokens to ask each of `lenders` other pools for, and reserves room for them.
-    pub fn reserve(&mut self, now: TimeMs, team: TeamKey, quota: Quota, lenders: usize) -> f64 {
+    /// A request of this priority waits for them.
+    pub fn reserve(
+        &mut self,
+        now: TimeMs,
+        team: TeamKey,
+        quota: Quota,
+        lenders: usize,
+        priority: u32,
+    ) -> f64 {
         let (pool, limit) = self.pool(team, quota);
-        pool.reserve(now, limit, lenders)
+        pool.reserve(now, limit, lenders, priority)
     }
 
     /// Adds tokens that another pool lent.
@@ -95,6 +109,11 @@
         }
     }
 
+    /// Returns the tokens that all pools have earned since the last call, except those that were emptied meanwhile.
+    pub fn take_earned(&mut self) -> f64 {
+        self.pools.values_mut().map(TokenPool::take_earned).sum()
+    }
+
     /// Returns the state of a team's pool, or `None` if this instance has not used it.
     pub fn state(&mut self, now: TimeMs, team: TeamKey, quota: Quota) -> Option<PoolState> {
         let limit = self.settings.pool_limit(quota);
--- a/crates/damaskvane-routing/tests/quota.rs
+++ b/crates/damaskvane-routing/tests/quota.rs
@@ -80,7 +80,7 @@
                 random.random_range(0..pools)
             };
             held[pool].record_demand(at(ms), TEAM, quota);
-            if held[pool].take(at(ms), TEAM, quota).is_ok() {
+            if held[pool].take(at(ms), TEAM, quota, 0).is_ok() {
                 let use_ms = ms + random.random_range(0..settings.token_ttl_ms);
                 taken.push(Taken {
                     pool,
@@ -88,7 +88,7 @@
                     use_ms,
                 });
             } else {
-                let each = held[pool].reserve(at(ms), TEAM, quota, pools - 1);
+                let each = held[pool].reserve(at(ms), TEAM, quota, pools - 1, 0);
                 for lender in (0..pools).filter(|lender| *lender != pool) {
                     let tokens = held[lender].lend(at(ms), TEAM, quota, each);
                     // A loan may be lost, in time, or very late.
@@ -180,7 +180,7 @@
     let mut pools = TokenPools::new(settings, at(0));
     let start_ms = 10_000;
     let take_all = |pools: &mut TokenPools, ms: u64| {
-        core::iter::from_fn(|| pools.take(at(ms), TEAM, quota).ok()).count()
+        core::iter::from_fn(|| pools.take(at(ms), TEAM, quota, 0).ok()).count()
     };
     // All are taken and returned at the end of their lives; those that were earned meanwhile are kept.
     let first = take_all(&mut pools, start_ms);
@@ -209,14 +209,14 @@
     };
     let mut held: Vec<_> = (0..2).map(|_| TokenPools::new(settings, at(0))).collect();
     let take_all = |pools: &mut TokenPools, ms: u64| {
-        core::iter::from_fn(|| pools.take(at(ms), TEAM, quota).ok()).count()
+        core::iter::from_fn(|| pools.take(at(ms), TEAM, quota, 0).ok()).count()
     };
     let lent_ms = 60_000;
     take_all(&mut held[0], lent_ms);
     for _ in 0..150 {
         held[0].record_demand(at(lent_ms), TEAM, quota);
     }
-    let asked = held[0].reserve(at(lent_ms), TEAM, quota, 1);
+    let asked = held[0].reserve(at(lent_ms), TEAM, quota, 1, 0);
     let lent = held[1].lend(at(lent_ms), TEAM, quota, asked);
     assert!(lent > 100.0, "{lent} lent");
     let late_ms = lent_ms + 120_000;
@@ -242,10 +242,10 @@
         burst: 60.0,
     };
     let mut pools = TokenPools::new(settings, at(1_000));
-    assert!(pools.take(at(1_000), TEAM, quota).is_err());
-    assert!(pools.take(at(1_200), TEAM, quota).is_ok());
-    assert!(pools.take(at(1_200), TEAM, quota).is_ok());
-    assert!(pools.take(at(1_200), TEAM, quota).is_err());
+    assert!(pools.take(at(1_000), TEAM, quota, 0).is_err());
+    assert!(pools.take(at(1_200), TEAM, quota, 0).is_ok());
+    assert!(pools.take(at(1_200), TEAM, quota, 0).is_ok());
+    assert!(pools.take(at(1_200), TEAM, quota, 0).is_err());
 }
 
 /// Guards against refusals of a team that is well below its quota, when its requests move to one zone.
@@ -273,21 +273,59 @@
         for number in 1..2_000 {
             let now = at(5_000 + (f64::from(number) * interval_ms) as u64);
             held[0].record_demand(now, TEAM, quota);
-            if held[0].take(now, TEAM, quota).is_ok() {
+            if held[0].take(now, TEAM, quota, 0).is_ok() {
                 continue;
             }
-            let each = held[0].reserve(now, TEAM, quota, 5);
+            let each = held[0].reserve(now, TEAM, quota, 5, 0);
             for lender in 1..6 {
                 let lent = held[lender].lend(now, TEAM, quota, each);
                 held[0].receive(now, TEAM, quota, lent);
                 held[0].release(TEAM, each - lent);
             }
-            refused += usize::from(held[0].take(now, TEAM, quota).is_err());
+            refused += usize::from(held[0].take(now, TEAM, quota, 0).is_err());
         }
         assert_eq!(refused, 0, "rate {rate_per_s}");
     }
 }
 
+/// Takes tokens of one pool for requests of several priorities, each as often in a second; returns how many each got.
+fn take_by_priority(uses_unused_burst: bool, quota: Quota, per_s: [u64; 3]) -> [usize; 3] {
+    let settings = QuotaSettings {
+        uses_unused_burst,
+        ..settings(1, 0.1, 4.0)
+    };
+    let mut pools = TokenPools::new(settings, at(0));
+    let mut taken = [0; 3];
+    for ms in 20_000..50_000 {
+        for (priority, per_s) in per_s.into_iter().enumerate() {
+            let is_due = per_s > 0 && ms % (1_000 / per_s) == 0;
+            if is_due && pools.take(at(ms), TEAM, quota, priority as u32).is_ok() {
+                taken[priority] += 1;
+            }
+        }
+    }
+    taken
+}
+
+/// Guards against urgent requests that are refused while others of their team run.
+#[test]
+fn urgent_requests_come_first_and_no_others_are_starved() {
+    // A pool that holds two tokens can't keep a whole one for urgent requests.
+    for (burst, least_urgent) in [(20.0, 300), (1.0, 260)] {
+        let quota = Quota {
+            rate_per_s: 20.0,
+            burst,
+        };
+        let [urgent, _, others] = take_by_priority(true, quota, [10, 0, 50]);
+        assert!(urgent >= least_urgent, "{urgent} at burst {burst}");
+        assert!(others >= 250, "{others} at burst {burst}");
+        let [_, _, alone] = take_by_priority(true, quota, [0, 0, 50]);
+        assert!(alone >= 550, "{alone} at burst {burst}");
+        let [without, _, _] = take_by_priority(false, quota, [10, 0, 50]);
+        assert!(without < urgent, "{without} at burst {burst}");
+    }
+}
+
 /// Guards against a lowered limit that tokens of the higher one outlive.
 #[test]
 fn a_lowered_quota_binds_at_once() {
@@ -301,8 +339,8 @@
         burst: 2.0,
     };
     let mut pools = TokenPools::new(settings, at(0));
-    assert!(pools.take(at(5_000), TEAM, high).is_ok());
-    let served = (0..100).filter(|_| pools.take(at(5_001), TEAM, low).is_ok());
+    assert!(pools.take(at(5_000), TEAM, high, 0).is_ok());
+    let served = (0..100).filter(|_| pools.take(at(5_001), TEAM, low, 0).is_ok());
     assert!(served.count() <= 2);
 }
 
@@ -316,8 +354,8 @@
     };
     let mut pools = TokenPools::new(settings, at(0));
     pools.record_demand(at(5_000), TEAM, quota);
-    while pools.take(at(5_000), TEAM, quota).is_ok() {}
-    let denial = pools.take(at(5_000), TEAM, quota).expect_err("no token");
+    while pools.take(at(5_000), TEAM, quota, 0).is_ok() {}
+    let denial = pools.take(at(5_000), TEAM, quota, 0).expect_err("no token");
     assert!((10..=2_000).contains(&denial.retry_after_ms));
 }
 
--- a/crates/damaskvane-routing/tests/quota_bursts.rs
+++ b/crates/damaskvane-routing/tests/quota_bursts.rs
@@ -44,7 +44,7 @@
     let mut count = 0;
     for ms in span_ms {
         for pool in &mut *pools {
-            while pool.take(at(ms), TEAM, quota).is_ok() {
+            while pool.take(at(ms), TEAM, quota, 0).is_ok() {
                 count += 1;
             }
         }
@@ -79,7 +79,7 @@
         pools[0].record_demand(at(ms), TEAM, WIDE);
     }
     let lenders = pools.len() - 1;
-    let each = pools[0].reserve(at(ms), TEAM, WIDE, lenders);
+    let each = pools[0].reserve(at(ms), TEAM, WIDE, lenders, 0);
     assert!(each > 20.0, "{each}");
     let lenders = pools[1..].iter_mut();
     lenders
@@ -151,11 +151,11 @@
         while taken.front().is_some_and(|taken_ms| taken_ms + 98 <= ms) {
             taken.pop_front();
             pools[0].give_back(at(ms), TEAM, WIDE);
-            if pools[0].take(at(ms), TEAM, WIDE).is_ok() {
+            if pools[0].take(at(ms), TEAM, WIDE, 0).is_ok() {
                 taken.push_back(ms);
             }
         }
-        while pools[0].take(at(ms), TEAM, WIDE).is_ok() {
+        while pools[0].take(at(ms), TEAM, WIDE, 0).is_ok() {
             taken.push_back(ms);
         }
     }
--- a/crates/damaskvane-routing/tests/quota_exhaustive.rs
+++ b/crates/damaskvane-routing/tests/quota_exhaustive.rs
@@ -90,13 +90,13 @@
         let now = TimeMs::new(self.now_ms);
         match event {
             Event::Spend(pool) => {
-                while self.pools[pool].take(now, TEAM, QUOTA).is_ok() {
+                while self.pools[pool].take(now, TEAM, QUOTA, 0).is_ok() {
                     self.taken.push((pool, self.now_ms));
                 }
             }
             Event::Borrow(to) => {
                 self.pools[to].record_demand(now, TEAM, QUOTA);
-                let reserved = self.pools[to].reserve(now, TEAM, QUOTA, 1);
+                let reserved = self.pools[to].reserve(now, TEAM, QUOTA, 1, 0);
                 let tokens = self.pools[1 - to].lend(now, TEAM, QUOTA, reserved);
                 let incarnation = self.incarnations[to];
                 self.loans.push(Loan {
--- a/crates/damaskvane-routing/tests/quota_histories.rs
+++ b/crates/damaskvane-routing/tests/quota_histories.rs
@@ -123,7 +123,7 @@
     }
 
     fn take(&mut self, ms: u64, pool: usize, faults: Faults) -> bool {
-        let is_taken = self.pools[pool].take(at(ms), TEAM, self.quota).is_ok();
+        let is_taken = self.pools[pool].take(at(ms), TEAM, self.quota, 0).is_ok();
         if is_taken {
             let returns = self.random.random_bool(faults.returned);
             self.taken.push(Taken {
@@ -139,7 +139,7 @@
         if ms < self.rounds[pool].ends_ms {
             return;
         }
-        let each = self.pools[pool].reserve(at(ms), TEAM, self.quota, POOLS - 1);
+        let each = self.pools[pool].reserve(at(ms), TEAM, self.quota, POOLS - 1, 0);
         self.last_round += 1;
         self.rounds[pool] = Round {
             number: self.last_round,
--- a/crates/damaskvane-routing/tests/support/limit_world/pools.rs
+++ b/crates/damaskvane-routing/tests/support/limit_world/pools.rs
@@ -34,7 +34,7 @@
     pub(super) fn take_or_borrow(&mut self, at: usize, waiter: Waiter) {
         let taken = self.with_pool(at, |now, pool, limit| {
             pool.record_demand(now);
-            pool.take(now, limit)
+            pool.take(now, limit, 0)
         });
         if taken != Some(false) {
             self.reply(at, waiter, 0);
@@ -46,7 +46,7 @@
     }
 
     fn refuse(&mut self, at: usize, waiter: Waiter) {
-        let wait_ms = self.with_pool(at, |now, pool, limit| pool.retry_after_ms(now, limit));
+        let wait_ms = self.with_pool(at, |now, pool, limit| pool.retry_after_ms(now, limit, 0));
         self.reply(at, waiter, wait_ms.unwrap_or(1).clamp(20, 500));
     }
 
@@ -59,7 +59,7 @@
             return false;
         }
         let each = self.with_pool(at, |now, pool, limit| {
-            pool.reserve(now, limit, lenders.len())
+            pool.reserve(now, limit, lenders.len(), 0)
         });
         let each = each.unwrap_or(0.0);
         let id = self.next_id();
@@ -109,7 +109,7 @@
         self.with_pool(to, |now, pool, limit| pool.receive(now, limit, tokens));
         let mut left = Vec::new();
         for waiter in waiters {
-            let taken = self.with_pool(to, |now, pool, limit| pool.take(now, limit));
+            let taken = self.with_pool(to, |now, pool, limit| pool.take(now, limit, 0));
             if taken == Some(false) {
                 left.push(waiter);
             } else {
--- a/crates/damaskvane-routing/tests/support/quota_load/mod.rs
+++ b/crates/damaskvane-routing/tests/support/quota_load/mod.rs
@@ -258,7 +258,7 @@
     fn takes(&mut self, attempt: &Attempt) -> bool {
         let (now, key) = (self.now(), TeamKey(attempt.team as u64));
         let pools = &mut self.pools[attempt.zone];
-        let is_taken = pools.take(now, key, QUOTA).is_ok();
+        let is_taken = pools.take(now, key, QUOTA, 0).is_ok();
         if attempt.team == 0 && self.is_counted() {
             self.played.attempts += usize::from(is_taken);
         }
@@ -276,7 +276,7 @@
     fn deny(&mut self, attempt: Attempt) {
         let (now, key) = (self.now(), TeamKey(attempt.team as u64));
         let pools = &mut self.pools[attempt.zone];
-        let Err(denial) = pools.take(now, key, QUOTA) else {
+        let Err(denial) = pools.take(now, key, QUOTA, 0) else {
             panic!("a token for a request that was denied");
         };
         let waited_ms = attempt.waited_ms + denial.retry_after_ms;
@@ -312,7 +312,7 @@
     fn begin_round(&mut self, attempt: Attempt) {
         let (now, zone, team) = (self.now(), attempt.zone, attempt.team);
         let pools = &mut self.pools[zone];
-        let each = pools.reserve(now, TeamKey(team as u64), QUOTA, ZONES - 1);
+        let each = pools.reserve(now, TeamKey(team as u64), QUOTA, ZONES - 1, 0);
         let number = self.rounds[zone][team].number + 1;
         let asks = each >= 0.001;
         self.rounds[zone][team] = Round {
