A test of what a pool earns while it waits for loans

Cause: with the room for own earnings, or the earnings that reserved room had kept back, taken out, no test failed. Change: a pool that asks again and again and gets nothing spends as much as one that doesn't ask, with the key on and off. Figures: with either of them out the test fails.

--- a/crates/damaskvane-routing/tests/quota_bursts.rs
+++ b/crates/damaskvane-routing/tests/quota_bursts.rs
@@ -197,3 +197,35 @@
     }
     assert!(level(&mut pools, 61_300) <= before);
 }
+
+/// Returns the tokens of a pool in half a second, in which it asks another one again and again and gets nothing.
+fn spent_beside_rounds(uses_unused_burst: bool, asks: bool) -> usize {
+    let settings = QuotaSettings {
+        uses_unused_burst,
+        ..settings(2)
+    };
+    let mut pools = [TokenPools::new(settings, at(0))];
+    spend(&mut pools, WIDE, 60_000..70_000);
+    let mut spent = 0;
+    for from_ms in (70_000..70_500).step_by(50) {
+        for _ in 0..10_000 {
+            pools[0].record_demand(at(from_ms), TEAM, WIDE);
+        }
+        if asks {
+            pools[0].reserve(at(from_ms), TEAM, WIDE, 1, 0);
+        }
+        spent += spend(&mut pools, WIDE, from_ms..from_ms + 50);
+        pools[0].release(TEAM, 1_000.0);
+    }
+    spent + spend(&mut pools, WIDE, 70_500..70_501)
+}
+
+/// Guards against a pool that loses what it earns while others have not yet replied.
+#[test]
+fn a_pool_earns_while_it_waits_for_loans() {
+    for uses_unused_burst in [false, true] {
+        let alone = spent_beside_rounds(uses_unused_burst, false);
+        let beside = spent_beside_rounds(uses_unused_burst, true);
+        assert!(beside + 1 >= alone, "{beside} and {alone}");
+    }
+}
