Even load: requests whose object is warm nowhere go where room is expected

Cause: placement takes the first server of an object as warm with probability 0.9, even if objects never come back, so requests queue at one server while others have free slots.

Below 0.2, a request goes to one of the object's first 12 servers in its home region, or of the 8 with the newest reports, at random by room^16 / slowness^4. A report fades towards the mean of the region with 100 ms; this instance's own requests are added. One object in 16 keeps its first server, as a sample. Servers that are warm by this instance's requests keep their objects. Counters: placement_report_age_seconds, needless_queueing_total, with and without the key.

--- a/crates/damaskvane-bench/src/placement/instance.rs
+++ b/crates/damaskvane-bench/src/placement/instance.rs
@@ -142,6 +142,8 @@
             first_ms: 0.0,
             min_ms: 0.0,
             is_warm: false,
+            had_room: false,
+            report_age_ms: None,
             was_sent: false,
             remembered_ms: 0.0,
             passed_over: None,
--- a/crates/damaskvane-gateway/src/clients/routed_request.rs
+++ b/crates/damaskvane-gateway/src/clients/routed_request.rs
@@ -204,6 +204,10 @@
     async fn attempt(&mut self, pick: &Pick, permit: &SendPermit) -> Option<ExchangeOutcome> {
         let started = self.node.now();
         self.pending.record_server(&pick.server);
+        if let Some(age_ms) = pick.report_age_ms {
+            let metrics = &self.node.metrics;
+            metrics.report_age_s.observe(age_ms as f64 / 1_000.0);
+        }
         let exchange = Exchange {
             node: self.node,
             request: self.outgoing,
@@ -275,6 +279,10 @@
         let end = outcome.end.as_str();
         self.node.metrics.exchanges.with_label_values(&[end]).inc();
         self.record_crash_evidence(pick, outcome.end, outcome.path.as_ref());
+        let has_queue = outcome.report.load.is_some_and(|load| load.waiting > 0);
+        if has_queue && pick.had_room {
+            self.node.metrics.needless_queueing.inc();
+        }
         if outcome.end == ExchangeEnd::Answered {
             self.record_response_time(now, pick, outcome);
         }
@@ -297,6 +305,7 @@
                 "team" => self.outgoing.team.as_ref().map(ToString::to_string),
                 "outcome" => end, "status" => outcome.response.as_ref().map(|response| response.status),
                 "load" => pick.load, "rank" => pick.rank, "expected_ms" => pick.expected_ms,
+                "report_age_ms" => pick.report_age_ms,
                 "took_ms" => outcome.took_ms, "after_ms" => after_ms, "objective_ms" => self.route.objective_ms,
                 "was_sent" => pick.was_sent, "remembered_ms" => pick.remembered_ms, "first_ms" => pick.first_ms,
                 "passed_over" => pick.passed_over.map(SkipReason::as_str), "tried" => self.tried.len(),
--- a/crates/damaskvane-gateway/src/metrics.rs
+++ b/crates/damaskvane-gateway/src/metrics.rs
@@ -21,10 +21,17 @@
     0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 8.0,
 ];
 
+/// Upper bounds of the histogram of the ages of load reports, in seconds.
+const REPORT_AGE_BUCKETS_S: [f64; 7] = [0.1, 0.3, 0.6, 1.0, 2.0, 4.0, 8.0];
+
 /// All metrics of a process.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
+    /// Age of the load report behind each choice of a server, in seconds.
+    pub report_age_s: Histogram,
+    /// Responses whose report shows waiting requests at a server that was chosen as free.
+    pub needless_queueing: IntCounter,
     /// Responses to clients by HTTP status.
     pub responses: IntCounterVec,
     /// Requests that this instance refused, by reason.
@@ -118,6 +125,11 @@
             registry: &registry,
         };
         Ok(Self {
+            report_age_s: factory.report_ages()?,
+            needless_queueing: factory.counter(
+                "needless_queueing_total",
+                "Answers of servers with a queue that were chosen as free",
+            )?,
             responses: factory.counters("answers_total", "Answers to clients", &["status"])?,
             refusals: factory.counters("refusals_total", "Requests refused", &["reason"])?,
             team_refusals: TeamCounts::default(),
@@ -278,6 +290,16 @@
 }
 
 impl MetricFactory<'_> {
+    fn report_ages(&self) -> Result<Histogram, prometheus::Error> {
+        let options = HistogramOpts::new(
+            "placement_report_age_seconds",
+            "Age of the load report behind each choice of a server",
+        );
+        let histogram = Histogram::with_opts(options.buckets(REPORT_AGE_BUCKETS_S.to_vec()))?;
+        self.registry.register(Box::new(histogram.clone()))?;
+        Ok(histogram)
+    }
+
     fn counters(
         &self,
         name: &str,
--- a/crates/damaskvane-routing/src/placement.rs
+++ b/crates/damaskvane-routing/src/placement.rs
@@ -25,6 +25,7 @@
 mod region_shifts;
 mod rejection;
 mod request;
+mod room;
 mod round_trips;
 mod route_sizes;
 mod sample;
@@ -32,6 +33,7 @@
 mod server_score;
 mod settings;
 mod shares;
+mod warm_shares;
 
 pub use choice::{Choice, Pick, Refusal, RefusalReason, SkipReason};
 pub use object_moves::ObjectMove;
--- a/crates/damaskvane-routing/src/placement/candidates.rs
+++ b/crates/damaskvane-routing/src/placement/candidates.rs
@@ -166,6 +166,29 @@
         }
     }
 
+    /// Adds the servers with the newest load reports, of the region of the first found server.
+    pub(super) fn add_recent(&mut self, pool: &ServerPool, request: &PlacementRequest<'_>) {
+        let topology = pool.topology();
+        let region_of = |handle: &ServerHandle| {
+            let server = pool.at(*handle).filter(|server| server.accepts_work())?;
+            let zone = topology.zone(&server.entry.zone)?;
+            (server.entry.service == *request.service && !pool.is_evacuated(zone))
+                .then(|| topology.region_of(zone))
+        };
+        let Some(home) = self.found.first().and_then(region_of) else {
+            return;
+        };
+        let Some(servers) = pool.service(request.service) else {
+            return;
+        };
+        for handle in servers.recent(home) {
+            let is_new = !self.found.contains(&handle) && !self.tried.contains(&handle);
+            if is_new && region_of(&handle) == Some(home) {
+                self.found.push(handle);
+            }
+        }
+    }
+
     /// Puts the server to which the object is moved first, and the other servers of its zone last.
     fn move_along_ring(&mut self, pool: &ServerPool, search: Search) {
         let own = pool.topology().zone_id(search.origin.zone);
--- a/crates/damaskvane-routing/src/placement/choice.rs
+++ b/crates/damaskvane-routing/src/placement/choice.rs
@@ -73,6 +73,10 @@
     pub passed_over: Option<SkipReason>,
     /// Estimated number of requests on the server, divided by its slots.
     pub load: f64,
+    /// Whether the server was expected to have a free slot.
+    pub had_room: bool,
+    /// Age of the server's last load report in milliseconds, or `None` if there was no report.
+    pub report_age_ms: Option<u64>,
     /// Rank of the server in the object's order of servers; 0 is the first server.
     pub rank: usize,
 }
--- a/crates/damaskvane-routing/src/placement/placer.rs
+++ b/crates/damaskvane-routing/src/placement/placer.rs
@@ -15,6 +15,7 @@
 use crate::placement::rejection::Rejection;
 use crate::placement::route_sizes::RouteSizes;
 use crate::placement::selection::{MAX_CANDIDATES, Selection};
+use crate::placement::warm_shares::{self, WarmShares};
 use crate::placement::{
     AnsweredRequest, Choice, Pick, PlacementRequest, PlacementSettings, RefusalReason, RoundTrips,
     RouteKey,
@@ -36,6 +37,7 @@
     route_sizes: RouteSizes,
     popularity: Popularity,
     object_moves: ObjectMoves,
+    warm_shares: WarmShares,
     region_shifts: RegionShifts,
     candidates: Candidates,
     own_zone: ids::AvailabilityZoneId,
@@ -57,6 +59,7 @@
             route_sizes: RouteSizes::default(),
             popularity: Popularity::default(),
             object_moves: ObjectMoves::default(),
+            warm_shares: WarmShares::default(),
             region_shifts: RegionShifts::default(),
             candidates: Candidates::default(),
             own_zone,
@@ -192,13 +195,21 @@
             return self.refuse(RefusalReason::NoServer, request);
         };
         let mut candidates = core::mem::take(&mut self.candidates);
-        candidates.find(pool, request, search);
         let cold_share = configuration.service(request.service).map_or(0, |service| {
             let settings = pool.settings().cold_rate;
             settings.share(service.warmup_per_s, instances)
         });
-        let usable = candidates.usable(now, pool, search);
         let selection = self.selection(now, pool, request, cold_share, instances);
+        if self.uses_even_load(request, search) {
+            let pick = selection.even(&mut candidates, search);
+            if let Some(pick) = pick {
+                let home = candidates.found().first().copied();
+                self.candidates = candidates;
+                return self.send(now, pool, request, home, pick);
+            }
+        }
+        candidates.find(pool, request, search);
+        let usable = candidates.usable(now, pool, search);
         let mut best = selection.best_of(usable, 0);
         if let Err(rejection) = best
             && rejection.calls_for_others()
@@ -213,6 +224,19 @@
         }
     }
 
+    /// Returns whether a request is placed by the expected room of servers, unless one of them is warm for its object.
+    ///
+    /// Popular objects are not: they come back.
+    fn uses_even_load(&self, request: &PlacementRequest<'_>, search: Search) -> bool {
+        let expects_cold = request.object.is_none_or(|object| {
+            let route = RouteKey::of(&request.route.name);
+            search.spread == Spread::Region
+                && !WarmShares::is_sampled(object)
+                && !self.warm_shares.expects_warm(route)
+        });
+        self.settings.even_load && expects_cold
+    }
+
     /// Returns the selected server, or a refusal if no response is possible before the request's deadline.
     ///
     /// `home` is the first server of the request's object; a selected server in another region counts as shifted.
@@ -263,6 +287,13 @@
         }
         let route = answered.route;
         let baseline = self.baselines.of(&route.name, route.objective_ms);
+        if let Some(object) = answered.object
+            && answered.pick.rank == 0
+            && !answered.pick.was_sent
+        {
+            self.warm_shares
+                .record(route_key, object, baseline, work_ms);
+        }
         if was_handled_recently {
             server.record_work_time(now, work_ms, baseline.warm_ms);
             self.baselines
@@ -389,6 +420,11 @@
             cold_share,
             instances,
             uses_returning: false,
+            first_server_warm: if self.settings.even_load {
+                self.warm_shares.of(RouteKey::of(&route.name))
+            } else {
+                warm_shares::ASSUMED_SHARE
+            },
         }
     }
 }
--- a/crates/damaskvane-routing/src/placement/selection.rs
+++ b/crates/damaskvane-routing/src/placement/selection.rs
@@ -6,6 +6,7 @@
 use crate::placement::candidates::{Candidates, Scope, Search};
 use crate::placement::rank;
 use crate::placement::rejection::Rejection;
+use crate::placement::room::{self, RegionMean};
 use crate::placement::server_score::{self, Estimates, ServerScore};
 use crate::placement::{
     Pick, PlacementRequest, PlacementSettings, RefusalReason, RoundTrips, SkipReason,
@@ -42,6 +43,8 @@
     pub(super) instances: usize,
     /// Whether servers that have just rested take requests beyond the share that has returned.
     pub(super) uses_returning: bool,
+    /// Probability that the first server of an object is warm although this instance has not sent it the object.
+    pub(super) first_server_warm: f64,
 }
 
 impl Selection<'_> {
@@ -63,19 +66,15 @@
             let Some(server) = self.pool.at(*candidate) else {
                 continue;
             };
-            if !self.takes_request(server, priority) {
-                rejection.add_resting(server.availability.rest.returns_from());
-                passed_over.get_or_insert(SkipReason::Resting);
-                continue;
-            }
-            if !server.has_cold_capacity(now, self.cold_share) {
-                rejection.add(RefusalReason::Cold);
-                passed_over.get_or_insert(SkipReason::Cold);
-                continue;
-            }
-            if !server.availability.limit.may_have_token(now, priority) {
-                rejection.add(RefusalReason::Limited);
-                passed_over.get_or_insert(SkipReason::Limited);
+            if let Some(reason) = self.bar(server, priority) {
+                match reason {
+                    SkipReason::Resting => {
+                        rejection.add_resting(server.availability.rest.returns_from());
+                    }
+                    SkipReason::Cold => rejection.add(RefusalReason::Cold),
+                    _ => rejection.add(RefusalReason::Limited),
+                }
+                passed_over.get_or_insert(reason);
                 continue;
             }
             let scored = self.score(server, rank);
@@ -93,6 +92,106 @@
         Ok(scored.pick(now, server, self.request, rank, passed_over))
     }
 
+    /// Returns a server of the home region by the expected room, or a server that is warm for the request's object by
+    /// this instance's requests; `None` if there is neither.
+    pub(super) fn even(&self, candidates: &mut Candidates, search: Search) -> Option<Pick> {
+        let wide = Search {
+            scope: Scope::Home,
+            max_servers: MAX_CANDIDATES,
+            ..search
+        };
+        candidates.find(self.pool, self.request, wide);
+        candidates.add_recent(self.pool, self.request);
+        let found = candidates.found();
+        if self
+            .request
+            .object
+            .is_some_and(|object| self.was_sent(found, object))
+        {
+            return self.best_of(found, 0).ok();
+        }
+        let mean = self.region_mean(found)?;
+        // An object has servers in all zones of its region; other requests leave their zone only if it is full.
+        let has_room_nearby = |server: &Server| {
+            server.entry.zone == *self.own_zone && room::free_slots(self.now, server, mean) >= 1.0
+        };
+        let nearby = match self.request.object {
+            Some(_) => None,
+            None => self.by_room(found, mean, has_room_nearby),
+        };
+        nearby.or_else(|| self.by_room(found, mean, |_| true))
+    }
+
+    fn was_sent(&self, candidates: &[ServerHandle], object: u64) -> bool {
+        let mut servers = candidates.iter().filter_map(|one| self.pool.at(*one));
+        servers.any(|server| server.handled_recently(self.now, object))
+    }
+
+    /// Returns the mean load in the region of the candidates.
+    fn region_mean(&self, candidates: &[ServerHandle]) -> Option<RegionMean> {
+        let topology = self.pool.topology();
+        let first = self.pool.at(*candidates.first()?)?;
+        let region = topology.region_of(topology.zone(&first.entry.zone)?);
+        let servers = self.pool.service(self.request.service)?;
+        let instances = self.instances.max(1) as f64;
+        Some(RegionMean {
+            load: servers.load(self.now, topology, region, 0),
+            others_share: (instances - 1.0) / instances,
+        })
+    }
+
+    /// Returns one of the candidates at random, weighted by the room that is expected there, or `None` if no eligible
+    /// and healthy candidate is below the load limit.
+    ///
+    /// Instances that know the same reports draw different servers.
+    fn by_room(
+        &self,
+        candidates: &[ServerHandle],
+        mean: RegionMean,
+        is_eligible: impl Fn(&Server) -> bool,
+    ) -> Option<Pick> {
+        let now = self.now;
+        let priority = self.request.priority();
+        let limit = self.settings.load_limit(priority);
+        let draw = rank::from_random(self.request.spread);
+        let mut best: Option<(f64, ServerScore, usize, &Server)> = None;
+        for (rank, candidate) in candidates.iter().enumerate() {
+            let Some(server) = self.pool.at(*candidate) else {
+                continue;
+            };
+            let is_usable = is_eligible(server) && server_score::is_healthy(now, server);
+            if !is_usable || self.bar(server, priority).is_some() {
+                continue;
+            }
+            let scored = self.score(server, rank);
+            if scored.load >= limit {
+                continue;
+            }
+            let weight = room::weight(now, server, mean);
+            let drawn = rank::score(draw, server.entry.id.as_str(), weight);
+            if best.is_none_or(|(highest, ..)| drawn > highest) {
+                best = Some((drawn, scored, rank, server));
+            }
+        }
+        let (_, scored, rank, server) = best?;
+        let passed_over = Some(SkipReason::LowerScore);
+        Some(scored.pick(now, server, self.request, rank, passed_over))
+    }
+
+    /// Returns the reason why a server may not take the request now, whatever its load; `None` if it may.
+    fn bar(&self, server: &Server, priority: u32) -> Option<SkipReason> {
+        let limit = &server.availability.limit;
+        if !self.takes_request(server, priority) {
+            Some(SkipReason::Resting)
+        } else if !server.has_cold_capacity(self.now, self.cold_share) {
+            Some(SkipReason::Cold)
+        } else if !limit.may_have_token(self.now, priority) {
+            Some(SkipReason::Limited)
+        } else {
+            None
+        }
+    }
+
     /// Returns the best of all servers that may run the request, after `rejection` by the object's usual ones.
     ///
     /// While requests may not leave their region, its own servers come first.
@@ -169,6 +268,7 @@
             baseline: self.baseline,
             round_trip_ms: round_trip_ms.unwrap_or(DEFAULT_ROUND_TRIP_MS),
             distance_cost,
+            first_server_warm: self.first_server_warm,
         };
         ServerScore::of(
             self.now,
--- a/crates/damaskvane-routing/src/placement/server_score.rs
+++ b/crates/damaskvane-routing/src/placement/server_score.rs
@@ -10,12 +10,12 @@
 use crate::placement::{Pick, PlacementRequest, PlacementSettings, SkipReason};
 use crate::pool::{Baseline, Server};
 
-/// Probability that the first server of an object is faster for the object although this instance has not sent the
-/// object to the server recently: all instances use the first server of an object, so other instances may have sent it.
-const FIRST_SERVER_WARM_PROBABILITY: f64 = 0.9;
-/// The same probability for the object's other servers, which instances use only while the first server is busy or
+/// Probability that a server is faster for an object although this instance has not sent the object to it recently, for
+/// servers other than the first one of the object, which instances use only while the first server is busy or
 /// unhealthy.
 const OTHER_SERVER_WARM_PROBABILITY: f64 = 0.1;
+/// Probability from which a server counts as warm in the selected server's record.
+const MIN_WARM_PROBABILITY: f64 = 0.5;
 /// Probability that a server is still faster for an object that it has handled recently for this instance.
 const SENT_OBJECT_WARM_PROBABILITY: f64 = 0.97;
 /// Factor by which work takes longer on a cold server.
@@ -42,6 +42,8 @@
     pub(super) round_trip_ms: f64,
     /// Cost of the distance, on the scale on which a response within the route's objective scores 1.
     pub(super) distance_cost: f64,
+    /// Probability that the first server of an object is warm although this instance has not sent it the object.
+    pub(super) first_server_warm: f64,
 }
 
 /// The score of a server for one request, with the estimates behind it.
@@ -72,9 +74,10 @@
             baseline,
             round_trip_ms,
             distance_cost,
+            first_server_warm,
         } = estimates;
         let objective_ms = request.route.objective_ms as f64;
-        let warm_probability = warm_probability_of(now, server, request, rank);
+        let warm_probability = warm_probability_of(now, server, request, rank, first_server_warm);
         let mut slowness = server.expected_slowness(now);
         if server.is_cold(now) {
             slowness *= COLD_SLOWDOWN;
@@ -120,6 +123,7 @@
         rank: usize,
         passed_over: Option<SkipReason>,
     ) -> Pick {
+        let slots = f64::from(server.entry.slots.max(1));
         // A guessed time must not cause a refusal: the guess is derived from the objective, and a new route may be
         // faster.
         let min_work_ms = if self.baseline.is_measured {
@@ -134,13 +138,15 @@
             expected_ms: self.work_ms + self.delay_ms,
             min_ms: min_work_ms + self.delay_ms,
             first_ms: self.baseline.first_ms + self.delay_ms,
-            is_warm: self.warm_probability >= FIRST_SERVER_WARM_PROBABILITY,
+            is_warm: self.warm_probability >= MIN_WARM_PROBABILITY,
             was_sent: request
                 .object
                 .is_some_and(|object| server.handled_recently(now, object)),
             remembered_ms: self.baseline.warm_ms + self.round_trip_ms,
             passed_over: passed_over.filter(|_| rank > 0),
             load: self.load,
+            had_room: self.load * slots + 1.0 <= slots,
+            report_age_ms: server.reported_others().map(|(at, _)| now.since(at).get()),
             rank,
         }
     }
@@ -176,11 +182,12 @@
     server: &Server,
     request: &PlacementRequest<'_>,
     rank: usize,
+    first_server_warm: f64,
 ) -> f64 {
     match request.object {
         None => 0.0,
         Some(object) if server.handled_recently(now, object) => SENT_OBJECT_WARM_PROBABILITY,
-        Some(_) if rank == 0 => FIRST_SERVER_WARM_PROBABILITY,
+        Some(_) if rank == 0 => first_server_warm,
         Some(_) => OTHER_SERVER_WARM_PROBABILITY,
     }
 }
--- a/crates/damaskvane-routing/src/placement/settings.rs
+++ b/crates/damaskvane-routing/src/placement/settings.rs
@@ -52,6 +52,8 @@
     pub shift_most: f64,
     /// Load per slot of a region from which popular objects use only one server there.
     pub spread_load_limit: f64,
+    /// Whether requests whose object is not expected to be warm on any server are placed by the expected room.
+    pub even_load: bool,
     /// Minimum time after which a refused client should retry.
     pub retry_after_ms: u64,
     /// Maximum random time that is added to `retry_after_ms` for each refused client.
@@ -76,6 +78,7 @@
             rare_cost_per_s: 0.011,
             shift_most: 0.15,
             spread_load_limit: 0.7,
+            even_load: false,
             retry_after_ms: 150,
             retry_spread_ms: 150,
         }
--- a/crates/damaskvane-routing/src/pool/load.rs
+++ b/crates/damaskvane-routing/src/pool/load.rs
@@ -57,6 +57,13 @@
         self.at
     }
 
+    /// Returns the time of the last report and the other instances' requests on the server then, without the request whose
+    /// response carried the report; `None` if there was no report.
+    pub(super) fn last(&self) -> Option<(TimeMs, f64)> {
+        self.has_report
+            .then_some((self.at, (self.latest - 1.0).max(0.0)))
+    }
+
     /// Returns the estimated number of other instances' requests on the server; 0 if there was no report.
     #[must_use]
     pub(super) fn estimate(&self, now: TimeMs) -> f64 {
--- a/crates/damaskvane-routing/src/pool/server.rs
+++ b/crates/damaskvane-routing/src/pool/server.rs
@@ -13,7 +13,7 @@
 use crate::pool::speed::{Slowness, decayed_share};
 use crate::pool::{
     Availability, ExchangeEnd, ExchangeId, Liveness, LoadReport, PeerHealthReport, ServerEntry,
-    ServerReport,
+    ServerReport, ServerState,
 };
 
 /// Time after a request for an object (the item that it names) in which a server is assumed to run the next one faster.
@@ -117,6 +117,14 @@
         self.region.as_ref()
     }
 
+    /// Returns whether the server accepts new requests: it is ready and doesn't leave, and no instance has found it dead.
+    #[must_use]
+    pub fn accepts_work(&self) -> bool {
+        self.entry.state == ServerState::Ready
+            && !self.availability.is_leaving()
+            && matches!(self.liveness, Liveness::Up | Liveness::Suspect { .. })
+    }
+
     pub(super) fn set_region(&mut self, region: Option<ids::RegionId>) {
         self.region = region;
     }
@@ -162,6 +170,13 @@
         self.peer_load.estimate(now) + self.requests.len() as f64
     }
 
+    /// Returns the time of the server's last load report, and the number of other instances' requests on the server then;
+    /// `None` if there was no report.
+    #[must_use]
+    pub fn reported_others(&self) -> Option<(TimeMs, f64)> {
+        self.peer_load.last()
+    }
+
     /// Returns the ratio of the time that a request takes now to its usual time: the server's own slowness times the
     /// time factor of its machine.
     #[must_use]
--- a/crates/damaskvane-routing/src/pool/server_table.rs
+++ b/crates/damaskvane-routing/src/pool/server_table.rs
@@ -6,8 +6,7 @@
 use damaskvane_core::ids;
 
 use crate::pool::{
-    Liveness, Server, ServerHandle, ServerKey, ServerRest, ServerState, ServiceServers, Topology,
-    ZoneIndex,
+    Server, ServerHandle, ServerKey, ServerRest, ServiceServers, Topology, ZoneIndex,
 };
 
 /// The state of a server from which the indexes are derived.
@@ -32,9 +31,7 @@
             service: Some(entry.service.clone()),
             zone: topology.zone(&entry.zone),
             slots: entry.slots,
-            accepts_work: entry.state == ServerState::Ready
-                && !server.availability.is_leaving()
-                && matches!(server.liveness, Liveness::Up | Liveness::Suspect { .. }),
+            accepts_work: server.accepts_work(),
             in_flight: server.in_flight(),
             awaits_probe: server.liveness.probe_at().is_some(),
             is_expiring: server.expires_at.is_some(),
@@ -267,7 +264,9 @@
             && let Some(servers) = self.services.get_mut(service)
         {
             let region = self.topology.region_of(zone);
-            servers.load_mut(region).record(at, per_slot);
+            let load = servers.load_mut(region);
+            load.record(at, per_slot);
+            load.record_recent(handle);
         }
     }
 
--- a/crates/damaskvane-routing/src/pool/service_servers.rs
+++ b/crates/damaskvane-routing/src/pool/service_servers.rs
@@ -5,7 +5,7 @@
 use damaskvane_core::time::TimeMs;
 
 use crate::pool::region_load::RegionLoad;
-use crate::pool::{RegionIndex, Ring, Topology, ZoneIndex};
+use crate::pool::{RegionIndex, Ring, ServerHandle, Topology, ZoneIndex};
 
 /// The servers of a service in one zone that accept new requests.
 #[derive(Debug, Default)]
@@ -48,6 +48,12 @@
         &mut self.regions[region.get()]
     }
 
+    /// Returns the few servers of a region with the newest load reports to this instance. Some may accept no requests any
+    /// more.
+    pub fn recent(&self, region: RegionIndex) -> impl Iterator<Item = ServerHandle> {
+        self.regions[region.get()].recent()
+    }
+
     /// Returns the load of the servers in a region, as requests per slot, estimated from the servers' reports and from
     /// this instance's requests. `resting_slots` are those of servers that this instance doesn't use now.
     #[must_use]
--- a/crates/damaskvane-routing/tests/support/load_world/instance.rs
+++ b/crates/damaskvane-routing/tests/support/load_world/instance.rs
@@ -13,6 +13,8 @@
 pub enum Way {
     /// By the object's first servers, as before.
     Today,
+    /// By the expected room, where the object is not expected to be warm.
+    Even,
     /// The less loaded of two servers at random, by the same reports.
     TwoAtRandom,
 }
@@ -30,6 +32,7 @@
         call: &Call,
         (configuration, route, service): (&Configuration, &Route, &ids::ServiceId),
         servers: &[ids::BackendServerId],
+        instances: usize,
     ) -> Option<Pick> {
         let request = PlacementRequest {
             route,
@@ -43,7 +46,7 @@
         let now = at(call.at_ms);
         let choice = self
             .placer
-            .choose(now, &self.pool, configuration, &request, 1);
+            .choose(now, &self.pool, configuration, &request, instances);
         let Choice::Send(mut pick) = choice else {
             return None;
         };
--- a/crates/damaskvane-routing/tests/support/load_world/outcome.rs
+++ b/crates/damaskvane-routing/tests/support/load_world/outcome.rs
@@ -27,6 +27,12 @@
         count as f64 / self.calls.max(1) as f64
     }
 
+    /// Returns the most requests that one server got, as a ratio to the mean.
+    pub fn most_sent(&self) -> f64 {
+        let most = self.sent.iter().max().copied().unwrap_or_default();
+        most as f64 * self.sent.len() as f64 / self.calls.max(1) as f64
+    }
+
     pub fn percentile(&self, percent: usize) -> u64 {
         let mut times = self.times_ms.clone();
         times.sort_unstable();
--- a/crates/damaskvane-routing/tests/support/load_world/world.rs
+++ b/crates/damaskvane-routing/tests/support/load_world/world.rs
@@ -156,11 +156,9 @@
                 pool.apply(at(now_ms), entry);
             }
             let zone = ZONES[number % ZONES.len()];
-            Instance {
-                pool,
-                placer: placer(zone),
-                zone,
-            }
+            let mut placer = placer(zone);
+            placer.settings.even_load = self.way == Way::Even;
+            Instance { pool, placer, zone }
         });
         self.instances = started.collect();
     }
@@ -203,7 +201,7 @@
         let begun = Instant::now();
         let fixed = (&self.configuration, &self.route, &self.service);
         let instance = &mut self.instances[call.instance];
-        let pick = instance.choose(self.way, &call, fixed, &self.ids);
+        let pick = instance.choose(self.way, &call, fixed, &self.ids, self.case.instances);
         if is_counted {
             self.outcome.calls += 1;
             self.outcome.choosing_ns += begun.elapsed().as_nanos();
