--- a/crates/damaskvane-gateway/tests/settings.rs
+++ b/crates/damaskvane-gateway/tests/settings.rs
@@ -50,3 +50,13 @@
     let error = GatewaySettings::parse("test.toml", &text).expect_err("a wrong number");
     assert!(error.to_string().contains("store_history_s"));
 }
+
+/// Guards against a key that is read by nobody, and against even load where no operator has asked for it.
+#[test]
+fn even_load_is_off_unless_the_table_of_placement_sets_it() {
+    assert!(!settings("").placement.even_load);
+    let text = text("") + "\n[placement]\neven_load = true\n";
+    let settings = GatewaySettings::parse("test.toml", &text).expect("valid settings");
+    assert!(settings.placement.even_load);
+    assert!((settings.placement.load_limit - 2.5).abs() < f64::EPSILON);
+}
