--- a/crates/damaskvane-gateway/tests/settings.rs
+++ b/crates/damaskvane-gateway/tests/settings.rs
@@ -74,3 +74,13 @@
     let line = "quota_uses_unused_burst = true";
     assert!(settings(line).quota().uses_unused_burst);
 }
+
+/// Guards against a key that is read by nobody, and against even load where no operator has asked for it.
+#[test]
+fn even_load_is_off_unless_the_table_of_placement_sets_it() {
+    assert!(!settings("").placement.even_load);
+    let text = text("") + "\n[placement]\neven_load = true\n";
+    let settings = GatewaySettings::parse("test.toml", &text).expect("valid settings");
+    assert!(settings.placement.even_load);
+    assert!((settings.placement.load_limit - 2.5).abs() < f64::EPSILON);
+}
--- a/crates/damaskvane-routing/src/placement/placer.rs
+++ b/crates/damaskvane-routing/src/placement/placer.rs
@@ -16,6 +16,7 @@
 use crate::placement::rejection::Rejection;
 use crate::placement::route_sizes::RouteSizes;
 use crate::placement::selection::{MAX_CANDIDATES, Selection};
+use crate::placement::warm_shares::{self, WarmShares};
 use crate::placement::{
     AnsweredRequest, Choice, Pick, PlacementRequest, PlacementSettings, RefusalReason, RoundTrips,
     RouteKey,
@@ -37,6 +38,7 @@
     route_sizes: RouteSizes,
     popularity: Popularity,
     object_moves: ObjectMoves,
+    warm_shares: WarmShares,
     region_shifts: RegionShifts,
     candidates: Candidates,
     own_zone: ids::AvailabilityZoneId,
@@ -58,6 +60,7 @@
             route_sizes: RouteSizes::default(),
             popularity: Popularity::default(),
             object_moves: ObjectMoves::default(),
+            warm_shares: WarmShares::default(),
             region_shifts: RegionShifts::default(),
             candidates: Candidates::default(),
             own_zone,
@@ -216,7 +219,6 @@
             return self.refuse(RefusalReason::NoServer, request);
         };
         let mut candidates = core::mem::take(&mut self.candidates);
-        candidates.find(pool, request, search);
         let service = configuration.service(request.service);
         let cold_share = service.map_or(0, |service| {
             let settings = pool.settings().cold_rate;
@@ -224,11 +226,20 @@
         });
         let max_connections = service.map_or(0, |service| service.max_connections);
         let connection_share = limit::connection_share(max_connections, instances);
-        let usable = candidates.usable(now, pool, search);
         let selection = Selection {
             connection_share,
             ..self.selection(now, pool, request, cold_share, instances)
         };
+        if self.uses_even_load(request, search) {
+            let pick = selection.even(&mut candidates, search);
+            if let Some(pick) = pick {
+                let home = candidates.found().first().copied();
+                self.candidates = candidates;
+                return self.send(now, pool, request, home, pick);
+            }
+        }
+        candidates.find(pool, request, search);
+        let usable = candidates.usable(now, pool, search);
         let mut best = selection.best_of(usable, 0);
         if let Err(rejection) = best
             && rejection.calls_for_others()
@@ -243,6 +254,19 @@
         }
     }
 
+    /// Returns whether a request is placed by the expected room of servers, unless one of them is warm for its object.
+    ///
+    /// Popular objects are not: they come back.
+    fn uses_even_load(&self, request: &PlacementRequest<'_>, search: Search) -> bool {
+        let expects_cold = request.object.is_none_or(|object| {
+            let route = RouteKey::of(&request.route.name);
+            search.spread == Spread::Region
+                && !WarmShares::is_sampled(object)
+                && !self.warm_shares.expects_warm(route)
+        });
+        self.settings.even_load && expects_cold
+    }
+
     /// Returns the selected server, or a refusal if no response is possible before the request's deadline.
     ///
     /// `home` is the first server of the request's object; a selected server in another region counts as shifted.
@@ -293,6 +317,13 @@
         }
         let route = answered.route;
         let baseline = self.baselines.of(&route.name, route.objective_ms);
+        if let Some(object) = answered.object
+            && answered.pick.rank == 0
+            && !answered.pick.was_sent
+        {
+            self.warm_shares
+                .record(route_key, object, baseline, work_ms);
+        }
         if was_handled_recently {
             server.record_work_time(now, work_ms, baseline.warm_ms);
             self.baselines
@@ -420,6 +451,11 @@
             connection_share: usize::MAX,
             instances,
             uses_returning: false,
+            first_server_warm: if self.settings.even_load {
+                self.warm_shares.of(RouteKey::of(&route.name))
+            } else {
+                warm_shares::ASSUMED_SHARE
+            },
         }
     }
 }
