--- a/crates/damaskvane-gateway/src/clients/pipeline/connection.rs
+++ b/crates/damaskvane-gateway/src/clients/pipeline/connection.rs
@@ -241,7 +241,6 @@
             && unwritten < self.max_requests
             && !self.output.is_blocked()
             && !self.output.is_last()
-            && !(self.is_busy() && self.node.stop.is_leaving())
     }
 
     /// Starts the request, or lets it wait; returns whether it was started.
