--- a/crates/damaskvane-gateway/src/clients/pipeline/connection.rs
+++ b/crates/damaskvane-gateway/src/clients/pipeline/connection.rs
@@ -7,7 +7,7 @@
 use std::net;
 use std::rc::Rc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use damaskvane_core::time::TimeMs;
 use damaskvane_routing::configuration::Limits;
 use http_body_util::Empty;
@@ -104,7 +104,7 @@
             max_requests: node.settings().max_pipelined_requests,
             idle_timeout: Duration::from_millis(limits.idle_timeout_ms),
             head_timeout: Duration::from_millis(limits.header_timeout_ms),
-            input: Input::new(BytesMut::new(), max_bytes),
+            input: Input::new(max_bytes),
             waiting: None,
             queue: Queue::default(),
             output: Output::default(),
--- a/crates/damaskvane-gateway/src/clients/pipeline/input.rs
+++ b/crates/damaskvane-gateway/src/clients/pipeline/input.rs
@@ -26,9 +26,9 @@
 
 impl Input {
     /// Creates an empty buffer that takes at most `max_bytes`.
-    pub(super) const fn new(buffer: BytesMut, max_bytes: usize) -> Self {
+    pub(super) fn new(max_bytes: usize) -> Self {
         Self {
-            buffer,
+            buffer: BytesMut::new(),
             scanned: 0,
             max_bytes,
         }
