--- a/crates/damaskvane-gateway/src/quota/client.rs
+++ b/crates/damaskvane-gateway/src/quota/client.rs
@@ -36,8 +36,8 @@
     Unreachable,
 }
 
-/// Acquires a token for one request of a team, with its priority, 0 being the most urgent: from the pool of this instance's zone, or if its holder doesn't reply,
-/// from the pool of another zone.
+/// Acquires a token for one request of a team: from the pool of this instance's zone, or if its holder doesn't reply,
+/// from the pool of another zone. Priority 0 is the most urgent.
 ///
 /// # Errors
 ///
--- a/crates/damaskvane-gateway/src/quota/lending.rs
+++ b/crates/damaskvane-gateway/src/quota/lending.rs
@@ -107,7 +107,8 @@
         .collect()
 }
 
-/// Asks all lenders at once for `each` tokens, for which room is reserved, and adds what they lend as their replies arrive.
+/// Asks all lenders at once for `each` tokens, for which room is reserved, and adds what they lend as their replies
+/// arrive.
 async fn borrow(
     node: Rc<Node>,
     team: TeamKey,
