A loss of the store's history that one watch meets ends the others

Cause: a watch that is pending while the store discards its history may get neither the discarded change nor an error.

Change: the response that history is gone, to a watch of any collection, ends the pending watches of the others; they are sent again, get the same response and read their collections. Further such responses within 200 ms are the same loss.

--- a/crates/damaskvane-gateway/src/store/follow.rs
+++ b/crates/damaskvane-gateway/src/store/follow.rs
@@ -254,6 +254,9 @@
                     }
                 }
                 Err(CallError::HistoryGone) => {
+                    if self.node.store.source() == Source::Store {
+                        self.node.store.record_history_lost(self.node.now());
+                    }
                     slog::info!(self.node.log.log,
                         "store history is no longer available; reading the whole collection again";
                         "collection" => self.collection.as_str(), "revision" => revision);
@@ -303,6 +306,7 @@
         let body = tokio::select! {
             body = self.client.call(&request, timeout) => self.digest_keys(body?)?,
             () = node.store.until_call_may_hang() => return Err(CallError::Timeout),
+            () = node.store.until_history_lost() => return Ok((revision, Bytes::new())),
         };
         let changes = self.node.adapter.changes(self.collection, &body);
         let changes = changes.map_err(|error| self.log_malformed(&error))?;
--- a/crates/damaskvane-gateway/src/store/health.rs
+++ b/crates/damaskvane-gateway/src/store/health.rs
@@ -31,6 +31,10 @@
 /// at once. Subscribers are the instances that receive changes from this instance.
 const NOTIFY_GAP_MS: u64 = 100;
 
+/// Time in milliseconds in which further responses that history is gone are taken for the same loss: each collection gets
+/// one.
+const SAME_LOSS_MS: u64 = 200;
+
 /// Reachability of the store and the source of its changes.
 #[derive(Debug)]
 pub struct StoreHealth {
@@ -50,6 +54,8 @@
     directly_regained_at: Cell<Option<TimeMs>>,
     /// Number of calls of this instance that the store did not answer.
     failed_calls: watch::Sender<u64>,
+    /// Time of the last loss of the store's history that a watch of this instance has met.
+    history_lost_at: watch::Sender<Option<TimeMs>>,
     /// Whether the store did not answer the last health check of this instance, even if a relay reports its responses.
     is_direct_access_lost: Cell<bool>,
 }
@@ -65,6 +71,7 @@
             directly_answered_at: Cell::new(None),
             directly_regained_at: Cell::new(None),
             failed_calls: watch::Sender::new(0),
+            history_lost_at: watch::Sender::new(None),
             is_direct_access_lost: Cell::new(false),
         }
     }
@@ -118,6 +125,27 @@
         }
     }
 
+    /// Records that a watch of one collection got the response that history is gone.
+    pub fn record_history_lost(&self, now: TimeMs) {
+        self.history_lost_at.send_if_modified(|last| {
+            let is_new = last.is_none_or(|at| now.since(at).get() >= SAME_LOSS_MS);
+            if is_new {
+                *last = Some(now);
+            }
+            is_new
+        });
+    }
+
+    /// Waits until a watch of another collection meets a loss of history.
+    ///
+    /// A watch that was pending when the store discarded its history may not get the changes that were discarded, nor
+    /// notice the loss: it waits for the next change, which may come much later.
+    pub async fn until_history_lost(&self) {
+        let mut losses = self.history_lost_at.subscribe();
+        // The sender lives as long as the node, so waiting doesn't fail.
+        let _ = losses.changed().await;
+    }
+
     /// Marks the store as down. Returns whether the store was marked as up before.
     pub fn mark_down(&self) -> bool {
         self.reachability.send_if_modified(|reachability| {
--- a/crates/damaskvane-gateway/tests/store_health.rs
+++ b/crates/damaskvane-gateway/tests/store_health.rs
@@ -78,3 +78,28 @@
     });
     assert!(!has_ended, "the watch has ended");
 }
+
+/// Guards against a pending watch that never gets the changes which the store has discarded: the loss that another
+/// collection's watch meets has to end it, once, since each collection then gets the same response.
+#[test]
+fn a_loss_of_history_ends_watches_once() {
+    let health = StoreHealth::default();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()
+        .expect("a runtime");
+    let ends = |lost_at_ms| {
+        runtime.block_on(async {
+            let losing = async {
+                tokio::task::yield_now().await;
+                health.record_history_lost(TimeMs::new(lost_at_ms));
+            };
+            let both = async { tokio::join!(health.until_history_lost(), losing) };
+            let ended = tokio::time::timeout(Duration::from_millis(50), both).await;
+            ended.is_ok()
+        })
+    };
+    assert!(ends(1_000));
+    assert!(!ends(1_199), "the same loss");
+    assert!(ends(1_200), "another loss");
+}
