--- a/review/1/case.py
+++ b/review/1/case.py
@@ -25,7 +25,7 @@
     while now() < until:
         name = f"c{number}-{count}"
         count += 1
-        extra = f"Cookie: X-Affinity-Key={count % 40}\r\n"
+        extra = f"Cookie: X-Affinity-Key={(7 * number + count) % 40}\r\n"
         await loop.sock_sendall(one, request_bytes("POST", "/book/1", name, 3_000, b"one booking", extra))
         head, _, end = await read_answer(one, 4)
         line = head.split(b"\r\n")[0].decode()
