--- a/crates/damaskvane-gateway/src/adapter.rs
+++ b/crates/damaskvane-gateway/src/adapter.rs
@@ -145,6 +145,8 @@
     ListZone,
     /// Waits for changes of a collection.
     Watch,
+    /// Reads at once the changes for which a watch is pending, to check whether it should have returned.
+    WatchCheck,
     /// Checks with the cheapest call whether the store responds.
     Ping,
     /// Reads the store's current revision.
@@ -161,6 +163,7 @@
             Self::List => "list",
             Self::ListZone => "look",
             Self::Watch => "watch",
+            Self::WatchCheck => "watch_check",
             Self::Ping => "contact",
             Self::Revision => "revision",
             Self::Write => "write",
--- a/crates/damaskvane-gateway/src/metrics.rs
+++ b/crates/damaskvane-gateway/src/metrics.rs
@@ -57,6 +57,8 @@
     pub costs: Costs,
     /// Calls to the store by collection, purpose and outcome.
     pub store_calls: IntCounterVec,
+    /// Watches of the store that had missed changes and were replaced, by collection.
+    pub overdue_watches: IntCounterVec,
     /// Health probes sent.
     pub probes: IntCounter,
     /// Crashes of backend servers that were running requests of this instance.
@@ -165,6 +167,11 @@
                 "Calls",
                 &["collection", "purpose", "outcome"],
             )?,
+            overdue_watches: factory.counters(
+                "overdue_watches_total",
+                "Watches of the store that missed changes and were replaced",
+                &["collection"],
+            )?,
             probes: factory.counter("probes_total", "Health probes")?,
             crash_incidents: factory.counter(
                 "crash_incidents_total",
--- a/crates/damaskvane-gateway/src/process.rs
+++ b/crates/damaskvane-gateway/src/process.rs
@@ -150,6 +150,7 @@
     tokio::task::spawn_local(store::run_health_checks(Rc::clone(node)));
     tokio::task::spawn_local(store::subscribe_to_relay(Rc::clone(node)));
     tokio::task::spawn_local(store::watch_freshness(Rc::clone(node)));
+    tokio::task::spawn_local(store::read_revisions(Rc::clone(node)));
     tokio::task::spawn_local(store::prove_configuration(Rc::clone(node)));
     tokio::task::spawn_local(store::register(Rc::clone(node)));
     tokio::task::spawn_local(probes::run(Rc::clone(node)));
--- a/crates/damaskvane-gateway/src/settings.rs
+++ b/crates/damaskvane-gateway/src/settings.rs
@@ -264,6 +264,17 @@
         (self.store_history_s * 1_000.0 * HISTORY_SHARE).min(MAX_WAIT_MS) as u64
     }
 
+    /// Returns the interval at which an instance that watches the store reads the store's revision.
+    ///
+    /// Changes that a watch has missed must be learned within `contact_ms` of the last fault, and a part of it is needed
+    /// to read them and to send them to all instances.
+    #[must_use]
+    pub fn revision_check_period(&self) -> SpanMs {
+        const CHECKS_PER_CONTACT: f64 = 2.0;
+        const MIN_PERIOD_MS: f64 = 500.0;
+        SpanMs::new((self.contact_ms / CHECKS_PER_CONTACT).max(MIN_PERIOD_MS) as u64)
+    }
+
     /// Returns the peer addresses of the seed instances, for use until the store's list of instances was read.
     pub fn seed_addresses(&self) -> impl Iterator<Item = net::SocketAddr> {
         let port = self.peer_address.port();
--- a/crates/damaskvane-gateway/src/store.rs
+++ b/crates/damaskvane-gateway/src/store.rs
@@ -12,6 +12,8 @@
 mod health_check;
 mod journal;
 mod register;
+mod revision_check;
+mod watch_check;
 
 pub use client::{CallError, StoreClient};
 pub use evidence::prove_configuration;
@@ -22,6 +24,7 @@
 pub use health_check::run as run_health_checks;
 pub use journal::Journal;
 pub use register::register;
+pub use revision_check::read_revisions;
 
 use crate::adapter::Collection;
 
--- a/crates/damaskvane-gateway/src/store/evidence.rs
+++ b/crates/damaskvane-gateway/src/store/evidence.rs
@@ -12,7 +12,7 @@
 
 use crate::adapter::{Collection, StoreRequest};
 use crate::node::Node;
-use crate::store::{CallError, Source, StoreClient};
+use crate::store::{CallError, Source, StoreClient, revision_check};
 
 /// Timeout of a call; a store that is 60 times slower than usual responds within this time.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
@@ -79,15 +79,13 @@
     if revision == 0 || watched == 0 {
         return Err(Unproven::NothingApplied);
     }
-    let request = node.adapter.revision_check();
-    let body = read(node, client, &request).await?;
-    let page = node.adapter.page(Collection::Configuration, &body);
-    let page = page.map_err(|_| Unproven::Call(CallError::Malformed))?;
+    let store_revision = revision_check::read_revision(node, client).await;
+    let store_revision = store_revision.map_err(Unproven::Call)?;
     let request = node.adapter.watch(Collection::Configuration, watched, 0);
     let body = read(node, client, &request).await?;
     let changes = node.adapter.changes(Collection::Configuration, &body);
     let changes = changes.map_err(|_| Unproven::Call(CallError::Malformed))?;
-    let is_unchanged = changes.events.is_empty() && changes.revision >= page.revision;
+    let is_unchanged = changes.events.is_empty() && changes.revision >= store_revision;
     if !is_unchanged {
         return Err(Unproven::ChangesMissing);
     }
--- a/crates/damaskvane-gateway/src/store/follow.rs
+++ b/crates/damaskvane-gateway/src/store/follow.rs
@@ -17,6 +17,7 @@
 use crate::store::applier::Applier;
 use crate::store::feed::FeedItem;
 use crate::store::journal::Listing;
+use crate::store::watch_check::WatchCheck;
 use crate::store::{CallError, Source, StoreClient, freshness};
 
 /// Time that a watch may take to return in addition to the wait time that its call requests.
@@ -58,6 +59,7 @@
 pub async fn follow(node: Rc<Node>, collection: Collection) {
     Follower {
         client: StoreClient::new(Rc::clone(&node), collection),
+        check: WatchCheck::new(Rc::clone(&node), collection),
         applier: Applier::new(Rc::clone(&node), collection),
         node,
         collection,
@@ -83,6 +85,7 @@
     node: Rc<Node>,
     collection: Collection,
     client: StoreClient,
+    check: WatchCheck,
     applier: Applier,
     failures: u32,
     /// Whether the whole collection was read at least once since the start of the process.
@@ -307,6 +310,7 @@
             body = self.client.call(&request, timeout) => self.digest_keys(body?)?,
             () = node.store.until_call_may_hang() => return Err(CallError::Timeout),
             () = node.store.until_history_lost() => return Ok((revision, Bytes::new())),
+            () = self.check.until_overdue(revision) => return Ok((revision, Bytes::new())),
         };
         let changes = self.node.adapter.changes(self.collection, &body);
         let changes = changes.map_err(|error| self.log_malformed(&error))?;
--- a/crates/damaskvane-gateway/src/store/health.rs
+++ b/crates/damaskvane-gateway/src/store/health.rs
@@ -56,6 +56,10 @@
     failed_calls: watch::Sender<u64>,
     /// Time of the last loss of the store's history that a watch of this instance has met.
     history_lost_at: watch::Sender<Option<TimeMs>>,
+    /// The newest revision of the store that this instance has read.
+    revision: watch::Sender<u64>,
+    /// Time of the last reading of the revision.
+    revision_read_at: Cell<Option<TimeMs>>,
     /// Whether the store did not answer the last health check of this instance, even if a relay reports its responses.
     is_direct_access_lost: Cell<bool>,
 }
@@ -72,6 +76,8 @@
             directly_regained_at: Cell::new(None),
             failed_calls: watch::Sender::new(0),
             history_lost_at: watch::Sender::new(None),
+            revision: watch::Sender::new(0),
+            revision_read_at: Cell::new(None),
             is_direct_access_lost: Cell::new(false),
         }
     }
@@ -146,6 +152,30 @@
         let _ = losses.changed().await;
     }
 
+    /// Records that the store's revision was read at the time `at`, not from an old state.
+    pub fn record_revision(&self, at: TimeMs, revision: u64) {
+        self.revision_read_at.set(Some(at));
+        self.revision.send_if_modified(|newest| {
+            let is_newer = revision > *newest;
+            *newest = revision.max(*newest);
+            is_newer
+        });
+    }
+
+    /// Returns the time at which the store's revision was last read, or `None` if it never was.
+    #[must_use]
+    pub const fn revision_read_at(&self) -> Option<TimeMs> {
+        self.revision_read_at.get()
+    }
+
+    /// Waits until a revision of the store after `revision` was read, and returns the newest one.
+    pub async fn until_revision_after(&self, revision: u64) -> u64 {
+        let mut readings = self.revision.subscribe();
+        // The sender lives as long as the node, so waiting doesn't fail.
+        let newest = readings.wait_for(|newest| *newest > revision).await;
+        newest.map_or(revision, |newest| *newest)
+    }
+
     /// Marks the store as down. Returns whether the store was marked as up before.
     pub fn mark_down(&self) -> bool {
         self.reachability.send_if_modified(|reachability| {
