A success whose signature belongs to the connection is no success

Callers would see: a 200 without a server's signature (MIXED), with a body that nobody vouches for.

Cause: a response that names the signature's header in `Connection` passed the check, and then the headers of the connection were removed, the signature with them.

Why it works: a response counts as signed only if the signature is no header of the connection, by the same list of names by which those headers are removed. That code moved to a module of its own in http, where the heads are read.

--- a/crates/damaskvane-gateway/src/clients/dispatch.rs
+++ b/crates/damaskvane-gateway/src/clients/dispatch.rs
@@ -25,9 +25,10 @@
 use crate::clients::{caller, head, reply, routed_request, startup};
 use crate::crashes::{Refusal, RefusalReason, RequestCopy};
 use crate::decision_log::RequestOutcome;
+use crate::http;
 use crate::node::Node;
 use crate::stop::Stop;
-use crate::upstream::{self, OutgoingRequest, ResponseBody};
+use crate::upstream::{OutgoingRequest, ResponseBody};
 
 /// Retry delay sent to clients while the instance has no configuration or no memory for bodies, in
 /// milliseconds.
@@ -124,7 +125,7 @@
         .map_or("/", |target| target.as_str());
     let target = target.to_owned();
     let mut headers = parts.headers;
-    upstream::strip_connection_headers(&mut headers);
+    http::strip_connection_headers(&mut headers);
     let outgoing = OutgoingRequest {
         method: parts.method,
         target,
--- a/crates/damaskvane-gateway/src/http.rs
+++ b/crates/damaskvane-gateway/src/http.rs
@@ -6,8 +6,10 @@
 
 mod body;
 mod connection;
+mod connection_headers;
 mod head;
 
 pub use body::{BodyKind, BodyReader, MalformedBody, Piece};
 pub use connection::{Connection, ReadError, open_stream, set_silence_timeout};
+pub use connection_headers::strip_connection_headers;
 pub use head::{MalformedHead, ResponseHead};
--- a/crates/damaskvane-gateway/src/http/head.rs
+++ b/crates/damaskvane-gateway/src/http/head.rs
@@ -7,6 +7,7 @@
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 
 use crate::http::body::BodyKind;
+use crate::http::connection_headers::listed_in_connection;
 
 /// Maximum number of headers of a response.
 const MAX_HEADERS: usize = 64;
@@ -57,6 +58,13 @@
 }
 
 impl ResponseHead {
+    /// Returns whether the response has a header that remains when those of the connection are removed.
+    #[must_use]
+    pub fn has_end_to_end(&self, name: &HeaderName) -> bool {
+        let mut listed = listed_in_connection(&self.headers);
+        self.headers.contains_key(name) && !listed.any(|one| one == name)
+    }
+
     /// Removes the next head from the front of `buffer`; returns `None` while the head isn't complete.
     ///
     /// Interim responses are skipped.
--- a/crates/damaskvane-gateway/src/server_statements/decode.rs
+++ b/crates/damaskvane-gateway/src/server_statements/decode.rs
@@ -37,7 +37,7 @@
         is_leaving: fields.is_leaving(&names.leaving),
         is_other_server: head.status == StatusCode::MISDIRECTED_REQUEST || is_named_otherwise,
         warmup_left_ms: warmup_left_ms.map(|left_ms| left_ms.max(0.0) as u64),
-        is_signed: head.headers.contains_key(&names.signature),
+        is_signed: head.has_end_to_end(&names.signature),
         is_not_run: head.headers.contains_key(&names.not_run),
         is_able: !head.status.is_server_error(),
     }
--- a/crates/damaskvane-gateway/src/upstream.rs
+++ b/crates/damaskvane-gateway/src/upstream.rs
@@ -17,5 +17,5 @@
 pub use fault::ResponseFault;
 pub use idle::IdleConnections;
 pub use outcome::{ExchangeOutcome, Sending};
-pub use request::{OutgoingRequest, strip_connection_headers};
+pub use request::OutgoingRequest;
 pub use response::{BackendResponse, ResponseBody};
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -23,7 +23,7 @@
 use crate::upstream::running::RunningExchange;
 use crate::upstream::{
     self, BackendResponse, ExchangeOutcome, OpenError, OutgoingRequest, ResponseBody,
-    ResponseFault, Sending, TunnelUse, request, streaming,
+    ResponseFault, Sending, TunnelUse, streaming,
 };
 
 /// Timeout for opening a connection. The kernel retransmits a lost SYN packet only after a second, and within
@@ -332,7 +332,7 @@
         let is_keep_alive = head.is_keep_alive && may_keep;
         let idle_timeout_s = head.idle_timeout_s;
         let mut headers = head.headers;
-        request::strip_connection_headers(&mut headers);
+        http::strip_connection_headers(&mut headers);
         let body = match whole {
             Ok(bytes) => {
                 self.count_bytes(path, bytes.len());
--- a/crates/damaskvane-gateway/src/upstream/request.rs
+++ b/crates/damaskvane-gateway/src/upstream/request.rs
@@ -8,41 +8,10 @@
 use damaskvane_dispatch::fingerprint::Fingerprint;
 use damaskvane_dispatch::quarantine::RequestIdentity;
 use damaskvane_routing::teams::TeamName;
-use hyper::header::{self, HeaderMap, HeaderName};
+use hyper::header::{self, HeaderMap};
 
 use crate::adapter::HeaderNames;
 
-/// Headers that apply to a single connection (RFC 9110, section 7.6.1), and framing headers that this instance
-/// writes itself.
-const CONNECTION_HEADERS: [HeaderName; 8] = [
-    header::CONNECTION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    header::CONTENT_LENGTH,
-    header::EXPECT,
-    header::PROXY_AUTHORIZATION,
-];
-const KEEP_ALIVE: &str = "keep-alive";
-const PROXY_CONNECTION: &str = "proxy-connection";
-
-/// Removes the headers that apply to a single connection, including those listed in `Connection`.
-pub fn strip_connection_headers(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named.iter().chain(&CONNECTION_HEADERS) {
-        headers.remove(name);
-    }
-    headers.remove(KEEP_ALIVE);
-    headers.remove(PROXY_CONNECTION);
-}
-
 /// A client's request with its complete body; it can be sent to several servers in turn.
 #[derive(Debug)]
 pub struct OutgoingRequest {
