Lengths with a sign and a second Transfer-Encoding are malformed

Cause: the parsers of numbers take a sign, and only the first Transfer-Encoding was looked at.

Evidence: four of the five new cases of responses_of_ambiguous_length_are_malformed (the fifth is a negative size, which failed already) are read by the code before; the test failed at the first of them.

Why it works: lengths consist of digits only, and the one encoding is chunked; all else ends the exchange as malformed.

Measured: the tests of the parser, of heads, failures and endless bytes pass.

--- a/crates/damaskvane-gateway/src/http/body.rs
+++ b/crates/damaskvane-gateway/src/http/body.rs
@@ -1,6 +1,6 @@
 //! Incremental decoding of a response body.
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 
 /// How the end of a body is determined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -175,8 +175,9 @@
         digits = &digits[..extension];
     }
     let text = std::str::from_utf8(digits).map_err(|_| MalformedBody)?;
-    if digits.remaining() == 0 {
+    let text = text.trim();
+    if text.is_empty() || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
         return Err(MalformedBody);
     }
-    u64::from_str_radix(text.trim(), 16).map_err(|_| MalformedBody)
+    u64::from_str_radix(text, 16).map_err(|_| MalformedBody)
 }
--- a/crates/damaskvane-gateway/src/http/head.rs
+++ b/crates/damaskvane-gateway/src/http/head.rs
@@ -155,9 +155,10 @@
     if matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
         return Ok(BodyKind::Length(0));
     }
-    if let Some(encoding) = headers.get(header::TRANSFER_ENCODING) {
+    let mut encodings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    if let Some(encoding) = encodings.next() {
         let is_chunked = encoding.as_bytes().eq_ignore_ascii_case(b"chunked");
-        return if is_chunked {
+        return if is_chunked && encodings.next().is_none() {
             Ok(BodyKind::Chunked)
         } else {
             Err(MalformedHead::BodyLength)
@@ -171,7 +172,11 @@
     if lengths.any(|other| other != first) {
         return Err(MalformedHead::BodyLength);
     }
-    let length = first.to_str().ok().and_then(|text| text.parse().ok());
+    let digits = first
+        .to_str()
+        .ok()
+        .filter(|text| text.bytes().all(|byte| byte.is_ascii_digit()));
+    let length = digits.and_then(|text| text.parse().ok());
     length
         .map(BodyKind::Length)
         .ok_or(MalformedHead::BodyLength)
--- a/crates/damaskvane-gateway/tests/http.rs
+++ b/crates/damaskvane-gateway/tests/http.rs
@@ -89,10 +89,15 @@
 /// client.
 #[test]
 fn responses_of_ambiguous_length_are_malformed() {
-    let responses: [&[u8]; 5] = [
+    let responses: [&[u8]; 10] = [
         b"no answer at all\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!",
         b"HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nhello",
+        b"HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\nhello",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n+5\r\nhello\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n-5\r\nhello\r\n0\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\nhello\r\n0\r\n\r\n",
     ];
