A truncated body resets the client's connection

Cause: the HTTP library drops the connection when a body fails, which is an ordinary close; a client of HTTP/1.0 gets neither a length nor chunks and takes any close for the end of the body.

Why it works: an error of a response's body is told apart from those of the connection, and has the stream reset when it is dropped. Nothing else is reset, so no response that is still in the kernel's buffers is lost.

--- a/crates/damaskvane-gateway/src/clients.rs
+++ b/crates/damaskvane-gateway/src/clients.rs
@@ -10,6 +10,7 @@
 mod pending;
 mod pipeline;
 mod reply;
+mod reset;
 mod routed_request;
 mod send_right;
 mod startup;
--- a/crates/damaskvane-gateway/src/clients/head_timer.rs
+++ b/crates/damaskvane-gateway/src/clients/head_timer.rs
@@ -18,6 +18,8 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::clients::reset::ResetOnClose;
+
 /// Measures how long the head of the current request has been arriving on one connection.
 #[derive(Debug, Default)]
 pub(super) struct HeadTimer {
@@ -67,18 +69,31 @@
     /// Bytes that were read from the stream before, and come first.
     unread: Bytes,
     timer: Rc<HeadTimer>,
+    reset: Rc<ResetOnClose>,
 }
 
 impl TimedStream {
-    pub(super) const fn new(stream: TcpStream, unread: Bytes, timer: Rc<HeadTimer>) -> Self {
+    pub(super) const fn new(
+        stream: TcpStream,
+        unread: Bytes,
+        timer: Rc<HeadTimer>,
+        reset: Rc<ResetOnClose>,
+    ) -> Self {
         Self {
             stream,
             unread,
             timer,
+            reset,
         }
     }
 }
 
+impl Drop for TimedStream {
+    fn drop(&mut self) {
+        self.reset.apply(&self.stream);
+    }
+}
+
 impl AsyncRead for TimedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/damaskvane-gateway/src/clients/listener.rs
+++ b/crates/damaskvane-gateway/src/clients/listener.rs
@@ -19,6 +19,7 @@
 use tokio::net::TcpStream;
 
 use crate::clients::head_timer::{HeadTimer, TimedStream};
+use crate::clients::reset::ResetOnClose;
 use crate::clients::{dispatch, pipeline, reply};
 use crate::node::Node;
 use crate::stop::StopPhase;
@@ -159,7 +160,8 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let stream = TimedStream::new(stream, unread, Rc::clone(&timer));
+    let reset = Rc::new(ResetOnClose::default());
+    let stream = TimedStream::new(stream, unread, Rc::clone(&timer), Rc::clone(&reset));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
@@ -169,13 +171,20 @@
     let mut connection = pin!(connection);
     let mut phases = node.stop.subscribe();
     tokio::select! {
-        _ = connection.as_mut() => return,
+        served = connection.as_mut() => return reset_if_truncated(served, &reset),
         () = timer.expired(Duration::from_millis(limits.header_timeout_ms)) => return,
         _ = phases.wait_for(|phase| *phase == StopPhase::Closing) => {}
     }
     connection.as_mut().graceful_shutdown();
-    // An error at the end of a connection concerns only the client, which notices the error itself.
-    let _ = connection.await;
+    reset_if_truncated(connection.as_mut().await, &reset);
+}
+
+/// Has the connection reset if the body of its response has failed. Other errors concern only the client, which notices
+/// them itself.
+fn reset_if_truncated(served: hyper::Result<()>, reset: &ResetOnClose) {
+    if served.is_err_and(|error| error.is_user()) {
+        reset.set();
+    }
 }
 
 async fn handle(
