A booking gets no status that promises more than its server has said

Callers of a booking saw 408, 429 or 503 of a server that had not marked the response as not run. To clients these statuses promise that the request has not run and never will (REFUSED), so they may book once more.

Cause: the not-run mark decided whether a server rejected a request, and then any status without it was passed on.

Evidence: a_status_that_promises_too_much_does_not_reach_the_client_of_a_booking got 408 in place of 502 before the change. It also holds that lookups, which may run twice, get such a response unchanged.

Why it works: for requests that may run once only, a response of a server with one of these statuses and without the mark is replaced by 502, which promises nothing, and without a signature. With the mark it never gets there.

Measured: the tests of heads, pipelining, failures, rests and limits pass.

--- a/crates/damaskvane-gateway/src/clients/unserved.rs
+++ b/crates/damaskvane-gateway/src/clients/unserved.rs
@@ -13,12 +13,12 @@
 use crate::clients::{reply, send_right};
 use crate::decision_log::RequestOutcome;
 use crate::quota;
-use crate::upstream::{ExchangeOutcome, ResponseBody};
+use crate::upstream::{BackendResponse, ExchangeOutcome, ResponseBody};
 
 impl RoutedRequest<'_> {
     pub(super) fn respond_timeout(&mut self) -> Response<ResponseBody> {
         if let Some(response) = self.failed_response.take() {
-            return reply::from_server(response);
+            return self.forward(response);
         }
         self.log_not_served("timeout", None);
         reply::from_instance(
@@ -38,10 +38,10 @@
         if last.end == ExchangeEnd::Answered
             && let Some(response) = last.response
         {
-            return reply::from_server(response);
+            return self.forward(response);
         }
         if let Some(response) = self.failed_response.take() {
-            return reply::from_server(response);
+            return self.forward(response);
         }
         if self.progress.is_proven_not_run() {
             let retry_after_ms = self.retry_after_ms(last.report.rest, last.retry_after_ms);
@@ -50,6 +50,15 @@
         self.respond_outcome_unknown()
     }
 
+    /// Returns a server's response, unless its status says that the request has not run, which its server has not said: a
+    /// client may send the request again then, and it must not run twice.
+    fn forward(&self, response: BackendResponse) -> Response<ResponseBody> {
+        if self.route.kind.may_run_again() || !says_not_run(response.status) {
+            return reply::from_server(response);
+        }
+        self.respond_outcome_unknown()
+    }
+
     /// Returns when a client should come back whose request the last server rejected.
     ///
     /// A rest that the server has asked for is this instance's matter: other servers may take the request at once.
@@ -177,3 +186,14 @@
             });
     }
 }
+
+/// Returns whether clients take a status as a promise that their request has not run and never will.
+const fn says_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
