Metrics in three files: the list, its registration, and the export

Moved only: how metrics are created and registered (metrics/factory.rs), and the response that updates the gauges (metrics/export.rs).

--- a/crates/damaskvane-gateway/src/metrics.rs
+++ b/crates/damaskvane-gateway/src/metrics.rs
@@ -1,28 +1,19 @@
 //! Counters, gauges and histograms of a process, and the response that exports them.
 
-use std::rc::Rc;
+mod export;
+mod factory;
 
-use bytes::Bytes;
-use hyper::Response;
 use prometheus::core::Collector;
 use prometheus::{
-    CounterVec, Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec,
-    IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
+    CounterVec, Encoder, Histogram, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Registry, TextEncoder,
 };
 
 use crate::costs::Costs;
-use crate::node::Node;
-use crate::store::Source;
+use crate::metrics::factory::MetricFactory;
 use crate::team_counts::TeamCounts;
-use crate::upstream::ResponseBody;
 
-/// Upper bounds of the latency histograms, in seconds: from a hop within a zone to the longest deadline.
-const LATENCY_BUCKETS_S: [f64; 12] = [
-    0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 8.0,
-];
-
-/// Upper bounds of the histogram of the ages of load reports, in seconds.
-const REPORT_AGE_BUCKETS_S: [f64; 7] = [0.1, 0.3, 0.6, 1.0, 2.0, 4.0, 8.0];
+pub use export::response;
 
 /// All metrics of a process.
 #[derive(Debug)]
@@ -304,123 +295,3 @@
         text
     }
 }
-
-struct MetricFactory<'a> {
-    registry: &'a Registry,
-}
-
-impl MetricFactory<'_> {
-    fn report_ages(&self) -> Result<Histogram, prometheus::Error> {
-        let options = HistogramOpts::new(
-            "placement_report_age_seconds",
-            "Age of the load report behind each choice of a server",
-        );
-        let histogram = Histogram::with_opts(options.buckets(REPORT_AGE_BUCKETS_S.to_vec()))?;
-        self.registry.register(Box::new(histogram.clone()))?;
-        Ok(histogram)
-    }
-
-    fn counters(
-        &self,
-        name: &str,
-        help: &str,
-        labels: &[&str],
-    ) -> Result<IntCounterVec, prometheus::Error> {
-        let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
-        self.registry.register(Box::new(counters.clone()))?;
-        Ok(counters)
-    }
-
-    fn sums(
-        &self,
-        name: &str,
-        help: &str,
-        labels: &[&str],
-    ) -> Result<CounterVec, prometheus::Error> {
-        let counters = CounterVec::new(Opts::new(name, help), labels)?;
-        self.registry.register(Box::new(counters.clone()))?;
-        Ok(counters)
-    }
-
-    fn counter(&self, name: &str, help: &str) -> Result<IntCounter, prometheus::Error> {
-        let counter = IntCounter::new(name, help)?;
-        self.registry.register(Box::new(counter.clone()))?;
-        Ok(counter)
-    }
-
-    fn gauges(
-        &self,
-        name: &str,
-        help: &str,
-        labels: &[&str],
-    ) -> Result<IntGaugeVec, prometheus::Error> {
-        let gauges = IntGaugeVec::new(Opts::new(name, help), labels)?;
-        self.registry.register(Box::new(gauges.clone()))?;
-        Ok(gauges)
-    }
-
-    fn gauge(&self, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
-        let gauge = IntGauge::new(name, help)?;
-        self.registry.register(Box::new(gauge.clone()))?;
-        Ok(gauge)
-    }
-
-    fn histogram(&self, name: &str, help: &str) -> Result<Histogram, prometheus::Error> {
-        let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec());
-        let histogram = Histogram::with_opts(options)?;
-        self.registry.register(Box::new(histogram.clone()))?;
-        Ok(histogram)
-    }
-
-    fn histograms(
-        &self,
-        name: &str,
-        help: &str,
-        labels: &[&str],
-    ) -> Result<HistogramVec, prometheus::Error> {
-        let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec());
-        let histograms = HistogramVec::new(options, labels)?;
-        self.registry.register(Box::new(histograms.clone()))?;
-        Ok(histograms)
-    }
-}
-
-/// Updates the gauges and returns the response with all metrics.
-#[must_use]
-pub fn response(node: &Rc<Node>) -> Response<ResponseBody> {
-    let now = node.now();
-    {
-        let state = node.state.borrow();
-        let metrics = &node.metrics;
-        let is_relayed = node.store.source() == Source::Relay;
-        metrics.uses_relay.set(i64::from(is_relayed));
-        metrics.servers.set(state.pool.len() as i64);
-        metrics
-            .instances
-            .set(state.members.usable(now).count() as i64);
-        metrics.reach.set(state.reach.reach().as_gauge());
-        let indirect = state.reach.indirect_servers();
-        metrics.indirect_servers.set(indirect as i64);
-        metrics
-            .limited_servers
-            .set(state.pool.limited().len() as i64);
-        let resting = state.pool.resting(now).count();
-        metrics.resting_servers.set(resting as i64);
-        let leaving = state.pool.leaving().count();
-        metrics.leaving_servers.set(leaving as i64);
-        let carried = node.carried_tunnels.get();
-        metrics.open_carried_tunnels.set(carried as i64);
-        metrics.update_team_refusals();
-        let earned = node.quotas.pools.borrow_mut().take_earned();
-        let tokens = metrics.quota_tokens.with_label_values(&["earned"]);
-        tokens.inc_by(earned);
-        let evidence_age = node.evidence.age(node.continuous_now());
-        let evidence_age_ms = evidence_age.map_or(-1, |age| age.get() as i64);
-        metrics.evidence_age_ms.set(evidence_age_ms);
-        let age_ms = node.store.age(now).get();
-        metrics
-            .store_age_ms
-            .set(i64::try_from(age_ms).unwrap_or(i64::MAX));
-    }
-    Response::new(ResponseBody::whole(Bytes::from(node.metrics.text())))
-}
