--- a/crates/damaskvane-gateway/src/metrics.rs
+++ b/crates/damaskvane-gateway/src/metrics.rs
@@ -50,6 +50,8 @@
     pub store_calls: IntCounterVec,
     /// Watches of the store that had missed changes and were replaced, by collection.
     pub overdue_watches: IntCounterVec,
+    /// Objects of the store that can't be used, each time they were read, by collection.
+    pub unusable_objects: IntCounterVec,
     /// Health probes sent.
     pub probes: IntCounter,
     /// Crashes of backend servers that were running requests of this instance.
@@ -163,6 +165,11 @@
                 "Watches of the store that missed changes and were replaced",
                 &["collection"],
             )?,
+            unusable_objects: factory.counters(
+                "unusable_objects_total",
+                "Objects of the store that can't be used, each time they were read",
+                &["collection"],
+            )?,
             probes: factory.counter("probes_total", "Health probes")?,
             crash_incidents: factory.counter(
                 "crash_incidents_total",
--- a/crates/damaskvane-gateway/src/store/applier.rs
+++ b/crates/damaskvane-gateway/src/store/applier.rs
@@ -2,6 +2,7 @@
 //!
 //! A collection is the set of the store's objects of one kind.
 
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -20,6 +21,9 @@
 /// line.
 const MAX_JOINED_LINES: usize = 8;
 
+/// Maximum number of unusable objects that are remembered, so that each is logged once for each reason.
+const MAX_LOGGED_UNUSABLE: usize = 1_000;
+
 /// Applies the objects of one collection to the instance's state.
 pub(super) struct Applier {
     node: Rc<Node>,
@@ -27,6 +31,8 @@
     evacuated: BTreeSet<ids::AvailabilityZoneId>,
     /// Instance ids by the name of their record. An event that removes a record holds only the name.
     instances: BTreeMap<String, ids::InstanceId>,
+    /// Names of the objects that were logged as unusable, each with the reasons.
+    logged_unusable: RefCell<BTreeSet<(String, String)>>,
 }
 
 impl Applier {
@@ -37,6 +43,7 @@
             collection,
             evacuated: BTreeSet::new(),
             instances: BTreeMap::new(),
+            logged_unusable: RefCell::new(BTreeSet::new()),
         }
     }
 
@@ -169,9 +176,20 @@
         }
     }
 
+    /// Counts an object that can't be used, and logs it the first time for this reason.
     fn log_unusable(&self, name: &str, reason: &str) {
+        let collection = self.collection.as_str();
+        let unusable = &self.node.metrics.unusable_objects;
+        unusable.with_label_values(&[collection]).inc();
+        let mut logged = self.logged_unusable.borrow_mut();
+        if logged.len() >= MAX_LOGGED_UNUSABLE {
+            logged.clear();
+        }
+        if !logged.insert((name.to_owned(), reason.to_owned())) {
+            return;
+        }
         slog::warn!(self.node.log.log, "ignoring an invalid object of the store";
-            "collection" => self.collection.as_str(), "name" => name, "reason" => reason);
+            "collection" => collection, "name" => name, "reason" => reason);
     }
 
     fn handle_pool_changes(&self, changes: &[Change]) {
