A new watch gets time to return before it is checked

Cause: after a loss of the store's history, an instance 55 ms from the store checked its new watch over an open connection. The check was answered (history gone) and its slack over before the watch, which had to open a connection, could return. The watch was ended and sent again, thirteen times within 3.4 s.

Evidence: the instance's log has `a watch of the store has missed changes` every 0.25 s from the same revision.

Why it works: a new watch returns at once if there are changes, so it is checked only after 0.9 s; after each overdue one from the same revision the next one gets twice as long, so that a slow store is never called faster than it responds.

--- a/crates/damaskvane-gateway/src/store/watch_check.rs
+++ b/crates/damaskvane-gateway/src/store/watch_check.rs
@@ -15,6 +15,10 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time for the watch's own response, which the store may have sent at the same moment as that to the check.
 const RESPONSE_SLACK: Duration = Duration::from_millis(100);
+/// Time that a new watch gets before it is checked: it opens a connection, and returns at once if there are changes.
+const MIN_AGE: Duration = Duration::from_millis(900);
+/// Maximum number of times that this time is doubled for watches from the same revision.
+const MAX_DOUBLINGS: u32 = 3;
 /// Delay after a check that failed, or that was answered from an earlier state of the store.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -24,6 +28,31 @@
     node: Rc<Node>,
     collection: Collection,
     client: StoreClient,
+    overdue: OverdueWatches,
+}
+
+/// The last watches that were overdue.
+#[derive(Debug, Default)]
+struct OverdueWatches {
+    /// The revision from which they watched.
+    revision: u64,
+    /// The number of them in a row.
+    in_a_row: u32,
+}
+
+impl OverdueWatches {
+    fn in_a_row_from(&self, revision: u64) -> u32 {
+        if self.revision == revision {
+            self.in_a_row
+        } else {
+            0
+        }
+    }
+
+    fn record(&mut self, revision: u64) {
+        self.in_a_row = self.in_a_row_from(revision).saturating_add(1);
+        self.revision = revision;
+    }
 }
 
 impl WatchCheck {
@@ -33,6 +62,7 @@
             client: StoreClient::new(Rc::clone(&node), collection),
             node,
             collection,
+            overdue: OverdueWatches::default(),
         }
     }
 
@@ -40,6 +70,7 @@
     ///
     /// Calls the store only after a new revision was read, since otherwise nothing can have changed.
     pub(super) async fn until_overdue(&mut self, revision: u64) {
+        tokio::time::sleep(self.min_age(revision)).await;
         let mut checked_revision = revision;
         loop {
             let store_revision = self.node.store.until_revision_after(checked_revision).await;
@@ -76,7 +107,15 @@
         changes.map_err(|_| CallError::Malformed)
     }
 
-    fn record_overdue(&self, revision: u64) {
+    /// Returns the time that a watch gets before it is checked. The time grows from one overdue watch to the next, so that
+    /// a store that responds slowly, but faster to the check, is not called again before it has responded.
+    fn min_age(&self, revision: u64) -> Duration {
+        let doublings = self.overdue.in_a_row_from(revision).min(MAX_DOUBLINGS);
+        MIN_AGE * 2_u32.pow(doublings)
+    }
+
+    fn record_overdue(&mut self, revision: u64) {
+        self.overdue.record(revision);
         let collection = self.collection.as_str();
         let overdue = &self.node.metrics.overdue_watches;
         overdue.with_label_values(&[collection]).inc();
