--- a/crates/damaskvane-gateway/src/http/body.rs
+++ b/crates/damaskvane-gateway/src/http/body.rs
@@ -64,12 +64,6 @@
         }
     }
 
-    /// Returns whether the head has named the length of the body.
-    #[must_use]
-    pub const fn has_length(&self) -> bool {
-        matches!(self.kind, BodyKind::Length(_))
-    }
-
     /// Returns whether the body is complete when the sender closes the connection.
     #[must_use]
     pub const fn may_end_by_close(&self) -> bool {
--- a/crates/damaskvane-gateway/src/upstream/streaming.rs
+++ b/crates/damaskvane-gateway/src/upstream/streaming.rs
@@ -11,12 +11,13 @@
 /// Maximum number of pieces of a long response body that are queued for the client.
 const MAX_QUEUED_PIECES: usize = 4;
 
-/// Time after the request's deadline for which a body is still streamed: the client is about to give up.
-const GRACE: Duration = Duration::from_millis(500);
+/// Time after the request's deadline for which a body is still streamed: it may be about to end.
+const GRACE: Duration = Duration::from_millis(250);
 
 /// Streams a long body to the client piece by piece; the connection is closed afterwards.
 ///
-/// A body without a length could have no end. It is cut a moment after the request's deadline, which is `remaining` away.
+/// A server may send without end, or stop in the middle. The body is cut a moment after the request's deadline, which is
+/// `remaining` away.
 pub(super) fn stream_body(
     connection: http::Connection,
     body: BodyReader,
@@ -25,15 +26,9 @@
 ) -> mpsc::Receiver<io::Result<Bytes>> {
     let (sender, receiver) = mpsc::channel(MAX_QUEUED_PIECES);
     tokio::task::spawn_local(async move {
-        let has_length = body.has_length();
         let streaming = stream(connection, body, first, &sender);
-        let is_whole = if has_length {
-            streaming.await.is_ok()
-        } else {
-            let streamed = tokio::time::timeout(remaining + GRACE, streaming).await;
-            matches!(streamed, Ok(Ok(())))
-        };
-        if !is_whole {
+        let streamed = tokio::time::timeout(remaining + GRACE, streaming).await;
+        if !matches!(streamed, Ok(Ok(()))) {
             let cut = io::Error::from(io::ErrorKind::UnexpectedEof);
             // The channel may be full of pieces that the client doesn't read; its end without the error would look whole.
             let _ = sender.send(Err(cut)).await;
