A streamed response keeps the length that its server has named

Callers got long responses in chunks, whatever framing their server had used: the length was dropped with the headers of the connection, and a streamed body did not know it. A client could tell a truncated body only from the missing last chunk.

Evidence: a_long_response_keeps_its_length found no content-length before the change.

Why it works: the body counts what is still to come, and the HTTP library takes the length from it; a body that ends sooner is an error of the connection.

Measured: the tests of truncated bodies, endless bytes, failures, pipelining and the gateway pass.

--- a/crates/damaskvane-gateway/src/http/body.rs
+++ b/crates/damaskvane-gateway/src/http/body.rs
@@ -48,6 +48,17 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MalformedBody;
 
+impl BodyKind {
+    /// Returns the length in bytes that the head has named; `None` if the body has another end.
+    #[must_use]
+    pub const fn length(self) -> Option<u64> {
+        match self {
+            Self::Length(length) => Some(length),
+            Self::Chunked | Self::UntilClose => None,
+        }
+    }
+}
+
 impl BodyReader {
     /// Creates a reader for a body of which nothing has been read.
     #[must_use]
--- a/crates/damaskvane-gateway/src/upstream.rs
+++ b/crates/damaskvane-gateway/src/upstream.rs
@@ -10,6 +10,7 @@
 mod request;
 mod response;
 mod running;
+mod streamed_body;
 mod streaming;
 
 pub use connect::{OpenError, TunnelUse, open, open_by_peer, open_direct};
@@ -19,3 +20,4 @@
 pub use outcome::{ExchangeOutcome, Sending};
 pub use request::OutgoingRequest;
 pub use response::{BackendResponse, ResponseBody};
+pub use streamed_body::StreamedBody;
--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -23,7 +23,7 @@
 use crate::upstream::running::RunningExchange;
 use crate::upstream::{
     self, BackendResponse, ExchangeOutcome, OpenError, OutgoingRequest, ResponseBody,
-    ResponseFault, Sending, TunnelUse, streaming,
+    ResponseFault, Sending, StreamedBody, TunnelUse, streaming,
 };
 
 /// Timeout for opening a connection. The kernel retransmits a lost SYN packet only after a second, and within
@@ -342,12 +342,11 @@
                 }
                 ResponseBody::whole(bytes)
             }
-            Err(first) => ResponseBody::Streaming(streaming::stream_body(
-                connection,
-                body,
-                first,
-                self.remaining().to_duration(),
-            )),
+            Err(first) => {
+                let remaining = self.remaining().to_duration();
+                let pieces = streaming::stream_body(connection, body, first, remaining);
+                ResponseBody::Streaming(StreamedBody::new(pieces, kind.length()))
+            }
         };
         let response = BackendResponse {
             status: head.status,
--- a/crates/damaskvane-gateway/src/upstream/response.rs
+++ b/crates/damaskvane-gateway/src/upstream/response.rs
@@ -8,16 +8,16 @@
 use hyper::StatusCode;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::HeaderMap;
-use tokio::sync::mpsc;
+
+use crate::upstream::streamed_body::StreamedBody;
 
 /// The body of a response to a client: complete, or streamed from the backend server.
 #[derive(Debug)]
 pub enum ResponseBody {
     /// The complete body; `None` after it was sent.
     Whole(Option<Bytes>),
-    /// Pieces of the body as they arrive. An error closes the client's connection, so that a truncated
-    /// response never looks complete.
-    Streaming(mpsc::Receiver<io::Result<Bytes>>),
+    /// Pieces of the body as they arrive.
+    Streaming(StreamedBody),
 }
 
 impl ResponseBody {
@@ -41,17 +41,14 @@
                 let frame = bytes.take().filter(|bytes| !bytes.is_empty());
                 Poll::Ready(frame.map(|bytes| Ok(Frame::data(bytes))))
             }
-            Self::Streaming(pieces) => {
-                let piece = pieces.poll_recv(context);
-                piece.map(|piece| piece.map(|piece| piece.map(Frame::data)))
-            }
+            Self::Streaming(streamed) => streamed.poll_piece(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
-            Self::Streaming(_) => false,
+            Self::Streaming(streamed) => streamed.remaining_bytes() == Some(0),
         }
     }
 
@@ -60,7 +57,9 @@
             Self::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            Self::Streaming(_) => SizeHint::default(),
+            Self::Streaming(streamed) => streamed
+                .remaining_bytes()
+                .map_or_else(SizeHint::default, SizeHint::with_exact),
         }
     }
 }
