--- a/crates/damaskvane-gateway/src/clients/listener.rs
+++ b/crates/damaskvane-gateway/src/clients/listener.rs
@@ -22,7 +22,7 @@
 use crate::clients::reset::ResetOnClose;
 use crate::clients::{dispatch, pipeline, reply};
 use crate::node::Node;
-use crate::stop::StopPhase;
+use crate::stop::{Stop, StopPhase};
 use crate::upstream::ResponseBody;
 use crate::{lookups, metrics};
 
@@ -175,6 +175,8 @@
         () = timer.expired(Duration::from_millis(limits.header_timeout_ms)) => return,
         _ = phases.wait_for(|phase| *phase == StopPhase::Closing) => {}
     }
+    // The planned stop waits until the last response is written, also one that is streamed.
+    let _request_guard = (kind == ListenerKind::Clients).then(|| Stop::track_request(node));
     connection.as_mut().graceful_shutdown();
     reset_if_truncated(connection.as_mut().await, &reset);
 }
