A long response is cut only if its server stalls

Evidence: a_client_that_reads_slowly_gets_a_whole_long_response, which begins to read 0.5 s after the timeout, got a reset before this change.

Why it works: the timeout is that of each read from the server. Until 250 ms after the deadline a read may last; from then on it gets 250 ms. A server that hangs in the middle is cut as before. A body without a length is cut at the deadline in any case, since it may have no end.

--- a/crates/damaskvane-gateway/src/upstream/exchange.rs
+++ b/crates/damaskvane-gateway/src/upstream/exchange.rs
@@ -23,7 +23,7 @@
 use crate::upstream::running::RunningExchange;
 use crate::upstream::{
     self, BackendResponse, ExchangeOutcome, OpenError, OutgoingRequest, ResponseBody,
-    ResponseFault, Sending, StreamedBody, TunnelUse, streaming,
+    ResponseFault, Sending, TunnelUse, streaming,
 };
 
 /// Timeout for opening a connection. The kernel retransmits a lost SYN packet only after a second, and within
@@ -342,11 +342,13 @@
                 }
                 ResponseBody::whole(bytes)
             }
-            Err(first) => {
-                let remaining = self.remaining().to_duration();
-                let pieces = streaming::stream_body(connection, body, first, remaining);
-                ResponseBody::Streaming(StreamedBody::new(pieces, kind.length()))
-            }
+            Err(first) => ResponseBody::Streaming(streaming::stream_body(
+                connection,
+                body,
+                first,
+                self.remaining().to_duration(),
+                kind.length(),
+            )),
         };
         let response = BackendResponse {
             status: head.status,
