A list of the store that doesn't advance is read again after a delay

Callers saw: almost nothing was served, while each instance read the same pages of the store 21,000 times a second (the users' sight, with a name that wasn't escaped); the sites allow 2,000 reads for all.

Cause: the next page began after the last name of the page before, whatever came back. A store, a proxy or a cache that answers with an old page sends the reader in a circle, and nothing waits in it. The same loop stood in the read of a zone's records at the start.

Why this works: a cursor remembers the names after which pages began. One that comes a second time ends the attempt with an error, and the list is read again after the backoff of failed calls; what is known stays in use. The order of the names isn't judged, as a store may order other letters in its own way. The read of a zone's records just ends: what it misses arrives with the list.

--- a/crates/damaskvane-gateway/src/adapter.rs
+++ b/crates/damaskvane-gateway/src/adapter.rs
@@ -112,13 +112,24 @@
     pub record: Option<Record>,
 }
 
+/// Where the next page of a listing begins.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum NextPage {
+    /// There is no next page.
+    None,
+    /// The next page begins after the object of this name.
+    After(String),
+    /// There is a next page, but no object of this page has a name after which it could begin.
+    Unknown,
+}
+
 /// One page of a collection's listing.
 #[derive(Debug)]
 pub struct Page {
     /// Objects of this page.
     pub items: Vec<Event>,
-    /// Name of the object after which the next page begins; `None` on the last page.
-    pub continue_after: Option<String>,
+    /// Where the next page begins.
+    pub next: NextPage,
     /// Revision of the store at which the page was read.
     pub revision: u64,
 }
--- a/crates/damaskvane-gateway/src/store.rs
+++ b/crates/damaskvane-gateway/src/store.rs
@@ -11,6 +11,7 @@
 mod health;
 mod health_check;
 mod journal;
+mod page_cursor;
 mod register;
 mod revision_check;
 mod watch_check;
--- a/crates/damaskvane-gateway/src/store/client.rs
+++ b/crates/damaskvane-gateway/src/store/client.rs
@@ -10,6 +10,7 @@
 use crate::adapter::{Collection, StoreRequest};
 use crate::http::{self, BodyReader, ReadError};
 use crate::node::Node;
+use crate::store::page_cursor::StuckList;
 
 /// Timeout for opening a connection to the store. A packet that is lost in a partition is retransmitted after 1 s; a
 /// new connection attempt after this timeout succeeds sooner once the partition has ended.
@@ -33,6 +34,8 @@
     HistoryGone,
     /// the store's response can't be decoded; check that the address in the settings is the store's
     Malformed,
+    /// {0}
+    StuckList(StuckList),
 }
 
 impl CallError {
@@ -45,6 +48,7 @@
             Self::Status(_) => "status",
             Self::HistoryGone => "history_gone",
             Self::Malformed => "malformed",
+            Self::StuckList(_) => "stuck_list",
         }
     }
 }
--- a/crates/damaskvane-gateway/src/store/follow.rs
+++ b/crates/damaskvane-gateway/src/store/follow.rs
@@ -17,6 +17,7 @@
 use crate::store::applier::Applier;
 use crate::store::feed::FeedItem;
 use crate::store::journal::Listing;
+use crate::store::page_cursor::{PageCursor, PageProgress, StuckList};
 use crate::store::watch_check::WatchCheck;
 use crate::store::{CallError, Source, StoreClient, freshness};
 
@@ -148,13 +149,13 @@
     async fn read_list(&mut self) -> Result<Listing, CallError> {
         let mut pages = Vec::new();
         let current_at = self.node.continuous_now();
-        let mut after: Option<String> = None;
+        let mut cursor = PageCursor::default();
         let mut first_revision = None;
         loop {
             let adapter = &self.node.adapter;
             // The first list of instances may be stale: newer records arrive with the changes that follow.
             let may_be_stale = self.collection == Collection::Instances && !self.has_listing;
-            let request = adapter.list(self.collection, after.as_deref(), may_be_stale);
+            let request = adapter.list(self.collection, cursor.after(), may_be_stale);
             let started = self.node.now();
             let body = self.client.call(&request, CALL_TIMEOUT).await?;
             let body = self.digest_keys(body)?;
@@ -166,23 +167,22 @@
             // The watch continues from the first page's revision, so it returns changes made between the reads of two
             // pages.
             let revision = *first_revision.get_or_insert(page.revision);
-            match page.continue_after {
-                Some(name) => after = Some(name),
-                None => {
-                    if self.collection == Collection::Configuration {
-                        // Holds once the list is applied.
-                        self.node.evidence.add(ConfigEvidence {
-                            revision,
-                            current_at,
-                        });
-                    }
-                    return Ok(Listing {
-                        revision,
-                        pages,
-                        changes: Vec::new(),
-                    });
-                }
+            let progress = cursor.advance(page.next);
+            if progress.map_err(|error| self.log_stuck(error, &cursor))? == PageProgress::ReadNext {
+                continue;
+            }
+            if self.collection == Collection::Configuration {
+                // Holds once the list is applied.
+                self.node.evidence.add(ConfigEvidence {
+                    revision,
+                    current_at,
+                });
             }
+            return Ok(Listing {
+                revision,
+                pages,
+                changes: Vec::new(),
+            });
         }
     }
 
@@ -335,6 +335,12 @@
         CallError::Malformed
     }
 
+    fn log_stuck(&self, error: StuckList, cursor: &PageCursor) -> CallError {
+        slog::warn!(self.node.log.log, "cannot read a list of the store";
+            "collection" => self.collection.as_str(), "after" => cursor.after(), "error" => %error);
+        CallError::StuckList(error)
+    }
+
     /// Waits before the next call. While the store is down, only the health check calls the store, so that an outage
     /// causes few calls and a recovering store is not overloaded.
     async fn back_off(&mut self, error: &CallError) {
--- a/crates/damaskvane-gateway/src/store/register.rs
+++ b/crates/damaskvane-gateway/src/store/register.rs
@@ -10,6 +10,7 @@
 
 use crate::adapter::{Collection, Record};
 use crate::node::Node;
+use crate::store::page_cursor::{PageCursor, PageProgress};
 use crate::store::{CallError, Source, StoreClient};
 
 /// Timeout of a call to the store.
@@ -90,9 +91,9 @@
     let Some(zone) = zone else {
         return;
     };
-    let mut after: Option<String> = None;
+    let mut cursor = PageCursor::default();
     loop {
-        let request = node.adapter.list_zone(zone, after.as_deref());
+        let request = node.adapter.list_zone(zone, cursor.after());
         let Ok(body) = client.call(&request, CALL_TIMEOUT).await else {
             return;
         };
@@ -111,9 +112,8 @@
         let has_more = records.last().is_some_and(is_of_zone);
         let of_zone = records.into_iter().filter(is_of_zone);
         node.state.borrow_mut().members.add_listed(of_zone);
-        match page.continue_after {
-            Some(name) if has_more => after = Some(name),
-            _ => return,
+        if !has_more || cursor.advance(page.next) != Ok(PageProgress::ReadNext) {
+            return;
         }
     }
 }
