An instance serves only once it knows the evacuations

Callers would see: requests that run in an evacuated zone, at an instance that has started and can't read the list of evacuations, such as one that doesn't advance. It counted as ready, with no zone evacuated.

Evidence: a store whose lists don't advance, with servers on one page and evacuations on two. Before: 200 from the evacuated zone.

Why this works: until the first whole list, requests get 503 at once (after the moments of the start, as without a configuration) with a time to come back, the instance isn't ready, and lookups don't name it. A list that fails later changes nothing: what is known stays in use.

Result: the test passes, and so do failures, relays, lost_watches, path, odd_entries, teams, tunnels and losses.

--- a/crates/damaskvane-gateway/src/clients/dispatch.rs
+++ b/crates/damaskvane-gateway/src/clients/dispatch.rs
@@ -74,6 +74,13 @@
         pending.record_rejection("starting");
         return reply::not_run("no configuration is known yet\n", STARTING_RETRY_AFTER_MS);
     };
+    if !node.state.borrow().are_evacuations_listed {
+        pending.record_rejection("starting");
+        return reply::not_run(
+            "the evacuations are not known yet\n",
+            STARTING_RETRY_AFTER_MS,
+        );
+    }
     let (mut parts, incoming) = request.into_parts();
     let host = head::host_of(&parts.headers, &parts.uri);
     let route = configuration.route(&host, parts.uri.path()).cloned();
--- a/crates/damaskvane-gateway/src/clients/startup.rs
+++ b/crates/damaskvane-gateway/src/clients/startup.rs
@@ -47,5 +47,5 @@
         return false;
     };
     let can_limit = configuration.teams().is_none() || !node.quotas.holders.borrow().is_empty();
-    state.are_servers_listed && can_limit && send_right::may_serve_keys(node)
+    state.is_complete() && can_limit && send_right::may_serve_keys(node)
 }
--- a/crates/damaskvane-gateway/src/node.rs
+++ b/crates/damaskvane-gateway/src/node.rs
@@ -48,6 +48,8 @@
     pub pool: ServerPool,
     /// Whether a complete list of the backend servers was read since the start of the process.
     pub are_servers_listed: bool,
+    /// Whether all evacuations were read since the start of the process.
+    pub are_evacuations_listed: bool,
     /// Selects the backend server of a request.
     pub placer: Placer,
     /// State by which the requests of each route are split among services by weight.
@@ -62,6 +64,14 @@
     pub tunnel_peers: TunnelPeers,
 }
 
+impl State {
+    /// Returns whether everything was read from the store that decides where requests go.
+    #[must_use]
+    pub const fn is_complete(&self) -> bool {
+        self.configuration.is_some() && self.are_servers_listed && self.are_evacuations_listed
+    }
+}
+
 /// Shared state of one instance's tasks, which all run on one thread.
 pub struct Node {
     /// Adapter to the platform's protocols.
@@ -145,6 +155,7 @@
             configuration: None,
             pool: ServerPool::new(settings.pool()),
             are_servers_listed: false,
+            are_evacuations_listed: false,
             placer: Placer::new(
                 settings.placement.clone(),
                 settings.zone.clone(),
@@ -266,9 +277,9 @@
         }
         let state = self.state.borrow();
         let has_joined = state.members.has_joined(self.now());
-        let is_complete = state.configuration.is_some() && state.are_servers_listed && has_joined;
+        let is_complete = state.is_complete();
         drop(state);
-        if !is_complete {
+        if !is_complete || !has_joined {
             Phase::Starting
         } else if self.evidence.newest().is_some() && !clients::may_serve_keys(self) {
             Phase::Limited
--- a/crates/damaskvane-gateway/src/store/applier.rs
+++ b/crates/damaskvane-gateway/src/store/applier.rs
@@ -66,6 +66,7 @@
                     self.apply_evacuation(item);
                 }
                 self.publish_evacuations(now);
+                self.node.state.borrow_mut().are_evacuations_listed = true;
             }
             Collection::Quarantine => {
                 let recorded = items.iter().filter_map(|item| item.name.parse().ok());
