A trailer without end is no answer

Cause: the lines of a trailer were bounded one by one, not together.

Why this works: a trailer of more than 16 KiB makes the body malformed, as a head that is too long does. A booking gets 502 at once; a request that may run twice goes to another server. A response with a short trailer is served as before.

--- a/crates/damaskvane-gateway/src/http/body.rs
+++ b/crates/damaskvane-gateway/src/http/body.rs
@@ -18,7 +18,8 @@
     Size,
     Data(u64),
     DataEnd,
-    Trailers,
+    /// The lines after the last chunk, of which this many bytes may still come.
+    Trailers(usize),
 }
 
 /// Decodes one body from a read buffer.
@@ -44,6 +45,9 @@
 /// Maximum length of a line of chunk framing, in bytes.
 const MAX_LINE_BYTES: usize = 1_024;
 
+/// Maximum length of the trailer of a body, in bytes. Nobody reads it, and a server could send it without end.
+const MAX_TRAILER_BYTES: usize = 16_384;
+
 /// The error for a body with invalid chunk framing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MalformedBody;
@@ -113,7 +117,7 @@
                     };
                     let size = chunk_size(&line)?;
                     self.chunk = if size == 0 {
-                        ChunkState::Trailers
+                        ChunkState::Trailers(MAX_TRAILER_BYTES)
                     } else {
                         ChunkState::Data(size)
                     };
@@ -134,7 +138,7 @@
                     }
                     self.chunk = ChunkState::Size;
                 }
-                ChunkState::Trailers => {
+                ChunkState::Trailers(remaining) => {
                     let Some(line) = take_line(buffer)? else {
                         return Ok(Piece::NeedsMore);
                     };
@@ -142,6 +146,7 @@
                         self.is_done = true;
                         return Ok(Piece::End);
                     }
+                    *remaining = remaining.checked_sub(line.len()).ok_or(MalformedBody)?;
                 }
             }
         }
