Left behind: responses of the store are digested in one place

Four callers replaced the API keys in a response of the store by their digests before they decoded it, each with its own error, and a fifth did not need to. The client of the store does it now for every call, so no caller can forget it. No change of behaviour but one: a response whose teams can't be decoded is logged whoever has read it.

--- a/crates/damaskvane-gateway/src/store/client.rs
+++ b/crates/damaskvane-gateway/src/store/client.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use hyper::StatusCode;
 
-use crate::adapter::{Collection, StoreRequest};
+use crate::adapter::{Collection, DecodeError, StoreRequest};
 use crate::http::{self, BodyReader, ReadError};
 use crate::node::Node;
 use crate::store::page_cursor::StuckList;
@@ -81,7 +81,7 @@
         }
     }
 
-    /// Sends a request and returns the body of the response.
+    /// Sends a request and returns the body of the response, with digests in place of API keys.
     ///
     /// The connection is reused only after a complete response. No further call is sent on a connection on which a
     /// response has not arrived, because a late response would be taken for the response to the next call.
@@ -96,6 +96,7 @@
     ) -> Result<Bytes, CallError> {
         let result = tokio::time::timeout(timeout, self.exchange(request)).await;
         let result = result.unwrap_or(Err(CallError::Timeout));
+        let result = result.and_then(|body| self.digest_keys(body));
         let outcome = result.as_ref().err().map_or("ok", CallError::as_str);
         let labels = [self.collection.as_str(), request.purpose.as_str(), outcome];
         self.node
@@ -106,6 +107,18 @@
         result
     }
 
+    fn digest_keys(&self, body: Bytes) -> Result<Bytes, CallError> {
+        let digested = self.node.adapter.digest_keys(self.collection, body);
+        digested.map_err(|error| self.log_malformed(&error))
+    }
+
+    /// Logs why a response can't be decoded.
+    pub(super) fn log_malformed(&self, error: &DecodeError) -> CallError {
+        slog::warn!(self.node.log.log, "cannot decode the response of the store";
+            "collection" => self.collection.as_str(), "error" => %error);
+        CallError::Malformed
+    }
+
     async fn exchange(&mut self, request: &StoreRequest) -> Result<Bytes, CallError> {
         let reusable = self.connection.take();
         let mut connection = match reusable.filter(http::Connection::is_reusable) {
--- a/crates/damaskvane-gateway/src/store/evidence.rs
+++ b/crates/damaskvane-gateway/src/store/evidence.rs
@@ -6,11 +6,10 @@
 use core::time::Duration;
 use std::rc::Rc;
 
-use bytes::Bytes;
 use damaskvane_core::time::TimeMs;
 use damaskvane_routing::teams::ConfigEvidence;
 
-use crate::adapter::{Collection, StoreRequest};
+use crate::adapter::Collection;
 use crate::node::Node;
 use crate::store::{CallError, Source, StoreClient, revision_check};
 
@@ -82,7 +81,8 @@
     let store_revision = revision_check::read_revision(node, client).await;
     let store_revision = store_revision.map_err(Unproven::Call)?;
     let request = node.adapter.watch(Collection::Configuration, watched, 0);
-    let body = read(node, client, &request).await?;
+    let body = client.call(&request, CALL_TIMEOUT).await;
+    let body = body.map_err(Unproven::Call)?;
     let changes = node.adapter.changes(Collection::Configuration, &body);
     let changes = changes.map_err(|_| Unproven::Call(CallError::Malformed))?;
     let is_unchanged = changes.events.is_empty() && changes.revision >= store_revision;
@@ -94,14 +94,3 @@
         current_at,
     })
 }
-
-async fn read(
-    node: &Rc<Node>,
-    client: &mut StoreClient,
-    request: &StoreRequest,
-) -> Result<Bytes, Unproven> {
-    let body = client.call(request, CALL_TIMEOUT).await;
-    let body = body.map_err(Unproven::Call)?;
-    let digested = node.adapter.digest_keys(Collection::Configuration, body);
-    digested.map_err(|_| Unproven::Call(CallError::Malformed))
-}
--- a/crates/damaskvane-gateway/src/store/follow.rs
+++ b/crates/damaskvane-gateway/src/store/follow.rs
@@ -158,11 +158,10 @@
             let request = adapter.list(self.collection, cursor.after(), may_be_stale);
             let started = self.node.now();
             let body = self.client.call(&request, CALL_TIMEOUT).await?;
-            let body = self.digest_keys(body)?;
             let took_ms = self.node.now().since(started).get();
             self.node.metrics.store_s.observe(took_ms as f64 / 1_000.0);
             let page = self.node.adapter.page(self.collection, &body);
-            let page = page.map_err(|error| self.log_malformed(&error))?;
+            let page = page.map_err(|error| self.client.log_malformed(&error))?;
             pages.push(body);
             // The watch continues from the first page's revision, so it returns changes made between the reads of two
             // pages.
@@ -307,21 +306,16 @@
         let request: StoreRequest = node.adapter.watch(self.collection, revision, wait_ms);
         let timeout = Duration::from_millis(wait_ms) + WATCH_SLACK;
         let body = tokio::select! {
-            body = self.client.call(&request, timeout) => self.digest_keys(body?)?,
+            body = self.client.call(&request, timeout) => body?,
             () = node.store.until_call_may_hang() => return Err(CallError::Timeout),
             () = node.store.until_history_lost() => return Ok((revision, Bytes::new())),
             () = self.check.until_overdue(revision) => return Ok((revision, Bytes::new())),
         };
         let changes = self.node.adapter.changes(self.collection, &body);
-        let changes = changes.map_err(|error| self.log_malformed(&error))?;
+        let changes = changes.map_err(|error| self.client.log_malformed(&error))?;
         Ok((changes.revision, body))
     }
 
-    fn digest_keys(&self, body: Bytes) -> Result<Bytes, CallError> {
-        let digested = self.node.adapter.digest_keys(self.collection, body);
-        digested.map_err(|error| self.log_malformed(&error))
-    }
-
     /// Records that the collection is applied up to a revision, for the proofs that the configuration is current.
     fn record_applied(&self, revision: u64) {
         if self.collection == Collection::Configuration {
@@ -329,12 +323,6 @@
         }
     }
 
-    fn log_malformed(&self, error: &DecodeError) -> CallError {
-        slog::warn!(self.node.log.log, "cannot decode the response of the store";
-            "collection" => self.collection.as_str(), "error" => %error);
-        CallError::Malformed
-    }
-
     fn log_stuck(&self, error: StuckList, cursor: &PageCursor) -> CallError {
         slog::warn!(self.node.log.log, "cannot read a list of the store";
             "collection" => self.collection.as_str(), "after" => cursor.after(), "error" => %error);
--- a/crates/damaskvane-gateway/src/store/revision_check.rs
+++ b/crates/damaskvane-gateway/src/store/revision_check.rs
@@ -59,8 +59,6 @@
 ) -> Result<u64, CallError> {
     let request = node.adapter.revision_check();
     let body = client.call(&request, CALL_TIMEOUT).await?;
-    let digested = node.adapter.digest_keys(Collection::Configuration, body);
-    let body = digested.map_err(|_| CallError::Malformed)?;
     let page = node.adapter.page(Collection::Configuration, &body);
     let revision = page.map_err(|_| CallError::Malformed)?.revision;
     node.store.record_revision(node.now(), revision);
--- a/crates/damaskvane-gateway/src/store/watch_check.rs
+++ b/crates/damaskvane-gateway/src/store/watch_check.rs
@@ -101,8 +101,6 @@
             ..adapter.watch(self.collection, revision, 0)
         };
         let body = self.client.call(&request, CALL_TIMEOUT).await?;
-        let digested = adapter.digest_keys(self.collection, body);
-        let body = digested.map_err(|_| CallError::Malformed)?;
         let changes = adapter.changes(self.collection, &body);
         changes.map_err(|_| CallError::Malformed)
     }
