A list that can't be read is told once, counted, and at a bounded length

Cause: the line stood where the cursor stops, without a memory, and knew only of that; names were logged as they are.

Why this works: the reader of a list notes that it has told, until the list is read; `unread_lists_total{collection}` counts every try. Errors that would come again (a refusal, a list that doesn't advance) are told, others pass by the health of the store as before. Texts of other writers are cut after 500 characters in the log.

--- a/crates/damaskvane-gateway/src/metrics.rs
+++ b/crates/damaskvane-gateway/src/metrics.rs
@@ -52,6 +52,8 @@
     pub overdue_watches: IntCounterVec,
     /// Objects of the store that can't be used, each time they were read, by collection.
     pub unusable_objects: IntCounterVec,
+    /// Lists of the store that did not advance or were refused, by collection.
+    pub unread_lists: IntCounterVec,
     /// Health probes sent.
     pub probes: IntCounter,
     /// Crashes of backend servers that were running requests of this instance.
@@ -170,6 +172,11 @@
                 "Objects of the store that can't be used, each time they were read",
                 &["collection"],
             )?,
+            unread_lists: factory.counters(
+                "unread_lists_total",
+                "Lists of the store that did not advance or were refused, each time they were read",
+                &["collection"],
+            )?,
             probes: factory.counter("probes_total", "Health probes")?,
             crash_incidents: factory.counter(
                 "crash_incidents_total",
--- a/crates/damaskvane-gateway/src/store.rs
+++ b/crates/damaskvane-gateway/src/store.rs
@@ -29,6 +29,14 @@
 
 use crate::adapter::Collection;
 
+/// Maximum number of characters of a text from the store that stands in a line of the log.
+const MAX_LOGGED_CHARS: usize = 500;
+
+/// Returns the beginning of a text of another writer, which may have any length.
+fn shortened(text: &str) -> String {
+    text.chars().take(MAX_LOGGED_CHARS).collect()
+}
+
 /// Collections (kinds of objects in the store) whose changes every instance receives. The index of a collection in this
 /// array is its number in messages between instances.
 pub const FOLLOWED_COLLECTIONS: [Collection; 5] = [
--- a/crates/damaskvane-gateway/src/store/applier.rs
+++ b/crates/damaskvane-gateway/src/store/applier.rs
@@ -16,6 +16,7 @@
 use crate::adapter::{Collection, Event, Record};
 use crate::crashes;
 use crate::node::Node;
+use crate::store::shortened;
 
 /// Maximum number of servers that join together and get a log line each. If more servers join together, they share one
 /// line.
@@ -186,11 +187,11 @@
         if logged.len() >= MAX_LOGGED_UNUSABLE {
             logged.clear();
         }
-        if !logged.insert((name.to_owned(), reason.to_owned())) {
+        if !logged.insert((shortened(name), shortened(reason))) {
             return;
         }
         slog::warn!(self.node.log.log, "ignoring an invalid object of the store";
-            "collection" => collection, "name" => name, "reason" => reason);
+            "collection" => collection, "name" => shortened(name), "reason" => shortened(reason));
     }
 
     fn handle_pool_changes(&self, changes: &[Change]) {
--- a/crates/damaskvane-gateway/src/store/client.rs
+++ b/crates/damaskvane-gateway/src/store/client.rs
@@ -39,6 +39,18 @@
 }
 
 impl CallError {
+    /// Returns whether the same call would fail again: the store refuses it, or its list doesn't advance.
+    #[must_use]
+    pub fn is_lasting(&self) -> bool {
+        match self {
+            Self::StuckList(_) => true,
+            Self::Status(status) => {
+                status.is_client_error() && *status != StatusCode::TOO_MANY_REQUESTS
+            }
+            _ => false,
+        }
+    }
+
     /// Returns the label of the error for metrics.
     #[must_use]
     pub const fn as_str(&self) -> &'static str {
--- a/crates/damaskvane-gateway/src/store/follow.rs
+++ b/crates/damaskvane-gateway/src/store/follow.rs
@@ -17,9 +17,9 @@
 use crate::store::applier::Applier;
 use crate::store::feed::FeedItem;
 use crate::store::journal::Listing;
-use crate::store::page_cursor::{PageCursor, PageProgress, StuckList};
+use crate::store::page_cursor::{PageCursor, PageProgress};
 use crate::store::watch_check::WatchCheck;
-use crate::store::{CallError, Source, StoreClient, freshness};
+use crate::store::{CallError, Source, StoreClient, freshness, shortened};
 
 /// Time that a watch may take to return in addition to the wait time that its call requests.
 const WATCH_SLACK: Duration = Duration::from_millis(1_200);
@@ -66,6 +66,7 @@
         collection,
         failures: 0,
         has_listing: false,
+        is_unread_list_logged: false,
     }
     .run()
     .await;
@@ -91,6 +92,8 @@
     failures: u32,
     /// Whether the whole collection was read at least once since the start of the process.
     has_listing: bool,
+    /// Whether it was logged that the list can't be read, since it was read last.
+    is_unread_list_logged: bool,
 }
 
 impl Follower {
@@ -147,9 +150,19 @@
     }
 
     async fn read_list(&mut self) -> Result<Listing, CallError> {
+        let mut cursor = PageCursor::default();
+        let read = self.read_pages(&mut cursor).await;
+        if let Err(error) = &read
+            && error.is_lasting()
+        {
+            self.record_unread_list(error, &cursor);
+        }
+        read
+    }
+
+    async fn read_pages(&mut self, cursor: &mut PageCursor) -> Result<Listing, CallError> {
         let mut pages = Vec::new();
         let current_at = self.node.continuous_now();
-        let mut cursor = PageCursor::default();
         let mut first_revision = None;
         loop {
             let adapter = &self.node.adapter;
@@ -166,8 +179,8 @@
             // The watch continues from the first page's revision, so it returns changes made between the reads of two
             // pages.
             let revision = *first_revision.get_or_insert(page.revision);
-            let progress = cursor.advance(page.next);
-            if progress.map_err(|error| self.log_stuck(error, &cursor))? == PageProgress::ReadNext {
+            let progress = cursor.advance(page.next).map_err(CallError::StuckList)?;
+            if progress == PageProgress::ReadNext {
                 continue;
             }
             if self.collection == Collection::Configuration {
@@ -216,6 +229,7 @@
         }
         items.retain(|_, item| item.record.is_some());
         self.has_listing = true;
+        self.is_unread_list_logged = false;
         self.failures = 0;
         self.applier.replace(items.into_values().collect());
         let revision = listing.revision;
@@ -323,10 +337,18 @@
         }
     }
 
-    fn log_stuck(&self, error: StuckList, cursor: &PageCursor) -> CallError {
+    /// Counts a list that can't be read, and logs it the first time.
+    fn record_unread_list(&mut self, error: &CallError, cursor: &PageCursor) {
+        let collection = self.collection.as_str();
+        let unread = &self.node.metrics.unread_lists;
+        unread.with_label_values(&[collection]).inc();
+        if self.is_unread_list_logged {
+            return;
+        }
+        self.is_unread_list_logged = true;
         slog::warn!(self.node.log.log, "cannot read a list of the store";
-            "collection" => self.collection.as_str(), "after" => cursor.after(), "error" => %error);
-        CallError::StuckList(error)
+            "collection" => collection, "after" => cursor.after().map(shortened),
+            "error" => %error);
     }
 
     /// Waits before the next call. While the store is down, only the health check calls the store, so that an outage
